--- /dev/null
+++ b/crates/cicadacrank-core/src/error.rs
@@ -0,0 +1,215 @@
+//! The closed list of error kinds and the table from kind to answer.
+//!
+//! Every refusal and failure of the system is one of these kinds. The table is
+//! printed in `docs/reference/errors.md`, and a test keeps both alike.
+
+use std::fmt;
+
+/// What is known about the work behind an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effect {
+    /// No byte of the request reached any endpoint.
+    NotRun,
+    /// Some stage ran, and the work that may not be repeated did not run or is
+    /// known to have ended.
+    Partial,
+    /// An endpoint may or may not have run the work.
+    Unknown,
+}
+
+impl Effect {
+    /// Every effect, in the order of the table.
+    pub const ALL: [Self; 3] = [Self::NotRun, Self::Partial, Self::Unknown];
+
+    /// Returns the name used in headers, bodies and messages.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Partial => "partial",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Returns the effect with this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|effect| effect.as_str() == name)
+    }
+}
+
+/// Whether another attempt may help.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retry {
+    /// The same request would fail in the same way.
+    Never,
+    /// Another endpoint may take the work at once.
+    Elsewhere,
+    /// The same request may pass later.
+    Later,
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Name on the wire, in logs and in answers.
+    pub name: &'static str,
+    /// Status of an HTTP answer.
+    pub http: u16,
+    /// Code of a gRPC status.
+    pub grpc: u8,
+    /// Exit code of the operators' client.
+    pub exit: u8,
+    /// Whether another attempt may help.
+    pub retry: Retry,
+    /// One sentence for the reader of an answer.
+    pub text: &'static str,
+}
+
+macro_rules! kinds {
+    ($($kind:ident = $name:literal, $http:literal, $grpc:literal, $exit:literal, $retry:ident, $text:literal;)*) => {
+        /// The closed list of error kinds.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Kind {
+            $(#[doc = $text] $kind,)*
+        }
+
+        impl Kind {
+            /// Every kind, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// Returns the row of the table for this kind.
+            #[must_use]
+            pub const fn row(self) -> Row {
+                match self {
+                    $(Self::$kind => Row {
+                        name: $name, http: $http, grpc: $grpc, exit: $exit,
+                        retry: Retry::$retry, text: $text,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    BadRequest = "bad-request", 400, 3, 2, Never, "The request is not valid JSON or lacks a field.";
+    TooLarge = "too-large", 413, 8, 2, Never, "The body is over the stated limit.";
+    UnknownPipeline = "unknown-pipeline", 404, 5, 2, Never, "No pipeline has this name.";
+    Forbidden = "forbidden", 403, 7, 4, Never, "The team has no right to the pipeline or to one of its pools now.";
+    KeyMissing = "key-missing", 400, 3, 2, Never, "The pipeline needs an idempotency key and the request has none.";
+    KeyReused = "key-reused", 422, 6, 2, Never, "The idempotency key was used with another body.";
+    Quarantined = "quarantined", 422, 9, 5, Later, "The request crashed endpoints and is refused for a time.";
+    Overloaded = "overloaded", 503, 8, 5, Elsewhere, "The endpoint bears no more work now.";
+    TeamLimit = "team-limit", 429, 8, 5, Later, "The team is at its limit.";
+    NoEndpoint = "no-endpoint", 503, 14, 5, Later, "No endpoint of the pool can take the work.";
+    TakenOut = "taken-out", 503, 14, 5, Elsewhere, "The endpoint or its data centre was taken out.";
+    Leaving = "leaving", 503, 14, 5, Elsewhere, "The endpoint is leaving.";
+    Stale = "stale", 503, 9, 5, Elsewhere, "The process holds an older configuration than its peer.";
+    NotReady = "not-ready", 503, 14, 5, Elsewhere, "The process has no configuration in force.";
+    PlatformDown = "platform-down", 503, 14, 6, Later, "The platform did not answer in time.";
+    Deadline = "deadline", 504, 4, 7, Never, "The deadline has passed.";
+    Unreachable = "unreachable", 502, 14, 6, Elsewhere, "No connection to the peer could be made.";
+    EndpointFailed = "endpoint-failed", 502, 13, 6, Elsewhere, "The endpoint failed while it ran the work.";
+    EndpointRefused = "endpoint-refused", 502, 9, 6, Never, "The endpoint refused the work as invalid.";
+    EndpointProtocol = "endpoint-protocol", 502, 15, 6, Elsewhere, "The endpoint's answer breaks its protocol.";
+    Truncated = "truncated", 502, 15, 6, Elsewhere, "The answer ended before its end was stated.";
+    Silent = "silent", 504, 14, 6, Elsewhere, "The connection made no progress within the bound.";
+    OutcomeUnknown = "outcome-unknown", 409, 2, 8, Never, "An earlier attempt holds the claim and its outcome is not known.";
+    Cancelled = "cancelled", 499, 1, 9, Never, "The caller went away.";
+    Settings = "settings", 500, 3, 3, Never, "The settings are not valid.";
+    Rules = "rules", 422, 3, 3, Never, "The rules are not valid.";
+    Conflict = "conflict", 409, 10, 10, Never, "Another operator's change came first.";
+    Internal = "internal", 500, 13, 1, Never, "An internal invariant does not hold.";
+}
+
+impl Kind {
+    /// Returns the kind's name on the wire.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        self.row().name
+    }
+
+    /// Returns the status of an HTTP answer.
+    #[must_use]
+    pub const fn http_status(self) -> u16 {
+        self.row().http
+    }
+
+    /// Returns the exit code of the operators' client.
+    #[must_use]
+    pub const fn exit_code(self) -> u8 {
+        self.row().exit
+    }
+
+    /// Returns whether another attempt may help.
+    #[must_use]
+    pub const fn retry(self) -> Retry {
+        self.row().retry
+    }
+
+    /// Returns the kind with this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|kind| kind.as_str() == name)
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// A failure with its kind, its effect and what was being done.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind} ({}): {context}", .effect.as_str())]
+pub struct Failure {
+    /// The kind from the closed list.
+    pub kind: Kind,
+    /// What is known about the work.
+    pub effect: Effect,
+    /// What was being done, to what.
+    pub context: String,
+}
+
+impl Failure {
+    /// Creates a failure whose work surely did not run.
+    ///
+    /// Only code before the first byte to an endpoint may call this.
+    #[must_use]
+    pub fn not_run(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            effect: Effect::NotRun,
+            context: context.into(),
+        }
+    }
+
+    /// Creates a failure after some of the work ran.
+    #[must_use]
+    pub fn partial(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            effect: Effect::Partial,
+            context: context.into(),
+        }
+    }
+
+    /// Creates a failure whose work may or may not have run.
+    #[must_use]
+    pub fn unknown(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            effect: Effect::Unknown,
+            context: context.into(),
+        }
+    }
+
+    /// Returns the failure with an effect no better than `floor`.
+    #[must_use]
+    pub fn with_floor(mut self, floor: Effect) -> Self {
+        self.effect = self.effect.max(floor);
+        self
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of cicadacrank as plain state machines.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number: time
+//! arrives as [`std::time::Duration`] since an origin the caller picks, random
+//! numbers arrive as arguments. That keeps every decision testable without
+//! waiting, and lets both roles of the daemon and the client share one reading
+//! of the rules.
+//!
+//! The steps of a request, and the module that decides each:
+//!
+//! 1. [`rules`] says which pipelines, teams and endpoints exist.
+//!
+//! ```
+//! use cicadacrank_core::error::{Effect, Kind};
+//!
+//! assert_eq!(Kind::Overloaded.http_status(), 503);
+//! assert_eq!(Effect::NotRun.as_str(), "not-run");
+//! ```
+
+pub mod error;
+pub mod rules;
--- /dev/null
+++ b/crates/cicadacrank/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
