--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -9,6 +9,10 @@
 //! The steps of a request, and the module that decides each:
 //!
 //! 1. [`rules`] says which pipelines, teams and endpoints exist.
+//! 2. [`pipeline`] turns a caller's body into the input of each stage.
+//! 3. [`routing`] picks an endpoint for an attempt.
+//! 4. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
+//! 5. [`once`] keeps work that may not be repeated from running twice.
 //!
 //! ```
 //! use cicadacrank_core::error::{Effect, Kind};
@@ -17,5 +21,11 @@
 //! assert_eq!(Effect::NotRun.as_str(), "not-run");
 //! ```
 
+pub mod admission;
 pub mod error;
+pub mod event;
+pub mod id;
+pub mod once;
+pub mod pipeline;
+pub mod routing;
 pub mod rules;
--- /dev/null
+++ b/crates/cicadacrank-core/src/once/claim.rs
@@ -0,0 +1,133 @@
+//! The record of work that may not be repeated.
+
+use crate::id;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Name of a claim: a digest over team, pipeline, stage and idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Name([u8; Self::BYTES]);
+
+impl Name {
+    /// Length of a name, in bytes.
+    pub const BYTES: usize = 16;
+
+    /// Creates the name; parts are length-prefixed, so that none runs into the
+    /// next.
+    #[must_use]
+    pub fn new(team: &str, pipeline: &str, stage: &str, key: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [team, pipeline, stage, key] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        let mut name = [0; Self::BYTES];
+        hasher.finalize_xof().fill(&mut name);
+        Self(name)
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+/// How far claimed work has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum State {
+    /// The holder may have sent the work.
+    Open,
+    /// The holder surely did not send the work; another may take it over.
+    Unsent,
+    /// The work ended.
+    Done {
+        /// What it answered.
+        outcome: Outcome,
+    },
+}
+
+/// How claimed work ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum Outcome {
+    /// The endpoint answered whole; the answer is kept.
+    Answer {
+        /// Output of the stage, as JSON text.
+        output: String,
+    },
+    /// The endpoint answered whole, but the answer is too large to keep.
+    Oversized,
+    /// The endpoint refused the work as invalid.
+    Refused {
+        /// What it said.
+        context: String,
+    },
+}
+
+/// The record that one attempt alone may run some work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Attempt that holds the claim.
+    pub attempt: id::Attempt,
+    /// Digest of the caller's body, in hexadecimal digits.
+    pub digest: String,
+    /// Time the claim ends, in milliseconds since the Unix epoch.
+    pub ends_unix_ms: u64,
+    /// How far the work has come.
+    #[serde(flatten)]
+    pub state: State,
+}
+
+/// What an attempt that meets a claim must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The claim is the attempt's own: run the work.
+    Run,
+    /// Take the claim over, conditional on its version.
+    TakeOver,
+    /// Another attempt holds the claim: look again later.
+    Wait,
+    /// Answer with the recorded outcome.
+    Replay(Outcome),
+    /// Refuse: the key was used with another body.
+    Reused,
+}
+
+impl Claim {
+    /// Creates an open claim.
+    #[must_use]
+    pub const fn new(attempt: id::Attempt, digest: String, ends_unix_ms: u64) -> Self {
+        Self {
+            attempt,
+            digest,
+            ends_unix_ms,
+            state: State::Open,
+        }
+    }
+
+    /// Returns the claim in another state.
+    #[must_use]
+    pub fn with_state(mut self, state: State) -> Self {
+        self.state = state;
+        self
+    }
+
+    /// Decides what `attempt` with a body of this digest must do on finding
+    /// this claim.
+    #[must_use]
+    pub fn verdict(&self, attempt: id::Attempt, digest: &str) -> Verdict {
+        if self.digest != digest {
+            return Verdict::Reused;
+        }
+        match &self.state {
+            State::Open if self.attempt == attempt => Verdict::Run,
+            State::Open => Verdict::Wait,
+            State::Unsent => Verdict::TakeOver,
+            State::Done { outcome } => Verdict::Replay(outcome.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/once/mod.rs
@@ -0,0 +1,14 @@
+//! Work that may not be repeated runs at most once.
+//!
+//! Two things make this hold. A [`Claim`] in the platform is created before
+//! the work goes to its endpoint and is never taken over while it may have been
+//! sent. And the types [`Unsent`] and [`Sent`] leave only the code before the
+//! first byte able to say that the work did not run.
+
+mod claim;
+mod send;
+
+pub use self::{
+    claim::{Claim, Name, Outcome, State, Verdict},
+    send::{Sent, Unsent},
+};
--- /dev/null
+++ b/crates/cicadacrank-core/src/pipeline/context.rs
@@ -0,0 +1,162 @@
+//! What the stages of a request have made so far.
+
+use crate::{
+    error::{Failure, Kind},
+    rules::{Pool, Service},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Number of documents a retriever is asked for.
+const DOCUMENT_COUNT: u32 = 8;
+
+/// Most tokens a generation may have when the caller states no number.
+const TOKEN_COUNT: u64 = 256;
+
+/// What the stages of a request have made so far.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Context {
+    request: Value,
+    query: String,
+    vector: Value,
+    documents: Vec<Value>,
+    results: Vec<Value>,
+    text: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Embeddings {
+    data: Vec<Embedding>,
+}
+
+#[derive(Deserialize)]
+struct Embedding {
+    embedding: Value,
+}
+
+#[derive(Deserialize)]
+struct Documents {
+    documents: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Ranking {
+    results: Vec<Rank>,
+}
+
+#[derive(Deserialize)]
+struct Rank {
+    index: usize,
+}
+
+impl Context {
+    /// Creates the context of a request from the caller's body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRequest`] if the body is not a JSON object with a
+    /// text field `query`.
+    pub fn new(body: &[u8]) -> Result<Self, Failure> {
+        let request: Value = serde_json::from_slice(body).map_err(|error| {
+            Failure::not_run(Kind::BadRequest, format!("reading the body: {error}"))
+        })?;
+        let query = request
+            .get("query")
+            .and_then(Value::as_str)
+            .ok_or_else(|| {
+                Failure::not_run(Kind::BadRequest, "the body needs a text field `query`")
+            })?
+            .to_owned();
+        Ok(Self {
+            request,
+            query,
+            vector: Value::Null,
+            documents: Vec::new(),
+            results: Vec::new(),
+            text: None,
+        })
+    }
+
+    /// Returns the body of the call to an endpoint of the pool.
+    #[must_use]
+    pub fn input(&self, pool: &Pool) -> Value {
+        match pool.service {
+            Service::Encode => json!({ "model": pool.model, "input": self.query }),
+            Service::Retrieve => json!({
+                "query": self.query, "embedding": self.vector, "top_k": DOCUMENT_COUNT,
+            }),
+            Service::Rerank => json!({
+                "model": pool.model, "query": self.query, "documents": self.documents,
+            }),
+            Service::Generate => json!({
+                "model": pool.model, "prompt": self.prompt(), "stream": true,
+                "max_tokens": self.request.get("max_tokens").and_then(Value::as_u64)
+                    .unwrap_or(TOKEN_COUNT),
+            }),
+            Service::Plain => json!({
+                "request": self.request, "results": self.results, "text": self.text,
+            }),
+        }
+    }
+
+    /// Adds the output of a stage.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::EndpointProtocol`] if the output does not have the shape
+    /// that the service promises.
+    pub fn absorb(&mut self, service: Service, output: &[u8]) -> Result<(), Failure> {
+        match service {
+            Service::Encode => {
+                let answer: Embeddings = read(output)?;
+                let first = answer.data.into_iter().next();
+                self.vector = first.ok_or_else(|| rubbish("no embedding"))?.embedding;
+            }
+            Service::Retrieve => self.documents = read::<Documents>(output)?.documents,
+            Service::Rerank => self.rerank(&read(output)?)?,
+            Service::Generate => {
+                let text = str::from_utf8(output).map_err(|error| rubbish(&error.to_string()))?;
+                self.text = Some(text.to_owned());
+            }
+            Service::Plain => self.results.push(read(output)?),
+        }
+        Ok(())
+    }
+
+    /// Returns the answer to the caller.
+    #[must_use]
+    pub fn answer(&self) -> Value {
+        json!({ "text": self.text, "documents": self.documents, "results": self.results })
+    }
+
+    fn rerank(&mut self, ranking: &Ranking) -> Result<(), Failure> {
+        let documents = ranking
+            .results
+            .iter()
+            .map(|rank| self.documents.get(rank.index).cloned())
+            .collect::<Option<Vec<_>>>();
+        self.documents = documents.ok_or_else(|| rubbish("a rank of no document"))?;
+        Ok(())
+    }
+
+    fn prompt(&self) -> String {
+        let mut prompt = String::new();
+        for part in self.documents.iter().chain(&self.results) {
+            prompt.push_str(&part.to_string());
+            prompt.push('\n');
+        }
+        prompt.push_str(&self.query);
+        prompt
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(output: &'a [u8]) -> Result<T, Failure> {
+    serde_json::from_slice(output).map_err(|error| rubbish(&error.to_string()))
+}
+
+fn rubbish(context: &str) -> Failure {
+    Failure::partial(
+        Kind::EndpointProtocol,
+        format!("reading the output of a stage: {context}"),
+    )
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/configuration.rs
@@ -0,0 +1,115 @@
+//! The configuration in force in this process.
+//!
+//! A [`Holder`] keeps the newest ruleset seen and never goes back: what is
+//! offered with an older or equal generation is ignored.
+
+use cicadacrank_core::{
+    event::Event,
+    rules::{self, Book},
+};
+use serde::{Deserialize, Serialize};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::watch, time};
+
+/// Name of the object that holds the rules.
+pub const RULESET_NAME: &str = "current";
+
+/// The content of the ruleset object that serving needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ruleset {
+    /// Rises by one with each accepted change.
+    pub generation: u64,
+    /// Text of the rule file.
+    pub rules: String,
+}
+
+/// Rules in force.
+#[derive(Debug)]
+pub struct Configuration {
+    /// Generation of the rules.
+    pub generation: u64,
+    /// The rules, resolved.
+    pub book: Book,
+    /// The object the rules came from, for peers that lack it.
+    pub ruleset: Ruleset,
+}
+
+/// Holds the newest configuration and tells others of it.
+#[derive(Debug)]
+pub struct Holder {
+    sender: watch::Sender<Option<Arc<Configuration>>>,
+}
+
+impl Holder {
+    /// Creates a holder without a configuration.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { sender: watch::Sender::new(None) }
+    }
+
+    /// Returns the configuration in force, if there is one.
+    #[must_use]
+    pub fn current(&self) -> Option<Arc<Configuration>> {
+        self.sender.borrow().clone()
+    }
+
+    /// Returns the generation in force; zero when there is none.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.sender.borrow().as_ref().map_or(0, |current| current.generation)
+    }
+
+    /// Returns a view that wakes with each change.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+        self.sender.subscribe()
+    }
+
+    /// Takes up a ruleset if it is newer than what is in force.
+    ///
+    /// Returns whether it was taken up. Rules that cannot be read are logged
+    /// and leave the older in force.
+    pub fn offer(&self, ruleset: Ruleset) -> bool {
+        if ruleset.generation <= self.generation() {
+            return false;
+        }
+        let book = match rules::parse(&ruleset.rules) {
+            Ok(book) => book,
+            Err(faults) => {
+                Event::GenerationRejected
+                    .log(format_args!("generation {}: {faults}", ruleset.generation));
+                return false;
+            }
+        };
+        let generation = ruleset.generation;
+        let next = Arc::new(Configuration { generation, book, ruleset });
+        let adopted = self.sender.send_if_modified(|current| {
+            let newer = current.as_ref().is_none_or(|current| current.generation < generation);
+            if newer {
+                *current = Some(next);
+            }
+            newer
+        });
+        if adopted {
+            Event::GenerationAdopted.log(format_args!("generation {generation}"));
+        }
+        adopted
+    }
+
+    /// Waits for a generation of at least `generation`, no longer than `bound`.
+    ///
+    /// Returns whether it is in force.
+    pub async fn wait(&self, generation: u64, bound: Duration) -> bool {
+        let mut view = self.sender.subscribe();
+        let reached = view.wait_for(|current| {
+            current.as_ref().is_some_and(|current| current.generation >= generation)
+        });
+        matches!(time::timeout(bound, reached).await, Ok(Ok(_)))
+    }
+}
+
+impl Default for Holder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -0,0 +1,209 @@
+//! Endpoints over HTTP.
+//!
+//! Engines speak the OpenAI-style protocols; completions come as server-sent
+//! events. Plain services take and return JSON.
+
+use super::{Call, Fault, Parts, Port};
+use bytes::Bytes;
+use cicadacrank_core::{error::Kind, rules::Service};
+use eventsource_stream::Eventsource as _;
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
+use reqwest::{Response, StatusCode, header, redirect, retry};
+use serde::Deserialize;
+use std::time::Duration;
+use tokio::time;
+
+/// Data of the event that ends a stream of completions.
+const DONE: &str = "[DONE]";
+
+/// Longest part of a refusal that is passed on, in characters.
+const REFUSAL_CHARACTERS: usize = 200;
+
+#[derive(Deserialize)]
+struct Completion {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+}
+
+/// Client of endpoints.
+#[derive(Clone, Debug)]
+pub struct Client {
+    reusing: reqwest::Client,
+    fresh: reqwest::Client,
+}
+
+impl Client {
+    /// Creates a client that gives up on a connection attempt after `connect`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the HTTP client cannot be set up.
+    pub fn new(connect: Duration) -> Result<Self, Fault> {
+        let builder = || {
+            reqwest::Client::builder()
+                .no_proxy()
+                .redirect(redirect::Policy::none())
+                .retry(retry::never())
+                .connect_timeout(connect)
+        };
+        let setup = |error: reqwest::Error| Fault::new(Kind::Internal, error.to_string());
+        Ok(Self {
+            reusing: builder().build().map_err(setup)?,
+            fresh: builder().pool_max_idle_per_host(0).build().map_err(setup)?,
+        })
+    }
+
+    async fn begin(&self, call: Call) -> Result<Parts, Fault> {
+        let http = if call.reuse { &self.reusing } else { &self.fresh };
+        let url = format!("http://{}{}", call.address, path(&call));
+        let mut request = http
+            .post(url)
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("x-attempt-id", &call.attempt)
+            .body(call.input);
+        if !call.key.is_empty() {
+            request = request.header("idempotency-key", &call.key);
+        }
+        let response = time::timeout(call.progress, request.send())
+            .await
+            .map_err(|_| silent(call.progress))?
+            .map_err(|error| Fault {
+                connected: !error.is_connect(),
+                ..Fault::new(
+                    if error.is_connect() { Kind::Unreachable } else { Kind::EndpointFailed },
+                    describe(&error),
+                )
+            })?;
+        let response = check(response, call.progress).await?;
+        Ok(match call.service {
+            Service::Generate => completions(response, call.progress, call.output_limit),
+            _ => whole(response, call.progress, call.output_limit),
+        })
+    }
+}
+
+impl Port for Client {
+    fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, Fault>> {
+        self.begin(call).boxed()
+    }
+}
+
+fn path(call: &Call) -> &str {
+    match call.service {
+        Service::Encode => "/v1/embeddings",
+        Service::Retrieve => "/v1/retrieve",
+        Service::Rerank => "/v1/rerank",
+        Service::Generate => "/v1/completions",
+        Service::Plain => &call.path,
+    }
+}
+
+fn silent(progress: Duration) -> Fault {
+    Fault::new(Kind::Silent, format!("no progress in {} ms", progress.as_millis()))
+}
+
+fn describe(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(inner) = source {
+        text = format!("{text}: {inner}");
+        source = inner.source();
+    }
+    text
+}
+
+async fn check(response: Response, progress: Duration) -> Result<Response, Fault> {
+    let status = response.status();
+    if status == StatusCode::OK {
+        return Ok(response);
+    }
+    let body = time::timeout(progress, response.text()).await;
+    let body = body.ok().and_then(Result::ok);
+    let kind = match status {
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::UNPROCESSABLE_ENTITY => {
+            Kind::EndpointRefused
+        }
+        _ => Kind::EndpointFailed,
+    };
+    let refused = kind == Kind::EndpointRefused && body.is_some();
+    let text: String = body.unwrap_or_default().chars().take(REFUSAL_CHARACTERS).collect();
+    Err(Fault { refused, ..Fault::new(kind, format!("status {status}: {text}")) })
+}
+
+/// Reads a body that is passed on in one part.
+fn whole(response: Response, progress: Duration, limit: u64) -> Parts {
+    stream::once(async move {
+        let mut body = response.bytes_stream();
+        let mut output = Vec::new();
+        while let Some(part) = next(&mut body, progress).await? {
+            output.extend_from_slice(&part.map_err(|error| truncated(&error))?);
+            if output.len() as u64 > limit {
+                return Err(oversized(limit));
+            }
+        }
+        Ok(Bytes::from(output))
+    })
+    .boxed()
+}
+
+/// Reads a stream of completions; each event with text is one part.
+fn completions(response: Response, progress: Duration, limit: u64) -> Parts {
+    struct State<S> {
+        events: S,
+        bytes: u64,
+        ended: bool,
+    }
+    let events = response.bytes_stream().eventsource().boxed();
+    let state = State { events, bytes: 0, ended: false };
+    stream::try_unfold(state, move |mut state| async move {
+        loop {
+            let event = match next(&mut state.events, progress).await? {
+                None if state.ended => return Ok(None),
+                None => return Err(Fault::new(Kind::Truncated, "the stream has no end mark")),
+                Some(event) => event.map_err(|error| truncated(&error))?,
+            };
+            if state.ended {
+                return Err(Fault::new(Kind::EndpointProtocol, "data after the end mark"));
+            }
+            if event.data == DONE {
+                state.ended = true;
+                continue;
+            }
+            let text = text_of(&event.data)?;
+            state.bytes += text.len() as u64;
+            if state.bytes > limit {
+                return Err(oversized(limit));
+            }
+            if !text.is_empty() {
+                return Ok(Some((Bytes::from(text), state)));
+            }
+        }
+    })
+    .boxed()
+}
+
+fn text_of(data: &str) -> Result<String, Fault> {
+    let completion: Completion = serde_json::from_str(data)
+        .map_err(|error| Fault::new(Kind::EndpointProtocol, format!("reading an event: {error}")))?;
+    Ok(completion.choices.into_iter().map(|choice| choice.text).collect())
+}
+
+async fn next<S: futures_util::Stream + Unpin>(
+    parts: &mut S,
+    progress: Duration,
+) -> Result<Option<S::Item>, Fault> {
+    time::timeout(progress, parts.next()).await.map_err(|_| silent(progress))
+}
+
+fn truncated(error: &dyn std::error::Error) -> Fault {
+    Fault::new(Kind::Truncated, format!("reading the answer: {error}"))
+}
+
+fn oversized(limit: u64) -> Fault {
+    Fault::new(Kind::EndpointProtocol, format!("the output is over {limit} bytes"))
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -0,0 +1,223 @@
+//! One attempt at one stage, over the link to a sidecar.
+
+use super::{
+    service::{Reply, Service},
+    walk::Walk,
+};
+use crate::link;
+use bytes::{Bytes, BytesMut};
+use cicadacrank_core::{
+    error::{Effect, Failure, Kind},
+    event::Event,
+    id,
+    routing::Report,
+    rules::Stage,
+};
+use cicadacrank_wire::wire::{self, frame::Body};
+use futures_util::StreamExt as _;
+use std::{net::SocketAddr, sync::Arc};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
+
+/// An attempt that has its endpoint.
+pub(super) struct Attempt {
+    pub(super) endpoint: String,
+    address: SocketAddr,
+    id: id::Attempt,
+    until: Instant,
+    _slot: Slot,
+}
+
+/// What an attempt yielded.
+pub(super) struct Done {
+    pub(super) output: Bytes,
+    pub(super) chunks: u64,
+}
+
+/// Why an attempt yielded nothing whole.
+pub(super) struct Trouble {
+    pub(super) failure: Failure,
+    /// The link failed, not the work.
+    pub(super) link: bool,
+    /// Part of the output has reached the caller.
+    pub(super) passed_on: bool,
+}
+
+/// Counts an attempt at an endpoint for as long as it lives.
+struct Slot {
+    service: Arc<Service>,
+    endpoint: String,
+}
+
+impl Slot {
+    fn new(service: &Arc<Service>, endpoint: &str) -> Self {
+        service.table().begin(endpoint);
+        Self { service: Arc::clone(service), endpoint: endpoint.to_owned() }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.service.table().end(&self.endpoint);
+    }
+}
+
+/// Reads the frames of one attempt.
+struct Reader<'a> {
+    attempt: &'a Attempt,
+    service: &'a Service,
+    sender: Option<mpsc::Sender<Reply>>,
+    output: BytesMut,
+    chunks: u64,
+    next: u64,
+}
+
+impl Attempt {
+    /// Picks an endpoint that was not tried; `None` if there is none.
+    pub(super) fn new(walk: &Walk, stage: &Stage, tried: &[String], until: Instant) -> Option<Self> {
+        let service = &walk.service;
+        let book = &walk.configuration.book;
+        let pool = &book[stage.pool].name;
+        let now = service.parts.clock.now();
+        let (endpoint, address) = {
+            let table = service.table();
+            let (endpoint, address) = table.choose(pool, tried, rand::random(), now)?;
+            (endpoint.to_owned(), address)
+        };
+        let slot = Slot::new(service, &endpoint);
+        service.parts.metrics.attempts.inc();
+        Some(Self { endpoint, address, id: id::Attempt::new(rand::random()), until, _slot: slot })
+    }
+
+    /// Runs the attempt; chunks go to the sender as they arrive.
+    pub(super) async fn run(
+        &self,
+        walk: &Walk,
+        stage: &Stage,
+        input: Bytes,
+        sender: Option<mpsc::Sender<Reply>>,
+    ) -> Result<Done, Trouble> {
+        let service = &walk.service;
+        let job = self.job(walk, stage, input);
+        let link = &service.parts.link;
+        let mut reader = Reader {
+            attempt: self,
+            service,
+            sender,
+            output: BytesMut::new(),
+            chunks: 0,
+            next: 0,
+        };
+        let work = async {
+            let frames = link.run(self.address, job).await.map_err(|fault| self.broken(walk, fault))?;
+            reader.read(frames).await
+        };
+        let result = time::timeout_at(self.until, work).await;
+        let passed_on = reader.sender.is_some() && reader.chunks > 0;
+        match result {
+            Ok(Ok(())) => Ok(Done { output: reader.output.freeze(), chunks: reader.chunks }),
+            Ok(Err(trouble)) => Err(Trouble { passed_on, ..trouble }),
+            Err(_) => {
+                let failure = Failure::unknown(Kind::Deadline, format!("running stage {}", stage.name));
+                Err(Trouble { failure, link: false, passed_on })
+            }
+        }
+    }
+
+    fn job(&self, walk: &Walk, stage: &Stage, input: Bytes) -> wire::Job {
+        let request = &walk.request;
+        let remaining = self.until.saturating_duration_since(Instant::now());
+        wire::Job {
+            request: request.id.to_string(),
+            attempt: self.id.to_string(),
+            generation: walk.configuration.generation,
+            team: request.team.clone(),
+            pipeline: request.pipeline.clone(),
+            stage: stage.name.clone(),
+            endpoint: self.endpoint.clone(),
+            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            key: request.key.clone(),
+            digest: walk.digest.clone(),
+            input: input.to_vec(),
+            crashes: 0,
+        }
+    }
+
+    fn broken(&self, walk: &Walk, fault: link::Fault) -> Trouble {
+        let service = &walk.service;
+        Event::AttemptFailed.log(format_args!("attempt {} at {}: {fault}", self.id, self.endpoint));
+        service.table().shun(&self.endpoint, service.parts.clock.now());
+        service.parts.link.reset(self.address);
+        let effect = if fault.connected { Effect::Unknown } else { Effect::NotRun };
+        let failure = Failure { kind: fault.kind, effect, context: fault.context };
+        Trouble { failure, link: true, passed_on: false }
+    }
+}
+
+impl Reader<'_> {
+    async fn read(&mut self, mut frames: link::Frames) -> Result<(), Trouble> {
+        while let Some(frame) = frames.next().await {
+            let frame = frame.map_err(|fault| self.cut(fault.kind, fault.context))?;
+            if frame.attempt != self.attempt.id.to_string() || frame.sequence < self.next {
+                self.service.parts.metrics.dropped_frames.inc();
+                Event::FrameDropped.log(format_args!("attempt {}", self.attempt.id));
+                continue;
+            }
+            if frame.sequence > self.next {
+                return Err(self.cut(Kind::Truncated, "a frame is missing".to_owned()));
+            }
+            self.next += 1;
+            if self.take(frame).await? {
+                return Ok(());
+            }
+        }
+        Err(self.cut(Kind::Truncated, "the frames have no end".to_owned()))
+    }
+
+    /// Takes one frame; returns whether it was the end of a whole answer.
+    async fn take(&mut self, frame: wire::Frame) -> Result<bool, Trouble> {
+        if let Some(load) = frame.load {
+            let report =
+                Report { in_flight: load.in_flight, queued: load.queued, slots: load.slots };
+            self.service.table().report(&self.attempt.endpoint, report);
+        }
+        match frame.body {
+            Some(Body::Chunk(chunk)) => {
+                self.pass_on(Bytes::from(chunk.data)).await;
+                Ok(false)
+            }
+            Some(Body::End(end)) if end.chunks == self.chunks => Ok(true),
+            Some(Body::End(_)) => {
+                Err(self.cut(Kind::Truncated, "the count of chunks is wrong".to_owned()))
+            }
+            Some(Body::Failure(failure)) => Err(typed(failure)),
+            Some(Body::Admitted(_)) | None => Ok(false),
+        }
+    }
+
+    async fn pass_on(&mut self, data: Bytes) {
+        self.chunks += 1;
+        self.output.extend_from_slice(&data);
+        if let Some(sender) = &self.sender {
+            // A caller that went away ends the request when its walk is dropped.
+            drop(sender.send(Reply::Chunk(data)).await);
+        }
+    }
+
+    fn cut(&self, kind: Kind, context: String) -> Trouble {
+        let attempt = self.attempt;
+        Event::AttemptFailed
+            .log(format_args!("attempt {} at {}: {kind}: {context}", attempt.id, attempt.endpoint));
+        self.service.parts.link.reset(attempt.address);
+        Trouble { failure: Failure::unknown(kind, context), link: true, passed_on: false }
+    }
+}
+
+fn typed(failure: wire::Failure) -> Trouble {
+    let kind = Kind::from_name(&failure.kind).unwrap_or(Kind::Internal);
+    let effect = Effect::from_name(&failure.effect).unwrap_or(Effect::Unknown);
+    let failure = Failure { kind, effect, context: failure.context };
+    Trouble { failure, link: false, passed_on: false }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -0,0 +1,169 @@
+//! Serves the entry to callers over HTTP.
+//!
+//! `POST /v1/pipelines/{name}` takes a JSON body and the headers `x-team`,
+//! `idempotency-key` and `x-deadline-ms`. The answer is JSON, or server-sent
+//! events when the caller accepts them; the event `end` says that the answer is
+//! whole, and the event `error` that it is not.
+
+use super::service::{Reply, Request, Service};
+use bytes::Bytes;
+use cicadacrank_core::{
+    error::{Failure, Kind},
+    id,
+};
+use futures_util::{Stream, StreamExt as _, stream};
+use salvo::{
+    Depot, FlowCtrl, Handler, Response, Router, async_trait,
+    http::{HeaderMap, StatusCode},
+    writing::Json,
+};
+use serde_json::{Value, json};
+use std::{convert::Infallible, sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Largest body that is read at all, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+
+/// Header that carries the request's identifier.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Header that carries the effect of a failed request.
+const EFFECT: &str = "x-effect";
+
+struct Pipelines {
+    service: Arc<Service>,
+}
+
+/// Returns the routes for callers.
+#[must_use]
+pub fn router(service: Arc<Service>) -> Router {
+    Router::with_path("v1/pipelines/{name}").post(Pipelines { service })
+}
+
+#[async_trait]
+impl Handler for Pipelines {
+    async fn handle(
+        &self,
+        request: &mut salvo::Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let id = id::Request::new(rand::random());
+        // An id is hexadecimal digits, which a header may always hold.
+        drop(response.add_header(REQUEST_ID, id.to_string(), true));
+        let events = accepts_events(request.headers());
+        let request = match read(id, request).await {
+            Ok(request) => request,
+            Err(failure) => return refuse(response, id, &failure),
+        };
+        let replies = self.service.run(request);
+        if events {
+            write_events(response, id, replies).await;
+        } else {
+            write_whole(response, id, replies).await;
+        }
+    }
+}
+
+fn accepts_events(headers: &HeaderMap) -> bool {
+    text(headers, "accept").is_ok_and(|accept| accept.contains("text/event-stream"))
+}
+
+async fn read(id: id::Request, request: &mut salvo::Request) -> Result<Request, Failure> {
+    let headers = request.headers();
+    let team = text(headers, "x-team")?;
+    let key = text(headers, "idempotency-key")?;
+    let deadline = match text(headers, "x-deadline-ms")?.as_str() {
+        "" => None,
+        digits => Some(Duration::from_millis(digits.parse().map_err(|_| {
+            Failure::not_run(Kind::BadRequest, "reading the header x-deadline-ms")
+        })?)),
+    };
+    let pipeline = request.param::<String>("name").unwrap_or_default();
+    let body = request.payload_with_max_size(BODY_BYTES).await.map_err(|error| {
+        Failure::not_run(Kind::TooLarge, format!("reading the body: {error}"))
+    })?;
+    let body = Bytes::copy_from_slice(body);
+    Ok(Request { id, team, pipeline, key, deadline, body })
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Result<String, Failure> {
+    let Some(value) = headers.get(name) else {
+        return Ok(String::new());
+    };
+    let value = value.to_str().map_err(|_| {
+        Failure::not_run(Kind::BadRequest, format!("reading the header {name}"))
+    })?;
+    Ok(value.to_owned())
+}
+
+fn refuse(response: &mut Response, id: id::Request, failure: &Failure) {
+    let status = StatusCode::from_u16(failure.kind.http_status());
+    response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    drop(response.add_header(EFFECT, failure.effect.as_str(), true));
+    response.render(Json(error_of(id, failure)));
+}
+
+fn error_of(id: id::Request, failure: &Failure) -> Value {
+    json!({ "error": {
+        "kind": failure.kind.as_str(),
+        "effect": failure.effect.as_str(),
+        "message": failure.kind.row().text,
+        "context": failure.context,
+        "request_id": id.to_string(),
+    }})
+}
+
+async fn write_whole(response: &mut Response, id: id::Request, mut replies: mpsc::Receiver<Reply>) {
+    while let Some(reply) = replies.recv().await {
+        match reply {
+            Reply::Chunk(_) => {}
+            Reply::End { answer, .. } => return response.render(Json(answer)),
+            Reply::Failure(failure) => return refuse(response, id, &failure),
+        }
+    }
+    refuse(response, id, &Failure::unknown(Kind::Internal, "the request has no end"));
+}
+
+/// Answers with events. The status waits for the first reply, so that a request
+/// that fails before any output gets the status of its failure.
+async fn write_events(
+    response: &mut Response,
+    id: id::Request,
+    mut replies: mpsc::Receiver<Reply>,
+) {
+    let first = match replies.recv().await {
+        Some(Reply::Failure(failure)) => return refuse(response, id, &failure),
+        Some(first) => first,
+        None => {
+            let failure = Failure::unknown(Kind::Internal, "the request has no end");
+            return refuse(response, id, &failure);
+        }
+    };
+    drop(response.add_header("content-type", "text/event-stream", true));
+    let rest = stream::iter([first]).chain(ReceiverStream::new(replies));
+    response.stream(events(id, rest));
+}
+
+fn events(
+    id: id::Request,
+    replies: impl Stream<Item = Reply>,
+) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    replies.map(move |reply| {
+        let text = match reply {
+            Reply::Chunk(data) => event("chunk", &json!({ "text": String::from_utf8_lossy(&data) })),
+            Reply::End { answer, chunks } => event(
+                "end",
+                &json!({ "chunks": chunks, "answer": answer, "request_id": id.to_string() }),
+            ),
+            Reply::Failure(failure) => event("error", &error_of(id, &failure)),
+        };
+        Ok(Bytes::from(text))
+    })
+}
+
+fn event(name: &str, data: &Value) -> String {
+    format!("event: {name}\ndata: {data}\n\n")
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -0,0 +1,211 @@
+//! One request through the stages of its pipeline.
+
+use super::{
+    attempt::{Attempt, Trouble},
+    service::{Reply, Request, Service},
+};
+use crate::{clock, configuration::Configuration};
+use bytes::Bytes;
+use cicadacrank_core::{
+    error::{Effect, Failure, Kind, Retry},
+    id,
+    pipeline::Context,
+    rules::{self, PipelineKey},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
+
+/// Attempts at one stage.
+const ATTEMPTS: u32 = 4;
+
+/// Pause before an attempt after a refusal.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest deadline a caller may state.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
+
+/// A request on its way.
+pub(super) struct Walk {
+    pub(super) service: Arc<Service>,
+    pub(super) request: Request,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) digest: Vec<u8>,
+    sender: mpsc::Sender<Reply>,
+    began: Instant,
+    deadline: Instant,
+    floor: Effect,
+    chunks: u64,
+}
+
+/// Takes one request through its stages and answers.
+pub(super) async fn run(service: Arc<Service>, request: Request, sender: mpsc::Sender<Reply>) {
+    let began = Instant::now();
+    let metrics = Arc::clone(&service.parts.metrics);
+    let reply = match Walk::new(service, request, sender.clone(), began) {
+        Ok((mut walk, pipeline)) => walk.run(pipeline).await,
+        Err(failure) => Err(failure),
+    };
+    metrics.latency.observe(began.elapsed().as_secs_f64());
+    let reply = match reply {
+        Ok(end) => {
+            metrics.served.inc();
+            end
+        }
+        Err(failure) => {
+            metrics.fail(&failure);
+            Reply::Failure(failure)
+        }
+    };
+    // A caller that went away hears nothing; there is nobody left to tell.
+    drop(sender.send(reply).await);
+}
+
+impl Walk {
+    fn new(
+        service: Arc<Service>,
+        request: Request,
+        sender: mpsc::Sender<Reply>,
+        began: Instant,
+    ) -> Result<(Self, PipelineKey), Failure> {
+        let configuration = service
+            .parts
+            .holder
+            .current()
+            .ok_or_else(|| Failure::not_run(Kind::NotReady, "taking a request"))?;
+        let pipeline = check(&configuration, &request)?;
+        let stated = configuration.book[pipeline].deadline_ms;
+        let bound = request.deadline.unwrap_or(Duration::from_millis(stated));
+        let digest = id::digest(&request.body).to_vec();
+        let walk = Self {
+            service,
+            request,
+            configuration,
+            digest,
+            sender,
+            began,
+            deadline: began + bound.min(LONGEST_DEADLINE),
+            floor: Effect::NotRun,
+            chunks: 0,
+        };
+        Ok((walk, pipeline))
+    }
+
+    async fn run(&mut self, pipeline: PipelineKey) -> Result<Reply, Failure> {
+        let configuration = Arc::clone(&self.configuration);
+        let pipeline = &configuration.book[pipeline];
+        let mut context = Context::new(&self.request.body)?;
+        let mut share = 0;
+        let last = pipeline.stages.len() - 1;
+        for (index, stage) in pipeline.stages.iter().enumerate() {
+            share += stage.share_percent;
+            let pool = &configuration.book[stage.pool];
+            let streams = index == last && pool.service == rules::Service::Generate;
+            let input = context.input(pool).to_string();
+            let until = self.stage_deadline(share);
+            let output = self.stage(stage, Bytes::from(input), until, streams).await;
+            let output = output.map_err(|failure| failure.with_floor(self.floor))?;
+            self.floor = Effect::Partial;
+            context.absorb(pool.service, &output)?;
+        }
+        Ok(Reply::End { answer: context.answer(), chunks: self.chunks })
+    }
+
+    /// Returns when a stage must have ended: time that earlier stages left
+    /// unused passes on to it.
+    fn stage_deadline(&self, share_percent: u32) -> Instant {
+        let total = self.deadline - self.began;
+        self.deadline.min(self.began + total * share_percent / 100)
+    }
+
+    async fn stage(
+        &mut self,
+        stage: &rules::Stage,
+        input: Bytes,
+        until: Instant,
+        streams: bool,
+    ) -> Result<Bytes, Failure> {
+        let mut tried = Vec::new();
+        let mut last = None;
+        for _ in 0..ATTEMPTS {
+            if Instant::now() >= until {
+                break;
+            }
+            let Some(attempt) = Attempt::new(self, stage, &tried, until) else {
+                break;
+            };
+            tried.push(attempt.endpoint.clone());
+            let sender = streams.then(|| self.sender.clone());
+            match attempt.run(self, stage, input.clone(), sender).await {
+                Ok(done) => {
+                    self.chunks += if streams { done.chunks } else { 0 };
+                    return Ok(done.output);
+                }
+                Err(trouble) => {
+                    let retry = may_retry(&trouble, stage);
+                    last = Some(self.note(trouble, stage));
+                    if !retry {
+                        break;
+                    }
+                }
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+        Err(last.unwrap_or_else(|| self.none(stage, until)))
+    }
+
+    fn none(&self, stage: &rules::Stage, until: Instant) -> Failure {
+        let kind = if Instant::now() >= until { Kind::Deadline } else { Kind::NoEndpoint };
+        Failure::not_run(kind, format!("beginning stage {}", stage.name))
+    }
+
+    /// Keeps the worst effect of the attempts so far.
+    fn note(&mut self, trouble: Trouble, stage: &rules::Stage) -> Failure {
+        let mut failure = trouble.failure;
+        if stage.repeatable && failure.effect == Effect::Unknown {
+            failure.effect = Effect::Partial;
+        }
+        self.floor = self.floor.max(failure.effect);
+        failure
+    }
+}
+
+fn check(configuration: &Configuration, request: &Request) -> Result<PipelineKey, Failure> {
+    let book = &configuration.book;
+    let refuse = |kind| Err(Failure::not_run(kind, format!("checking {}", request.pipeline)));
+    let Some(key) = book.pipeline(&request.pipeline) else {
+        return refuse(Kind::UnknownPipeline);
+    };
+    let Some(team) = book.team(&request.team) else {
+        return refuse(Kind::Forbidden);
+    };
+    let pipeline = &book[key];
+    let minute = clock::minute_of_day();
+    if !pipeline.stages.iter().all(|stage| book.is_granted(team, stage.pool, minute)) {
+        return refuse(Kind::Forbidden);
+    }
+    if request.body.len() as u64 > pipeline.body_limit_bytes {
+        return refuse(Kind::TooLarge);
+    }
+    if request.key.is_empty() && !pipeline.is_repeatable() {
+        return refuse(Kind::KeyMissing);
+    }
+    Ok(key)
+}
+
+/// Returns whether another attempt is safe and may help.
+///
+/// Work that may not be repeated goes on through its claim, which keeps a
+/// second attempt from running what the first may have run.
+fn may_retry(trouble: &Trouble, stage: &rules::Stage) -> bool {
+    if trouble.passed_on {
+        return false;
+    }
+    let failure = &trouble.failure;
+    match failure.kind.retry() {
+        Retry::Elsewhere => stage.repeatable || failure.effect == Effect::NotRun || trouble.link,
+        Retry::Never | Retry::Later => false,
+    }
+}
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! The two roles of the daemon and the edges between them and the world.
+//!
+//! A request takes these steps:
+//!
+//! 1. [`entry`] takes it from the caller over HTTP and walks its pipeline.
+//! 2. [`link`] carries one attempt at one stage to a sidecar.
+//! 3. [`sidecar`] admits the attempt, claims it if it may not be repeated, and
+//!    drives its endpoint.
+//! 4. [`endpoint`] speaks the protocol of engines and plain services.
+//!
+//! [`platform`] is the object API that holds all that must last, and
+//! [`configuration`] keeps the newest rules in force. [`daemon`] puts a process
+//! together from its [`settings`].
+//!
+//! ```no_run
+//! # async fn run() -> miette::Result<()> {
+//! use cicadacrank_node::{daemon, settings::Settings};
+//!
+//! let settings = Settings::load("entry.jsonc".as_ref())?;
+//! daemon::run(settings).await
+//! # }
+//! ```
+
+pub mod clock;
+pub mod configuration;
+pub mod daemon;
+pub mod endpoint;
+pub mod entry;
+pub mod link;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod platform;
+pub mod settings;
+pub mod sidecar;
--- /dev/null
+++ b/crates/cicadacrank-node/src/link/grpc.rs
@@ -0,0 +1,110 @@
+//! Links over gRPC.
+//!
+//! One HTTP/2 connection a sidecar carries all jobs. Keepalive pings find a
+//! connection that has gone silent; it is dropped and new work makes a new one.
+
+use super::{Fault, Frames, Link};
+use cicadacrank_core::error::Kind;
+use cicadacrank_wire::wire::{self, sidecar_client::SidecarClient};
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+use tonic::transport::{Channel, Endpoint};
+
+/// Time between two keepalive pings.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time a keepalive ping may go unanswered.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest message, in bytes.
+pub const MESSAGE_BYTES: usize = 8 << 20;
+
+#[derive(Clone, Debug)]
+struct Connection {
+    address: SocketAddr,
+    channel: Channel,
+}
+
+/// Client of sidecars, with one connection each.
+#[derive(Debug)]
+pub struct Client {
+    connect: Duration,
+    connections: Mutex<Vec<Connection>>,
+}
+
+impl Client {
+    /// Creates a client that gives up on a connection attempt after `connect`.
+    #[must_use]
+    pub const fn new(connect: Duration) -> Self {
+        Self { connect, connections: Mutex::new(Vec::new()) }
+    }
+
+    /// Returns the connection to an address, made if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Unreachable`], without a connection.
+    pub async fn channel(&self, address: SocketAddr) -> Result<Channel, Fault> {
+        if let Some(channel) = self.find(address) {
+            return Ok(channel);
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(|error| unreachable(address, &error))?
+            .connect_timeout(self.connect)
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(true)
+            .tcp_nodelay(true);
+        let channel = endpoint.connect().await.map_err(|error| unreachable(address, &error))?;
+        self.keep(Connection { address, channel: channel.clone() });
+        Ok(channel)
+    }
+
+    fn find(&self, address: SocketAddr) -> Option<Channel> {
+        let connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let index = connections.binary_search_by_key(&address, |one| one.address).ok()?;
+        Some(connections[index].channel.clone())
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        match connections.binary_search_by_key(&connection.address, |one| one.address) {
+            Ok(index) => connections[index] = connection,
+            Err(index) => connections.insert(index, connection),
+        }
+    }
+
+    async fn begin(&self, address: SocketAddr, job: wire::Job) -> Result<Frames, Fault> {
+        let channel = self.channel(address).await?;
+        let mut client = SidecarClient::new(channel)
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES);
+        let frames = client.run(job).await.map_err(|status| broken(&status))?.into_inner();
+        Ok(frames.map(|frame| frame.map_err(|status| broken(&status))).boxed())
+    }
+}
+
+impl Link for Client {
+    fn run(&self, address: SocketAddr, job: wire::Job) -> BoxFuture<'_, Result<Frames, Fault>> {
+        self.begin(address, job).boxed()
+    }
+
+    fn reset(&self, address: SocketAddr) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.retain(|one| one.address != address);
+    }
+}
+
+fn unreachable(address: SocketAddr, error: &dyn std::error::Error) -> Fault {
+    let context = format!("connecting to {address}: {error}");
+    Fault { kind: Kind::Unreachable, connected: false, context }
+}
+
+fn broken(status: &tonic::Status) -> Fault {
+    let context = format!("running a job: {status}");
+    Fault { kind: Kind::Unreachable, connected: true, context }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms of both roles.
+
+use cicadacrank_core::error::Failure;
+use prometheus::{
+    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Everything a process measures.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests answered whole.
+    pub served: IntCounter,
+    /// Requests or jobs answered with an error, by kind and effect.
+    pub failed: IntCounterVec,
+    /// Attempts begun.
+    pub attempts: IntCounter,
+    /// Frames dropped because they match no attempt.
+    pub dropped_frames: IntCounter,
+    /// Calls to the platform.
+    pub platform_calls: IntCounter,
+    /// Configuration generation in force.
+    pub generation: IntGauge,
+    /// Time from arrival to the end of the answer, in seconds.
+    pub latency: Histogram,
+}
+
+impl Metrics {
+    /// Creates the metrics in a registry of their own.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics share a name, which the code rules out.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("metric names are valid");
+            registry.register(Box::new(counter.clone())).expect("metric names are unique");
+            counter
+        };
+        let served = counter("cicadacrank_served_total", "Requests answered whole");
+        let attempts = counter("cicadacrank_attempts_total", "Attempts begun");
+        let dropped_frames = counter("cicadacrank_dropped_frames_total", "Frames of no attempt");
+        let platform_calls = counter("cicadacrank_platform_calls_total", "Calls to the platform");
+        let failed = IntCounterVec::new(
+            Opts::new("cicadacrank_failed_total", "Requests answered with an error"),
+            &["kind", "effect"],
+        )
+        .expect("metric names are valid");
+        let generation = IntGauge::new("cicadacrank_generation", "Configuration in force")
+            .expect("metric names are valid");
+        let latency = Histogram::with_opts(HistogramOpts::new(
+            "cicadacrank_latency_seconds",
+            "Time from arrival to the end of the answer",
+        ))
+        .expect("metric names are valid");
+        registry.register(Box::new(failed.clone())).expect("metric names are unique");
+        registry.register(Box::new(generation.clone())).expect("metric names are unique");
+        registry.register(Box::new(latency.clone())).expect("metric names are unique");
+        Self { registry, served, failed, attempts, dropped_frames, platform_calls, generation, latency }
+    }
+
+    /// Counts a failure.
+    pub fn fail(&self, failure: &Failure) {
+        self.failed.with_label_values(&[failure.kind.as_str(), failure.effect.as_str()]).inc();
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        if TextEncoder::new().encode(&self.registry.gather(), &mut buffer).is_err() {
+            return String::new();
+        }
+        String::from_utf8(buffer).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/operator.rs
@@ -0,0 +1,68 @@
+//! Pages for operators and the platform: health, metrics and status.
+
+use crate::metrics::Metrics;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode,
+    writing::Json,
+};
+use serde_json::Value;
+use std::sync::Arc;
+
+/// What the pages show.
+pub trait Source: Send + Sync + 'static {
+    /// Returns whether new work should be sent here.
+    fn is_ready(&self) -> bool;
+
+    /// Returns what the process has in force and in flight.
+    fn status(&self) -> Value;
+}
+
+#[derive(Clone, Copy)]
+enum Page {
+    Health,
+    Ready,
+    Metrics,
+    Status,
+}
+
+struct Pages {
+    page: Page,
+    source: Arc<dyn Source>,
+    metrics: Arc<Metrics>,
+}
+
+/// Returns the routes of the pages.
+#[must_use]
+pub fn router(source: &Arc<dyn Source>, metrics: &Arc<Metrics>) -> Router {
+    let page = |path: &str, page| {
+        let pages = Pages { page, source: Arc::clone(source), metrics: Arc::clone(metrics) };
+        Router::with_path(path).get(pages)
+    };
+    Router::new()
+        .push(page("healthz", Page::Health))
+        .push(page("readyz", Page::Ready))
+        .push(page("metrics", Page::Metrics))
+        .push(page("status", Page::Status))
+}
+
+#[async_trait]
+impl Handler for Pages {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        match self.page {
+            Page::Health => response.render("ok\n"),
+            Page::Ready if self.source.is_ready() => response.render("ready\n"),
+            Page::Ready => {
+                response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                response.render("not ready\n");
+            }
+            Page::Metrics => response.render(self.metrics.text()),
+            Page::Status => response.render(Json(self.source.status())),
+        }
+    }
+}
