Read rule files into the model, with every fault in one go

Cause: nothing turned the operators' text into a Book.

parse() splits lines, collects the names each word defines, then reads each rule against them, so the order of definitions does not matter. All faults of a file are kept and sorted by place. A fault that follows from another one (a name defined in a line that could not be read, a pool whose endpoint lines are faulty) is left out, so each fault is reported once.

edit adds and removes take-out lines and leaves the rest of the text as is.

Ruled out: a grammar crate; lines are flat, and the places of faults would have needed the same code on top.

--- a/crates/cicadacrank-core/src/rules/mod.rs
+++ b/crates/cicadacrank-core/src/rules/mod.rs
@@ -1,10 +1,34 @@
 //! The rule file: what operators state, one rule a line.
 //!
-//! A [`Book`] is the file resolved into arenas.
+//! A line reads `word name key=value ... # Person Name: reason`. The comment
+//! is part of the rule: it names who asked for it. Blank lines and lines that
+//! start with `#` are free. Definitions may stand in any order, but for the
+//! stages of a pipeline, which run in the order of the file.
+//!
+//! [`parse`] turns a text into a [`Book`], the file resolved into arenas, or
+//! into [`Faults`], every fault of the file with its place and a help text.
 
+mod check;
+pub mod edit;
+mod fault;
+mod links;
 mod model;
+mod near;
+mod parse;
+mod print;
+mod read;
+mod scan;
+mod value;
+mod word;
 
-pub use self::model::{
-    Book, DataCentre, DataCentreKey, Endpoint, EndpointKey, Grant, Owner, OwnerKey, Pipeline,
-    PipelineKey, Pool, PoolKey, Reservation, Service, Stage, Team, TeamKey, Window,
+pub use self::{
+    fault::{Cause, Fault, Faults},
+    model::{
+        Book, DataCentre, DataCentreKey, Endpoint, EndpointKey, Grant, Owner, OwnerKey, Pipeline,
+        PipelineKey, Pool, PoolKey, Reservation, Service, Stage, Team, TeamKey, Window,
+    },
+    parse::{TEXT_LIMIT_BYTES, parse, parse_bytes},
+    print::print,
+    value::Flaw,
+    word::Word,
 };
--- /dev/null
+++ b/crates/cicadacrank-core/src/rules/word.rs
@@ -0,0 +1,100 @@
+//! The words a rule may start with, and the keys each takes.
+
+use std::fmt;
+
+/// The first word of a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Word {
+    /// Defines a data centre.
+    DataCentre,
+    /// Defines an owner.
+    Owner,
+    /// Defines a pool.
+    Pool,
+    /// Defines an endpoint.
+    Endpoint,
+    /// Defines a team.
+    Team,
+    /// Defines a pipeline.
+    Pipeline,
+    /// Adds a stage to a pipeline.
+    Stage,
+    /// Grants a team the use of a pool.
+    Allow,
+    /// Keeps slots of a pool for an owner.
+    Reserve,
+    /// Takes a data centre or an endpoint out.
+    TakeOut,
+}
+
+impl Word {
+    /// Every word, in the order of the docs.
+    pub const ALL: [Self; 10] = [
+        Self::DataCentre,
+        Self::Owner,
+        Self::Pool,
+        Self::Endpoint,
+        Self::Team,
+        Self::Pipeline,
+        Self::Stage,
+        Self::Allow,
+        Self::Reserve,
+        Self::TakeOut,
+    ];
+
+    /// Returns the word as it stands in rule files.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::DataCentre => "data-centre",
+            Self::Owner => "owner",
+            Self::Pool => "pool",
+            Self::Endpoint => "endpoint",
+            Self::Team => "team",
+            Self::Pipeline => "pipeline",
+            Self::Stage => "stage",
+            Self::Allow => "allow",
+            Self::Reserve => "reserve",
+            Self::TakeOut => "take-out",
+        }
+    }
+
+    /// Returns the word with this spelling.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|word| word.as_str() == name)
+    }
+
+    /// Returns what the names after the word stand for.
+    #[must_use]
+    pub const fn names(self) -> &'static [&'static str] {
+        match self {
+            Self::Stage => &["pipeline", "name"],
+            Self::Allow | Self::Reserve | Self::TakeOut => &[],
+            _ => &["name"],
+        }
+    }
+
+    /// Returns the keys that may follow.
+    #[must_use]
+    pub const fn keys(self) -> &'static [&'static str] {
+        match self {
+            Self::DataCentre => &["region"],
+            Self::Owner => &[],
+            Self::Pool => &["service", "model", "busy", "idle"],
+            Self::Endpoint => &["pool", "owner", "data-centre", "cold", "warm", "warmup"],
+            Self::Team => &["owner", "weight", "limit"],
+            Self::Pipeline => &["deadline", "body"],
+            Self::Stage => &["pool", "share", "repeat", "output", "path"],
+            Self::Allow => &["team", "pool", "at"],
+            Self::Reserve => &["pool", "owner", "slots"],
+            Self::TakeOut => &["data-centre", "endpoint"],
+        }
+    }
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
