--- /dev/null
+++ b/crates/cicadacrank-bench/examples/demo.rs
@@ -0,0 +1,116 @@
+//! The main job: pipelines of both users served end to end.
+//!
+//! Starts the stand-ins and the daemons, sends a few requests, and prints what
+//! each stage did.
+
+use cicadacrank_bench::{
+    engine::Profile,
+    fleet::{self, Fleet, Plan},
+};
+use std::{
+    env,
+    error::Error,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+/// A request of one of the users.
+struct Sample {
+    team: &'static str,
+    pipeline: &'static str,
+    key: &'static str,
+    body: &'static str,
+}
+
+const BERGVIK: &[Sample] = &[Sample {
+    team: "portal",
+    pipeline: "book-room",
+    key: "booking-1",
+    body: r#"{"query": "Christening on Saturday, 20 guests"}"#,
+}];
+
+const TIHA_NOSHT: &[Sample] = &[Sample {
+    team: "hospices",
+    pipeline: "order-parcel",
+    key: "parcel-1",
+    body: r#"{"query": "40 eye masks for the hospice"}"#,
+}];
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let program = build()?;
+    for (file, samples) in [("bergvik.rules", BERGVIK), ("tiha-nosht.rules", TIHA_NOSHT)] {
+        run(&program, file, samples).await?;
+    }
+    Ok(())
+}
+
+/// Builds the daemon beside this example and returns its path.
+fn build() -> Result<PathBuf, Box<dyn Error>> {
+    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--package", "cicadacrankd"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if !command.status()?.success() {
+        return Err("building the daemon failed".into());
+    }
+    let example = env::current_exe()?;
+    let folder = example
+        .parent()
+        .and_then(Path::parent)
+        .ok_or("no folder of programs")?;
+    Ok(folder.join("cicadacrankd"))
+}
+
+async fn run(program: &Path, file: &str, samples: &[Sample]) -> Result<(), Box<dyn Error>> {
+    let samples_folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
+    let rules = std::fs::read_to_string(samples_folder.join(file))?;
+    let plan = Plan {
+        program: program.to_owned(),
+        rules,
+        entries: 2,
+        timeouts: serde_json::json!({ "refresh_ms": 200, "notice_ms": 100 }),
+        profile: Profile::default(),
+    };
+    let fleet = Fleet::start(plan).await?;
+    println!(
+        "{file}: {} endpoints, {} entries",
+        fleet.posts.len(),
+        fleet.entries.len()
+    );
+    let http = fleet::client()?;
+    for sample in samples {
+        let entry = &fleet.entries[0];
+        let url = format!(
+            "http://{}/v1/pipelines/{}",
+            entry.addresses.caller_listen.ok_or("no caller address")?,
+            sample.pipeline
+        );
+        let answer = http
+            .post(url)
+            .header("x-team", sample.team)
+            .header("idempotency-key", sample.key)
+            .header("accept", "text/event-stream")
+            .body(sample.body)
+            .send()
+            .await?;
+        println!(
+            "{} for {}: status {}",
+            sample.pipeline,
+            sample.team,
+            answer.status()
+        );
+        println!("{}", answer.text().await?);
+    }
+    for post in &fleet.posts {
+        for run in post.engine.runs() {
+            println!(
+                "ran at {}: {} attempt {} finished {}",
+                post.endpoint, run.path, run.attempt, run.finished
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/engine/profile.rs
@@ -0,0 +1,40 @@
+//! How a stand-in behaves.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// How a stand-in behaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Profile {
+    /// Time to the first byte of an answer, in microseconds.
+    pub first_us: u64,
+    /// Time between two tokens, in microseconds.
+    pub token_us: u64,
+    /// Tokens of a generation, unless the call asks for fewer.
+    pub tokens: u64,
+}
+
+impl Default for Profile {
+    fn default() -> Self {
+        Self {
+            first_us: 2_000,
+            token_us: 500,
+            tokens: 16,
+        }
+    }
+}
+
+impl Profile {
+    /// Returns the time to the first byte.
+    #[must_use]
+    pub const fn first(&self) -> Duration {
+        Duration::from_micros(self.first_us)
+    }
+
+    /// Returns the time between two tokens.
+    #[must_use]
+    pub const fn token(&self) -> Duration {
+        Duration::from_micros(self.token_us)
+    }
+}
--- a/crates/cicadacrank-bench/src/lib.rs
+++ b/crates/cicadacrank-bench/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Stand-ins for what surrounds cicadacrank, and tools that measure it.
+//!
+//! [`platform`] stands in for the object API, [`engine`] for model engines and
+//! plain services, and [`process`] runs the daemons as processes of their own.
+//! [`fleet`] puts them together from a rule file. Nothing here is published.
+
+pub mod engine;
+pub mod fleet;
+pub mod platform;
+pub mod process;
--- /dev/null
+++ b/crates/cicadacrank-bench/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! Stand-in for the platform's object API.
+//!
+//! [`State`] holds the objects and the faults it has been told to show;
+//! [`Server`] serves it over HTTP as a Kubernetes API server would.
+
+mod server;
+mod state;
+
+pub use self::{
+    server::Server,
+    state::{Answer, Counts, Faults, State},
+};
--- /dev/null
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -0,0 +1,300 @@
+//! Objects, versions and faults of the stand-in.
+
+use cicadacrank_node::platform::{Change, Collection, Listing, Object, Version};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::{collections::VecDeque, time::Duration};
+use tokio::{sync::broadcast, time::Instant};
+
+/// Changes that a slow watch may fall behind.
+const WATCH_BUFFER: usize = 4096;
+
+/// Changes kept for watches that begin at an older version.
+const KEPT_CHANGES: usize = 4096;
+
+/// Older listings kept of each collection.
+const KEPT_LISTINGS: usize = 64;
+
+/// What the stand-in does wrong.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call fails without effect.
+    pub down: bool,
+    /// Every call is turned away as over the rate.
+    pub throttled: bool,
+    /// Time before each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Number of writes that take effect and whose answer is lost.
+    pub lose_answers: u32,
+    /// Age of what a list shows, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Watches deliver nothing.
+    pub mute_watches: bool,
+}
+
+/// Calls so far, by verb; a watch counts once when it begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of one object.
+    pub gets: u64,
+    /// Reads of a collection.
+    pub lists: u64,
+    /// Watches begun.
+    pub watches: u64,
+    /// Creations, updates and deletions, also those refused.
+    pub writes: u64,
+}
+
+/// Why a call is refused, as a status and a reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// An object of the name exists.
+    Exists,
+    /// The version differs.
+    Conflict,
+    /// No object has the name.
+    Missing,
+}
+
+/// A change with the revision that made it.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// Revision of the whole store.
+    pub revision: u64,
+    /// Collection it happened in.
+    pub collection: Collection,
+    /// The change.
+    pub change: Change,
+}
+
+#[derive(Debug)]
+struct Shelf {
+    collection: Collection,
+    objects: Vec<Object>,
+    history: VecDeque<(Instant, Listing)>,
+}
+
+/// Everything the stand-in holds.
+#[derive(Debug)]
+pub struct State {
+    revision: u64,
+    shelves: Vec<Shelf>,
+    steps: VecDeque<Step>,
+    sender: broadcast::Sender<Step>,
+    /// What the stand-in does wrong.
+    pub faults: Faults,
+    /// Calls so far.
+    pub counts: Counts,
+}
+
+impl State {
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        let shelf = |collection| Shelf {
+            collection,
+            objects: Vec::new(),
+            history: VecDeque::from([(Instant::now(), Listing::default())]),
+        };
+        Self {
+            revision: 0,
+            shelves: Collection::ALL.into_iter().map(shelf).collect(),
+            steps: VecDeque::new(),
+            sender: broadcast::Sender::new(WATCH_BUFFER),
+            faults: Faults::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Reads one object.
+    #[must_use]
+    pub fn get(&self, collection: Collection, name: &str) -> Option<Object> {
+        let shelf = self.shelf(collection);
+        shelf
+            .find(name)
+            .ok()
+            .map(|index| shelf.objects[index].clone())
+    }
+
+    /// Lists a collection as it was some time ago.
+    #[must_use]
+    pub fn list(&self, collection: Collection) -> Listing {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let history = &self.shelf(collection).history;
+        let now = Instant::now();
+        let old = history
+            .iter()
+            .rev()
+            .find(|(at, _)| now.duration_since(*at) >= lag);
+        let mut listing = old.map(|(_, listing)| listing.clone()).unwrap_or_default();
+        if listing.version.0.is_empty() {
+            listing.version = Version("0".to_owned());
+        }
+        listing
+    }
+
+    /// Creates an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Answer::Exists`] if the name is taken.
+    pub fn create(
+        &mut self,
+        collection: Collection,
+        name: &str,
+        spec: Value,
+    ) -> Result<Object, Answer> {
+        let Err(index) = self.shelf(collection).find(name) else {
+            return Err(Answer::Exists);
+        };
+        let object = self.object(name, spec);
+        self.shelf_mut(collection)
+            .objects
+            .insert(index, object.clone());
+        self.changed(collection, Change::Put(object.clone()));
+        Ok(object)
+    }
+
+    /// Replaces an object of a known version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Answer::Missing`] or [`Answer::Conflict`].
+    pub fn update(
+        &mut self,
+        collection: Collection,
+        name: &str,
+        version: &Version,
+        spec: Value,
+    ) -> Result<Object, Answer> {
+        let index = self
+            .shelf(collection)
+            .find(name)
+            .map_err(|_| Answer::Missing)?;
+        if self.shelf(collection).objects[index].version != *version {
+            return Err(Answer::Conflict);
+        }
+        let object = self.object(name, spec);
+        self.shelf_mut(collection).objects[index] = object.clone();
+        self.changed(collection, Change::Put(object.clone()));
+        Ok(object)
+    }
+
+    /// Deletes an object of a known version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Answer::Missing`] or [`Answer::Conflict`].
+    pub fn delete(
+        &mut self,
+        collection: Collection,
+        name: &str,
+        version: &Version,
+    ) -> Result<(), Answer> {
+        let index = self
+            .shelf(collection)
+            .find(name)
+            .map_err(|_| Answer::Missing)?;
+        if self.shelf(collection).objects[index].version != *version {
+            return Err(Answer::Conflict);
+        }
+        self.revision += 1;
+        let object = self.shelf_mut(collection).objects.remove(index);
+        self.changed(collection, Change::Deleted(object));
+        Ok(())
+    }
+
+    /// Creates or replaces an object whatever its version, as the platform
+    /// itself does with its own lists.
+    pub fn put(&mut self, collection: Collection, name: &str, spec: Value) {
+        let known = self.get(collection, name);
+        // Both calls name what is there, so neither can be refused.
+        let _ = match known {
+            Some(object) => self.update(collection, name, &object.version, spec),
+            None => self.create(collection, name, spec),
+        };
+    }
+
+    /// Deletes an object whatever its version.
+    pub fn remove(&mut self, collection: Collection, name: &str) {
+        if let Some(object) = self.get(collection, name) {
+            // The version was read under the same lock.
+            let _ = self.delete(collection, name, &object.version);
+        }
+    }
+
+    /// Returns the changes after a revision and those to come.
+    #[must_use]
+    pub fn watch(
+        &self,
+        collection: Collection,
+        revision: u64,
+    ) -> (Vec<Step>, broadcast::Receiver<Step>) {
+        let past = self.steps.iter();
+        let past = past.filter(|step| step.collection == collection && step.revision > revision);
+        (past.cloned().collect(), self.sender.subscribe())
+    }
+
+    /// Takes one lost answer from the budget; returns whether there was one.
+    pub const fn lose_answer(&mut self) -> bool {
+        let lose = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        lose
+    }
+
+    fn object(&mut self, name: &str, spec: Value) -> Object {
+        self.revision += 1;
+        Object {
+            name: name.to_owned(),
+            version: Version(self.revision.to_string()),
+            spec,
+        }
+    }
+
+    fn changed(&mut self, collection: Collection, change: Change) {
+        let revision = self.revision;
+        let shelf = self.shelf_mut(collection);
+        let listing = Listing {
+            objects: shelf.objects.clone(),
+            version: Version(revision.to_string()),
+        };
+        shelf.history.push_back((Instant::now(), listing));
+        if shelf.history.len() > KEPT_LISTINGS {
+            shelf.history.pop_front();
+        }
+        let step = Step {
+            revision,
+            collection,
+            change,
+        };
+        if self.steps.len() == KEPT_CHANGES {
+            self.steps.pop_front();
+        }
+        self.steps.push_back(step.clone());
+        // Nobody may be watching.
+        let _ = self.sender.send(step);
+    }
+
+    fn shelf(&self, collection: Collection) -> &Shelf {
+        &self.shelves[collection as usize]
+    }
+
+    fn shelf_mut(&mut self, collection: Collection) -> &mut Shelf {
+        &mut self.shelves[collection as usize]
+    }
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Shelf {
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        debug_assert!(Collection::ALL.contains(&self.collection));
+        self.objects
+            .binary_search_by(|object| object.name.as_str().cmp(name))
+    }
+}
--- a/crates/cicadacrank-node/src/clock.rs
+++ b/crates/cicadacrank-node/src/clock.rs
@@ -17,7 +17,9 @@
     /// Creates a clock whose origin is now.
     #[must_use]
     pub fn new() -> Self {
-        Self { origin: Instant::now() }
+        Self {
+            origin: Instant::now(),
+        }
     }
 
     /// Returns the time since the origin.
@@ -42,7 +44,9 @@
 /// Returns the wall clock, in milliseconds since the Unix epoch.
 #[must_use]
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/cicadacrank-node/src/configuration.rs
+++ b/crates/cicadacrank-node/src/configuration.rs
@@ -44,7 +44,9 @@
     /// Creates a holder without a configuration.
     #[must_use]
     pub fn new() -> Self {
-        Self { sender: watch::Sender::new(None) }
+        Self {
+            sender: watch::Sender::new(None),
+        }
     }
 
     /// Returns the configuration in force, if there is one.
@@ -56,7 +58,10 @@
     /// Returns the generation in force; zero when there is none.
     #[must_use]
     pub fn generation(&self) -> u64 {
-        self.sender.borrow().as_ref().map_or(0, |current| current.generation)
+        self.sender
+            .borrow()
+            .as_ref()
+            .map_or(0, |current| current.generation)
     }
 
     /// Returns a view that wakes with each change.
@@ -82,9 +87,15 @@
             }
         };
         let generation = ruleset.generation;
-        let next = Arc::new(Configuration { generation, book, ruleset });
+        let next = Arc::new(Configuration {
+            generation,
+            book,
+            ruleset,
+        });
         let adopted = self.sender.send_if_modified(|current| {
-            let newer = current.as_ref().is_none_or(|current| current.generation < generation);
+            let newer = current
+                .as_ref()
+                .is_none_or(|current| current.generation < generation);
             if newer {
                 *current = Some(next);
             }
@@ -102,7 +113,9 @@
     pub async fn wait(&self, generation: u64, bound: Duration) -> bool {
         let mut view = self.sender.subscribe();
         let reached = view.wait_for(|current| {
-            current.as_ref().is_some_and(|current| current.generation >= generation)
+            current
+                .as_ref()
+                .is_some_and(|current| current.generation >= generation)
         });
         matches!(time::timeout(bound, reached).await, Ok(Ok(_)))
     }
--- a/crates/cicadacrank-node/src/daemon.rs
+++ b/crates/cicadacrank-node/src/daemon.rs
@@ -14,10 +14,7 @@
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{Context as _, IntoDiagnostic as _, Result};
-use salvo::{
-    Listener as _, Server,
-    conn::{Acceptor as _, TcpListener},
-};
+use salvo::{Listener as _, Server, conn::TcpListener};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -146,6 +143,7 @@
     }
     seen.sort_unstable();
     table.retain(|endpoint| seen.binary_search(&endpoint).is_ok());
+    service.set_listed();
 }
 
 async fn run_sidecar(common: Common) -> Result<()> {
@@ -163,7 +161,11 @@
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    announce(&Addresses { listen, caller_listen: None, operator_listen })?;
+    announce(&Addresses {
+        listen,
+        caller_listen: None,
+        operator_listen,
+    })?;
     let stop = Arc::new(Notify::new());
     let stopped = Arc::clone(&stop);
     let server = tonic::transport::Server::builder()
@@ -200,18 +202,32 @@
         metrics: Arc::clone(&common.metrics),
     }));
     let pause = common.settings.timeouts.refresh();
-    tokio::spawn(refresh(Arc::clone(&service), Arc::clone(&common.store), pause));
+    tokio::spawn(refresh(
+        Arc::clone(&service),
+        Arc::clone(&common.store),
+        pause,
+    ));
     let peer_listener = bind(common.settings.listen).await?;
     let listen = peer_listener.local_addr().into_diagnostic()?;
-    let address = common.settings.caller_listen.unwrap_or(common.settings.listen);
-    let acceptor = TcpListener::new(address).try_bind().await.into_diagnostic()?;
+    let address = common
+        .settings
+        .caller_listen
+        .unwrap_or(common.settings.listen);
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .into_diagnostic()?;
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
     let server = Server::new(acceptor);
     let handle = server.handle();
     let server = tokio::spawn(server.serve(entry::http::router(Arc::clone(&service))));
-    announce(&Addresses { listen, caller_listen, operator_listen })?;
+    announce(&Addresses {
+        listen,
+        caller_listen,
+        operator_listen,
+    })?;
     wait_for_signal().await?;
     Event::Draining.log(format_args!("entry {}", common.settings.instance));
     service.drain();
@@ -243,7 +259,10 @@
 
 async fn serve_operator(common: &Common, source: &Arc<dyn operator::Source>) -> Result<SocketAddr> {
     let address = common.settings.operator_listen;
-    let acceptor = TcpListener::new(address).try_bind().await.into_diagnostic()?;
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .into_diagnostic()?;
     let bound = address_of(&acceptor).unwrap_or(address);
     let router = operator::router(source, &common.metrics);
     tokio::spawn(Server::new(acceptor).serve(router));
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -59,7 +59,11 @@
     }
 
     async fn begin(&self, call: Call) -> Result<Parts, Fault> {
-        let http = if call.reuse { &self.reusing } else { &self.fresh };
+        let http = if call.reuse {
+            &self.reusing
+        } else {
+            &self.fresh
+        };
         let url = format!("http://{}{}", call.address, path(&call));
         let mut request = http
             .post(url)
@@ -75,7 +79,11 @@
             .map_err(|error| Fault {
                 connected: !error.is_connect(),
                 ..Fault::new(
-                    if error.is_connect() { Kind::Unreachable } else { Kind::EndpointFailed },
+                    if error.is_connect() {
+                        Kind::Unreachable
+                    } else {
+                        Kind::EndpointFailed
+                    },
                     describe(&error),
                 )
             })?;
@@ -104,7 +112,10 @@
 }
 
 fn silent(progress: Duration) -> Fault {
-    Fault::new(Kind::Silent, format!("no progress in {} ms", progress.as_millis()))
+    Fault::new(
+        Kind::Silent,
+        format!("no progress in {} ms", progress.as_millis()),
+    )
 }
 
 fn describe(error: &reqwest::Error) -> String {
@@ -131,8 +142,15 @@
         _ => Kind::EndpointFailed,
     };
     let refused = kind == Kind::EndpointRefused && body.is_some();
-    let text: String = body.unwrap_or_default().chars().take(REFUSAL_CHARACTERS).collect();
-    Err(Fault { refused, ..Fault::new(kind, format!("status {status}: {text}")) })
+    let text: String = body
+        .unwrap_or_default()
+        .chars()
+        .take(REFUSAL_CHARACTERS)
+        .collect();
+    Err(Fault {
+        refused,
+        ..Fault::new(kind, format!("status {status}: {text}"))
+    })
 }
 
 /// Reads a body that is passed on in one part.
@@ -159,7 +177,11 @@
         ended: bool,
     }
     let events = response.bytes_stream().eventsource().boxed();
-    let state = State { events, bytes: 0, ended: false };
+    let state = State {
+        events,
+        bytes: 0,
+        ended: false,
+    };
     stream::try_unfold(state, move |mut state| async move {
         loop {
             let event = match next(&mut state.events, progress).await? {
@@ -168,7 +190,10 @@
                 Some(event) => event.map_err(|error| truncated(&error))?,
             };
             if state.ended {
-                return Err(Fault::new(Kind::EndpointProtocol, "data after the end mark"));
+                return Err(Fault::new(
+                    Kind::EndpointProtocol,
+                    "data after the end mark",
+                ));
             }
             if event.data == DONE {
                 state.ended = true;
@@ -188,16 +213,23 @@
 }
 
 fn text_of(data: &str) -> Result<String, Fault> {
-    let completion: Completion = serde_json::from_str(data)
-        .map_err(|error| Fault::new(Kind::EndpointProtocol, format!("reading an event: {error}")))?;
-    Ok(completion.choices.into_iter().map(|choice| choice.text).collect())
+    let completion: Completion = serde_json::from_str(data).map_err(|error| {
+        Fault::new(Kind::EndpointProtocol, format!("reading an event: {error}"))
+    })?;
+    Ok(completion
+        .choices
+        .into_iter()
+        .map(|choice| choice.text)
+        .collect())
 }
 
 async fn next<S: futures_util::Stream + Unpin>(
     parts: &mut S,
     progress: Duration,
 ) -> Result<Option<S::Item>, Fault> {
-    time::timeout(progress, parts.next()).await.map_err(|_| silent(progress))
+    time::timeout(progress, parts.next())
+        .await
+        .map_err(|_| silent(progress))
 }
 
 fn truncated(error: &dyn std::error::Error) -> Fault {
@@ -205,5 +237,8 @@
 }
 
 fn oversized(limit: u64) -> Fault {
-    Fault::new(Kind::EndpointProtocol, format!("the output is over {limit} bytes"))
+    Fault::new(
+        Kind::EndpointProtocol,
+        format!("the output is over {limit} bytes"),
+    )
 }
--- a/crates/cicadacrank-node/src/endpoint/mod.rs
+++ b/crates/cicadacrank-node/src/endpoint/mod.rs
@@ -49,7 +49,12 @@
 impl Fault {
     /// Creates a fault of a call that had a connection.
     pub fn new(kind: Kind, context: impl Into<String>) -> Self {
-        Self { kind, connected: true, refused: false, context: context.into() }
+        Self {
+            kind,
+            connected: true,
+            refused: false,
+            context: context.into(),
+        }
     }
 }
 
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -54,7 +54,10 @@
 impl Slot {
     fn new(service: &Arc<Service>, endpoint: &str) -> Self {
         service.table().begin(endpoint);
-        Self { service: Arc::clone(service), endpoint: endpoint.to_owned() }
+        Self {
+            service: Arc::clone(service),
+            endpoint: endpoint.to_owned(),
+        }
     }
 }
 
@@ -76,7 +79,12 @@
 
 impl Attempt {
     /// Picks an endpoint that was not tried; `None` if there is none.
-    pub(super) fn new(walk: &Walk, stage: &Stage, tried: &[String], until: Instant) -> Option<Self> {
+    pub(super) fn new(
+        walk: &Walk,
+        stage: &Stage,
+        tried: &[String],
+        until: Instant,
+    ) -> Option<Self> {
         let service = &walk.service;
         let book = &walk.configuration.book;
         let pool = &book[stage.pool].name;
@@ -88,7 +96,13 @@
         };
         let slot = Slot::new(service, &endpoint);
         service.parts.metrics.attempts.inc();
-        Some(Self { endpoint, address, id: id::Attempt::new(rand::random()), until, _slot: slot })
+        Some(Self {
+            endpoint,
+            address,
+            id: id::Attempt::new(rand::random()),
+            until,
+            _slot: slot,
+        })
     }
 
     /// Runs the attempt; chunks go to the sender as they arrive.
@@ -111,17 +125,31 @@
             next: 0,
         };
         let work = async {
-            let frames = link.run(self.address, job).await.map_err(|fault| self.broken(walk, fault))?;
+            let frames = link
+                .run(self.address, job)
+                .await
+                .map_err(|fault| self.broken(walk, fault))?;
             reader.read(frames).await
         };
         let result = time::timeout_at(self.until, work).await;
         let passed_on = reader.sender.is_some() && reader.chunks > 0;
         match result {
-            Ok(Ok(())) => Ok(Done { output: reader.output.freeze(), chunks: reader.chunks }),
-            Ok(Err(trouble)) => Err(Trouble { passed_on, ..trouble }),
+            Ok(Ok(())) => Ok(Done {
+                output: reader.output.freeze(),
+                chunks: reader.chunks,
+            }),
+            Ok(Err(trouble)) => Err(Trouble {
+                passed_on,
+                ..trouble
+            }),
             Err(_) => {
-                let failure = Failure::unknown(Kind::Deadline, format!("running stage {}", stage.name));
-                Err(Trouble { failure, link: false, passed_on })
+                let failure =
+                    Failure::unknown(Kind::Deadline, format!("running stage {}", stage.name));
+                Err(Trouble {
+                    failure,
+                    link: false,
+                    passed_on,
+                })
             }
         }
     }
@@ -147,12 +175,29 @@
 
     fn broken(&self, walk: &Walk, fault: link::Fault) -> Trouble {
         let service = &walk.service;
-        Event::AttemptFailed.log(format_args!("attempt {} at {}: {fault}", self.id, self.endpoint));
-        service.table().shun(&self.endpoint, service.parts.clock.now());
+        Event::AttemptFailed.log(format_args!(
+            "attempt {} at {}: {fault}",
+            self.id, self.endpoint
+        ));
+        service
+            .table()
+            .shun(&self.endpoint, service.parts.clock.now());
         service.parts.link.reset(self.address);
-        let effect = if fault.connected { Effect::Unknown } else { Effect::NotRun };
-        let failure = Failure { kind: fault.kind, effect, context: fault.context };
-        Trouble { failure, link: true, passed_on: false }
+        let effect = if fault.connected {
+            Effect::Unknown
+        } else {
+            Effect::NotRun
+        };
+        let failure = Failure {
+            kind: fault.kind,
+            effect,
+            context: fault.context,
+        };
+        Trouble {
+            failure,
+            link: true,
+            passed_on: false,
+        }
     }
 }
 
@@ -179,8 +224,11 @@
     /// Takes one frame; returns whether it was the end of a whole answer.
     async fn take(&mut self, frame: wire::Frame) -> Result<bool, Trouble> {
         if let Some(load) = frame.load {
-            let report =
-                Report { in_flight: load.in_flight, queued: load.queued, slots: load.slots };
+            let report = Report {
+                in_flight: load.in_flight,
+                queued: load.queued,
+                slots: load.slots,
+            };
             self.service.table().report(&self.attempt.endpoint, report);
         }
         match frame.body {
@@ -208,16 +256,30 @@
 
     fn cut(&self, kind: Kind, context: String) -> Trouble {
         let attempt = self.attempt;
-        Event::AttemptFailed
-            .log(format_args!("attempt {} at {}: {kind}: {context}", attempt.id, attempt.endpoint));
+        Event::AttemptFailed.log(format_args!(
+            "attempt {} at {}: {kind}: {context}",
+            attempt.id, attempt.endpoint
+        ));
         self.service.parts.link.reset(attempt.address);
-        Trouble { failure: Failure::unknown(kind, context), link: true, passed_on: false }
+        Trouble {
+            failure: Failure::unknown(kind, context),
+            link: true,
+            passed_on: false,
+        }
     }
 }
 
 fn typed(failure: wire::Failure) -> Trouble {
     let kind = Kind::from_name(&failure.kind).unwrap_or(Kind::Internal);
     let effect = Effect::from_name(&failure.effect).unwrap_or(Effect::Unknown);
-    let failure = Failure { kind, effect, context: failure.context };
-    Trouble { failure, link: false, passed_on: false }
+    let failure = Failure {
+        kind,
+        effect,
+        context: failure.context,
+    };
+    Trouble {
+        failure,
+        link: false,
+        passed_on: false,
+    }
 }
--- a/crates/cicadacrank-node/src/entry/http.rs
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -82,20 +82,28 @@
         })?)),
     };
     let pipeline = request.param::<String>("name").unwrap_or_default();
-    let body = request.payload_with_max_size(BODY_BYTES).await.map_err(|error| {
-        Failure::not_run(Kind::TooLarge, format!("reading the body: {error}"))
-    })?;
+    let body = request
+        .payload_with_max_size(BODY_BYTES)
+        .await
+        .map_err(|error| Failure::not_run(Kind::TooLarge, format!("reading the body: {error}")))?;
     let body = Bytes::copy_from_slice(body);
-    Ok(Request { id, team, pipeline, key, deadline, body })
+    Ok(Request {
+        id,
+        team,
+        pipeline,
+        key,
+        deadline,
+        body,
+    })
 }
 
 fn text(headers: &HeaderMap, name: &str) -> Result<String, Failure> {
     let Some(value) = headers.get(name) else {
         return Ok(String::new());
     };
-    let value = value.to_str().map_err(|_| {
-        Failure::not_run(Kind::BadRequest, format!("reading the header {name}"))
-    })?;
+    let value = value
+        .to_str()
+        .map_err(|_| Failure::not_run(Kind::BadRequest, format!("reading the header {name}")))?;
     Ok(value.to_owned())
 }
 
@@ -124,7 +132,11 @@
             Reply::Failure(failure) => return refuse(response, id, &failure),
         }
     }
-    refuse(response, id, &Failure::unknown(Kind::Internal, "the request has no end"));
+    refuse(
+        response,
+        id,
+        &Failure::unknown(Kind::Internal, "the request has no end"),
+    );
 }
 
 /// Answers with events. The status waits for the first reply, so that a request
@@ -153,7 +165,9 @@
 ) -> impl Stream<Item = Result<Bytes, Infallible>> {
     replies.map(move |reply| {
         let text = match reply {
-            Reply::Chunk(data) => event("chunk", &json!({ "text": String::from_utf8_lossy(&data) })),
+            Reply::Chunk(data) => {
+                event("chunk", &json!({ "text": String::from_utf8_lossy(&data) }))
+            }
             Reply::End { answer, chunks } => event(
                 "end",
                 &json!({ "chunks": chunks, "answer": answer, "request_id": id.to_string() }),
--- a/crates/cicadacrank-node/src/entry/service.rs
+++ b/crates/cicadacrank-node/src/entry/service.rs
@@ -1,9 +1,7 @@
 //! The entry's state.
 
 use super::walk;
-use crate::{
-    clock::Clock, configuration::Holder, link, metrics::Metrics, settings::Settings,
-};
+use crate::{clock::Clock, configuration::Holder, link, metrics::Metrics, settings::Settings};
 use bytes::Bytes;
 use cicadacrank_core::{error::Failure, id, routing::Table};
 use serde_json::Value;
@@ -72,6 +70,7 @@
     pub(super) parts: Parts,
     table: Mutex<Table>,
     draining: AtomicBool,
+    listed: AtomicBool,
     tracker: TaskTracker,
 }
 
@@ -83,6 +82,7 @@
             parts,
             table: Mutex::new(Table::default()),
             draining: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
             tracker: TaskTracker::new(),
         }
     }
@@ -90,7 +90,8 @@
     /// Starts a request and returns the parts of its answer.
     pub fn run(self: &Arc<Self>, request: Request) -> mpsc::Receiver<Reply> {
         let (sender, receiver) = mpsc::channel(REPLY_BUFFER);
-        self.tracker.spawn(walk::run(Arc::clone(self), request, sender));
+        self.tracker
+            .spawn(walk::run(Arc::clone(self), request, sender));
         receiver
     }
 
@@ -110,10 +111,18 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
-    /// Returns whether the balancer should send requests.
+    /// Notes that the table holds what the rules and the instance list say.
+    pub fn set_listed(&self) {
+        self.listed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the balancer should send requests: rules are in force,
+    /// endpoints are known and no shutdown has begun.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::SeqCst) && self.parts.holder.current().is_some()
+        !self.draining.load(Ordering::SeqCst)
+            && self.listed.load(Ordering::SeqCst)
+            && self.parts.holder.current().is_some()
     }
 
     /// Waits until no request is left.
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -110,7 +110,10 @@
             self.floor = Effect::Partial;
             context.absorb(pool.service, &output)?;
         }
-        Ok(Reply::End { answer: context.answer(), chunks: self.chunks })
+        Ok(Reply::End {
+            answer: context.answer(),
+            chunks: self.chunks,
+        })
     }
 
     /// Returns when a stage must have ended: time that earlier stages left
@@ -157,7 +160,11 @@
     }
 
     fn none(&self, stage: &rules::Stage, until: Instant) -> Failure {
-        let kind = if Instant::now() >= until { Kind::Deadline } else { Kind::NoEndpoint };
+        let kind = if Instant::now() >= until {
+            Kind::Deadline
+        } else {
+            Kind::NoEndpoint
+        };
         Failure::not_run(kind, format!("beginning stage {}", stage.name))
     }
 
@@ -174,7 +181,12 @@
 
 fn check(configuration: &Configuration, request: &Request) -> Result<PipelineKey, Failure> {
     let book = &configuration.book;
-    let refuse = |kind| Err(Failure::not_run(kind, format!("checking {}", request.pipeline)));
+    let refuse = |kind| {
+        Err(Failure::not_run(
+            kind,
+            format!("checking {}", request.pipeline),
+        ))
+    };
     let Some(key) = book.pipeline(&request.pipeline) else {
         return refuse(Kind::UnknownPipeline);
     };
@@ -183,7 +195,11 @@
     };
     let pipeline = &book[key];
     let minute = clock::minute_of_day();
-    if !pipeline.stages.iter().all(|stage| book.is_granted(team, stage.pool, minute)) {
+    if !pipeline
+        .stages
+        .iter()
+        .all(|stage| book.is_granted(team, stage.pool, minute))
+    {
         return refuse(Kind::Forbidden);
     }
     if request.body.len() as u64 > pipeline.body_limit_bytes {
--- a/crates/cicadacrank-node/src/link/grpc.rs
+++ b/crates/cicadacrank-node/src/link/grpc.rs
@@ -40,7 +40,10 @@
     /// Creates a client that gives up on a connection attempt after `connect`.
     #[must_use]
     pub const fn new(connect: Duration) -> Self {
-        Self { connect, connections: Mutex::new(Vec::new()) }
+        Self {
+            connect,
+            connections: Mutex::new(Vec::new()),
+        }
     }
 
     /// Returns the connection to an address, made if there is none.
@@ -59,19 +62,33 @@
             .keep_alive_timeout(PING_TIMEOUT)
             .keep_alive_while_idle(true)
             .tcp_nodelay(true);
-        let channel = endpoint.connect().await.map_err(|error| unreachable(address, &error))?;
-        self.keep(Connection { address, channel: channel.clone() });
+        let channel = endpoint
+            .connect()
+            .await
+            .map_err(|error| unreachable(address, &error))?;
+        self.keep(Connection {
+            address,
+            channel: channel.clone(),
+        });
         Ok(channel)
     }
 
     fn find(&self, address: SocketAddr) -> Option<Channel> {
-        let connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = connections.binary_search_by_key(&address, |one| one.address).ok()?;
+        let connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let index = connections
+            .binary_search_by_key(&address, |one| one.address)
+            .ok()?;
         Some(connections[index].channel.clone())
     }
 
     fn keep(&self, connection: Connection) {
-        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         match connections.binary_search_by_key(&connection.address, |one| one.address) {
             Ok(index) => connections[index] = connection,
             Err(index) => connections.insert(index, connection),
@@ -83,8 +100,14 @@
         let mut client = SidecarClient::new(channel)
             .max_decoding_message_size(MESSAGE_BYTES)
             .max_encoding_message_size(MESSAGE_BYTES);
-        let frames = client.run(job).await.map_err(|status| broken(&status))?.into_inner();
-        Ok(frames.map(|frame| frame.map_err(|status| broken(&status))).boxed())
+        let frames = client
+            .run(job)
+            .await
+            .map_err(|status| broken(&status))?
+            .into_inner();
+        Ok(frames
+            .map(|frame| frame.map_err(|status| broken(&status)))
+            .boxed())
     }
 }
 
@@ -94,17 +117,28 @@
     }
 
     fn reset(&self, address: SocketAddr) {
-        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         connections.retain(|one| one.address != address);
     }
 }
 
 fn unreachable(address: SocketAddr, error: &dyn std::error::Error) -> Fault {
     let context = format!("connecting to {address}: {error}");
-    Fault { kind: Kind::Unreachable, connected: false, context }
+    Fault {
+        kind: Kind::Unreachable,
+        connected: false,
+        context,
+    }
 }
 
 fn broken(status: &tonic::Status) -> Fault {
     let context = format!("running a job: {status}");
-    Fault { kind: Kind::Unreachable, connected: true, context }
+    Fault {
+        kind: Kind::Unreachable,
+        connected: true,
+        context,
+    }
 }
--- a/crates/cicadacrank-node/src/logging.rs
+++ b/crates/cicadacrank-node/src/logging.rs
@@ -39,7 +39,12 @@
                     out.finish(format_args!("{text}"));
                 }
                 Format::Text => {
-                    let Line { unix_ms, level, target, message } = line;
+                    let Line {
+                        unix_ms,
+                        level,
+                        target,
+                        message,
+                    } = line;
                     out.finish(format_args!("{unix_ms} {level} {target} {message}"));
                 }
             }
--- a/crates/cicadacrank-node/src/metrics.rs
+++ b/crates/cicadacrank-node/src/metrics.rs
@@ -37,7 +37,9 @@
         let registry = Registry::new();
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help).expect("metric names are valid");
-            registry.register(Box::new(counter.clone())).expect("metric names are unique");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("metric names are unique");
             counter
         };
         let served = counter("cicadacrank_served_total", "Requests answered whole");
@@ -45,7 +47,10 @@
         let dropped_frames = counter("cicadacrank_dropped_frames_total", "Frames of no attempt");
         let platform_calls = counter("cicadacrank_platform_calls_total", "Calls to the platform");
         let failed = IntCounterVec::new(
-            Opts::new("cicadacrank_failed_total", "Requests answered with an error"),
+            Opts::new(
+                "cicadacrank_failed_total",
+                "Requests answered with an error",
+            ),
             &["kind", "effect"],
         )
         .expect("metric names are valid");
@@ -56,22 +61,42 @@
             "Time from arrival to the end of the answer",
         ))
         .expect("metric names are valid");
-        registry.register(Box::new(failed.clone())).expect("metric names are unique");
-        registry.register(Box::new(generation.clone())).expect("metric names are unique");
-        registry.register(Box::new(latency.clone())).expect("metric names are unique");
-        Self { registry, served, failed, attempts, dropped_frames, platform_calls, generation, latency }
+        registry
+            .register(Box::new(failed.clone()))
+            .expect("metric names are unique");
+        registry
+            .register(Box::new(generation.clone()))
+            .expect("metric names are unique");
+        registry
+            .register(Box::new(latency.clone()))
+            .expect("metric names are unique");
+        Self {
+            registry,
+            served,
+            failed,
+            attempts,
+            dropped_frames,
+            platform_calls,
+            generation,
+            latency,
+        }
     }
 
     /// Counts a failure.
     pub fn fail(&self, failure: &Failure) {
-        self.failed.with_label_values(&[failure.kind.as_str(), failure.effect.as_str()]).inc();
+        self.failed
+            .with_label_values(&[failure.kind.as_str(), failure.effect.as_str()])
+            .inc();
     }
 
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
-        if TextEncoder::new().encode(&self.registry.gather(), &mut buffer).is_err() {
+        if TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buffer)
+            .is_err()
+        {
             return String::new();
         }
         String::from_utf8(buffer).unwrap_or_default()
--- a/crates/cicadacrank-node/src/operator.rs
+++ b/crates/cicadacrank-node/src/operator.rs
@@ -35,7 +35,11 @@
 #[must_use]
 pub fn router(source: &Arc<dyn Source>, metrics: &Arc<Metrics>) -> Router {
     let page = |path: &str, page| {
-        let pages = Pages { page, source: Arc::clone(source), metrics: Arc::clone(metrics) };
+        let pages = Pages {
+            page,
+            source: Arc::clone(source),
+            metrics: Arc::clone(metrics),
+        };
         Router::with_path(path).get(pages)
     };
     Router::new()
--- a/crates/cicadacrank-node/src/platform/http.rs
+++ b/crates/cicadacrank-node/src/platform/http.rs
@@ -62,8 +62,15 @@
 
 impl From<Resource> for Object {
     fn from(resource: Resource) -> Self {
-        let Metadata { name, resource_version } = resource.metadata;
-        Self { name, version: Version(resource_version), spec: resource.spec }
+        let Metadata {
+            name,
+            resource_version,
+        } = resource.metadata;
+        Self {
+            name,
+            version: Version(resource_version),
+            spec: resource.spec,
+        }
     }
 }
 
@@ -90,7 +97,11 @@
             .build()
             .map_err(|error| Fault::Invalid(error.to_string()))?;
         let base = format!("http://{address}/apis/{API_VERSION}/namespaces/default");
-        Ok(Self { base, timeout, http })
+        Ok(Self {
+            base,
+            timeout,
+            http,
+        })
     }
 
     fn call(&self, method: Method, collection: Collection, name: Option<&str>) -> RequestBuilder {
@@ -104,9 +115,16 @@
     }
 
     async fn fetch<T: for<'de> Deserialize<'de>>(&self, call: RequestBuilder) -> Result<T, Fault> {
-        let response = call.timeout(self.timeout).send().await.map_err(|error| fault(&error))?;
+        let response = call
+            .timeout(self.timeout)
+            .send()
+            .await
+            .map_err(|error| fault(&error))?;
         let response = check(response).await?;
-        response.json().await.map_err(|error| Fault::Lost(error.to_string()))
+        response
+            .json()
+            .await
+            .map_err(|error| Fault::Lost(error.to_string()))
     }
 }
 
@@ -132,7 +150,9 @@
         async move {
             let resource = resource(name, &Version::default(), spec);
             let call = self.call(Method::POST, collection, None).json(&resource);
-            self.fetch::<Resource>(call).await.map(|made| Object::from(made).version)
+            self.fetch::<Resource>(call)
+                .await
+                .map(|made| Object::from(made).version)
         }
         .boxed()
     }
@@ -146,8 +166,12 @@
     ) -> BoxFuture<'a, Result<Version, Fault>> {
         async move {
             let resource = resource(name, version, spec);
-            let call = self.call(Method::PUT, collection, Some(name)).json(&resource);
-            self.fetch::<Resource>(call).await.map(|made| Object::from(made).version)
+            let call = self
+                .call(Method::PUT, collection, Some(name))
+                .json(&resource);
+            self.fetch::<Resource>(call)
+                .await
+                .map(|made| Object::from(made).version)
         }
         .boxed()
     }
@@ -160,7 +184,9 @@
     ) -> BoxFuture<'a, Result<(), Fault>> {
         async move {
             let body = serde_json::json!({ "preconditions": { "resourceVersion": version.0 } });
-            let call = self.call(Method::DELETE, collection, Some(name)).json(&body);
+            let call = self
+                .call(Method::DELETE, collection, Some(name))
+                .json(&body);
             self.fetch::<Value>(call).await.map(drop)
         }
         .boxed()
@@ -203,7 +229,10 @@
 fn resource(name: &str, version: &Version, spec: Value) -> Resource {
     Resource {
         api_version: API_VERSION.to_owned(),
-        metadata: Metadata { name: name.to_owned(), resource_version: version.0.clone() },
+        metadata: Metadata {
+            name: name.to_owned(),
+            resource_version: version.0.clone(),
+        },
         spec,
     }
 }
@@ -245,7 +274,10 @@
                 Ok(part) => buffer.extend_from_slice(&part),
                 Err(error) => {
                     buffer.clear();
-                    return Some((Err(Fault::Lost(error.to_string())), (stream::empty().boxed(), buffer)));
+                    return Some((
+                        Err(Fault::Lost(error.to_string())),
+                        (stream::empty().boxed(), buffer),
+                    ));
                 }
             }
         }
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -26,8 +26,13 @@
 
 impl Collection {
     /// Every collection.
-    pub const ALL: [Self; 5] =
-        [Self::Rulesets, Self::Audits, Self::Claims, Self::Instances, Self::Accounts];
+    pub const ALL: [Self; 5] = [
+        Self::Rulesets,
+        Self::Audits,
+        Self::Claims,
+        Self::Instances,
+        Self::Accounts,
+    ];
 
     /// Returns the plural used in paths.
     #[must_use]
--- a/crates/cicadacrank-node/src/settings.rs
+++ b/crates/cicadacrank-node/src/settings.rs
@@ -152,7 +152,10 @@
 
 impl Default for Log {
     fn default() -> Self {
-        Self { format: Format::Text, level: log::LevelFilter::Info }
+        Self {
+            format: Format::Text,
+            level: log::LevelFilter::Info,
+        }
     }
 }
 
@@ -175,9 +178,8 @@
     ///
     /// Returns a report with the place of the fault.
     pub fn parse(text: &str) -> Result<Self> {
-        let value: serde_json::Value =
+        let settings: Self =
             parse_to_serde_value(text, &ParseOptions::default()).into_diagnostic()?;
-        let settings: Self = serde_json::from_value(value).into_diagnostic()?;
         settings.check()
     }
 
@@ -186,9 +188,9 @@
             Role::Entry if self.caller_listen.is_none() => {
                 Err(miette::miette!("an entry needs `caller_listen`"))
             }
-            Role::Sidecar if self.endpoints.is_empty() => {
-                Err(miette::miette!("a sidecar needs at least one of `endpoints`"))
-            }
+            Role::Sidecar if self.endpoints.is_empty() => Err(miette::miette!(
+                "a sidecar needs at least one of `endpoints`"
+            )),
             Role::Entry | Role::Sidecar => Ok(self),
         }
     }
--- a/crates/cicadacrank-node/src/sidecar/claims.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims.rs
@@ -115,7 +115,11 @@
 
     async fn look(&self, name: &str, attempt: id::Attempt, digest: &str) -> Result<Step, Fault> {
         let claim = Claim::new(attempt, digest.to_owned(), self.end());
-        match self.store.create(Collection::Claims, name, spec(&claim)).await {
+        match self
+            .store
+            .create(Collection::Claims, name, spec(&claim))
+            .await
+        {
             Ok(version) => return Ok(held(name, claim, version)),
             Err(Fault::Exists | Fault::Lost(_)) => {}
             Err(fault) => return Err(fault),
@@ -136,7 +140,10 @@
     }
 
     async fn take_over(&self, name: &str, claim: Claim, seen: Version) -> Result<Step, Fault> {
-        let update = self.store.update(Collection::Claims, name, &seen, spec(&claim)).await;
+        let update = self
+            .store
+            .update(Collection::Claims, name, &seen, spec(&claim))
+            .await;
         match update {
             Ok(version) => Ok(held(name, claim, version)),
             Err(Fault::Conflict | Fault::Lost(_) | Fault::Missing) => Ok(Step::Again),
@@ -163,19 +170,30 @@
                 && claim.attempt == attempt
                 && claim.state == State::Open
             {
-                claims.release(Held { name, claim, version: object.version }).await;
+                claims
+                    .release(Held {
+                        name,
+                        claim,
+                        version: object.version,
+                    })
+                    .await;
             }
         });
         unsent.refuse(Kind::PlatformDown, "claiming the work")
     }
 
     async fn settle(&self, held: &Held, state: State) -> bool {
-        let claim = Claim { ends_unix_ms: self.end(), ..held.claim.clone().with_state(state) };
+        let claim = Claim {
+            ends_unix_ms: self.end(),
+            ..held.claim.clone().with_state(state)
+        };
         let mut version = held.version.clone();
         let mut wait = FIRST_WAIT;
         for _ in 0..RECORD_TRIES {
-            let update =
-                self.store.update(Collection::Claims, &held.name, &version, spec(&claim)).await;
+            let update = self
+                .store
+                .update(Collection::Claims, &held.name, &version, spec(&claim))
+                .await;
             match update {
                 Ok(_) => return true,
                 Err(Fault::Missing | Fault::Invalid(_)) => return false,
@@ -210,7 +228,11 @@
 
 fn held(name: &str, claim: Claim, version: Version) -> Step {
     Event::ClaimMade.log(format_args!("claim {name} attempt {}", claim.attempt));
-    Step::Ended(Acquired::Held(Held { name: name.to_owned(), claim, version }))
+    Step::Ended(Acquired::Held(Held {
+        name: name.to_owned(),
+        claim,
+        version,
+    }))
 }
 
 fn spec(claim: &Claim) -> Value {
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -45,13 +45,21 @@
 
     async fn chunk(&mut self, data: &Bytes) -> bool {
         self.chunks += 1;
-        self.say(Body::Chunk(wire::Chunk { data: data.to_vec() })).await
+        self.say(Body::Chunk(wire::Chunk {
+            data: data.to_vec(),
+        }))
+        .await
     }
 
     async fn end(&mut self, replayed: bool, busy: Duration) {
         let busy_us = u64::try_from(busy.as_micros()).unwrap_or(u64::MAX);
         let chunks = self.chunks;
-        self.say(Body::End(wire::End { chunks, replayed, busy_us })).await;
+        self.say(Body::End(wire::End {
+            chunks,
+            replayed,
+            busy_us,
+        }))
+        .await;
     }
 
     async fn fail(&mut self, failure: Failure) {
@@ -81,11 +89,7 @@
     }
 }
 
-async fn serve(
-    service: &Arc<Service>,
-    job: &wire::Job,
-    voice: &mut Voice,
-) -> Result<(), Failure> {
+async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Failure> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
     let unsent = Unsent::begin();
     let (admitted, unsent) = service.admit(job, unsent).await?;
@@ -111,7 +115,10 @@
     if Instant::now() < deadline {
         return Ok(());
     }
-    Err(Failure::not_run(Kind::Deadline, "looking at the deadline before the send"))
+    Err(Failure::not_run(
+        Kind::Deadline,
+        "looking at the deadline before the send",
+    ))
 }
 
 async fn claim(
@@ -127,8 +134,15 @@
         return Err(unsent.refuse(Kind::KeyMissing, "claiming the work"));
     }
     let name = Name::new(&job.team, &job.pipeline, &job.stage, &job.key);
-    let digest: String = job.digest.iter().map(|byte| format!("{byte:02x}")).collect();
-    service.claims.acquire(name, attempt, &digest, deadline, unsent).await
+    let digest: String = job
+        .digest
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    service
+        .claims
+        .acquire(name, attempt, &digest, deadline, unsent)
+        .await
 }
 
 fn call_of(service: &Service, job: &wire::Job, admitted: &Admitted) -> Call {
@@ -200,7 +214,10 @@
         Ok(Err(fault)) if fault.refused => {
             sent.finish();
             let context = fault.context.clone();
-            service.claims.record(held, Outcome::Refused { context }).await;
+            service
+                .claims
+                .record(held, Outcome::Refused { context })
+                .await;
             Err(failure_of(fault, sent))
         }
         Ok(Err(fault)) => {
@@ -215,9 +232,9 @@
 
 fn outcome_of(output: &[u8]) -> Outcome {
     match str::from_utf8(output) {
-        Ok(text) if text.len() <= claims::OUTPUT_BYTES => {
-            Outcome::Answer { output: text.to_owned() }
-        }
+        Ok(text) if text.len() <= claims::OUTPUT_BYTES => Outcome::Answer {
+            output: text.to_owned(),
+        },
         _ => Outcome::Oversized,
     }
 }
@@ -229,9 +246,10 @@
             voice.end(true, Duration::ZERO).await;
             Ok(())
         }
-        Outcome::Oversized => {
-            Err(Failure::partial(Kind::OutcomeUnknown, "the work ran; its answer was not kept"))
-        }
+        Outcome::Oversized => Err(Failure::partial(
+            Kind::OutcomeUnknown,
+            "the work ran; its answer was not kept",
+        )),
         Outcome::Refused { context } => Err(Failure::partial(Kind::EndpointRefused, context)),
     }
 }
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -156,8 +156,16 @@
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
-        if !self.parts.holder.wait(job.generation, GENERATION_WAIT).await {
-            return Err(unsent.refuse(Kind::Stale, format!("waiting for generation {}", job.generation)));
+        if !self
+            .parts
+            .holder
+            .wait(job.generation, GENERATION_WAIT)
+            .await
+        {
+            return Err(unsent.refuse(
+                Kind::Stale,
+                format!("waiting for generation {}", job.generation),
+            ));
         }
         let Some(configuration) = self.parts.holder.current() else {
             return Err(unsent.refuse(Kind::NotReady, "admitting a job"));
@@ -176,7 +184,10 @@
         let book = &configuration.book;
         let team = book.team(&job.team).ok_or(Kind::Forbidden)?;
         let pipeline = book.pipeline(&job.pipeline).ok_or(Kind::UnknownPipeline)?;
-        let stage = book[pipeline].stages.iter().find(|stage| stage.name == job.stage);
+        let stage = book[pipeline]
+            .stages
+            .iter()
+            .find(|stage| stage.name == job.stage);
         let stage = stage.ok_or(Kind::UnknownPipeline)?;
         let endpoint = book.endpoint(&job.endpoint).ok_or(Kind::NoEndpoint)?;
         let door = self.find(&job.endpoint).ok_or(Kind::NoEndpoint)?;
@@ -191,7 +202,10 @@
         }
         self.take_slot(door, limits_of(&book[endpoint]))?;
         Ok(Admitted {
-            slot: Slot { service: Arc::clone(self), door },
+            slot: Slot {
+                service: Arc::clone(self),
+                door,
+            },
             stage: stage.clone(),
             service: book[stage.pool].service,
             address: self.doors[door].address,
@@ -208,18 +222,27 @@
     }
 
     fn find(&self, endpoint: &str) -> Option<usize> {
-        self.doors.binary_search_by(|door| door.name.as_str().cmp(endpoint)).ok()
+        self.doors
+            .binary_search_by(|door| door.name.as_str().cmp(endpoint))
+            .ok()
     }
 
     fn with_gate<T>(&self, door: usize, act: impl FnOnce(&mut Option<Gate>) -> T) -> T {
-        let mut gate = self.doors[door].gate.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut gate = self.doors[door]
+            .gate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         act(&mut gate)
     }
 }
 
 impl Door {
     fn new(endpoint: &Endpoint) -> Self {
-        Self { name: endpoint.name.clone(), address: endpoint.address, gate: Mutex::new(None) }
+        Self {
+            name: endpoint.name.clone(),
+            address: endpoint.address,
+            gate: Mutex::new(None),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/cicadacrankd/tests/path.rs
@@ -0,0 +1,68 @@
+//! The whole path, each part a process of its own.
+
+use cicadacrank_bench::{
+    engine::Profile,
+    fleet::{self, Fleet, Plan},
+};
+use serde_json::{Value, json};
+use std::{fs, path::Path};
+
+fn plan(file: &str) -> Plan {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
+    Plan {
+        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
+        rules: fs::read_to_string(samples.join(file)).expect("read the sample"),
+        entries: 2,
+        timeouts: json!({ "refresh_ms": 100, "notice_ms": 100 }),
+        profile: Profile {
+            first_us: 0,
+            token_us: 0,
+            tokens: 3,
+        },
+    }
+}
+
+async fn send(fleet: &Fleet, entry: usize, pipeline: &str, team: &str, key: &str) -> Value {
+    let address = fleet.entries[entry]
+        .addresses
+        .caller_listen
+        .expect("an entry has callers");
+    let answer = fleet::client()
+        .expect("client")
+        .post(format!("http://{address}/v1/pipelines/{pipeline}"))
+        .header("x-team", team)
+        .header("idempotency-key", key)
+        .body(r#"{"query":"tea for 20"}"#)
+        .send()
+        .await
+        .expect("an answer");
+    answer.json().await.expect("JSON")
+}
+
+fn runs(fleet: &Fleet, path: &str) -> usize {
+    let posts = fleet.posts.iter().flat_map(|post| post.engine.runs());
+    posts.filter(|run| run.path == path && run.finished).count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn path_serves_bergvik() {
+    let fleet = Fleet::start(plan("bergvik.rules")).await.expect("a fleet");
+    let first = send(&fleet, 0, "book-room", "portal", "key-1").await;
+    assert_eq!(first["text"], "word0 word1 word2 ", "{first}");
+    let again = send(&fleet, 1, "book-room", "portal", "key-1").await;
+    assert_eq!(
+        again["results"][1], first["results"][1],
+        "the booking is replayed"
+    );
+    assert_eq!(runs(&fleet, "/bookings"), 1, "a booking runs once");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn path_serves_tiha_nosht() {
+    let fleet = Fleet::start(plan("tiha-nosht.rules"))
+        .await
+        .expect("a fleet");
+    let answer = send(&fleet, 1, "order-parcel", "hospices", "key-1").await;
+    assert_eq!(answer["text"], "word0 word1 word2 ", "{answer}");
+    assert_eq!(runs(&fleet, "/parcels"), 1);
+}
