--- a/crates/cicadacrank-bench/src/fleet.rs
+++ b/crates/cicadacrank-bench/src/fleet.rs
@@ -8,7 +8,7 @@
 use cicadacrank_core::rules::{self, Book};
 use cicadacrank_node::{
     configuration::{RULESET_NAME, Ruleset},
-    daemon::Instance,
+    membership::Instance,
     platform::Collection,
     settings::Role,
 };
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -3,7 +3,7 @@
 use super::state::{Answer, Counts, Faults, State, Step};
 use bytes::Bytes;
 use cicadacrank_node::{
-    daemon::Instance,
+    membership::Instance,
     platform::{Change, Collection, Object, Version},
 };
 use futures_util::{Stream, StreamExt as _, stream};
--- a/crates/cicadacrank-node/src/configuration.rs
+++ b/crates/cicadacrank-node/src/configuration/mod.rs
@@ -3,6 +3,10 @@
 //! A [`Holder`] keeps the newest ruleset seen and never goes back: what is
 //! offered with an older or equal generation is ignored.
 
+mod follow;
+
+pub use self::follow::follow;
+
 use cicadacrank_core::{
     event::Event,
     rules::{self, Book},
--- /dev/null
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -0,0 +1,72 @@
+//! Runs an entry.
+
+use super::{
+    Addresses, Common, address_of, announce, bind, finish, serve_operator, wait_for_signal,
+};
+use crate::{entry, link, membership, operator};
+use cicadacrank_core::event::Event;
+use miette::{IntoDiagnostic as _, Result};
+use salvo::{Listener as _, Server, conn::TcpListener};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::time;
+
+/// Runs an entry until it is told to stop.
+pub(super) async fn run(common: Common) -> Result<()> {
+    let connect = common.settings.timeouts.connect();
+    let service = Arc::new(entry::Service::new(entry::Parts {
+        settings: common.settings.clone(),
+        clock: common.clock,
+        holder: Arc::clone(&common.holder),
+        link: Arc::new(link::grpc::Client::new(connect)),
+        metrics: Arc::clone(&common.metrics),
+    }));
+    let pause = common.settings.timeouts.refresh();
+    tokio::spawn(membership::refresh(
+        Arc::clone(&service),
+        Arc::clone(&common.store),
+        pause,
+    ));
+    let peer_listener = bind(common.settings.listen).await?;
+    let listen = peer_listener.local_addr().into_diagnostic()?;
+    let address = common
+        .settings
+        .caller_listen
+        .unwrap_or(common.settings.listen);
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .into_diagnostic()?;
+    let caller_listen = address_of(&acceptor);
+    let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
+    let operator_listen = serve_operator(&common, &source).await?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let server = tokio::spawn(server.serve(entry::http::router(Arc::clone(&service))));
+    announce(&Addresses {
+        listen,
+        caller_listen,
+        operator_listen,
+    })?;
+    wait_for_signal().await?;
+    Event::Draining.log(format_args!("entry {}", common.settings.instance));
+    service.drain();
+    let drain = async {
+        time::sleep(common.settings.timeouts.notice()).await;
+        handle.stop_graceful(None);
+        drop(server.await);
+        service.finish().await;
+    };
+    finish(&common, drain).await;
+    Ok(())
+}
+
+impl operator::Source for entry::Service {
+    fn is_ready(&self) -> bool {
+        Self::is_ready(self)
+    }
+
+    fn status(&self) -> Value {
+        json!({ "role": "entry", "generation": self.parts().holder.generation() })
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -0,0 +1,118 @@
+//! Puts a process together from its settings and runs it until it is told to
+//! stop.
+
+mod entry;
+mod sidecar;
+
+use crate::{
+    clock::Clock,
+    configuration::{self, Holder},
+    metrics::Metrics,
+    operator,
+    platform::{self, Store},
+    settings::{Role, Settings},
+};
+use cicadacrank_core::event::Event;
+use miette::{Context as _, IntoDiagnostic as _, Result};
+use salvo::{Listener as _, Server, conn::TcpListener};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
+};
+
+/// The addresses a process has bound; printed as one line of JSON on the
+/// standard output when it is up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For other processes of the system.
+    pub listen: SocketAddr,
+    /// For callers, at an entry.
+    pub caller_listen: Option<SocketAddr>,
+    /// For operators.
+    pub operator_listen: SocketAddr,
+}
+
+struct Common {
+    settings: Settings,
+    clock: Clock,
+    holder: Arc<Holder>,
+    store: Arc<dyn Store>,
+    metrics: Arc<Metrics>,
+}
+
+/// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns a report if an address cannot be bound.
+pub async fn run(settings: Settings) -> Result<()> {
+    let timeout = settings.timeouts.platform();
+    let store = platform::http::Client::new(settings.platform, timeout).into_diagnostic()?;
+    let common = Common {
+        clock: Clock::new(),
+        holder: Arc::new(Holder::new()),
+        store: Arc::new(store),
+        metrics: Arc::new(Metrics::new()),
+        settings,
+    };
+    tokio::spawn(configuration::follow(
+        Arc::clone(&common.holder),
+        Arc::clone(&common.store),
+        common.settings.timeouts.refresh(),
+    ));
+    match common.settings.role {
+        Role::Entry => entry::run(common).await,
+        Role::Sidecar => sidecar::run(common).await,
+    }
+}
+
+/// Waits for the end of a shutdown, no longer than its bound.
+async fn finish(common: &Common, drain: impl Future<Output = ()>) {
+    let bound = common.settings.timeouts.drain();
+    if time::timeout(bound, drain).await.is_err() {
+        Event::DrainExpired.log(format_args!("after {} ms", bound.as_millis()));
+    }
+    Event::Stopped.log(format_args!("{}", common.settings.instance));
+}
+
+async fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::bind(address)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("binding {address}"))
+}
+
+async fn serve_operator(common: &Common, source: &Arc<dyn operator::Source>) -> Result<SocketAddr> {
+    let address = common.settings.operator_listen;
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .into_diagnostic()?;
+    let bound = address_of(&acceptor).unwrap_or(address);
+    let router = operator::router(source, &common.metrics);
+    tokio::spawn(Server::new(acceptor).serve(router));
+    Ok(bound)
+}
+
+fn address_of(acceptor: &impl salvo::conn::Acceptor) -> Option<SocketAddr> {
+    acceptor.holdings().first()?.local_addr.clone().into_std()
+}
+
+fn announce(addresses: &Addresses) -> Result<()> {
+    let line = serde_json::to_string(addresses).into_diagnostic()?;
+    println!("{line}");
+    Event::Started.log(format_args!("{line}"));
+    Ok(())
+}
+
+async fn wait_for_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -0,0 +1,68 @@
+//! Runs a sidecar.
+
+use super::{Addresses, Common, announce, bind, finish, serve_operator, wait_for_signal};
+use crate::{endpoint, link, operator, sidecar};
+use cicadacrank_core::event::Event;
+use cicadacrank_wire::wire::sidecar_server::SidecarServer;
+use miette::{IntoDiagnostic as _, Result};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::{sync::Notify, time};
+use tokio_stream::wrappers::TcpListenerStream;
+
+/// Runs a sidecar until it is told to stop.
+pub(super) async fn run(common: Common) -> Result<()> {
+    let connect = common.settings.timeouts.connect();
+    let port = endpoint::http::Client::new(connect).into_diagnostic()?;
+    let service = Arc::new(sidecar::Service::new(sidecar::Parts {
+        settings: common.settings.clone(),
+        clock: common.clock,
+        holder: Arc::clone(&common.holder),
+        store: Arc::clone(&common.store),
+        port: Arc::new(port),
+        metrics: Arc::clone(&common.metrics),
+    }));
+    let listener = bind(common.settings.listen).await?;
+    let listen = listener.local_addr().into_diagnostic()?;
+    let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
+    let operator_listen = serve_operator(&common, &source).await?;
+    announce(&Addresses {
+        listen,
+        caller_listen: None,
+        operator_listen,
+    })?;
+    let stop = Arc::new(Notify::new());
+    let stopped = Arc::clone(&stop);
+    let server = tonic::transport::Server::builder()
+        .add_service(
+            SidecarServer::new(sidecar::grpc::Server::new(Arc::clone(&service)))
+                .max_decoding_message_size(link::grpc::MESSAGE_BYTES)
+                .max_encoding_message_size(link::grpc::MESSAGE_BYTES),
+        )
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            stopped.notified().await;
+        });
+    let server = tokio::spawn(server);
+    wait_for_signal().await?;
+    Event::Draining.log(format_args!("sidecar {}", common.settings.instance));
+    service.leave();
+    let drain = async {
+        time::sleep(common.settings.timeouts.notice()).await;
+        service.finish().await;
+        stop.notify_one();
+        // The server ends once its last stream is through.
+        drop(server.await);
+    };
+    finish(&common, drain).await;
+    Ok(())
+}
+
+impl operator::Source for sidecar::Service {
+    fn is_ready(&self) -> bool {
+        Self::is_ready(self)
+    }
+
+    fn status(&self) -> Value {
+        json!({ "role": "sidecar", "generation": self.generation() })
+    }
+}
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod entry;
 pub mod link;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod platform;
