--- /dev/null
+++ b/crates/cicadacrank-bench/src/engine/model.rs
@@ -0,0 +1,227 @@
+//! The state of a stand-in as a plain state machine.
+//!
+//! Time comes in as an argument and no number is random, so equal calls at
+//! equal times have equal results.
+
+use super::{
+    capacity::{Capacity, Fault},
+    profile::Profile,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::VecDeque, time::Duration};
+
+/// Part of a prompt that the cache compares, in characters.
+const PREFIX_CHARACTERS: usize = 64;
+
+/// Samples of the load that are kept for the lagging report.
+const SAMPLES: usize = 4_096;
+
+/// What the load report of a stand-in says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Counts the starts of the stand-in.
+    pub incarnation: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Whether it bears its cold slots only.
+    pub cold: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Duration,
+    load: Load,
+}
+
+/// What becomes of a call that has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Arrival {
+    /// It runs.
+    Begun(Begun),
+    /// The connection is cut.
+    Cut,
+    /// It is refused as invalid.
+    Refused,
+}
+
+/// A call that runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Begun {
+    /// Start of the stand-in that runs it.
+    pub(super) incarnation: u64,
+    /// Time to the first byte.
+    pub(super) first: Duration,
+}
+
+/// The state of a stand-in.
+#[derive(Debug)]
+pub(super) struct Model {
+    pub(super) profile: Profile,
+    pub(super) capacity: Capacity,
+    pub(super) faults: Vec<Fault>,
+    incarnation: u64,
+    down_until: Duration,
+    warm_at: Option<Duration>,
+    in_flight: u32,
+    prefixes: VecDeque<String>,
+    samples: VecDeque<Sample>,
+}
+
+impl Model {
+    /// Creates the state of a stand-in that is cold.
+    pub(super) const fn new(profile: Profile, capacity: Capacity) -> Self {
+        Self {
+            profile,
+            capacity,
+            faults: Vec::new(),
+            incarnation: 1,
+            down_until: Duration::ZERO,
+            warm_at: None,
+            in_flight: 0,
+            prefixes: VecDeque::new(),
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Takes a call in; one call too many makes the stand-in fall over.
+    pub(super) fn arrive(&mut self, body: &str, prompt: &str, now: Duration) -> Arrival {
+        if now < self.down_until {
+            return Arrival::Cut;
+        }
+        if self.faults.contains(&Fault::Refuse) {
+            return Arrival::Refused;
+        }
+        if self.in_flight >= self.slots(now) || self.crashes_on(body) {
+            self.fall(now);
+            return Arrival::Cut;
+        }
+        let first = self.first(prompt, now);
+        if self.warm_at.is_none() {
+            self.warm_at = Some(now + Duration::from_millis(self.capacity.warmup_ms));
+        }
+        self.in_flight += 1;
+        self.sample(now);
+        Arrival::Begun(Begun {
+            incarnation: self.incarnation,
+            first,
+        })
+    }
+
+    /// Ends a call that ran in this incarnation.
+    pub(super) fn leave(&mut self, incarnation: u64, now: Duration) {
+        if incarnation == self.incarnation {
+            self.in_flight = self.in_flight.saturating_sub(1);
+            self.sample(now);
+        }
+    }
+
+    /// Makes the stand-in cold, as a restart between two calls does.
+    pub(super) fn chill(&mut self, now: Duration) {
+        self.warm_at = None;
+        self.prefixes.clear();
+        self.sample(now);
+    }
+
+    /// Makes the stand-in warm.
+    pub(super) fn warm(&mut self, now: Duration) {
+        self.warm_at = Some(now);
+        self.sample(now);
+    }
+
+    /// Cuts what is in flight and starts the stand-in anew, cold.
+    pub(super) fn fall(&mut self, now: Duration) {
+        self.incarnation += 1;
+        self.in_flight = 0;
+        self.down_until = now + Duration::from_millis(self.capacity.restart_ms);
+        self.chill(now);
+    }
+
+    /// Returns the start that runs now.
+    pub(super) const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the time to the next token with the work now in flight.
+    pub(super) fn token(&self) -> Duration {
+        let others = self.in_flight.saturating_sub(1);
+        let percent = 100 + self.capacity.slowdown_percent.saturating_mul(others);
+        self.slowed(self.profile.token() * percent / 100)
+    }
+
+    /// Returns the load as it was when the lag began.
+    pub(super) fn report(&self, now: Duration) -> Load {
+        let lag = Duration::from_millis(self.capacity.report_lag_ms);
+        let seen = now.saturating_sub(lag);
+        let sample = self.samples.iter().rev().find(|sample| sample.at <= seen);
+        sample.map_or(
+            Load {
+                incarnation: 1,
+                in_flight: 0,
+                cold: true,
+            },
+            |sample| sample.load,
+        )
+    }
+
+    fn slots(&self, now: Duration) -> u32 {
+        if self.is_cold(now) {
+            self.capacity.cold_slots
+        } else {
+            self.capacity.warm_slots
+        }
+    }
+
+    fn is_cold(&self, now: Duration) -> bool {
+        self.warm_at.is_none_or(|warm_at| now < warm_at)
+    }
+
+    fn crashes_on(&self, body: &str) -> bool {
+        self.faults
+            .iter()
+            .any(|fault| matches!(fault, Fault::CrashOn(text) if body.contains(text.as_str())))
+    }
+
+    fn first(&mut self, prompt: &str, now: Duration) -> Duration {
+        let mut first = self.profile.first();
+        if self.recall(prompt) {
+            first = first * self.capacity.cached_percent / 100;
+        }
+        if self.is_cold(now) {
+            first += Duration::from_micros(self.capacity.cold_first_us);
+        }
+        self.slowed(first)
+    }
+
+    /// Returns whether the prefix was cached, and caches it.
+    fn recall(&mut self, prompt: &str) -> bool {
+        let prefix: String = prompt.chars().take(PREFIX_CHARACTERS).collect();
+        let found = self.prefixes.iter().position(|cached| *cached == prefix);
+        if let Some(index) = found {
+            self.prefixes.remove(index);
+        }
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > self.capacity.cached_prefixes {
+            self.prefixes.pop_front();
+        }
+        found.is_some()
+    }
+
+    fn slowed(&self, time: Duration) -> Duration {
+        self.faults.iter().fold(time, |time, fault| match fault {
+            Fault::Slow(percent) => time * *percent / 100,
+            _ => time,
+        })
+    }
+
+    fn sample(&mut self, now: Duration) {
+        let load = Load {
+            incarnation: self.incarnation,
+            in_flight: self.in_flight,
+            cold: self.is_cold(now),
+        };
+        self.samples.push_back(Sample { at: now, load });
+        if self.samples.len() > SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+}
--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -1,28 +1,44 @@
 //! Serves a stand-in endpoint over HTTP.
 
-use super::profile::Profile;
+use super::{
+    answer,
+    capacity::{Capacity, Fault},
+    model::{Arrival, Begun, Load, Model},
+    profile::Profile,
+};
 use bytes::Bytes;
+use cicadacrank_node::clock::unix_ms;
 use futures_util::stream;
 use salvo::{
     Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::TcpListener, http::StatusCode, writing::Json,
+    conn::TcpListener,
+    http::{Method, StatusCode},
+    writing::Json,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{
-    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{self, Instant},
 };
-use tokio::{task::JoinHandle, time};
 
 /// Largest body, in bytes.
 const BODY_BYTES: usize = 8 << 20;
 
+/// Pause between two looks of a silent stand-in.
+const SILENT_LOOK: Duration = Duration::from_millis(5);
+
 /// One piece of work that reached the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
+    /// When it arrived, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
     /// Path of the call.
     pub path: String,
     /// Attempt that the call names.
@@ -38,7 +54,8 @@
 #[derive(Debug)]
 struct State {
     name: String,
-    profile: Profile,
+    origin: Instant,
+    model: Model,
     runs: Vec<Run>,
 }
 
@@ -47,15 +64,22 @@
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<Mutex<State>>,
+    api: Api,
     task: JoinHandle<()>,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct Api {
     state: Arc<Mutex<State>>,
 }
 
+/// Work in flight; dropping it ends it.
+struct Ticket {
+    api: Api,
+    run: usize,
+    begun: Begun,
+}
+
 impl Server {
     /// Starts a stand-in on a port of the system's choice.
     ///
@@ -70,34 +94,64 @@
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
-            profile,
+            origin: Instant::now(),
+            model: Model::new(profile, Capacity::default()),
             runs: Vec::new(),
         };
-        let state = Arc::new(Mutex::new(state));
-        let router = Router::with_path("{**path}").goal(Api {
-            state: Arc::clone(&state),
-        });
+        let api = Api {
+            state: Arc::new(Mutex::new(state)),
+        };
+        let router = Router::with_path("{**path}").goal(api.clone());
         let task = tokio::spawn(salvo::Server::new(acceptor).serve(router));
-        Ok(Self {
-            address,
-            state,
-            task,
-        })
+        Ok(Self { address, api, task })
     }
 
     /// Changes how the stand-in behaves from here on.
     pub fn set_profile(&self, profile: Profile) {
-        self.lock().profile = profile;
+        self.api.lock().model.profile = profile;
     }
 
-    /// Returns the work that reached the stand-in so far.
+    /// Changes what the stand-in bears from here on.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        self.api.lock().model.capacity = capacity;
+    }
+
+    /// Gives the stand-in these faults in place of those it has.
+    pub fn set_faults(&self, faults: Vec<Fault>) {
+        self.api.lock().model.faults = faults;
+    }
+
+    /// Makes the stand-in cold without a sign.
+    pub fn turn_cold(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.chill(now);
+    }
+
+    /// Makes the stand-in warm.
+    pub fn turn_warm(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.warm(now);
+    }
+
+    /// Makes the stand-in fall over; what is in flight is cut.
+    pub fn crash(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.fall(now);
+    }
+
+    /// Returns how often the stand-in has started.
     #[must_use]
-    pub fn runs(&self) -> Vec<Run> {
-        self.lock().runs.clone()
+    pub fn incarnation(&self) -> u64 {
+        self.api.lock().model.incarnation()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the work that reached the stand-in so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.api.lock().runs.clone()
     }
 }
 
@@ -117,6 +171,9 @@
         _control: &mut FlowCtrl,
     ) {
         let path = request.uri().path().to_owned();
+        if request.method() == Method::GET && path == "/load" {
+            return response.render(Json(self.load()));
+        }
         let header = |name: &str| request.header::<String>(name).unwrap_or_default();
         let (attempt, key) = (header("x-attempt-id"), header("idempotency-key"));
         let Ok(body) = request.payload_with_max_size(BODY_BYTES).await else {
@@ -129,21 +186,14 @@
             return;
         };
         let run = Run {
-            path: path.clone(),
+            at_ms: unix_ms(),
+            path,
             attempt,
             key,
             body,
             finished: false,
         };
-        let (index, profile) = self.begin(run);
-        time::sleep(profile.first()).await;
-        match path.as_str() {
-            "/v1/completions" => self.complete(response, index, profile, &input),
-            _ => {
-                self.finish(index);
-                response.render(Json(self.answer(&path, &input)));
-            }
-        }
+        self.serve(run, &input, response).await;
     }
 }
 
@@ -152,63 +202,143 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self, run: Run) -> (usize, Profile) {
-        let mut state = self.lock();
-        state.runs.push(run);
-        (state.runs.len() - 1, state.profile.clone())
+    fn load(&self) -> Load {
+        let state = self.lock();
+        state.model.report(state.origin.elapsed())
+    }
+
+    async fn serve(&self, run: Run, input: &Value, response: &mut Response) {
+        let path = run.path.clone();
+        let begun = {
+            let mut state = self.lock();
+            let now = state.origin.elapsed();
+            let prompt = input["prompt"].as_str().unwrap_or_default();
+            let arrival = state.model.arrive(&run.body, prompt, now);
+            state.runs.push(run);
+            match arrival {
+                Arrival::Begun(begun) => Ok((begun, state.runs.len() - 1)),
+                Arrival::Cut => Err(true),
+                Arrival::Refused => Err(false),
+            }
+        };
+        let ticket = match begun {
+            Ok((begun, run)) => Ticket {
+                api: self.clone(),
+                run,
+                begun,
+            },
+            Err(true) => return cut(response),
+            Err(false) => {
+                response.status_code(StatusCode::UNPROCESSABLE_ENTITY);
+                return response.render("refused\n");
+            }
+        };
+        time::sleep(ticket.begun.first).await;
+        ticket.pass_silence().await;
+        if !ticket.is_live() {
+            return cut(response);
+        }
+        match path.as_str() {
+            "/v1/completions" => complete(ticket, input, response),
+            _ => ticket.answer(&path, input, response),
+        }
+    }
+}
+
+impl Ticket {
+    fn is_live(&self) -> bool {
+        self.api.lock().model.incarnation() == self.begun.incarnation
     }
 
-    fn finish(&self, index: usize) {
-        self.lock().runs[index].finished = true;
+    /// Waits for as long as the stand-in is silent.
+    async fn pass_silence(&self) {
+        while self.has(|fault| *fault == Fault::Silent) && self.is_live() {
+            time::sleep(SILENT_LOOK).await;
+        }
     }
 
-    fn answer(&self, path: &str, input: &Value) -> Value {
-        match path {
-            "/v1/embeddings" => json!({ "data": [{ "embedding": [0.25, 0.5, 0.75] }] }),
-            "/v1/retrieve" => json!({ "documents": [
-                { "id": 1, "text": "opening hours" }, { "id": 2, "text": "menu" },
-            ]}),
-            "/v1/rerank" => {
-                let count = input["documents"].as_array().map_or(0, Vec::len);
-                let results: Vec<Value> = (0..count)
-                    .rev()
-                    .map(|index| json!({ "index": index, "relevance_score": 0.5 }))
-                    .collect();
-                json!({ "results": results })
-            }
-            _ => json!({
-                "service": self.lock().name, "path": path,
-                "for": input["request"]["query"],
-            }),
+    fn has(&self, wanted: impl FnMut(&Fault) -> bool) -> bool {
+        self.api.lock().model.faults.iter().any(wanted)
+    }
+
+    fn truncates_at(&self, token: u64) -> bool {
+        self.has(|fault| matches!(fault, Fault::Truncate(after) if *after <= token))
+    }
+
+    fn finish(&self) {
+        self.api.lock().runs[self.run].finished = true;
+    }
+
+    fn answer(&self, path: &str, input: &Value, response: &mut Response) {
+        if self.truncates_at(u64::MAX) {
+            return cut(response);
         }
+        self.finish();
+        if self.has(|fault| *fault == Fault::Rubbish) {
+            return response.render("} rubbish {");
+        }
+        let name = self.api.lock().name.clone();
+        response.render(Json(answer::whole(&name, path, input)));
     }
 
-    fn complete(&self, response: &mut Response, index: usize, profile: Profile, input: &Value) {
-        let asked = input["max_tokens"].as_u64().unwrap_or(profile.tokens);
-        let count = asked.min(profile.tokens);
-        drop(response.add_header("content-type", "text/event-stream", true));
-        let api = self.clone();
-        let events = stream::unfold(0, move |token| {
-            let (api, profile) = (api.clone(), profile.clone());
-            async move {
-                if token > count {
-                    return None;
-                }
-                if token > 0 {
-                    time::sleep(profile.token()).await;
-                }
-                let text = if token == count {
-                    api.finish(index);
-                    "data: [DONE]\n\n".to_owned()
-                } else {
-                    format!(
-                        "data: {}\n\n",
-                        json!({ "choices": [{ "text": format!("word{token} ") }] })
-                    )
-                };
-                Some((Ok::<_, Infallible>(Bytes::from(text)), token + 1))
-            }
-        });
-        response.stream(events);
+    /// Makes one event of a generation; `None` cuts the connection.
+    async fn event(&self, mark: &str, token: u64, count: u64) -> Option<String> {
+        if token > 0 {
+            let pause = self.api.lock().model.token();
+            time::sleep(pause).await;
+        }
+        self.pass_silence().await;
+        if !self.is_live() || self.truncates_at(token) {
+            return None;
+        }
+        if self.has(|fault| *fault == Fault::Rubbish) {
+            return Some("data: } rubbish {\n\n".to_owned());
+        }
+        if token == count {
+            self.finish();
+            return Some("data: [DONE]\n\n".to_owned());
+        }
+        let text = answer::token(mark, token);
+        Some(format!(
+            "data: {}\n\n",
+            json!({ "choices": [{ "text": text }] })
+        ))
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.leave(self.begun.incarnation, now);
     }
 }
+
+/// Cuts the connection in place of an answer.
+fn cut(response: &mut Response) {
+    response.stream(stream::iter([Err::<Bytes, _>(broken())]));
+}
+
+fn broken() -> io::Error {
+    io::Error::other("the stand-in fell over")
+}
+
+fn complete(ticket: Ticket, input: &Value, response: &mut Response) {
+    let tokens = ticket.api.lock().model.profile.tokens;
+    let count = input["max_tokens"].as_u64().unwrap_or(tokens).min(tokens);
+    let prompt = input["prompt"].as_str().unwrap_or_default();
+    let mark = answer::mark_of(prompt).to_owned();
+    drop(response.add_header("content-type", "text/event-stream", true));
+    let events = stream::try_unfold((ticket, 0), move |(ticket, token)| {
+        let mark = mark.clone();
+        async move {
+            if token > count {
+                return Ok(None);
+            }
+            let text = ticket.event(&mark, token, count).await;
+            let text = text.ok_or_else(broken)?;
+            Ok::<_, io::Error>(Some((Bytes::from(text), (ticket, token + 1))))
+        }
+    });
+    response.stream(events);
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/engine.rs
@@ -0,0 +1,117 @@
+//! Stand-in engines behave as their capacity and faults say.
+
+use cicadacrank_bench::{
+    engine::{Capacity, Fault, Load, Profile, Server, mark_of},
+    fleet::{self, wait_for},
+};
+
+async fn server(capacity: Capacity) -> Server {
+    let profile = Profile {
+        first_us: 0,
+        token_us: 0,
+        tokens: 3,
+    };
+    let server = Server::start("one", profile).await.expect("a stand-in");
+    server.set_capacity(capacity);
+    server
+}
+
+/// Returns the status and the body, or `None` if the connection was cut.
+async fn post(server: &Server, path: &str, body: &str) -> Option<(u16, String)> {
+    let answer = fleet::client()
+        .expect("a client")
+        .post(format!("http://{}{path}", server.address))
+        .body(body.to_owned())
+        .send()
+        .await
+        .ok()?;
+    let status = answer.status().as_u16();
+    Some((status, answer.text().await.ok()?))
+}
+
+#[tokio::test]
+async fn serve_has_each_fault() {
+    let cases: &[(Fault, &str, Option<u16>, &str)] = &[
+        (Fault::Slow(100), "/stock", Some(200), "mark:m-1"),
+        (Fault::Rubbish, "/stock", Some(200), "} rubbish {"),
+        (Fault::Rubbish, "/v1/completions", Some(200), "} rubbish {"),
+        (Fault::Truncate(2), "/stock", None, ""),
+        (Fault::Truncate(2), "/v1/completions", None, ""),
+        (Fault::CrashOn("m-1".to_owned()), "/stock", None, ""),
+        (
+            Fault::CrashOn("m-2".to_owned()),
+            "/stock",
+            Some(200),
+            "mark:m-1",
+        ),
+        (Fault::Refuse, "/stock", Some(422), "refused"),
+    ];
+    for (fault, path, status, part) in cases {
+        let server = server(Capacity::default()).await;
+        server.set_faults(vec![fault.clone()]);
+        let body = r#"{"prompt":"mark:m-1","request":{"query":"mark:m-1"}}"#;
+        let answer = post(&server, path, body).await;
+        let seen = answer.as_ref().map(|(status, _)| *status);
+        assert_eq!(seen, *status, "{fault:?} {path}");
+        let text = answer.map_or_else(String::new, |(_, text)| text);
+        assert!(text.contains(part), "{fault:?} {path}: {text}");
+        server.set_faults(Vec::new());
+        let whole = post(&server, path, body).await.expect("an answer");
+        assert_eq!(whole.0, 200, "{fault:?} {path}: the fault is gone");
+    }
+}
+
+#[tokio::test]
+async fn serve_falls_over_when_cold() {
+    let server = server(Capacity {
+        cold_slots: 1,
+        warm_slots: 2,
+        warmup_ms: 3_600_000,
+        ..Capacity::default()
+    })
+    .await;
+    server.set_faults(vec![Fault::Silent]);
+    let (first, ()) = tokio::join!(post(&server, "/stock", "{}"), async {
+        wait_for("one in flight", async || server.runs().len() == 1)
+            .await
+            .expect("the first call");
+        assert_eq!(post(&server, "/stock", "{}").await, None, "one too many");
+    });
+    assert_eq!(first, None, "what was in flight is cut");
+    assert_eq!(server.incarnation(), 2);
+    server.set_faults(Vec::new());
+    server.turn_warm();
+    let (one, two) = tokio::join!(post(&server, "/stock", "{}"), post(&server, "/stock", "{}"));
+    assert!(one.is_some() && two.is_some(), "a warm one bears two");
+}
+
+#[tokio::test]
+async fn load_lags() {
+    let server = server(Capacity {
+        report_lag_ms: 3_600_000,
+        ..Capacity::default()
+    })
+    .await;
+    server.crash();
+    let url = format!("http://{}/load", server.address);
+    let client = fleet::client().expect("a client");
+    let load = async || -> Load {
+        let answer = client.get(&url).send().await.expect("an answer");
+        answer.json().await.expect("a load")
+    };
+    assert_eq!(load().await.incarnation, 1, "the restart is not seen yet");
+    server.set_capacity(Capacity::default());
+    assert_eq!(load().await.incarnation, 2);
+}
+
+#[test]
+fn mark_of_ends_at_other_characters() {
+    let cases = [
+        ("tea mark:a-1, please", "a-1"),
+        (r#"{"query":"mark:b2"}"#, "b2"),
+        ("no sign", ""),
+    ];
+    for (text, mark) in cases {
+        assert_eq!(mark_of(text), mark, "{text}");
+    }
+}
