Say where in the settings a fault is

Cause: a fault named neither line nor column, and an unknown key was placed at the object around it. Ruled out: a deserializer of our own; the library gives the place of values, only the key's place is looked up here.

--- a/crates/cicadacrank-node/src/settings.rs
+++ b/crates/cicadacrank-node/src/settings.rs
@@ -3,11 +3,52 @@
 //! Every address is an IP number with a port; a name is refused, so that no
 //! part of the system depends on a resolver.
 
-use jsonc_parser::{ParseOptions, parse_to_serde_value};
-use miette::{Context as _, IntoDiagnostic as _, Result};
+use jsonc_parser::{ParseOptions, errors::ParseError, parse_to_serde_value};
+use miette::{Context as _, Diagnostic, IntoDiagnostic as _, Result, SourceSpan};
 use serde::{Deserialize, Serialize};
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
+/// How messages about a key that the settings do not know begin.
+const UNKNOWN_KEY: &str = "unknown field `";
+
+/// A fault in settings, with its place.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{message} (line {line}, column {column})")]
+#[diagnostic(help("`docs/guide/settings.md` lists every key with its type and default"))]
+struct Fault {
+    message: String,
+    line: usize,
+    column: usize,
+    #[source_code]
+    text: String,
+    #[label("here")]
+    span: SourceSpan,
+}
+
+impl Fault {
+    fn new(text: &str, error: &ParseError) -> Self {
+        let message = error.kind().to_string();
+        let start = unknown_key(text, &message).unwrap_or_else(|| error.range().start);
+        let before = text.get(..start).unwrap_or_default();
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Self {
+            message,
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            text: text.to_owned(),
+            span: SourceSpan::from(start..start),
+        }
+    }
+}
+
+/// Finds the key that a message calls unknown; the parser gives the place of
+/// the object around it.
+fn unknown_key(text: &str, message: &str) -> Option<usize> {
+    let rest = message.strip_prefix(UNKNOWN_KEY)?;
+    let key = rest.split('`').next()?;
+    text.find(&format!("\"{key}\""))
+}
+
 /// What the process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -178,8 +219,8 @@
     ///
     /// Returns a report with the place of the fault.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self =
-            parse_to_serde_value(text, &ParseOptions::default()).into_diagnostic()?;
+        let settings: Self = parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|error| Fault::new(text, &error))?;
         settings.check()
     }
 
