--- a/crates/cicadacrank-node/tests/settings.rs
+++ b/crates/cicadacrank-node/tests/settings.rs
@@ -37,7 +37,9 @@
 fn parse_refuses_unknown_key() {
     refused(
         "{\n  \"role\": \"entry\",\n  \"colour\": 1\n}",
-        &expect!["unknown field `colour`, expected one of `role`, `instance`, `data_centre`, `platform`, `listen`, `caller_listen`, `operator_listen`, `endpoints`, `timeouts`, `log` (line 3, column 3)"],
+        &expect![
+            "unknown field `colour`, expected one of `role`, `instance`, `data_centre`, `platform`, `listen`, `caller_listen`, `operator_listen`, `endpoints`, `timeouts`, `log` (line 3, column 3)"
+        ],
     );
 }
 
@@ -59,17 +61,26 @@
 
 #[test]
 fn parse_refuses_empty_file() {
-    refused("", &expect!["invalid type: unit value, expected struct Settings (line 1, column 1)"]);
+    refused(
+        "",
+        &expect!["invalid type: unit value, expected struct Settings (line 1, column 1)"],
+    );
 }
 
 #[test]
 fn parse_refuses_binary_file() {
-    refused("\u{0}\u{1}\u{2}", &expect!["Unexpected token (line 1, column 1)"]);
+    refused(
+        "\u{0}\u{1}\u{2}",
+        &expect!["Unexpected token (line 1, column 1)"],
+    );
 }
 
 #[test]
 fn parse_refuses_broken_json() {
-    refused("{\n  \"role\": ", &expect!["expected a string or object for enum (line 2, column 11)"]);
+    refused(
+        "{\n  \"role\": ",
+        &expect!["expected a string or object for enum (line 2, column 11)"],
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/cicadacrankd/tests/common/mod.rs
@@ -0,0 +1,110 @@
+//! A small fleet of processes and a caller.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use cicadacrank_bench::{
+    engine::Profile,
+    fleet::{self, Fleet, Plan, Post},
+};
+use reqwest::RequestBuilder;
+use serde_json::{Value, json};
+use std::{fs, path::Path};
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub effect: String,
+    pub body: Value,
+}
+
+impl Answer {
+    /// Returns the kind of an error; empty for an answer that is whole.
+    pub fn kind(&self) -> &str {
+        self.body["error"]["kind"].as_str().unwrap_or_default()
+    }
+}
+
+pub fn plan(rules: &str) -> Plan {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(rules);
+    Plan {
+        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
+        rules: fs::read_to_string(file).expect("read the rules"),
+        entries: 2,
+        timeouts: json!({ "refresh_ms": 100, "notice_ms": 300 }),
+        profile: Profile {
+            first_us: 0,
+            token_us: 0,
+            tokens: 3,
+            ..Profile::default()
+        },
+    }
+}
+
+pub async fn small() -> Fleet {
+    Fleet::start(plan("tests/samples/small.rules"))
+        .await
+        .expect("a fleet")
+}
+
+/// Begins a request of the team `desk`.
+pub fn request(fleet: &Fleet, entry: usize, pipeline: &str, key: &str) -> RequestBuilder {
+    let address = fleet.entries[entry]
+        .addresses
+        .caller_listen
+        .expect("an entry has callers");
+    fleet::client()
+        .expect("client")
+        .post(format!("http://{address}/v1/pipelines/{pipeline}"))
+        .header("x-team", "desk")
+        .header("idempotency-key", key)
+        .body(r#"{"query":"tea for 20"}"#)
+}
+
+pub async fn send(request: RequestBuilder) -> Answer {
+    let answer = request.send().await.expect("an answer");
+    let effect = answer
+        .headers()
+        .get("x-effect")
+        .map(|value| value.to_str().expect("text"));
+    Answer {
+        status: answer.status().as_u16(),
+        effect: effect.unwrap_or_default().to_owned(),
+        body: answer.json().await.expect("JSON"),
+    }
+}
+
+/// Returns how often work reached any endpoint on this path.
+pub fn begun(fleet: &Fleet, path: &str) -> usize {
+    let runs = fleet.posts.iter().flat_map(|post| post.engine.runs());
+    runs.filter(|run| run.path == path).count()
+}
+
+/// Waits until work has reached an endpoint on this path, and returns which.
+pub async fn wait_begun(fleet: &Fleet, path: &str) -> usize {
+    fleet::wait_for("work begun", async || begun(fleet, path) > 0)
+        .await
+        .expect("work begun");
+    let has_run = |post: &Post| post.engine.runs().iter().any(|run| run.path == path);
+    fleet
+        .posts
+        .iter()
+        .position(has_run)
+        .expect("an endpoint with a run")
+}
+
+/// Makes each endpoint of a pool wait before it answers.
+pub fn slow(fleet: &Fleet, pool: &str, first_ms: u64) {
+    for post in fleet
+        .posts
+        .iter()
+        .filter(|post| post.endpoint.starts_with(pool))
+    {
+        post.engine.set_profile(Profile {
+            first_us: first_ms * 1_000,
+            token_us: 0,
+            tokens: 3,
+            ..Profile::default()
+        });
+    }
+}
--- /dev/null
+++ b/crates/cicadacrankd/tests/failure.rs
@@ -0,0 +1,116 @@
+//! Failures that need real processes: kill, freeze, exclusive bind, outage.
+
+mod common;
+
+use cicadacrank_bench::{fleet, platform::Faults, process::Daemon};
+use common::{begun, request, send, slow, small, wait_begun};
+use serde_json::json;
+
+/// Time of a run that a test interrupts, in milliseconds.
+const RUN_MS: u64 = 700;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_entry_killed_during_run_is_recorded_once() {
+    let mut fleet = small().await;
+    slow(&fleet, "orders", RUN_MS);
+    let first = tokio::spawn(request(&fleet, 0, "order", "key").send());
+    wait_begun(&fleet, "/orders").await;
+    fleet.entries[0].kill().await.expect("kill");
+    assert!(
+        first.await.expect("task").is_err(),
+        "the first entry is gone"
+    );
+    let again = send(request(&fleet, 1, "order", "key")).await;
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(begun(&fleet, "/orders"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_sidecar_killed_during_run_is_never_run_again() {
+    let mut fleet = small().await;
+    slow(&fleet, "orders", RUN_MS);
+    let first = tokio::spawn(send(request(&fleet, 0, "order", "key")));
+    let post = wait_begun(&fleet, "/orders").await;
+    fleet.posts[post].sidecar.kill().await.expect("kill");
+    let first = first.await.expect("task");
+    assert_eq!(
+        (first.kind(), first.effect.as_str()),
+        ("outcome-unknown", "unknown"),
+        "{first:?}"
+    );
+    let again = send(request(&fleet, 1, "order", "key")).await;
+    assert_eq!(again.kind(), "outcome-unknown", "{again:?}");
+    assert_eq!(begun(&fleet, "/orders"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_sidecar_frozen_during_run_is_never_run_again() {
+    let fleet = small().await;
+    slow(&fleet, "orders", RUN_MS);
+    let first = tokio::spawn(send(request(&fleet, 0, "order", "key")));
+    let post = wait_begun(&fleet, "/orders").await;
+    fleet.posts[post].sidecar.freeze().expect("freeze");
+    let first = first.await.expect("task");
+    assert_eq!(first.effect, "unknown", "{first:?}");
+    fleet.posts[post].sidecar.thaw().expect("thaw");
+    fleet::wait_for("the outcome is recorded", async || {
+        send(request(&fleet, 1, "order", "key")).await.status == 200
+    })
+    .await
+    .expect("a replay");
+    assert_eq!(begun(&fleet, "/orders"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ask_sidecar_killed_is_served_elsewhere() {
+    let mut fleet = small().await;
+    for endpoint in ["lookup-n", "writer-s"] {
+        let post = fleet
+            .posts
+            .iter_mut()
+            .find(|post| post.endpoint == endpoint)
+            .expect("post");
+        post.sidecar.kill().await.expect("kill");
+    }
+    for entry in [0, 1, 0, 1, 0, 1] {
+        let answer = send(request(&fleet, entry, "ask", "")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn platform_down_refuses_orders_and_serves_questions() {
+    let fleet = small().await;
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let ask = send(request(&fleet, 0, "ask", "")).await;
+    assert_eq!(ask.status, 200, "{ask:?}");
+    let order = send(request(&fleet, 0, "order", "key")).await;
+    assert_eq!(order.kind(), "platform-down", "{order:?}");
+    assert_eq!(order.effect, "partial", "the look-up before it ran");
+    assert_eq!(begun(&fleet, "/orders"), 0);
+    fleet.platform.set_faults(Faults::default());
+    let again = send(request(&fleet, 1, "order", "key")).await;
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(begun(&fleet, "/orders"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sidecar_second_process_cannot_bind_beside_frozen_first() {
+    let fleet = small().await;
+    let post = &fleet.posts[0];
+    post.sidecar.freeze().expect("freeze");
+    let settings = json!({
+        "role": "sidecar", "instance": "second", "data_centre": "north",
+        "platform": fleet.platform.address, "listen": post.sidecar.addresses.listen,
+        "operator_listen": "127.0.0.1:0",
+        "endpoints": [{ "name": post.endpoint, "address": post.engine.address }],
+    });
+    let program = env!("CARGO_BIN_EXE_cicadacrankd").as_ref();
+    let second = Daemon::start(program, fleet.folder(), "second", &settings).await;
+    let error = second.expect_err("the port is held").to_string();
+    assert!(error.contains("binding 127.0.0.1:"), "{error}");
+    post.sidecar.thaw().expect("thaw");
+}
