--- /dev/null
+++ b/crates/cicadacrankd/tests/caller.rs
@@ -0,0 +1,114 @@
+//! The contract with callers: what is answered to what is sent.
+
+mod common;
+
+use common::{begun, request, small};
+use expect_test::{Expect, expect};
+use reqwest::RequestBuilder;
+
+/// Answers as one line: status, effect, kind and context.
+async fn line(request: RequestBuilder) -> String {
+    let answer = common::send(request).await;
+    let context = answer.body["error"]["context"].as_str().unwrap_or_default();
+    format!(
+        "{} {} {}: {context}",
+        answer.status,
+        answer.effect,
+        answer.kind()
+    )
+}
+
+async fn check(request: RequestBuilder, expected: Expect) {
+    expected.assert_eq(&line(request).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_refuses_bad_requests_without_any_run() {
+    let fleet = small().await;
+    let ask = || request(&fleet, 0, "ask", "");
+    check(ask().body("{"), expect!["400 not-run bad-request: reading the body: EOF while parsing an object at line 1 column 1"]).await;
+    check(
+        ask().body("[]"),
+        expect!["400 not-run bad-request: the body needs a text field `query`"],
+    )
+    .await;
+    check(
+        ask().body(r#"{"query":1}"#),
+        expect!["400 not-run bad-request: the body needs a text field `query`"],
+    )
+    .await;
+    check(
+        ask().body(vec![0xff; 16]),
+        expect!["400 not-run bad-request: reading the body: expected value at line 1 column 1"],
+    )
+    .await;
+    check(
+        ask().body("x".repeat(5 << 10)),
+        expect!["413 not-run too-large: checking ask"],
+    )
+    .await;
+    check(
+        ask().body("x".repeat(2 << 20)),
+        expect!["413 not-run too-large: reading the body: payload too large"],
+    )
+    .await;
+    check(
+        ask().header("x-deadline-ms", "soon"),
+        expect!["400 not-run bad-request: reading the header x-deadline-ms"],
+    )
+    .await;
+    check(
+        ask().header("x-deadline-ms", "0"),
+        expect!["504 not-run deadline: beginning stage stock"],
+    )
+    .await;
+    check(
+        request(&fleet, 0, "no-such", ""),
+        expect!["404 not-run unknown-pipeline: checking no-such"],
+    )
+    .await;
+    check(
+        request(&fleet, 0, "order", ""),
+        expect!["400 not-run key-missing: checking order"],
+    )
+    .await;
+    let guest = request(&fleet, 0, "ask", "");
+    let guest = guest.build().map(|mut guest| {
+        guest
+            .headers_mut()
+            .insert("x-team", "guest".parse().expect("a header"));
+        RequestBuilder::from_parts(cicadacrank_bench::fleet::client().expect("client"), guest)
+    });
+    check(
+        guest.expect("a request"),
+        expect!["403 not-run forbidden: checking ask"],
+    )
+    .await;
+    for path in ["/stock", "/shifts", "/orders", "/v1/completions"] {
+        assert_eq!(begun(&fleet, path), 0, "{path}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_streams_events_with_explicit_end() {
+    let fleet = small().await;
+    let ask = request(&fleet, 0, "ask", "").header("accept", "text/event-stream");
+    let answer = ask.send().await.expect("an answer");
+    assert_eq!(answer.headers()["content-type"], "text/event-stream");
+    let text = answer.text().await.expect("text");
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("event: "))
+        .collect();
+    assert_eq!(events, ["chunk", "chunk", "chunk", "end"], "{text}");
+    assert!(text.contains(r#""chunks":3"#), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_refuses_key_with_another_body() {
+    let fleet = small().await;
+    check(request(&fleet, 0, "order", "key"), expect!["200  : "]).await;
+    let other = request(&fleet, 1, "order", "key").body(r#"{"query":"other"}"#);
+    check(other, expect!["422 partial key-reused: claiming the work"]).await;
+    assert_eq!(begun(&fleet, "/orders"), 1);
+}
--- a/crates/cicadacrankd/tests/common/mod.rs
+++ b/crates/cicadacrankd/tests/common/mod.rs
@@ -25,6 +25,13 @@
     }
 }
 
+/// Describes an endpoint by its time to the first byte, its time between tokens
+/// and its number of tokens.
+pub fn profile(first_us: u64, token_us: u64, tokens: u64) -> Profile {
+    let profile = json!({ "first_us": first_us, "token_us": token_us, "tokens": tokens });
+    serde_json::from_value(profile).expect("a profile")
+}
+
 pub fn plan(rules: &str) -> Plan {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(rules);
     Plan {
@@ -32,12 +39,7 @@
         rules: fs::read_to_string(file).expect("read the rules"),
         entries: 2,
         timeouts: json!({ "refresh_ms": 100, "notice_ms": 300 }),
-        profile: Profile {
-            first_us: 0,
-            token_us: 0,
-            tokens: 3,
-            ..Profile::default()
-        },
+        profile: profile(0, 0, 3),
     }
 }
 
@@ -100,11 +102,6 @@
         .iter()
         .filter(|post| post.endpoint.starts_with(pool))
     {
-        post.engine.set_profile(Profile {
-            first_us: first_ms * 1_000,
-            token_us: 0,
-            tokens: 3,
-            ..Profile::default()
-        });
+        post.engine.set_profile(profile(first_ms * 1_000, 0, 3));
     }
 }
--- a/crates/cicadacrankd/tests/path.rs
+++ b/crates/cicadacrankd/tests/path.rs
@@ -1,25 +1,15 @@
 //! The whole path, each part a process of its own.
 
-use cicadacrank_bench::{
-    engine::Profile,
-    fleet::{self, Fleet, Plan},
-};
-use serde_json::{Value, json};
-use std::{fs, path::Path};
+mod common;
 
-fn plan(file: &str) -> Plan {
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
-    Plan {
-        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
-        rules: fs::read_to_string(samples.join(file)).expect("read the sample"),
-        entries: 2,
-        timeouts: json!({ "refresh_ms": 100, "notice_ms": 100 }),
-        profile: Profile {
-            first_us: 0,
-            token_us: 0,
-            tokens: 3,
-        },
-    }
+use cicadacrank_bench::fleet::{self, Fleet};
+use common::plan;
+use serde_json::Value;
+
+async fn start(sample: &str) -> Fleet {
+    Fleet::start(plan(&format!("../../samples/{sample}")))
+        .await
+        .expect("a fleet")
 }
 
 async fn send(fleet: &Fleet, entry: usize, pipeline: &str, team: &str, key: &str) -> Value {
@@ -46,7 +36,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn path_serves_bergvik() {
-    let fleet = Fleet::start(plan("bergvik.rules")).await.expect("a fleet");
+    let fleet = start("bergvik.rules").await;
     let first = send(&fleet, 0, "book-room", "portal", "key-1").await;
     assert_eq!(first["text"], "word0 word1 word2 ", "{first}");
     let again = send(&fleet, 1, "book-room", "portal", "key-1").await;
--- a/crates/cicadacrankd/tests/shutdown.rs
+++ b/crates/cicadacrankd/tests/shutdown.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cicadacrank_bench::{engine::Profile, fleet::Fleet};
-use common::{Answer, request, send, small};
+use cicadacrank_bench::fleet::Fleet;
+use common::{Answer, profile, request, send, small};
 use std::{sync::Arc, time::Duration};
 use tokio::{
     task::JoinSet,
@@ -23,12 +23,7 @@
         } else {
             0
         };
-        post.engine.set_profile(Profile {
-            first_us: 0,
-            token_us,
-            tokens: 5,
-            ..Profile::default()
-        });
+        post.engine.set_profile(profile(0, token_us, 5));
     }
 }
 
