--- /dev/null
+++ b/crates/cicadacrank-core/src/generation/object.rs
@@ -0,0 +1,207 @@
+//! The platform object that holds the rules in force and their trail.
+
+use super::{
+    ChangeId, Generation,
+    audit::{Attachment, Detail, ENTRIES_LIMIT, Entry, PAGE_ENTRIES, Page, first_lines},
+    codec::{self, CodecError},
+    diff::Difference,
+};
+use crate::{
+    error::Kind,
+    rules::{self, Faults, edit},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Layout of the document; a client leaves documents of a later layout alone.
+const LAYOUT: u32 = 1;
+
+/// The rules in force and the newest entries of their trail.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Object {
+    /// Layout of the document.
+    layout: u32,
+    /// Generation of the rules.
+    pub generation: Generation,
+    /// Text of the rule file.
+    pub rules: String,
+    /// Newest entries of the trail, oldest first.
+    pub audit: Vec<Entry>,
+    /// Number of pages that hold the older entries.
+    pub pages: u64,
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Id of the change.
+    pub id: ChangeId,
+    /// Who asks, and why.
+    pub request: edit::Request,
+    /// When, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// What to write so that a change takes effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Objects to create first.
+    pub attachments: Vec<Attachment>,
+    /// The rule object after the change.
+    pub object: Object,
+    /// The rule object as the platform holds it.
+    pub content: Value,
+}
+
+/// Why a change was not made.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Refusal {
+    /// The rules are not valid.
+    #[error(transparent)]
+    Faults(#[from] Faults),
+    /// The edit does not fit the rules in force.
+    #[error(transparent)]
+    Edit(#[from] edit::Error),
+    /// There are no rules to edit.
+    #[error("no rules are in force yet")]
+    Absent,
+    /// The rules are in force as they are.
+    #[error("the rules are in force already, as generation {0}")]
+    Unchanged(Generation),
+    /// The documents can't be stored.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// An object that the change has to create exists with other content.
+    #[error("the object {0} exists and holds something else")]
+    Attachment(String),
+}
+
+impl Refusal {
+    /// Returns the kind from the closed list.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::Faults(_) | Self::Edit(edit::Error::Faults(_)) => Kind::Rules,
+            Self::Edit(_) | Self::Absent | Self::Unchanged(_) => Kind::BadRequest,
+            Self::Codec(CodecError::TooLarge { .. }) => Kind::TooLarge,
+            Self::Codec(CodecError::Damaged(_)) | Self::Attachment(_) => Kind::Internal,
+        }
+    }
+}
+
+impl Object {
+    /// Creates the state before the first change.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            layout: LAYOUT,
+            generation: Generation(0),
+            rules: String::new(),
+            audit: Vec::new(),
+            pages: 0,
+        }
+    }
+
+    /// Decodes a stored object.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a value that is not a rule object, and one of a later layout.
+    pub fn decode(value: Value) -> Result<Self, CodecError> {
+        let object: Self = codec::decode(value)?;
+        if object.layout > LAYOUT {
+            let layout = object.layout;
+            let reason = format!("layout {layout} is newer than {LAYOUT}");
+            return Err(CodecError::Damaged(reason));
+        }
+        Ok(object)
+    }
+
+    /// Returns the entry of a change, if the object still holds it.
+    #[must_use]
+    pub fn entry(&self, change: &ChangeId) -> Option<&Entry> {
+        self.audit.iter().rfind(|entry| entry.change == *change)
+    }
+
+    /// Returns the entries after a generation, oldest first.
+    #[must_use]
+    pub fn entries_after(&self, generation: Generation) -> &[Entry] {
+        let first = self
+            .audit
+            .partition_point(|entry| entry.generation <= generation);
+        &self.audit[first..]
+    }
+
+    /// Replaces the rules.
+    ///
+    /// # Errors
+    ///
+    /// Refuses rules that are not valid, or are in force already, a change
+    /// that names nobody or no reason, and rules too large to store.
+    pub fn replace(&self, rules: &str, change: &Change) -> Result<Step, Refusal> {
+        if !change.request.is_valid() {
+            return Err(edit::Error::Request.into());
+        }
+        rules::parse(rules)?;
+        let difference = Difference::new(&self.rules, rules);
+        if difference.is_empty() {
+            return Err(Refusal::Unchanged(self.generation));
+        }
+        let mut object = Self {
+            generation: self.generation.next(),
+            rules: rules.to_owned(),
+            ..self.clone()
+        };
+        let mut attachments = Vec::new();
+        attachments.extend(object.add_entry(difference, change)?);
+        attachments.extend(object.shed_page()?);
+        let content = codec::encode(&object)?;
+        Ok(Step {
+            attachments,
+            object,
+            content,
+        })
+    }
+
+    /// Adds the entry of a change, and returns the detail if one is needed.
+    fn add_entry(
+        &mut self,
+        lines: Difference,
+        change: &Change,
+    ) -> Result<Option<Attachment>, CodecError> {
+        let entry = Entry {
+            generation: self.generation,
+            change: change.id.clone(),
+            who: change.request.who.trim().to_owned(),
+            why: change.request.why.trim().to_owned(),
+            at_ms: change.at_ms,
+            lines: first_lines(&lines),
+            line_count: lines.lines.len(),
+        };
+        let has_detail = entry.has_detail();
+        self.audit.push(entry);
+        if !has_detail {
+            return Ok(None);
+        }
+        let change = change.id.clone();
+        let name = Detail::name(&change, self.generation);
+        Attachment::new(name, &Detail { change, lines }).map(Some)
+    }
+
+    /// Moves the oldest entries to a page when there are too many.
+    fn shed_page(&mut self) -> Result<Option<Attachment>, CodecError> {
+        if self.audit.len() <= ENTRIES_LIMIT {
+            return Ok(None);
+        }
+        let entries: Vec<_> = self.audit.drain(..PAGE_ENTRIES).collect();
+        let name = Page::name(self.pages);
+        self.pages += 1;
+        Attachment::new(name, &Page { entries }).map(Some)
+    }
+}
+
+impl Default for Object {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! The steps of a request, and the module that decides each:
 //!
 //! 1. [`rules`] says which pipelines, teams and endpoints exist.
+//! 2. [`generation`] says which rules are in force, and who changed them.
 //!
 //! ```
 //! use cicadacrank_core::error::{Effect, Kind};
@@ -18,4 +19,5 @@
 //! ```
 
 pub mod error;
+pub mod generation;
 pub mod rules;
--- a/crates/cicadacrank-core/src/rules/edit.rs
+++ b/crates/cicadacrank-core/src/rules/edit.rs
@@ -66,6 +66,17 @@
     pub why: String,
 }
 
+impl Request {
+    /// Returns whether the request names a person and a reason that can stand
+    /// in a comment.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let is_line = |text: &str| !text.is_empty() && !text.chars().any(char::is_control);
+        let (who, why) = (self.who.trim(), self.why.trim());
+        is_line(who) && is_line(why) && !who.contains(':')
+    }
+}
+
 /// Why a text was not changed.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
@@ -98,7 +109,7 @@
 /// Refuses a text that is not valid, a target that the rules do not define or
 /// that is taken out already, and a request that names nobody or no reason.
 pub fn take_out(text: &str, target: &Target, request: &Request) -> Result<String, Error> {
-    if !is_comment(request) {
+    if !request.is_valid() {
         return Err(Error::Request);
     }
     let book = parse(text)?;
@@ -147,9 +158,3 @@
     let mut words = rule.split_whitespace();
     words.next() == Some(Word::TakeOut.as_str()) && words.next() == Some(&target.to_string())
 }
-
-fn is_comment(request: &Request) -> bool {
-    let (who, why) = (request.who.trim(), request.why.trim());
-    let is_line = |text: &str| !text.is_empty() && !text.chars().any(char::is_control);
-    is_line(who) && is_line(why) && !who.contains(':')
-}
