--- a/crates/cicadacrank-core/src/rules/fault.rs
+++ b/crates/cicadacrank-core/src/rules/fault.rs
@@ -348,6 +348,17 @@
         self.source.name()
     }
 
+    /// Splits into the first `count` faults and the others.
+    #[must_use]
+    pub fn split(mut self, count: usize) -> (Self, Self) {
+        let rest = self.faults.split_off(count.min(self.faults.len()));
+        let rest = Self {
+            source: self.source.clone(),
+            faults: rest,
+        };
+        (self, rest)
+    }
+
     /// Returns the faults, in the order of the file.
     #[must_use]
     pub fn as_slice(&self) -> &[Fault] {
--- /dev/null
+++ b/crates/cicadacrank/src/cmd/check.rs
@@ -0,0 +1,100 @@
+//! `check`: reads rule files and reports every fault.
+
+use super::args::{self, RuleFile};
+use crate::{
+    error::Error,
+    output::{self, Output},
+};
+use bpaf::Bpaf;
+use cicadacrank_core::rules::Book;
+use serde::Serialize;
+use std::path::PathBuf;
+
+/// Examples for the help text.
+pub const EXAMPLES: &str = "Examples:
+  cicadacrank check samples/bergvik.rules
+  cicadacrank check --json *.rules";
+
+/// Arguments of `check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Check {
+    #[bpaf(external(args::json))]
+    pub json: bool,
+    #[bpaf(external(args::file), some("name at least one rule file"))]
+    files: Vec<PathBuf>,
+}
+
+/// What a valid file states, in numbers.
+#[derive(Debug, Serialize)]
+struct Summary {
+    file: String,
+    data_centres: usize,
+    pools: usize,
+    endpoints: usize,
+    pipelines: usize,
+    teams: usize,
+    taken_out: usize,
+}
+
+impl Summary {
+    fn new(file: String, book: &Book) -> Self {
+        let data_centres = book.data_centres.iter().filter(|one| one.taken_out);
+        let endpoints = book.endpoints.iter().filter(|one| one.taken_out);
+        Self {
+            file,
+            data_centres: book.data_centres.len(),
+            pools: book.pools.len(),
+            endpoints: book.endpoints.len(),
+            pipelines: book.pipelines.len(),
+            teams: book.teams.len(),
+            taken_out: data_centres.count() + endpoints.count(),
+        }
+    }
+}
+
+impl Check {
+    /// Checks all files, also after one with faults.
+    pub fn execute(self, output: Output) -> Result<(), Error> {
+        let mut summaries = Vec::new();
+        let mut faulty = Vec::new();
+        for file in self.files {
+            match RuleFile::load(&file) {
+                Ok(read) => {
+                    let name = file.display().to_string();
+                    summaries.push(Summary::new(name, &read.book));
+                }
+                Err(Error::Faults(faults)) => faulty.extend(faults),
+                Err(error) => return Err(error),
+            }
+        }
+        if !faulty.is_empty() {
+            return Err(Error::Faults(faulty));
+        }
+        output.result(&summaries, || table(&summaries));
+        Ok(())
+    }
+}
+
+fn table(summaries: &[Summary]) -> String {
+    let mut table = output::table(&[
+        "FILE",
+        "DATA CENTRES",
+        "POOLS",
+        "ENDPOINTS",
+        "PIPELINES",
+        "TEAMS",
+        "TAKEN OUT",
+    ]);
+    for one in summaries {
+        table.add_row([
+            one.file.clone(),
+            one.data_centres.to_string(),
+            one.pools.to_string(),
+            one.endpoints.to_string(),
+            one.pipelines.to_string(),
+            one.teams.to_string(),
+            one.taken_out.to_string(),
+        ]);
+    }
+    output::lines(&table)
+}
--- /dev/null
+++ b/crates/cicadacrank/src/error.rs
@@ -0,0 +1,119 @@
+//! What a command fails with.
+
+use cicadacrank_core::{
+    error::{Effect, Failure, Kind},
+    generation::Conflict,
+    rules::Faults,
+};
+use std::fmt::Write as _;
+
+/// Faults of one file that are shown with their lines; the rest takes one line
+/// each.
+const SHOWN_FAULTS: usize = 50;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Error {
+    /// A failure with its kind.
+    Failure(Failure),
+    /// Rule files with faults.
+    Faults(Vec<Faults>),
+    /// Another operator's change came first.
+    Conflict(Box<Conflict>),
+}
+
+impl Error {
+    /// Creates the error for a call that had no effect.
+    pub fn not_run(kind: Kind, context: impl Into<String>) -> Self {
+        Self::Failure(Failure::not_run(kind, context))
+    }
+
+    /// Returns the kind from the closed list.
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::Failure(failure) => failure.kind,
+            Self::Faults(_) => Kind::Rules,
+            Self::Conflict(_) => Kind::Conflict,
+        }
+    }
+
+    /// Returns what is known about the effect.
+    pub const fn effect(&self) -> Effect {
+        match self {
+            Self::Failure(failure) => failure.effect,
+            Self::Faults(_) | Self::Conflict(_) => Effect::NotRun,
+        }
+    }
+
+    /// Returns the text for a person.
+    pub fn text(&self) -> String {
+        match self {
+            Self::Failure(failure) => failure_text(failure),
+            Self::Faults(files) => files.iter().map(faults_text).collect(),
+            Self::Conflict(conflict) => conflict_text(conflict),
+        }
+    }
+
+    /// Returns one line that says what happened.
+    pub fn message(&self) -> String {
+        match self {
+            Self::Failure(failure) => failure.context.clone(),
+            Self::Faults(files) => {
+                let files: Vec<_> = files.iter().map(ToString::to_string).collect();
+                files.join(", ")
+            }
+            Self::Conflict(conflict) => {
+                let (base, current) = (conflict.base, conflict.current);
+                format!("based on generation {base}, but generation {current} is in force")
+            }
+        }
+    }
+}
+
+fn failure_text(failure: &Failure) -> String {
+    let Failure {
+        kind,
+        effect,
+        context,
+    } = failure;
+    let (text, effect) = (kind.row().text, effect.as_str());
+    format!("error: {context}\n  {kind}: {text}\n  effect: {effect}\n")
+}
+
+fn faults_text(faults: &Faults) -> String {
+    let (shown, rest) = faults.clone().split(SHOWN_FAULTS);
+    let mut text = String::new();
+    let handler = miette::GraphicalReportHandler::new();
+    if handler.render_report(&mut text, &shown).is_err() {
+        text = shown.to_string();
+    }
+    for fault in rest.as_slice() {
+        let (line, column) = (fault.line, fault.column);
+        let name = rest.name();
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{name}:{line}:{column}: {fault}");
+    }
+    text
+}
+
+fn conflict_text(conflict: &Conflict) -> String {
+    let (base, current) = (conflict.base, conflict.current);
+    let mut text = format!(
+        "error: another operator's change came first\n  based on generation {base}, \
+         but generation {current} is in force\n"
+    );
+    for entry in &conflict.winners {
+        let (generation, who, why) = (entry.generation, &entry.who, &entry.why);
+        let at = crate::time::utc(entry.at_ms);
+        let _ = writeln!(text, "  generation {generation}: {who}, {at}: {why}");
+        for line in &entry.lines.lines {
+            let _ = writeln!(text, "    {line}");
+        }
+    }
+    let _ = write!(
+        text,
+        "your file against the rules in force:\n{}",
+        conflict.difference
+    );
+    text
+}
--- /dev/null
+++ b/crates/cicadacrank/src/output.rs
@@ -0,0 +1,105 @@
+//! Prints results: tables for people, JSON for programs.
+
+use crate::error::Error;
+use cicadacrank_core::rules::Faults;
+use comfy_table::{ContentArrangement, Table, presets};
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::io::{self, Write as _};
+
+/// Where results go and in what form.
+#[derive(Clone, Copy, Debug)]
+pub struct Output {
+    json: bool,
+}
+
+impl Output {
+    /// Creates the output to the standard streams.
+    pub const fn new(json: bool) -> Self {
+        Self { json }
+    }
+
+    /// Prints a result: `value` for programs, `text` for people.
+    pub fn result<T: Serialize>(self, value: &T, text: impl FnOnce() -> String) {
+        if self.json {
+            print(&to_json(value));
+        } else {
+            print(&text());
+        }
+    }
+
+    /// Prints an error: to the standard output for programs, to the standard
+    /// error stream for people.
+    pub fn error(self, error: &Error) {
+        if self.json {
+            print(&to_json(&error_value(error)));
+        } else {
+            eprint!("{}", error.text());
+        }
+    }
+}
+
+/// Writes to the standard output; a reader that went away is no error.
+pub fn print(text: &str) {
+    let mut stdout = io::stdout().lock();
+    let _ = stdout.write_all(text.as_bytes());
+    let _ = stdout.flush();
+}
+
+fn to_json<T: Serialize>(value: &T) -> String {
+    let text = serde_json::to_string_pretty(value);
+    text.map_or_else(
+        |error| format!("{{\"error\": \"{error}\"}}\n"),
+        |text| text + "\n",
+    )
+}
+
+fn error_value(error: &Error) -> Value {
+    let mut value = json!({
+        "kind": error.kind().as_str(),
+        "effect": error.effect().as_str(),
+        "message": error.message(),
+    });
+    match error {
+        Error::Failure(_) => {}
+        Error::Faults(files) => {
+            value["faults"] = files.iter().flat_map(faults_value).collect();
+        }
+        Error::Conflict(conflict) => {
+            value["base"] = json!(conflict.base);
+            value["current"] = json!(conflict.current);
+            value["winners"] = json!(conflict.winners);
+            value["difference"] = json!(conflict.difference);
+        }
+    }
+    json!({ "error": value })
+}
+
+fn faults_value(faults: &Faults) -> Vec<Value> {
+    let one = |fault: &cicadacrank_core::rules::Fault| {
+        json!({
+            "file": faults.name(),
+            "line": fault.line,
+            "column": fault.column,
+            "message": fault.message(),
+            "help": fault.help(),
+        })
+    };
+    faults.as_slice().iter().map(one).collect()
+}
+
+/// Creates a table with these headings.
+pub fn table(headings: &[&str]) -> Table {
+    let mut table = Table::new();
+    table
+        .load_style(presets::NOTHING)
+        .set_content_arrangement(ContentArrangement::Disabled)
+        .set_header(headings);
+    table
+}
+
+/// Renders a table without blanks at the ends of its lines.
+pub fn lines(table: &Table) -> String {
+    let lines = table.lines();
+    lines.map(|line| format!("{}\n", line.trim_end())).collect()
+}
--- /dev/null
+++ b/crates/cicadacrank/src/time.rs
@@ -0,0 +1,48 @@
+//! Reads the clock and writes times for people.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const SECOND_MS: u64 = 1000;
+const DAY_SECONDS: u64 = 86_400;
+/// Days of 400 years of the Gregorian calendar.
+const ERA_DAYS: u64 = 146_097;
+/// Days from 0000-03-01 to 1970-01-01.
+const EPOCH_DAYS: u64 = 719_468;
+
+/// Returns the time in milliseconds since 1970.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Returns the minute of the day in UTC.
+pub fn minute_of_day(unix_ms: u64) -> u16 {
+    let minute = unix_ms / SECOND_MS % DAY_SECONDS / 60;
+    u16::try_from(minute).unwrap_or_default()
+}
+
+/// Writes a time in UTC, to the second.
+pub fn utc(unix_ms: u64) -> String {
+    let seconds = unix_ms / SECOND_MS;
+    let (days, second) = (seconds / DAY_SECONDS, seconds % DAY_SECONDS);
+    let (year, month, day) = date(days);
+    let (hour, minute, second) = (second / 3600, second / 60 % 60, second % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02} UTC")
+}
+
+/// Returns year, month and day of a number of days since 1970.
+///
+/// Years are counted from March, so that the leap day ends the year.
+fn date(days: u64) -> (u64, u64, u64) {
+    let days = days + EPOCH_DAYS;
+    let (era, day) = (days / ERA_DAYS, days % ERA_DAYS);
+    let year = (day - day / 1460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let day = day - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    let year = era * 400 + year + u64::from(month <= 2);
+    (year, month, day)
+}
