--- a/crates/cicadacrank-core/src/generation/object.rs
+++ b/crates/cicadacrank-core/src/generation/object.rs
@@ -20,14 +20,17 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object {
     /// Layout of the document.
+    #[serde(default)]
     layout: u32,
     /// Generation of the rules.
     pub generation: Generation,
     /// Text of the rule file.
     pub rules: String,
     /// Newest entries of the trail, oldest first.
+    #[serde(default)]
     pub audit: Vec<Entry>,
     /// Number of pages that hold the older entries.
+    #[serde(default)]
     pub pages: u64,
 }
 
@@ -71,6 +74,9 @@
     /// The documents can't be stored.
     #[error(transparent)]
     Codec(#[from] CodecError),
+    /// The platform refuses the documents, or holds one that is damaged.
+    #[error("the platform: {0}")]
+    Platform(String),
     /// An object that the change has to create exists with other content.
     #[error("the object {0} exists and holds something else")]
     Attachment(String),
@@ -84,7 +90,9 @@
             Self::Faults(_) | Self::Edit(edit::Error::Faults(_)) => Kind::Rules,
             Self::Edit(_) | Self::Absent | Self::Unchanged(_) => Kind::BadRequest,
             Self::Codec(CodecError::TooLarge { .. }) => Kind::TooLarge,
-            Self::Codec(CodecError::Damaged(_)) | Self::Attachment(_) => Kind::Internal,
+            Self::Codec(CodecError::Damaged(_)) | Self::Platform(_) | Self::Attachment(_) => {
+                Kind::Internal
+            }
         }
     }
 }
@@ -148,6 +156,7 @@
             return Err(Refusal::Unchanged(self.generation));
         }
         let mut object = Self {
+            layout: LAYOUT,
             generation: self.generation.next(),
             rules: rules.to_owned(),
             ..self.clone()
--- a/crates/cicadacrank-core/src/generation/proposal.rs
+++ b/crates/cicadacrank-core/src/generation/proposal.rs
@@ -80,8 +80,11 @@
     VersionMoved,
     /// No answer came; the action may have taken effect or not.
     NoAnswer,
-    /// The action surely had no effect.
+    /// The action surely had no effect; it may pass later.
     NotSent,
+    /// The platform refused the action for good, or holds no rule object where
+    /// one should be.
+    Rejected(String),
 }
 
 /// Another operator's change came first.
@@ -194,6 +197,8 @@
             Event::VersionMoved => self.state = State::Reading,
             Event::NoAnswer => self.take_no_answer(),
             Event::NotSent => {}
+            Event::Rejected(_) if self.in_doubt => self.state = State::Reading,
+            Event::Rejected(message) => self.finish(Outcome::Refused(Refusal::Platform(message))),
         }
     }
 
--- a/crates/cicadacrank/src/cmd/check.rs
+++ b/crates/cicadacrank/src/cmd/check.rs
@@ -17,6 +17,7 @@
 
 /// Arguments of `check`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Check {
     #[bpaf(external(args::json))]
     pub json: bool,
@@ -96,5 +97,5 @@
             one.taken_out.to_string(),
         ]);
     }
-    output::lines(&table)
+    output::lines(&mut table)
 }
--- a/crates/cicadacrank/src/cmd/mod.rs
+++ b/crates/cicadacrank/src/cmd/mod.rs
@@ -1,7 +1,13 @@
 //! The subcommands of the client.
 
+mod apply;
 mod args;
+mod bring_back;
 mod check;
+mod diff;
+mod history;
+mod show;
+mod take_out;
 
 use crate::{error::Error, output::Output};
 use bpaf::Bpaf;
@@ -18,23 +24,53 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, fallback_to_usage, footer(EXIT_CODES))]
 pub enum Command {
+    /// Puts a rule file in force (writes)
+    #[bpaf(command, footer(apply::EXAMPLES))]
+    Apply(#[bpaf(external(apply::apply))] apply::Apply),
+    /// Brings a data centre or an endpoint back into service (writes)
+    #[bpaf(command, footer(bring_back::EXAMPLES))]
+    BringBack(#[bpaf(external(bring_back::bring_back))] bring_back::BringBack),
     /// Checks rule files
     #[bpaf(command, footer(check::EXAMPLES))]
     Check(#[bpaf(external(check::check))] check::Check),
+    /// Compares a rule file with the rules in force
+    #[bpaf(command, footer(diff::EXAMPLES))]
+    Diff(#[bpaf(external(diff::diff))] diff::Diff),
+    /// Prints who changed the rules, when and why
+    #[bpaf(command, footer(history::EXAMPLES))]
+    History(#[bpaf(external(history::history))] history::History),
+    /// Prints the rules in force
+    #[bpaf(command, footer(show::EXAMPLES))]
+    Show(#[bpaf(external(show::show))] show::Show),
+    /// Takes a data centre or an endpoint out of service (writes)
+    #[bpaf(command, footer(take_out::EXAMPLES))]
+    TakeOut(#[bpaf(external(take_out::take_out))] take_out::TakeOut),
 }
 
 impl Command {
     /// Returns whether the result is for programs.
     pub const fn is_json(&self) -> bool {
         match self {
-            Self::Check(check) => check.json,
+            Self::Apply(command) => command.json,
+            Self::BringBack(command) => command.json,
+            Self::Check(command) => command.json,
+            Self::Diff(command) => command.json,
+            Self::History(command) => command.json,
+            Self::Show(command) => command.json,
+            Self::TakeOut(command) => command.json,
         }
     }
 
     /// Runs the command.
     pub fn execute(self, output: Output) -> Result<(), Error> {
         match self {
-            Self::Check(check) => check.execute(output),
+            Self::Apply(command) => command.execute(output),
+            Self::BringBack(command) => command.execute(output),
+            Self::Check(command) => command.execute(output),
+            Self::Diff(command) => command.execute(output),
+            Self::History(command) => command.execute(output),
+            Self::Show(command) => command.execute(output),
+            Self::TakeOut(command) => command.execute(output),
         }
     }
 }
--- a/crates/cicadacrank/src/error.rs
+++ b/crates/cicadacrank/src/error.rs
@@ -76,8 +76,8 @@
         effect,
         context,
     } = failure;
-    let (text, effect) = (kind.row().text, effect.as_str());
-    format!("error: {context}\n  {kind}: {text}\n  effect: {effect}\n")
+    let effect = effect.as_str();
+    format!("error: {context}\n  kind: {kind}, effect: {effect}\n")
 }
 
 fn faults_text(faults: &Faults) -> String {
--- a/crates/cicadacrank/src/main.rs
+++ b/crates/cicadacrank/src/main.rs
@@ -6,7 +6,9 @@
 mod cmd;
 mod error;
 mod output;
+mod ruleset;
 mod time;
+mod trail;
 
 use crate::{cmd::Command, output::Output};
 use bpaf::{Args, ParseFailure};
--- a/crates/cicadacrank/src/output.rs
+++ b/crates/cicadacrank/src/output.rs
@@ -7,6 +7,9 @@
 use serde_json::{Value, json};
 use std::io::{self, Write as _};
 
+/// Blanks between two columns.
+const COLUMN_GAP: u16 = 2;
+
 /// Where results go and in what form.
 #[derive(Clone, Copy, Debug)]
 pub struct Output {
@@ -99,7 +102,10 @@
 }
 
 /// Renders a table without blanks at the ends of its lines.
-pub fn lines(table: &Table) -> String {
+pub fn lines(table: &mut Table) -> String {
+    for column in table.column_iter_mut() {
+        column.set_padding((0, COLUMN_GAP));
+    }
     let lines = table.lines();
     lines.map(|line| format!("{}\n", line.trim_end())).collect()
 }
--- a/crates/cicadacrank/src/time.rs
+++ b/crates/cicadacrank/src/time.rs
@@ -17,12 +17,6 @@
     })
 }
 
-/// Returns the minute of the day in UTC.
-pub fn minute_of_day(unix_ms: u64) -> u16 {
-    let minute = unix_ms / SECOND_MS % DAY_SECONDS / 60;
-    u16::try_from(minute).unwrap_or_default()
-}
-
 /// Writes a time in UTC, to the second.
 pub fn utc(unix_ms: u64) -> String {
     let seconds = unix_ms / SECOND_MS;
