Measure both users' load beside plain policies

Cause: no figure said how the system serves the users' load, nor whether its policy is better than a plain one.

An open loop with a fixed seed drives daemons as separate processes through a preface, steady load, a burst, a cold start, a slow stage, and a data centre taken out and brought back; round robin, least-in-flight by each entry alone and retries without a budget run straight against the same stand-ins. The checker runs at the end of each trial.

--- a/crates/cicadacrank-bench/src/engine/capacity.rs
+++ b/crates/cicadacrank-bench/src/engine/capacity.rs
@@ -8,13 +8,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Capacity {
-    /// Requests in flight that it bears when warm; over them it falls over.
+    /// Requests in flight that it bears when warm.
     pub warm_slots: u32,
-    /// Requests in flight that it bears while cold.
+    /// Requests in flight that it bears at the first work after a start.
     pub cold_slots: u32,
     /// Time from the first work after a start until it is warm, in
-    /// milliseconds.
+    /// milliseconds; what it bears rises evenly.
     pub warmup_ms: u64,
+    /// Further requests in flight before it falls over, in per cent.
+    pub headroom_percent: u32,
     /// Time added to the first byte while cold, in microseconds.
     pub cold_first_us: u64,
     /// Growth of the time between tokens with each further request in flight,
@@ -37,6 +39,7 @@
             warm_slots: u32::MAX,
             cold_slots: u32::MAX,
             warmup_ms: 0,
+            headroom_percent: 0,
             cold_first_us: 0,
             slowdown_percent: 0,
             cached_prefixes: 0,
--- a/crates/cicadacrank-bench/src/engine/model.rs
+++ b/crates/cicadacrank-bench/src/engine/model.rs
@@ -163,12 +163,23 @@
         )
     }
 
+    /// Returns the requests in flight beyond which it falls over.
     fn slots(&self, now: Duration) -> u32 {
-        if self.is_cold(now) {
-            self.capacity.cold_slots
-        } else {
-            self.capacity.warm_slots
-        }
+        let Capacity {
+            warm_slots,
+            cold_slots,
+            warmup_ms,
+            headroom_percent,
+            ..
+        } = self.capacity;
+        let left = self.warm_at.map_or(u128::from(warmup_ms), |warm_at| {
+            warm_at.saturating_sub(now).as_millis()
+        });
+        let span = u128::from(warm_slots.saturating_sub(cold_slots));
+        let missing = (span * left).div_ceil(u128::from(warmup_ms.max(1)));
+        let slots = u64::from(warm_slots) - u64::try_from(missing.min(span)).unwrap_or(0);
+        let slots = (slots * u64::from(100 + headroom_percent)).div_ceil(100);
+        u32::try_from(slots).unwrap_or(u32::MAX)
     }
 
     fn is_cold(&self, now: Duration) -> bool {
--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -49,6 +49,8 @@
     pub body: String,
     /// Whether the answer was made in full.
     pub finished: bool,
+    /// Time it took a slot, in microseconds; zero while it runs.
+    pub busy_us: u64,
 }
 
 #[derive(Debug)]
@@ -78,6 +80,7 @@
     api: Api,
     run: usize,
     begun: Begun,
+    since: Instant,
 }
 
 impl Server {
@@ -192,6 +195,7 @@
             key,
             body,
             finished: false,
+            busy_us: 0,
         };
         self.serve(run, &input, response).await;
     }
@@ -226,6 +230,7 @@
                 api: self.clone(),
                 run,
                 begun,
+                since: Instant::now(),
             },
             Err(true) => return cut(response),
             Err(false) => {
@@ -233,7 +238,7 @@
                 return response.render("refused\n");
             }
         };
-        time::sleep(ticket.begun.first).await;
+        wait(ticket.begun.first).await;
         ticket.pass_silence().await;
         if !ticket.is_live() {
             return cut(response);
@@ -285,7 +290,7 @@
     async fn event(&self, mark: &str, token: u64, count: u64) -> Option<String> {
         if token > 0 {
             let pause = self.api.lock().model.token();
-            time::sleep(pause).await;
+            wait(pause).await;
         }
         self.pass_silence().await;
         if !self.is_live() || self.truncates_at(token) {
@@ -311,6 +316,15 @@
         let mut state = self.api.lock();
         let now = state.origin.elapsed();
         state.model.leave(self.begun.incarnation, now);
+        let busy = self.since.elapsed().as_micros();
+        state.runs[self.run].busy_us = u64::try_from(busy).unwrap_or(u64::MAX);
+    }
+}
+
+/// Waits; a pause of nothing ends at once, where a timer would take a tick.
+async fn wait(pause: Duration) {
+    if !pause.is_zero() {
+        time::sleep(pause).await;
     }
 }
 
--- a/crates/cicadacrank-bench/src/lib.rs
+++ b/crates/cicadacrank-bench/src/lib.rs
@@ -2,11 +2,14 @@
 //!
 //! [`platform`] stands in for the object API, [`engine`] for model engines and
 //! plain services, and [`process`] runs the daemons as processes of their own.
-//! [`fleet`] puts them together from a rule file. [`checker`] compares what
-//! callers were told with what ran. Nothing here is published.
+//! [`fleet`] puts them together from a rule file. [`load`] drives a fleet,
+//! [`checker`] compares what callers were told with what ran, and [`report`]
+//! shows the figures. Nothing here is published.
 
 pub mod checker;
 pub mod engine;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod process;
+pub mod report;
--- /dev/null
+++ b/crates/cicadacrank-bench/src/load/caller.rs
@@ -0,0 +1,151 @@
+//! One call through an entry, as a caller makes it.
+
+use super::arrivals::Offer;
+use crate::{checker::Told, engine::mark_of};
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use reqwest::{Client, Response};
+use serde_json::Value;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::{self, Instant};
+
+/// Time past its deadline after which a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// What a call came to.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// What the caller was told.
+    pub told: Told,
+    /// `whole`, or the kind of the failure.
+    pub kind: String,
+    /// Time to the first token.
+    pub first: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+}
+
+/// A call with what it came to.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// The request.
+    pub offer: Offer,
+    /// Deadline of its pipeline.
+    pub deadline: Duration,
+    /// Whether this is the second sending.
+    pub again: bool,
+    /// What it came to.
+    pub outcome: Outcome,
+}
+
+impl Record {
+    /// Returns whether the answer was whole and in time.
+    #[must_use]
+    pub fn is_attained(&self) -> bool {
+        matches!(self.outcome.told, Told::Whole { .. }) && self.outcome.total <= self.deadline
+    }
+}
+
+/// Times the tokens of a call as they come.
+#[derive(Debug)]
+pub(super) struct Watch {
+    began: Instant,
+    last: Option<Instant>,
+    first: Option<Duration>,
+    gaps: Vec<Duration>,
+}
+
+impl Watch {
+    pub(super) fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            last: None,
+            first: None,
+            gaps: Vec::new(),
+        }
+    }
+
+    pub(super) fn token(&mut self) {
+        let now = Instant::now();
+        match self.last.replace(now) {
+            Some(last) => self.gaps.push(now - last),
+            None => self.first = Some(now - self.began),
+        }
+    }
+
+    pub(super) fn end(self, told: Told, kind: &str) -> Outcome {
+        Outcome {
+            told,
+            kind: kind.to_owned(),
+            first: self.first,
+            gaps: self.gaps,
+            total: self.began.elapsed(),
+        }
+    }
+}
+
+/// Makes one call and waits for its end.
+pub(super) async fn call(
+    http: &Client,
+    entry: SocketAddr,
+    offer: &Offer,
+    deadline: Duration,
+) -> Outcome {
+    let mut watch = Watch::new();
+    let told = time::timeout(deadline + PATIENCE, ask(http, entry, offer, &mut watch)).await;
+    let (told, kind) = told.unwrap_or_else(|_| (Told::Nothing, "no answer".to_owned()));
+    watch.end(told, &kind)
+}
+
+async fn ask(http: &Client, entry: SocketAddr, offer: &Offer, watch: &mut Watch) -> (Told, String) {
+    let url = format!("http://{entry}/v1/pipelines/{}", offer.mix.pipeline);
+    let answer = http
+        .post(url)
+        .header("x-team", offer.mix.team)
+        .header("idempotency-key", &offer.mark)
+        .header("accept", "text/event-stream")
+        .body(offer.body.clone())
+        .send()
+        .await;
+    match answer {
+        Ok(answer) if answer.status().is_success() => read(answer, watch).await,
+        Ok(answer) => refused(&answer.json().await.unwrap_or_default()),
+        Err(_) => (Told::Nothing, "connection failed".to_owned()),
+    }
+}
+
+async fn read(answer: Response, watch: &mut Watch) -> (Told, String) {
+    let mut events = answer.bytes_stream().eventsource();
+    while let Some(Ok(event)) = events.next().await {
+        let data: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        match event.event.as_str() {
+            "chunk" => watch.token(),
+            "end" => return (whole(&data["answer"]), "whole".to_owned()),
+            _ => return refused(&data),
+        }
+    }
+    (Told::Nothing, "connection cut".to_owned())
+}
+
+fn refused(data: &Value) -> (Told, String) {
+    let told = match data["error"]["effect"].as_str() {
+        Some("not-run") => Told::NotRun,
+        Some("partial") => Told::Partial,
+        Some("unknown") => Told::Unknown,
+        _ => Told::Nothing,
+    };
+    let kind = data["error"]["kind"].as_str().unwrap_or("no kind");
+    (told, kind.to_owned())
+}
+
+/// Reads a whole answer for the checker.
+pub(super) fn whole(answer: &Value) -> Told {
+    let results = answer["results"].as_array().map_or(&[][..], Vec::as_slice);
+    let mark = |result: &Value| mark_of(result["for"].as_str().unwrap_or_default()).to_owned();
+    Told::Whole {
+        text: answer["text"].as_str().unwrap_or_default().to_owned(),
+        marks: results.iter().map(mark).collect(),
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/load/drive.rs
@@ -0,0 +1,322 @@
+//! Runs trials on a fleet.
+
+use super::{
+    Policy, arrivals,
+    caller::{self, Record},
+    direct::{self, Direct},
+    overhead::{self, Overhead},
+    processor,
+    scenario::Scenario,
+    script::{self, Times},
+};
+use crate::{
+    checker,
+    engine::{self, mark_of},
+    fleet::{self, Fleet, Plan},
+    load::Offer,
+    process::Daemon,
+};
+use cicadacrank_core::rules::{Pipeline, Service};
+use cicadacrank_node::configuration::Ruleset;
+use reqwest::Client;
+use serde_json::json;
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+/// Entries of a fleet.
+const ENTRIES: usize = 3;
+
+/// Warm-up of endpoints in trials, in milliseconds.
+const WARMUP_MS: u64 = 3_000;
+
+/// Pause before a request is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time after a trial in which cut work may still end.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(5);
+
+/// A fleet with the load of one user.
+#[derive(Debug)]
+pub struct Bench {
+    /// The fleet.
+    pub fleet: Arc<Fleet>,
+    /// The load.
+    pub scenario: Scenario,
+    ruleset: Mutex<Ruleset>,
+    http: Client,
+}
+
+/// What one trial recorded.
+#[derive(Debug)]
+pub struct Trial {
+    /// How requests found their endpoints.
+    pub policy: Policy,
+    /// Every call.
+    pub records: Vec<Record>,
+    /// Every run, with the position of its endpoint.
+    pub runs: Vec<(usize, engine::Run)>,
+    /// Times that stand-ins fell over.
+    pub falls: u64,
+    /// Processor time of the daemons.
+    pub processor: Duration,
+    /// Length, preface included.
+    pub wall: Duration,
+    /// Time from the change until the last new work in the data centre that
+    /// was taken out, in milliseconds; zero if none came after the change.
+    pub last_new_work_ms: u64,
+    /// New work there after the change.
+    pub late_runs: usize,
+    /// What the checker found.
+    pub breaches: Vec<checker::Breach>,
+}
+
+impl Bench {
+    /// Starts a fleet for a scenario.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the fleet does not come up.
+    pub async fn start(scenario: Scenario, program: &Path, rules: &str) -> io::Result<Self> {
+        let rules = super::adapted(rules, WARMUP_MS);
+        let plan = Plan {
+            program: program.to_owned(),
+            rules: rules.clone(),
+            entries: ENTRIES,
+            timeouts: json!({}),
+            profile: engine::Profile {
+                first_us: 0,
+                token_us: 0,
+                tokens: Scenario::profile().tokens,
+            },
+        };
+        Ok(Self {
+            fleet: Arc::new(Fleet::start(plan).await?),
+            scenario,
+            ruleset: Mutex::new(Ruleset {
+                generation: 1,
+                rules,
+            }),
+            http: fleet::client()?,
+        })
+    }
+
+    /// Measures what the path adds; must run before trials.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a call fails.
+    pub async fn overhead(&self) -> io::Result<Overhead> {
+        let direct = Direct::new(Policy::RoundRobin, &self.fleet, self.http.clone());
+        let entry = self.entries()?[0];
+        let mix = self.scenario.probe;
+        overhead::measure(&self.fleet, &direct, &self.http, entry, mix).await
+    }
+
+    /// Runs one trial.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event of the trial cannot be brought about.
+    pub async fn trial(&self, policy: Policy, seed: u64) -> io::Result<Trial> {
+        self.prepare();
+        let falls = self.falls();
+        let processor = processor::time(self.daemons());
+        let origin = Instant::now();
+        let direct = (policy != Policy::System)
+            .then(|| Arc::new(Direct::new(policy, &self.fleet, self.http.clone())));
+        let offers = arrivals::draw(&self.scenario, policy.as_str(), seed);
+        let script = script::run(
+            &self.fleet,
+            &self.scenario,
+            direct.as_deref(),
+            &self.ruleset,
+            origin,
+        );
+        let (times, records) = tokio::join!(script, self.send(offers, direct.clone(), origin));
+        let (times, records) = (times?, records?);
+        time::sleep(SETTLE).await;
+        let runs = self.runs(policy);
+        let breaches = self.check(&records, &runs);
+        let late = self.late(&runs, times);
+        Ok(Trial {
+            policy,
+            runs,
+            records,
+            falls: self.falls() - falls,
+            processor: processor::time(self.daemons()) - processor,
+            wall: origin.elapsed(),
+            last_new_work_ms: late.iter().max().copied().unwrap_or(0),
+            late_runs: late.len(),
+            breaches,
+        })
+    }
+
+    /// Makes every stand-in cold, as after a restart, and without faults.
+    fn prepare(&self) {
+        for (endpoint, post) in self.fleet.book.endpoints.iter().zip(&self.fleet.posts) {
+            post.engine.set_profile(Scenario::profile());
+            post.engine.set_capacity(Scenario::capacity(
+                endpoint.cold_slots,
+                endpoint.warm_slots,
+                endpoint.warmup_ms,
+            ));
+            post.engine.set_faults(Vec::new());
+            post.engine.turn_cold();
+        }
+    }
+
+    async fn send(
+        &self,
+        offers: Vec<Offer>,
+        direct: Option<Arc<Direct>>,
+        origin: Instant,
+    ) -> io::Result<Vec<Record>> {
+        let entries = self.entries()?;
+        let total = offers.len();
+        let mut tasks = JoinSet::new();
+        let mut shown = origin;
+        for (number, offer) in offers.into_iter().enumerate() {
+            time::sleep_until(origin + offer.at).await;
+            if shown.elapsed() >= PROGRESS {
+                shown = Instant::now();
+                log::info!("{number} of {total} sent, {} in flight", tasks.len());
+                eprintln!("  {number} of {total} sent");
+            }
+            for again in [false, true]
+                .into_iter()
+                .take(1 + usize::from(offer.resent))
+            {
+                let place = (number + usize::from(again)) % entries.len();
+                let sender = Sender {
+                    http: self.http.clone(),
+                    direct: direct.clone(),
+                    entry: entries[place],
+                    place,
+                    deadline: self.deadline(&offer),
+                };
+                tasks.spawn(sender.send(offer.clone(), again));
+            }
+        }
+        Ok(tasks.join_all().await)
+    }
+
+    fn deadline(&self, offer: &Offer) -> Duration {
+        let pipeline = self.pipeline(offer.mix.pipeline);
+        Duration::from_millis(pipeline.map_or(0, |pipeline| pipeline.deadline_ms))
+    }
+
+    fn pipeline(&self, name: &str) -> Option<&Pipeline> {
+        let book = &self.fleet.book;
+        book.pipeline(name).map(|key| &book[key])
+    }
+
+    fn entries(&self) -> io::Result<Vec<SocketAddr>> {
+        let entries = self.fleet.entries.iter();
+        entries
+            .map(|entry| entry.addresses.caller_listen)
+            .collect::<Option<_>>()
+            .ok_or_else(|| io::Error::other("an entry has no address for callers"))
+    }
+
+    fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        let posts = self.fleet.posts.iter().map(|post| &post.sidecar);
+        posts.chain(&self.fleet.entries)
+    }
+
+    fn falls(&self) -> u64 {
+        let posts = self.fleet.posts.iter();
+        posts.map(|post| post.engine.incarnation() - 1).sum()
+    }
+
+    fn runs(&self, policy: Policy) -> Vec<(usize, engine::Run)> {
+        let posts = self.fleet.posts.iter().enumerate();
+        let runs = posts.flat_map(|(index, post)| {
+            let runs = post.engine.runs().into_iter();
+            runs.map(move |run| (index, run))
+        });
+        runs.filter(|(_, run)| mark_of(&run.body).starts_with(policy.as_str()))
+            .collect()
+    }
+
+    /// Returns the delays after the change of new work in the data centre that
+    /// was taken out.
+    fn late(&self, runs: &[(usize, engine::Run)], times: Times) -> Vec<u64> {
+        let out = script::data_centre(&self.fleet, &self.scenario);
+        let there = |index: usize| Some(self.fleet.book.endpoints[index].data_centre) == out;
+        runs.iter()
+            .filter(|(index, _)| there(*index))
+            .filter(|(_, run)| times.out_ms <= run.at_ms && run.at_ms < times.back_ms)
+            .map(|(_, run)| run.at_ms - times.out_ms)
+            .collect()
+    }
+
+    fn check(&self, records: &[Record], runs: &[(usize, engine::Run)]) -> Vec<checker::Breach> {
+        let calls: Vec<checker::Call> = records.iter().map(|record| self.call(record)).collect();
+        let runs: Vec<checker::Run> = runs
+            .iter()
+            .map(|(index, run)| checker::Run {
+                endpoint: self.fleet.book.endpoints[*index].name.clone(),
+                path: run.path.clone(),
+                mark: mark_of(&run.body).to_owned(),
+                finished: run.finished,
+            })
+            .collect();
+        checker::check(&calls, &runs)
+    }
+
+    fn call(&self, record: &Record) -> checker::Call {
+        let book = &self.fleet.book;
+        let pipeline = self.pipeline(record.offer.mix.pipeline);
+        let stages = pipeline.map_or(&[][..], |pipeline| &pipeline.stages);
+        let stages = stages.iter().map(|stage| checker::Stage {
+            path: direct::path(&book[stage.pool], stage).to_owned(),
+            repeatable: stage.repeatable,
+            generates: book[stage.pool].service == Service::Generate,
+        });
+        checker::Call {
+            mark: record.offer.mark.clone(),
+            stages: stages.collect(),
+            tokens: Scenario::profile().tokens,
+            told: record.outcome.told.clone(),
+        }
+    }
+}
+
+/// Sends one request.
+struct Sender {
+    http: Client,
+    direct: Option<Arc<Direct>>,
+    entry: SocketAddr,
+    place: usize,
+    deadline: Duration,
+}
+
+impl Sender {
+    async fn send(self, offer: Offer, again: bool) -> Record {
+        if again {
+            time::sleep(RESEND_PAUSE).await;
+        }
+        let outcome = match &self.direct {
+            Some(direct) => direct.call(self.place, &offer, self.deadline).await,
+            None => caller::call(&self.http, self.entry, &offer, self.deadline).await,
+        };
+        Record {
+            offer,
+            deadline: self.deadline,
+            again,
+            outcome,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/load/overhead.rs
@@ -0,0 +1,91 @@
+//! What the path adds to a request.
+
+use super::{
+    arrivals, caller,
+    direct::Direct,
+    scenario::{Mix, Phase},
+};
+use crate::{checker::Told, fleet::Fleet, load::Offer};
+use hdrhistogram::Histogram;
+use reqwest::Client;
+use serde::Serialize;
+use std::{io, net::SocketAddr, time::Duration};
+
+/// Pairs of calls.
+const PAIRS: usize = 400;
+
+/// Pairs at the start that are not counted.
+const WARM_UP_PAIRS: usize = 40;
+
+/// Longest time that histograms tell apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Bound of one call.
+const BOUND: Duration = Duration::from_secs(5);
+
+/// Times of calls to the same stand-ins, one at a time, in microseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Overhead {
+    /// Pairs of calls counted.
+    pub pairs: usize,
+    /// Median through the system.
+    pub system_p50_us: u64,
+    /// 99th percentile through the system.
+    pub system_p99_us: u64,
+    /// Median of the stages called directly in turn.
+    pub direct_p50_us: u64,
+    /// 99th percentile of the stages called directly in turn.
+    pub direct_p99_us: u64,
+}
+
+/// Measures pairs of calls: one through the system, one without.
+pub(super) async fn measure(
+    fleet: &Fleet,
+    direct: &Direct,
+    http: &Client,
+    entry: SocketAddr,
+    mix: Mix,
+) -> io::Result<Overhead> {
+    let histogram =
+        || Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).map_err(io::Error::other);
+    let (mut system, mut plain) = (histogram()?, histogram()?);
+    for pair in 0..PAIRS + WARM_UP_PAIRS {
+        let through = caller::call(http, entry, &offer(mix, "through", pair), BOUND).await;
+        let straight = direct.probe(&offer(mix, "straight", pair)).await;
+        let (Told::Whole { .. }, Some(straight)) = (&through.told, straight) else {
+            return Err(io::Error::other(format!(
+                "probe {pair} failed: {} (logs in {})",
+                through.kind,
+                fleet.folder().display()
+            )));
+        };
+        if pair >= WARM_UP_PAIRS {
+            system.saturating_record(micros(through.total));
+            plain.saturating_record(micros(straight));
+        }
+    }
+    Ok(Overhead {
+        pairs: PAIRS,
+        system_p50_us: system.value_at_quantile(0.5),
+        system_p99_us: system.value_at_quantile(0.99),
+        direct_p50_us: plain.value_at_quantile(0.5),
+        direct_p99_us: plain.value_at_quantile(0.99),
+    })
+}
+
+fn offer(mix: Mix, name: &str, number: usize) -> Offer {
+    let mark = format!("{name}-{number}");
+    Offer {
+        at: Duration::ZERO,
+        phase: Phase::Steady,
+        mix,
+        body: arrivals::body(0, &mark),
+        mark,
+        resent: false,
+    }
+}
+
+/// Returns a duration in whole microseconds.
+pub(super) fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/load/scenario.rs
@@ -0,0 +1,216 @@
+//! What the load of each user looks like.
+
+use crate::engine::{Capacity, Profile};
+use std::time::Duration;
+
+/// Requests of one team to one pipeline.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// Team that asks.
+    pub team: &'static str,
+    /// Pipeline it asks for.
+    pub pipeline: &'static str,
+    /// Part of all requests, in per cent.
+    pub percent: u32,
+}
+
+/// What goes on in a part of a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Endpoints warm up under little load; not counted.
+    Preface,
+    /// The usual load.
+    Steady,
+    /// A multiple of the usual load.
+    Burst,
+    /// Some engines turned cold without warning.
+    Cold,
+    /// Some endpoints of one stage are slow.
+    Slow,
+    /// A data centre is taken out.
+    Out,
+    /// The data centre is back.
+    Back,
+}
+
+impl Phase {
+    /// Returns the name in reports.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Preface => "preface",
+            Self::Steady => "steady",
+            Self::Burst => "burst",
+            Self::Cold => "cold start",
+            Self::Slow => "slow stage",
+            Self::Out => "data centre out",
+            Self::Back => "data centre back",
+        }
+    }
+}
+
+/// One part of a trial.
+#[derive(Clone, Copy, Debug)]
+pub struct Stint {
+    /// What goes on.
+    pub phase: Phase,
+    /// How long, in seconds.
+    pub seconds: u32,
+    /// Load in per cent of the usual.
+    pub percent: u32,
+}
+
+/// The load of one user.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Name in reports and of the rule file.
+    pub name: &'static str,
+    /// Who asks for what.
+    pub mixes: &'static [Mix],
+    /// Requests a second in the usual load.
+    pub rate: u32,
+    /// Pool whose engines turn cold.
+    pub engines: &'static str,
+    /// Pool whose endpoints become slow.
+    pub slow: &'static str,
+    /// Data centre that is taken out.
+    pub data_centre: &'static str,
+    /// Pipeline that measures what the path adds.
+    pub probe: Mix,
+    /// Parts of a trial in order.
+    pub stints: &'static [Stint],
+}
+
+const STINTS: &[Stint] = &[
+    stint(Phase::Preface, 6, 20),
+    stint(Phase::Steady, 5, 100),
+    stint(Phase::Burst, 4, 300),
+    stint(Phase::Cold, 5, 150),
+    stint(Phase::Slow, 5, 100),
+    stint(Phase::Out, 6, 100),
+    stint(Phase::Back, 5, 100),
+];
+
+const BERGVIK: &[Mix] = &[
+    mix("public-portal", "book-room", 40),
+    mix("counter", "book-room", 25),
+    mix("council", "book-room", 5),
+    mix("hosts", "draft-menu", 20),
+    mix("accounts", "send-invoice", 10),
+];
+
+const TIHA_NOSHT: &[Mix] = &[
+    mix("hospices", "order-parcel", 30),
+    mix("clinics", "order-parcel", 15),
+    mix("coordinators", "order-parcel", 15),
+    mix("seamstresses", "pattern-help", 25),
+    mix("grants", "grant-report", 15),
+];
+
+const fn stint(phase: Phase, seconds: u32, percent: u32) -> Stint {
+    Stint {
+        phase,
+        seconds,
+        percent,
+    }
+}
+
+const fn mix(team: &'static str, pipeline: &'static str, percent: u32) -> Mix {
+    Mix {
+        team,
+        pipeline,
+        percent,
+    }
+}
+
+impl Scenario {
+    /// Every scenario.
+    #[must_use]
+    pub const fn all() -> [Self; 2] {
+        [Self::bergvik(), Self::tiha_nosht()]
+    }
+
+    /// Bookings, menus and invoices.
+    #[must_use]
+    pub const fn bergvik() -> Self {
+        Self {
+            name: "bergvik",
+            mixes: BERGVIK,
+            rate: 55,
+            engines: "samovar-llm",
+            slow: "resident-portal",
+            data_centre: "vest-a",
+            probe: mix("public-portal", "book-room", 100),
+            stints: STINTS,
+        }
+    }
+
+    /// Parcels, grant reports and pattern questions.
+    #[must_use]
+    pub const fn tiha_nosht() -> Self {
+        Self {
+            name: "tiha-nosht",
+            mixes: TIHA_NOSHT,
+            rate: 45,
+            engines: "cicada-pool",
+            slow: "clinic-portal",
+            data_centre: "plovdiv-a",
+            probe: mix("hospices", "order-parcel", 100),
+            stints: STINTS,
+        }
+    }
+
+    /// Returns the length of a trial.
+    #[must_use]
+    pub fn length(&self) -> Duration {
+        let seconds: u32 = self.stints.iter().map(|stint| stint.seconds).sum();
+        Duration::from_secs(seconds.into())
+    }
+
+    /// Returns how stand-ins answer.
+    #[must_use]
+    pub const fn profile() -> Profile {
+        Profile {
+            first_us: 30_000,
+            token_us: 9_000,
+            tokens: 32,
+        }
+    }
+
+    /// Returns what a stand-in with these limits bears.
+    #[must_use]
+    pub const fn capacity(cold_slots: u32, warm_slots: u32, warmup_ms: u64) -> Capacity {
+        Capacity {
+            warm_slots,
+            cold_slots,
+            warmup_ms,
+            headroom_percent: 25,
+            cold_first_us: 250_000,
+            slowdown_percent: 8,
+            cached_prefixes: 6,
+            cached_percent: 30,
+            report_lag_ms: 500,
+            restart_ms: 1_000,
+        }
+    }
+}
+
+/// Returns the rules with each warm-up shortened and without times of day, so
+/// that a trial is short and does not depend on when it runs.
+#[must_use]
+pub fn adapted(rules: &str, warmup_ms: u64) -> String {
+    let line = |line: &str| {
+        let (statement, comment) = line.split_at(line.find('#').unwrap_or(line.len()));
+        let words: Vec<String> = statement
+            .split_whitespace()
+            .filter(|word| !word.starts_with("at="))
+            .map(|word| match word.strip_prefix("warmup=") {
+                Some(_) => format!("warmup={warmup_ms}ms"),
+                None => word.to_owned(),
+            })
+            .collect();
+        format!("{} {comment}", words.join(" ")).trim().to_owned()
+    };
+    let lines: Vec<String> = rules.lines().map(line).collect();
+    lines.join("\n") + "\n"
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/load/script.rs
@@ -0,0 +1,129 @@
+//! Brings the events of a trial about.
+
+use super::{
+    direct::Direct,
+    scenario::{Phase, Scenario},
+};
+use crate::{
+    engine::Fault,
+    fleet::{Fleet, Post},
+};
+use cicadacrank_core::rules::{DataCentreKey, edit};
+use cicadacrank_node::{
+    clock::unix_ms,
+    configuration::{RULESET_NAME, Ruleset},
+    platform::Collection,
+};
+use std::{io, sync::Mutex, time::Duration};
+use tokio::time::{self, Instant};
+
+/// One engine in this many turns cold.
+const COLD_EVERY: usize = 3;
+
+/// Endpoints of the slow stage that become slow.
+const SLOW_ENDPOINTS: usize = 2;
+
+/// Times of a slow endpoint, in per cent of the usual.
+const SLOW_PERCENT: u32 = 3_000;
+
+/// When the data centre was taken out and brought back, in milliseconds since
+/// the Unix epoch.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Times {
+    pub(super) out_ms: u64,
+    pub(super) back_ms: u64,
+}
+
+/// Runs the events; ends with the trial.
+pub(super) async fn run(
+    fleet: &Fleet,
+    scenario: &Scenario,
+    direct: Option<&Direct>,
+    rules: &Mutex<Ruleset>,
+    origin: Instant,
+) -> io::Result<Times> {
+    let mut times = Times::default();
+    let mut begin = origin;
+    for stint in scenario.stints {
+        time::sleep_until(begin).await;
+        match stint.phase {
+            Phase::Cold => chill(fleet, scenario.engines),
+            Phase::Slow => set_slow(fleet, scenario.slow, true),
+            Phase::Out => {
+                set_slow(fleet, scenario.slow, false);
+                set_out(fleet, scenario, direct, rules, true)?;
+                times.out_ms = unix_ms();
+            }
+            Phase::Back => {
+                set_out(fleet, scenario, direct, rules, false)?;
+                times.back_ms = unix_ms();
+            }
+            Phase::Preface | Phase::Steady | Phase::Burst => {}
+        }
+        begin += Duration::from_secs(stint.seconds.into());
+    }
+    Ok(times)
+}
+
+fn posts_of<'a>(fleet: &'a Fleet, pool: &str) -> impl Iterator<Item = &'a Post> {
+    let book = &fleet.book;
+    let pool = book.pool(pool);
+    let endpoints = book.endpoints.iter().zip(&fleet.posts);
+    endpoints
+        .filter(move |(endpoint, _)| Some(endpoint.pool) == pool)
+        .map(|(_, post)| post)
+}
+
+fn chill(fleet: &Fleet, pool: &str) {
+    for post in posts_of(fleet, pool).step_by(COLD_EVERY) {
+        post.engine.turn_cold();
+    }
+}
+
+fn set_slow(fleet: &Fleet, pool: &str, slow: bool) {
+    let faults = if slow {
+        vec![Fault::Slow(SLOW_PERCENT)]
+    } else {
+        Vec::new()
+    };
+    for post in posts_of(fleet, pool).take(SLOW_ENDPOINTS) {
+        post.engine.set_faults(faults.clone());
+    }
+}
+
+fn set_out(
+    fleet: &Fleet,
+    scenario: &Scenario,
+    direct: Option<&Direct>,
+    rules: &Mutex<Ruleset>,
+    out: bool,
+) -> io::Result<()> {
+    if let Some(direct) = direct {
+        direct.set_out(data_centre(fleet, scenario).filter(|_| out));
+        return Ok(());
+    }
+    let mut ruleset = rules.lock().map_err(|_| io::Error::other("poisoned"))?;
+    let target = edit::Target::DataCentre(scenario.data_centre.to_owned());
+    let request = edit::Request {
+        who: "load".to_owned(),
+        why: "trial".to_owned(),
+    };
+    let text = if out {
+        edit::take_out(&ruleset.rules, &target, &request)
+    } else {
+        edit::bring_back(&ruleset.rules, &target)
+    };
+    ruleset.rules = text.map_err(|error| io::Error::other(error.to_string()))?;
+    ruleset.generation += 1;
+    let spec = serde_json::to_value(&*ruleset)?;
+    fleet
+        .platform
+        .state()
+        .put(Collection::Rulesets, RULESET_NAME, spec);
+    Ok(())
+}
+
+/// Returns the data centre that the scenario takes out.
+pub(super) fn data_centre(fleet: &Fleet, scenario: &Scenario) -> Option<DataCentreKey> {
+    fleet.book.data_centre(scenario.data_centre)
+}
--- a/crates/cicadacrank-bench/src/process.rs
+++ b/crates/cicadacrank-bench/src/process.rs
@@ -66,6 +66,12 @@
         })
     }
 
+    /// Returns the process id; `None` once the process has ended.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Asks the process to shut down.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/cicadacrank-bench/src/report/cost.rs
@@ -0,0 +1,127 @@
+//! Cost by stage, from the runs that the stand-ins recorded.
+
+use crate::engine::mark_of;
+use crate::load::{Bench, Trial};
+use cicadacrank_core::rules::{Book, PoolKey, Service};
+use serde::Serialize;
+
+/// Microseconds in an hour.
+const HOUR_US: f64 = 3_600e6;
+
+/// Thousandths in a unit of currency.
+const MILLI: f64 = 1_000.0;
+
+/// Busy time of a stage, or idle time of a pool.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cost {
+    /// Pipeline and stage, or the pool whose slots were idle.
+    pub name: String,
+    /// Slot-seconds.
+    pub slot_seconds: f64,
+    /// Price of that time, in thousandths of the currency unit.
+    pub price_milli: f64,
+    /// Whether the slots were idle.
+    pub idle: bool,
+}
+
+struct Share {
+    pool: PoolKey,
+    name: String,
+    path: String,
+    pipeline: &'static str,
+    busy_us: u64,
+}
+
+/// Returns the busy time of each stage, then the idle time of each pool.
+pub(super) fn costs(bench: &Bench, trial: &Trial) -> Vec<Cost> {
+    let book = &bench.fleet.book;
+    let mut shares = shares(bench);
+    let mut marks: Vec<(&str, &'static str)> = trial
+        .records
+        .iter()
+        .map(|record| (record.offer.mark.as_str(), record.offer.mix.pipeline))
+        .collect();
+    marks.sort_unstable();
+    for (_, run) in &trial.runs {
+        let mark = mark_of(&run.body);
+        let Ok(found) = marks.binary_search_by(|(one, _)| one.cmp(&mark)) else {
+            continue;
+        };
+        let pipeline = marks[found].1;
+        let share = shares
+            .iter_mut()
+            .find(|share| share.pipeline == pipeline && share.path == run.path);
+        if let Some(share) = share {
+            share.busy_us += run.busy_us;
+        }
+    }
+    let idle = idle(book, &shares, trial.wall.as_micros() as f64);
+    let busy = shares.into_iter().map(|share| {
+        let price = book[share.pool].busy_price_milli;
+        cost(share.name, share.busy_us as f64, price, false)
+    });
+    busy.chain(idle).collect()
+}
+
+fn shares(bench: &Bench) -> Vec<Share> {
+    let book = &bench.fleet.book;
+    let mut names: Vec<&'static str> = bench
+        .scenario
+        .mixes
+        .iter()
+        .map(|mix| mix.pipeline)
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    let mut shares = Vec::new();
+    for pipeline in names {
+        let Some(key) = book.pipeline(pipeline) else {
+            continue;
+        };
+        for stage in &book[key].stages {
+            let path = match book[stage.pool].service {
+                Service::Generate => "/v1/completions",
+                _ => &stage.path,
+            };
+            shares.push(Share {
+                pool: stage.pool,
+                name: format!("{pipeline} {}", stage.name),
+                path: path.to_owned(),
+                pipeline,
+                busy_us: 0,
+            });
+        }
+    }
+    shares
+}
+
+/// Slots that no work took are idle; slots beyond the warm ones do not exist.
+fn idle(book: &Book, shares: &[Share], wall_us: f64) -> Vec<Cost> {
+    let pools = (0u16..).zip(&book.pools);
+    let idle = pools.map(|(index, pool)| {
+        let key = PoolKey(index);
+        let slots: u32 = book
+            .endpoints_of(key)
+            .map(|endpoint| book[endpoint].warm_slots)
+            .sum();
+        let mine = shares.iter().filter(|share| share.pool == key);
+        let busy: u64 = mine.map(|share| share.busy_us).sum();
+        let free = (f64::from(slots) * wall_us - busy as f64).max(0.0);
+        cost(pool.name.clone(), free, pool.idle_price_milli, true)
+    });
+    idle.collect()
+}
+
+fn cost(name: String, slot_us: f64, price_milli: u64, idle: bool) -> Cost {
+    Cost {
+        name,
+        slot_seconds: slot_us / 1e6,
+        price_milli: slot_us / HOUR_US * price_milli as f64,
+        idle,
+    }
+}
+
+/// Returns the whole price, in currency units.
+pub(super) fn total(costs: &[Cost]) -> f64 {
+    costs.iter().map(|cost| cost.price_milli).sum::<f64>() / MILLI
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/report/mod.rs
@@ -0,0 +1,13 @@
+//! Figures of trials as JSON, a readable table and a plot.
+
+mod cost;
+mod plot;
+mod summary;
+mod table;
+
+pub use self::{
+    cost::Cost,
+    plot::attainment,
+    summary::{Count, PhaseFigure, Report, Second, Summary},
+    table::text,
+};
--- /dev/null
+++ b/crates/cicadacrank-bench/src/report/summary.rs
@@ -0,0 +1,222 @@
+//! Figures of trials.
+
+use super::cost::{self, Cost};
+use crate::load::{Bench, Overhead, Phase, Policy, Record, Trial};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{io, time::Duration};
+
+/// Longest time that histograms tell apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Breaches that a report quotes.
+const QUOTED: usize = 5;
+
+/// Figures of one user's trials.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Name of the scenario.
+    pub name: &'static str,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Commit of the code.
+    pub commit: String,
+    /// Load average of the machine before the trials.
+    pub load_average: String,
+    /// What the path adds.
+    pub overhead: Overhead,
+    /// One trial for each policy.
+    pub trials: Vec<Summary>,
+}
+
+/// A number of calls of one kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Count {
+    /// Kind of failure.
+    pub kind: String,
+    /// Calls.
+    pub count: usize,
+}
+
+/// Attainment in one phase.
+#[derive(Clone, Debug, Serialize)]
+pub struct PhaseFigure {
+    /// Name of the phase.
+    pub phase: &'static str,
+    /// Calls offered.
+    pub offered: usize,
+    /// Calls answered whole within the deadline.
+    pub attained: usize,
+}
+
+/// Attainment in one second of a trial.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Second {
+    /// Calls offered.
+    pub offered: usize,
+    /// Calls answered whole within the deadline.
+    pub attained: usize,
+}
+
+/// Figures of one trial.
+#[derive(Debug, Serialize)]
+pub struct Summary {
+    /// How requests found their endpoints.
+    pub policy: Policy,
+    /// Calls offered, the preface left out.
+    pub offered: usize,
+    /// Calls answered whole within the deadline.
+    pub attained: usize,
+    /// Attainment in each phase.
+    pub phases: Vec<PhaseFigure>,
+    /// Attainment in each second, the preface included.
+    pub seconds: Vec<Second>,
+    /// Calls that were not answered whole, by kind.
+    pub failures: Vec<Count>,
+    /// Whole answers after the deadline.
+    pub late: usize,
+    /// Median and 95th percentile of the first token, in microseconds.
+    pub first_us: [u64; 2],
+    /// Median and 95th percentile between tokens, in microseconds.
+    pub gap_us: [u64; 2],
+    /// Median and 99th percentile of whole answers, in microseconds.
+    pub total_us: [u64; 2],
+    /// Runs at stand-ins for each call sent.
+    pub runs_per_call: f64,
+    /// Times that stand-ins fell over.
+    pub falls: u64,
+    /// Processor time of the daemons for each call sent, in microseconds.
+    pub processor_us: u64,
+    /// Time until the last new work in the data centre that was taken out, in
+    /// milliseconds.
+    pub last_new_work_ms: u64,
+    /// New work there after the change.
+    pub late_runs: usize,
+    /// Price of the trial, in currency units.
+    pub price: f64,
+    /// Price for a thousand calls attained, in currency units.
+    pub price_per_thousand: f64,
+    /// Busy time of stages and idle time of pools.
+    pub costs: Vec<Cost>,
+    /// Promises that the checker found broken, by kind.
+    pub breaches: Vec<Count>,
+    /// The first of them.
+    pub quoted: Vec<String>,
+}
+
+impl Summary {
+    /// Works the figures of a trial out.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a histogram cannot be set up.
+    pub fn new(bench: &Bench, trial: &Trial) -> io::Result<Self> {
+        let sent = trial.records.len();
+        let counted: Vec<&Record> = trial
+            .records
+            .iter()
+            .filter(|record| counts(record))
+            .collect();
+        let attained = counted.iter().filter(|record| record.is_attained()).count();
+        let whole = || {
+            counted
+                .iter()
+                .filter(|record| record.outcome.kind == "whole")
+        };
+        let failed = counted.iter().map(|record| record.outcome.kind.clone());
+        let costs = cost::costs(bench, trial);
+        let price = cost::total(&costs);
+        let breaches = trial.breaches.iter();
+        Ok(Self {
+            policy: trial.policy,
+            offered: counted.len(),
+            attained,
+            phases: phases(bench, &counted),
+            seconds: seconds(bench, trial),
+            failures: tally(failed.filter(|kind| kind != "whole")),
+            late: whole().filter(|record| !record.is_attained()).count(),
+            first_us: quantiles(whole().filter_map(|record| record.outcome.first), 0.95)?,
+            gap_us: quantiles(whole().flat_map(|record| record.outcome.gaps.clone()), 0.95)?,
+            total_us: quantiles(whole().map(|record| record.outcome.total), 0.99)?,
+            runs_per_call: trial.runs.len() as f64 / sent.max(1) as f64,
+            falls: trial.falls,
+            processor_us: micros(trial.processor) / (sent as u64).max(1),
+            last_new_work_ms: trial.last_new_work_ms,
+            late_runs: trial.late_runs,
+            price,
+            price_per_thousand: price * 1_000.0 / attained.max(1) as f64,
+            costs,
+            quoted: breaches
+                .clone()
+                .take(QUOTED)
+                .map(ToString::to_string)
+                .collect(),
+            breaches: tally(breaches.map(|breach| format!("{:?}", breach.promise))),
+        })
+    }
+}
+
+/// Returns whether a call counts for attainment.
+fn counts(record: &Record) -> bool {
+    !record.again && record.offer.phase != Phase::Preface
+}
+
+fn phases(bench: &Bench, records: &[&Record]) -> Vec<PhaseFigure> {
+    let stints = bench.scenario.stints.iter();
+    let stints = stints.filter(|stint| stint.phase != Phase::Preface);
+    let figure = |phase: Phase| {
+        let mine = || records.iter().filter(|record| record.offer.phase == phase);
+        PhaseFigure {
+            phase: phase.as_str(),
+            offered: mine().count(),
+            attained: mine().filter(|record| record.is_attained()).count(),
+        }
+    };
+    stints.map(|stint| figure(stint.phase)).collect()
+}
+
+fn seconds(bench: &Bench, trial: &Trial) -> Vec<Second> {
+    let none = Second {
+        offered: 0,
+        attained: 0,
+    };
+    let length = usize::try_from(bench.scenario.length().as_secs()).unwrap_or(0);
+    let mut seconds = vec![none; length];
+    for record in trial.records.iter().filter(|record| !record.again) {
+        let second = usize::try_from(record.offer.at.as_secs()).unwrap_or(usize::MAX);
+        if let Some(second) = seconds.get_mut(second) {
+            second.offered += 1;
+            second.attained += usize::from(record.is_attained());
+        }
+    }
+    seconds
+}
+
+fn tally(kinds: impl Iterator<Item = String>) -> Vec<Count> {
+    let mut kinds: Vec<String> = kinds.collect();
+    kinds.sort_unstable();
+    let groups = kinds.chunk_by(|one, other| one == other);
+    groups
+        .map(|group| Count {
+            kind: group[0].clone(),
+            count: group.len(),
+        })
+        .collect()
+}
+
+/// Returns the median and another quantile, in microseconds.
+fn quantiles(times: impl Iterator<Item = Duration>, other: f64) -> io::Result<[u64; 2]> {
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).map_err(io::Error::other)?;
+    for time in times {
+        histogram.saturating_record(micros(time));
+    }
+    Ok([
+        histogram.value_at_quantile(0.5),
+        histogram.value_at_quantile(other),
+    ])
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/load.rs
@@ -0,0 +1,58 @@
+//! The load tool's scenarios fit the samples, and its arrivals its seed.
+
+use cicadacrank_bench::load::{Phase, Scenario, adapted, arrivals};
+use cicadacrank_core::rules;
+use std::{fs, path::Path, time::Duration};
+
+fn book(scenario: &Scenario) -> rules::Book {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
+    let file = samples.join(format!("{}.rules", scenario.name));
+    let text = fs::read_to_string(file).expect("read the sample");
+    rules::parse(&adapted(&text, 3_000)).expect("the adapted rules are valid")
+}
+
+#[test]
+fn scenario_fits_the_samples() {
+    for scenario in Scenario::all() {
+        let book = book(&scenario);
+        for mix in scenario.mixes.iter().chain([&scenario.probe]) {
+            let team = book.team(mix.team).expect(mix.team);
+            let pipeline = book.pipeline(mix.pipeline).expect(mix.pipeline);
+            for stage in &book[pipeline].stages {
+                for minute in [0, 720] {
+                    assert!(book.is_granted(team, stage.pool, minute), "{mix:?}");
+                }
+            }
+        }
+        assert_eq!(
+            scenario.mixes.iter().map(|mix| mix.percent).sum::<u32>(),
+            100
+        );
+        assert!(book.pool(scenario.engines).is_some());
+        assert!(book.pool(scenario.slow).is_some());
+        assert!(book.data_centre(scenario.data_centre).is_some());
+        assert!(book.endpoints.iter().all(|one| one.warmup_ms == 3_000));
+    }
+}
+
+#[test]
+fn draw_follows_the_seed_and_the_stints() {
+    let scenario = Scenario::bergvik();
+    let draw = |seed| arrivals::draw(&scenario, "one", seed);
+    let at = |seed| -> Vec<Duration> { draw(seed).iter().map(|offer| offer.at).collect() };
+    assert_eq!(at(1), at(1));
+    assert_ne!(at(1), at(2));
+    assert!(at(1).is_sorted());
+    let offers = draw(1);
+    for stint in scenario.stints {
+        let seen = offers
+            .iter()
+            .filter(|offer| offer.phase == stint.phase)
+            .count();
+        let expected = f64::from(scenario.rate * stint.percent * stint.seconds) / 100.0;
+        let bound = 5.0 * expected.sqrt();
+        assert!((seen as f64 - expected).abs() < bound, "{stint:?}: {seen}");
+    }
+    let preface = offers.iter().filter(|offer| offer.phase == Phase::Preface);
+    assert!(preface.count() > 0);
+}
