Fake the platform, the endpoints and the links in memory

The claims of work that may not be repeated can be tested only through separate processes so far. bench::memory holds a platform::Store over the stand-in's State (down, throttled, delay, lost answer with and without effect, lagging list, muted and dropped watch events), a scripted endpoint::Port that records every run, a link::Link that calls sidecars in the process with cuts, duplicates, crossed and late frames, a Process that pauses or kills one process at its edges, and a Sidecar put together from these. The stand-in's history shares its objects, so that a write no longer copies a collection.

--- a/crates/cicadacrank-bench/src/lib.rs
+++ b/crates/cicadacrank-bench/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`platform`] stands in for the object API, [`engine`] for model engines and
 //! plain services, and [`process`] runs the daemons as processes of their own.
-//! [`fleet`] puts them together from a rule file. Nothing here is published.
+//! [`fleet`] puts them together from a rule file. [`memory`] holds fakes of the
+//! edges for tests in one process. Nothing here is published.
 
 pub mod engine;
 pub mod fleet;
+pub mod memory;
 pub mod platform;
 pub mod process;
--- /dev/null
+++ b/crates/cicadacrank-bench/src/memory/link.rs
@@ -0,0 +1,157 @@
+//! The way from entries to sidecars without a socket.
+
+use super::Sidecar;
+use cicadacrank_core::error::Kind;
+use cicadacrank_node::link::{Fault, Frames, Link as Edge};
+use cicadacrank_wire::wire;
+use futures_util::{
+    FutureExt as _, StreamExt as _,
+    future::{self, BoxFuture},
+    stream,
+};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// What happens to one job on its way; frames are counted from zero.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Nothing goes wrong.
+    Never,
+    /// No connection can be made.
+    Refused,
+    /// The connection is cut before the job arrives.
+    BeforeJob,
+    /// The connection is cut in place of this frame.
+    BeforeFrame(u64),
+    /// The connection goes silent for good in place of this frame.
+    Silent(u64),
+    /// This frame arrives twice.
+    Duplicate(u64),
+    /// A frame of another attempt arrives before this one.
+    Crossed(u64),
+    /// This frame and those after it arrive late.
+    Late(u64, Duration),
+    /// The job itself arrives twice; the answer to the second is lost.
+    DuplicateJob,
+}
+
+#[derive(Default)]
+struct State {
+    sidecars: Vec<Sidecar>,
+    script: VecDeque<Cut>,
+}
+
+/// All links in memory; clones share the sidecars and the script.
+#[derive(Clone, Default)]
+pub struct Link {
+    state: Arc<Mutex<State>>,
+}
+
+impl Link {
+    /// Creates links to sidecars.
+    #[must_use]
+    pub fn new(mut sidecars: Vec<Sidecar>) -> Self {
+        sidecars.sort_by_key(|sidecar| sidecar.address);
+        let script = VecDeque::new();
+        Self {
+            state: Arc::new(Mutex::new(State { sidecars, script })),
+        }
+    }
+
+    /// Adds what the next job meets.
+    pub fn push(&self, cut: Cut) {
+        self.lock().script.push_back(cut);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the next cut and the sidecar at an address.
+    fn begin(&self, address: SocketAddr) -> (Cut, Option<Sidecar>) {
+        let mut state = self.lock();
+        let cut = state.script.pop_front().unwrap_or(Cut::Never);
+        let found = state
+            .sidecars
+            .binary_search_by_key(&address, |sidecar| sidecar.address);
+        (cut, found.ok().map(|index| state.sidecars[index].clone()))
+    }
+}
+
+impl Edge for Link {
+    fn run(&self, address: SocketAddr, job: wire::Job) -> BoxFuture<'_, Result<Frames, Fault>> {
+        async move {
+            let (cut, sidecar) = self.begin(address);
+            let Some(sidecar) = sidecar.filter(|_| cut != Cut::Refused) else {
+                return Err(broken(false));
+            };
+            if cut == Cut::BeforeJob {
+                return Err(broken(true));
+            }
+            sidecar.process.running().await;
+            if cut == Cut::DuplicateJob {
+                drop(sidecar.service.run(job.clone()));
+            }
+            Ok(frames(sidecar, job, cut))
+        }
+        .boxed()
+    }
+
+    fn reset(&self, _address: SocketAddr) {}
+}
+
+fn frames(sidecar: Sidecar, job: wire::Job, cut: Cut) -> Frames {
+    let receiver = ReceiverStream::new(sidecar.service.run(job));
+    let process = sidecar.process;
+    receiver
+        .enumerate()
+        .then(move |(index, frame)| {
+            let process = process.clone();
+            async move {
+                process.running().await;
+                pass(cut, index as u64, frame).await
+            }
+        })
+        .flat_map(stream::iter)
+        .scan(false, |ended, frame| {
+            let stop = *ended;
+            *ended |= frame.is_err();
+            future::ready((!stop).then_some(frame))
+        })
+        .boxed()
+}
+
+/// Returns what arrives in place of one frame.
+async fn pass(cut: Cut, index: u64, frame: wire::Frame) -> Vec<Result<wire::Frame, Fault>> {
+    match cut {
+        Cut::BeforeFrame(at) if at == index => vec![Err(broken(true))],
+        Cut::Silent(at) if at == index => future::pending().await,
+        Cut::Duplicate(at) if at == index => vec![Ok(frame.clone()), Ok(frame)],
+        Cut::Crossed(at) if at == index => {
+            let other = wire::Frame {
+                attempt: "0".repeat(32),
+                ..frame.clone()
+            };
+            vec![Ok(other), Ok(frame)]
+        }
+        Cut::Late(at, delay) if at == index => {
+            time::sleep(delay).await;
+            vec![Ok(frame)]
+        }
+        _ => vec![Ok(frame)],
+    }
+}
+
+fn broken(connected: bool) -> Fault {
+    Fault {
+        kind: Kind::Unreachable,
+        connected,
+        context: "running a job".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -0,0 +1,194 @@
+//! Endpoints without a socket.
+
+use bytes::Bytes;
+use cicadacrank_core::error::Kind;
+use cicadacrank_node::endpoint::{Call, Fault, Parts, Port as Edge};
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
+use std::{
+    collections::VecDeque,
+    future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time;
+
+/// What an endpoint does with one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs the work and answers whole after a time.
+    Answer(Duration),
+    /// Runs the work and answers what breaks the protocol.
+    Rubbish,
+    /// Runs the work and ends the answer before its end.
+    Truncate,
+    /// Refuses the work as invalid, without a run.
+    RefuseWork,
+    /// Refuses the connection.
+    RefuseConnection,
+    /// Cuts the connection before the work arrives.
+    CutBefore,
+    /// Runs the work and cuts the connection before the answer.
+    CutAfter,
+    /// Runs the work and never answers; the caller's bound ends the wait.
+    Silent,
+}
+
+impl Behaviour {
+    /// Every behaviour, with an answer at once.
+    pub const ALL: [Self; 8] = [
+        Self::Answer(Duration::ZERO),
+        Self::Rubbish,
+        Self::Truncate,
+        Self::RefuseWork,
+        Self::RefuseConnection,
+        Self::CutBefore,
+        Self::CutAfter,
+        Self::Silent,
+    ];
+
+    /// Returns whether the endpoint runs the work.
+    #[must_use]
+    pub const fn runs(self) -> bool {
+        match self {
+            Self::Answer(_) | Self::Rubbish | Self::Truncate | Self::CutAfter | Self::Silent => {
+                true
+            }
+            Self::RefuseWork | Self::RefuseConnection | Self::CutBefore => false,
+        }
+    }
+}
+
+/// One run of work at an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Where it ran.
+    pub address: SocketAddr,
+    /// Attempt that the call named.
+    pub attempt: String,
+    /// Idempotency key that the call named.
+    pub key: String,
+    /// Input of the work.
+    pub input: Bytes,
+    /// What the endpoint answered or would have.
+    pub output: Bytes,
+}
+
+#[derive(Debug)]
+struct State {
+    runs: Vec<Run>,
+    script: VecDeque<Behaviour>,
+    otherwise: Behaviour,
+}
+
+/// All endpoints in memory; clones share their runs and their script.
+#[derive(Clone, Debug)]
+pub struct Port {
+    state: Arc<Mutex<State>>,
+}
+
+impl Port {
+    /// Creates endpoints that answer every call at once.
+    ///
+    /// No two runs have the same output, so that a replay can be told from a
+    /// second run.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            state: Arc::new(Mutex::new(State {
+                runs: Vec::new(),
+                script: VecDeque::new(),
+                otherwise: Behaviour::Answer(Duration::ZERO),
+            })),
+        }
+    }
+
+    /// Returns the endpoints with what they do once the script is through.
+    #[must_use]
+    pub fn with_otherwise(self, otherwise: Behaviour) -> Self {
+        self.lock().otherwise = otherwise;
+        self
+    }
+
+    /// Adds what the next call meets.
+    pub fn push(&self, behaviour: Behaviour) {
+        self.lock().script.push_back(behaviour);
+    }
+
+    /// Returns every run so far, in order.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the next behaviour and notes the run that it makes.
+    fn begin(&self, call: &Call) -> (Behaviour, Bytes) {
+        let mut state = self.lock();
+        let behaviour = state.script.pop_front().unwrap_or(state.otherwise);
+        let output = Bytes::from(format!("{{\"run\":{}}}", state.runs.len()));
+        if behaviour.runs() {
+            state.runs.push(Run {
+                address: call.address,
+                attempt: call.attempt.clone(),
+                key: call.key.clone(),
+                input: call.input.clone(),
+                output: output.clone(),
+            });
+        }
+        (behaviour, output)
+    }
+}
+
+impl Default for Port {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Edge for Port {
+    fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, Fault>> {
+        async move {
+            let (behaviour, output) = self.begin(&call);
+            let failed = |kind, context: &str| Err(Fault::new(kind, context));
+            match behaviour {
+                Behaviour::Answer(delay) => {
+                    if !delay.is_zero() {
+                        time::sleep(delay).await;
+                    }
+                    Ok(parts(vec![Ok(output)]))
+                }
+                Behaviour::Rubbish => failed(Kind::EndpointProtocol, "reading an event"),
+                Behaviour::Truncate => Ok(parts(vec![
+                    Ok(output.slice(..output.len() / 2)),
+                    Err(Fault::new(Kind::Truncated, "the stream has no end mark")),
+                ])),
+                Behaviour::RefuseWork => Err(Fault {
+                    refused: true,
+                    ..Fault::new(Kind::EndpointRefused, "status 422")
+                }),
+                Behaviour::RefuseConnection => Err(Fault {
+                    connected: false,
+                    ..Fault::new(Kind::Unreachable, "connection refused")
+                }),
+                Behaviour::CutBefore | Behaviour::CutAfter => {
+                    failed(Kind::EndpointFailed, "connection reset")
+                }
+                Behaviour::Silent => {
+                    time::timeout(call.progress, future::pending::<()>())
+                        .await
+                        .ok();
+                    failed(Kind::Silent, "no progress")
+                }
+            }
+        }
+        .boxed()
+    }
+}
+
+fn parts(parts: Vec<Result<Bytes, Fault>>) -> Parts {
+    stream::iter(parts).boxed()
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -0,0 +1,165 @@
+//! Stops or pauses what one process does at its edges.
+
+use cicadacrank_node::{
+    endpoint::{self, Call, Parts},
+    platform::{Change, Collection, Fault, Listing, Object, Store, Version},
+};
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream::BoxStream};
+use serde_json::Value;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Running,
+    Stopped,
+}
+
+/// The hold on one process.
+///
+/// While it is stopped, no call leaves the process and no answer reaches it.
+/// A process that is never resumed is, to all others, a killed one.
+#[derive(Clone, Debug)]
+pub struct Process {
+    phase: Arc<watch::Sender<Phase>>,
+}
+
+impl Process {
+    /// Creates the hold on a running process.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            phase: Arc::new(watch::Sender::new(Phase::Running)),
+        }
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.phase.send_replace(Phase::Stopped);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.phase.send_replace(Phase::Running);
+    }
+
+    /// Returns the platform as the process sees it.
+    #[must_use]
+    pub fn store(&self, store: Arc<dyn Store>) -> Arc<dyn Store> {
+        Arc::new(Held {
+            process: self.clone(),
+            edge: store,
+        })
+    }
+
+    /// Returns the endpoints as the process sees them.
+    #[must_use]
+    pub fn port(&self, port: Arc<dyn endpoint::Port>) -> Arc<dyn endpoint::Port> {
+        Arc::new(Held {
+            process: self.clone(),
+            edge: port,
+        })
+    }
+
+    /// Waits until the process runs.
+    pub async fn running(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as `self`.
+        drop(phase.wait_for(|phase| *phase == Phase::Running).await);
+    }
+
+    async fn hold<T>(&self, call: impl Future<Output = T> + Send) -> T {
+        self.running().await;
+        let answer = call.await;
+        self.running().await;
+        answer
+    }
+}
+
+impl Default for Process {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// An edge that its process can be held at.
+struct Held<T: ?Sized> {
+    process: Process,
+    edge: Arc<T>,
+}
+
+impl Store for Held<dyn Store> {
+    fn get<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+    ) -> BoxFuture<'a, Result<Object, Fault>> {
+        self.process.hold(self.edge.get(collection, name)).boxed()
+    }
+
+    fn create<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        self.process
+            .hold(self.edge.create(collection, name, spec))
+            .boxed()
+    }
+
+    fn update<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        self.process
+            .hold(self.edge.update(collection, name, version, spec))
+            .boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<(), Fault>> {
+        self.process
+            .hold(self.edge.delete(collection, name, version))
+            .boxed()
+    }
+
+    fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing, Fault>> {
+        self.process.hold(self.edge.list(collection)).boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        collection: Collection,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
+        self.process
+            .hold(self.edge.watch(collection, version))
+            .boxed()
+    }
+}
+
+impl endpoint::Port for Held<dyn endpoint::Port> {
+    fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, endpoint::Fault>> {
+        let process = self.process.clone();
+        async move {
+            let parts = self.process.hold(self.edge.call(call)).await?;
+            let parts = parts.then(move |part| {
+                let process = process.clone();
+                async move {
+                    process.running().await;
+                    part
+                }
+            });
+            Ok(parts.boxed())
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -0,0 +1,166 @@
+//! The platform without a socket.
+
+use crate::platform::{self, Answer, State};
+use cicadacrank_node::platform::{
+    Change, Collection, Fault, Listing, Object, Store as Edge, Version,
+};
+use futures_util::{
+    FutureExt as _, StreamExt as _,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
+use serde_json::Value;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time;
+
+/// Time until a lost answer is given up.
+const LOST_WAIT: Duration = Duration::from_secs(1);
+
+/// The platform in memory; clones share what it holds.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Creates an empty store without faults.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Gives access to the objects, the faults and the counts.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits as long as the faults say and turns the call away if they say so.
+    async fn begin(&self) -> Result<(), Fault> {
+        let delay = Duration::from_millis(self.state().faults.delay_ms);
+        if !delay.is_zero() {
+            time::sleep(delay).await;
+        }
+        let faults = &self.state().faults;
+        if faults.down {
+            return Err(Fault::Lost("status 503".to_owned()));
+        }
+        if faults.throttled {
+            return Err(Fault::Throttled);
+        }
+        Ok(())
+    }
+
+    async fn write<T>(
+        &self,
+        act: impl FnOnce(&mut State) -> Result<T, Answer> + Send,
+    ) -> Result<T, Fault> {
+        self.begin().await?;
+        let (result, lost) = {
+            let mut state = self.state();
+            state.counts.writes += 1;
+            if state.lose_call() {
+                (None, true)
+            } else {
+                (Some(act(&mut state)), state.lose_answer())
+            }
+        };
+        match result {
+            Some(result) if !lost => result.map_err(fault),
+            _ => {
+                time::sleep(LOST_WAIT).await;
+                Err(Fault::Lost("no answer in time".to_owned()))
+            }
+        }
+    }
+}
+
+impl Edge for Store {
+    fn get<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+    ) -> BoxFuture<'a, Result<Object, Fault>> {
+        async move {
+            self.begin().await?;
+            let mut state = self.state();
+            state.counts.gets += 1;
+            state.get(collection, name).ok_or(Fault::Missing)
+        }
+        .boxed()
+    }
+
+    fn create<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        self.write(move |state| {
+            let object = state.create(collection, name, spec);
+            object.map(|object| object.version)
+        })
+        .boxed()
+    }
+
+    fn update<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        self.write(move |state| {
+            let object = state.update(collection, name, version, spec);
+            object.map(|object| object.version)
+        })
+        .boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<(), Fault>> {
+        self.write(move |state| state.delete(collection, name, version))
+            .boxed()
+    }
+
+    fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing, Fault>> {
+        async move {
+            self.begin().await?;
+            let mut state = self.state();
+            state.counts.lists += 1;
+            Ok(state.list(collection))
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        collection: Collection,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
+        async move {
+            self.begin().await?;
+            let revision = version.0.parse().unwrap_or_default();
+            let steps = platform::steps(&self.state, collection, revision);
+            let changes = steps.map(|step| Ok(step.change));
+            Ok(changes
+                .chain(stream::once(async { Err(Fault::Expired) }))
+                .boxed())
+        }
+        .boxed()
+    }
+}
+
+const fn fault(answer: Answer) -> Fault {
+    match answer {
+        Answer::Exists => Fault::Exists,
+        Answer::Conflict => Fault::Conflict,
+        Answer::Missing => Fault::Missing,
+    }
+}
--- a/crates/cicadacrank-bench/src/platform/mod.rs
+++ b/crates/cicadacrank-bench/src/platform/mod.rs
@@ -5,8 +5,10 @@
 
 mod server;
 mod state;
+mod watch;
 
 pub use self::{
     server::Server,
-    state::{Answer, Counts, Faults, State},
+    state::{Answer, Counts, Faults, State, Step},
+    watch::steps,
 };
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -1,12 +1,15 @@
 //! Serves the stand-in over HTTP.
 
-use super::state::{Answer, Counts, Faults, State, Step};
+use super::{
+    state::{Answer, Counts, Faults, State, Step},
+    watch,
+};
 use bytes::Bytes;
 use cicadacrank_node::{
     membership::Instance,
-    platform::{Change, Collection, Object, Version},
+    platform::{Change, Collection, Object, Version, http::OBJECT_BYTES},
 };
-use futures_util::{Stream, StreamExt as _, stream};
+use futures_util::StreamExt as _;
 use salvo::{
     Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
     conn::TcpListener,
@@ -21,11 +24,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{
-    sync::broadcast::{Receiver, error::RecvError},
-    task::JoinHandle,
-    time,
-};
+use tokio::{task::JoinHandle, time};
 
 /// Path of the collections.
 const BASE: &str = "apis/cicadacrank.io/v1/namespaces/default";
@@ -33,9 +32,6 @@
 /// Largest body, in bytes.
 const BODY_BYTES: usize = (1 << 20) + (64 << 10);
 
-/// Largest object, in bytes.
-const OBJECT_BYTES: usize = 1 << 20;
-
 /// Time that a lost answer keeps its caller waiting.
 const LOST_WAIT: Duration = Duration::from_secs(3_600);
 
@@ -186,21 +182,8 @@
     fn watch(&self, request: &mut Request, response: &mut Response, collection: Collection) {
         let since = request.query::<u64>("resourceVersion").unwrap_or_default();
         let seconds = request.query::<u64>("timeoutSeconds").unwrap_or(60);
-        let mut state = self.lock();
-        state.counts.watches += 1;
-        let (past, receiver) = state.watch(collection, since);
-        drop(state);
-        let state = Arc::clone(&self.state);
-        let steps = stream::iter(past).chain(follow(receiver, collection));
+        let steps = watch::steps(&self.state, collection, since);
         let lines = steps
-            .filter(move |_| {
-                let muted = state
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .faults
-                    .mute_watches;
-                async move { !muted }
-            })
             .map(|step| Ok::<_, Infallible>(line(&step)))
             .take_until(time::sleep(Duration::from_secs(seconds)));
         response.stream(lines);
@@ -231,6 +214,9 @@
             );
         }
         let text = |value: &Value| Version(value.as_str().unwrap_or_default().to_owned());
+        if self.lock().lose_call() {
+            time::sleep(LOST_WAIT).await;
+        }
         let (result, lost) = {
             let mut state = self.lock();
             state.counts.writes += 1;
@@ -272,18 +258,6 @@
     }
 }
 
-fn follow(receiver: Receiver<Step>, collection: Collection) -> impl Stream<Item = Step> {
-    stream::unfold(receiver, move |mut receiver| async move {
-        loop {
-            match receiver.recv().await {
-                Ok(step) if step.collection == collection => return Some((step, receiver)),
-                Ok(_) => {}
-                Err(RecvError::Lagged(_) | RecvError::Closed) => return None,
-            }
-        }
-    })
-}
-
 fn line(step: &Step) -> Bytes {
     let (kind, object) = match &step.change {
         Change::Put(object) => ("MODIFIED", object),
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -3,7 +3,7 @@
 use cicadacrank_node::platform::{Change, Collection, Listing, Object, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tokio::{sync::broadcast, time::Instant};
 
 /// Changes that a slow watch may fall behind.
@@ -27,10 +27,14 @@
     pub delay_ms: u64,
     /// Number of writes that take effect and whose answer is lost.
     pub lose_answers: u32,
+    /// Number of writes that have no effect and get no answer.
+    pub lose_calls: u32,
     /// Age of what a list shows, in milliseconds.
     pub list_lag_ms: u64,
     /// Watches deliver nothing.
     pub mute_watches: bool,
+    /// Number of changes that watches leave out.
+    pub drop_events: u32,
 }
 
 /// Calls so far, by verb; a watch counts once when it begins.
@@ -68,11 +72,19 @@
     pub change: Change,
 }
 
+/// A collection as it was from some instant on.
+#[derive(Debug)]
+struct Past {
+    since: Instant,
+    revision: u64,
+    objects: Vec<Arc<Object>>,
+}
+
 #[derive(Debug)]
 struct Shelf {
     collection: Collection,
-    objects: Vec<Object>,
-    history: VecDeque<(Instant, Listing)>,
+    objects: Vec<Arc<Object>>,
+    history: VecDeque<Past>,
 }
 
 /// Everything the stand-in holds.
@@ -95,7 +107,11 @@
         let shelf = |collection| Shelf {
             collection,
             objects: Vec::new(),
-            history: VecDeque::from([(Instant::now(), Listing::default())]),
+            history: VecDeque::from([Past {
+                since: Instant::now(),
+                revision: 0,
+                objects: Vec::new(),
+            }]),
         };
         Self {
             revision: 0,
@@ -114,7 +130,7 @@
         shelf
             .find(name)
             .ok()
-            .map(|index| shelf.objects[index].clone())
+            .map(|index| Object::clone(&shelf.objects[index]))
     }
 
     /// Lists a collection as it was some time ago.
@@ -126,12 +142,11 @@
         let old = history
             .iter()
             .rev()
-            .find(|(at, _)| now.duration_since(*at) >= lag);
-        let mut listing = old.map(|(_, listing)| listing.clone()).unwrap_or_default();
-        if listing.version.0.is_empty() {
-            listing.version = Version("0".to_owned());
-        }
-        listing
+            .find(|past| now.duration_since(past.since) >= lag);
+        old.map_or_else(
+            || listing(0, &[]),
+            |past| listing(past.revision, &past.objects),
+        )
     }
 
     /// Creates an object.
@@ -151,7 +166,7 @@
         let object = self.object(name, spec);
         self.shelf_mut(collection)
             .objects
-            .insert(index, object.clone());
+            .insert(index, Arc::new(object.clone()));
         self.changed(collection, Change::Put(object.clone()));
         Ok(object)
     }
@@ -176,7 +191,7 @@
             return Err(Answer::Conflict);
         }
         let object = self.object(name, spec);
-        self.shelf_mut(collection).objects[index] = object.clone();
+        self.shelf_mut(collection).objects[index] = Arc::new(object.clone());
         self.changed(collection, Change::Put(object.clone()));
         Ok(object)
     }
@@ -201,7 +216,7 @@
         }
         self.revision += 1;
         let object = self.shelf_mut(collection).objects.remove(index);
-        self.changed(collection, Change::Deleted(object));
+        self.changed(collection, Change::Deleted(Object::clone(&object)));
         Ok(())
     }
 
@@ -238,9 +253,17 @@
 
     /// Takes one lost answer from the budget; returns whether there was one.
     pub const fn lose_answer(&mut self) -> bool {
-        let lose = self.faults.lose_answers > 0;
-        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
-        lose
+        take(&mut self.faults.lose_answers)
+    }
+
+    /// Takes one lost call from the budget; returns whether there was one.
+    pub const fn lose_call(&mut self) -> bool {
+        take(&mut self.faults.lose_calls)
+    }
+
+    /// Returns whether a watch delivers the next change.
+    pub const fn deliver_event(&mut self) -> bool {
+        !self.faults.mute_watches && !take(&mut self.faults.drop_events)
     }
 
     fn object(&mut self, name: &str, spec: Value) -> Object {
@@ -255,11 +278,11 @@
     fn changed(&mut self, collection: Collection, change: Change) {
         let revision = self.revision;
         let shelf = self.shelf_mut(collection);
-        let listing = Listing {
+        shelf.history.push_back(Past {
+            since: Instant::now(),
+            revision,
             objects: shelf.objects.clone(),
-            version: Version(revision.to_string()),
-        };
-        shelf.history.push_back((Instant::now(), listing));
+        });
         if shelf.history.len() > KEPT_LISTINGS {
             shelf.history.pop_front();
         }
@@ -291,6 +314,20 @@
     }
 }
 
+fn listing(revision: u64, objects: &[Arc<Object>]) -> Listing {
+    Listing {
+        objects: objects.iter().map(|one| Object::clone(one)).collect(),
+        version: Version(revision.to_string()),
+    }
+}
+
+/// Takes one from a budget; returns whether there was one.
+const fn take(budget: &mut u32) -> bool {
+    let taken = *budget > 0;
+    *budget = budget.saturating_sub(1);
+    taken
+}
+
 impl Shelf {
     fn find(&self, name: &str) -> Result<usize, usize> {
         debug_assert!(Collection::ALL.contains(&self.collection));
