Queue at the sidecar by weighted fair shares, and warm endpoints by successes

Cause: the gate refused whatever came above the limit, knew no teams, and an endpoint without traffic counted as warm after its warm-up time.

The gate now keeps what runs and what waits: weighted fair order between teams, a team's limit, reservations lent while idle and given back with the next free slot, and a bound by length and by expected wait. The limit rises by one slot a success at most, bounded by time since the first; a sign of a cold start goes back to the cold limit, and work from before the sign neither warms nor chills.

--- a/crates/cicadacrank-core/src/admission/gate.rs
+++ b/crates/cicadacrank-core/src/admission/gate.rs
@@ -1,124 +1,366 @@
 //! The gate before one endpoint.
 
+use super::{
+    Demand, Epoch, Limits, Phase, Shares, Sign, Tag, Ticket, Warmth,
+    queue::{Queue, Waiter},
+};
 use crate::error::Kind;
 use std::time::Duration;
 
-/// How warm an endpoint is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// The endpoint bears its cold slots only.
-    Cold,
-    /// The limit rises from cold to warm.
-    Warming,
-    /// The endpoint bears its warm slots.
-    Warm,
-    /// The endpoint takes no new work.
-    Leaving,
+/// Most requests that wait for each slot the endpoint bears.
+const QUEUE_PER_SLOT: u32 = 4;
+
+/// Part of a new service time that enters the mean: one in this many.
+const MEAN_WEIGHT: u32 = 8;
+
+/// First parts of a warm endpoint that make their usual time known.
+const FIRST_PARTS: u32 = 16;
+
+/// A first part that takes this many times the usual is a sign of a cold start.
+const SLOW_FACTOR: u32 = 8;
+
+/// Slots of an endpoint kept for an owner's teams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reserved {
+    /// Owner whose teams they are kept for.
+    pub owner: Tag,
+    /// How many.
+    pub slots: u32,
+}
+
+/// What the rules say of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// What it bears.
+    pub limits: Limits,
+    /// What is kept for whom.
+    pub reservations: Vec<Reserved>,
+}
+
+/// The answer to a demand that was not refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// The request holds a slot.
+    Admitted(Ticket),
+    /// The request waits; a [`Turn`] will decide.
+    Queued(Ticket),
 }
 
-/// What an endpoint bears.
+/// What became of a request that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Requests in flight while cold.
-    pub cold_slots: u32,
-    /// Requests in flight when warm.
-    pub warm_slots: u32,
-    /// Time from cold to warm.
-    pub warmup: Duration,
+pub struct Turn {
+    /// The request.
+    pub ticket: Ticket,
+    /// Admitted, or why not.
+    pub verdict: Result<(), Kind>,
 }
 
-/// Counts the work in flight at one endpoint and admits no more than it bears.
-#[derive(Debug)]
+/// How work that held a slot ended, as far as the gate is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The endpoint answered whole.
+    Success,
+    /// Nothing about the endpoint was learnt.
+    Neutral,
+    /// The endpoint seems to have turned cold.
+    Cold(Sign),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    ticket: Ticket,
+    demand: Demand,
+    epoch: Epoch,
+    since: Duration,
+}
+
+/// Admits no more work than one endpoint bears, and keeps the rest in order.
+///
+/// The count is the gate's own, so no lagging report can let in too much.
+/// After a sign of a cold start nothing is admitted until the work in flight is
+/// below the cold limit: what was admitted before the sign is the only excess.
+#[derive(Clone, Debug)]
 pub struct Gate {
-    limits: Limits,
-    cold_since: Duration,
+    warmth: Warmth,
+    reservations: Vec<Reserved>,
+    running: Vec<Running>,
+    queue: Queue,
+    shares: Shares,
+    mean: Duration,
+    first_mean: Duration,
+    first_parts: u32,
     leaving: bool,
-    in_flight: u32,
+    next: u64,
 }
 
 impl Gate {
-    /// Creates the gate of a cold endpoint at time `now`.
+    /// Creates the gate of a cold endpoint.
     #[must_use]
-    pub const fn new(limits: Limits, now: Duration) -> Self {
+    pub fn new(terms: Terms) -> Self {
         Self {
-            limits,
-            cold_since: now,
+            warmth: Warmth::new(terms.limits),
+            reservations: terms.reservations,
+            running: Vec::new(),
+            queue: Queue::default(),
+            shares: Shares::default(),
+            mean: Duration::ZERO,
+            first_mean: Duration::ZERO,
+            first_parts: 0,
             leaving: false,
-            in_flight: 0,
+            next: 0,
         }
     }
 
-    /// Takes up new limits from the rules.
-    pub const fn set_limits(&mut self, limits: Limits) {
-        self.limits = limits;
+    /// Takes up what newer rules say.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.warmth.set_limits(terms.limits);
+        self.reservations = terms.reservations;
     }
 
     /// Notes a sign that the endpoint turned cold.
-    pub const fn chill(&mut self, now: Duration) {
-        self.cold_since = now;
+    pub const fn chill(&mut self, _sign: Sign) {
+        self.warmth.chill();
+        self.first_parts = 0;
     }
 
-    /// Stops new work for good.
-    pub const fn leave(&mut self) {
-        self.leaving = true;
-    }
-
-    /// Admits one request or says why not.
+    /// Asks for a slot.
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::Leaving`] or [`Kind::Overloaded`].
-    pub fn admit(&mut self, now: Duration) -> Result<(), Kind> {
+    /// Returns [`Kind::Leaving`], [`Kind::TeamLimit`] or [`Kind::Overloaded`];
+    /// the request is neither admitted nor queued.
+    pub fn ask(&mut self, demand: Demand, now: Duration) -> Result<Ask, Kind> {
         if self.leaving {
             return Err(Kind::Leaving);
         }
-        if self.in_flight >= self.slots(now) {
+        let limit = demand.team_limit.unwrap_or(u32::MAX);
+        if self.shares.work(demand.team) >= limit {
+            return Err(Kind::TeamLimit);
+        }
+        if demand.suspect && self.has_suspect() {
             return Err(Kind::Overloaded);
         }
-        self.in_flight += 1;
-        Ok(())
+        let ticket = Ticket(self.next);
+        let waiter = Waiter { ticket, demand };
+        if self.has_slot(now) && self.queue.len() == 0 {
+            self.next += 1;
+            self.start(waiter, now);
+            return Ok(Ask::Admitted(ticket));
+        }
+        self.check_wait(&demand, now)?;
+        self.next += 1;
+        self.shares.enqueue(demand.team, demand.weight);
+        self.queue.push(waiter);
+        Ok(Ask::Queued(ticket))
+    }
+
+    /// Takes a request that waits out of the queue; its caller went away.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        if let Some(waiter) = self.queue.remove(ticket) {
+            self.shares.dequeue(waiter.demand.team);
+        }
+    }
+
+    /// Returns a slot and says who is next.
+    pub fn release(&mut self, ticket: Ticket, ended: Ended, now: Duration) -> Vec<Turn> {
+        let found = self
+            .running
+            .binary_search_by_key(&ticket, |running| running.ticket);
+        if let Ok(index) = found {
+            let running = self.running.remove(index);
+            self.shares.release(running.demand.team);
+            self.learn(&running, ended, now);
+        }
+        self.tick(now)
+    }
+
+    /// Notes that the first part of an answer came.
+    ///
+    /// Once the endpoint is warm, a first part that takes far longer than usual
+    /// is a sign that the engine behind it started anew.
+    pub fn first_part(&mut self, ticket: Ticket, now: Duration) {
+        let mut running = self.running.iter();
+        let Some(running) = running.find(|running| running.ticket == ticket) else {
+            return;
+        };
+        let is_current = running.epoch == self.warmth.epoch();
+        let took = now.saturating_sub(running.since);
+        if !is_current || self.warmth.phase(now) != Phase::Warm {
+            return;
+        }
+        if self.first_parts >= FIRST_PARTS && took > self.first_mean * SLOW_FACTOR {
+            self.chill(Sign::SlowFirstPart);
+            return;
+        }
+        self.first_parts = self.first_parts.saturating_add(1);
+        self.first_mean = blend(self.first_mean, took);
+    }
+
+    /// Says who is next after time has passed.
+    pub fn tick(&mut self, now: Duration) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for ticket in self.queue.expired(now) {
+            self.refuse(ticket, Kind::Overloaded, &mut turns);
+        }
+        while self.has_slot(now) {
+            let next = self
+                .queue
+                .next(&self.shares, |demand| self.is_entitled(demand));
+            let Some(waiter) = next.and_then(|ticket| self.queue.remove(ticket)) else {
+                break;
+            };
+            self.shares.dequeue(waiter.demand.team);
+            self.start(waiter, now);
+            turns.push(Turn {
+                ticket: waiter.ticket,
+                verdict: Ok(()),
+            });
+        }
+        turns
     }
 
-    /// Returns a slot.
-    pub const fn release(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+    /// Stops new work for good and refuses what waits.
+    pub fn leave(&mut self) -> Vec<Turn> {
+        self.leaving = true;
+        self.clear(Kind::Leaving)
+    }
+
+    /// Refuses what waits.
+    pub fn clear(&mut self, kind: Kind) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for ticket in self.queue.tickets() {
+            self.refuse(ticket, kind, &mut turns);
+        }
+        turns
     }
 
     /// Returns the requests in flight.
     #[must_use]
-    pub const fn in_flight(&self) -> u32 {
-        self.in_flight
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> u32 {
+        self.queue.len()
+    }
+
+    /// Returns the requests in flight that the endpoint bears now.
+    #[must_use]
+    pub fn slots(&self, now: Duration) -> u32 {
+        self.warmth.slots(now)
     }
 
     /// Returns how warm the endpoint is.
     #[must_use]
     pub fn phase(&self, now: Duration) -> Phase {
-        let age = now.saturating_sub(self.cold_since);
         if self.leaving {
             Phase::Leaving
-        } else if age >= self.limits.warmup {
-            Phase::Warm
-        } else if self.slots(now) > self.limits.cold_slots {
-            Phase::Warming
         } else {
-            Phase::Cold
+            self.warmth.phase(now)
         }
     }
 
-    /// Returns the requests in flight that the endpoint bears now.
+    /// Returns how many teams the gate keeps state for.
     #[must_use]
-    pub fn slots(&self, now: Duration) -> u32 {
-        let Limits {
-            cold_slots,
-            warm_slots,
-            warmup,
-        } = self.limits;
-        let age = now.saturating_sub(self.cold_since);
-        if age >= warmup {
-            return warm_slots;
+    pub const fn teams(&self) -> usize {
+        self.shares.len()
+    }
+
+    /// Returns how long a request of the team would wait if it came now.
+    #[must_use]
+    pub fn expected_wait(&self, demand: &Demand, now: Duration) -> Duration {
+        let ahead = if self.is_entitled(demand) {
+            self.queue.count(|other| self.is_entitled(other))
+        } else {
+            self.shares.ahead(demand.team, demand.weight)
+        };
+        self.mean * (ahead + 1) / self.slots(now).max(1)
+    }
+
+    fn check_wait(&self, demand: &Demand, now: Duration) -> Result<(), Kind> {
+        let bound = self.slots(now).saturating_mul(QUEUE_PER_SLOT);
+        let is_full = self.queue.len() >= bound && !self.has_reserve(demand);
+        let remaining = demand.deadline.saturating_sub(now);
+        if is_full || remaining < self.expected_wait(demand, now) + self.mean {
+            return Err(Kind::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// Returns whether the request's owner holds less than its reservation.
+    fn is_entitled(&self, demand: &Demand) -> bool {
+        self.running_of(demand.owner) < self.reserved(demand.owner)
+    }
+
+    /// Returns whether the reservation covers the request besides all that
+    /// runs or waits on it already.
+    fn has_reserve(&self, demand: &Demand) -> bool {
+        let queued = self.queue.count(|other| other.owner == demand.owner);
+        self.running_of(demand.owner) + queued < self.reserved(demand.owner)
+    }
+
+    fn reserved(&self, owner: Option<Tag>) -> u32 {
+        let mut reservations = self.reservations.iter();
+        reservations
+            .find(|one| Some(one.owner) == owner)
+            .map_or(0, |one| one.slots)
+    }
+
+    fn running_of(&self, owner: Option<Tag>) -> u32 {
+        let running = self.running.iter();
+        let count = running.filter(|one| one.demand.owner == owner).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn has_slot(&self, now: Duration) -> bool {
+        self.in_flight() < self.slots(now)
+    }
+
+    fn has_suspect(&self) -> bool {
+        self.running.iter().any(|running| running.demand.suspect)
+            || self.queue.count(|demand| demand.suspect) > 0
+    }
+
+    fn start(&mut self, waiter: Waiter, now: Duration) {
+        let Waiter { ticket, demand } = waiter;
+        self.shares.admit(demand.team, demand.weight);
+        let index = self
+            .running
+            .partition_point(|running| running.ticket < ticket);
+        let running = Running {
+            ticket,
+            demand,
+            epoch: self.warmth.epoch(),
+            since: now,
+        };
+        self.running.insert(index, running);
+    }
+
+    fn refuse(&mut self, ticket: Ticket, kind: Kind, turns: &mut Vec<Turn>) {
+        self.cancel(ticket);
+        turns.push(Turn {
+            ticket,
+            verdict: Err(kind),
+        });
+    }
+
+    fn learn(&mut self, running: &Running, ended: Ended, now: Duration) {
+        match ended {
+            Ended::Success => {
+                self.warmth.succeed(running.epoch, now);
+                self.mean = blend(self.mean, now.saturating_sub(running.since));
+            }
+            Ended::Cold(sign) if running.epoch == self.warmth.epoch() => self.chill(sign),
+            Ended::Cold(_) | Ended::Neutral => {}
         }
-        let span = u128::from(warm_slots.saturating_sub(cold_slots));
-        let risen = span * age.as_millis() / warmup.as_millis().max(1);
-        cold_slots + u32::try_from(risen).unwrap_or(0)
     }
 }
+
+fn blend(mean: Duration, took: Duration) -> Duration {
+    if mean.is_zero() {
+        return took;
+    }
+    (mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/admission/share.rs
@@ -0,0 +1,139 @@
+//! Weighted fair order between teams.
+//!
+//! Each team has a virtual start that moves on with each of its requests by a
+//! stride, the smaller the greater its weight; the team with the least start
+//! is next. A row exists only for a team with work or with a start ahead of the
+//! others, so that a team cannot shed its debt by staying away for a moment.
+
+use super::Tag;
+
+/// Stride of a team of weight one.
+const STRIDE: u64 = 1 << 20;
+
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    team: Tag,
+    start: u64,
+    weight: u32,
+    in_flight: u32,
+    queued: u32,
+}
+
+/// The teams at one endpoint, sorted by key.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    rows: Vec<Share>,
+    now: u64,
+}
+
+impl Shares {
+    /// Notes that a request of the team waits.
+    pub fn enqueue(&mut self, team: Tag, weight: u32) {
+        let row = self.enter(team, weight);
+        row.queued += 1;
+    }
+
+    /// Notes that a request of the team no longer waits.
+    pub fn dequeue(&mut self, team: Tag) {
+        if let Ok(index) = self.find(team) {
+            let row = &mut self.rows[index];
+            row.queued = row.queued.saturating_sub(1);
+        }
+        self.prune();
+    }
+
+    /// Notes that a request of the team was admitted.
+    pub fn admit(&mut self, team: Tag, weight: u32) {
+        let row = self.enter(team, weight);
+        let start = row.start;
+        row.in_flight += 1;
+        row.start += STRIDE / u64::from(row.weight);
+        self.now = self.now.max(start);
+        self.prune();
+    }
+
+    /// Notes that a request of the team ended.
+    pub fn release(&mut self, team: Tag) {
+        if let Ok(index) = self.find(team) {
+            let row = &mut self.rows[index];
+            row.in_flight = row.in_flight.saturating_sub(1);
+        }
+        self.prune();
+    }
+
+    /// Returns the team's virtual start: the least is next.
+    #[must_use]
+    pub fn start(&self, team: Tag) -> u64 {
+        self.find(team)
+            .map_or(self.now, |index| self.rows[index].start)
+    }
+
+    /// Returns the requests of the team that wait or run.
+    #[must_use]
+    pub fn work(&self, team: Tag) -> u32 {
+        self.find(team).map_or(0, |index| {
+            let row = &self.rows[index];
+            row.in_flight + row.queued
+        })
+    }
+
+    /// Returns how many requests are likely to be admitted before another one
+    /// of the team that joined the queue now.
+    #[must_use]
+    pub fn ahead(&self, team: Tag, weight: u32) -> u32 {
+        let queued: u32 = self.rows.iter().map(|row| row.queued).sum();
+        let mine = self.find(team).map_or(0, |index| self.rows[index].queued);
+        let waiting = self.rows.iter().filter(|row| row.queued > 0);
+        let others = waiting
+            .filter(|row| row.team != team)
+            .map(|row| u64::from(row.weight));
+        let turns = (u64::from(mine) + 1) * others.sum::<u64>();
+        let by_share = turns.div_ceil(u64::from(weight.max(1)));
+        queued.min(mine.saturating_add(u32::try_from(by_share).unwrap_or(u32::MAX)))
+    }
+
+    /// Returns how many teams have a row.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no team has a row.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn enter(&mut self, team: Tag, weight: u32) -> &mut Share {
+        let now = self.now;
+        let index = self.find(team).unwrap_or_else(|index| {
+            let row = Share {
+                team,
+                start: now,
+                weight: 1,
+                in_flight: 0,
+                queued: 0,
+            };
+            self.rows.insert(index, row);
+            index
+        });
+        let row = &mut self.rows[index];
+        row.weight = weight.max(1);
+        row
+    }
+
+    fn prune(&mut self) {
+        let now = self.now;
+        let has_work = |row: &Share| row.in_flight + row.queued > 0;
+        if self.rows.iter().any(has_work) {
+            self.rows.retain(|row| has_work(row) || row.start > now);
+        } else {
+            self.rows.clear();
+            self.now = 0;
+        }
+    }
+
+    fn find(&self, team: Tag) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&team, |row| row.team)
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/admission/warmth.rs
@@ -0,0 +1,137 @@
+//! How much an endpoint bears between its cold start and full load.
+
+use std::time::Duration;
+
+/// How warm an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// The endpoint bears its cold slots only.
+    Cold,
+    /// The limit rises from cold to warm.
+    Warming,
+    /// The endpoint bears its warm slots.
+    Warm,
+    /// The endpoint takes no new work.
+    Leaving,
+}
+
+/// What an endpoint bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests in flight while cold.
+    pub cold_slots: u32,
+    /// Requests in flight when warm.
+    pub warm_slots: u32,
+    /// Time from cold to warm under load.
+    pub warmup: Duration,
+}
+
+/// Why an endpoint counts as cold again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// The engine reports another incarnation.
+    Incarnation,
+    /// The engine's report stopped.
+    ReportStopped,
+    /// A count in the engine's report went back.
+    ReportWentBack,
+    /// The endpoint refused a connection.
+    Refused,
+    /// The first part of an answer took as long as on a cold engine.
+    SlowFirstPart,
+    /// Operators took the endpoint out and brought it back.
+    BroughtBack,
+}
+
+/// The stretch between two signs of a cold start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Epoch(u32);
+
+/// Raises the limit from cold to warm by time and by successes.
+///
+/// Each success since the last sign lifts the limit by one slot at most, and
+/// the time since the first of them bounds it too: an endpoint without traffic
+/// stays cold, and a burst of short answers does not make it warm early.
+#[derive(Clone, Copy, Debug)]
+pub struct Warmth {
+    limits: Limits,
+    epoch: Epoch,
+    first_success: Option<Duration>,
+    successes: u32,
+}
+
+impl Warmth {
+    /// Creates the state of a cold endpoint.
+    #[must_use]
+    pub const fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            epoch: Epoch(0),
+            first_success: None,
+            successes: 0,
+        }
+    }
+
+    /// Takes up new limits from the rules.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Returns the present epoch, to be kept with admitted work.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Notes a sign that the endpoint turned cold.
+    pub const fn chill(&mut self) {
+        self.epoch = Epoch(self.epoch.0.wrapping_add(1));
+        self.first_success = None;
+        self.successes = 0;
+    }
+
+    /// Notes that work ended well; work from before the last sign says nothing
+    /// about the endpoint as it is now.
+    pub fn succeed(&mut self, admitted_in: Epoch, now: Duration) {
+        if admitted_in != self.epoch {
+            return;
+        }
+        self.first_success.get_or_insert(now);
+        self.successes = self.successes.saturating_add(1);
+    }
+
+    /// Returns the requests in flight that the endpoint bears now.
+    #[must_use]
+    pub fn slots(&self, now: Duration) -> u32 {
+        let Limits {
+            cold_slots,
+            warm_slots,
+            warmup,
+        } = self.limits;
+        let Some(first) = self.first_success else {
+            return cold_slots;
+        };
+        let span = warm_slots.saturating_sub(cold_slots);
+        let age = now.saturating_sub(first).min(warmup);
+        let by_time = if warmup.is_zero() {
+            span
+        } else {
+            let risen = u128::from(span) * age.as_nanos() / warmup.as_nanos();
+            u32::try_from(risen).unwrap_or(span)
+        };
+        cold_slots + by_time.min(self.successes)
+    }
+
+    /// Returns how warm the endpoint is.
+    #[must_use]
+    pub fn phase(&self, now: Duration) -> Phase {
+        let slots = self.slots(now);
+        if self.first_success.is_some() && slots >= self.limits.warm_slots {
+            Phase::Warm
+        } else if slots > self.limits.cold_slots {
+            Phase::Warming
+        } else {
+            Phase::Cold
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -0,0 +1,220 @@
+//! One endpoint behind the sidecar, and the jobs that wait for it.
+
+use crate::{clock::Clock, settings::Endpoint};
+use cicadacrank_core::{
+    admission::{Ask, Demand, Ended, Gate, Sign, Terms, Ticket, Turn},
+    error::Kind,
+};
+use cicadacrank_wire::wire;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+use tokio::{sync::oneshot, time};
+
+/// The gate of one endpoint with those who wait at it.
+pub(super) struct Door {
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    gate: Option<Gate>,
+    generation: u64,
+    taken_out: bool,
+    waiting: Vec<Waiting>,
+}
+
+struct Waiting {
+    ticket: Ticket,
+    sender: oneshot::Sender<Result<Slot, Kind>>,
+}
+
+/// An answer on its way to one who waited.
+struct Delivery {
+    sender: oneshot::Sender<Result<Slot, Kind>>,
+    answer: Result<Slot, Kind>,
+}
+
+/// One request in flight at an endpoint; dropping it frees the slot.
+pub(super) struct Slot {
+    door: Arc<Door>,
+    ticket: Ticket,
+    ended: Ended,
+}
+
+/// Takes a job that no longer waits out of the queue.
+struct Place<'a> {
+    door: &'a Door,
+    ticket: Ticket,
+}
+
+impl Slot {
+    /// Frees the slot and tells the gate how the work ended.
+    pub(super) fn end(mut self, ended: Ended) {
+        self.ended = ended;
+    }
+
+    /// Notes that the first part of the answer came.
+    pub(super) fn first_part(&self) {
+        let now = self.door.clock.now();
+        if let Some(gate) = &mut self.door.lock().gate {
+            gate.first_part(self.ticket, now);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.door.clock.now();
+        self.door
+            .turn(|gate| gate.release(self.ticket, self.ended, now));
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut state = self.door.lock();
+        state.waiting.retain(|one| one.ticket != self.ticket);
+        if let Some(gate) = &mut state.gate {
+            gate.cancel(self.ticket);
+        }
+    }
+}
+
+impl Door {
+    /// Creates the door of an endpoint that counts as cold.
+    pub(super) fn new(endpoint: &Endpoint, clock: Clock) -> Self {
+        Self {
+            name: endpoint.name.clone(),
+            address: endpoint.address,
+            clock,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Returns whether the door has taken up this generation or a newer one.
+    pub(super) fn is_at(&self, generation: u64) -> bool {
+        let state = self.lock();
+        state.gate.is_some() && state.generation >= generation
+    }
+
+    /// Takes up what a newer generation says of the endpoint.
+    pub(super) fn adopt(self: &Arc<Self>, generation: u64, terms: Terms, taken_out: bool) {
+        {
+            let mut state = self.lock();
+            if generation <= state.generation && state.gate.is_some() {
+                return;
+            }
+            state.generation = generation;
+            let brought_back = state.taken_out && !taken_out;
+            state.taken_out = taken_out;
+            match &mut state.gate {
+                Some(gate) => {
+                    gate.set_terms(terms);
+                    if brought_back {
+                        gate.chill(Sign::BroughtBack);
+                    }
+                }
+                None => state.gate = Some(Gate::new(terms)),
+            }
+        }
+        let now = self.clock.now();
+        self.turn(|gate| {
+            if taken_out {
+                gate.clear(Kind::TakenOut)
+            } else {
+                gate.tick(now)
+            }
+        });
+    }
+
+    /// Waits for a slot, no longer than the demand's deadline.
+    pub(super) async fn enter(self: &Arc<Self>, demand: Demand) -> Result<Slot, Kind> {
+        let now = self.clock.now();
+        let (ticket, receiver) = {
+            let mut state = self.lock();
+            let gate = state.gate.as_mut().ok_or(Kind::NotReady)?;
+            match gate.ask(demand, now)? {
+                Ask::Admitted(ticket) => return Ok(self.slot(ticket)),
+                Ask::Queued(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiting.push(Waiting { ticket, sender });
+                    (ticket, receiver)
+                }
+            }
+        };
+        let _place = Place { door: self, ticket };
+        self.turn(|gate| gate.tick(now));
+        let deadline = self.clock.instant(demand.deadline);
+        match time::timeout_at(deadline, receiver).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Err(Kind::Overloaded),
+        }
+    }
+
+    /// Notes a sign that the endpoint turned cold.
+    pub(super) fn chill(&self, sign: Sign) {
+        if let Some(gate) = &mut self.lock().gate {
+            gate.chill(sign);
+        }
+    }
+
+    /// Refuses new work and what waits.
+    pub(super) fn leave(self: &Arc<Self>) {
+        self.turn(Gate::leave);
+    }
+
+    /// Returns the load for the next frame.
+    pub(super) fn load(&self) -> Option<wire::Load> {
+        let now = self.clock.now();
+        self.lock().gate.as_ref().map(|gate| wire::Load {
+            in_flight: gate.in_flight(),
+            queued: gate.queued(),
+            slots: gate.slots(now),
+            phase: gate.phase(now) as u32,
+        })
+    }
+
+    /// Lets the gate decide and delivers what it decided, after the lock is
+    /// free: an answer that nobody takes comes back here as a freed slot.
+    fn turn(self: &Arc<Self>, decide: impl FnOnce(&mut Gate) -> Vec<Turn>) {
+        let deliveries: Vec<Delivery> = {
+            let mut state = self.lock();
+            let turns = state.gate.as_mut().map(decide).unwrap_or_default();
+            let turns = turns.into_iter();
+            turns
+                .filter_map(|turn| self.deliver(&mut state, turn))
+                .collect()
+        };
+        for delivery in deliveries {
+            drop(delivery.sender.send(delivery.answer));
+        }
+    }
+
+    fn deliver(self: &Arc<Self>, state: &mut State, turn: Turn) -> Option<Delivery> {
+        let index = state
+            .waiting
+            .binary_search_by_key(&turn.ticket, |one| one.ticket)
+            .ok()?;
+        Some(Delivery {
+            sender: state.waiting.remove(index).sender,
+            answer: turn.verdict.map(|()| self.slot(turn.ticket)),
+        })
+    }
+
+    fn slot(self: &Arc<Self>, ticket: Ticket) -> Slot {
+        Slot {
+            door: Arc::clone(self),
+            ticket,
+            ended: Ended::Neutral,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -2,11 +2,13 @@
 
 use super::{
     claims::{self, Acquired, Held},
+    door::Slot,
     service::{Admitted, Service},
 };
 use crate::endpoint::{Call, Fault};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
+    admission::{Ended, Sign},
     error::{Failure, Kind},
     id,
     once::{Name, Outcome, Sent, Unsent},
@@ -16,7 +18,7 @@
 use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc,
-    time::{self, Instant},
+    time::{self, Instant, error::Elapsed},
 };
 
 /// Sends the frames of one job in order.
@@ -92,7 +94,11 @@
 async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Failure> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
     let unsent = Unsent::begin();
-    let (admitted, unsent) = service.admit(job, unsent).await?;
+    let gone = voice.sender.clone();
+    let (admitted, unsent) = tokio::select! {
+        admitted = service.admit(job, unsent) => admitted?,
+        () = gone.closed() => return Err(Failure::not_run(Kind::Cancelled, "waiting for a slot")),
+    };
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
         check_deadline(deadline, &unsent)?;
@@ -172,12 +178,12 @@
     let began = Instant::now();
     let sent = unsent.send();
     let gone = voice.sender.clone();
-    let work = stream(service, call, voice);
+    let work = stream(service, call, &admitted.slot, voice);
     let result = tokio::select! {
         result = time::timeout_at(deadline, work) => result,
         () = gone.closed() => return Err(sent.fail(Kind::Cancelled, "streaming to the entry")),
     };
-    drop(admitted.slot);
+    admitted.slot.end(ended_of(&result));
     match result {
         Ok(Ok(_)) => {
             voice.end(false, began.elapsed()).await;
@@ -202,8 +208,8 @@
     let began = Instant::now();
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
-    let result = time::timeout_at(bound, stream(service, call, voice)).await;
-    drop(admitted.slot);
+    let result = time::timeout_at(bound, stream(service, call, &admitted.slot, voice)).await;
+    admitted.slot.end(ended_of(&result));
     match result {
         Ok(Ok(output)) => {
             sent.finish();
@@ -254,6 +260,15 @@
     }
 }
 
+/// Returns what the gate learns from the end of a call.
+const fn ended_of<T>(result: &Result<Result<T, Fault>, Elapsed>) -> Ended {
+    match result {
+        Ok(Ok(_)) => Ended::Success,
+        Ok(Err(fault)) if !fault.connected => Ended::Cold(Sign::Refused),
+        Ok(Err(_)) | Err(_) => Ended::Neutral,
+    }
+}
+
 fn failure_of(fault: Fault, sent: Sent) -> Failure {
     match sent.unsend(fault.connected) {
         Ok(unsent) => unsent.refuse(fault.kind, fault.context),
@@ -262,11 +277,19 @@
 }
 
 /// Passes the parts of an answer on and returns all of them.
-async fn stream(service: &Service, call: Call, voice: &mut Voice) -> Result<Bytes, Fault> {
+async fn stream(
+    service: &Service,
+    call: Call,
+    slot: &Slot,
+    voice: &mut Voice,
+) -> Result<Bytes, Fault> {
     let mut parts = service.parts.port.call(call).await?;
     let mut output = BytesMut::new();
     while let Some(part) = parts.next().await {
         let part = part?;
+        if output.is_empty() {
+            slot.first_part();
+        }
         output.extend_from_slice(&part);
         voice.chunk(&part).await;
     }
--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 //! stream, record. [`grpc`] serves it to entries.
 
 mod claims;
+mod door;
 mod duty;
 pub mod grpc;
 mod service;
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -1,30 +1,34 @@
 //! The sidecar's state and the steps of a job.
 
-use super::{Claims, duty};
+use super::{
+    Claims,
+    door::{Door, Slot},
+    duty,
+};
 use crate::{
     clock::{self, Clock},
     configuration::{Configuration, Holder},
     endpoint,
     metrics::Metrics,
     platform,
-    settings::{Endpoint, Settings},
+    settings::Settings,
 };
 use cicadacrank_core::{
-    admission::{Gate, Limits},
+    admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
     error::{Failure, Kind},
     once::Unsent,
-    rules,
+    rules::{self, Book, EndpointKey},
 };
 use cicadacrank_wire::wire;
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
 
 /// Frames that may wait for a slow entry.
@@ -33,6 +37,9 @@
 /// Longest wait for a configuration that a job names and this process lacks.
 const GENERATION_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest wait for a slot, whatever deadline a job states.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
+
 /// What a sidecar is made of.
 pub struct Parts {
     /// Settings of the process.
@@ -49,17 +56,11 @@
     pub metrics: Arc<Metrics>,
 }
 
-struct Door {
-    name: String,
-    address: SocketAddr,
-    gate: Mutex<Option<Gate>>,
-}
-
 /// The only door to the endpoints behind this process.
 pub struct Service {
     pub(super) parts: Parts,
     pub(super) claims: Claims,
-    doors: Vec<Door>,
+    doors: Vec<Arc<Door>>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -72,30 +73,28 @@
     pub(super) address: SocketAddr,
 }
 
-/// One request in flight at an endpoint; dropping it frees the slot.
-pub(super) struct Slot {
-    service: Arc<Service>,
-    door: usize,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.service.with_gate(self.door, |gate| {
-            if let Some(gate) = gate {
-                gate.release();
-            }
-        });
-    }
+/// A job that passed the checks against the rules.
+struct Checked {
+    door: Arc<Door>,
+    demand: Demand,
+    stage: rules::Stage,
+    service: rules::Service,
 }
 
 impl Service {
     /// Creates the service; its endpoints count as cold.
+    ///
+    /// Must be called inside a runtime: the doors follow the configuration.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
         let claims = Claims::new(Arc::clone(&parts.store), life);
-        let mut doors: Vec<Door> = parts.settings.endpoints.iter().map(Door::new).collect();
+        let endpoints = parts.settings.endpoints.iter();
+        let mut doors: Vec<Arc<Door>> = endpoints
+            .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
+            .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
+        tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
         Self {
             parts,
             claims,
@@ -125,6 +124,14 @@
     /// Refuses new work from here on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
+        self.doors.iter().for_each(Door::leave);
+    }
+
+    /// Notes a sign that an endpoint turned cold.
+    pub fn chill(&self, endpoint: &str, sign: Sign) {
+        if let Some(door) = self.find(endpoint) {
+            door.chill(sign);
+        }
     }
 
     /// Returns whether the process takes new work.
@@ -142,14 +149,12 @@
     /// Returns the load of an endpoint for its next frame.
     #[must_use]
     pub fn load(&self, endpoint: &str) -> Option<wire::Load> {
-        let door = self.find(endpoint)?;
-        let now = self.parts.clock.now();
-        self.with_gate(door, |gate| gate.as_ref().map(|gate| load_of(gate, now)))
+        self.find(endpoint)?.load()
     }
 
-    /// Checks a job against the rules and takes it in.
+    /// Checks a job against the rules and waits for a slot.
     pub(super) async fn admit(
-        self: &Arc<Self>,
+        &self,
         job: &wire::Job,
         unsent: Unsent,
     ) -> Result<(Admitted, Unsent), Failure> {
@@ -170,17 +175,34 @@
         let Some(configuration) = self.parts.holder.current() else {
             return Err(unsent.refuse(Kind::NotReady, "admitting a job"));
         };
-        match self.look_up(job, &configuration) {
+        match self.wait_for_slot(job, configuration).await {
             Ok(admitted) => Ok((admitted, unsent)),
             Err(kind) => Err(unsent.refuse(kind, format!("admitting a job at {}", job.endpoint))),
         }
     }
 
-    fn look_up(
-        self: &Arc<Self>,
+    /// Rules that changed while the job waited count.
+    async fn wait_for_slot(
+        &self,
         job: &wire::Job,
-        configuration: &Configuration,
+        configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
+        let mut checked = self.check(job, &configuration)?;
+        let slot = checked.door.enter(checked.demand).await?;
+        if let Some(current) = self.parts.holder.current()
+            && current.generation != configuration.generation
+        {
+            checked = self.check(job, &current)?;
+        }
+        Ok(Admitted {
+            slot,
+            stage: checked.stage,
+            service: checked.service,
+            address: checked.door.address,
+        })
+    }
+
+    fn check(&self, job: &wire::Job, configuration: &Configuration) -> Result<Checked, Kind> {
         let book = &configuration.book;
         let team = book.team(&job.team).ok_or(Kind::Forbidden)?;
         let pipeline = book.pipeline(&job.pipeline).ok_or(Kind::UnknownPipeline)?;
@@ -197,68 +219,84 @@
         if !book.is_granted(team, stage.pool, clock::minute_of_day()) {
             return Err(Kind::Forbidden);
         }
+        adopt(door, endpoint, configuration);
         if book.is_taken_out(endpoint) {
             return Err(Kind::TakenOut);
         }
-        self.take_slot(door, limits_of(&book[endpoint]))?;
-        Ok(Admitted {
-            slot: Slot {
-                service: Arc::clone(self),
-                door,
-            },
+        Ok(Checked {
+            door: Arc::clone(door),
+            demand: self.demand(job, book, team),
             stage: stage.clone(),
             service: book[stage.pool].service,
-            address: self.doors[door].address,
         })
     }
 
-    fn take_slot(&self, door: usize, limits: Limits) -> Result<(), Kind> {
-        let now = self.parts.clock.now();
-        self.with_gate(door, |gate| {
-            let gate = gate.get_or_insert_with(|| Gate::new(limits, now));
-            gate.set_limits(limits);
-            gate.admit(now)
-        })
+    fn demand(&self, job: &wire::Job, book: &Book, team: rules::TeamKey) -> Demand {
+        let remaining = Duration::from_millis(job.remaining_ms).min(LONGEST_WAIT);
+        let rule = &book[team];
+        Demand {
+            team: Tag::new(&rule.name),
+            weight: rule.weight,
+            team_limit: rule.endpoint_limit,
+            owner: rule.owner.map(|owner| Tag::new(&book[owner].name)),
+            suspect: job.crashes > 0,
+            deadline: self.parts.clock.now() + remaining,
+        }
     }
 
-    fn find(&self, endpoint: &str) -> Option<usize> {
-        self.doors
+    fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
+        let index = self
+            .doors
             .binary_search_by(|door| door.name.as_str().cmp(endpoint))
-            .ok()
-    }
-
-    fn with_gate<T>(&self, door: usize, act: impl FnOnce(&mut Option<Gate>) -> T) -> T {
-        let mut gate = self.doors[door]
-            .gate
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        act(&mut gate)
+            .ok()?;
+        Some(&self.doors[index])
     }
 }
 
-impl Door {
-    fn new(endpoint: &Endpoint) -> Self {
-        Self {
-            name: endpoint.name.clone(),
-            address: endpoint.address,
-            gate: Mutex::new(None),
+/// Keeps the doors at the configuration in force, also without any job.
+async fn follow(
+    doors: Vec<Arc<Door>>,
+    mut configurations: watch::Receiver<Option<Arc<Configuration>>>,
+) {
+    loop {
+        let current = configurations.borrow_and_update().clone();
+        if let Some(configuration) = current {
+            for door in &doors {
+                if let Some(endpoint) = configuration.book.endpoint(&door.name) {
+                    adopt(door, endpoint, &configuration);
+                }
+            }
+        }
+        if configurations.changed().await.is_err() {
+            return;
         }
     }
 }
 
-const fn limits_of(endpoint: &rules::Endpoint) -> Limits {
-    Limits {
-        cold_slots: endpoint.cold_slots,
-        warm_slots: endpoint.warm_slots,
-        warmup: Duration::from_millis(endpoint.warmup_ms),
+fn adopt(door: &Arc<Door>, endpoint: EndpointKey, configuration: &Configuration) {
+    if door.is_at(configuration.generation) {
+        return;
     }
+    let book = &configuration.book;
+    let terms = terms_of(book, endpoint);
+    door.adopt(configuration.generation, terms, book.is_taken_out(endpoint));
 }
 
-fn load_of(gate: &Gate, now: Duration) -> wire::Load {
-    wire::Load {
-        in_flight: gate.in_flight(),
-        queued: 0,
-        slots: gate.slots(now),
-        phase: gate.phase(now) as u32,
+fn terms_of(book: &Book, endpoint: EndpointKey) -> Terms {
+    let endpoint = &book[endpoint];
+    let reservations = book.reservations.iter();
+    Terms {
+        limits: Limits {
+            cold_slots: endpoint.cold_slots,
+            warm_slots: endpoint.warm_slots,
+            warmup: Duration::from_millis(endpoint.warmup_ms),
+        },
+        reservations: reservations
+            .filter(|one| one.pool == endpoint.pool)
+            .map(|one| Reserved {
+                owner: Tag::new(&book[one.owner].name),
+                slots: one.slots,
+            })
+            .collect(),
     }
 }
