--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -9,10 +9,11 @@
 //! The steps of a request, and the module that decides each:
 //!
 //! 1. [`rules`] says which pipelines, teams and endpoints exist.
-//! 2. [`pipeline`] turns a caller's body into the input of each stage.
-//! 3. [`routing`] picks an endpoint for an attempt.
-//! 4. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
-//! 5. [`once`] keeps work that may not be repeated from running twice.
+//! 2. [`generation`] says which rules are in force, and who changed them.
+//! 3. [`pipeline`] turns a caller's body into the input of each stage.
+//! 4. [`routing`] picks an endpoint for an attempt.
+//! 5. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
+//! 6. [`once`] keeps work that may not be repeated from running twice.
 //!
 //! ```
 //! use cicadacrank_core::error::{Effect, Kind};
@@ -24,6 +25,7 @@
 pub mod admission;
 pub mod error;
 pub mod event;
+pub mod generation;
 pub mod id;
 pub mod once;
 pub mod pipeline;
