--- a/crates/cicadacrank-core/src/routing/table.rs
+++ b/crates/cicadacrank-core/src/routing/table.rs
@@ -1,145 +1,164 @@
-//! What an entry knows of each endpoint, and its choice among them.
-
-use std::{net::SocketAddr, time::Duration};
-
-/// Load of an endpoint as its sidecar reported it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests waiting for a slot.
-    pub queued: u32,
-    /// Requests in flight that the endpoint bears.
-    pub slots: u32,
+//! The endpoints an entry may choose from, and its choice among them.
+
+use super::row::{Report, Row};
+use crate::{admission::Tag, rules::Book};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Load at which an entry looks beyond its own data centre, in thousandths of
+/// the slots.
+const SPILL: u64 = 1000;
+
+/// What an attempt needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Pool that runs the stage.
+    pub pool: Tag,
+    /// Data centre of the entry.
+    pub data_centre: Tag,
+    /// Endpoints that were tried already.
+    pub tried: &'a [Tag],
 }
 
-#[derive(Clone, Debug)]
-struct Row {
-    endpoint: String,
-    pool: String,
-    data_centre: String,
-    address: SocketAddr,
-    own_in_flight: u32,
-    report: Report,
-    shunned_until: Duration,
+/// The endpoint chosen for an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Its key.
+    pub endpoint: Tag,
+    /// Its name in the rules.
+    pub name: Arc<str>,
+    /// Where its sidecar listens.
+    pub address: SocketAddr,
 }
 
-/// Endpoints that an entry may choose from, sorted by name.
+/// Endpoints that an entry may choose from, sorted by key.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     rows: Vec<Row>,
+    generation: u64,
 }
 
 impl Table {
-    /// Time an endpoint is not chosen after its sidecar could not be reached.
-    const SHUN: Duration = Duration::from_secs(2);
-
     /// Adds an endpoint or gives it a new address.
     pub fn insert(&mut self, endpoint: &str, pool: &str, data_centre: &str, address: SocketAddr) {
-        match self.find(endpoint) {
+        let (pool, data_centre) = (Tag::new(pool), Tag::new(data_centre));
+        match self.find(Tag::new(endpoint)) {
             Ok(index) => {
                 let row = &mut self.rows[index];
-                if row.address != address {
-                    row.address = address;
-                    row.report = Report::default();
-                    row.shunned_until = Duration::ZERO;
-                }
-                pool.clone_into(&mut row.pool);
-                data_centre.clone_into(&mut row.data_centre);
+                row.readdress(address);
+                row.pool = pool;
+                row.data_centre = data_centre;
+                row.taken_out = false;
+            }
+            Err(index) => {
+                let row = Row::new(endpoint, pool, data_centre, address);
+                self.rows.insert(index, row);
             }
-            Err(index) => self.rows.insert(
-                index,
-                Row {
-                    endpoint: endpoint.to_owned(),
-                    pool: pool.to_owned(),
-                    data_centre: data_centre.to_owned(),
-                    address,
-                    own_in_flight: 0,
-                    report: Report::default(),
-                    shunned_until: Duration::ZERO,
-                },
-            ),
         }
     }
 
     /// Keeps the endpoints for which the test holds.
     pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
-        self.rows.retain(|row| keep(&row.endpoint));
+        self.rows.retain(|row| keep(&row.name));
+    }
+
+    /// Takes up a newer generation of the rules: what it takes out is no longer
+    /// chosen, from this call on.
+    pub fn adopt(&mut self, generation: u64, book: &Book) {
+        if generation <= self.generation {
+            return;
+        }
+        self.generation = generation;
+        for row in &mut self.rows {
+            let Some(key) = book.endpoint(&row.name) else {
+                row.taken_out = true;
+                continue;
+            };
+            row.taken_out = book.is_taken_out(key);
+            row.pool = Tag::new(&book[book[key].pool].name);
+            row.data_centre = Tag::new(&book[book[key].data_centre].name);
+        }
     }
 
     /// Chooses the better of two endpoints of the pool drawn at random.
     ///
-    /// `excluded` names endpoints that were tried already. `random` supplies
-    /// both draws.
+    /// Endpoints of the entry's own data centre go first; when the better of
+    /// two there has no slot free, the better of two elsewhere is taken if it
+    /// has less to do. `random` supplies all draws.
     #[must_use]
-    pub fn choose(
-        &self,
-        pool: &str,
-        excluded: &[String],
-        random: u64,
-        now: Duration,
-    ) -> Option<(&str, SocketAddr)> {
-        let usable = |row: &&Row| row.pool == pool && !excluded.contains(&row.endpoint);
-        let mut rows: Vec<&Row> = self
+    pub fn choose(&self, need: Need<'_>, random: u64, now: Duration) -> Option<Choice> {
+        let usable = |row: &&Row| {
+            row.pool == need.pool && row.is_open(now) && !need.tried.contains(&row.endpoint)
+        };
+        let (own, others): (Vec<&Row>, Vec<&Row>) = self
             .rows
             .iter()
             .filter(usable)
-            .filter(|row| row.shunned_until <= now)
-            .collect();
-        if rows.is_empty() {
-            rows = self.rows.iter().filter(usable).collect();
-        }
-        let first = *rows.get(pick(random & u64::from(u32::MAX), rows.len())?)?;
-        let second = *rows.get(pick(random >> 32, rows.len())?)?;
-        let better = if load(second) < load(first) {
-            second
-        } else {
-            first
+            .partition(|row| row.data_centre == need.data_centre);
+        let near = better(&own, random, now);
+        let best = match near {
+            Some(near) if near.load(now) < SPILL => near,
+            _ => [near, better(&others, random >> 32, now)]
+                .into_iter()
+                .flatten()
+                .min_by_key(|row| row.load(now))?,
         };
-        Some((&better.endpoint, better.address))
+        Some(Choice {
+            endpoint: best.endpoint,
+            name: Arc::clone(&best.name),
+            address: best.address,
+        })
     }
 
-    /// Notes that an attempt went to the endpoint.
-    pub fn begin(&mut self, endpoint: &str) {
-        if let Ok(index) = self.find(endpoint) {
-            self.rows[index].own_in_flight += 1;
+    /// Notes that an attempt goes to the endpoint.
+    pub fn begin(&mut self, endpoint: Tag, now: Duration) {
+        if let Some(row) = self.row(endpoint) {
+            row.begin(now);
         }
     }
 
     /// Notes that an attempt ended.
-    pub fn end(&mut self, endpoint: &str) {
-        if let Ok(index) = self.find(endpoint) {
-            let row = &mut self.rows[index];
-            row.own_in_flight = row.own_in_flight.saturating_sub(1);
+    pub fn end(&mut self, endpoint: Tag) {
+        if let Some(row) = self.row(endpoint) {
+            row.end();
         }
     }
 
-    /// Takes up a load report.
-    pub fn report(&mut self, endpoint: &str, report: Report) {
-        if let Ok(index) = self.find(endpoint) {
-            self.rows[index].report = report;
+    /// Takes up a load report, which is a sign of life too.
+    pub fn report(&mut self, endpoint: Tag, report: Report, now: Duration) {
+        if let Some(row) = self.row(endpoint) {
+            row.hear(report, now);
         }
     }
 
-    /// Notes that the sidecar could not be reached.
-    pub fn shun(&mut self, endpoint: &str, now: Duration) {
-        if let Ok(index) = self.find(endpoint) {
-            self.rows[index].shunned_until = now + Self::SHUN;
+    /// Notes that the sidecar could not be reached or takes no work.
+    pub fn shun(&mut self, endpoint: Tag, now: Duration) {
+        if let Some(row) = self.row(endpoint) {
+            row.shun(now);
         }
     }
 
-    fn find(&self, endpoint: &str) -> Result<usize, usize> {
-        self.rows
-            .binary_search_by(|row| row.endpoint.as_str().cmp(endpoint))
+    fn row(&mut self, endpoint: Tag) -> Option<&mut Row> {
+        let index = self.find(endpoint).ok()?;
+        self.rows.get_mut(index)
     }
-}
 
-fn pick(random: u64, len: usize) -> Option<usize> {
-    usize::try_from(random).ok()?.checked_rem(len)
+    fn find(&self, endpoint: Tag) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by_key(&endpoint, |row| row.endpoint)
+    }
 }
 
-/// Work at the endpoint in thousandths of its slots.
-fn load(row: &Row) -> u64 {
-    let work = row.own_in_flight.max(row.report.in_flight) + row.report.queued;
-    u64::from(work) * 1000 / u64::from(row.report.slots.max(1))
+/// Returns the less loaded of two distinct rows, drawn with 16 bits each.
+fn better<'a>(rows: &[&'a Row], random: u64, now: Duration) -> Option<&'a Row> {
+    let len = u64::try_from(rows.len()).ok()?;
+    let first = (random & 0xffff).checked_rem(len)?;
+    let step = (random >> 16 & 0xffff).checked_rem(len - 1).unwrap_or(0);
+    let second = (first + 1 + step) % len;
+    let pick = |index: u64| usize::try_from(index).ok().and_then(|at| rows.get(at));
+    let (first, second) = (*pick(first)?, *pick(second)?);
+    Some(if second.load(now) < first.load(now) {
+        second
+    } else {
+        first
+    })
 }
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -7,10 +7,11 @@
 use crate::link;
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
+    admission::Tag,
     error::{Effect, Failure, Kind},
     event::Event,
     id,
-    routing::Report,
+    routing::{Need, Report},
     rules::Stage,
 };
 use cicadacrank_wire::wire::{self, frame::Body};
@@ -23,7 +24,8 @@
 
 /// An attempt that has its endpoint.
 pub(super) struct Attempt {
-    pub(super) endpoint: String,
+    pub(super) endpoint: Tag,
+    name: Arc<str>,
     address: SocketAddr,
     id: id::Attempt,
     until: Instant,
@@ -48,22 +50,12 @@
 /// Counts an attempt at an endpoint for as long as it lives.
 struct Slot {
     service: Arc<Service>,
-    endpoint: String,
-}
-
-impl Slot {
-    fn new(service: &Arc<Service>, endpoint: &str) -> Self {
-        service.table().begin(endpoint);
-        Self {
-            service: Arc::clone(service),
-            endpoint: endpoint.to_owned(),
-        }
-    }
+    endpoint: Tag,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.service.table().end(&self.endpoint);
+        self.service.table().end(self.endpoint);
     }
 }
 
@@ -79,29 +71,36 @@
 
 impl Attempt {
     /// Picks an endpoint that was not tried; `None` if there is none.
-    pub(super) fn new(
-        walk: &Walk,
-        stage: &Stage,
-        tried: &[String],
-        until: Instant,
-    ) -> Option<Self> {
+    pub(super) fn new(walk: &Walk, stage: &Stage, tried: &[Tag], until: Instant) -> Option<Self> {
         let service = &walk.service;
-        let book = &walk.configuration.book;
-        let pool = &book[stage.pool].name;
+        let pool = &walk.configuration.book[stage.pool];
+        let need = Need {
+            pool: Tag::new(&pool.name),
+            data_centre: service.data_centre(),
+            tried,
+        };
         let now = service.parts.clock.now();
-        let (endpoint, address) = {
-            let table = service.table();
-            let (endpoint, address) = table.choose(pool, tried, rand::random(), now)?;
-            (endpoint.to_owned(), address)
+        let current = service.parts.holder.current();
+        let choice = {
+            let mut table = service.table();
+            if let Some(current) = current {
+                table.adopt(current.generation, &current.book);
+            }
+            let choice = table.choose(need, rand::random(), now)?;
+            table.begin(choice.endpoint, now);
+            choice
         };
-        let slot = Slot::new(service, &endpoint);
         service.parts.metrics.attempts.inc();
         Some(Self {
-            endpoint,
-            address,
+            endpoint: choice.endpoint,
+            name: choice.name,
+            address: choice.address,
             id: id::Attempt::new(rand::random()),
             until,
-            _slot: slot,
+            _slot: Slot {
+                service: Arc::clone(service),
+                endpoint: choice.endpoint,
+            },
         })
     }
 
@@ -164,7 +163,7 @@
             team: request.team.clone(),
             pipeline: request.pipeline.clone(),
             stage: stage.name.clone(),
-            endpoint: self.endpoint.clone(),
+            endpoint: self.name.to_string(),
             remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
             key: request.key.clone(),
             digest: walk.digest.clone(),
@@ -177,11 +176,11 @@
         let service = &walk.service;
         Event::AttemptFailed.log(format_args!(
             "attempt {} at {}: {fault}",
-            self.id, self.endpoint
+            self.id, self.name
         ));
         service
             .table()
-            .shun(&self.endpoint, service.parts.clock.now());
+            .shun(self.endpoint, service.parts.clock.now());
         service.parts.link.reset(self.address);
         let effect = if fault.connected {
             Effect::Unknown
@@ -229,7 +228,9 @@
                 queued: load.queued,
                 slots: load.slots,
             };
-            self.service.table().report(&self.attempt.endpoint, report);
+            let now = self.service.parts.clock.now();
+            let endpoint = self.attempt.endpoint;
+            self.service.table().report(endpoint, report, now);
         }
         match frame.body {
             Some(Body::Chunk(chunk)) => {
@@ -258,7 +259,7 @@
         let attempt = self.attempt;
         Event::AttemptFailed.log(format_args!(
             "attempt {} at {}: {kind}: {context}",
-            attempt.id, attempt.endpoint
+            attempt.id, attempt.name
         ));
         self.service.parts.link.reset(attempt.address);
         Trouble {
--- a/crates/cicadacrank-node/src/entry/service.rs
+++ b/crates/cicadacrank-node/src/entry/service.rs
@@ -3,7 +3,7 @@
 use super::walk;
 use crate::{clock::Clock, configuration::Holder, link, metrics::Metrics, settings::Settings};
 use bytes::Bytes;
-use cicadacrank_core::{error::Failure, id, routing::Table};
+use cicadacrank_core::{admission::Tag, error::Failure, id, routing::Table};
 use serde_json::Value;
 use std::{
     sync::{
@@ -69,6 +69,7 @@
 pub struct Service {
     pub(super) parts: Parts,
     table: Mutex<Table>,
+    data_centre: Tag,
     draining: AtomicBool,
     listed: AtomicBool,
     tracker: TaskTracker,
@@ -79,6 +80,7 @@
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         Self {
+            data_centre: Tag::new(&parts.settings.data_centre),
             parts,
             table: Mutex::new(Table::default()),
             draining: AtomicBool::new(false),
@@ -106,6 +108,11 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the data centre the entry stands in.
+    pub(super) const fn data_centre(&self) -> Tag {
+        self.data_centre
+    }
+
     /// Withdraws readiness; requests are still taken.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -139,7 +139,7 @@
             let Some(attempt) = Attempt::new(self, stage, &tried, until) else {
                 break;
             };
-            tried.push(attempt.endpoint.clone());
+            tried.push(attempt.endpoint);
             let sender = streams.then(|| self.sender.clone());
             match attempt.run(self, stage, input.clone(), sender).await {
                 Ok(done) => {
