Decide membership and the spread of configuration in the core; let a holder take hints

Cause: every process polled the platform once a second for rules and instances, so calls grew with the fleet, and nothing was learned from peers.

Holder::hint(generation) asks for a newer generation to be fetched now.

--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -14,6 +14,8 @@
 //! 4. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
 //! 5. [`once`] keeps work that may not be repeated from running twice.
 //!
+//! [`membership`] and [`spread`] decide how many processes act together.
+//!
 //! ```
 //! use cicadacrank_core::error::{Effect, Kind};
 //!
@@ -25,7 +27,9 @@
 pub mod error;
 pub mod event;
 pub mod id;
+pub mod membership;
 pub mod once;
 pub mod pipeline;
 pub mod routing;
 pub mod rules;
+pub mod spread;
--- /dev/null
+++ b/crates/cicadacrank-core/src/membership/watcher.rs
@@ -0,0 +1,31 @@
+//! Picks the processes that watch the platform.
+
+use super::Table;
+
+/// Processes in each data centre that watch the platform.
+pub const WATCHERS: usize = 2;
+
+/// Returns whether the process itself watches the platform.
+///
+/// By rendezvous hash over the live processes of its data centre: each knows
+/// without a message who watches, and the end of one changes only its own
+/// place. Processes whose tables differ for a moment pick one watcher too many
+/// or too few, which costs a call or a short wait.
+#[must_use]
+pub fn is_watcher(table: &Table) -> bool {
+    let me = table.me();
+    let own = score(&me.data_centre, &me.name);
+    let higher = table
+        .live()
+        .filter(|one| one.data_centre == me.data_centre && one.takes_work())
+        .filter(|one| score(&one.data_centre, &one.name) > own);
+    higher.take(WATCHERS).count() < WATCHERS
+}
+
+fn score(data_centre: &str, name: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(data_centre.len() as u64).to_le_bytes());
+    hasher.update(data_centre.as_bytes());
+    hasher.update(name.as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/spread/history.rs
@@ -0,0 +1,128 @@
+//! The newest text and the way to it.
+
+use super::{Edit, Mismatch, apply, difference};
+use crate::id;
+use std::{collections::VecDeque, sync::Arc};
+
+/// The rules of one generation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// Rises by one with each accepted change.
+    pub generation: u64,
+    /// Text of the rule file.
+    pub text: Arc<str>,
+}
+
+/// The way from one generation to a later one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Generation it begins at.
+    pub from: u64,
+    /// Generation it leads to.
+    pub to: u64,
+    /// Digest of the text it leads to.
+    pub digest: [u8; id::DIGEST_BYTES],
+    /// What changes.
+    pub edits: Vec<Edit>,
+}
+
+impl Step {
+    fn weight(&self) -> usize {
+        self.edits.iter().map(|edit| edit.insert.len() + 16).sum()
+    }
+}
+
+/// The newest text and the last steps to it; never goes back.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    newest: Option<Document>,
+    steps: VecDeque<Step>,
+}
+
+impl History {
+    /// Steps that are kept.
+    pub const STEPS: usize = 64;
+
+    /// Largest steps that are sent instead of the whole text, in bytes.
+    pub const STEPS_BYTES: usize = 16 << 10;
+
+    /// Returns the newest document.
+    #[must_use]
+    pub const fn newest(&self) -> Option<&Document> {
+        self.newest.as_ref()
+    }
+
+    /// Returns the newest generation; zero when there is none.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.newest
+            .as_ref()
+            .map_or(0, |document| document.generation)
+    }
+
+    /// Takes up a document if it is newer; returns whether it was.
+    ///
+    /// `steps` is the way to it, if it was sent; without it the difference from
+    /// the document so far is worked out.
+    pub fn adopt(&mut self, document: Document, steps: Vec<Step>) -> bool {
+        if document.generation <= self.generation() {
+            return false;
+        }
+        let fits = steps
+            .first()
+            .is_some_and(|step| step.from == self.generation())
+            && steps
+                .last()
+                .is_some_and(|step| step.to == document.generation);
+        match &self.newest {
+            Some(_) if fits => self.steps.extend(steps),
+            Some(old) => self.steps.push_back(Step {
+                from: old.generation,
+                to: document.generation,
+                digest: id::digest(document.text.as_bytes()),
+                edits: difference(&old.text, &document.text),
+            }),
+            None => {}
+        }
+        let excess = self.steps.len().saturating_sub(Self::STEPS);
+        self.steps.drain(..excess);
+        self.newest = Some(document);
+        true
+    }
+
+    /// Returns the steps from an older generation to the newest, if they are
+    /// known and small.
+    #[must_use]
+    pub fn since(&self, generation: u64) -> Option<Vec<Step>> {
+        let start = self.steps.iter().position(|step| step.from == generation)?;
+        let steps: Vec<Step> = self.steps.iter().skip(start).cloned().collect();
+        let weight: usize = steps.iter().map(Step::weight).sum();
+        (weight <= Self::STEPS_BYTES).then_some(steps)
+    }
+
+    /// Returns the document that steps lead to from the newest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Mismatch`] if they begin elsewhere or the digest differs.
+    pub fn follow(&self, steps: &[Step]) -> Result<Document, Mismatch> {
+        let newest = self.newest.as_ref().ok_or(Mismatch)?;
+        let mut at = newest.generation;
+        let mut text = String::from(&*newest.text);
+        for step in steps {
+            if step.from != at || step.to <= at {
+                return Err(Mismatch);
+            }
+            text = apply(&text, &step.edits)?;
+            at = step.to;
+        }
+        let last = steps.last().ok_or(Mismatch)?;
+        if id::digest(text.as_bytes()) != last.digest {
+            return Err(Mismatch);
+        }
+        Ok(Document {
+            generation: at,
+            text: text.into(),
+        })
+    }
+}
--- a/crates/cicadacrank-node/src/configuration/mod.rs
+++ b/crates/cicadacrank-node/src/configuration/mod.rs
@@ -12,7 +12,13 @@
     rules::{self, Book},
 };
 use serde::{Deserialize, Serialize};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{sync::watch, time};
 
 /// Name of the object that holds the rules.
@@ -42,6 +48,8 @@
 #[derive(Debug)]
 pub struct Holder {
     sender: watch::Sender<Option<Arc<Configuration>>>,
+    hint: watch::Sender<u64>,
+    suspended: AtomicBool,
 }
 
 impl Holder {
@@ -50,15 +58,54 @@
     pub fn new() -> Self {
         Self {
             sender: watch::Sender::new(None),
+            hint: watch::Sender::new(0),
+            suspended: AtomicBool::new(false),
         }
     }
 
     /// Returns the configuration in force, if there is one.
+    ///
+    /// There is none while the process is [suspended](Self::suspend), so that
+    /// whoever takes new work refuses it without a check of its own.
     #[must_use]
     pub fn current(&self) -> Option<Arc<Configuration>> {
+        if self.suspended.load(Ordering::SeqCst) {
+            return None;
+        }
+        self.sender.borrow().clone()
+    }
+
+    /// Returns the newest ruleset, also while suspended.
+    #[must_use]
+    pub fn newest(&self) -> Option<Arc<Configuration>> {
         self.sender.borrow().clone()
     }
 
+    /// Says whether the process was cut off for so long that its configuration
+    /// may no longer be used for new work.
+    pub fn suspend(&self, suspended: bool) {
+        self.suspended.store(suspended, Ordering::SeqCst);
+    }
+
+    /// Notes that another process has this generation in force, so that it is
+    /// fetched now if it is newer than the one here.
+    pub fn hint(&self, generation: u64) {
+        if generation <= self.generation() {
+            return;
+        }
+        self.hint.send_if_modified(|hint| {
+            let higher = generation > *hint;
+            *hint = (*hint).max(generation);
+            higher
+        });
+    }
+
+    /// Returns a view that wakes with each hint at a newer generation.
+    #[must_use]
+    pub fn hints(&self) -> watch::Receiver<u64> {
+        self.hint.subscribe()
+    }
+
     /// Returns the generation in force; zero when there is none.
     #[must_use]
     pub fn generation(&self) -> u64 {
