Hold claims by the try, not by the attempt; derive effects from proofs

Cause and change: a claim now names a holder drawn anew for each try, a claim whose making had no answer is withdrawn behind the refusal with retries, the answer goes out before the record, an ended claim is taken over, and the clock of claims follows tokio's. Recording is tried for half a minute (60 tries). Ruled out: telling copies apart by attempt within one sidecar, since the copy may reach another sidecar or a restarted one.

Unsent::refuse, Unsent::doubt and Sent::fail now make a once::Stop, which nothing else can make; check_deadline used to make a not-run without using up the proof. Releasing a claim asks for the proof as well. Three compile-fail doc tests say so.

--- /dev/null
+++ b/crates/cicadacrank-bench/src/memory/caller.rs
@@ -0,0 +1,109 @@
+//! What a caller of a sidecar is told.
+
+use cicadacrank_core::{
+    error::{Effect, Kind},
+    id,
+};
+use cicadacrank_node::link::Link;
+use cicadacrank_wire::wire::{self, frame::Body};
+use futures_util::StreamExt as _;
+use std::{fmt, net::SocketAddr};
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The whole output.
+    Whole {
+        /// The output, as text.
+        output: String,
+        /// Whether an earlier attempt had recorded it.
+        replayed: bool,
+    },
+    /// A typed failure.
+    Failed {
+        /// Its kind.
+        kind: Kind,
+        /// What is known about the work.
+        effect: Effect,
+    },
+    /// The connection ended before the answer did.
+    Cut {
+        /// Whether there was a connection at all.
+        connected: bool,
+    },
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Whole { output, replayed } => {
+                let how = if *replayed { "replayed" } else { "whole" };
+                write!(formatter, "{how} {output}")
+            }
+            Self::Failed { kind, effect } => write!(formatter, "{kind} {}", effect.as_str()),
+            Self::Cut { .. } => formatter.write_str("cut"),
+        }
+    }
+}
+
+/// Creates a job for the booking stage of Bergvik's sample rules.
+#[must_use]
+pub fn booking(endpoint: &str, attempt: u128, key: &str, body: u8, remaining_ms: u64) -> wire::Job {
+    wire::Job {
+        request: id::Request::new(attempt).to_string(),
+        attempt: id::Attempt::new(attempt).to_string(),
+        generation: 1,
+        team: "portal".to_owned(),
+        pipeline: "book-room".to_owned(),
+        stage: "booking".to_owned(),
+        endpoint: endpoint.to_owned(),
+        remaining_ms,
+        key: key.to_owned(),
+        digest: id::digest(&[body]).to_vec(),
+        input: b"{}".to_vec(),
+        ..wire::Job::default()
+    }
+}
+
+/// Sends a job and reads its answer as an entry does: frames of other attempts
+/// and frames seen before are left out.
+pub async fn ask(link: &dyn Link, address: SocketAddr, job: wire::Job) -> Answer {
+    let attempt = job.attempt.clone();
+    let mut frames = match link.run(address, job).await {
+        Ok(frames) => frames,
+        Err(fault) => {
+            return Answer::Cut {
+                connected: fault.connected,
+            };
+        }
+    };
+    let mut output = Vec::new();
+    let mut next = 0;
+    while let Some(Ok(frame)) = frames.next().await {
+        if frame.attempt != attempt || frame.sequence < next {
+            continue;
+        }
+        next = frame.sequence + 1;
+        match frame.body {
+            Some(Body::Chunk(chunk)) => output.extend(chunk.data),
+            Some(Body::End(end)) => return whole(&output, end.replayed),
+            Some(Body::Failure(failure)) => return failed(&failure),
+            Some(Body::Admitted(_)) | None => {}
+        }
+    }
+    Answer::Cut { connected: true }
+}
+
+fn whole(output: &[u8], replayed: bool) -> Answer {
+    Answer::Whole {
+        output: String::from_utf8_lossy(output).into_owned(),
+        replayed,
+    }
+}
+
+fn failed(failure: &wire::Failure) -> Answer {
+    Answer::Failed {
+        kind: Kind::from_name(&failure.kind).unwrap_or(Kind::Internal),
+        effect: Effect::from_name(&failure.effect).unwrap_or(Effect::Unknown),
+    }
+}
--- a/crates/cicadacrank-bench/src/memory/mod.rs
+++ b/crates/cicadacrank-bench/src/memory/mod.rs
@@ -4,6 +4,7 @@
 //! the way from entries to sidecars. [`Process`] stops or pauses everything
 //! that one process does at its edges, and [`Sidecar`] puts one together.
 
+mod caller;
 mod link;
 mod port;
 mod process;
@@ -11,6 +12,7 @@
 mod store;
 
 pub use self::{
+    caller::{Answer, ask, booking},
     link::{Cut, Link},
     port::{Behaviour, Port, Run},
     process::Process,
--- a/crates/cicadacrank-bench/src/memory/port.rs
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -129,7 +129,7 @@
     fn begin(&self, call: &Call) -> (Behaviour, Bytes) {
         let mut state = self.lock();
         let behaviour = state.script.pop_front().unwrap_or(state.otherwise);
-        let output = Bytes::from(format!("{{\"run\":{}}}", state.runs.len()));
+        let output = Bytes::from(format!("\"run {}\"", state.runs.len()));
         if behaviour.runs() {
             state.runs.push(Run {
                 address: call.address,
--- a/crates/cicadacrank-core/src/id.rs
+++ b/crates/cicadacrank-core/src/id.rs
@@ -56,6 +56,8 @@
     Request;
     /// Identifies one attempt to run one stage.
     Attempt;
+    /// Identifies one try to get a claim; a job that arrives twice tries twice.
+    Holder;
 }
 
 /// Length of a digest, in bytes.
--- a/crates/cicadacrank-core/src/once/claim.rs
+++ b/crates/cicadacrank-core/src/once/claim.rs
@@ -1,6 +1,7 @@
 //! The record of work that may not be repeated.
 
-use crate::id;
+use super::Stop;
+use crate::{error::Kind, id};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -68,10 +69,30 @@
     },
 }
 
-/// The record that one attempt alone may run some work.
+impl Outcome {
+    /// Returns the kept output for a replay.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; the work is known to have ended.
+    pub fn replay(self) -> Result<String, Stop> {
+        match self {
+            Self::Answer { output } => Ok(output),
+            Self::Oversized => Err(Stop::partial(
+                Kind::OutcomeUnknown,
+                "the work ran; its answer was not kept",
+            )),
+            Self::Refused { context } => Err(Stop::partial(Kind::EndpointRefused, context)),
+        }
+    }
+}
+
+/// The record that one holder alone may run some work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// Attempt that holds the claim.
+    /// Holder of the claim.
+    pub holder: id::Holder,
+    /// Attempt it was made for.
     pub attempt: id::Attempt,
     /// Digest of the caller's body, in hexadecimal digits.
     pub digest: String,
@@ -82,14 +103,14 @@
     pub state: State,
 }
 
-/// What an attempt that meets a claim must do.
+/// What a holder-to-be that meets a claim must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The claim is the attempt's own: run the work.
+    /// The claim is its own: run the work.
     Run,
     /// Take the claim over, conditional on its version.
     TakeOver,
-    /// Another attempt holds the claim: look again later.
+    /// Another holds the claim: look again later.
     Wait,
     /// Answer with the recorded outcome.
     Replay(Outcome),
@@ -100,8 +121,14 @@
 impl Claim {
     /// Creates an open claim.
     #[must_use]
-    pub const fn new(attempt: id::Attempt, digest: String, ends_unix_ms: u64) -> Self {
+    pub const fn new(
+        holder: id::Holder,
+        attempt: id::Attempt,
+        digest: String,
+        ends_unix_ms: u64,
+    ) -> Self {
         Self {
+            holder,
             attempt,
             digest,
             ends_unix_ms,
@@ -116,15 +143,23 @@
         self
     }
 
-    /// Decides what `attempt` with a body of this digest must do on finding
-    /// this claim.
+    /// Returns whether the claim has ended and may be deleted.
+    #[must_use]
+    pub const fn is_ended(&self, now_unix_ms: u64) -> bool {
+        self.ends_unix_ms <= now_unix_ms
+    }
+
+    /// Decides what one that wants the claim must do on finding this one.
+    ///
+    /// The claim of the same attempt under another holder is another's: the
+    /// job arrived twice, and only one of the two may run it.
     #[must_use]
-    pub fn verdict(&self, attempt: id::Attempt, digest: &str) -> Verdict {
-        if self.digest != digest {
+    pub fn verdict(&self, wanted: &Self) -> Verdict {
+        if self.digest != wanted.digest {
             return Verdict::Reused;
         }
         match &self.state {
-            State::Open if self.attempt == attempt => Verdict::Run,
+            State::Open if self.holder == wanted.holder => Verdict::Run,
             State::Open => Verdict::Wait,
             State::Unsent => Verdict::TakeOver,
             State::Done { outcome } => Verdict::Replay(outcome.clone()),
--- a/crates/cicadacrank-core/src/once/mod.rs
+++ b/crates/cicadacrank-core/src/once/mod.rs
@@ -7,8 +7,10 @@
 
 mod claim;
 mod send;
+mod stop;
 
 pub use self::{
     claim::{Claim, Name, Outcome, State, Verdict},
     send::{Sent, Unsent},
+    stop::Stop,
 };
--- a/crates/cicadacrank-core/src/once/send.rs
+++ b/crates/cicadacrank-core/src/once/send.rs
@@ -1,31 +1,41 @@
 //! The line between work that surely did not run and work that may have.
 
-use crate::error::{Effect, Failure, Kind};
+use super::Stop;
+use crate::error::Kind;
 
 /// Proof that no byte of the work has gone to its endpoint.
 ///
 /// The value is consumed by [`Unsent::send`], and it cannot be copied: code
 /// that runs after the first byte has no way to make a refusal that says "not
 /// run".
+///
+/// ```compile_fail,E0382
+/// use cicadacrank_core::{error::Kind, once::Unsent};
+///
+/// let unsent = Unsent::begin();
+/// let sent = unsent.send();
+/// let stop = unsent.refuse(Kind::Deadline, "after the send");
+/// ```
 #[derive(Debug)]
 #[must_use]
 pub struct Unsent(());
 
 impl Unsent {
-    /// Creates the proof for work that has just arrived.
-    pub(crate) const fn new() -> Self {
-        Self(())
-    }
-
     /// Starts an attempt: the one place that makes the proof.
     pub const fn begin() -> Self {
-        Self::new()
+        Self(())
     }
 
     /// Refuses the work, which surely did not run.
     #[must_use]
-    pub fn refuse(self, kind: Kind, context: impl Into<String>) -> Failure {
-        Failure::not_run(kind, context)
+    pub fn refuse(self, kind: Kind, context: impl Into<String>) -> Stop {
+        Stop::not_run(kind, context)
+    }
+
+    /// Refuses the work, which another attempt may have run.
+    #[must_use]
+    pub fn doubt(self, kind: Kind, context: impl Into<String>) -> Stop {
+        Stop::unknown(kind, context)
     }
 
     /// Declares that bytes go to the endpoint from here on.
@@ -35,6 +45,21 @@
 }
 
 /// The work may have reached its endpoint.
+///
+/// ```compile_fail,E0599
+/// use cicadacrank_core::{error::Kind, once::Unsent};
+///
+/// let stop = Unsent::begin().send().refuse(Kind::Deadline, "after the send");
+/// ```
+///
+/// What it can say is that the work may have run:
+///
+/// ```
+/// use cicadacrank_core::{error::{Effect, Kind}, once::Unsent};
+///
+/// let stop = Unsent::begin().send().fail(Kind::Deadline, "after the send");
+/// assert_eq!(stop.effect(), Effect::Unknown);
+/// ```
 #[derive(Debug)]
 #[must_use]
 pub struct Sent {
@@ -59,22 +84,17 @@
         if connected {
             Err(self)
         } else {
-            Ok(Unsent::new())
+            Ok(Unsent::begin())
         }
     }
 
     /// Fails the work with the best effect that is still true.
     #[must_use]
-    pub fn fail(self, kind: Kind, context: impl Into<String>) -> Failure {
-        let effect = if self.finished {
-            Effect::Partial
+    pub fn fail(self, kind: Kind, context: impl Into<String>) -> Stop {
+        if self.finished {
+            Stop::partial(kind, context)
         } else {
-            Effect::Unknown
-        };
-        Failure {
-            kind,
-            effect,
-            context: context.into(),
+            Stop::unknown(kind, context)
         }
     }
 }
--- /dev/null
+++ b/crates/cicadacrank-core/src/once/stop.rs
@@ -0,0 +1,64 @@
+//! Why work ended without a whole answer.
+
+use crate::error::{Effect, Failure, Kind};
+
+/// Why work ended without a whole answer, with the effect that is proved.
+///
+/// Only this module's owners can make one: [`Unsent::refuse`] and
+/// [`Unsent::doubt`] before the first byte, [`Sent::fail`] after it, and
+/// [`Outcome::replay`] for work that is known to have ended. The effect that a
+/// sidecar reports is read from here and nowhere else, so that none can say
+/// "not run" without having used up the proof of it:
+///
+/// ```compile_fail,E0451
+/// use cicadacrank_core::{error::{Failure, Kind}, once::Stop};
+///
+/// let stop = Stop { failure: Failure::not_run(Kind::Deadline, "after the send") };
+/// ```
+///
+/// [`Unsent::refuse`]: super::Unsent::refuse
+/// [`Unsent::doubt`]: super::Unsent::doubt
+/// [`Sent::fail`]: super::Sent::fail
+/// [`Outcome::replay`]: super::Outcome::replay
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    failure: Failure,
+}
+
+impl Stop {
+    pub(super) fn not_run(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            failure: Failure::not_run(kind, context),
+        }
+    }
+
+    pub(super) fn partial(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            failure: Failure::partial(kind, context),
+        }
+    }
+
+    pub(super) fn unknown(kind: Kind, context: impl Into<String>) -> Self {
+        Self {
+            failure: Failure::unknown(kind, context),
+        }
+    }
+
+    /// Returns the kind from the closed list.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        self.failure.kind
+    }
+
+    /// Returns what is known about the work.
+    #[must_use]
+    pub const fn effect(&self) -> Effect {
+        self.failure.effect
+    }
+
+    /// Returns the failure to report.
+    #[must_use]
+    pub const fn failure(&self) -> &Failure {
+        &self.failure
+    }
+}
--- a/crates/cicadacrank-node/src/clock.rs
+++ b/crates/cicadacrank-node/src/clock.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    origin_unix_ms: u64,
 }
 
 impl Clock {
@@ -19,6 +20,7 @@
     pub fn new() -> Self {
         Self {
             origin: Instant::now(),
+            origin_unix_ms: unix_ms(),
         }
     }
 
@@ -28,6 +30,14 @@
         self.origin.elapsed()
     }
 
+    /// Returns the time in milliseconds since the Unix epoch: the wall clock at
+    /// the origin and what has passed since, so that it never goes back.
+    #[must_use]
+    pub fn unix_ms(&self) -> u64 {
+        let since = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        self.origin_unix_ms.saturating_add(since)
+    }
+
     /// Returns the instant at this time since the origin.
     #[must_use]
     pub fn instant(&self, at: Duration) -> Instant {
--- a/crates/cicadacrank-node/src/sidecar/claims.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims.rs
@@ -1,14 +1,14 @@
 //! Claims of work that may not be repeated, kept in the platform.
 
 use crate::{
-    clock,
+    clock::Clock,
     platform::{Collection, Fault, Object, Store, Version},
 };
 use cicadacrank_core::{
-    error::{Failure, Kind},
+    error::Kind,
     event::Event,
     id,
-    once::{Claim, Name, Outcome, State, Unsent, Verdict},
+    once::{Claim, Name, Outcome, State, Stop, Unsent, Verdict},
 };
 use serde_json::Value;
 use std::{sync::Arc, time::Duration};
@@ -20,8 +20,9 @@
 /// Longest wait before a claim is looked at again.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
-/// Times the record of an outcome is tried.
-const RECORD_TRIES: u32 = 20;
+/// Times the record of an outcome is tried: for half a minute at the longest
+/// wait.
+const RECORD_TRIES: u32 = 60;
 
 /// Largest output that a claim keeps, in bytes.
 pub const OUTPUT_BYTES: usize = 64 << 10;
@@ -30,6 +31,7 @@
 #[derive(Clone)]
 pub struct Claims {
     store: Arc<dyn Store>,
+    clock: Clock,
     life: Duration,
 }
 
@@ -53,8 +55,8 @@
 impl Claims {
     /// Creates claims in the store that end after `life`.
     #[must_use]
-    pub fn new(store: Arc<dyn Store>, life: Duration) -> Self {
-        Self { store, life }
+    pub fn new(store: Arc<dyn Store>, clock: Clock, life: Duration) -> Self {
+        Self { store, clock, life }
     }
 
     /// Asks for the claim of this name.
@@ -74,12 +76,14 @@
         digest: &str,
         deadline: Instant,
         unsent: Unsent,
-    ) -> Result<(Acquired, Unsent), Failure> {
+    ) -> Result<(Acquired, Unsent), Stop> {
         let name = name.to_string();
+        let holder = id::Holder::new(rand::random());
+        let wanted = Claim::new(holder, attempt, digest.to_owned(), 0);
         let mut wait = FIRST_WAIT;
         let mut held_by_other = false;
         loop {
-            match self.look(&name, attempt, digest).await {
+            match self.look(&name, &wanted).await {
                 Ok(Step::Ended(acquired)) => return Ok((acquired, unsent)),
                 Ok(Step::Reused) => {
                     return Err(unsent.refuse(Kind::KeyReused, "claiming the work"));
@@ -89,7 +93,7 @@
                 Err(fault) => Event::PlatformFailed.log(format_args!("claim {name}: {fault}")),
             }
             if Instant::now() + wait >= deadline {
-                return Err(self.give_up(name, attempt, held_by_other, unsent));
+                return Err(self.give_up(name, holder, held_by_other, unsent));
             }
             time::sleep(wait).await;
             wait = (wait * 2).min(LONGEST_WAIT);
@@ -107,14 +111,17 @@
     }
 
     /// Notes that the work surely was not sent, so that another may run it.
-    pub async fn release(&self, held: Held) {
+    pub async fn release(&self, held: Held, _unsent: &Unsent) {
         if !self.settle(&held, State::Unsent).await {
             Event::ClaimOpen.log(format_args!("claim {}: not released", held.name));
         }
     }
 
-    async fn look(&self, name: &str, attempt: id::Attempt, digest: &str) -> Result<Step, Fault> {
-        let claim = Claim::new(attempt, digest.to_owned(), self.end());
+    async fn look(&self, name: &str, wanted: &Claim) -> Result<Step, Fault> {
+        let claim = Claim {
+            ends_unix_ms: self.end(),
+            ..wanted.clone()
+        };
         match self
             .store
             .create(Collection::Claims, name, spec(&claim))
@@ -130,7 +137,10 @@
             Err(fault) => return Err(fault),
         };
         let found = read(&object)?;
-        match found.verdict(attempt, digest) {
+        if found.is_ended(self.clock.unix_ms()) {
+            return self.take_over(name, claim, object.version).await;
+        }
+        match found.verdict(wanted) {
             Verdict::Run => Ok(held(name, found, object.version)),
             Verdict::Wait => Ok(Step::Wait),
             Verdict::Replay(outcome) => Ok(Step::Ended(Acquired::Replay(outcome))),
@@ -156,32 +166,46 @@
     fn give_up(
         &self,
         name: String,
-        attempt: id::Attempt,
+        holder: id::Holder,
         held_by_other: bool,
         unsent: Unsent,
-    ) -> Failure {
+    ) -> Stop {
         if held_by_other {
-            return Failure::unknown(Kind::OutcomeUnknown, "another attempt holds the claim");
+            return unsent.doubt(Kind::OutcomeUnknown, "another attempt holds the claim");
         }
-        let claims = self.clone();
-        tokio::spawn(async move {
-            if let Ok(object) = claims.store.get(Collection::Claims, &name).await
-                && let Ok(claim) = read(&object)
-                && claim.attempt == attempt
-                && claim.state == State::Open
-            {
-                claims
-                    .release(Held {
-                        name,
-                        claim,
-                        version: object.version,
-                    })
-                    .await;
-            }
-        });
+        tokio::spawn(self.clone().withdraw(name, holder));
         unsent.refuse(Kind::PlatformDown, "claiming the work")
     }
 
+    /// Releases a claim whose making had no answer, if it was made.
+    async fn withdraw(self, name: String, holder: id::Holder) {
+        let mut wait = FIRST_WAIT;
+        for _ in 0..RECORD_TRIES {
+            match self.store.get(Collection::Claims, &name).await {
+                Ok(object) => {
+                    if let Ok(claim) = read(&object)
+                        && claim.holder == holder
+                        && claim.state == State::Open
+                    {
+                        let version = object.version;
+                        let held = Held {
+                            name,
+                            claim,
+                            version,
+                        };
+                        self.settle(&held, State::Unsent).await;
+                    }
+                    return;
+                }
+                Err(Fault::Missing) => return,
+                Err(_) => {}
+            }
+            time::sleep(wait).await;
+            wait = (wait * 2).min(LONGEST_WAIT);
+        }
+        Event::ClaimOpen.log(format_args!("claim {name}: not withdrawn"));
+    }
+
     async fn settle(&self, held: &Held, state: State) -> bool {
         let claim = Claim {
             ends_unix_ms: self.end(),
@@ -200,7 +224,7 @@
                 Err(Fault::Conflict | Fault::Lost(_)) => {
                     if let Ok(object) = self.store.get(Collection::Claims, &held.name).await {
                         match read(&object) {
-                            Ok(found) if found.attempt != claim.attempt => return false,
+                            Ok(found) if found.holder != claim.holder => return false,
                             Ok(found) if found.state == claim.state => return true,
                             _ => version = object.version,
                         }
@@ -215,7 +239,7 @@
     }
 
     fn end(&self) -> u64 {
-        clock::unix_ms() + u64::try_from(self.life.as_millis()).unwrap_or(u64::MAX)
+        self.clock.unix_ms() + u64::try_from(self.life.as_millis()).unwrap_or(u64::MAX)
     }
 }
 
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -7,9 +7,9 @@
 use crate::endpoint::{Call, Fault};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
-    error::{Failure, Kind},
+    error::Kind,
     id,
-    once::{Name, Outcome, Sent, Unsent},
+    once::{Name, Outcome, Sent, Stop, Unsent},
 };
 use cicadacrank_wire::wire::{self, frame::Body};
 use futures_util::StreamExt as _;
@@ -62,12 +62,13 @@
         .await;
     }
 
-    async fn fail(&mut self, failure: Failure) {
-        self.service.parts.metrics.fail(&failure);
+    async fn fail(&mut self, stop: &Stop) {
+        let failure = stop.failure();
+        self.service.parts.metrics.fail(failure);
         self.say(Body::Failure(wire::Failure {
             kind: failure.kind.as_str().to_owned(),
             effect: failure.effect.as_str().to_owned(),
-            context: failure.context,
+            context: failure.context.clone(),
             crashed: false,
         }))
         .await;
@@ -84,41 +85,45 @@
         chunks: 0,
         sender,
     };
-    if let Err(failure) = serve(&service, &job, &mut voice).await {
-        voice.fail(failure).await;
+    if let Err(stop) = serve(&service, &job, &mut voice).await {
+        voice.fail(&stop).await;
     }
 }
 
-async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Failure> {
+async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
     let unsent = Unsent::begin();
     let (admitted, unsent) = service.admit(job, unsent).await?;
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
-        check_deadline(deadline, &unsent)?;
+        let unsent = in_time(deadline, unsent)?;
         return repeat(service, job, admitted, deadline, unsent, voice).await;
     }
     let (acquired, unsent) = claim(service, job, deadline, unsent).await?;
     match acquired {
         Acquired::Replay(outcome) => replay(outcome, voice).await,
-        Acquired::Held(held) => {
-            if let Err(failure) = check_deadline(deadline, &unsent) {
-                service.claims.release(held).await;
-                return Err(failure);
-            }
-            once(service, job, admitted, held, deadline, unsent, voice).await
+        Acquired::Held(held) if is_past(deadline) => {
+            service.claims.release(held, &unsent).await;
+            Err(late(unsent))
         }
+        Acquired::Held(held) => once(service, job, admitted, held, deadline, unsent, voice).await,
     }
 }
 
-fn check_deadline(deadline: Instant, _unsent: &Unsent) -> Result<(), Failure> {
-    if Instant::now() < deadline {
-        return Ok(());
+fn is_past(deadline: Instant) -> bool {
+    Instant::now() >= deadline
+}
+
+fn late(unsent: Unsent) -> Stop {
+    unsent.refuse(Kind::Deadline, "looking at the deadline before the send")
+}
+
+/// Gives the proof back if the deadline has not passed.
+fn in_time(deadline: Instant, unsent: Unsent) -> Result<Unsent, Stop> {
+    if is_past(deadline) {
+        return Err(late(unsent));
     }
-    Err(Failure::not_run(
-        Kind::Deadline,
-        "looking at the deadline before the send",
-    ))
+    Ok(unsent)
 }
 
 async fn claim(
@@ -126,7 +131,7 @@
     job: &wire::Job,
     deadline: Instant,
     unsent: Unsent,
-) -> Result<(Acquired, Unsent), Failure> {
+) -> Result<(Acquired, Unsent), Stop> {
     let Some(attempt) = id::Attempt::parse(&job.attempt) else {
         return Err(unsent.refuse(Kind::BadRequest, "reading the attempt id"));
     };
@@ -167,7 +172,7 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
+) -> Result<(), Stop> {
     let call = call_of(service, job, &admitted);
     let began = Instant::now();
     let sent = unsent.send();
@@ -183,7 +188,7 @@
             voice.end(false, began.elapsed()).await;
             Ok(())
         }
-        Ok(Err(fault)) => Err(failure_of(fault, sent)),
+        Ok(Err(fault)) => Err(stop_of(fault, sent)),
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -197,7 +202,7 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
+) -> Result<(), Stop> {
     let call = call_of(service, job, &admitted);
     let began = Instant::now();
     let mut sent = unsent.send();
@@ -206,26 +211,29 @@
     drop(admitted.slot);
     match result {
         Ok(Ok(output)) => {
-            sent.finish();
-            service.claims.record(held, outcome_of(&output)).await;
+            // The caller has its answer before the platform does, so that a
+            // platform that is down holds back no answer.
             voice.end(false, began.elapsed()).await;
+            service.claims.record(held, outcome_of(&output)).await;
             Ok(())
         }
         Ok(Err(fault)) if fault.refused => {
             sent.finish();
             let context = fault.context.clone();
+            voice.fail(&sent.fail(fault.kind, fault.context)).await;
             service
                 .claims
                 .record(held, Outcome::Refused { context })
                 .await;
-            Err(failure_of(fault, sent))
+            Ok(())
         }
-        Ok(Err(fault)) => {
-            if !fault.connected {
-                service.claims.release(held).await;
+        Ok(Err(fault)) => match sent.unsend(fault.connected) {
+            Ok(unsent) => {
+                service.claims.release(held, &unsent).await;
+                Err(unsent.refuse(fault.kind, fault.context))
             }
-            Err(failure_of(fault, sent))
-        }
+            Err(sent) => Err(sent.fail(fault.kind, fault.context)),
+        },
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -239,22 +247,14 @@
     }
 }
 
-async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Failure> {
-    match outcome {
-        Outcome::Answer { output } => {
-            voice.chunk(&Bytes::from(output)).await;
-            voice.end(true, Duration::ZERO).await;
-            Ok(())
-        }
-        Outcome::Oversized => Err(Failure::partial(
-            Kind::OutcomeUnknown,
-            "the work ran; its answer was not kept",
-        )),
-        Outcome::Refused { context } => Err(Failure::partial(Kind::EndpointRefused, context)),
-    }
+async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Stop> {
+    let output = outcome.replay()?;
+    voice.chunk(&Bytes::from(output)).await;
+    voice.end(true, Duration::ZERO).await;
+    Ok(())
 }
 
-fn failure_of(fault: Fault, sent: Sent) -> Failure {
+fn stop_of(fault: Fault, sent: Sent) -> Stop {
     match sent.unsend(fault.connected) {
         Ok(unsent) => unsent.refuse(fault.kind, fault.context),
         Err(sent) => sent.fail(fault.kind, fault.context),
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -11,8 +11,8 @@
 };
 use cicadacrank_core::{
     admission::{Gate, Limits},
-    error::{Failure, Kind},
-    once::Unsent,
+    error::Kind,
+    once::{Stop, Unsent},
     rules,
 };
 use cicadacrank_wire::wire;
@@ -93,7 +93,7 @@
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
-        let claims = Claims::new(Arc::clone(&parts.store), life);
+        let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let mut doors: Vec<Door> = parts.settings.endpoints.iter().map(Door::new).collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
         Self {
@@ -152,7 +152,7 @@
         self: &Arc<Self>,
         job: &wire::Job,
         unsent: Unsent,
-    ) -> Result<(Admitted, Unsent), Failure> {
+    ) -> Result<(Admitted, Unsent), Stop> {
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
