--- a/crates/cicadacrank-core/src/once/mod.rs
+++ b/crates/cicadacrank-core/src/once/mod.rs
@@ -6,11 +6,13 @@
 //! first byte able to say that the work did not run.
 
 mod claim;
+mod seen;
 mod send;
 mod stop;
 
 pub use self::{
     claim::{Claim, Name, Outcome, State, Verdict},
+    seen::{ATTEMPTS, Seen},
     send::{Sent, Unsent},
     stop::Stop,
 };
--- a/crates/cicadacrank-node/src/sidecar/claims.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims.rs
@@ -8,10 +8,13 @@
     error::Kind,
     event::Event,
     id,
-    once::{Claim, Name, Outcome, State, Stop, Unsent, Verdict},
+    once::{Claim, Name, Outcome, Seen, State, Stop, Unsent, Verdict},
 };
 use serde_json::Value;
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 use tokio::time::{self, Instant};
 
 /// First wait before a claim is looked at again.
@@ -33,6 +36,7 @@
     store: Arc<dyn Store>,
     clock: Clock,
     life: Duration,
+    seen: Arc<Mutex<Seen>>,
 }
 
 /// A claim that this attempt holds.
@@ -56,7 +60,31 @@
     /// Creates claims in the store that end after `life`.
     #[must_use]
     pub fn new(store: Arc<dyn Store>, clock: Clock, life: Duration) -> Self {
-        Self { store, clock, life }
+        Self {
+            store,
+            clock,
+            life,
+            seen: Arc::default(),
+        }
+    }
+
+    /// Gives the proof for an attempt that has just arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::OutcomeUnknown`] for a second copy of an attempt: what
+    /// becomes of the first is not known here.
+    pub fn begin(&self, attempt: &str) -> Result<(id::Attempt, Unsent), Stop> {
+        let unsent = Unsent::begin();
+        let Some(attempt) = id::Attempt::parse(attempt) else {
+            return Err(unsent.refuse(Kind::BadRequest, "reading the attempt id"));
+        };
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if seen.insert(attempt) {
+            Ok((attempt, unsent))
+        } else {
+            Err(unsent.doubt(Kind::OutcomeUnknown, "the job arrived twice"))
+        }
     }
 
     /// Asks for the claim of this name.
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -92,14 +92,14 @@
 
 async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
-    let unsent = Unsent::begin();
+    let (attempt, unsent) = service.claims.begin(&job.attempt)?;
     let (admitted, unsent) = service.admit(job, unsent).await?;
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
         let unsent = in_time(deadline, unsent)?;
         return repeat(service, job, admitted, deadline, unsent, voice).await;
     }
-    let (acquired, unsent) = claim(service, job, deadline, unsent).await?;
+    let (acquired, unsent) = claim(service, job, attempt, deadline, unsent).await?;
     match acquired {
         Acquired::Replay(outcome) => replay(outcome, voice).await,
         Acquired::Held(held) if is_past(deadline) => {
@@ -129,12 +129,10 @@
 async fn claim(
     service: &Service,
     job: &wire::Job,
+    attempt: id::Attempt,
     deadline: Instant,
     unsent: Unsent,
 ) -> Result<(Acquired, Unsent), Stop> {
-    let Some(attempt) = id::Attempt::parse(&job.attempt) else {
-        return Err(unsent.refuse(Kind::BadRequest, "reading the attempt id"));
-    };
     if job.key.is_empty() {
         return Err(unsent.refuse(Kind::KeyMissing, "claiming the work"));
     }
