Add status, explain and send to the operators' client

Cause: operators could not see what instances have in force, nor why a request would go where, nor send one.

--- /dev/null
+++ b/crates/cicadacrank/src/cmd/explain.rs
@@ -0,0 +1,267 @@
+//! `explain`: says why a request of a team would go where.
+
+use super::args::{self, Platform, RuleFile};
+use crate::{
+    error::Error,
+    output::{self, Output},
+    time,
+};
+use bpaf::Bpaf;
+use cicadacrank_core::{
+    error::Kind,
+    rules::{self, Book, EndpointKey, PipelineKey, PoolKey, Stage, TeamKey, Window},
+};
+use serde::Serialize;
+use std::path::PathBuf;
+
+/// Examples for the help text.
+pub const EXAMPLES: &str = "Reads the rules in force, or a file with --rules.
+Examples:
+  cicadacrank explain --team counter --pipeline book-room
+  cicadacrank explain --team council --pipeline book-room --at 19:00 --rules now.rules";
+
+/// Where the rules come from.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+enum Rules {
+    File {
+        /// Rule file to read in place of the rules in force
+        #[bpaf(long("rules"), argument("FILE"))]
+        rules: PathBuf,
+    },
+    InForce(#[bpaf(external(args::platform))] Platform),
+}
+
+/// Arguments of `explain`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct Explain {
+    #[bpaf(external(args::json))]
+    pub json: bool,
+    /// Team that would ask
+    #[bpaf(argument("NAME"))]
+    team: String,
+    /// Pipeline it would ask for
+    #[bpaf(argument("NAME"))]
+    pipeline: String,
+    /// Time of day in UTC (now if not stated)
+    #[bpaf(argument::<String>("HH:MM"), parse(time::minute), optional)]
+    at: Option<u16>,
+    #[bpaf(external)]
+    rules: Rules,
+}
+
+/// Why a request would go where.
+#[derive(Debug, Serialize)]
+struct Answer {
+    team: String,
+    pipeline: String,
+    at: String,
+    allowed: bool,
+    deadline_ms: u64,
+    needs_key: bool,
+    stages: Vec<StageRow>,
+}
+
+/// One stage of the pipeline for this team.
+#[derive(Debug, Serialize)]
+struct StageRow {
+    stage: String,
+    pool: String,
+    budget_ms: u64,
+    repeatable: bool,
+    right: String,
+    allowed: bool,
+    endpoints: Vec<EndpointRow>,
+}
+
+/// One endpoint of the stage's pool for this team.
+#[derive(Debug, Serialize)]
+struct EndpointRow {
+    endpoint: String,
+    data_centre: String,
+    owner: String,
+    candidate: bool,
+    reason: String,
+    /// Requests in flight it bears when warm.
+    warm_slots: u32,
+    /// Slots kept for other owners.
+    reserved_for_others: u32,
+}
+
+/// What is asked about.
+struct Question<'a> {
+    book: &'a Book,
+    team: TeamKey,
+    pipeline: PipelineKey,
+    minute: u16,
+}
+
+impl Explain {
+    /// Works the answer out from the rules and prints it.
+    pub fn execute(self, output: Output) -> Result<(), Error> {
+        let book = self.book()?;
+        let unknown = |kind, what, name: &str| {
+            Error::not_run(kind, format!("the rules have no {what} named {name:?}"))
+        };
+        let team = book.team(&self.team);
+        let pipeline = book.pipeline(&self.pipeline);
+        let now = || time::minute_of_day(time::unix_ms());
+        let question = Question {
+            team: team.ok_or_else(|| unknown(Kind::Forbidden, "team", &self.team))?,
+            pipeline: pipeline
+                .ok_or_else(|| unknown(Kind::UnknownPipeline, "pipeline", &self.pipeline))?,
+            minute: self.at.unwrap_or_else(now),
+            book: &book,
+        };
+        let answer = question.answer();
+        output.result(&answer, || text(&answer));
+        Ok(())
+    }
+
+    fn book(&self) -> Result<Book, Error> {
+        let platform = match &self.rules {
+            Rules::File { rules } => return RuleFile::load(rules).map(|file| file.book),
+            Rules::InForce(platform) => platform,
+        };
+        let object = args::block_on(async { platform.session()?.read().await })?;
+        rules::parse(&object.rules).map_err(|faults| Error::Faults(vec![faults]))
+    }
+}
+
+impl Question<'_> {
+    fn answer(&self) -> Answer {
+        let pipeline = &self.book[self.pipeline];
+        let stages = pipeline.stages.iter().map(|stage| self.stage(stage));
+        let stages: Vec<_> = stages.collect();
+        Answer {
+            team: self.book[self.team].name.clone(),
+            pipeline: pipeline.name.clone(),
+            at: clock(self.minute),
+            allowed: stages.iter().all(|stage| stage.allowed),
+            deadline_ms: pipeline.deadline_ms,
+            needs_key: !pipeline.is_repeatable(),
+            stages,
+        }
+    }
+
+    fn stage(&self, stage: &Stage) -> StageRow {
+        let deadline_ms = self.book[self.pipeline].deadline_ms;
+        let endpoints = self.book.endpoints_of(stage.pool);
+        StageRow {
+            stage: stage.name.clone(),
+            pool: self.book[stage.pool].name.clone(),
+            budget_ms: deadline_ms.saturating_mul(stage.share_percent.into()) / 100,
+            repeatable: stage.repeatable,
+            right: self.right(stage.pool),
+            allowed: self.book.is_granted(self.team, stage.pool, self.minute),
+            endpoints: endpoints.map(|key| self.endpoint(key)).collect(),
+        }
+    }
+
+    /// Says when the team may use the pool.
+    fn right(&self, pool: PoolKey) -> String {
+        let grants = self.book.grants.iter();
+        let windows: Vec<_> = grants
+            .filter(|grant| (grant.team, grant.pool) == (self.team, pool))
+            .map(|grant| window(grant.window))
+            .collect();
+        if windows.is_empty() {
+            return "none".to_owned();
+        }
+        windows.join(", ")
+    }
+
+    fn endpoint(&self, key: EndpointKey) -> EndpointRow {
+        let endpoint = &self.book[key];
+        let owner = self.book[self.team].owner;
+        let reservations = self.book.reservations.iter();
+        let reserved = reservations
+            .filter(|one| one.pool == endpoint.pool && Some(one.owner) != owner)
+            .map(|one| one.slots);
+        let reason = if self.book[endpoint.data_centre].taken_out {
+            "its data centre is taken out"
+        } else if endpoint.taken_out {
+            "taken out"
+        } else {
+            "in service"
+        };
+        EndpointRow {
+            endpoint: endpoint.name.clone(),
+            data_centre: self.book[endpoint.data_centre].name.clone(),
+            owner: self.book[endpoint.owner].name.clone(),
+            candidate: !self.book.is_taken_out(key),
+            reason: reason.to_owned(),
+            warm_slots: endpoint.warm_slots,
+            reserved_for_others: reserved.sum(),
+        }
+    }
+}
+
+fn window(window: Window) -> String {
+    if window == Window::ALWAYS {
+        return "always".to_owned();
+    }
+    let (from, until) = (window.from_minute, window.until_minute);
+    format!("{}-{}", clock(from), clock(until))
+}
+
+fn clock(minute: u16) -> String {
+    format!("{:02}:{:02}", minute / 60, minute % 60)
+}
+
+fn text(answer: &Answer) -> String {
+    let Answer {
+        team, pipeline, at, ..
+    } = answer;
+    let may = if answer.allowed { "may" } else { "may not" };
+    let key = if answer.needs_key {
+        "needs an idempotency key"
+    } else {
+        "needs no idempotency key"
+    };
+    let mut text = format!(
+        "team {team} {may} use pipeline {pipeline} at {at} UTC; it has {} ms and {key}\n\n",
+        answer.deadline_ms
+    );
+    let mut stages = output::table(&["STAGE", "POOL", "BUDGET", "REPEAT", "RIGHT", "CANDIDATES"]);
+    for stage in &answer.stages {
+        let candidates = stage.endpoints.iter().filter(|one| one.candidate);
+        stages.add_row([
+            stage.stage.clone(),
+            stage.pool.clone(),
+            format!("{} ms", stage.budget_ms),
+            if stage.repeatable { "yes" } else { "no" }.to_owned(),
+            stage.right.clone(),
+            format!("{} of {}", candidates.count(), stage.endpoints.len()),
+        ]);
+    }
+    text += &output::lines(&mut stages);
+    for stage in &answer.stages {
+        text += &endpoints(stage);
+    }
+    text
+}
+
+fn endpoints(stage: &StageRow) -> String {
+    let mut table = output::table(&[
+        "ENDPOINT",
+        "DATA CENTRE",
+        "OWNER",
+        "WARM",
+        "KEPT FOR OTHERS",
+        "STATE",
+    ]);
+    for one in &stage.endpoints {
+        table.add_row([
+            one.endpoint.clone(),
+            one.data_centre.clone(),
+            one.owner.clone(),
+            one.warm_slots.to_string(),
+            one.reserved_for_others.to_string(),
+            one.reason.clone(),
+        ]);
+    }
+    let lines = output::lines(&mut table);
+    format!("\nstage {}\n{lines}", stage.stage)
+}
--- a/crates/cicadacrank/src/cmd/mod.rs
+++ b/crates/cicadacrank/src/cmd/mod.rs
@@ -5,8 +5,11 @@
 mod bring_back;
 mod check;
 mod diff;
+mod explain;
 mod history;
+mod send;
 mod show;
+mod status;
 mod take_out;
 
 use crate::{error::Error, output::Output};
@@ -36,12 +39,21 @@
     /// Compares a rule file with the rules in force
     #[bpaf(command, footer(diff::EXAMPLES))]
     Diff(#[bpaf(external(diff::diff))] diff::Diff),
+    /// Says why a request of a team would go where
+    #[bpaf(command, footer(explain::EXAMPLES))]
+    Explain(#[bpaf(external(explain::explain))] explain::Explain),
     /// Prints who changed the rules, when and why
     #[bpaf(command, footer(history::EXAMPLES))]
     History(#[bpaf(external(history::history))] history::History),
+    /// Sends a request to an entry and prints the answer
+    #[bpaf(command, footer(send::EXAMPLES))]
+    Send(#[bpaf(external(send::send))] send::Send),
     /// Prints the rules in force
     #[bpaf(command, footer(show::EXAMPLES))]
     Show(#[bpaf(external(show::show))] show::Show),
+    /// Shows what each instance has in force
+    #[bpaf(command, footer(status::EXAMPLES))]
+    Status(#[bpaf(external(status::status))] status::Status),
     /// Takes a data centre or an endpoint out of service (writes)
     #[bpaf(command, footer(take_out::EXAMPLES))]
     TakeOut(#[bpaf(external(take_out::take_out))] take_out::TakeOut),
@@ -55,8 +67,11 @@
             Self::BringBack(command) => command.json,
             Self::Check(command) => command.json,
             Self::Diff(command) => command.json,
+            Self::Explain(command) => command.json,
             Self::History(command) => command.json,
+            Self::Send(command) => command.json,
             Self::Show(command) => command.json,
+            Self::Status(command) => command.json,
             Self::TakeOut(command) => command.json,
         }
     }
@@ -68,8 +83,11 @@
             Self::BringBack(command) => command.execute(output),
             Self::Check(command) => command.execute(output),
             Self::Diff(command) => command.execute(output),
+            Self::Explain(command) => command.execute(output),
             Self::History(command) => command.execute(output),
+            Self::Send(command) => command.execute(output),
             Self::Show(command) => command.execute(output),
+            Self::Status(command) => command.execute(output),
             Self::TakeOut(command) => command.execute(output),
         }
     }
--- /dev/null
+++ b/crates/cicadacrank/src/http.rs
@@ -0,0 +1,88 @@
+//! Calls instances over HTTP: their pages for operators, and entries.
+
+use crate::error::Error;
+use cicadacrank_core::error::{Effect, Failure, Kind};
+use reqwest::{Client, redirect, retry};
+use serde::Deserialize;
+use std::{net::SocketAddr, time::Duration};
+
+/// Time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a whole page.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without any byte of an answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Creates a client that goes straight to its target and repeats nothing.
+pub fn client() -> Result<Client, Error> {
+    Client::builder()
+        .no_proxy()
+        .redirect(redirect::Policy::none())
+        .retry(retry::never())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(READ_TIMEOUT)
+        .build()
+        .map_err(|error| Error::not_run(Kind::Internal, error.to_string()))
+}
+
+/// What the status page of an instance says; a page may leave out much.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    /// Role of the process.
+    pub role: String,
+    /// Generation of the rules in force there.
+    pub generation: u64,
+    /// Endpoints behind a sidecar.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// What a sidecar says of an endpoint.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Endpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// How warm it is.
+    pub phase: String,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests in flight it bears now.
+    pub slots: u32,
+}
+
+/// Reads the status page of an instance.
+pub async fn status(client: &Client, address: SocketAddr) -> Result<Status, Error> {
+    let url = format!("http://{address}/status");
+    let answer = client.get(url).timeout(PAGE_TIMEOUT).send().await;
+    let answer = answer.map_err(|error| unreachable(address, &error))?;
+    let status = answer.json().await;
+    status.map_err(|error| {
+        let context = format!("reading the status of {address}: {error}");
+        Error::not_run(Kind::EndpointProtocol, context)
+    })
+}
+
+/// Returns whether an instance says that it is ready.
+pub async fn is_ready(client: &Client, address: SocketAddr) -> bool {
+    let url = format!("http://{address}/readyz");
+    let answer = client.get(url).timeout(PAGE_TIMEOUT).send().await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+/// Returns the error of a call that got no answer.
+///
+/// Only a call that made no connection surely had no effect.
+pub fn unreachable(address: SocketAddr, error: &reqwest::Error) -> Error {
+    let (kind, effect) = if error.is_connect() {
+        (Kind::Unreachable, Effect::NotRun)
+    } else {
+        (Kind::Silent, Effect::Unknown)
+    };
+    let context = format!("calling {address}: {error}");
+    Error::Failure(Failure {
+        kind,
+        effect,
+        context,
+    })
+}
--- a/crates/cicadacrank/src/main.rs
+++ b/crates/cicadacrank/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cmd;
 mod error;
+mod http;
 mod output;
 mod ruleset;
 mod time;
--- a/crates/cicadacrank/src/time.rs
+++ b/crates/cicadacrank/src/time.rs
@@ -17,6 +17,22 @@
     })
 }
 
+/// Returns the minute of the day in UTC.
+pub fn minute_of_day(unix_ms: u64) -> u16 {
+    let minute = unix_ms / SECOND_MS % DAY_SECONDS / 60;
+    u16::try_from(minute).unwrap_or_default()
+}
+
+/// Reads a time of day, like 07:30, as minutes after midnight.
+pub fn minute(text: String) -> Result<u16, String> {
+    let read = || {
+        let (hour, minute) = text.split_once(':')?;
+        let (hour, minute): (u16, u16) = (hour.parse().ok()?, minute.parse().ok()?);
+        (hour < 24 && minute < 60).then_some(hour * 60 + minute)
+    };
+    read().ok_or_else(|| format!("{text:?} is not a time of day like 07:30"))
+}
+
 /// Writes a time in UTC, to the second.
 pub fn utc(unix_ms: u64) -> String {
     let seconds = unix_ms / SECOND_MS;
--- a/crates/cicadacrank/tests/cli.rs
+++ b/crates/cicadacrank/tests/cli.rs
@@ -11,8 +11,11 @@
     "bring-back",
     "check",
     "diff",
+    "explain",
     "history",
+    "send",
     "show",
+    "status",
     "take-out",
 ];
 
@@ -113,6 +116,67 @@
     }
 }
 
+#[tokio::test]
+async fn explain_says_why() {
+    let rules = "explain --rules bergvik.rules --pipeline book-room --team";
+    let ask = async |more: &str| {
+        let arguments = format!("{rules} {more}");
+        run(&arguments.split(' ').collect::<Vec<_>>()).await
+    };
+    let found = ask("council --at 12:00").await;
+    assert_eq!((found.code, found.err.as_str()), (0, ""));
+    expect![[r#"
+        team council may use pipeline book-room at 12:00 UTC; it has 4000 ms and needs an idempotency key
+
+        STAGE         POOL             BUDGET   REPEAT  RIGHT        CANDIDATES
+        availability  resident-portal  600 ms   yes     07:00-18:30  5 of 5
+        booking       booking-desk     1000 ms  no      07:00-18:30  4 of 4
+        confirmation  samovar-llm      2400 ms  yes     07:00-18:30  12 of 12
+
+        stage availability
+        ENDPOINT            DATA CENTRE  OWNER      WARM  KEPT FOR OTHERS  STATE
+        resident-portal-01  vest-a       kulturhus  32    0                in service
+        resident-portal-02  vest-b       tehus      32    0                in service
+        resident-portal-03  vest-c       kulturhus  32    0                in service
+        resident-portal-04  vest-d       tehus      32    0                in service
+        resident-portal-05  vest-a       kulturhus  32    0                in service
+
+        stage booking
+        ENDPOINT         DATA CENTRE  OWNER  WARM  KEPT FOR OTHERS  STATE
+        booking-desk-01  vest-a       torg   16    4                in service
+        booking-desk-02  vest-b       torg   16    4                in service
+        booking-desk-03  vest-c       torg   16    4                in service
+        booking-desk-04  vest-d       torg   16    4                in service
+
+        stage confirmation
+        ENDPOINT        DATA CENTRE  OWNER      WARM  KEPT FOR OTHERS  STATE
+        samovar-llm-01  vest-a       tehus      8     4                in service
+        samovar-llm-02  vest-b       torg       8     4                in service
+        samovar-llm-03  vest-c       kulturhus  8     4                in service
+        samovar-llm-04  vest-d       tehus      8     4                in service
+        samovar-llm-05  vest-a       torg       8     4                in service
+        samovar-llm-06  vest-b       kulturhus  8     4                in service
+        samovar-llm-07  vest-c       tehus      8     4                in service
+        samovar-llm-08  vest-d       torg       8     4                in service
+        samovar-llm-09  vest-a       kulturhus  8     4                in service
+        samovar-llm-10  vest-b       tehus      8     4                in service
+        samovar-llm-11  vest-c       torg       8     4                in service
+        samovar-llm-12  vest-d       kulturhus  8     4                in service
+    "#]].assert_eq(&found.out);
+    for (more, allowed) in [
+        ("council --at 19:00", false),
+        ("counter --at 03:00", true),
+        ("hosts --at 12:00", false),
+    ] {
+        let found = ask(&format!("{more} --json")).await;
+        let answer: serde_json::Value = serde_json::from_str(&found.out).unwrap();
+        assert_eq!(answer["allowed"], allowed, "{more}");
+    }
+    for (more, code) in [("nobody", 4), ("council --at 24:00", 2)] {
+        assert_eq!(ask(more).await.code, code, "{more}");
+    }
+}
+
 #[tokio::test]
 async fn help_shows_examples() {
     let top = run(&["--help"]).await;
