--- a/crates/cicadacrank-core/tests/rules.rs
+++ b/crates/cicadacrank-core/tests/rules.rs
@@ -479,6 +479,20 @@
     "#]].assert_eq(&text);
 }
 
+#[test]
+fn guide_covers_every_word() {
+    let guide = include_str!("../../../docs/guide/rules.md");
+    for word in rules::Word::ALL {
+        let (_, section) = guide.split_once(&format!("\n### {word}\n")).unwrap();
+        let section = section.split("\n#").next().unwrap();
+        for key in word.keys() {
+            let told =
+                section.contains(&format!("{key}=")) || section.contains(&format!("`{key}`"));
+            assert!(told, "{word}: {key}");
+        }
+    }
+}
+
 fn request(who: &str, why: &str) -> Request {
     Request {
         who: who.to_owned(),
--- a/crates/cicadacrank/src/cmd/apply.rs
+++ b/crates/cicadacrank/src/cmd/apply.rs
@@ -9,7 +9,7 @@
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Writes. Prints the difference; the change is refused if another \
 operator came first.
-Examples:
+ Examples:
   cicadacrank show > now.rules
   cicadacrank apply now.rules --based-on 12 --who 'Ada Berg' --why 'council decision 12'";
 
--- a/crates/cicadacrank/src/cmd/bring_back.rs
+++ b/crates/cicadacrank/src/cmd/bring_back.rs
@@ -9,7 +9,7 @@
 pub const EXAMPLES: &str =
     "Writes. Removes a take-out line from the rules in force; works also while \
 others change them.
-Examples:
+ Examples:
   cicadacrank bring-back --data-centre vest-a --who 'Ada Berg' --why 'power is back'
   cicadacrank bring-back --endpoint booking-desk-01 --who 'Ada Berg' --why 'disk replaced'";
 
--- a/crates/cicadacrank/src/cmd/diff.rs
+++ b/crates/cicadacrank/src/cmd/diff.rs
@@ -9,7 +9,7 @@
 
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Lines with - are in force only, lines with + in the file only.
-Examples:
+ Examples:
   cicadacrank diff now.rules";
 
 /// Arguments of `diff`.
--- a/crates/cicadacrank/src/cmd/explain.rs
+++ b/crates/cicadacrank/src/cmd/explain.rs
@@ -16,7 +16,7 @@
 
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Reads the rules in force, or a file with --rules.
-Examples:
+ Examples:
   cicadacrank explain --team counter --pipeline book-room
   cicadacrank explain --team council --pipeline book-room --at 19:00 --rules now.rules";
 
--- a/crates/cicadacrank/src/cmd/history.rs
+++ b/crates/cicadacrank/src/cmd/history.rs
@@ -7,7 +7,7 @@
 
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Newest first.
-Examples:
+ Examples:
   cicadacrank history --limit 5
   cicadacrank history --lines --json";
 
--- a/crates/cicadacrank/src/cmd/send.rs
+++ b/crates/cicadacrank/src/cmd/send.rs
@@ -19,7 +19,7 @@
 
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Runs the pipeline, so it writes what its stages write.
-Examples:
+ Examples:
   cicadacrank send book-room --entry 10.0.1.7:7001 --team counter --key desk-7-0412 \\
       --body '{\"query\": \"20 guests on Saturday\"}'
   cicadacrank send draft-menu --entry 10.0.1.7:7001 --team hosts < request.json";
--- a/crates/cicadacrank/src/cmd/show.rs
+++ b/crates/cicadacrank/src/cmd/show.rs
@@ -8,7 +8,7 @@
 /// Examples for the help text.
 pub const EXAMPLES: &str = "The generation goes to the standard error stream, the text to the \
 standard output.
-Examples:
+ Examples:
   cicadacrank show > now.rules
   cicadacrank show --json";
 
--- a/crates/cicadacrank/src/cmd/status.rs
+++ b/crates/cicadacrank/src/cmd/status.rs
@@ -19,7 +19,7 @@
 
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Instances come from the platform's list, or from --instance.
-Examples:
+ Examples:
   cicadacrank status --platform 10.0.0.5:8001
   cicadacrank status --instance 10.0.1.7:7003 --instance 10.0.1.8:7003 --json";
 
--- a/crates/cicadacrank/src/cmd/take_out.rs
+++ b/crates/cicadacrank/src/cmd/take_out.rs
@@ -8,7 +8,7 @@
 /// Examples for the help text.
 pub const EXAMPLES: &str = "Writes. Adds a take-out line to the rules in force; works also while \
 others change them.
-Examples:
+ Examples:
   cicadacrank take-out --data-centre vest-a --who 'Ada Berg' --why 'power work'
   cicadacrank take-out --endpoint booking-desk-01 --who 'Ada Berg' --why 'disk errors'";
 
--- a/crates/cicadacrank/tests/cli.rs
+++ b/crates/cicadacrank/tests/cli.rs
@@ -189,6 +189,25 @@
     }
 }
 
+#[tokio::test]
+async fn guide_covers_every_option() {
+    let guide = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/guide");
+    let shared = fs::read_to_string(format!("{guide}/README.md")).unwrap();
+    for command in COMMANDS {
+        let page = fs::read_to_string(format!("{guide}/{command}.md")).unwrap();
+        assert!(shared.contains(&format!("({command}.md)")), "{command}");
+        let help = run(&[command, "--help"]).await.out;
+        // Options stand at the start of indented lines.
+        let lines = help.lines().filter(|line| line.starts_with(' '));
+        let lines = lines.filter_map(|line| line.trim().split(['=', ' ']).next());
+        for option in lines.filter(|word| word.starts_with("--")) {
+            let told =
+                page.contains(&format!("`{option}")) || shared.contains(&format!("`{option}"));
+            assert!(told, "{command}.md lacks {option}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn arguments_are_refused() {
     for (arguments, message) in [
