--- a/crates/cicadacrank/src/error.rs
+++ b/crates/cicadacrank/src/error.rs
@@ -77,7 +77,12 @@
         context,
     } = failure;
     let effect = effect.as_str();
-    format!("error: {context}\n  kind: {kind}, effect: {effect}\n")
+    let text = match kind {
+        // Its text speaks of requests; the context says what is wrong here.
+        Kind::BadRequest => String::new(),
+        kind => format!("  {}\n", kind.row().text),
+    };
+    format!("error: {context}\n{text}  kind: {kind}, effect: {effect}\n")
 }
 
 fn faults_text(faults: &Faults) -> String {
@@ -110,10 +115,9 @@
             let _ = writeln!(text, "    {line}");
         }
     }
-    let _ = write!(
-        text,
-        "your file against the rules in force:\n{}",
-        conflict.difference
-    );
-    text
+    let difference = match &conflict.difference {
+        same if same.is_empty() => "no line differs\n".to_owned(),
+        difference => difference.to_string(),
+    };
+    text + "your file against the rules in force:\n" + &difference
 }
