--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -15,6 +15,8 @@
 //! 5. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
 //! 6. [`once`] keeps work that may not be repeated from running twice.
 //!
+//! [`membership`] and [`spread`] decide how many processes act together.
+//!
 //! ```
 //! use cicadacrank_core::error::{Effect, Kind};
 //!
@@ -27,7 +29,9 @@
 pub mod event;
 pub mod generation;
 pub mod id;
+pub mod membership;
 pub mod once;
 pub mod pipeline;
 pub mod routing;
 pub mod rules;
+pub mod spread;
