Prove each fault at each step in one process with a paused clock

Cause: the matrix of faults and steps existed only as a list. 65 cells for faults at a time, 21 for faults of an endpoint and 54 for faults of a link, each followed by the same request sent again elsewhere, and by a fresh one.

--- /dev/null
+++ b/crates/cicadacrank-bench/tests/matrix/fault.rs
@@ -0,0 +1,202 @@
+//! Faults and the steps at which they come.
+
+use crate::world::{RUN, World};
+use cicadacrank_bench::memory::{Behaviour, Cut};
+use cicadacrank_core::admission::Sign;
+use std::{fmt, time::Duration};
+use tokio::time;
+
+/// Time that a fault lasts, when it passes by itself; longer than a deadline.
+const LASTS: Duration = Duration::from_secs(20);
+
+/// Time from the beginning of a step to the fault.
+const INTO_STEP: Duration = Duration::from_millis(50);
+
+/// Delay of a late frame.
+const LATE: Duration = Duration::from_millis(300);
+
+/// Delay of each call to a platform that is slow, in milliseconds.
+const SLOW_PLATFORM_MS: u64 = 1_500;
+
+/// Where a request is when a fault comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Earlier,
+    Claiming,
+    Running,
+    Recording,
+    Answered,
+}
+
+impl Step {
+    pub const ALL: [Self; 5] = [
+        Self::Earlier,
+        Self::Claiming,
+        Self::Running,
+        Self::Recording,
+        Self::Answered,
+    ];
+
+    /// Waits until the request is there.
+    pub async fn reach(self, world: &World) {
+        let runs = match self {
+            Self::Earlier | Self::Claiming => 1,
+            Self::Running => 2,
+            Self::Recording | Self::Answered => 3,
+        };
+        while world.port.runs().len() < runs {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        match self {
+            Self::Earlier | Self::Running | Self::Recording => time::sleep(INTO_STEP).await,
+            Self::Claiming | Self::Answered => time::sleep(RUN + INTO_STEP).await,
+        }
+    }
+}
+
+/// A fault that comes at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    EntryKilled,
+    EntryFrozen,
+    SidecarKilled,
+    SidecarFrozen,
+    SidecarLeaving,
+    EndpointCold,
+    PlatformDown,
+    PlatformSlow,
+    PlatformThrottled,
+    CallLost,
+    AnswerLost,
+    DataCentreTakenOut,
+    ResentElsewhere,
+}
+
+impl Fault {
+    pub const ALL: [Self; 13] = [
+        Self::EntryKilled,
+        Self::EntryFrozen,
+        Self::SidecarKilled,
+        Self::SidecarFrozen,
+        Self::SidecarLeaving,
+        Self::EndpointCold,
+        Self::PlatformDown,
+        Self::PlatformSlow,
+        Self::PlatformThrottled,
+        Self::CallLost,
+        Self::AnswerLost,
+        Self::DataCentreTakenOut,
+        Self::ResentElsewhere,
+    ];
+
+    /// Brings the fault about.
+    pub fn begin(self, world: &World) {
+        match self {
+            Self::EntryKilled => world.entries[0].kill(),
+            Self::EntryFrozen => world.entries[0].process.pause(),
+            Self::SidecarKilled | Self::SidecarFrozen => world.busy().process.pause(),
+            Self::SidecarLeaving => world.busy().service.leave(),
+            Self::EndpointCold => {
+                for endpoint in ["lookup-n", "orders-n", "writer-n"] {
+                    world.sidecars[0].service.chill(endpoint, Sign::Incarnation);
+                }
+            }
+            Self::PlatformDown => world.store.state().faults.down = true,
+            Self::PlatformSlow => world.store.state().faults.delay_ms = SLOW_PLATFORM_MS,
+            Self::PlatformThrottled => world.store.state().faults.throttled = true,
+            Self::CallLost => world.store.state().faults.lose_calls = 1,
+            Self::AnswerLost => world.store.state().faults.lose_answers = 1,
+            Self::DataCentreTakenOut => world.take_out("north"),
+            Self::ResentElsewhere => {}
+        }
+    }
+
+    /// Lets the fault last and mends what mends.
+    pub async fn end(self, world: &World) {
+        time::sleep(LASTS).await;
+        world.store.state().faults = cicadacrank_bench::platform::Faults::default();
+        match self {
+            Self::EntryFrozen => world.entries[0].process.resume(),
+            Self::SidecarFrozen => {
+                world
+                    .sidecars
+                    .iter()
+                    .for_each(|sidecar| sidecar.process.resume());
+            }
+            _ => {}
+        }
+        time::sleep(LASTS).await;
+    }
+}
+
+/// A fault of an endpoint, in place of a run.
+pub const BEHAVIOURS: [Behaviour; 7] = [
+    Behaviour::Rubbish,
+    Behaviour::Truncate,
+    Behaviour::RefuseWork,
+    Behaviour::RefuseConnection,
+    Behaviour::CutBefore,
+    Behaviour::CutAfter,
+    Behaviour::Silent,
+];
+
+/// Faults of a link: in place of a job and at each of its frames (admitted,
+/// chunk, end).
+pub const CUTS: [Cut; 18] = [
+    Cut::Refused,
+    Cut::BeforeJob,
+    Cut::DuplicateJob,
+    Cut::BeforeFrame(0),
+    Cut::BeforeFrame(1),
+    Cut::BeforeFrame(2),
+    Cut::Silent(0),
+    Cut::Silent(1),
+    Cut::Silent(2),
+    Cut::Duplicate(0),
+    Cut::Duplicate(1),
+    Cut::Duplicate(2),
+    Cut::Crossed(0),
+    Cut::Crossed(1),
+    Cut::Crossed(2),
+    Cut::Late(0, LATE),
+    Cut::Late(1, LATE),
+    Cut::Late(2, LATE),
+];
+
+/// A stage of the pipeline of orders, by its place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Stock,
+    Place,
+    Note,
+}
+
+impl Stage {
+    pub const ALL: [Self; 3] = [Self::Stock, Self::Place, Self::Note];
+
+    /// Makes the endpoint of this stage behave so, once.
+    pub fn misbehave(self, world: &World, behaviour: Behaviour) {
+        for _ in 0..self as usize {
+            world.port.push(Behaviour::Answer(RUN));
+        }
+        world.port.push(behaviour);
+    }
+
+    /// Makes the link of this stage fail so, once.
+    pub fn cut(self, world: &World, cut: Cut) {
+        for _ in 0..self as usize {
+            world.link.push(Cut::Never);
+        }
+        world.link.push(cut);
+    }
+}
+
+impl fmt::Display for Stage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Stock => "repeatable, first",
+            Self::Place => "not repeatable",
+            Self::Note => "repeatable, streamed",
+        })
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/matrix/world.rs
@@ -0,0 +1,250 @@
+//! Two entries, two sidecars, six endpoints and a platform in one process.
+
+use bytes::Bytes;
+use cicadacrank_bench::memory::{Behaviour, Link, Port, Process, Sidecar, Store};
+use cicadacrank_core::{error::Effect, id};
+use cicadacrank_node::{
+    clock::Clock,
+    configuration::{Holder, Ruleset},
+    entry::{Parts, Reply, Request, Service},
+    link::{self, Frames, Link as Edge},
+    metrics::Metrics,
+    settings::Settings,
+};
+use cicadacrank_wire::wire;
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture};
+use serde_json::{Value, json};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time,
+};
+
+pub const RULES: &str = include_str!("../../../cicadacrankd/tests/samples/small.rules");
+
+/// Endpoints of each sidecar; the last letter names the data centre.
+const ENDPOINTS: [[&str; 3]; 2] = [
+    ["lookup-n", "orders-n", "writer-n"],
+    ["lookup-s", "orders-s", "writer-s"],
+];
+
+const DATA_CENTRES: [&str; 2] = ["north", "south"];
+
+/// Time of each run.
+pub const RUN: Duration = Duration::from_millis(200);
+
+/// Time of each call to the platform, in milliseconds.
+const PLATFORM_MS: u64 = 100;
+
+/// Longest wait for an answer: the deadline and time to say that it passed.
+const PATIENCE: Duration = Duration::from_millis(4_500);
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Whole(Value),
+    Failed { kind: &'static str, effect: Effect },
+    Nothing,
+}
+
+impl fmt::Display for Told {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Whole(_) => formatter.write_str("whole"),
+            Self::Failed { kind, effect } => write!(formatter, "{kind} ({})", effect.as_str()),
+            Self::Nothing => formatter.write_str("no answer"),
+        }
+    }
+}
+
+/// The links of one entry; killing the entry drops every connection.
+struct Held {
+    process: Process,
+    killed: watch::Receiver<bool>,
+    link: Link,
+}
+
+async fn wait_killed(mut killed: watch::Receiver<bool>) {
+    // The sender lives as long as the world.
+    drop(killed.wait_for(|killed| *killed).await);
+}
+
+impl Edge for Held {
+    fn run(
+        &self,
+        address: SocketAddr,
+        job: wire::Job,
+    ) -> BoxFuture<'_, Result<Frames, link::Fault>> {
+        async move {
+            self.process.running().await;
+            let frames = self.link.run(address, job).await?;
+            self.process.running().await;
+            let process = self.process.clone();
+            let killed = wait_killed(self.killed.clone());
+            let frames = frames.take_until(killed.boxed()).then(move |frame| {
+                let process = process.clone();
+                async move {
+                    process.running().await;
+                    frame
+                }
+            });
+            Ok(frames.boxed())
+        }
+        .boxed()
+    }
+
+    fn reset(&self, address: SocketAddr) {
+        self.link.reset(address);
+    }
+}
+
+pub struct Entry {
+    pub process: Process,
+    pub holder: Arc<Holder>,
+    killed: watch::Sender<bool>,
+    service: Arc<Service>,
+}
+
+impl Entry {
+    fn new(number: usize, link: &Link, sidecars: &[Sidecar]) -> Self {
+        let process = Process::new();
+        let (killed, view) = watch::channel(false);
+        let holder = Arc::new(Holder::new());
+        holder.offer(Ruleset {
+            generation: 1,
+            rules: RULES.to_owned(),
+        });
+        let text = json!({
+            "role": "entry", "instance": format!("entry-{number}"),
+            "data_centre": DATA_CENTRES[number], "platform": "127.0.0.1:1",
+            "listen": "127.0.0.1:0", "caller_listen": "127.0.0.1:0",
+            "operator_listen": "127.0.0.1:0",
+        });
+        let service = Arc::new(Service::new(Parts {
+            settings: Settings::parse(&text.to_string()).expect("the settings are valid"),
+            clock: Clock::new(),
+            holder: Arc::clone(&holder),
+            link: Arc::new(Held {
+                process: process.clone(),
+                killed: view,
+                link: link.clone(),
+            }),
+            metrics: Arc::new(Metrics::new()),
+        }));
+        for ((names, data_centre), sidecar) in ENDPOINTS.iter().zip(DATA_CENTRES).zip(sidecars) {
+            for name in names {
+                let pool = name.split('-').next().expect("a name with a pool");
+                service
+                    .table()
+                    .insert(name, pool, data_centre, sidecar.address);
+            }
+        }
+        Self {
+            process,
+            holder,
+            killed,
+            service,
+        }
+    }
+
+    pub fn kill(&self) {
+        self.killed.send_replace(true);
+        self.process.pause();
+    }
+}
+
+pub struct World {
+    pub store: Store,
+    pub port: Port,
+    pub link: Link,
+    pub sidecars: Vec<Sidecar>,
+    pub entries: Vec<Entry>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let store = Store::new();
+        store.state().faults.delay_ms = PLATFORM_MS;
+        let port = Port::new().with_otherwise(Behaviour::Answer(RUN));
+        let sidecars: Vec<Sidecar> = (0u16..)
+            .zip(&ENDPOINTS)
+            .map(|(number, names)| Sidecar::new(number, names, RULES, &store, &port))
+            .collect();
+        let link = Link::new(sidecars.clone());
+        let entries = (0..2)
+            .map(|number| Entry::new(number, &link, &sidecars))
+            .collect();
+        Self {
+            store,
+            port,
+            link,
+            sidecars,
+            entries,
+        }
+    }
+
+    /// Sends an order through an entry.
+    pub fn order(&self, entry: usize, key: &str) -> JoinHandle<Told> {
+        let replies = self.entries[entry].service.run(Request {
+            id: id::Request::new(1),
+            team: "desk".to_owned(),
+            pipeline: "order".to_owned(),
+            key: key.to_owned(),
+            deadline: None,
+            body: Bytes::from_static(br#"{"query":"tea for 20"}"#),
+        });
+        tokio::spawn(async move {
+            time::timeout(PATIENCE, read(replies))
+                .await
+                .unwrap_or(Told::Nothing)
+        })
+    }
+
+    /// Returns the sidecar that had the last run.
+    pub fn busy(&self) -> &Sidecar {
+        let runs = self.port.runs();
+        let port = runs.last().expect("a run").address.port();
+        &self.sidecars[usize::from((port - 20_000) / 100)]
+    }
+
+    /// Returns how often orders ran under a key.
+    pub fn orders(&self, key: &str) -> usize {
+        let runs = self.port.runs();
+        let order = |port: u16| (port - 20_000) % 100 == 1;
+        runs.iter()
+            .filter(|run| run.key == key && order(run.address.port()))
+            .count()
+    }
+
+    /// Takes a data centre out, in every process.
+    pub fn take_out(&self, data_centre: &str) {
+        let rules = format!("{RULES}take-out data-centre={data_centre} # Ada Test: matrix\n");
+        let holders = self.sidecars.iter().map(|sidecar| &sidecar.holder);
+        for holder in holders.chain(self.entries.iter().map(|entry| &entry.holder)) {
+            assert!(
+                holder.offer(Ruleset {
+                    generation: 2,
+                    rules: rules.clone()
+                }),
+                "valid rules"
+            );
+        }
+    }
+}
+
+async fn read(mut replies: mpsc::Receiver<Reply>) -> Told {
+    while let Some(reply) = replies.recv().await {
+        match reply {
+            Reply::Chunk(_) => {}
+            Reply::End { answer, .. } => return Told::Whole(answer),
+            Reply::Failure(failure) => {
+                return Told::Failed {
+                    kind: failure.kind.as_str(),
+                    effect: failure.effect,
+                };
+            }
+        }
+    }
+    Told::Nothing
+}
