--- a/crates/cicadacrank-core/src/routing/mod.rs
+++ b/crates/cicadacrank-core/src/routing/mod.rs
@@ -7,6 +7,6 @@
 mod table;
 
 pub use self::{
-    row::{FIRST_SHUN, LONGEST_SHUN, REPORT_LIFE, Report, UNHEARD},
+    row::{FIRST_SHUN, LONGEST_SHUN, QUIET, REPORT_LIFE, Report, UNHEARD},
     table::{Choice, Need, Table},
 };
--- a/crates/cicadacrank-core/src/routing/row.rs
+++ b/crates/cicadacrank-core/src/routing/row.rs
@@ -3,9 +3,13 @@
 use crate::admission::Tag;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-/// Attempts that may go to an endpoint after its last sign of life.
+/// Attempts that may go to an endpoint that has been silent for [`QUIET`].
 pub const UNHEARD: u32 = 16;
 
+/// Time without a sign of life, with attempts under way, that counts as
+/// silence.
+pub const QUIET: Duration = Duration::from_millis(200);
+
 /// Time an endpoint is left out after its sidecar could not be reached; doubles
 /// with each failure that follows.
 pub const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -40,6 +44,7 @@
     report: Report,
     reported_at: Duration,
     unheard: u32,
+    unheard_since: Duration,
     failures: u32,
     shunned_until: Duration,
 }
@@ -58,6 +63,7 @@
             report: Report::default(),
             reported_at: Duration::ZERO,
             unheard: 0,
+            unheard_since: Duration::ZERO,
             failures: 0,
             shunned_until: Duration::ZERO,
         }
@@ -75,10 +81,13 @@
     }
 
     pub(super) fn begin(&mut self, now: Duration) {
+        if self.unheard == 0 {
+            self.unheard_since = now;
+        }
         self.own += 1;
         self.unheard = self.unheard.saturating_add(1);
-        if self.failures > 0 || self.unheard >= UNHEARD {
-            self.shunned_until = now + self.pause();
+        if self.failures > 0 || self.is_silent(now) {
+            self.shun(now);
         }
     }
 
@@ -121,6 +130,10 @@
         work * 1000 / u64::from(self.report.slots.max(1))
     }
 
+    fn is_silent(&self, now: Duration) -> bool {
+        self.unheard >= UNHEARD && now.saturating_sub(self.unheard_since) >= QUIET
+    }
+
     fn pause(&self) -> Duration {
         let doubled = FIRST_SHUN * 2u32.saturating_pow(self.failures.min(8));
         doubled.min(LONGEST_SHUN)
--- /dev/null
+++ b/crates/cicadacrank-core/tests/routing.rs
@@ -0,0 +1,179 @@
+//! Tests of routing.
+
+use cicadacrank_core::{
+    admission::Tag,
+    routing::{FIRST_SHUN, LONGEST_SHUN, Need, QUIET, REPORT_LIFE, Report, Table, UNHEARD},
+    rules,
+};
+use std::{net::SocketAddr, time::Duration};
+
+const START: Duration = Duration::from_secs(100);
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn report(in_flight: u32, queued: u32, slots: u32) -> Report {
+    Report {
+        in_flight,
+        queued,
+        slots,
+    }
+}
+
+/// Endpoints `near-1`, `near-2` and `far-1` of one pool.
+fn table() -> Table {
+    let mut table = Table::default();
+    for (port, name) in (1..).zip(["near-1", "near-2", "far-1"]) {
+        let data_centre = name.split('-').next().expect("a part");
+        table.insert(name, "pool", data_centre, address(port));
+    }
+    table
+}
+
+fn choose(table: &Table, tried: &[&str], random: u64, now: Duration) -> Option<String> {
+    let tried: Vec<Tag> = tried.iter().map(|name| Tag::new(name)).collect();
+    let need = Need {
+        pool: Tag::new("pool"),
+        data_centre: Tag::new("near"),
+        tried: &tried,
+    };
+    let choice = table.choose(need, random, now)?;
+    Some(choice.name.to_string())
+}
+
+/// Returns every endpoint that some draw chooses.
+fn choices(table: &Table, now: Duration) -> Vec<String> {
+    let draws = (0..8u64).flat_map(|one| (0..8).map(move |two| one | two << 16));
+    let mut names: Vec<String> = draws
+        .filter_map(|random| choose(table, &[], random, now))
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+#[test]
+fn choose_prefers_own_data_centre_and_spills_by_load() {
+    // Work at near-1, near-2 and far-1, all with four slots; what is chosen.
+    let cases = [
+        ([0, 0, 0], vec!["near-1", "near-2"]),
+        ([3, 3, 0], vec!["near-1", "near-2"]),
+        ([3, 1, 0], vec!["near-2"]),
+        ([4, 4, 3], vec!["far-1"]),
+        ([4, 4, 5], vec!["near-1", "near-2"]),
+    ];
+    for (work, expected) in cases {
+        let mut table = table();
+        for (name, work) in ["near-1", "near-2", "far-1"].into_iter().zip(work) {
+            table.report(Tag::new(name), report(work, 0, 4), START);
+        }
+        assert_eq!(choices(&table, START), expected, "{work:?}");
+    }
+}
+
+#[test]
+fn choose_counts_own_attempts_since_the_report() {
+    let mut table = table();
+    table.report(Tag::new("near-1"), report(1, 0, 4), START);
+    table.report(Tag::new("near-2"), report(0, 0, 4), START);
+    for _ in 0..2 {
+        table.begin(Tag::new("near-2"), START);
+    }
+    assert_eq!(choices(&table, START), ["near-1"]);
+    table.end(Tag::new("near-2"));
+    table.end(Tag::new("near-2"));
+    assert_eq!(choices(&table, START), ["near-2"]);
+}
+
+#[test]
+fn choose_forgets_an_old_report() {
+    let mut table = table();
+    table.report(Tag::new("near-1"), report(2, 1, 4), START);
+    table.report(Tag::new("near-2"), report(0, 0, 4), START);
+    assert_eq!(choices(&table, START), ["near-2"]);
+    let later = START + REPORT_LIFE;
+    assert_eq!(choices(&table, later), ["near-1", "near-2"]);
+}
+
+#[test]
+fn choose_leaves_out_what_was_tried() {
+    let table = table();
+    let tried = ["near-1", "near-2", "far-1"];
+    let last = choose(&table, &tried[..2], 0, START);
+    assert_eq!(last.as_deref(), Some("far-1"));
+    assert_eq!(choose(&table, &tried, 0, START), None);
+}
+
+#[test]
+fn choose_sends_a_bounded_number_to_a_dead_sidecar() {
+    // Refusing at once or silent for good; attempts in ten minutes, one each
+    // ten milliseconds.
+    let span = Duration::from_secs(600);
+    let doublings = (LONGEST_SHUN.as_millis() / FIRST_SHUN.as_millis()).ilog2();
+    let probes = u64::from(doublings) + span.as_secs() / LONGEST_SHUN.as_secs();
+    let before_silence = u64::from(UNHEARD).max(1 + QUIET.as_millis() as u64 / 10);
+    let cases = [(true, 1 + probes), (false, before_silence + probes)];
+    for (refuses, bound) in cases {
+        let mut table = Table::default();
+        table.insert("dead", "pool", "near", address(1));
+        let mut sent = 0;
+        for tick in 0..60_000 {
+            let now = START + Duration::from_millis(10) * tick;
+            if choose(&table, &[], 0, now).is_some() {
+                sent += 1;
+                table.begin(Tag::new("dead"), now);
+                if refuses {
+                    table.end(Tag::new("dead"));
+                    table.shun(Tag::new("dead"), now);
+                }
+            }
+        }
+        assert!(sent <= bound, "{sent} attempts, bound {bound}");
+        let now = START + span + LONGEST_SHUN;
+        table.report(Tag::new("dead"), report(0, 0, 4), now);
+        assert!(choose(&table, &[], 0, now).is_some(), "it is back");
+    }
+}
+
+#[test]
+fn adopt_drops_what_is_taken_out_at_once() {
+    let sample = include_str!("../../../samples/bergvik.rules");
+    let mut book = rules::parse(sample).expect("the sample is valid");
+    let pool = book.endpoints[0].pool;
+    let pool_name = book[pool].name.clone();
+    let mut table = Table::default();
+    for endpoint in &book.endpoints {
+        let data_centre = &book[endpoint.data_centre].name;
+        table.insert(
+            &endpoint.name,
+            &book[endpoint.pool].name,
+            data_centre,
+            address(1),
+        );
+    }
+    let gone = book.endpoints[0].data_centre;
+    let gone_name = book[gone].name.clone();
+    let need = Need {
+        pool: Tag::new(&pool_name),
+        data_centre: Tag::new(&gone_name),
+        tried: &[],
+    };
+    let is_there = |table: &Table| {
+        let choice = table.choose(need, 0, START).expect("an endpoint");
+        let key = book.endpoint(&choice.name).expect("a known endpoint");
+        book[key].data_centre == gone
+    };
+    assert!(is_there(&table), "the own data centre goes first");
+    let mut newer = book.clone();
+    newer.data_centres[gone.index()].taken_out = true;
+    table.adopt(2, &newer);
+    assert!(!is_there(&table), "generation 2 takes it out");
+    table.adopt(1, &book);
+    assert!(!is_there(&table), "an older generation changes nothing");
+    table.adopt(3, &book);
+    assert!(is_there(&table), "generation 3 brings it back");
+    book.endpoints.clear();
+    table.adopt(4, &book);
+    assert_eq!(table.choose(need, 0, START), None);
+}
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -241,11 +241,23 @@
             Some(Body::End(_)) => {
                 Err(self.cut(Kind::Truncated, "the count of chunks is wrong".to_owned()))
             }
-            Some(Body::Failure(failure)) => Err(typed(failure)),
+            Some(Body::Failure(failure)) => Err(self.refused(typed(failure))),
             Some(Body::Admitted(_)) | None => Ok(false),
         }
     }
 
+    /// Leaves out an endpoint that says it takes no work for now.
+    fn refused(&self, trouble: Trouble) -> Trouble {
+        if matches!(
+            trouble.failure.kind,
+            Kind::Leaving | Kind::NotReady | Kind::TakenOut
+        ) {
+            let now = self.service.parts.clock.now();
+            self.service.table().shun(self.attempt.endpoint, now);
+        }
+        trouble
+    }
+
     async fn pass_on(&mut self, data: Bytes) {
         self.chunks += 1;
         self.output.extend_from_slice(&data);
