--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -13,7 +13,9 @@
 //! 3. [`pipeline`] turns a caller's body into the input of each stage.
 //! 4. [`routing`] picks an endpoint for an attempt.
 //! 5. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
-//! 6. [`once`] keeps work that may not be repeated from running twice.
+//! 6. [`quarantine`] keeps requests that crash endpoints away from more of them.
+//! 7. [`retry`] says whether a failed attempt may be made anew.
+//! 8. [`once`] keeps work that may not be repeated from running twice.
 //!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
@@ -32,6 +34,8 @@
 pub mod membership;
 pub mod once;
 pub mod pipeline;
+pub mod quarantine;
+pub mod retry;
 pub mod routing;
 pub mod rules;
 pub mod spread;
--- /dev/null
+++ b/crates/cicadacrank-core/src/quarantine/mod.rs
@@ -0,0 +1,67 @@
+//! Quarantine of requests that crash the endpoints that run them.
+//!
+//! After one crash every request that was in flight is a suspect and runs only
+//! where no other suspect runs. One that then ends well is acquitted; one that
+//! is in flight at a second crash is refused for a time. A request alone thus
+//! crashes [`CRASHES`] endpoints at most.
+
+mod list;
+
+pub use self::list::{List, Standing, Suspect};
+
+use std::{fmt, time::Duration};
+
+/// Crashes after which a request is refused.
+pub const CRASHES: usize = 2;
+
+/// Time a suspect is remembered, and a condemned request refused.
+pub const LIFE: Duration = Duration::from_secs(600);
+
+/// Most suspects that are remembered.
+pub const SUSPECTS: usize = 4096;
+
+/// What a request is known by: a digest over team, pipeline and body.
+///
+/// Neither the request's id nor its idempotency key takes part, so that the
+/// same request sent again is known again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint([u8; Self::BYTES]);
+
+impl Fingerprint {
+    /// Length of a fingerprint, in bytes.
+    pub const BYTES: usize = 16;
+
+    /// Creates the fingerprint from the digest of the body; parts are
+    /// length-prefixed, so that none runs into the next.
+    #[must_use]
+    pub fn new(team: &str, pipeline: &str, digest: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [team.as_bytes(), pipeline.as_bytes(), digest] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; Self::BYTES];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(bytes)
+    }
+
+    /// Reads a fingerprint from its bytes.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    /// Returns the bytes.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; Self::BYTES] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
