--- a/crates/cicadacrank-bench/src/memory/port.rs
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -78,6 +78,7 @@
 struct State {
     runs: Vec<Run>,
     script: VecDeque<Behaviour>,
+    refusing: bool,
     otherwise: Behaviour,
 }
 
@@ -98,6 +99,7 @@
             state: Arc::new(Mutex::new(State {
                 runs: Vec::new(),
                 script: VecDeque::new(),
+                refusing: false,
                 otherwise: Behaviour::Answer(Duration::ZERO),
             })),
         }
@@ -115,6 +117,12 @@
         self.lock().script.push_back(behaviour);
     }
 
+    /// Says whether endpoints refuse connections after a cut, as crashed ones
+    /// do.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.lock().refusing = refusing;
+    }
+
     /// Returns every run so far, in order.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -187,6 +195,11 @@
         }
         .boxed()
     }
+
+    fn is_refusing(&self, _address: SocketAddr) -> BoxFuture<'_, bool> {
+        let refusing = self.lock().refusing;
+        async move { refusing }.boxed()
+    }
 }
 
 fn parts(parts: Vec<Result<Bytes, Fault>>) -> Parts {
--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -6,7 +6,7 @@
 };
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 use tokio::sync::watch;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,4 +162,8 @@
         }
         .boxed()
     }
+
+    fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
+        self.process.hold(self.edge.is_refusing(address)).boxed()
+    }
 }
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -0,0 +1,273 @@
+//! The policy under load and faults, in one process with a paused clock.
+
+use cicadacrank_bench::memory::{Behaviour, Cut, Link, Port, Sidecar, Store};
+use cicadacrank_core::{
+    error::{Failure, Kind},
+    id,
+    retry::{BURST, RETRIES_PER_CENT},
+};
+use cicadacrank_node::{
+    clock::Clock,
+    configuration::{Holder, Ruleset},
+    entry::{Parts, Reply, Request, Service},
+    metrics::Metrics,
+    settings::Settings,
+};
+use cicadacrank_wire::wire;
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::mpsc, time};
+
+const RULES: &str = include_str!("samples/policy.rules");
+
+const ENDPOINTS: [&str; 4] = ["desk-1", "desk-2", "desk-3", "writer-1"];
+
+struct Bench {
+    port: Port,
+    link: Link,
+    sidecars: Vec<Sidecar>,
+    entries: Vec<Arc<Service>>,
+}
+
+impl Bench {
+    fn new(otherwise: Behaviour) -> Self {
+        let store = Store::new();
+        let port = Port::new().with_otherwise(otherwise);
+        let sidecars: Vec<Sidecar> = (1..)
+            .zip(ENDPOINTS)
+            .map(|(number, name)| Sidecar::new(number, &[name], RULES, &store, &port))
+            .collect();
+        let link = Link::new(sidecars.clone());
+        let entries = (0..2).map(|_| entry(&link, &sidecars)).collect();
+        Self {
+            port,
+            link,
+            sidecars,
+            entries,
+        }
+    }
+
+    /// Asks an entry and returns what the caller gets.
+    async fn ask(&self, entry: usize, pipeline: &str, query: &str) -> Told {
+        told(self.entries[entry].run(request(pipeline, query))).await
+    }
+
+    fn load(&self, number: usize) -> wire::Load {
+        let sidecar = &self.sidecars[number];
+        sidecar.service.load(ENDPOINTS[number]).expect("a load")
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+struct Told {
+    text: String,
+    end: Result<(), Failure>,
+}
+
+impl Told {
+    fn kind(&self) -> Option<Kind> {
+        self.end.as_ref().err().map(|failure| failure.kind)
+    }
+}
+
+async fn told(mut replies: mpsc::Receiver<Reply>) -> Told {
+    let mut text = String::new();
+    while let Some(reply) = replies.recv().await {
+        let end = match reply {
+            Reply::Chunk(data) => {
+                text += str::from_utf8(&data).expect("text");
+                continue;
+            }
+            Reply::End { .. } => Ok(()),
+            Reply::Failure(failure) => Err(failure),
+        };
+        return Told { text, end };
+    }
+    panic!("an answer without an end");
+}
+
+fn ruleset(generation: u64, taken_out: &[&str]) -> Ruleset {
+    let taken_out = taken_out.iter();
+    let lines: String = taken_out
+        .map(|name| format!("take-out endpoint={name} # Ada Test: maintenance\n"))
+        .collect();
+    Ruleset {
+        generation,
+        rules: format!("{RULES}{lines}"),
+    }
+}
+
+fn entry(link: &Link, sidecars: &[Sidecar]) -> Arc<Service> {
+    let holder = Arc::new(Holder::new());
+    assert!(holder.offer(ruleset(1, &[])), "the rules are valid");
+    let settings = r#"{ "role": "entry", "instance": "entry", "data_centre": "north",
+        "platform": "127.0.0.1:1", "listen": "127.0.0.1:0",
+        "caller_listen": "127.0.0.1:0", "operator_listen": "127.0.0.1:0" }"#;
+    let service = Service::new(Parts {
+        settings: Settings::parse(settings).expect("the settings are valid"),
+        clock: Clock::new(),
+        holder,
+        link: Arc::new(link.clone()),
+        metrics: Arc::new(Metrics::new()),
+    });
+    for (sidecar, name) in sidecars.iter().zip(ENDPOINTS) {
+        let pool = name.split('-').next().expect("a part");
+        let mut table = service.table();
+        table.insert(name, pool, "north", sidecar.address);
+    }
+    Arc::new(service)
+}
+
+fn request(pipeline: &str, query: &str) -> Request {
+    Request {
+        id: id::Request::new(1),
+        team: "team".to_owned(),
+        pipeline: pipeline.to_owned(),
+        key: String::new(),
+        deadline: None,
+        body: format!(r#"{{"query":"{query}"}}"#).into(),
+    }
+}
+
+fn job() -> wire::Job {
+    wire::Job {
+        request: id::Request::new(1).to_string(),
+        attempt: id::Attempt::new(rand::random()).to_string(),
+        generation: 1,
+        team: "team".to_owned(),
+        pipeline: "ask".to_owned(),
+        stage: "one".to_owned(),
+        endpoint: ENDPOINTS[0].to_owned(),
+        remaining_ms: 60_000,
+        digest: vec![0; 32],
+        input: b"{}".to_vec(),
+        ..wire::Job::default()
+    }
+}
+
+/// Returns the kind that a job ends with; `None` if it ends whole.
+async fn end(mut frames: mpsc::Receiver<wire::Frame>) -> Option<String> {
+    while let Some(frame) = frames.recv().await {
+        match frame.body {
+            Some(wire::frame::Body::Failure(failure)) => return Some(failure.kind),
+            Some(wire::frame::Body::End(_)) => return None,
+            _ => {}
+        }
+    }
+    panic!("frames without an end");
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_of_a_failing_stage_stay_within_the_budget() {
+    const REQUESTS: u32 = 1_000;
+    let bench = Bench::new(Behaviour::CutAfter);
+    for number in 0..REQUESTS {
+        let told = bench.ask(0, "ask", &number.to_string()).await;
+        assert!(told.end.is_err(), "every endpoint fails");
+    }
+    let attempts = u32::try_from(bench.port.runs().len()).expect("a count");
+    let bound = REQUESTS * (100 + RETRIES_PER_CENT) / 100 + BURST;
+    assert!(attempts <= bound, "{attempts} attempts, bound {bound}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn crashing_request_is_refused_after_two_crashes_also_elsewhere() {
+    let bench = Bench::new(Behaviour::CutAfter);
+    bench.port.set_refusing(true);
+    let told = bench.ask(0, "ask", "poison").await;
+    assert_eq!(told.kind(), Some(Kind::Quarantined), "{told:?}");
+    assert_eq!(bench.port.runs().len(), 2);
+    let suspects = bench.entries[0].suspects().all();
+    bench.entries[1].suspects().merge(&suspects);
+    let told = bench.ask(1, "ask", "poison").await;
+    assert_eq!(told.kind(), Some(Kind::Quarantined), "{told:?}");
+    assert_eq!(bench.port.runs().len(), 2, "the other entry runs nothing");
+    let told = bench.ask(1, "ask", "innocent").await;
+    assert_ne!(bench.port.runs().len(), 2, "another request runs: {told:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_beside_a_crash_is_served_and_acquitted() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_millis(1)));
+    bench.port.set_refusing(true);
+    bench.port.push(Behaviour::CutAfter);
+    for entry in [0, 0, 1] {
+        let told = bench.ask(entry, "ask", "innocent").await;
+        assert_eq!(told.kind(), None, "{told:?}");
+    }
+    let suspects = bench.entries[0].suspects().all();
+    assert_eq!(suspects.len(), 1);
+    assert_eq!(suspects[0].crashed, Vec::<String>::new());
+    assert_eq!(suspects[0].acquitted.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_connection_is_given_up_and_the_work_served_elsewhere() {
+    for at in [0, 1, 2] {
+        let bench = Bench::new(Behaviour::Answer(Duration::from_millis(300)));
+        bench.link.push(Cut::Silent(at));
+        let told = bench.ask(0, "ask", "quiet").await;
+        assert_eq!(told.kind(), None, "silent in place of frame {at}: {told:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn stream_is_not_resumed_once_part_of_it_was_passed_on() {
+    let bench = Bench::new(Behaviour::Answer(Duration::ZERO));
+    for _ in 0..2 {
+        bench.port.push(Behaviour::Answer(Duration::ZERO));
+    }
+    bench.port.push(Behaviour::Truncate);
+    let told = bench.ask(0, "tell", "story").await;
+    assert_eq!(told.kind(), Some(Kind::Truncated), "{told:?}");
+    let runs = bench.port.runs();
+    assert_eq!(runs.len(), 3, "the stream has one run");
+    let whole = str::from_utf8(&runs[2].output).expect("text");
+    assert!(whole.starts_with(&told.text) && !told.text.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn caller_that_goes_away_cancels_work_that_runs_or_waits() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_secs(5)));
+    let service = &bench.sidecars[0].service;
+    // The rules give a cold endpoint two slots.
+    let jobs: Vec<_> = (0..5).map(|_| service.run(job())).collect();
+    time::sleep(Duration::from_millis(1)).await;
+    let load = bench.load(0);
+    assert_eq!((load.in_flight, load.queued), (2, 3));
+    drop(jobs);
+    time::sleep(Duration::from_millis(1)).await;
+    let load = bench.load(0);
+    assert_eq!((load.in_flight, load.queued), (0, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn waiting_jobs_are_refused_without_a_run_when_the_endpoint_is_taken_out() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_secs(1)));
+    let sidecar = &bench.sidecars[0];
+    let mut jobs: Vec<_> = (0..4).map(|_| sidecar.service.run(job())).collect();
+    time::sleep(Duration::from_millis(1)).await;
+    assert!(sidecar.holder.offer(ruleset(2, &["desk-1"])));
+    let waiting = jobs.split_off(2);
+    for frames in waiting {
+        assert_eq!(end(frames).await.as_deref(), Some("taken-out"));
+    }
+    for frames in jobs {
+        assert_eq!(end(frames).await, None, "running work goes on");
+    }
+    assert_eq!(bench.port.runs().len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_sends_nothing_to_an_endpoint_that_newer_rules_take_out() {
+    let bench = Bench::new(Behaviour::Answer(Duration::ZERO));
+    let newer = ruleset(2, &["desk-1", "desk-2"]);
+    assert!(bench.entries[0].parts().holder.offer(newer.clone()));
+    assert!(bench.sidecars[2].holder.offer(newer));
+    for number in 0..20 {
+        let told = bench.ask(0, "ask", &number.to_string()).await;
+        assert_eq!(told.kind(), None, "{told:?}");
+    }
+    let address = bench.port.runs()[0].address;
+    assert!(bench.port.runs().iter().all(|run| run.address == address));
+}
--- a/crates/cicadacrank-core/src/quarantine/list.rs
+++ b/crates/cicadacrank-core/src/quarantine/list.rs
@@ -4,6 +4,9 @@
 use crate::id;
 use std::time::Duration;
 
+/// Most crashes that are remembered of one request.
+const CRASHES_KEPT: usize = 8;
+
 /// How a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -22,6 +25,8 @@
     pub fingerprint: Fingerprint,
     /// Attempts at it under which an endpoint crashed.
     pub crashed: Vec<id::Attempt>,
+    /// Those of which it was acquitted.
+    pub acquitted: Vec<id::Attempt>,
     /// Time until the entry ends.
     pub remaining: Duration,
 }
@@ -40,6 +45,29 @@
 }
 
 impl Row {
+    /// Takes up a crash; an acquittal of it wins over the charge.
+    fn note(&mut self, attempt: id::Attempt, acquitted: bool, ends: Duration) {
+        if let Some(known) = self.crashes.iter_mut().find(|one| one.attempt == attempt) {
+            known.acquitted |= acquitted;
+            return;
+        }
+        if self.crashes.len() >= CRASHES_KEPT {
+            let oldest = self.crashes.iter().position(|one| one.acquitted);
+            let Some(oldest) = oldest else { return };
+            self.crashes.remove(oldest);
+        }
+        self.crashes.push(Crash { attempt, acquitted });
+        self.ends = self.ends.max(ends);
+    }
+
+    fn attempts(&self, acquitted: bool) -> Vec<id::Attempt> {
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|one| one.acquitted == acquitted)
+            .map(|one| one.attempt)
+            .collect()
+    }
+
     fn held(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.iter().filter(|one| !one.acquitted)
     }
@@ -69,6 +97,7 @@
             &Suspect {
                 fingerprint,
                 crashed: vec![attempt],
+                acquitted: Vec::new(),
                 remaining: LIFE,
             },
             now,
@@ -92,7 +121,7 @@
     pub fn merge(&mut self, suspect: &Suspect, now: Duration) {
         self.expire(now);
         let ends = now + suspect.remaining.min(LIFE);
-        if ends <= now || suspect.crashed.is_empty() {
+        if ends <= now || suspect.crashed.len() + suspect.acquitted.len() == 0 {
             return;
         }
         let index = match self.find(suspect.fingerprint) {
@@ -100,15 +129,11 @@
             Err(_) => self.insert(suspect.fingerprint, ends),
         };
         let row = &mut self.rows[index];
+        for attempt in &suspect.acquitted {
+            row.note(*attempt, true, ends);
+        }
         for attempt in &suspect.crashed {
-            let known = row.crashes.iter().any(|one| one.attempt == *attempt);
-            if !known && row.standing() != Standing::Condemned {
-                row.crashes.push(Crash {
-                    attempt: *attempt,
-                    acquitted: false,
-                });
-                row.ends = row.ends.max(ends);
-            }
+            row.note(*attempt, false, ends);
         }
     }
 
@@ -127,13 +152,11 @@
 
     /// Returns what other processes should know.
     pub fn suspects(&self, now: Duration) -> impl Iterator<Item = Suspect> + '_ {
-        let held = self
-            .rows
-            .iter()
-            .filter(move |row| row.ends > now && row.standing() != Standing::Clear);
+        let held = self.rows.iter().filter(move |row| row.ends > now);
         held.map(move |row| Suspect {
             fingerprint: row.fingerprint,
-            crashed: row.held().map(|one| one.attempt).collect(),
+            crashed: row.attempts(false),
+            acquitted: row.attempts(true),
             remaining: row.ends - now,
         })
     }
--- a/crates/cicadacrank-core/src/quarantine/mod.rs
+++ b/crates/cicadacrank-core/src/quarantine/mod.rs
@@ -20,10 +20,11 @@
 /// Most suspects that are remembered.
 pub const SUSPECTS: usize = 4096;
 
-/// What a request is known by: a digest over team, pipeline and body.
+/// What a request is known by: a digest over team, pipeline, stage and body.
 ///
 /// Neither the request's id nor its idempotency key takes part, so that the
-/// same request sent again is known again.
+/// same request sent again is known again. The stage does: that a request ran
+/// well in one says nothing about another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint([u8; Self::BYTES]);
 
@@ -34,9 +35,10 @@
     /// Creates the fingerprint from the digest of the body; parts are
     /// length-prefixed, so that none runs into the next.
     #[must_use]
-    pub fn new(team: &str, pipeline: &str, digest: &[u8]) -> Self {
+    pub fn new(team: &str, pipeline: &str, stage: &str, digest: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new();
-        for part in [team.as_bytes(), pipeline.as_bytes(), digest] {
+        let names = [team, pipeline, stage].map(str::as_bytes);
+        for part in names.into_iter().chain([digest]) {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
--- a/crates/cicadacrank-core/tests/quarantine.rs
+++ b/crates/cicadacrank-core/tests/quarantine.rs
@@ -13,7 +13,7 @@
 const START: Duration = Duration::from_secs(100);
 
 fn print(name: &str) -> Fingerprint {
-    Fingerprint::new("team", "pipeline", name.as_bytes())
+    Fingerprint::new("team", "pipeline", "stage", name.as_bytes())
 }
 
 fn attempt(number: u128) -> id::Attempt {
@@ -45,6 +45,11 @@
     list.acquit(one);
     said.iter().for_each(|suspect| list.merge(suspect, START));
     assert_eq!(list.standing(one, START), Standing::Clear);
+    let mut peer = List::default();
+    said.iter().for_each(|suspect| peer.merge(suspect, START));
+    let said: Vec<Suspect> = list.suspects(START).collect();
+    said.iter().for_each(|suspect| peer.merge(suspect, START));
+    assert_eq!(peer.standing(one, START), Standing::Clear);
     list.mark(one, attempt(2), START);
     assert_eq!(list.standing(one, START), Standing::Suspect);
 }
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -10,8 +10,8 @@
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use reqwest::{Response, StatusCode, header, redirect, retry};
 use serde::Deserialize;
-use std::time::Duration;
-use tokio::time;
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, time};
 
 /// Data of the event that ends a stream of completions.
 const DONE: &str = "[DONE]";
@@ -33,6 +33,7 @@
 /// Client of endpoints.
 #[derive(Clone, Debug)]
 pub struct Client {
+    connect: Duration,
     reusing: reqwest::Client,
     fresh: reqwest::Client,
 }
@@ -53,6 +54,7 @@
         };
         let setup = |error: reqwest::Error| Fault::new(Kind::Internal, error.to_string());
         Ok(Self {
+            connect,
             reusing: builder().build().map_err(setup)?,
             fresh: builder().pool_max_idle_per_host(0).build().map_err(setup)?,
         })
@@ -99,6 +101,14 @@
     fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, Fault>> {
         self.begin(call).boxed()
     }
+
+    fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
+        let connect = TcpStream::connect(address);
+        let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+        time::timeout(self.connect, connect)
+            .map(move |result| result.is_ok_and(|made| made.is_err_and(|error| refused(&error))))
+            .boxed()
+    }
 }
 
 fn path(call: &Call) -> &str {
--- a/crates/cicadacrank-node/src/endpoint/mod.rs
+++ b/crates/cicadacrank-node/src/endpoint/mod.rs
@@ -66,4 +66,8 @@
 pub trait Port: Send + Sync + 'static {
     /// Makes one call and returns the parts of its answer.
     fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, Fault>>;
+
+    /// Returns whether the endpoint refuses connections now: after a cut during
+    /// a run, the sign that it crashed.
+    fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool>;
 }
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -4,24 +4,32 @@
     service::{Reply, Service},
     walk::Walk,
 };
-use crate::link;
+use crate::{link, sidecar::pulse};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::Tag,
     error::{Effect, Failure, Kind},
     event::Event,
     id,
+    quarantine::Standing,
     routing::{Need, Report},
     rules::Stage,
 };
 use cicadacrank_wire::wire::{self, frame::Body};
 use futures_util::StreamExt as _;
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc,
     time::{self, Instant},
 };
 
+/// Time without a frame after which a connection is given up.
+///
+/// A sidecar sends a frame each [`pulse::INTERVAL`] at least.
+const SILENCE: Duration = Duration::from_millis(500);
+
+const _: () = assert!(pulse::INTERVAL.as_millis() * 3 < SILENCE.as_millis());
+
 /// An attempt that has its endpoint.
 pub(super) struct Attempt {
     pub(super) endpoint: Tag,
@@ -45,6 +53,8 @@
     pub(super) link: bool,
     /// Part of the output has reached the caller.
     pub(super) passed_on: bool,
+    /// The endpoint crashed under the work.
+    crashed: bool,
 }
 
 /// Counts an attempt at an endpoint for as long as it lives.
@@ -80,7 +90,7 @@
             tried,
         };
         let now = service.parts.clock.now();
-        let current = service.parts.holder.current();
+        let current = service.parts.holder.newest();
         let choice = {
             let mut table = service.table();
             if let Some(current) = current {
@@ -124,9 +134,10 @@
             next: 0,
         };
         let work = async {
-            let frames = link
-                .run(self.address, job)
+            let bound = service.parts.settings.timeouts.connect() + SILENCE;
+            let frames = time::timeout(bound, link.run(self.address, job))
                 .await
+                .map_err(|_| reader.silent())?
                 .map_err(|fault| self.broken(walk, fault))?;
             reader.read(frames).await
         };
@@ -137,10 +148,15 @@
                 output: reader.output.freeze(),
                 chunks: reader.chunks,
             }),
-            Ok(Err(trouble)) => Err(Trouble {
-                passed_on,
-                ..trouble
-            }),
+            Ok(Err(trouble)) => {
+                if trouble.crashed {
+                    service.suspects().mark(walk.fingerprint(stage), self.id);
+                }
+                Err(Trouble {
+                    passed_on,
+                    ..trouble
+                })
+            }
             Err(_) => {
                 let failure =
                     Failure::unknown(Kind::Deadline, format!("running stage {}", stage.name));
@@ -148,6 +164,7 @@
                     failure,
                     link: false,
                     passed_on,
+                    crashed: false,
                 })
             }
         }
@@ -155,6 +172,7 @@
 
     fn job(&self, walk: &Walk, stage: &Stage, input: Bytes) -> wire::Job {
         let request = &walk.request;
+        let service = &walk.service;
         let remaining = self.until.saturating_duration_since(Instant::now());
         wire::Job {
             request: request.id.to_string(),
@@ -168,7 +186,11 @@
             key: request.key.clone(),
             digest: walk.digest.clone(),
             input: input.to_vec(),
-            crashes: 0,
+            crashes: match service.suspects().standing(walk.fingerprint(stage)) {
+                Standing::Clear => 0,
+                Standing::Suspect => 1,
+                Standing::Condemned => 2,
+            },
         }
     }
 
@@ -196,13 +218,17 @@
             failure,
             link: true,
             passed_on: false,
+            crashed: false,
         }
     }
 }
 
 impl Reader<'_> {
     async fn read(&mut self, mut frames: link::Frames) -> Result<(), Trouble> {
-        while let Some(frame) = frames.next().await {
+        loop {
+            let frame = time::timeout(SILENCE, frames.next()).await;
+            let frame = frame.map_err(|_| self.silent())?;
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|fault| self.cut(fault.kind, fault.context))?;
             if frame.attempt != self.attempt.id.to_string() || frame.sequence < self.next {
                 self.service.parts.metrics.dropped_frames.inc();
@@ -232,6 +258,7 @@
             let endpoint = self.attempt.endpoint;
             self.service.table().report(endpoint, report, now);
         }
+        self.service.parts.holder.hint(frame.generation);
         match frame.body {
             Some(Body::Chunk(chunk)) => {
                 self.pass_on(Bytes::from(chunk.data)).await;
@@ -267,6 +294,14 @@
         }
     }
 
+    fn silent(&self) -> Trouble {
+        let context = format!("no frame in {} ms", SILENCE.as_millis());
+        let service = self.service;
+        let now = service.parts.clock.now();
+        service.table().shun(self.attempt.endpoint, now);
+        self.cut(Kind::Silent, context)
+    }
+
     fn cut(&self, kind: Kind, context: String) -> Trouble {
         let attempt = self.attempt;
         Event::AttemptFailed.log(format_args!(
@@ -278,6 +313,7 @@
             failure: Failure::unknown(kind, context),
             link: true,
             passed_on: false,
+            crashed: false,
         }
     }
 }
@@ -285,6 +321,7 @@
 fn typed(failure: wire::Failure) -> Trouble {
     let kind = Kind::from_name(&failure.kind).unwrap_or(Kind::Internal);
     let effect = Effect::from_name(&failure.effect).unwrap_or(Effect::Unknown);
+    let crashed = failure.crashed;
     let failure = Failure {
         kind,
         effect,
@@ -294,5 +331,6 @@
         failure,
         link: false,
         passed_on: false,
+        crashed,
     }
 }
--- a/crates/cicadacrank-node/src/entry/service.rs
+++ b/crates/cicadacrank-node/src/entry/service.rs
@@ -1,9 +1,12 @@
 //! The entry's state.
 
 use super::walk;
-use crate::{clock::Clock, configuration::Holder, link, metrics::Metrics, settings::Settings};
+use crate::{
+    clock::Clock, configuration::Holder, link, metrics::Metrics, quarantine::Suspects,
+    settings::Settings,
+};
 use bytes::Bytes;
-use cicadacrank_core::{admission::Tag, error::Failure, id, routing::Table};
+use cicadacrank_core::{admission::Tag, error::Failure, id, retry::Budgets, routing::Table};
 use serde_json::Value;
 use std::{
     sync::{
@@ -70,6 +73,8 @@
     pub(super) parts: Parts,
     table: Mutex<Table>,
     data_centre: Tag,
+    budgets: Mutex<Budgets>,
+    suspects: Suspects,
     draining: AtomicBool,
     listed: AtomicBool,
     tracker: TaskTracker,
@@ -81,6 +86,8 @@
     pub fn new(parts: Parts) -> Self {
         Self {
             data_centre: Tag::new(&parts.settings.data_centre),
+            budgets: Mutex::default(),
+            suspects: Suspects::new(parts.clock),
             parts,
             table: Mutex::new(Table::default()),
             draining: AtomicBool::new(false),
@@ -108,6 +115,17 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the requests that are suspected of crashing endpoints.
+    #[must_use]
+    pub const fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Returns the budgets of retries.
+    pub(super) fn budgets(&self) -> MutexGuard<'_, Budgets> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the data centre the entry stands in.
     pub(super) const fn data_centre(&self) -> Tag {
         self.data_centre
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -7,9 +7,11 @@
 use crate::{clock, configuration::Configuration};
 use bytes::Bytes;
 use cicadacrank_core::{
+    admission::Tag,
     error::{Effect, Failure, Kind, Retry},
     id,
     pipeline::Context,
+    quarantine::{Fingerprint, Standing},
     rules::{self, PipelineKey},
 };
 use std::{sync::Arc, time::Duration};
@@ -97,6 +99,7 @@
         let configuration = Arc::clone(&self.configuration);
         let pipeline = &configuration.book[pipeline];
         let mut context = Context::new(&self.request.body)?;
+        self.check_quarantine(pipeline)?;
         let mut share = 0;
         let last = pipeline.stages.len() - 1;
         for (index, stage) in pipeline.stages.iter().enumerate() {
@@ -116,6 +119,15 @@
         })
     }
 
+    /// Refuses a request that some stage would refuse, before any runs.
+    fn check_quarantine(&self, pipeline: &rules::Pipeline) -> Result<(), Failure> {
+        let suspects = self.service.suspects();
+        let mut stages = pipeline.stages.iter();
+        let condemned =
+            stages.find(|stage| suspects.standing(self.fingerprint(stage)) == Standing::Condemned);
+        condemned.map_or(Ok(()), |stage| Err(quarantined(stage)))
+    }
+
     /// Returns when a stage must have ended: time that earlier stages left
     /// unused passes on to it.
     fn stage_deadline(&self, share_percent: u32) -> Instant {
@@ -130,12 +142,17 @@
         until: Instant,
         streams: bool,
     ) -> Result<Bytes, Failure> {
+        let pool = Tag::new(&self.configuration.book[stage.pool].name);
         let mut tried = Vec::new();
         let mut last = None;
         for _ in 0..ATTEMPTS {
             if Instant::now() >= until {
                 break;
             }
+            let standing = self.service.suspects().standing(self.fingerprint(stage));
+            if standing == Standing::Condemned {
+                return Err(quarantined(stage));
+            }
             let Some(attempt) = Attempt::new(self, stage, &tried, until) else {
                 break;
             };
@@ -143,13 +160,15 @@
             let sender = streams.then(|| self.sender.clone());
             match attempt.run(self, stage, input.clone(), sender).await {
                 Ok(done) => {
+                    self.service.budgets().of(pool).succeed();
+                    self.service.suspects().acquit(self.fingerprint(stage));
                     self.chunks += if streams { done.chunks } else { 0 };
                     return Ok(done.output);
                 }
                 Err(trouble) => {
                     let retry = may_retry(&trouble, stage);
                     last = Some(self.note(trouble, stage));
-                    if !retry {
+                    if !retry || !self.service.budgets().of(pool).take() {
                         break;
                     }
                 }
@@ -159,6 +178,12 @@
         Err(last.unwrap_or_else(|| self.none(stage, until)))
     }
 
+    /// Returns what the request is known by in a stage.
+    pub(super) fn fingerprint(&self, stage: &rules::Stage) -> Fingerprint {
+        let request = &self.request;
+        Fingerprint::new(&request.team, &request.pipeline, &stage.name, &self.digest)
+    }
+
     fn none(&self, stage: &rules::Stage, until: Instant) -> Failure {
         let kind = if Instant::now() >= until {
             Kind::Deadline
@@ -211,6 +236,10 @@
     Ok(key)
 }
 
+fn quarantined(stage: &rules::Stage) -> Failure {
+    Failure::not_run(Kind::Quarantined, format!("beginning stage {}", stage.name))
+}
+
 /// Returns whether another attempt is safe and may help.
 ///
 /// Work that may not be repeated goes on through its claim, which keeps a
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod metrics;
 pub mod operator;
 pub mod platform;
+pub mod quarantine;
 pub mod settings;
 pub mod sidecar;
--- /dev/null
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -0,0 +1,91 @@
+//! The suspects that this process knows of, and what it tells its peers.
+
+use crate::clock::Clock;
+use cicadacrank_core::{
+    event::Event,
+    id,
+    quarantine::{Fingerprint, List, Standing, Suspect},
+};
+use cicadacrank_wire::wire;
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+/// Requests that are suspected of crashing endpoints.
+#[derive(Debug)]
+pub struct Suspects {
+    clock: Clock,
+    list: Mutex<List>,
+}
+
+impl Suspects {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            list: Mutex::default(),
+        }
+    }
+
+    /// Returns how a request stands.
+    #[must_use]
+    pub fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        self.lock().standing(fingerprint, self.clock.now())
+    }
+
+    /// Notes that an endpoint crashed with this attempt in flight.
+    pub fn mark(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
+        self.lock().mark(fingerprint, attempt, self.clock.now());
+        Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
+    }
+
+    /// Notes that a suspect ended well while no other ran beside it.
+    pub fn acquit(&self, fingerprint: Fingerprint) {
+        self.lock().acquit(fingerprint);
+    }
+
+    /// Takes up what a peer knows; what cannot be read is left out.
+    pub fn merge(&self, suspects: &[wire::Suspect]) {
+        let now = self.clock.now();
+        let mut list = self.lock();
+        for suspect in suspects.iter().filter_map(read) {
+            list.merge(&suspect, now);
+        }
+    }
+
+    /// Returns what peers should know.
+    #[must_use]
+    pub fn all(&self) -> Vec<wire::Suspect> {
+        let now = self.clock.now();
+        self.lock().suspects(now).map(|one| write(&one)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read(suspect: &wire::Suspect) -> Option<Suspect> {
+    let attempts = |texts: &[String]| {
+        let attempts = texts.iter().map(|text| id::Attempt::parse(text));
+        attempts.collect::<Option<Vec<_>>>()
+    };
+    Some(Suspect {
+        fingerprint: Fingerprint::from_bytes(&suspect.fingerprint)?,
+        crashed: attempts(&suspect.crashed)?,
+        acquitted: attempts(&suspect.acquitted)?,
+        remaining: Duration::from_millis(suspect.remaining_ms),
+    })
+}
+
+fn write(suspect: &Suspect) -> wire::Suspect {
+    let texts = |attempts: &[id::Attempt]| attempts.iter().map(id::Attempt::to_string).collect();
+    wire::Suspect {
+        fingerprint: suspect.fingerprint.as_bytes().to_vec(),
+        crashed: texts(&suspect.crashed),
+        acquitted: texts(&suspect.acquitted),
+        remaining_ms: u64::try_from(suspect.remaining.as_millis()).unwrap_or(u64::MAX),
+    }
+}
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -28,6 +28,7 @@
     endpoint: String,
     sequence: u64,
     chunks: u64,
+    crashed: bool,
     sender: mpsc::Sender<wire::Frame>,
 }
 
@@ -70,7 +71,7 @@
             kind: failure.kind.as_str().to_owned(),
             effect: failure.effect.as_str().to_owned(),
             context: failure.context,
-            crashed: false,
+            crashed: self.crashed,
         }))
         .await;
     }
@@ -84,6 +85,7 @@
         endpoint: job.endpoint.clone(),
         sequence: 0,
         chunks: 0,
+        crashed: false,
         sender,
     };
     if let Err(failure) = serve(&service, &job, &mut voice).await {
@@ -183,7 +185,7 @@
         result = time::timeout_at(deadline, work) => result,
         () = gone.closed() => return Err(sent.fail(Kind::Cancelled, "streaming to the entry")),
     };
-    admitted.slot.end(ended_of(&result));
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(_)) => {
             voice.end(false, began.elapsed()).await;
@@ -209,7 +211,7 @@
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
     let result = time::timeout_at(bound, stream(service, call, &admitted.slot, voice)).await;
-    admitted.slot.end(ended_of(&result));
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(output)) => {
             sent.finish();
@@ -260,13 +262,33 @@
     }
 }
 
-/// Returns what the gate learns from the end of a call.
-const fn ended_of<T>(result: &Result<Result<T, Fault>, Elapsed>) -> Ended {
-    match result {
-        Ok(Ok(_)) => Ended::Success,
+/// Frees the slot and says what was learnt of the endpoint and of the job;
+/// returns whether the endpoint crashed.
+async fn settle<T>(
+    service: &Service,
+    job: &wire::Job,
+    admitted: Admitted,
+    result: &Result<Result<T, Fault>, Elapsed>,
+) -> bool {
+    let mut crashed = false;
+    let ended = match result {
+        Ok(Ok(_)) => {
+            service.acquit(job);
+            Ended::Success
+        }
         Ok(Err(fault)) if !fault.connected => Ended::Cold(Sign::Refused),
+        Ok(Err(fault)) if matches!(fault.kind, Kind::EndpointFailed | Kind::Truncated) => {
+            crashed = service.cut(job, admitted.address).await;
+            if crashed {
+                Ended::Cold(Sign::Refused)
+            } else {
+                Ended::Neutral
+            }
+        }
         Ok(Err(_)) | Err(_) => Ended::Neutral,
-    }
+    };
+    admitted.slot.end(ended);
+    crashed
 }
 
 fn failure_of(fault: Fault, sent: Sent) -> Failure {
--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 mod door;
 mod duty;
 pub mod grpc;
+pub mod pulse;
 mod service;
 
 pub use self::{
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -3,7 +3,7 @@
 use super::{
     Claims,
     door::{Door, Slot},
-    duty,
+    duty, pulse,
 };
 use crate::{
     clock::{self, Clock},
@@ -11,12 +11,15 @@
     endpoint,
     metrics::Metrics,
     platform,
+    quarantine::Suspects,
     settings::Settings,
 };
 use cicadacrank_core::{
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
     error::{Failure, Kind},
+    id,
     once::Unsent,
+    quarantine::{CRASHES, Fingerprint, Standing},
     rules::{self, Book, EndpointKey},
 };
 use cicadacrank_wire::wire;
@@ -61,6 +64,7 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
+    suspects: Suspects,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -96,6 +100,7 @@
         doors.sort_by(|one, other| one.name.cmp(&other.name));
         tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
         Self {
+            suspects: Suspects::new(parts.clock),
             parts,
             claims,
             doors,
@@ -111,7 +116,11 @@
     pub fn run(self: &Arc<Self>, job: wire::Job) -> mpsc::Receiver<wire::Frame> {
         let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
         self.parts.metrics.attempts.inc();
-        self.tracker.spawn(duty::run(Arc::clone(self), job, sender));
+        let (inner, frames) = mpsc::channel(FRAME_BUFFER);
+        let (attempt, endpoint) = (job.attempt.clone(), job.endpoint.clone());
+        let pulse = pulse::run(Arc::clone(self), attempt, endpoint, frames, sender);
+        self.tracker.spawn(pulse);
+        self.tracker.spawn(duty::run(Arc::clone(self), job, inner));
         receiver
     }
 
@@ -127,6 +136,12 @@
         self.doors.iter().for_each(Door::leave);
     }
 
+    /// Returns the requests that are suspected of crashing endpoints.
+    #[must_use]
+    pub const fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Notes a sign that an endpoint turned cold.
     pub fn chill(&self, endpoint: &str, sign: Sign) {
         if let Some(door) = self.find(endpoint) {
@@ -161,6 +176,7 @@
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
+        self.parts.holder.hint(job.generation);
         if !self
             .parts
             .holder
@@ -188,7 +204,12 @@
         configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
+        let suspect = checked.demand.suspect;
         let slot = checked.door.enter(checked.demand).await?;
+        if self.is_suspect(job)? && !suspect {
+            // It became one while it waited; it goes where no other runs.
+            return Err(Kind::Overloaded);
+        }
         if let Some(current) = self.parts.holder.current()
             && current.generation != configuration.generation
         {
@@ -225,7 +246,10 @@
         }
         Ok(Checked {
             door: Arc::clone(door),
-            demand: self.demand(job, book, team),
+            demand: Demand {
+                suspect: self.is_suspect(job)?,
+                ..self.demand(job, book, team)
+            },
             stage: stage.clone(),
             service: book[stage.pool].service,
         })
@@ -239,11 +263,38 @@
             weight: rule.weight,
             team_limit: rule.endpoint_limit,
             owner: rule.owner.map(|owner| Tag::new(&book[owner].name)),
-            suspect: job.crashes > 0,
+            suspect: false,
             deadline: self.parts.clock.now() + remaining,
         }
     }
 
+    /// Returns whether a job is suspected of crashing endpoints, by what this
+    /// process or the job's entry knows.
+    fn is_suspect(&self, job: &wire::Job) -> Result<bool, Kind> {
+        let condemned = u32::try_from(CRASHES).unwrap_or(u32::MAX);
+        match self.suspects.standing(fingerprint(job)) {
+            Standing::Condemned => Err(Kind::Quarantined),
+            _ if job.crashes >= condemned => Err(Kind::Quarantined),
+            Standing::Suspect => Ok(true),
+            Standing::Clear => Ok(job.crashes > 0),
+        }
+    }
+
+    /// Notes that the endpoint answered the job whole.
+    pub(super) fn acquit(&self, job: &wire::Job) {
+        self.suspects.acquit(fingerprint(job));
+    }
+
+    /// Notes that the connection to the endpoint was cut during the job;
+    /// returns whether the endpoint crashed.
+    pub(super) async fn cut(&self, job: &wire::Job, address: SocketAddr) -> bool {
+        let crashed = self.parts.port.is_refusing(address).await;
+        if crashed && let Some(attempt) = id::Attempt::parse(&job.attempt) {
+            self.suspects.mark(fingerprint(job), attempt);
+        }
+        crashed
+    }
+
     fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
         let index = self
             .doors
@@ -253,6 +304,10 @@
     }
 }
 
+fn fingerprint(job: &wire::Job) -> Fingerprint {
+    Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
+}
+
 /// Keeps the doors at the configuration in force, also without any job.
 async fn follow(
     doors: Vec<Arc<Door>>,
