--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -19,7 +19,7 @@
 
 const RULES: &str = include_str!("samples/policy.rules");
 
-const ENDPOINTS: [&str; 4] = ["desk-1", "desk-2", "desk-3", "writer-1"];
+const ENDPOINTS: [&str; 5] = ["desk-1", "desk-2", "desk-3", "writer-1", "writer-2"];
 
 struct Bench {
     port: Port,
@@ -268,6 +268,21 @@
         let told = bench.ask(0, "ask", &number.to_string()).await;
         assert_eq!(told.kind(), None, "{told:?}");
     }
-    let address = bench.port.runs()[0].address;
-    assert!(bench.port.runs().iter().all(|run| run.address == address));
+    let jobs = |number: usize| bench.sidecars[number].metrics.attempts.get();
+    assert_eq!([0, 1, 2].map(jobs), [0, 0, 60]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_brought_back_starts_cold() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_millis(200)));
+    let sidecar = &bench.sidecars[0];
+    for _ in 0..8 {
+        assert_eq!(end(sidecar.service.run(job())).await, None);
+    }
+    assert_eq!(bench.load(0).slots, 8, "warm by time and by successes");
+    for (generation, taken_out, slots) in [(2, &["desk-1"] as &[_], 8), (3, &[], 2)] {
+        assert!(sidecar.holder.offer(ruleset(generation, taken_out)));
+        time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(bench.load(0).slots, slots, "generation {generation}");
+    }
 }
