--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -9,9 +9,9 @@
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::{Ended, Sign},
-    error::{Failure, Kind},
+    error::Kind,
     id,
-    once::{Name, Outcome, Sent, Unsent},
+    once::{Name, Outcome, Sent, Stop, Unsent},
 };
 use cicadacrank_wire::wire::{self, frame::Body};
 use futures_util::StreamExt as _;
@@ -65,12 +65,13 @@
         .await;
     }
 
-    async fn fail(&mut self, failure: Failure) {
-        self.service.parts.metrics.fail(&failure);
+    async fn fail(&mut self, stop: &Stop) {
+        let failure = stop.failure();
+        self.service.parts.metrics.fail(failure);
         self.say(Body::Failure(wire::Failure {
             kind: failure.kind.as_str().to_owned(),
             effect: failure.effect.as_str().to_owned(),
-            context: failure.context,
+            context: failure.context.clone(),
             crashed: self.crashed,
         }))
         .await;
@@ -88,56 +89,59 @@
         crashed: false,
         sender,
     };
-    if let Err(failure) = serve(&service, &job, &mut voice).await {
-        voice.fail(failure).await;
+    if let Err(stop) = serve(&service, &job, &mut voice).await {
+        voice.fail(&stop).await;
     }
 }
 
-async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Failure> {
+async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
-    let unsent = Unsent::begin();
+    let (attempt, unsent) = service.claims.begin(&job.attempt)?;
     let gone = voice.sender.clone();
     let (admitted, unsent) = tokio::select! {
         admitted = service.admit(job, unsent) => admitted?,
-        () = gone.closed() => return Err(Failure::not_run(Kind::Cancelled, "waiting for a slot")),
+        // Nobody is left to tell.
+        () = gone.closed() => return Ok(()),
     };
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
-        check_deadline(deadline, &unsent)?;
+        let unsent = in_time(deadline, unsent)?;
         return repeat(service, job, admitted, deadline, unsent, voice).await;
     }
-    let (acquired, unsent) = claim(service, job, deadline, unsent).await?;
+    let (acquired, unsent) = claim(service, job, attempt, deadline, unsent).await?;
     match acquired {
         Acquired::Replay(outcome) => replay(outcome, voice).await,
-        Acquired::Held(held) => {
-            if let Err(failure) = check_deadline(deadline, &unsent) {
-                service.claims.release(held).await;
-                return Err(failure);
-            }
-            once(service, job, admitted, held, deadline, unsent, voice).await
+        Acquired::Held(held) if is_past(deadline) => {
+            service.claims.release(held, &unsent).await;
+            Err(late(unsent))
         }
+        Acquired::Held(held) => once(service, job, admitted, held, deadline, unsent, voice).await,
     }
 }
 
-fn check_deadline(deadline: Instant, _unsent: &Unsent) -> Result<(), Failure> {
-    if Instant::now() < deadline {
-        return Ok(());
+fn is_past(deadline: Instant) -> bool {
+    Instant::now() >= deadline
+}
+
+fn late(unsent: Unsent) -> Stop {
+    unsent.refuse(Kind::Deadline, "looking at the deadline before the send")
+}
+
+/// Gives the proof back if the deadline has not passed.
+fn in_time(deadline: Instant, unsent: Unsent) -> Result<Unsent, Stop> {
+    if is_past(deadline) {
+        return Err(late(unsent));
     }
-    Err(Failure::not_run(
-        Kind::Deadline,
-        "looking at the deadline before the send",
-    ))
+    Ok(unsent)
 }
 
 async fn claim(
     service: &Service,
     job: &wire::Job,
+    attempt: id::Attempt,
     deadline: Instant,
     unsent: Unsent,
-) -> Result<(Acquired, Unsent), Failure> {
-    let Some(attempt) = id::Attempt::parse(&job.attempt) else {
-        return Err(unsent.refuse(Kind::BadRequest, "reading the attempt id"));
-    };
+) -> Result<(Acquired, Unsent), Stop> {
     if job.key.is_empty() {
         return Err(unsent.refuse(Kind::KeyMissing, "claiming the work"));
     }
@@ -175,7 +179,7 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
+) -> Result<(), Stop> {
     let call = call_of(service, job, &admitted);
     let began = Instant::now();
     let sent = unsent.send();
@@ -191,7 +195,7 @@
             voice.end(false, began.elapsed()).await;
             Ok(())
         }
-        Ok(Err(fault)) => Err(failure_of(fault, sent)),
+        Ok(Err(fault)) => Err(stop_of(fault, sent)),
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -205,7 +209,7 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
+) -> Result<(), Stop> {
     let call = call_of(service, job, &admitted);
     let began = Instant::now();
     let mut sent = unsent.send();
@@ -214,26 +218,29 @@
     voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(output)) => {
-            sent.finish();
-            service.claims.record(held, outcome_of(&output)).await;
+            // The caller has its answer before the platform does, so that a
+            // platform that is down holds back no answer.
             voice.end(false, began.elapsed()).await;
+            service.claims.record(held, outcome_of(&output)).await;
             Ok(())
         }
         Ok(Err(fault)) if fault.refused => {
             sent.finish();
             let context = fault.context.clone();
+            voice.fail(&sent.fail(fault.kind, fault.context)).await;
             service
                 .claims
                 .record(held, Outcome::Refused { context })
                 .await;
-            Err(failure_of(fault, sent))
+            Ok(())
         }
-        Ok(Err(fault)) => {
-            if !fault.connected {
-                service.claims.release(held).await;
+        Ok(Err(fault)) => match sent.unsend(fault.connected) {
+            Ok(unsent) => {
+                service.claims.release(held, &unsent).await;
+                Err(unsent.refuse(fault.kind, fault.context))
             }
-            Err(failure_of(fault, sent))
-        }
+            Err(sent) => Err(sent.fail(fault.kind, fault.context)),
+        },
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -247,19 +254,11 @@
     }
 }
 
-async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Failure> {
-    match outcome {
-        Outcome::Answer { output } => {
-            voice.chunk(&Bytes::from(output)).await;
-            voice.end(true, Duration::ZERO).await;
-            Ok(())
-        }
-        Outcome::Oversized => Err(Failure::partial(
-            Kind::OutcomeUnknown,
-            "the work ran; its answer was not kept",
-        )),
-        Outcome::Refused { context } => Err(Failure::partial(Kind::EndpointRefused, context)),
-    }
+async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Stop> {
+    let output = outcome.replay()?;
+    voice.chunk(&Bytes::from(output)).await;
+    voice.end(true, Duration::ZERO).await;
+    Ok(())
 }
 
 /// Frees the slot and says what was learnt of the endpoint and of the job;
@@ -291,7 +290,7 @@
     crashed
 }
 
-fn failure_of(fault: Fault, sent: Sent) -> Failure {
+fn stop_of(fault: Fault, sent: Sent) -> Stop {
     match sent.unsend(fault.connected) {
         Ok(unsent) => unsent.refuse(fault.kind, fault.context),
         Err(sent) => sent.fail(fault.kind, fault.context),
--- a/crates/cicadacrank-node/src/sidecar/pulse.rs
+++ b/crates/cicadacrank-node/src/sidecar/pulse.rs
@@ -4,7 +4,7 @@
 //! a frame at least once in [`INTERVAL`] lets the entry tell one from the other.
 
 use super::Service;
-use cicadacrank_wire::wire;
+use cicadacrank_wire::wire::{self, frame::Body};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time};
 
@@ -38,7 +38,8 @@
             },
         };
         sequence += 1;
-        if sender.send(frame).await.is_err() {
+        let is_last = matches!(frame.body, Some(Body::End(_) | Body::Failure(_)));
+        if sender.send(frame).await.is_err() || is_last {
             return;
         }
     }
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -16,9 +16,9 @@
 };
 use cicadacrank_core::{
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
-    error::{Failure, Kind},
+    error::Kind,
     id,
-    once::Unsent,
+    once::{Stop, Unsent},
     quarantine::{CRASHES, Fingerprint, Standing},
     rules::{self, Book, EndpointKey},
 };
@@ -92,7 +92,7 @@
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
-        let claims = Claims::new(Arc::clone(&parts.store), life);
+        let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
         let mut doors: Vec<Arc<Door>> = endpoints
             .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
@@ -172,7 +172,7 @@
         &self,
         job: &wire::Job,
         unsent: Unsent,
-    ) -> Result<(Admitted, Unsent), Failure> {
+    ) -> Result<(Admitted, Unsent), Stop> {
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
