Try work again over a new connection when its only endpoint went silent

Cause: a silent connection left its endpoint out, and one tried endpoint was not tried again, so a pool of one failed its requests. Red: silent_connection_to_the_only_endpoint_is_replaced, silent in place of whole. The table's count of unanswered attempts still leaves out a dead sidecar.

--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -211,6 +211,17 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn silent_connection_to_the_only_endpoint_is_replaced() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_millis(300)));
+    let newer = ruleset(2, &["desk-1", "desk-2"]);
+    assert!(bench.entries[0].parts().holder.offer(newer.clone()));
+    assert!(bench.sidecars[2].holder.offer(newer));
+    bench.link.push(Cut::Silent(1));
+    let told = bench.ask(0, "ask", "quiet").await;
+    assert_eq!(told.kind(), None, "{told:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn stream_is_not_resumed_once_part_of_it_was_passed_on() {
     let bench = Bench::new(Behaviour::Answer(Duration::ZERO));
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -295,10 +295,9 @@
     }
 
     fn silent(&self) -> Trouble {
+        // The connection may be at fault and not the sidecar: the table counts
+        // what goes unanswered and leaves the sidecar out in time.
         let context = format!("no frame in {} ms", SILENCE.as_millis());
-        let service = self.service;
-        let now = service.parts.clock.now();
-        service.table().shun(self.attempt.endpoint, now);
         self.cut(Kind::Silent, context)
     }
 
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -153,7 +153,9 @@
             if standing == Standing::Condemned {
                 return Err(quarantined(stage));
             }
-            let Some(attempt) = Attempt::new(self, stage, &tried, until) else {
+            let attempt = Attempt::new(self, stage, &tried, until);
+            // With every endpoint tried once, each may be tried again.
+            let Some(attempt) = attempt.or_else(|| Attempt::new(self, stage, &[], until)) else {
                 break;
             };
             tried.push(attempt.endpoint);
