Count busy and idle slot time, and keep it in the platform once

Cause: nothing said what a stage costs, nor who pays for idle slots.

Each endpoint has a meter whose lines only grow: idle time to the owner, busy time to the team that used it, marked when the slot was another owner's. A sidecar writes one object every ten seconds; parts are known by incarnation, so a replay, a lost answer or a restart counts nothing twice. Ruled out: charging at release only, where idle time would shrink again afterwards.

--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -17,6 +17,8 @@
 //! 7. [`retry`] says whether a failed attempt may be made anew.
 //! 8. [`once`] keeps work that may not be repeated from running twice.
 //!
+//! [`accounting`] counts what the work costs, and whom.
+//!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
 //! ```
@@ -26,6 +28,7 @@
 //! assert_eq!(Effect::NotRun.as_str(), "not-run");
 //! ```
 
+pub mod accounting;
 pub mod admission;
 pub mod error;
 pub mod event;
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -1,7 +1,7 @@
 //! Runs a sidecar.
 
 use super::{Addresses, Common, announce, bind, finish, serve_operator, wait_for_signal};
-use crate::{endpoint, link, operator, sidecar};
+use crate::{accounting, endpoint, link, operator, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
@@ -22,6 +22,11 @@
         port: Arc::new(port),
         metrics: Arc::clone(&common.metrics),
     }));
+    let writer = Arc::new(accounting::Writer::new(
+        Arc::clone(service.accounts()),
+        Arc::clone(&common.store),
+        &common.settings.instance,
+    ));
     let listener = bind(common.settings.listen).await?;
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
@@ -43,12 +48,15 @@
             stopped.notified().await;
         });
     let server = tokio::spawn(server);
+    let writing = Arc::clone(&writer);
+    tokio::spawn(async move { writing.run().await });
     wait_for_signal().await?;
     Event::Draining.log(format_args!("sidecar {}", common.settings.instance));
     service.leave();
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         service.finish().await;
+        writer.write().await;
         stop.notify_one();
         // The server ends once its last stream is through.
         drop(server.await);
@@ -63,6 +71,9 @@
     }
 
     fn status(&self) -> Value {
-        json!({ "role": "sidecar", "generation": self.generation() })
+        json!({
+            "role": "sidecar", "generation": self.generation(),
+            "accounts": self.accounts().part(),
+        })
     }
 }
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -9,8 +9,9 @@
 //! 4. [`endpoint`] speaks the protocol of engines and plain services.
 //!
 //! [`platform`] is the object API that holds all that must last, and
-//! [`configuration`] keeps the newest rules in force. [`daemon`] puts a process
-//! together from its [`settings`].
+//! [`configuration`] keeps the newest rules in force. [`accounting`] counts what
+//! the endpoints' time costs. [`daemon`] puts a process together from its
+//! [`settings`].
 //!
 //! ```no_run
 //! # async fn run() -> miette::Result<()> {
@@ -21,6 +22,7 @@
 //! # }
 //! ```
 
+pub mod accounting;
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -1,6 +1,6 @@
 //! One endpoint behind the sidecar, and the jobs that wait for it.
 
-use crate::{clock::Clock, settings::Endpoint};
+use crate::{accounting, clock::Clock, settings::Endpoint};
 use cicadacrank_core::{
     admission::{Ask, Demand, Ended, Gate, Sign, Terms, Ticket, Turn},
     error::Kind,
@@ -44,6 +44,7 @@
     door: Arc<Door>,
     ticket: Ticket,
     ended: Ended,
+    charge: Option<accounting::Entry>,
 }
 
 /// Takes a job that no longer waits out of the queue.
@@ -53,6 +54,12 @@
 }
 
 impl Slot {
+    /// Counts the time of the slot for its use until it is freed.
+    pub(super) fn with_charge(mut self, charge: accounting::Entry) -> Self {
+        self.charge = Some(charge);
+        self
+    }
+
     /// Frees the slot and tells the gate how the work ended.
     pub(super) fn end(mut self, ended: Ended) {
         self.ended = ended;
@@ -69,6 +76,8 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        // The next one may begin as soon as the gate is free.
+        self.charge.take();
         let now = self.door.clock.now();
         self.door
             .turn(|gate| gate.release(self.ticket, self.ended, now));
@@ -211,6 +220,7 @@
             door: Arc::clone(self),
             ticket,
             ended: Ended::Neutral,
+            charge: None,
         }
     }
 
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -6,6 +6,7 @@
     duty, pulse,
 };
 use crate::{
+    accounting::{self, Accounts},
     clock::{self, Clock},
     configuration::{Configuration, Holder},
     endpoint,
@@ -65,6 +66,7 @@
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
     suspects: Suspects,
+    accounts: Arc<Accounts>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -83,6 +85,8 @@
     demand: Demand,
     stage: rules::Stage,
     service: rules::Service,
+    /// The endpoint belongs to another owner than the team's.
+    borrowed: bool,
 }
 
 impl Service {
@@ -99,7 +103,13 @@
             .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
         tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
+        let names = parts.settings.endpoints.iter();
+        let accounts = Accounts::new(names.map(|one| one.name.as_str()), parts.clock);
+        let accounts = Arc::new(accounts);
+        let configurations = parts.holder.subscribe();
+        tokio::spawn(accounting::follow(Arc::clone(&accounts), configurations));
         Self {
+            accounts,
             suspects: Suspects::new(parts.clock),
             parts,
             claims,
@@ -136,6 +146,12 @@
         self.doors.iter().for_each(Door::leave);
     }
 
+    /// Returns the accounts of the endpoints' time.
+    #[must_use]
+    pub const fn accounts(&self) -> &Arc<Accounts> {
+        &self.accounts
+    }
+
     /// Returns the requests that are suspected of crashing endpoints.
     #[must_use]
     pub const fn suspects(&self) -> &Suspects {
@@ -215,8 +231,9 @@
         {
             checked = self.check(job, &current)?;
         }
+        let charge = Accounts::charge(&self.accounts, job, checked.borrowed);
         Ok(Admitted {
-            slot,
+            slot: slot.with_charge(charge),
             stage: checked.stage,
             service: checked.service,
             address: checked.door.address,
@@ -252,6 +269,7 @@
             },
             stage: stage.clone(),
             service: book[stage.pool].service,
+            borrowed: book[team].owner != Some(book[endpoint].owner),
         })
     }
 
