Give up a silent endpoint in time for an attempt elsewhere

Cause: a sidecar waited its whole progress timeout (10 s) for an endpoint, past the deadline of the stage, so a silent endpoint cost the request although the work may be repeated. Ruled out: the link, whose silence is found by pulses. Work that may not be repeated waits as before.

--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -159,7 +159,20 @@
         .await
 }
 
-fn call_of(service: &Service, job: &wire::Job, admitted: &Admitted) -> Call {
+/// Returns the longest wait for the next part of an answer.
+///
+/// Work that may be repeated is given up in time for an attempt elsewhere; work
+/// that may not is waited for as long as the settings allow.
+fn progress_of(service: &Service, admitted: &Admitted, deadline: Instant) -> Duration {
+    let progress = service.parts.settings.timeouts.progress();
+    if !admitted.stage.repeatable {
+        return progress;
+    }
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    progress.min(remaining / 2)
+}
+
+fn call_of(service: &Service, job: &wire::Job, admitted: &Admitted, deadline: Instant) -> Call {
     Call {
         address: admitted.address,
         service: admitted.service,
@@ -169,7 +182,7 @@
         input: Bytes::from(job.input.clone()),
         output_limit: admitted.stage.output_limit_bytes,
         reuse: admitted.stage.repeatable,
-        progress: service.parts.settings.timeouts.progress(),
+        progress: progress_of(service, admitted, deadline),
     }
 }
 
@@ -182,7 +195,7 @@
     unsent: Unsent,
     voice: &mut Voice,
 ) -> Result<(), Stop> {
-    let call = call_of(service, job, &admitted);
+    let call = call_of(service, job, &admitted, deadline);
     let began = Instant::now();
     let sent = unsent.send();
     let gone = voice.sender.clone();
@@ -212,7 +225,7 @@
     unsent: Unsent,
     voice: &mut Voice,
 ) -> Result<(), Stop> {
-    let call = call_of(service, job, &admitted);
+    let call = call_of(service, job, &admitted, deadline);
     let began = Instant::now();
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
