Measure what one object a claim costs the platform

examples/claims offers claims for 10 s on a paused clock, 3 ms a platform call. The stand-in takes a rate of writes, keeps one listing an instant, and a list older than all it keeps shows the oldest.

--- /dev/null
+++ b/crates/cicadacrank-bench/examples/claims.rs
@@ -0,0 +1,172 @@
+//! Measures what claims cost the platform, on a paused clock.
+//!
+//! `cargo run --release -p cicadacrank-bench --example claims` offers claims at
+//! several rates to a few sidecars over the platform in memory, and prints the
+//! calls a request and the time to a claim.
+
+use cicadacrank_bench::memory::Store;
+use cicadacrank_core::{
+    id,
+    once::{Name, Outcome},
+};
+use cicadacrank_node::{
+    clock::Clock,
+    platform::Collection,
+    sidecar::{Acquired, Claims},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    runtime,
+    time::{self, Instant},
+};
+
+/// Time of one platform call, in milliseconds.
+const CALL_MS: u64 = 3;
+
+/// Time over which requests are offered.
+const SPAN: Duration = Duration::from_secs(10);
+
+/// Time a request may wait for its claim.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// Time the work takes at its endpoint.
+const WORK: Duration = Duration::from_millis(50);
+
+/// Length of a recorded output, in bytes.
+const OUTPUT_BYTES: usize = 200;
+
+/// Life of a claim.
+const LIFE: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Which sidecar a request goes to.
+#[derive(Clone, Copy, Debug)]
+enum Routing {
+    /// Each sidecar in turn.
+    Spread,
+    /// One sidecar for each key, as long as it lives.
+    Sticky,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Setting {
+    sidecars: usize,
+    rate: u64,
+    limit: u32,
+    routing: Routing,
+}
+
+/// Returns the time to the claim; `None` if there was none in time.
+async fn request(claims: Claims, number: u64) -> Option<Duration> {
+    let began = Instant::now();
+    let name = name(number);
+    let (attempt, unsent) = claims
+        .begin(&id::Attempt::new(number.into()).to_string())
+        .ok()?;
+    let acquired = claims.acquire(name, attempt, "digest", began + DEADLINE, unsent);
+    let (acquired, unsent) = acquired.await.ok()?;
+    let waited = began.elapsed();
+    drop(unsent);
+    time::sleep(WORK).await;
+    if let Acquired::Held(held) = acquired {
+        let output = "x".repeat(OUTPUT_BYTES);
+        claims.record(held, Outcome::Answer { output }).await;
+    }
+    Some(waited)
+}
+
+fn name(number: u64) -> Name {
+    Name::new("portal", "book-room", "booking", &number.to_string())
+}
+
+async fn measure(setting: Setting) {
+    let store = Store::new();
+    store.state().faults.delay_ms = CALL_MS;
+    store.state().faults.writes_per_second = setting.limit;
+    let clock = Clock::new();
+    let sidecars: Vec<Claims> = (0..setting.sidecars)
+        .map(|_| Claims::new(Arc::new(store.clone()), clock, LIFE))
+        .collect();
+    let gap = Duration::from_nanos(1_000_000_000 / setting.rate);
+    let requests = setting.rate * SPAN.as_secs();
+    let mut asked = Vec::new();
+    let mut next = Instant::now();
+    for number in 0..requests {
+        time::sleep_until(next).await;
+        next += gap;
+        let spread = usize::try_from(number).unwrap_or_default();
+        let to = match setting.routing {
+            Routing::Spread => spread % setting.sidecars,
+            Routing::Sticky => name(number).shard(setting.sidecars),
+        };
+        asked.push(tokio::spawn(request(sidecars[to].clone(), number)));
+    }
+    let mut waits = Vec::new();
+    for one in asked {
+        waits.extend(one.await.expect("a request"));
+    }
+    waits.sort_unstable();
+    report(setting, requests, &waits, &store);
+}
+
+fn report(setting: Setting, requests: u64, waits: &[Duration], store: &Store) {
+    let state = store.state();
+    let counts = state.counts;
+    let objects = state.list(Collection::Claims).objects;
+    let sizes = objects.iter().map(|object| object.spec.to_string().len());
+    let largest = sizes.max().unwrap_or_default();
+    let at = |share: usize| {
+        let index = (waits.len() * share / 100).min(waits.len().saturating_sub(1));
+        waits.get(index).map_or(0, Duration::as_millis)
+    };
+    let calls = counts.writes + counts.gets;
+    println!(
+        "{:>4} {:>6} {:>6} {:>7?} {:>8.3} {:>8.3} {:>7.0} {:>6.1} {:>5} {:>5} {:>7} {:>8}",
+        setting.sidecars,
+        setting.rate,
+        setting.limit,
+        setting.routing,
+        counts.writes as f64 / requests as f64,
+        counts.gets as f64 / requests as f64,
+        calls as f64 / SPAN.as_secs_f64(),
+        100.0 * waits.len() as f64 / requests as f64,
+        at(50),
+        at(99),
+        objects.len(),
+        largest,
+    );
+}
+
+fn main() {
+    println!(
+        "side   rate  limit routing writes/r  reads/r calls/s held%   p50   p99 objects  largest"
+    );
+    println!(
+        "cars    1/s    1/s                                           ms    ms             bytes"
+    );
+    for sidecars in [4, 32] {
+        for (rate, limit) in [
+            (10, 0),
+            (100, 0),
+            (400, 0),
+            (1_000, 0),
+            (100, 400),
+            (400, 400),
+            (1_000, 400),
+        ] {
+            for routing in [Routing::Spread, Routing::Sticky] {
+                let setting = Setting {
+                    sidecars,
+                    rate,
+                    limit,
+                    routing,
+                };
+                runtime::Builder::new_current_thread()
+                    .enable_time()
+                    .start_paused(true)
+                    .build()
+                    .expect("a runtime")
+                    .block_on(measure(setting));
+            }
+        }
+    }
+}
--- a/crates/cicadacrank-bench/src/memory/store.rs
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -60,7 +60,9 @@
         self.begin().await?;
         let (result, lost) = {
             let mut state = self.state();
-            state.counts.writes += 1;
+            if !state.count_write() {
+                return Err(Fault::Throttled);
+            }
             if state.lose_call() {
                 (None, true)
             } else {
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -214,12 +214,14 @@
             );
         }
         let text = |value: &Value| Version(value.as_str().unwrap_or_default().to_owned());
+        if !self.lock().count_write() {
+            return refuse(response, StatusCode::TOO_MANY_REQUESTS, "TooManyRequests");
+        }
         if self.lock().lose_call() {
             time::sleep(LOST_WAIT).await;
         }
         let (result, lost) = {
             let mut state = self.lock();
-            state.counts.writes += 1;
             let result = match (method, name) {
                 (Method::POST, None) => {
                     let name = body["metadata"]["name"].as_str().unwrap_or_default();
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -15,6 +15,9 @@
 /// Older listings kept of each collection.
 const KEPT_LISTINGS: usize = 64;
 
+/// Period over which writes are limited.
+const SECOND: Duration = Duration::from_secs(1);
+
 /// What the stand-in does wrong.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -23,6 +26,8 @@
     pub down: bool,
     /// Every call is turned away as over the rate.
     pub throttled: bool,
+    /// Writes taken in each second; more are turned away. Zero sets no limit.
+    pub writes_per_second: u32,
     /// Time before each answer, in milliseconds.
     pub delay_ms: u64,
     /// Number of writes that take effect and whose answer is lost.
@@ -94,6 +99,7 @@
     shelves: Vec<Shelf>,
     steps: VecDeque<Step>,
     sender: broadcast::Sender<Step>,
+    second: (Instant, u32),
     /// What the stand-in does wrong.
     pub faults: Faults,
     /// Calls so far.
@@ -118,6 +124,7 @@
             shelves: Collection::ALL.into_iter().map(shelf).collect(),
             steps: VecDeque::new(),
             sender: broadcast::Sender::new(WATCH_BUFFER),
+            second: (Instant::now(), 0),
             faults: Faults::default(),
             counts: Counts::default(),
         }
@@ -143,6 +150,7 @@
             .iter()
             .rev()
             .find(|past| now.duration_since(past.since) >= lag);
+        let old = old.or_else(|| history.front());
         old.map_or_else(
             || listing(0, &[]),
             |past| listing(past.revision, &past.objects),
@@ -256,6 +264,21 @@
         take(&mut self.faults.lose_answers)
     }
 
+    /// Counts a write; returns whether the rate bears it.
+    pub fn count_write(&mut self) -> bool {
+        self.counts.writes += 1;
+        let (began, taken) = &mut self.second;
+        if began.elapsed() >= SECOND {
+            (*began, *taken) = (Instant::now(), 0);
+        }
+        let limit = self.faults.writes_per_second;
+        if limit > 0 && *taken >= limit {
+            return false;
+        }
+        *taken += 1;
+        true
+    }
+
     /// Takes one lost call from the budget; returns whether there was one.
     pub const fn lose_call(&mut self) -> bool {
         take(&mut self.faults.lose_calls)
@@ -278,8 +301,12 @@
     fn changed(&mut self, collection: Collection, change: Change) {
         let revision = self.revision;
         let shelf = self.shelf_mut(collection);
+        let now = Instant::now();
+        if shelf.history.back().is_some_and(|past| past.since == now) {
+            shelf.history.pop_back();
+        }
         shelf.history.push_back(Past {
-            since: Instant::now(),
+            since: now,
             revision,
             objects: shelf.objects.clone(),
         });
--- a/crates/cicadacrank-bench/tests/interleaving.rs
+++ b/crates/cicadacrank-bench/tests/interleaving.rs
@@ -60,6 +60,11 @@
     answer: Option<Answer>,
 }
 
+/// Time before an action, in milliseconds; often none.
+fn pause() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), 0..50u64, 0..PAUSE_MS]
+}
+
 fn action() -> impl Strategy<Value = Action> {
     let sidecar = 0..ENDPOINTS.len();
     prop_oneof![
@@ -257,7 +262,7 @@
 
     #[test]
     fn run_keeps_the_promise_in_any_order(
-        actions in collection::vec((0..PAUSE_MS, action()), 4..40),
+        actions in collection::vec((pause(), action()), 4..40),
     ) {
         let runtime = runtime::Builder::new_current_thread()
             .enable_time()
--- a/crates/cicadacrank-core/src/once/claim.rs
+++ b/crates/cicadacrank-core/src/once/claim.rs
@@ -26,6 +26,13 @@
         hasher.finalize_xof().fill(&mut name);
         Self(name)
     }
+
+    /// Returns the shard of the name among a number of shards.
+    #[must_use]
+    pub const fn shard(&self, shards: usize) -> usize {
+        let [one, two, three, four, ..] = self.0;
+        u32::from_le_bytes([one, two, three, four]) as usize % shards
+    }
 }
 
 impl fmt::Display for Name {
