Keep claims in shards with group commit and pages

One object a claim costs 2 writes a request and leaves objects that nobody deletes. Each stage has 16 shards now; one task a process writes a shard and takes all that has gathered into one conditional update, at most one in 50 ms. Above 64 KiB settled claims move to a page that never changes, of which the shard keeps six digits a name; ended claims and pages drop out with the next update.

--- a/crates/cicadacrank-bench/examples/claims.rs
+++ b/crates/cicadacrank-bench/examples/claims.rs
@@ -96,7 +96,7 @@
         let spread = usize::try_from(number).unwrap_or_default();
         let to = match setting.routing {
             Routing::Spread => spread % setting.sidecars,
-            Routing::Sticky => name(number).shard(setting.sidecars),
+            Routing::Sticky => name(number).shard() % setting.sidecars,
         };
         asked.push(tokio::spawn(request(sidecars[to].clone(), number)));
     }
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/claims.rs
@@ -0,0 +1,108 @@
+//! Claims in shards and pages, over the platform in memory.
+
+use cicadacrank_bench::memory::Store;
+use cicadacrank_core::{
+    id,
+    once::{Name, Outcome, SHARD_BYTES, SHARDS},
+};
+use cicadacrank_node::{
+    clock::Clock,
+    platform::Collection,
+    sidecar::{Acquired, Claims},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{self, Instant};
+
+const LIFE: Duration = Duration::from_secs(3_600);
+
+/// Claims enough to fill each shard's first page.
+const CLAIMS: u64 = 300 * SHARDS as u64;
+
+fn claims(store: &Store) -> Claims {
+    Claims::new(Arc::new(store.clone()), Clock::new(), LIFE)
+}
+
+fn name(number: u64) -> Name {
+    Name::new("portal", "book-room", "booking", &number.to_string())
+}
+
+async fn acquire(claims: &Claims, number: u64, attempt: u64) -> Option<Acquired> {
+    let attempt = id::Attempt::new(attempt.into()).to_string();
+    let (attempt, unsent) = claims.begin(&attempt).ok()?;
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let acquired = claims.acquire(name(number), attempt, "digest", deadline, unsent);
+    Some(acquired.await.ok()?.0)
+}
+
+/// Claims and records the first numbers; returns how many were held.
+async fn run_all(claims: &Claims, count: u64, output: usize) -> u64 {
+    let mut tasks = Vec::new();
+    for number in 0..count {
+        let claims = claims.clone();
+        tasks.push(tokio::spawn(async move {
+            let Some(Acquired::Held(held)) = acquire(&claims, number, number).await else {
+                return 0;
+            };
+            let output = format!("{number:output$}");
+            claims.record(held, Outcome::Answer { output }).await;
+            1
+        }));
+    }
+    let mut held = 0;
+    for task in tasks {
+        held += task.await.expect("a claim");
+    }
+    held
+}
+
+fn sizes(store: &Store) -> Vec<usize> {
+    let listing = store.state().list(Collection::Claims);
+    let objects = listing.objects.iter();
+    objects
+        .map(|object| object.spec.to_string().len())
+        .collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_replays_from_pages_in_another_process() {
+    let store = Store::new();
+    assert_eq!(run_all(&claims(&store), CLAIMS, 200).await, CLAIMS);
+    assert!(sizes(&store).len() > SHARDS, "some claims moved to pages");
+    let other = claims(&store);
+    for number in (0..CLAIMS).step_by(97) {
+        let found = acquire(&other, number, CLAIMS + number).await;
+        let Some(Acquired::Replay(Outcome::Answer { output })) = found else {
+            panic!("{number}: {found:?}");
+        };
+        assert_eq!(output.trim(), number.to_string());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_drops_what_has_ended() {
+    let store = Store::new();
+    let claims = claims(&store);
+    run_all(&claims, CLAIMS, 200).await;
+    time::sleep(LIFE * 2).await;
+    for number in (0..CLAIMS).step_by(7) {
+        let found = acquire(&claims, number, CLAIMS + number).await;
+        assert!(
+            matches!(found, Some(Acquired::Held(_))),
+            "{number}: {found:?}"
+        );
+    }
+    time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(sizes(&store).len(), SHARDS, "the pages are deleted");
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_keeps_objects_within_their_limit() {
+    let store = Store::new();
+    let count = 30 * SHARDS as u64;
+    assert_eq!(run_all(&claims(&store), count, 60 << 10).await, count);
+    let largest = sizes(&store).into_iter().max();
+    assert!(
+        largest.is_some_and(|size| size <= SHARD_BYTES),
+        "{largest:?}"
+    );
+}
--- a/crates/cicadacrank-core/src/once/claim.rs
+++ b/crates/cicadacrank-core/src/once/claim.rs
@@ -5,41 +5,81 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Name of a claim: a digest over team, pipeline, stage and idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Name([u8; Self::BYTES]);
+/// Shards of the claims of one stage.
+pub const SHARDS: usize = 16;
+
+/// Name of a claim: a digest over pipeline and stage, then one over team and
+/// idempotency key as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Name(u128);
 
 impl Name {
-    /// Length of a name, in bytes.
-    pub const BYTES: usize = 16;
+    /// Length of the digest over pipeline and stage, in bits.
+    const STAGE_BITS: u32 = 32;
+
+    /// Digits of a mark.
+    pub const MARK_DIGITS: usize = 6;
 
     /// Creates the name; parts are length-prefixed, so that none runs into the
     /// next.
     #[must_use]
     pub fn new(team: &str, pipeline: &str, stage: &str, key: &str) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [team, pipeline, stage, key] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
-        let mut name = [0; Self::BYTES];
-        hasher.finalize_xof().fill(&mut name);
-        Self(name)
+        let stage_digest = digest(&[pipeline, stage]) << (u128::BITS - Self::STAGE_BITS);
+        Self(stage_digest | digest(&[team, pipeline, stage, key]) >> Self::STAGE_BITS)
+    }
+
+    /// Returns the shard of the name among those of its stage.
+    #[must_use]
+    pub const fn shard(self) -> usize {
+        (self.0 % SHARDS as u128) as usize
     }
 
-    /// Returns the shard of the name among a number of shards.
+    /// Returns the name of the object that holds the shard.
     #[must_use]
-    pub const fn shard(&self, shards: usize) -> usize {
-        let [one, two, three, four, ..] = self.0;
-        u32::from_le_bytes([one, two, three, four]) as usize % shards
+    pub fn object(self) -> String {
+        let stage = self.0 >> (u128::BITS - Self::STAGE_BITS);
+        format!("shard-{stage:08x}-{:02x}", self.shard())
+    }
+
+    /// Returns a short mark of the name, in hexadecimal digits.
+    #[must_use]
+    pub fn mark(self) -> String {
+        let bits = 4 * Self::MARK_DIGITS as u32;
+        let mark = (self.0 / SHARDS as u128) & ((1 << bits) - 1);
+        format!("{mark:06x}")
+    }
+}
+
+fn digest(parts: &[&str]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut bytes = [0; size_of::<u128>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    u128::from_le_bytes(bytes)
+}
+
+impl From<Name> for String {
+    fn from(name: Name) -> Self {
+        name.to_string()
+    }
+}
+
+impl TryFrom<String> for Name {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let name = u128::from_str_radix(&text, 16).map(Self);
+        name.map_err(|_| "a name is 32 hexadecimal digits")
     }
 }
 
 impl fmt::Display for Name {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        write!(formatter, "{:032x}", self.0)
     }
 }
 
--- a/crates/cicadacrank-core/src/once/mod.rs
+++ b/crates/cicadacrank-core/src/once/mod.rs
@@ -6,13 +6,17 @@
 //! first byte able to say that the work did not run.
 
 mod claim;
+mod page;
 mod seen;
 mod send;
+mod shard;
 mod stop;
 
 pub use self::{
-    claim::{Claim, Name, Outcome, State, Verdict},
+    claim::{Claim, Name, Outcome, SHARDS, State, Verdict},
+    page::Page,
     seen::{ATTEMPTS, Seen},
     send::{Sent, Unsent},
+    shard::{Entry, SHARD_BYTES, SPILL_BYTES, Shard},
     stop::Stop,
 };
--- /dev/null
+++ b/crates/cicadacrank-node/src/sidecar/claims/pages.rs
@@ -0,0 +1,87 @@
+//! Pages of settled claims, read once and kept.
+
+use crate::platform::{Collection, Fault, Store};
+use cicadacrank_core::{
+    id,
+    once::{Claim, Entry, Name, Page},
+};
+use std::{collections::VecDeque, sync::Arc};
+
+/// Pages kept in memory for each shard.
+const KEPT_PAGES: usize = 4;
+
+#[derive(Debug)]
+struct Kept {
+    object: String,
+    entries: Vec<Entry>,
+}
+
+/// The pages of one shard.
+pub(super) struct Pages {
+    store: Arc<dyn Store>,
+    kept: VecDeque<Kept>,
+}
+
+impl Pages {
+    pub(super) const fn new(store: Arc<dyn Store>) -> Self {
+        Self {
+            store,
+            kept: VecDeque::new(),
+        }
+    }
+
+    /// Looks a name up in a page.
+    ///
+    /// A page that is gone was dropped from the shard before, so that
+    /// [`Fault::Missing`] means that the shard has changed.
+    pub(super) async fn find(&mut self, page: &Page, name: Name) -> Result<Option<Claim>, Fault> {
+        let index = match self.kept.iter().position(|one| one.object == page.object) {
+            Some(index) => index,
+            None => self.read(page).await?,
+        };
+        let entries = &self.kept[index].entries;
+        let found = entries.binary_search_by_key(&name, |entry| entry.name);
+        Ok(found.ok().map(|index| entries[index].claim.clone()))
+    }
+
+    async fn read(&mut self, page: &Page) -> Result<usize, Fault> {
+        let object = self.store.get(Collection::Claims, &page.object).await?;
+        let entries = serde_json::from_value(object.spec["entries"].clone())
+            .map_err(|error| Fault::Invalid(error.to_string()))?;
+        if self.kept.len() == KEPT_PAGES {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(Kept {
+            object: page.object.clone(),
+            entries,
+        });
+        Ok(self.kept.len() - 1)
+    }
+
+    /// Writes a page of settled claims, sorted by name.
+    pub(super) async fn create(&self, shard: &str, entries: &[Entry]) -> Result<Page, Fault> {
+        let unique = id::Holder::new(rand::random());
+        let page = Page::new(format!("{shard}-{unique}"), entries);
+        let spec = serde_json::json!({ "entries": entries });
+        let create = self.store.create(Collection::Claims, &page.object, spec);
+        create.await?;
+        Ok(page)
+    }
+
+    /// Deletes pages behind the caller; one that cannot be deleted stays.
+    pub(super) fn delete(&self, pages: Vec<Page>) {
+        if pages.is_empty() {
+            return;
+        }
+        let store = Arc::clone(&self.store);
+        tokio::spawn(async move {
+            for page in pages {
+                let Ok(object) = store.get(Collection::Claims, &page.object).await else {
+                    continue;
+                };
+                let delete = store.delete(Collection::Claims, &page.object, &object.version);
+                drop(delete.await);
+            }
+        });
+    }
+}
