Add up busy and idle slot time, and price it by owner and team

Cause: nothing could say what endpoints cost whom.

A ledger integrates slot time as requests begin and end; its account is cumulative by incarnation, so lost and repeated writes change no sum.

--- /dev/null
+++ b/crates/cicadacrank-core/src/accounting/bill.rs
@@ -0,0 +1,128 @@
+//! What busy and idle slot time costs, by stage, owner and team.
+
+use super::ledger::Account;
+use crate::rules::{Book, Endpoint, Pool};
+use serde::Serialize;
+
+/// Microseconds of an hour.
+const HOUR_US: u128 = 3_600_000_000;
+/// Millionths of the currency unit in a thousandth of it.
+const MICRO_PER_MILLI: u128 = 1000;
+
+/// Slot time in use, by what it served and who carries the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Busy {
+    /// Pipeline served.
+    pub pipeline: String,
+    /// Stage served.
+    pub stage: String,
+    /// Owner of the endpoints.
+    pub owner: String,
+    /// Team that used them.
+    pub team: String,
+    /// Slot time, in microseconds.
+    pub slot_us: u64,
+    /// Cost, in millionths of the currency unit.
+    pub cost_micro: u64,
+}
+
+/// Slot time not in use, by who carries the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Idle {
+    /// Pool of the endpoints.
+    pub pool: String,
+    /// Owner of the endpoints, who carries the cost.
+    pub owner: String,
+    /// Slot time, in microseconds.
+    pub slot_us: u64,
+    /// Cost, in millionths of the currency unit.
+    pub cost_micro: u64,
+}
+
+/// Accounts priced by the rules.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Bill {
+    /// Slot time in use, sorted by pipeline, stage, owner and team.
+    pub busy: Vec<Busy>,
+    /// Slot time not in use, sorted by pool and owner.
+    pub idle: Vec<Idle>,
+    /// Endpoints with an account that the rules no longer define, and so
+    /// without owner and price; sorted.
+    pub unknown_endpoints: Vec<String>,
+}
+
+impl Bill {
+    /// Prices accounts, each of another endpoint or incarnation.
+    #[must_use]
+    pub fn new(book: &Book, accounts: &[Account]) -> Self {
+        let mut bill = Self::default();
+        for account in accounts {
+            match book.endpoint(&account.endpoint) {
+                Some(key) => bill.add(book, &book[key], account),
+                None => bill.unknown_endpoints.push(account.endpoint.clone()),
+            }
+        }
+        bill.settle();
+        bill
+    }
+
+    fn add(&mut self, book: &Book, endpoint: &Endpoint, account: &Account) {
+        let pool: &Pool = &book[endpoint.pool];
+        let owner = &book[endpoint.owner].name;
+        self.idle.push(Idle {
+            pool: pool.name.clone(),
+            owner: owner.clone(),
+            slot_us: account.idle_us,
+            cost_micro: cost(account.idle_us, pool.idle_price_milli),
+        });
+        let busy = account.busy.iter().map(|line| Busy {
+            pipeline: line.key.pipeline.clone(),
+            stage: line.key.stage.clone(),
+            owner: owner.clone(),
+            team: line.key.team.clone(),
+            slot_us: line.busy_us,
+            cost_micro: cost(line.busy_us, pool.busy_price_milli),
+        });
+        self.busy.extend(busy);
+    }
+
+    /// Sorts the rows and adds up those that are alike.
+    fn settle(&mut self) {
+        self.busy
+            .sort_by(|left, right| busy_key(left).cmp(&busy_key(right)));
+        self.busy.dedup_by(|later, first| {
+            let same = busy_key(later) == busy_key(first);
+            if same {
+                first.slot_us += later.slot_us;
+                first.cost_micro += later.cost_micro;
+            }
+            same
+        });
+        self.idle
+            .sort_by(|left, right| idle_key(left).cmp(&idle_key(right)));
+        self.idle.dedup_by(|later, first| {
+            let same = idle_key(later) == idle_key(first);
+            if same {
+                first.slot_us += later.slot_us;
+                first.cost_micro += later.cost_micro;
+            }
+            same
+        });
+        self.unknown_endpoints.sort_unstable();
+        self.unknown_endpoints.dedup();
+    }
+}
+
+fn busy_key(row: &Busy) -> [&str; 4] {
+    [&row.pipeline, &row.stage, &row.owner, &row.team]
+}
+
+fn idle_key(row: &Idle) -> [&str; 2] {
+    [&row.pool, &row.owner]
+}
+
+/// Returns the cost of slot time, in millionths of the currency unit.
+fn cost(slot_us: u64, price_milli: u64) -> u64 {
+    let micro = u128::from(slot_us) * u128::from(price_milli) * MICRO_PER_MILLI / HOUR_US;
+    u64::try_from(micro).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/accounting/ledger.rs
@@ -0,0 +1,169 @@
+//! Slot time at one endpoint since its process started.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Most lines of an account; further teams share one line for each stage.
+pub const LINES_LIMIT: usize = 2048;
+/// Name of the team that stands for all further teams.
+pub const OTHER_TEAM: &str = "(other)";
+
+/// What a request in flight is charged to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    /// Pipeline of the request.
+    pub pipeline: String,
+    /// Stage it is at.
+    pub stage: String,
+    /// Team that asked.
+    pub team: String,
+}
+
+/// Busy time of one key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// What it is charged to.
+    #[serde(flatten)]
+    pub key: Key,
+    /// Slot time in use, in microseconds.
+    pub busy_us: u64,
+}
+
+/// Slot time of one endpoint in one incarnation of its sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// Start of the incarnation, in milliseconds since 1970.
+    pub since_ms: u64,
+    /// Time the account covers, in microseconds.
+    pub observed_us: u64,
+    /// Slot time not in use, in microseconds.
+    pub idle_us: u64,
+    /// Slot time in use, sorted by key.
+    pub busy: Vec<Line>,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    key: Key,
+    in_flight: u32,
+    busy: Duration,
+    counted: Duration,
+}
+
+impl Open {
+    fn count(&mut self, now: Duration) {
+        self.busy += now.saturating_sub(self.counted) * self.in_flight;
+        self.counted = now;
+    }
+}
+
+/// Adds up slot time as requests begin and end.
+///
+/// Slots change while an endpoint warms up; between two calls the earlier
+/// number counts, so the idle time is off by at most the change times the time
+/// between the calls.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    lines: Vec<Open>,
+    in_flight: u32,
+    slots: u32,
+    idle: Duration,
+    counted: Duration,
+    began: Option<Duration>,
+}
+
+impl Ledger {
+    /// Creates a ledger without any time.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a request has a slot, and how many slots there are.
+    pub fn begin(&mut self, key: &Key, slots: u32, now: Duration) {
+        self.tick(slots, now);
+        let index = self.line(key, now);
+        self.lines[index].count(now);
+        self.lines[index].in_flight += 1;
+        self.in_flight += 1;
+    }
+
+    /// Notes that a request has left its slot.
+    pub fn end(&mut self, key: &Key, slots: u32, now: Duration) {
+        self.tick(slots, now);
+        let index = self.line(key, now);
+        let line = &mut self.lines[index];
+        line.count(now);
+        if line.in_flight > 0 {
+            line.in_flight -= 1;
+            self.in_flight -= 1;
+        }
+    }
+
+    /// Notes how many slots there are.
+    pub fn tick(&mut self, slots: u32, now: Duration) {
+        if self.began.is_none() {
+            self.began = Some(now);
+            self.counted = now;
+        }
+        let idle = self.slots.saturating_sub(self.in_flight);
+        self.idle += now.saturating_sub(self.counted) * idle;
+        self.counted = self.counted.max(now);
+        self.slots = slots;
+    }
+
+    /// Returns the account up to now.
+    pub fn account(&mut self, endpoint: &str, since_ms: u64, now: Duration) -> Account {
+        self.tick(self.slots, now);
+        let line = |line: &mut Open| {
+            line.count(now);
+            Line {
+                key: line.key.clone(),
+                busy_us: micros(line.busy),
+            }
+        };
+        let began = self.began.unwrap_or(now);
+        Account {
+            endpoint: endpoint.to_owned(),
+            since_ms,
+            observed_us: micros(now.saturating_sub(began)),
+            idle_us: micros(self.idle),
+            busy: self.lines.iter_mut().map(line).collect(),
+        }
+    }
+
+    /// Returns the position of a key's line, or of the line of its stage for
+    /// further teams when there are too many.
+    fn line(&mut self, key: &Key, now: Duration) -> usize {
+        match self.find(key) {
+            Ok(index) => index,
+            Err(index) if self.lines.len() < LINES_LIMIT || key.team == OTHER_TEAM => {
+                let line = Open {
+                    key: key.clone(),
+                    in_flight: 0,
+                    busy: Duration::ZERO,
+                    counted: now,
+                };
+                self.lines.insert(index, line);
+                index
+            }
+            Err(_) => {
+                let other = Key {
+                    team: OTHER_TEAM.to_owned(),
+                    ..key.clone()
+                };
+                self.line(&other, now)
+            }
+        }
+    }
+
+    fn find(&self, key: &Key) -> Result<usize, usize> {
+        self.lines.binary_search_by(|line| line.key.cmp(key))
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! 4. [`routing`] picks an endpoint for an attempt.
 //! 5. [`admission`] takes the attempt in at the endpoint's sidecar, or refuses.
 //! 6. [`once`] keeps work that may not be repeated from running twice.
+//! 7. [`accounting`] adds up busy and idle time and what it costs whom.
 //!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
@@ -24,6 +25,7 @@
 //! assert_eq!(Effect::NotRun.as_str(), "not-run");
 //! ```
 
+pub mod accounting;
 pub mod admission;
 pub mod error;
 pub mod event;
