--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -15,8 +15,8 @@
 };
 use cicadacrank_core::{
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
-    error::{Failure, Kind},
-    once::Unsent,
+    error::Kind,
+    once::{Stop, Unsent},
     rules::{self, Book, EndpointKey},
 };
 use cicadacrank_wire::wire;
@@ -88,7 +88,7 @@
     #[must_use]
     pub fn new(parts: Parts) -> Self {
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
-        let claims = Claims::new(Arc::clone(&parts.store), life);
+        let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
         let mut doors: Vec<Arc<Door>> = endpoints
             .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
@@ -157,7 +157,7 @@
         &self,
         job: &wire::Job,
         unsent: Unsent,
-    ) -> Result<(Admitted, Unsent), Failure> {
+    ) -> Result<(Admitted, Unsent), Stop> {
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
