--- a/crates/cicadacrank-core/src/accounting/ledger.rs
+++ b/crates/cicadacrank-core/src/accounting/ledger.rs
@@ -44,6 +44,15 @@
     pub busy: Vec<Line>,
 }
 
+impl Account {
+    /// Returns the name of the object that holds the account, which no other
+    /// incarnation uses.
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("{}-{}", self.endpoint, self.since_ms)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Open {
     key: Key,
@@ -83,7 +92,7 @@
 
     /// Notes that a request has a slot, and how many slots there are.
     pub fn begin(&mut self, key: &Key, slots: u32, now: Duration) {
-        self.tick(slots, now);
+        let now = self.advance(slots, now);
         let index = self.line(key, now);
         self.lines[index].count(now);
         self.lines[index].in_flight += 1;
@@ -92,7 +101,7 @@
 
     /// Notes that a request has left its slot.
     pub fn end(&mut self, key: &Key, slots: u32, now: Duration) {
-        self.tick(slots, now);
+        let now = self.advance(slots, now);
         let index = self.line(key, now);
         let line = &mut self.lines[index];
         line.count(now);
@@ -104,6 +113,12 @@
 
     /// Notes how many slots there are.
     pub fn tick(&mut self, slots: u32, now: Duration) {
+        self.advance(slots, now);
+    }
+
+    /// Counts the time up to now, and returns the time that counts as now: the
+    /// latest seen, as calls may come in another order than their clock reads.
+    fn advance(&mut self, slots: u32, now: Duration) -> Duration {
         if self.began.is_none() {
             self.began = Some(now);
             self.counted = now;
@@ -112,11 +127,12 @@
         self.idle += now.saturating_sub(self.counted) * idle;
         self.counted = self.counted.max(now);
         self.slots = slots;
+        self.counted
     }
 
     /// Returns the account up to now.
     pub fn account(&mut self, endpoint: &str, since_ms: u64, now: Duration) -> Account {
-        self.tick(self.slots, now);
+        let now = self.advance(self.slots, now);
         let line = |line: &mut Open| {
             line.count(now);
             Line {
--- a/crates/cicadacrank-core/tests/accounting.rs
+++ b/crates/cicadacrank-core/tests/accounting.rs
@@ -84,6 +84,9 @@
             slot_time += step * 8;
             now += step;
             let team = key(&format!("t{}", random.random_range(0..3)));
+            // A clock read that was overtaken by another thread's.
+            let late = ms(random.random_range(0..2));
+            let now = now.saturating_sub(late);
             if open.len() < 8 && random.random() {
                 ledger.begin(&team, 8, now);
                 open.push(team);
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -3,11 +3,10 @@
 use super::{
     Addresses, Common, address_of, announce, bind, finish, serve_operator, wait_for_signal,
 };
-use crate::{entry, link, membership, operator};
+use crate::{entry, link, membership, operator, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
 use salvo::{Listener as _, Server, conn::TcpListener};
-use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::time;
 
@@ -66,7 +65,11 @@
         Self::is_ready(self)
     }
 
-    fn status(&self) -> Value {
-        json!({ "role": "entry", "generation": self.parts().holder.generation() })
+    fn status(&self) -> operator::Status {
+        operator::Status {
+            role: Some(Role::Entry),
+            generation: self.parts().holder.generation(),
+            endpoints: Vec::new(),
+        }
     }
 }
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -1,11 +1,10 @@
 //! Runs a sidecar.
 
 use super::{Addresses, Common, announce, bind, finish, serve_operator, wait_for_signal};
-use crate::{endpoint, link, operator, sidecar};
+use crate::{endpoint, link, operator, settings::Role, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
-use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::{sync::Notify, time};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -31,6 +30,8 @@
         caller_listen: None,
         operator_listen,
     })?;
+    let accounts = sidecar::Accounts::new(Arc::clone(&service));
+    let accounting = tokio::spawn(accounts.run(common.settings.timeouts.account()));
     let stop = Arc::new(Notify::new());
     let stopped = Arc::clone(&stop);
     let server = tonic::transport::Server::builder()
@@ -49,6 +50,8 @@
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         service.finish().await;
+        accounting.abort();
+        sidecar::Accounts::new(Arc::clone(&service)).write().await;
         stop.notify_one();
         // The server ends once its last stream is through.
         drop(server.await);
@@ -62,7 +65,11 @@
         Self::is_ready(self)
     }
 
-    fn status(&self) -> Value {
-        json!({ "role": "sidecar", "generation": self.generation() })
+    fn status(&self) -> operator::Status {
+        operator::Status {
+            role: Some(Role::Sidecar),
+            generation: self.generation(),
+            endpoints: self.endpoints(),
+        }
     }
 }
--- a/crates/cicadacrank-node/src/operator.rs
+++ b/crates/cicadacrank-node/src/operator.rs
@@ -1,11 +1,11 @@
 //! Pages for operators and the platform: health, metrics and status.
 
-use crate::metrics::Metrics;
+use crate::{metrics::Metrics, settings::Role};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode,
     writing::Json,
 };
-use serde_json::Value;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// What the pages show.
@@ -14,7 +14,35 @@
     fn is_ready(&self) -> bool;
 
     /// Returns what the process has in force and in flight.
-    fn status(&self) -> Value;
+    fn status(&self) -> Status;
+}
+
+/// What an instance has in force and in flight.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    /// Role of the process; `None` if it does not say.
+    pub role: Option<Role>,
+    /// Generation of the rules in force; zero if there is none.
+    pub generation: u64,
+    /// Endpoints behind a sidecar, in order of name.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// What a sidecar says of an endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Endpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// How warm it is: `cold`, `warming`, `warm` or `leaving`.
+    pub phase: String,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Requests in flight that it bears now.
+    pub slots: u32,
 }
 
 #[derive(Clone, Copy)]
--- a/crates/cicadacrank-node/src/settings.rs
+++ b/crates/cicadacrank-node/src/settings.rs
@@ -117,6 +117,8 @@
     pub refresh_ms: u64,
     /// Life of a claim after its last change.
     pub claim_ms: u64,
+    /// Between two writes of the accounts of busy and idle time.
+    pub account_ms: u64,
 }
 
 impl Default for Timeouts {
@@ -129,6 +131,7 @@
             drain_ms: 30_000,
             refresh_ms: 1_000,
             claim_ms: 24 * 60 * 60 * 1_000,
+            account_ms: 60_000,
         }
     }
 }
@@ -164,6 +167,12 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    /// Returns the time between two writes of the accounts.
+    #[must_use]
+    pub const fn account(&self) -> Duration {
+        Duration::from_millis(self.account_ms)
+    }
+
     /// Returns the time between two looks at the instance list.
     #[must_use]
     pub const fn refresh(&self) -> Duration {
--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -2,6 +2,7 @@
 
 use crate::{clock::Clock, settings::Endpoint};
 use cicadacrank_core::{
+    accounting::{Account, Key, Ledger},
     admission::{Ask, Demand, Ended, Gate, Sign, Terms, Ticket, Turn},
     error::Kind,
 };
@@ -9,6 +10,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::{sync::oneshot, time};
 
@@ -26,6 +28,7 @@
     generation: u64,
     taken_out: bool,
     waiting: Vec<Waiting>,
+    ledger: Ledger,
 }
 
 struct Waiting {
@@ -44,6 +47,7 @@
     door: Arc<Door>,
     ticket: Ticket,
     ended: Ended,
+    key: Option<Key>,
 }
 
 /// Takes a job that no longer waits out of the queue.
@@ -53,6 +57,13 @@
 }
 
 impl Slot {
+    /// Charges the time until the slot is freed.
+    pub(super) fn charge(&mut self, key: Key) {
+        self.door
+            .count(|ledger, slots, now| ledger.begin(&key, slots, now));
+        self.key = Some(key);
+    }
+
     /// Frees the slot and tells the gate how the work ended.
     pub(super) fn end(mut self, ended: Ended) {
         self.ended = ended;
@@ -69,6 +80,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(key) = &self.key {
+            self.door
+                .count(|ledger, slots, now| ledger.end(key, slots, now));
+        }
         let now = self.door.clock.now();
         self.door
             .turn(|gate| gate.release(self.ticket, self.ended, now));
@@ -179,6 +194,25 @@
         })
     }
 
+    /// Counts the time up to now at the number of slots so far.
+    pub(super) fn count_slots(&self) {
+        self.count(Ledger::tick);
+    }
+
+    /// Returns the account of this incarnation up to now.
+    pub(super) fn account(&self, since_ms: u64) -> Account {
+        self.count_slots();
+        let now = self.clock.now();
+        self.lock().ledger.account(&self.name, since_ms, now)
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Ledger, u32, Duration)) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let slots = state.gate.as_ref().map_or(0, |gate| gate.slots(now));
+        count(&mut state.ledger, slots, now);
+    }
+
     /// Lets the gate decide and delivers what it decided, after the lock is
     /// free: an answer that nobody takes comes back here as a freed slot.
     fn turn(self: &Arc<Self>, decide: impl FnOnce(&mut Gate) -> Vec<Turn>) {
@@ -211,6 +245,7 @@
             door: Arc::clone(self),
             ticket,
             ended: Ended::Neutral,
+            key: None,
         }
     }
 
--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 //! [`Service::run`] takes one job through its steps: check, admit, claim, send,
 //! stream, record. [`grpc`] serves it to entries.
 
+mod accounts;
 mod claims;
 mod door;
 mod duty;
@@ -10,6 +11,7 @@
 mod service;
 
 pub use self::{
+    accounts::Accounts,
     claims::{Acquired, Claims, Held},
     service::{Parts, Service},
 };
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -10,10 +10,11 @@
     configuration::{Configuration, Holder},
     endpoint,
     metrics::Metrics,
-    platform,
+    operator, platform,
     settings::Settings,
 };
 use cicadacrank_core::{
+    accounting::{Account, Key},
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
     error::Kind,
     once::{Stop, Unsent},
@@ -61,6 +62,7 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
+    since_ms: u64,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -87,6 +89,7 @@
     /// Must be called inside a runtime: the doors follow the configuration.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
+        let since_ms = parts.clock.unix_ms();
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
         let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
@@ -99,6 +102,7 @@
             parts,
             claims,
             doors,
+            since_ms,
             leaving: AtomicBool::new(false),
             tracker: TaskTracker::new(),
         }
@@ -146,6 +150,33 @@
         self.tracker.wait().await;
     }
 
+    /// Returns what the endpoints bear and do, in order of name.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<operator::Endpoint> {
+        let endpoint = |door: &Arc<Door>| {
+            let load = door.load().unwrap_or_default();
+            operator::Endpoint {
+                name: door.name.clone(),
+                phase: phase_of(&load).to_owned(),
+                in_flight: load.in_flight,
+                queued: load.queued,
+                slots: load.slots,
+            }
+        };
+        self.doors.iter().map(endpoint).collect()
+    }
+
+    /// Counts slot time up to now.
+    pub(super) fn count_slots(&self) {
+        self.doors.iter().for_each(|door| door.count_slots());
+    }
+
+    /// Returns the accounts of the endpoints, in order of name.
+    pub(super) fn accounts(&self) -> Vec<Account> {
+        let doors = self.doors.iter();
+        doors.map(|door| door.account(self.since_ms)).collect()
+    }
+
     /// Returns the load of an endpoint for its next frame.
     #[must_use]
     pub fn load(&self, endpoint: &str) -> Option<wire::Load> {
@@ -188,7 +219,12 @@
         configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
-        let slot = checked.door.enter(checked.demand).await?;
+        let mut slot = checked.door.enter(checked.demand).await?;
+        slot.charge(Key {
+            pipeline: job.pipeline.clone(),
+            stage: job.stage.clone(),
+            team: job.team.clone(),
+        });
         if let Some(current) = self.parts.holder.current()
             && current.generation != configuration.generation
         {
@@ -253,6 +289,16 @@
     }
 }
 
+/// Returns the word for the phase in a load.
+fn phase_of(load: &wire::Load) -> &'static str {
+    match load.phase {
+        0 => "cold",
+        1 => "warming",
+        2 => "warm",
+        _ => "leaving",
+    }
+}
+
 /// Keeps the doors at the configuration in force, also without any job.
 async fn follow(
     doors: Vec<Arc<Door>>,
--- /dev/null
+++ b/crates/cicadacrank/src/cmd/cost.rs
@@ -0,0 +1,119 @@
+//! `cost`: prints busy and idle time by stage, owner and team, with prices.
+
+use super::args::{self, Platform};
+use crate::{
+    error::Error,
+    output::{self, Output},
+};
+use bpaf::Bpaf;
+use cicadacrank_core::{
+    accounting::{Account, Bill},
+    error::Kind,
+    rules,
+};
+use cicadacrank_node::platform::{Collection, Store as _};
+
+/// Examples for the help text.
+pub const EXAMPLES: &str = "Adds up all accounts in the platform at the prices in force.
+ Examples:
+  cicadacrank cost
+  cicadacrank cost --json";
+
+/// Microseconds of a second.
+const SECOND_US: u64 = 1_000_000;
+/// Millionths of the currency unit.
+const UNIT_MICRO: u64 = 1_000_000;
+/// Millionths in the smallest amount shown.
+const SHOWN_MICRO: u64 = 100;
+
+/// Arguments of `cost`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct Cost {
+    #[bpaf(external(args::json))]
+    pub json: bool,
+    #[bpaf(external(args::platform))]
+    platform: Platform,
+}
+
+impl Cost {
+    /// Reads rules and accounts and prints what they add up to.
+    pub fn execute(self, output: Output) -> Result<(), Error> {
+        let (object, accounts) = args::block_on(async {
+            let object = self.platform.session()?.read().await?;
+            Ok((object, accounts(&self.platform).await?))
+        })?;
+        let book = rules::parse(&object.rules).map_err(|faults| Error::Faults(vec![faults]))?;
+        let bill = Bill::new(&book, &accounts);
+        output.result(&bill, || text(&bill));
+        Ok(())
+    }
+}
+
+async fn accounts(platform: &Platform) -> Result<Vec<Account>, Error> {
+    let listing = platform.client()?.list(Collection::Accounts).await;
+    let listing = listing.map_err(|fault| {
+        Error::not_run(Kind::PlatformDown, format!("listing accounts: {fault}"))
+    })?;
+    let read = |object: cicadacrank_node::platform::Object| {
+        serde_json::from_value(object.spec).map_err(|error| {
+            let context = format!("reading the account {}: {error}", object.name);
+            Error::not_run(Kind::Internal, context)
+        })
+    };
+    listing.objects.into_iter().map(read).collect()
+}
+
+fn text(bill: &Bill) -> String {
+    let mut busy = output::table(&["PIPELINE", "STAGE", "OWNER", "TEAM", "BUSY", "COST"]);
+    for row in &bill.busy {
+        busy.add_row([
+            row.pipeline.clone(),
+            row.stage.clone(),
+            row.owner.clone(),
+            row.team.clone(),
+            seconds(row.slot_us),
+            euros(row.cost_micro),
+        ]);
+    }
+    let mut idle = output::table(&["POOL", "OWNER", "IDLE", "COST"]);
+    for row in &bill.idle {
+        idle.add_row([
+            row.pool.clone(),
+            row.owner.clone(),
+            seconds(row.slot_us),
+            euros(row.cost_micro),
+        ]);
+    }
+    let (busy_sum, idle_sum): (u64, u64) = (
+        bill.busy.iter().map(|row| row.cost_micro).sum(),
+        bill.idle.iter().map(|row| row.cost_micro).sum(),
+    );
+    let mut text = format!(
+        "{}\n{}\nbusy {}, idle {}, together {}\n",
+        output::lines(&mut busy),
+        output::lines(&mut idle),
+        euros(busy_sum),
+        euros(idle_sum),
+        euros(busy_sum + idle_sum),
+    );
+    if !bill.unknown_endpoints.is_empty() {
+        let names = bill.unknown_endpoints.join(", ");
+        text += &format!("without owner and price in the rules: {names}\n");
+    }
+    text
+}
+
+/// Writes slot time in seconds.
+fn seconds(slot_us: u64) -> String {
+    format!(
+        "{}.{:03} s",
+        slot_us / SECOND_US,
+        slot_us % SECOND_US / 1000
+    )
+}
+
+fn euros(micro: u64) -> String {
+    let fraction = micro % UNIT_MICRO / SHOWN_MICRO;
+    format!("{}.{fraction:04} eur", micro / UNIT_MICRO)
+}
--- a/crates/cicadacrank/src/cmd/mod.rs
+++ b/crates/cicadacrank/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod args;
 mod bring_back;
 mod check;
+mod cost;
 mod diff;
 mod explain;
 mod history;
@@ -36,6 +37,9 @@
     /// Checks rule files
     #[bpaf(command, footer(check::EXAMPLES))]
     Check(#[bpaf(external(check::check))] check::Check),
+    /// Prints busy and idle time by stage, owner and team, with prices
+    #[bpaf(command, footer(cost::EXAMPLES))]
+    Cost(#[bpaf(external(cost::cost))] cost::Cost),
     /// Compares a rule file with the rules in force
     #[bpaf(command, footer(diff::EXAMPLES))]
     Diff(#[bpaf(external(diff::diff))] diff::Diff),
@@ -66,6 +70,7 @@
             Self::Apply(command) => command.json,
             Self::BringBack(command) => command.json,
             Self::Check(command) => command.json,
+            Self::Cost(command) => command.json,
             Self::Diff(command) => command.json,
             Self::Explain(command) => command.json,
             Self::History(command) => command.json,
@@ -82,6 +87,7 @@
             Self::Apply(command) => command.execute(output),
             Self::BringBack(command) => command.execute(output),
             Self::Check(command) => command.execute(output),
+            Self::Cost(command) => command.execute(output),
             Self::Diff(command) => command.execute(output),
             Self::Explain(command) => command.execute(output),
             Self::History(command) => command.execute(output),
--- a/crates/cicadacrank/src/cmd/status.rs
+++ b/crates/cicadacrank/src/cmd/status.rs
@@ -10,6 +10,7 @@
 use cicadacrank_core::error::Kind;
 use cicadacrank_node::{
     membership::Instance,
+    operator::Endpoint,
     platform::{Collection, Object, Store as _},
     settings::Role,
 };
@@ -61,20 +62,11 @@
 struct Row {
     instance: String,
     address: SocketAddr,
-    role: String,
+    role: Option<Role>,
     data_centre: String,
     state: &'static str,
     generation: Option<u64>,
-    endpoints: Vec<EndpointRow>,
-}
-
-/// What a sidecar says of its endpoint.
-#[derive(Debug, Serialize)]
-struct EndpointRow {
-    name: String,
-    phase: String,
-    in_flight: u32,
-    slots: u32,
+    endpoints: Vec<Endpoint>,
 }
 
 impl Status {
@@ -133,21 +125,15 @@
     };
     let generation = status.as_ref().ok().map(|status| status.generation);
     let status = status.unwrap_or_default();
-    let endpoint = |one: http::Endpoint| EndpointRow {
-        name: one.name,
-        phase: one.phase,
-        in_flight: one.in_flight,
-        slots: one.slots,
-    };
     let listed = target.listed.as_ref();
     Row {
         instance: target.name,
         address: target.address,
-        role: listed.map_or(status.role, |one| role(one.role).to_owned()),
+        role: listed.map(|one| one.role).or(status.role),
         data_centre: listed.map_or_else(String::new, |one| one.data_centre.clone()),
         state,
         generation,
-        endpoints: status.endpoints.into_iter().map(endpoint).collect(),
+        endpoints: status.endpoints,
     }
 }
 
@@ -164,7 +150,7 @@
         let generation = row.generation.map(|generation| generation.to_string());
         table.add_row([
             or_dash(&row.instance),
-            or_dash(&row.role),
+            or_dash(row.role.map_or("", role)),
             or_dash(&row.data_centre),
             row.state.to_owned(),
             or_dash(&generation.unwrap_or_default()),
@@ -183,12 +169,13 @@
 }
 
 fn endpoints(rows: &[Row]) -> String {
-    let mut table = output::table(&["ENDPOINT", "PHASE", "IN FLIGHT", "SLOTS"]);
+    let mut table = output::table(&["ENDPOINT", "PHASE", "IN FLIGHT", "QUEUED", "SLOTS"]);
     for one in rows.iter().flat_map(|row| &row.endpoints) {
         table.add_row([
             one.name.clone(),
             or_dash(&one.phase),
             one.in_flight.to_string(),
+            one.queued.to_string(),
             one.slots.to_string(),
         ]);
     }
--- a/crates/cicadacrank/src/http.rs
+++ b/crates/cicadacrank/src/http.rs
@@ -2,8 +2,8 @@
 
 use crate::error::Error;
 use cicadacrank_core::error::{Effect, Failure, Kind};
+use cicadacrank_node::operator::Status;
 use reqwest::{Client, redirect, retry};
-use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
 /// Time to connect.
@@ -25,32 +25,6 @@
         .map_err(|error| Error::not_run(Kind::Internal, error.to_string()))
 }
 
-/// What the status page of an instance says; a page may leave out much.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct Status {
-    /// Role of the process.
-    pub role: String,
-    /// Generation of the rules in force there.
-    pub generation: u64,
-    /// Endpoints behind a sidecar.
-    pub endpoints: Vec<Endpoint>,
-}
-
-/// What a sidecar says of an endpoint.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct Endpoint {
-    /// Name of the endpoint.
-    pub name: String,
-    /// How warm it is.
-    pub phase: String,
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests in flight it bears now.
-    pub slots: u32,
-}
-
 /// Reads the status page of an instance.
 pub async fn status(client: &Client, address: SocketAddr) -> Result<Status, Error> {
     let url = format!("http://{address}/status");
--- a/crates/cicadacrank/tests/changes.rs
+++ b/crates/cicadacrank/tests/changes.rs
@@ -7,6 +7,7 @@
     platform::{Faults, Server},
 };
 use cicadacrank_core::{
+    accounting::{Account, Key, Line},
     generation::{Change, ChangeId, Object},
     rules::edit::Request,
 };
@@ -351,3 +352,46 @@
     let some = json(&desk.run("history --json --limit 80").await);
     assert_eq!(some.as_array().unwrap().len(), 80);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cost_adds_up_accounts() {
+    let desk = Desk::new().await;
+    let account = |endpoint: &str, since_ms, team: &str| Account {
+        endpoint: endpoint.into(),
+        since_ms,
+        observed_us: 0,
+        idle_us: 1_800_000_000,
+        busy: vec![Line {
+            key: Key {
+                pipeline: "book-room".into(),
+                stage: "booking".into(),
+                team: team.into(),
+            },
+            busy_us: 3_600_000_000,
+        }],
+    };
+    for account in [
+        account("booking-desk-01", 1, "counter"),
+        account("booking-desk-01", 2, "counter"),
+        account("booking-desk-02", 1, "council"),
+        account("gone", 1, "council"),
+    ] {
+        let spec = serde_json::to_value(&account).unwrap();
+        let mut state = desk.platform.state();
+        state.put(Collection::Accounts, &account.name(), spec);
+    }
+    let cost = desk.run("cost").await;
+    assert_eq!((cost.code, cost.err.as_str()), (0, ""));
+    expect![[r#"
+        PIPELINE   STAGE    OWNER  TEAM     BUSY        COST
+        book-room  booking  torg   council  3600.000 s  0.0600 eur
+        book-room  booking  torg   counter  7200.000 s  0.1200 eur
+
+        POOL          OWNER  IDLE        COST
+        booking-desk  torg   5400.000 s  0.0600 eur
+
+        busy 0.1800 eur, idle 0.0600 eur, together 0.2400 eur
+        without owner and price in the rules: gone
+    "#]]
+    .assert_eq(&cost.out);
+}
--- a/crates/cicadacrank/tests/cli.rs
+++ b/crates/cicadacrank/tests/cli.rs
@@ -10,6 +10,7 @@
     "apply",
     "bring-back",
     "check",
+    "cost",
     "diff",
     "explain",
     "history",
--- a/crates/cicadacrank/tests/instances.rs
+++ b/crates/cicadacrank/tests/instances.rs
@@ -14,7 +14,7 @@
 
 const ENTRY_STATUS: &str = r#"{"role": "entry", "generation": 12}"#;
 const SIDECAR_STATUS: &str = r#"{"role": "sidecar", "generation": 11, "endpoints": [
-    {"name": "booking-desk-01", "phase": "warming", "in_flight": 3, "slots": 9}]}"#;
+    {"name": "booking-desk-01", "phase": "warming", "in_flight": 3, "queued": 1, "slots": 9}]}"#;
 
 /// Answers every request with the same status and body, then closes.
 async fn serve(status: u16, body: &str) -> SocketAddr {
@@ -93,8 +93,8 @@
         sidecar-1  sidecar  vest-a       no answer  -
         sidecar-2  sidecar  vest-a       no answer  -
 
-        ENDPOINT         PHASE    IN FLIGHT  SLOTS
-        booking-desk-01  warming  3          9
+        ENDPOINT         PHASE    IN FLIGHT  QUEUED  SLOTS
+        booking-desk-01  warming  3          1       9
 
         generation 12 is in force at 1 of 4 instances
     "#]]
--- /dev/null
+++ b/crates/cicadacrankd/tests/accounts.rs
@@ -0,0 +1,89 @@
+//! Accounts of slot time as sidecars store them in the platform.
+
+mod common;
+
+use cicadacrank_bench::fleet::{self, Fleet};
+use cicadacrank_core::accounting::Account;
+use cicadacrank_node::{operator::Status, platform::Collection};
+use common::{plan, profile, request, send};
+
+/// Slots of every endpoint, cold or warm.
+const SLOTS: u64 = 64;
+/// Time that each run takes at least.
+const RUN_US: u64 = 50_000;
+
+async fn start(account_ms: u64) -> Fleet {
+    let mut plan = plan("tests/samples/small.rules");
+    plan.timeouts["account_ms"] = account_ms.into();
+    plan.profile = profile(RUN_US, 0, 3);
+    Fleet::start(plan).await.expect("a fleet")
+}
+
+fn accounts(fleet: &Fleet) -> Vec<Account> {
+    let listing = fleet.platform.state().list(Collection::Accounts);
+    let objects = listing.objects.into_iter();
+    objects
+        .map(|object| serde_json::from_value(object.spec).expect("an account"))
+        .collect()
+}
+
+/// Returns the busy time of a stage for the team of the tests.
+fn busy_us(accounts: &[Account], stage: &str) -> u64 {
+    let lines = accounts.iter().flat_map(|account| &account.busy);
+    lines
+        .filter(|line| line.key.stage == stage && line.key.team == "desk")
+        .map(|line| line.busy_us)
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accounts_grow_while_work_runs() {
+    let fleet = start(100).await;
+    let answer = send(request(&fleet, 0, "order", "key-1")).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    fleet::wait_for("accounts of all stages", async || {
+        let accounts = accounts(&fleet);
+        let stages = ["stock", "place", "note"].into_iter();
+        stages
+            .clone()
+            .all(|stage| busy_us(&accounts, stage) >= RUN_US)
+    })
+    .await
+    .expect("accounts");
+    for account in accounts(&fleet) {
+        let busy: u64 = account.busy.iter().map(|line| line.busy_us).sum();
+        // The time is cut to whole microseconds, so less than one is missing.
+        let slot_time = (account.observed_us + 1) * SLOTS;
+        assert!(busy + account.idle_us < slot_time, "{account:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accounts_are_whole_after_shutdown() {
+    let mut fleet = start(3_600_000).await;
+    let answer = send(request(&fleet, 0, "order", "key-1")).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(accounts(&fleet).is_empty(), "nothing is due yet");
+    for post in &mut fleet.posts {
+        post.sidecar.terminate().expect("a signal");
+        assert!(post.sidecar.wait().await.expect("an exit").success());
+    }
+    let accounts = accounts(&fleet);
+    assert_eq!(accounts.len(), fleet.posts.len());
+    assert!(busy_us(&accounts, "place") >= RUN_US, "{accounts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_shows_endpoints() {
+    let fleet = start(3_600_000).await;
+    for post in &fleet.posts {
+        let url = format!("http://{}/status", post.sidecar.addresses.operator_listen);
+        let page = fleet::client().expect("client").get(url).send().await;
+        let status: Status = page.expect("a page").json().await.expect("a status");
+        let [endpoint] = &status.endpoints[..] else {
+            panic!("one endpoint: {status:?}");
+        };
+        assert_eq!(endpoint.name, post.endpoint);
+        assert_eq!((endpoint.in_flight, u64::from(endpoint.slots)), (0, SLOTS));
+    }
+}
