--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -3,7 +3,7 @@
 use super::{
     Claims,
     door::{Door, Slot},
-    duty,
+    duty, pulse,
 };
 use crate::{
     clock::{self, Clock},
@@ -11,13 +11,16 @@
     endpoint,
     metrics::Metrics,
     operator, platform,
+    quarantine::Suspects,
     settings::Settings,
 };
 use cicadacrank_core::{
     accounting::{Account, Key},
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
     error::Kind,
+    id,
     once::{Stop, Unsent},
+    quarantine::{CRASHES, Fingerprint, Standing},
     rules::{self, Book, EndpointKey},
 };
 use cicadacrank_wire::wire;
@@ -63,6 +66,7 @@
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
     since_ms: u64,
+    suspects: Suspects,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -99,6 +103,7 @@
         doors.sort_by(|one, other| one.name.cmp(&other.name));
         tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
         Self {
+            suspects: Suspects::new(parts.clock),
             parts,
             claims,
             doors,
@@ -115,7 +120,11 @@
     pub fn run(self: &Arc<Self>, job: wire::Job) -> mpsc::Receiver<wire::Frame> {
         let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
         self.parts.metrics.attempts.inc();
-        self.tracker.spawn(duty::run(Arc::clone(self), job, sender));
+        let (inner, frames) = mpsc::channel(FRAME_BUFFER);
+        let (attempt, endpoint) = (job.attempt.clone(), job.endpoint.clone());
+        let pulse = pulse::run(Arc::clone(self), attempt, endpoint, frames, sender);
+        self.tracker.spawn(pulse);
+        self.tracker.spawn(duty::run(Arc::clone(self), job, inner));
         receiver
     }
 
@@ -131,6 +140,12 @@
         self.doors.iter().for_each(Door::leave);
     }
 
+    /// Returns the requests that are suspected of crashing endpoints.
+    #[must_use]
+    pub const fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Notes a sign that an endpoint turned cold.
     pub fn chill(&self, endpoint: &str, sign: Sign) {
         if let Some(door) = self.find(endpoint) {
@@ -192,6 +207,7 @@
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
+        self.parts.holder.hint(job.generation);
         if !self
             .parts
             .holder
@@ -219,12 +235,13 @@
         configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
+        let suspect = checked.demand.suspect;
         let mut slot = checked.door.enter(checked.demand).await?;
-        slot.charge(Key {
-            pipeline: job.pipeline.clone(),
-            stage: job.stage.clone(),
-            team: job.team.clone(),
-        });
+        slot.charge(key_of(job));
+        if self.is_suspect(job)? && !suspect {
+            // It became one while it waited; it goes where no other runs.
+            return Err(Kind::Overloaded);
+        }
         if let Some(current) = self.parts.holder.current()
             && current.generation != configuration.generation
         {
@@ -261,7 +278,10 @@
         }
         Ok(Checked {
             door: Arc::clone(door),
-            demand: self.demand(job, book, team),
+            demand: Demand {
+                suspect: self.is_suspect(job)?,
+                ..self.demand(job, book, team)
+            },
             stage: stage.clone(),
             service: book[stage.pool].service,
         })
@@ -275,11 +295,38 @@
             weight: rule.weight,
             team_limit: rule.endpoint_limit,
             owner: rule.owner.map(|owner| Tag::new(&book[owner].name)),
-            suspect: job.crashes > 0,
+            suspect: false,
             deadline: self.parts.clock.now() + remaining,
         }
     }
 
+    /// Returns whether a job is suspected of crashing endpoints, by what this
+    /// process or the job's entry knows.
+    fn is_suspect(&self, job: &wire::Job) -> Result<bool, Kind> {
+        let condemned = u32::try_from(CRASHES).unwrap_or(u32::MAX);
+        match self.suspects.standing(fingerprint(job)) {
+            Standing::Condemned => Err(Kind::Quarantined),
+            _ if job.crashes >= condemned => Err(Kind::Quarantined),
+            Standing::Suspect => Ok(true),
+            Standing::Clear => Ok(job.crashes > 0),
+        }
+    }
+
+    /// Notes that the endpoint answered the job whole.
+    pub(super) fn acquit(&self, job: &wire::Job) {
+        self.suspects.acquit(fingerprint(job));
+    }
+
+    /// Notes that the connection to the endpoint was cut during the job;
+    /// returns whether the endpoint crashed.
+    pub(super) async fn cut(&self, job: &wire::Job, address: SocketAddr) -> bool {
+        let crashed = self.parts.port.is_refusing(address).await;
+        if crashed && let Some(attempt) = id::Attempt::parse(&job.attempt) {
+            self.suspects.mark(fingerprint(job), attempt);
+        }
+        crashed
+    }
+
     fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
         let index = self
             .doors
@@ -299,6 +346,18 @@
     }
 }
 
+fn key_of(job: &wire::Job) -> Key {
+    Key {
+        pipeline: job.pipeline.clone(),
+        stage: job.stage.clone(),
+        team: job.team.clone(),
+    }
+}
+
+fn fingerprint(job: &wire::Job) -> Fingerprint {
+    Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
+}
+
 /// Keeps the doors at the configuration in force, also without any job.
 async fn follow(
     doors: Vec<Arc<Door>>,
