--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! 6. [`quarantine`] keeps requests that crash endpoints away from more of them.
 //! 7. [`retry`] says whether a failed attempt may be made anew.
 //! 8. [`once`] keeps work that may not be repeated from running twice.
+//! 9. [`accounting`] adds up busy and idle time and what it costs whom.
 //!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
@@ -26,6 +27,7 @@
 //! assert_eq!(Effect::NotRun.as_str(), "not-run");
 //! ```
 
+pub mod accounting;
 pub mod admission;
 pub mod error;
 pub mod event;
