--- a/crates/cicadacrank-bench/examples/load.rs
+++ b/crates/cicadacrank-bench/examples/load.rs
@@ -83,6 +83,7 @@
     eprintln!("{name}: starting");
     let bench = Bench::start(scenario, program, &rules).await?;
     let overhead = bench.overhead().await?;
+    eprintln!("{name}: {overhead:?}");
     let mut trials = Vec::new();
     for policy in Policy::ALL {
         if arguments
--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use salvo::{
     Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::TcpListener,
+    conn::{TcpListener, tcp::TcpAcceptor},
     http::{Method, StatusCode},
     writing::Json,
 };
@@ -24,6 +24,7 @@
     time::Duration,
 };
 use tokio::{
+    sync::Notify,
     task::JoinHandle,
     time::{self, Instant},
 };
@@ -34,6 +35,9 @@
 /// Pause between two looks of a silent stand-in.
 const SILENT_LOOK: Duration = Duration::from_millis(5);
 
+/// Pause before the port of a stand-in that fell over is bound again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// One piece of work that reached the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
@@ -58,6 +62,8 @@
     name: String,
     origin: Instant,
     model: Model,
+    /// Start whose connections are taken.
+    listening: u64,
     runs: Vec<Run>,
 }
 
@@ -73,6 +79,7 @@
 #[derive(Clone, Debug)]
 struct Api {
     state: Arc<Mutex<State>>,
+    fallen: Arc<Notify>,
 }
 
 /// Work in flight; dropping it ends it.
@@ -90,22 +97,20 @@
     ///
     /// Returns the error of the bind.
     pub async fn start(name: &str, profile: Profile) -> io::Result<Self> {
-        let acceptor = TcpListener::new("127.0.0.1:0")
-            .try_bind()
-            .await
-            .map_err(|error| io::Error::other(error.to_string()))?;
+        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
             origin: Instant::now(),
             model: Model::new(profile, Capacity::default()),
+            listening: 1,
             runs: Vec::new(),
         };
         let api = Api {
             state: Arc::new(Mutex::new(state)),
+            fallen: Arc::new(Notify::new()),
         };
-        let router = Router::with_path("{**path}").goal(api.clone());
-        let task = tokio::spawn(salvo::Server::new(acceptor).serve(router));
+        let task = tokio::spawn(listen(acceptor, address, api.clone()));
         Ok(Self { address, api, task })
     }
 
@@ -143,6 +148,7 @@
         let mut state = self.api.lock();
         let now = state.origin.elapsed();
         state.model.fall(now);
+        self.api.fallen.notify_one();
     }
 
     /// Returns how often the stand-in has started.
@@ -151,6 +157,14 @@
         self.api.lock().model.incarnation()
     }
 
+    /// Returns whether the stand-in takes connections; it does not while it is
+    /// down.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        let state = self.api.lock();
+        state.listening == state.model.incarnation()
+    }
+
     /// Returns the work that reached the stand-in so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -206,6 +220,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the start that comes next, and how long until then.
+    fn down(&self) -> (u64, Duration) {
+        let state = self.lock();
+        let down = state.model.down(state.origin.elapsed());
+        (state.model.incarnation(), down)
+    }
+
     fn load(&self) -> Load {
         let state = self.lock();
         state.model.report(state.origin.elapsed())
@@ -217,7 +238,11 @@
             let mut state = self.lock();
             let now = state.origin.elapsed();
             let prompt = input["prompt"].as_str().unwrap_or_default();
+            let before = state.model.incarnation();
             let arrival = state.model.arrive(&run.body, prompt, now);
+            if state.model.incarnation() != before {
+                self.fallen.notify_one();
+            }
             state.runs.push(run);
             match arrival {
                 Arrival::Begun(begun) => Ok((begun, state.runs.len() - 1)),
@@ -321,6 +346,33 @@
     }
 }
 
+async fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
+    let bound = TcpListener::new(address).try_bind().await;
+    bound.map_err(|error| io::Error::other(error.to_string()))
+}
+
+/// Serves; while the stand-in is down, connections are refused.
+async fn listen(mut acceptor: TcpAcceptor, address: SocketAddr, api: Api) {
+    loop {
+        let router = Router::with_path("{**path}").goal(api.clone());
+        let server = salvo::Server::new(acceptor).serve(router);
+        let fallen = api.fallen.notified();
+        tokio::select! {
+            () = server => return,
+            () = fallen => {}
+        }
+        let (incarnation, down) = api.down();
+        time::sleep(down).await;
+        acceptor = loop {
+            match bind(address).await {
+                Ok(acceptor) => break acceptor,
+                Err(_) => time::sleep(REBIND_PAUSE).await,
+            }
+        };
+        api.lock().listening = incarnation;
+    }
+}
+
 /// Waits; a pause of nothing ends at once, where a timer would take a tick.
 async fn wait(pause: Duration) {
     if !pause.is_zero() {
--- a/crates/cicadacrank-core/src/accounting/mod.rs
+++ b/crates/cicadacrank-core/src/accounting/mod.rs
@@ -1,16 +1,15 @@
-//! Counts busy and idle time of slots, and who pays for it.
+//! Busy and idle slot time of endpoints, and what it costs whom.
 //!
-//! A [`Meter`] belongs to one endpoint in one process. Its lines only grow, so
-//! what a process wrote last stands for all it wrote before. A [`Statement`]
-//! joins the lines of all processes that an instance has run, each known by its
-//! incarnation, and counts each once however often it is written.
+//! A sidecar keeps a [`Ledger`] for each endpoint and stores its [`Account`]
+//! under the name of its own incarnation. Accounts are cumulative, so a write
+//! that is lost or repeated changes no sum, and the time before a restart stays
+//! in the account of the earlier incarnation. A [`Bill`] prices accounts by the
+//! rules.
 
-mod line;
-mod meter;
-mod statement;
+mod bill;
+mod ledger;
 
 pub use self::{
-    line::{Line, Share},
-    meter::{Charge, Meter, Rate},
-    statement::{Part, Statement},
+    bill::{Bill, Busy, Idle},
+    ledger::{Account, Key, LINES_LIMIT, Ledger, Line, OTHER_TEAM},
 };
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -16,8 +16,7 @@
 //! 6. [`quarantine`] keeps requests that crash endpoints away from more of them.
 //! 7. [`retry`] says whether a failed attempt may be made anew.
 //! 8. [`once`] keeps work that may not be repeated from running twice.
-//!
-//! [`accounting`] counts what the work costs, and whom.
+//! 9. [`accounting`] adds up busy and idle time and what it costs whom.
 //!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
--- a/crates/cicadacrank-core/tests/accounting.rs
+++ b/crates/cicadacrank-core/tests/accounting.rs
@@ -1,156 +1,149 @@
-//! Busy and idle time add up, and are counted once.
+//! Contract of accounts: every slot second is counted once, to whom it belongs.
 
-use cicadacrank_core::accounting::{Charge, Line, Meter, Part, Rate, Share, Statement};
-use proptest::{
-    prelude::{ProptestConfig, any, prop, proptest},
-    test_runner::RngSeed,
+use cicadacrank_core::{
+    accounting::{Account, Bill, Key, LINES_LIMIT, Ledger, Line, OTHER_TEAM},
+    rules,
 };
+use expect_test::expect;
+use rand::RngExt;
+use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
 use std::time::Duration;
 
-const SLOTS: u32 = 4;
+const BERGVIK: &str = include_str!("../../../samples/bergvik.rules");
 
-fn rate(owner: &str, busy_price_milli: u64) -> Rate {
-    Rate {
-        owner: owner.to_owned(),
-        slots: SLOTS,
-        busy_price_milli,
-        idle_price_milli: 100,
+fn key(team: &str) -> Key {
+    Key {
+        pipeline: "book-room".into(),
+        stage: "booking".into(),
+        team: team.into(),
     }
 }
 
-fn busy(team: &str, borrowed: bool) -> Share {
-    Share::Busy {
-        pipeline: "book".to_owned(),
-        stage: "desk".to_owned(),
-        team: team.to_owned(),
-        borrowed,
-    }
-}
-
-fn time(lines: &[Line]) -> u64 {
-    lines.iter().map(|line| line.slot_us).sum()
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
 }
 
-fn slot_us(lines: &[Line], owner: &str, share: &Share) -> u64 {
-    let lines = lines.iter();
-    let mine = lines.filter(|line| line.owner == owner && line.share == *share);
-    mine.map(|line| line.slot_us).sum()
+fn busy_us(account: &Account, team: &str) -> u64 {
+    let lines = account.busy.iter();
+    let line = lines.filter(|line| line.key.team == team);
+    line.map(|line| line.busy_us).sum()
 }
 
 #[test]
-fn lines_name_who_pays() {
-    let at = Duration::from_secs;
-    let mut meter = Meter::new("one");
-    meter.set_rate(rate("tehus", 3_600), at(10));
-    let own = meter.begin(busy("counter", false), at(20));
-    let lent = meter.begin(busy("council", true), at(20));
-    meter.end(&own, at(30));
-    meter.set_rate(rate("torg", 7_200), at(40));
-    meter.end(&lent, at(50));
-    let lines = meter.lines(at(60));
-    let cases = [
-        ("tehus", Share::Idle, 4 * 10 + 2 * 10 + 3 * 10),
-        ("torg", Share::Idle, 3 * 10 + 4 * 10),
-        ("tehus", busy("counter", false), 10),
-        ("tehus", busy("council", true), 30),
-    ];
-    for (owner, share, seconds) in cases {
-        assert_eq!(
-            slot_us(&lines, owner, &share),
-            seconds * 1_000_000,
-            "{owner} {share:?}"
-        );
-    }
-    let lent = lines
-        .iter()
-        .find(|line| line.share == busy("council", true));
-    let price = lent.map(|line| line.price_micro);
+fn ledger_counts_busy_and_idle() {
+    let mut ledger = Ledger::new();
+    ledger.tick(4, ms(1000));
+    ledger.begin(&key("a"), 4, ms(2000));
+    ledger.begin(&key("a"), 4, ms(3000));
+    ledger.begin(&key("b"), 4, ms(3000));
+    ledger.end(&key("a"), 2, ms(5000));
+    let account = ledger.account("e", 7, ms(6000));
     assert_eq!(
-        price,
-        Some(20 * 1_000 + 10 * 2_000),
-        "each price for its own time"
+        busy_us(&account, "a"),
+        1_000_000 + 2 * 2_000_000 + 1_000_000
     );
+    assert_eq!(busy_us(&account, "b"), 3_000_000);
+    assert_eq!(account.idle_us, 4_000_000 + 3_000_000 + 2_000_000);
+    assert_eq!((account.observed_us, account.since_ms), (5_000_000, 7));
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+#[test]
+fn ledger_account_is_cumulative() {
+    let mut ledger = Ledger::new();
+    ledger.begin(&key("a"), 1, ms(0));
+    let first = ledger.account("e", 0, ms(10));
+    assert_eq!(ledger.account("e", 0, ms(10)), first);
+    assert_eq!(busy_us(&ledger.account("e", 0, ms(30)), "a"), 30_000);
+    let json = serde_json::to_value(&first).unwrap();
+    assert_eq!(serde_json::from_value::<Account>(json).unwrap(), first);
+}
 
-    #[test]
-    fn lines_add_up_to_wall_time(
-        steps in prop::collection::vec((0u64..5_000_000, any::<bool>(), any::<u8>()), 0..60),
-    ) {
-        let mut meter = Meter::new("one");
-        let mut running: Vec<Charge> = Vec::new();
-        let mut now = Duration::from_nanos(17);
-        let (mut last, mut cuts) = (0, 1);
-        meter.set_rate(rate("tehus", 400), now);
-        for (nanos, begins, pick) in steps {
-            now += Duration::from_nanos(nanos);
-            if begins && running.len() < SLOTS as usize {
-                running.push(meter.begin(busy(["a", "b"][usize::from(pick % 2)], false), now));
-            } else if !running.is_empty() {
-                let charge = running.remove(usize::from(pick) % running.len());
-                meter.end(&charge, now);
-            }
-            let sum = time(&meter.lines(now));
-            assert!(sum >= last, "lines only grow");
-            (last, cuts) = (sum, cuts + 1);
-        }
-        let wall = u64::try_from((now - Duration::from_nanos(17)).as_micros()).expect("short");
-        let error = time(&meter.lines(now)).abs_diff(wall * u64::from(SLOTS));
-        // The first and the last instant are cut to whole microseconds.
-        assert!(error <= u64::from(SLOTS), "{error} us after {cuts} events");
+#[test]
+fn ledger_bounds_its_lines() {
+    let mut ledger = Ledger::new();
+    for number in 0..=LINES_LIMIT + 10 {
+        ledger.begin(&key(&format!("team-{number:05}")), 8, ms(0));
+    }
+    for number in 0..=LINES_LIMIT + 10 {
+        ledger.end(&key(&format!("team-{number:05}")), 8, ms(1));
     }
+    let account = ledger.account("e", 0, ms(2));
+    assert_eq!(account.busy.len(), LINES_LIMIT + 1);
+    assert_eq!(busy_us(&account, OTHER_TEAM), 11 * 1000);
+}
 
-    #[test]
-    fn merge_counts_each_incarnation_once(
-        readings in prop::collection::vec((1u64..5, 1u64..100), 1..40),
-        repeats in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
-    ) {
-        let part = |(incarnation, slot_us): (u64, u64)| Part {
-            incarnation,
-            lines: vec![Line {
-                endpoint: "one".to_owned(),
-                owner: "tehus".to_owned(),
-                share: Share::Idle,
-                slot_us,
-                price_micro: slot_us,
-            }],
-        };
-        let mut statement = Statement::default();
-        for reading in &readings {
-            statement.merge(part(*reading));
-        }
-        let greatest = |incarnation| readings.iter().filter(|one| one.0 == incarnation).map(|one| one.1).max();
-        let expected: u64 = (1..5).filter_map(greatest).sum();
-        assert_eq!(time(&statement.lines()), expected);
-        let before = statement.clone();
-        for repeat in repeats {
-            statement.merge(part(readings[repeat.index(readings.len())]));
+#[test]
+fn ledger_adds_up_to_slot_time() {
+    for seed in 0..50 {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let (mut ledger, mut now, mut open) = (Ledger::new(), ms(0), Vec::new());
+        let mut slot_time = Duration::ZERO;
+        ledger.tick(8, now);
+        for _ in 0..200 {
+            let step = ms(random.random_range(0..50));
+            slot_time += step * 8;
+            now += step;
+            let team = key(&format!("t{}", random.random_range(0..3)));
+            // A clock read that was overtaken by another thread's.
+            let late = ms(random.random_range(0..2));
+            let now = now.saturating_sub(late);
+            if open.len() < 8 && random.random() {
+                ledger.begin(&team, 8, now);
+                open.push(team);
+            } else if let Some(team) = open.pop() {
+                ledger.end(&team, 8, now);
+            }
         }
-        assert_eq!(statement, before, "a replay changes nothing");
+        let account = ledger.account("e", 0, now);
+        let busy: u64 = account.busy.iter().map(|line| line.busy_us).sum();
+        let sum = u128::from(busy + account.idle_us);
+        assert_eq!(sum, slot_time.as_micros(), "seed {seed}");
     }
 }
 
 #[test]
-fn merge_closes_old_incarnations() {
-    let part = |incarnation| {
-        let mut meter = Meter::new("one");
-        meter.set_rate(rate("tehus", 400), Duration::ZERO);
-        let lines = meter.lines(Duration::from_micros(incarnation));
-        Part { incarnation, lines }
+fn bill_charges_owner_and_team() {
+    let book = rules::parse(BERGVIK).unwrap();
+    let account = |endpoint: &str, since_ms, team: &str, busy_us| Account {
+        endpoint: endpoint.into(),
+        since_ms,
+        observed_us: 0,
+        idle_us: 3_600_000_000,
+        busy: vec![Line {
+            key: key(team),
+            busy_us,
+        }],
     };
-    let mut statement = Statement::default();
-    for incarnation in 1..=10 {
-        statement.merge(part(incarnation));
-    }
-    assert_eq!(statement.parts.len(), Statement::PARTS);
-    assert_eq!(statement.closed_until, 6);
-    assert_eq!(time(&statement.lines()), 55 * u64::from(SLOTS));
-    let before = statement.clone();
-    statement.merge(part(6));
-    assert_eq!(
-        statement, before,
-        "a closed incarnation is not counted again"
+    let bill = Bill::new(
+        &book,
+        &[
+            account("booking-desk-01", 1, "counter", 1_800_000_000),
+            account("booking-desk-01", 2, "counter", 1_800_000_000),
+            account("booking-desk-02", 1, "council", 7_200_000_000),
+            account("samovar-llm-01", 1, "counter", 3_600_000_000),
+            account("gone", 1, "counter", 1),
+        ],
     );
+    let mut text = String::new();
+    for row in &bill.busy {
+        text += &format!(
+            "{} {} {} {}\n",
+            row.owner, row.team, row.slot_us, row.cost_micro
+        );
+    }
+    for row in &bill.idle {
+        text += &format!(
+            "{} {} {} {}\n",
+            row.pool, row.owner, row.slot_us, row.cost_micro
+        );
+    }
+    expect![[r#"
+        tehus counter 3600000000 400000
+        torg council 7200000000 120000
+        torg counter 3600000000 60000
+        booking-desk torg 10800000000 120000
+        samovar-llm tehus 3600000000 250000
+    "#]]
+    .assert_eq(&text);
+    assert_eq!(bill.unknown_endpoints, ["gone"]);
 }
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -1,11 +1,10 @@
 //! Runs a sidecar.
 
 use super::{Addresses, Common, announce, bind, finish, serve_operator, wait_for_signal};
-use crate::{accounting, endpoint, link, operator, sidecar};
+use crate::{endpoint, link, operator, settings::Role, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
-use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::{sync::Notify, time};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -22,11 +21,6 @@
         port: Arc::new(port),
         metrics: Arc::clone(&common.metrics),
     }));
-    let writer = Arc::new(accounting::Writer::new(
-        Arc::clone(service.accounts()),
-        Arc::clone(&common.store),
-        &common.settings.instance,
-    ));
     let listener = bind(common.settings.listen).await?;
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
@@ -36,6 +30,8 @@
         caller_listen: None,
         operator_listen,
     })?;
+    let accounts = sidecar::Accounts::new(Arc::clone(&service));
+    let accounting = tokio::spawn(accounts.run(common.settings.timeouts.account()));
     let stop = Arc::new(Notify::new());
     let stopped = Arc::clone(&stop);
     let server = tonic::transport::Server::builder()
@@ -48,15 +44,14 @@
             stopped.notified().await;
         });
     let server = tokio::spawn(server);
-    let writing = Arc::clone(&writer);
-    tokio::spawn(async move { writing.run().await });
     wait_for_signal().await?;
     Event::Draining.log(format_args!("sidecar {}", common.settings.instance));
     service.leave();
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         service.finish().await;
-        writer.write().await;
+        accounting.abort();
+        sidecar::Accounts::new(Arc::clone(&service)).write().await;
         stop.notify_one();
         // The server ends once its last stream is through.
         drop(server.await);
@@ -70,10 +65,11 @@
         Self::is_ready(self)
     }
 
-    fn status(&self) -> Value {
-        json!({
-            "role": "sidecar", "generation": self.generation(),
-            "accounts": self.accounts().part(),
-        })
+    fn status(&self) -> operator::Status {
+        operator::Status {
+            role: Some(Role::Sidecar),
+            generation: self.generation(),
+            endpoints: self.endpoints(),
+        }
     }
 }
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -6,16 +6,16 @@
     duty, pulse,
 };
 use crate::{
-    accounting::{self, Accounts},
     clock::{self, Clock},
     configuration::{Configuration, Holder},
     endpoint,
     metrics::Metrics,
-    platform,
+    operator, platform,
     quarantine::Suspects,
     settings::Settings,
 };
 use cicadacrank_core::{
+    accounting::{Account, Key},
     admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
     error::Kind,
     id,
@@ -65,8 +65,8 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
+    since_ms: u64,
     suspects: Suspects,
-    accounts: Arc<Accounts>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -85,8 +85,6 @@
     demand: Demand,
     stage: rules::Stage,
     service: rules::Service,
-    /// The endpoint belongs to another owner than the team's.
-    borrowed: bool,
 }
 
 impl Service {
@@ -95,6 +93,7 @@
     /// Must be called inside a runtime: the doors follow the configuration.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
+        let since_ms = parts.clock.unix_ms();
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
         let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
@@ -103,17 +102,12 @@
             .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
         tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
-        let names = parts.settings.endpoints.iter();
-        let accounts = Accounts::new(names.map(|one| one.name.as_str()), parts.clock);
-        let accounts = Arc::new(accounts);
-        let configurations = parts.holder.subscribe();
-        tokio::spawn(accounting::follow(Arc::clone(&accounts), configurations));
         Self {
-            accounts,
             suspects: Suspects::new(parts.clock),
             parts,
             claims,
             doors,
+            since_ms,
             leaving: AtomicBool::new(false),
             tracker: TaskTracker::new(),
         }
@@ -146,12 +140,6 @@
         self.doors.iter().for_each(Door::leave);
     }
 
-    /// Returns the accounts of the endpoints' time.
-    #[must_use]
-    pub const fn accounts(&self) -> &Arc<Accounts> {
-        &self.accounts
-    }
-
     /// Returns the requests that are suspected of crashing endpoints.
     #[must_use]
     pub const fn suspects(&self) -> &Suspects {
@@ -177,6 +165,33 @@
         self.tracker.wait().await;
     }
 
+    /// Returns what the endpoints bear and do, in order of name.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<operator::Endpoint> {
+        let endpoint = |door: &Arc<Door>| {
+            let load = door.load().unwrap_or_default();
+            operator::Endpoint {
+                name: door.name.clone(),
+                phase: phase_of(&load).to_owned(),
+                in_flight: load.in_flight,
+                queued: load.queued,
+                slots: load.slots,
+            }
+        };
+        self.doors.iter().map(endpoint).collect()
+    }
+
+    /// Counts slot time up to now.
+    pub(super) fn count_slots(&self) {
+        self.doors.iter().for_each(|door| door.count_slots());
+    }
+
+    /// Returns the accounts of the endpoints, in order of name.
+    pub(super) fn accounts(&self) -> Vec<Account> {
+        let doors = self.doors.iter();
+        doors.map(|door| door.account(self.since_ms)).collect()
+    }
+
     /// Returns the load of an endpoint for its next frame.
     #[must_use]
     pub fn load(&self, endpoint: &str) -> Option<wire::Load> {
@@ -221,7 +236,8 @@
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
         let suspect = checked.demand.suspect;
-        let slot = checked.door.enter(checked.demand).await?;
+        let mut slot = checked.door.enter(checked.demand).await?;
+        slot.charge(key_of(job));
         if self.is_suspect(job)? && !suspect {
             // It became one while it waited; it goes where no other runs.
             return Err(Kind::Overloaded);
@@ -231,9 +247,8 @@
         {
             checked = self.check(job, &current)?;
         }
-        let charge = Accounts::charge(&self.accounts, job, checked.borrowed);
         Ok(Admitted {
-            slot: slot.with_charge(charge),
+            slot,
             stage: checked.stage,
             service: checked.service,
             address: checked.door.address,
@@ -269,7 +284,6 @@
             },
             stage: stage.clone(),
             service: book[stage.pool].service,
-            borrowed: book[team].owner != Some(book[endpoint].owner),
         })
     }
 
@@ -322,6 +336,24 @@
     }
 }
 
+/// Returns the word for the phase in a load.
+fn phase_of(load: &wire::Load) -> &'static str {
+    match load.phase {
+        0 => "cold",
+        1 => "warming",
+        2 => "warm",
+        _ => "leaving",
+    }
+}
+
+fn key_of(job: &wire::Job) -> Key {
+    Key {
+        pipeline: job.pipeline.clone(),
+        stage: job.stage.clone(),
+        team: job.team.clone(),
+    }
+}
+
 fn fingerprint(job: &wire::Job) -> Fingerprint {
     Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
 }
