Watch engines' reports for cold starts, and hold the cold limit through the warm-up

Cause: the limit rose in a line over the warm-up time, while an engine bears only its cold slots until that time has passed; and no report was read, so a restart was seen only by a refused connection.

The limit now stays cold for the warm-up time after the first success and then rises by a slot a success.

--- a/crates/cicadacrank-bench/src/memory/port.rs
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -1,7 +1,7 @@
 //! Endpoints without a socket.
 
 use bytes::Bytes;
-use cicadacrank_core::error::Kind;
+use cicadacrank_core::{admission::Health, error::Kind};
 use cicadacrank_node::endpoint::{Call, Fault, Parts, Port as Edge};
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use std::{
@@ -79,6 +79,7 @@
     runs: Vec<Run>,
     script: VecDeque<Behaviour>,
     refusing: bool,
+    health: Option<Health>,
     otherwise: Behaviour,
 }
 
@@ -100,6 +101,7 @@
                 runs: Vec::new(),
                 script: VecDeque::new(),
                 refusing: false,
+                health: None,
                 otherwise: Behaviour::Answer(Duration::ZERO),
             })),
         }
@@ -123,6 +125,11 @@
         self.lock().refusing = refusing;
     }
 
+    /// Says what every endpoint reports of itself.
+    pub fn set_health(&self, health: Option<Health>) {
+        self.lock().health = health;
+    }
+
     /// Returns every run so far, in order.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -196,6 +203,11 @@
         .boxed()
     }
 
+    fn health(&self, _address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
+        let health = self.lock().health;
+        async move { health }.boxed()
+    }
+
     fn is_refusing(&self, _address: SocketAddr) -> BoxFuture<'_, bool> {
         let refusing = self.lock().refusing;
         async move { refusing }.boxed()
--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -1,5 +1,6 @@
 //! Stops or pauses what one process does at its edges.
 
+use cicadacrank_core::admission::Health;
 use cicadacrank_node::{
     endpoint::{self, Call, Parts},
     platform::{Change, Collection, Fault, Listing, Object, Store, Version},
@@ -163,6 +164,10 @@
         .boxed()
     }
 
+    fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
+        self.process.hold(self.edge.health(address)).boxed()
+    }
+
     fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
         self.process.hold(self.edge.is_refusing(address)).boxed()
     }
--- a/crates/cicadacrank-core/src/admission/gate.rs
+++ b/crates/cicadacrank-core/src/admission/gate.rs
@@ -1,7 +1,7 @@
 //! The gate before one endpoint.
 
 use super::{
-    Demand, Epoch, Limits, Phase, Shares, Sign, Tag, Ticket, Warmth,
+    Demand, Epoch, Health, Limits, Phase, Shares, Sign, Tag, Ticket, Warmth, Watch,
     queue::{Queue, Waiter},
 };
 use crate::error::Kind;
@@ -82,6 +82,7 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     warmth: Warmth,
+    watch: Watch,
     reservations: Vec<Reserved>,
     running: Vec<Running>,
     queue: Queue,
@@ -99,6 +100,7 @@
     pub fn new(terms: Terms) -> Self {
         Self {
             warmth: Warmth::new(terms.limits),
+            watch: Watch::default(),
             reservations: terms.reservations,
             running: Vec::new(),
             queue: Queue::default(),
@@ -123,6 +125,22 @@
         self.first_parts = 0;
     }
 
+    /// Takes up what the engine reports, or that it does not.
+    pub fn observe(&mut self, health: Option<Health>) -> Option<Sign> {
+        let sign = self.watch.see(health);
+        if let Some(sign) = sign {
+            self.chill(sign);
+        }
+        self.warmth.hold(self.watch.is_cold());
+        sign
+    }
+
+    /// Returns the incarnation that the engine reported last.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<u64> {
+        self.watch.incarnation()
+    }
+
     /// Asks for a slot.
     ///
     /// # Errors
@@ -142,7 +160,7 @@
         }
         let ticket = Ticket(self.next);
         let waiter = Waiter { ticket, demand };
-        if self.has_slot(now) && self.queue.len() == 0 {
+        if self.has_slot() && self.queue.len() == 0 {
             self.next += 1;
             self.start(waiter, now);
             return Ok(Ask::Admitted(ticket));
@@ -185,7 +203,7 @@
         };
         let is_current = running.epoch == self.warmth.epoch();
         let took = now.saturating_sub(running.since);
-        if !is_current || self.warmth.phase(now) != Phase::Warm {
+        if !is_current || self.warmth.phase() != Phase::Warm {
             return;
         }
         if self.first_parts >= FIRST_PARTS && took > self.first_mean * SLOW_FACTOR {
@@ -202,7 +220,7 @@
         for ticket in self.queue.expired(now) {
             self.refuse(ticket, Kind::Overloaded, &mut turns);
         }
-        while self.has_slot(now) {
+        while self.has_slot() {
             let next = self
                 .queue
                 .next(&self.shares, |demand| self.is_entitled(demand));
@@ -248,17 +266,17 @@
 
     /// Returns the requests in flight that the endpoint bears now.
     #[must_use]
-    pub fn slots(&self, now: Duration) -> u32 {
-        self.warmth.slots(now)
+    pub fn slots(&self) -> u32 {
+        self.warmth.slots()
     }
 
     /// Returns how warm the endpoint is.
     #[must_use]
-    pub fn phase(&self, now: Duration) -> Phase {
+    pub fn phase(&self) -> Phase {
         if self.leaving {
             Phase::Leaving
         } else {
-            self.warmth.phase(now)
+            self.warmth.phase()
         }
     }
 
@@ -270,20 +288,20 @@
 
     /// Returns how long a request of the team would wait if it came now.
     #[must_use]
-    pub fn expected_wait(&self, demand: &Demand, now: Duration) -> Duration {
+    pub fn expected_wait(&self, demand: &Demand) -> Duration {
         let ahead = if self.is_entitled(demand) {
             self.queue.count(|other| self.is_entitled(other))
         } else {
             self.shares.ahead(demand.team, demand.weight)
         };
-        self.mean * (ahead + 1) / self.slots(now).max(1)
+        self.mean * (ahead + 1) / self.slots().max(1)
     }
 
     fn check_wait(&self, demand: &Demand, now: Duration) -> Result<(), Kind> {
-        let bound = self.slots(now).saturating_mul(QUEUE_PER_SLOT);
+        let bound = self.slots().saturating_mul(QUEUE_PER_SLOT);
         let is_full = self.queue.len() >= bound && !self.has_reserve(demand);
         let remaining = demand.deadline.saturating_sub(now);
-        if is_full || remaining < self.expected_wait(demand, now) + self.mean {
+        if is_full || remaining < self.expected_wait(demand) + self.mean {
             return Err(Kind::Overloaded);
         }
         Ok(())
@@ -314,8 +332,8 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    fn has_slot(&self, now: Duration) -> bool {
-        self.in_flight() < self.slots(now)
+    fn has_slot(&self) -> bool {
+        self.in_flight() < self.slots()
     }
 
     fn has_suspect(&self) -> bool {
--- a/crates/cicadacrank-core/src/admission/mod.rs
+++ b/crates/cicadacrank-core/src/admission/mod.rs
@@ -10,6 +10,7 @@
 mod share;
 mod tag;
 mod warmth;
+mod watch;
 
 pub use self::{
     gate::{Ask, Ended, Gate, Reserved, Terms, Turn},
@@ -17,4 +18,5 @@
     share::Shares,
     tag::Tag,
     warmth::{Epoch, Limits, Phase, Sign, Warmth},
+    watch::{Health, Watch},
 };
--- a/crates/cicadacrank-core/src/admission/warmth.rs
+++ b/crates/cicadacrank-core/src/admission/warmth.rs
@@ -35,6 +35,8 @@
     ReportStopped,
     /// A count in the engine's report went back.
     ReportWentBack,
+    /// The engine, warm before, reports that it is cold.
+    ReportedCold,
     /// The endpoint refused a connection.
     Refused,
     /// The first part of an answer took as long as on a cold engine.
@@ -49,15 +51,17 @@
 
 /// Raises the limit from cold to warm by time and by successes.
 ///
-/// Each success since the last sign lifts the limit by one slot at most, and
-/// the time since the first of them bounds it too: an endpoint without traffic
-/// stays cold, and a burst of short answers does not make it warm early.
+/// The limit stays at the cold slots until the warm-up time has passed since
+/// the first success after the last sign; from then on each success lifts it by
+/// one slot. An endpoint without traffic stays cold, a burst of short answers
+/// does not make it warm early, and the whole load never comes at once.
 #[derive(Clone, Copy, Debug)]
 pub struct Warmth {
     limits: Limits,
     epoch: Epoch,
     first_success: Option<Duration>,
     successes: u32,
+    held: bool,
 }
 
 impl Warmth {
@@ -69,6 +73,7 @@
             epoch: Epoch(0),
             first_success: None,
             successes: 0,
+            held: false,
         }
     }
 
@@ -77,6 +82,11 @@
         self.limits = limits;
     }
 
+    /// Holds the limit at the cold slots while the engine says that it is cold.
+    pub const fn hold(&mut self, held: bool) {
+        self.held = held;
+    }
+
     /// Returns the present epoch, to be kept with admitted work.
     #[must_use]
     pub const fn epoch(&self) -> Epoch {
@@ -96,37 +106,31 @@
         if admitted_in != self.epoch {
             return;
         }
-        self.first_success.get_or_insert(now);
-        self.successes = self.successes.saturating_add(1);
+        let first = *self.first_success.get_or_insert(now);
+        if !self.held && now.saturating_sub(first) >= self.limits.warmup {
+            self.successes = self.successes.saturating_add(1);
+        }
     }
 
     /// Returns the requests in flight that the endpoint bears now.
     #[must_use]
-    pub fn slots(&self, now: Duration) -> u32 {
+    pub fn slots(&self) -> u32 {
         let Limits {
             cold_slots,
             warm_slots,
-            warmup,
+            ..
         } = self.limits;
-        let Some(first) = self.first_success else {
+        if self.held {
             return cold_slots;
-        };
-        let span = warm_slots.saturating_sub(cold_slots);
-        let age = now.saturating_sub(first).min(warmup);
-        let by_time = if warmup.is_zero() {
-            span
-        } else {
-            let risen = u128::from(span) * age.as_nanos() / warmup.as_nanos();
-            u32::try_from(risen).unwrap_or(span)
-        };
-        cold_slots + by_time.min(self.successes)
+        }
+        cold_slots + warm_slots.saturating_sub(cold_slots).min(self.successes)
     }
 
     /// Returns how warm the endpoint is.
     #[must_use]
-    pub fn phase(&self, now: Duration) -> Phase {
-        let slots = self.slots(now);
-        if self.first_success.is_some() && slots >= self.limits.warm_slots {
+    pub fn phase(&self) -> Phase {
+        let slots = self.slots();
+        if self.first_success.is_some() && !self.held && slots >= self.limits.warm_slots {
             Phase::Warm
         } else if slots > self.limits.cold_slots {
             Phase::Warming
--- a/crates/cicadacrank-core/src/quarantine/list.rs
+++ b/crates/cicadacrank-core/src/quarantine/list.rs
@@ -150,6 +150,13 @@
         row.standing()
     }
 
+    /// Returns whether this attempt is held against the request.
+    #[must_use]
+    pub fn knows(&self, fingerprint: Fingerprint, attempt: id::Attempt) -> bool {
+        self.find(fingerprint)
+            .is_ok_and(|index| self.rows[index].held().any(|one| one.attempt == attempt))
+    }
+
     /// Returns what other processes should know.
     pub fn suspects(&self, now: Duration) -> impl Iterator<Item = Suspect> + '_ {
         let held = self.rows.iter().filter(move |row| row.ends > now);
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -5,7 +5,7 @@
 
 use super::{Call, Fault, Parts, Port};
 use bytes::Bytes;
-use cicadacrank_core::{error::Kind, rules::Service};
+use cicadacrank_core::{admission::Health, error::Kind, rules::Service};
 use eventsource_stream::Eventsource as _;
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use reqwest::{Response, StatusCode, header, redirect, retry};
@@ -16,9 +16,19 @@
 /// Data of the event that ends a stream of completions.
 const DONE: &str = "[DONE]";
 
+/// Path of an engine's report of itself.
+const LOAD_PATH: &str = "/load";
+
 /// Longest part of a refusal that is passed on, in characters.
 const REFUSAL_CHARACTERS: usize = 200;
 
+#[derive(Deserialize)]
+struct Report {
+    incarnation: u64,
+    #[serde(default)]
+    cold: bool,
+}
+
 #[derive(Deserialize)]
 struct Completion {
     choices: Vec<Choice>,
@@ -102,6 +112,19 @@
         self.begin(call).boxed()
     }
 
+    fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
+        let request = self.reusing.get(format!("http://{address}{LOAD_PATH}"));
+        async move {
+            let response = request.timeout(self.connect).send().await.ok()?;
+            let report: Report = response.json().await.ok()?;
+            Some(Health {
+                incarnation: report.incarnation,
+                cold: report.cold,
+            })
+        }
+        .boxed()
+    }
+
     fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
         let connect = TcpStream::connect(address);
         let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
--- a/crates/cicadacrank-node/src/endpoint/mod.rs
+++ b/crates/cicadacrank-node/src/endpoint/mod.rs
@@ -5,7 +5,7 @@
 pub mod http;
 
 use bytes::Bytes;
-use cicadacrank_core::{error::Kind, rules::Service};
+use cicadacrank_core::{admission::Health, error::Kind, rules::Service};
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use std::{net::SocketAddr, time::Duration};
 
@@ -70,4 +70,7 @@
     /// Returns whether the endpoint refuses connections now: after a cut during
     /// a run, the sign that it crashed.
     fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool>;
+
+    /// Returns what the endpoint reports of itself; `None` if it does not.
+    fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>>;
 }
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -41,6 +41,12 @@
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
+    /// Returns whether this attempt is held against the request.
+    #[must_use]
+    pub fn knows(&self, fingerprint: Fingerprint, attempt: id::Attempt) -> bool {
+        self.lock().knows(fingerprint, attempt)
+    }
+
     /// Notes that a suspect ended well while no other ran beside it.
     pub fn acquit(&self, fingerprint: Fingerprint) {
         self.lock().acquit(fingerprint);
--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -2,16 +2,22 @@
 
 use crate::{clock::Clock, settings::Endpoint};
 use cicadacrank_core::{
-    admission::{Ask, Demand, Ended, Gate, Sign, Terms, Ticket, Turn},
+    admission::{Ask, Demand, Ended, Gate, Health, Sign, Terms, Ticket, Turn},
     error::Kind,
+    id,
+    quarantine::Fingerprint,
 };
 use cicadacrank_wire::wire;
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::{sync::oneshot, time};
 
+/// Time after a cut in which a report of a restart explains it.
+const CUT_LIFE: Duration = Duration::from_secs(5);
+
 /// The gate of one endpoint with those who wait at it.
 pub(super) struct Door {
     pub(super) name: String,
@@ -26,6 +32,15 @@
     generation: u64,
     taken_out: bool,
     waiting: Vec<Waiting>,
+    cuts: Vec<Cut>,
+}
+
+/// A job whose connection to the endpoint was cut.
+#[derive(Clone, Copy)]
+pub(super) struct Cut {
+    pub(super) fingerprint: Fingerprint,
+    pub(super) attempt: id::Attempt,
+    at: Duration,
 }
 
 struct Waiting {
@@ -156,6 +171,37 @@
         }
     }
 
+    /// Takes up what the endpoint reports of itself; returns the jobs that a
+    /// restart before it has cut.
+    pub(super) fn observe(&self, health: Option<Health>) -> Vec<Cut> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let sign = state.gate.as_mut().and_then(|gate| gate.observe(health));
+        state.cuts.retain(|cut| now < cut.at + CUT_LIFE);
+        if sign == Some(Sign::Incarnation) {
+            return std::mem::take(&mut state.cuts);
+        }
+        Vec::new()
+    }
+
+    /// Returns whether the endpoint was asked for a report and has never made
+    /// one.
+    pub(super) fn is_mute(&self) -> bool {
+        let state = self.lock();
+        let gate = state.gate.as_ref();
+        gate.is_some_and(|gate| gate.incarnation().is_none())
+    }
+
+    /// Notes a cut that a report may yet show to be a restart.
+    pub(super) fn note_cut(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
+        let at = self.clock.now();
+        self.lock().cuts.push(Cut {
+            fingerprint,
+            attempt,
+            at,
+        });
+    }
+
     /// Notes a sign that the endpoint turned cold.
     pub(super) fn chill(&self, sign: Sign) {
         if let Some(gate) = &mut self.lock().gate {
@@ -170,12 +216,11 @@
 
     /// Returns the load for the next frame.
     pub(super) fn load(&self) -> Option<wire::Load> {
-        let now = self.clock.now();
         self.lock().gate.as_ref().map(|gate| wire::Load {
             in_flight: gate.in_flight(),
             queued: gate.queued(),
-            slots: gate.slots(now),
-            phase: gate.phase(now) as u32,
+            slots: gate.slots(),
+            phase: gate.phase() as u32,
         })
     }
 
--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 pub mod grpc;
 pub mod pulse;
 mod service;
+mod watch;
 
 pub use self::{
     claims::{Acquired, Claims, Held},
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -3,7 +3,7 @@
 use super::{
     Claims,
     door::{Door, Slot},
-    duty, pulse,
+    duty, pulse, watch,
 };
 use crate::{
     clock::{self, Clock},
@@ -15,12 +15,12 @@
     settings::Settings,
 };
 use cicadacrank_core::{
-    admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
+    admission::{Demand, Sign, Tag},
     error::Kind,
     id,
     once::{Stop, Unsent},
     quarantine::{CRASHES, Fingerprint, Standing},
-    rules::{self, Book, EndpointKey},
+    rules::{self, Book},
 };
 use cicadacrank_wire::wire;
 use std::{
@@ -31,7 +31,7 @@
     },
     time::Duration,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
 /// Frames that may wait for a slow entry.
@@ -64,7 +64,7 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
-    suspects: Suspects,
+    suspects: Arc<Suspects>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -98,9 +98,19 @@
             .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
             .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
-        tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
+        let suspects = Arc::new(Suspects::new(parts.clock));
+        for door in &doors {
+            tokio::spawn(watch::rules(Arc::clone(door), parts.holder.subscribe()));
+            let health = watch::health(
+                Arc::clone(door),
+                Arc::clone(&parts.port),
+                Arc::clone(&suspects),
+                parts.holder.subscribe(),
+            );
+            tokio::spawn(health);
+        }
         Self {
-            suspects: Suspects::new(parts.clock),
+            suspects,
             parts,
             claims,
             doors,
@@ -138,7 +148,7 @@
 
     /// Returns the requests that are suspected of crashing endpoints.
     #[must_use]
-    pub const fn suspects(&self) -> &Suspects {
+    pub const fn suspects(&self) -> &Arc<Suspects> {
         &self.suspects
     }
 
@@ -240,7 +250,7 @@
         if !book.is_granted(team, stage.pool, clock::minute_of_day()) {
             return Err(Kind::Forbidden);
         }
-        adopt(door, endpoint, configuration);
+        watch::adopt(door, endpoint, configuration);
         if book.is_taken_out(endpoint) {
             return Err(Kind::TakenOut);
         }
@@ -288,11 +298,21 @@
     /// Notes that the connection to the endpoint was cut during the job;
     /// returns whether the endpoint crashed.
     pub(super) async fn cut(&self, job: &wire::Job, address: SocketAddr) -> bool {
-        let crashed = self.parts.port.is_refusing(address).await;
-        if crashed && let Some(attempt) = id::Attempt::parse(&job.attempt) {
+        let Some(attempt) = id::Attempt::parse(&job.attempt) else {
+            return false;
+        };
+        let port = &self.parts.port;
+        if port.is_refusing(address).await {
             self.suspects.mark(fingerprint(job), attempt);
+            return true;
         }
-        crashed
+        let Some(door) = self.find(&job.endpoint) else {
+            return false;
+        };
+        door.note_cut(fingerprint(job), attempt);
+        let health = port.health(address).await;
+        watch::explain(door, health, &self.suspects);
+        self.suspects.knows(fingerprint(job), attempt)
     }
 
     fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
@@ -307,51 +327,3 @@
 fn fingerprint(job: &wire::Job) -> Fingerprint {
     Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
 }
-
-/// Keeps the doors at the configuration in force, also without any job.
-async fn follow(
-    doors: Vec<Arc<Door>>,
-    mut configurations: watch::Receiver<Option<Arc<Configuration>>>,
-) {
-    loop {
-        let current = configurations.borrow_and_update().clone();
-        if let Some(configuration) = current {
-            for door in &doors {
-                if let Some(endpoint) = configuration.book.endpoint(&door.name) {
-                    adopt(door, endpoint, &configuration);
-                }
-            }
-        }
-        if configurations.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-fn adopt(door: &Arc<Door>, endpoint: EndpointKey, configuration: &Configuration) {
-    if door.is_at(configuration.generation) {
-        return;
-    }
-    let book = &configuration.book;
-    let terms = terms_of(book, endpoint);
-    door.adopt(configuration.generation, terms, book.is_taken_out(endpoint));
-}
-
-fn terms_of(book: &Book, endpoint: EndpointKey) -> Terms {
-    let endpoint = &book[endpoint];
-    let reservations = book.reservations.iter();
-    Terms {
-        limits: Limits {
-            cold_slots: endpoint.cold_slots,
-            warm_slots: endpoint.warm_slots,
-            warmup: Duration::from_millis(endpoint.warmup_ms),
-        },
-        reservations: reservations
-            .filter(|one| one.pool == endpoint.pool)
-            .map(|one| Reserved {
-                owner: Tag::new(&book[one.owner].name),
-                slots: one.slots,
-            })
-            .collect(),
-    }
-}
