--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -10,6 +10,7 @@
 pub mod grpc;
 pub mod pulse;
 mod service;
+mod watch;
 
 pub use self::{
     accounts::Accounts,
