--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -2,11 +2,13 @@
 
 use super::{
     claims::{self, Acquired, Held},
+    door::Slot,
     service::{Admitted, Service},
 };
 use crate::endpoint::{Call, Fault};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
+    admission::{Ended, Sign},
     error::Kind,
     id,
     once::{Name, Outcome, Sent, Stop, Unsent},
@@ -16,7 +18,7 @@
 use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc,
-    time::{self, Instant},
+    time::{self, Instant, error::Elapsed},
 };
 
 /// Sends the frames of one job in order.
@@ -26,6 +28,7 @@
     endpoint: String,
     sequence: u64,
     chunks: u64,
+    crashed: bool,
     sender: mpsc::Sender<wire::Frame>,
 }
 
@@ -69,7 +72,7 @@
             kind: failure.kind.as_str().to_owned(),
             effect: failure.effect.as_str().to_owned(),
             context: failure.context.clone(),
-            crashed: false,
+            crashed: self.crashed,
         }))
         .await;
     }
@@ -83,6 +86,7 @@
         endpoint: job.endpoint.clone(),
         sequence: 0,
         chunks: 0,
+        crashed: false,
         sender,
     };
     if let Err(stop) = serve(&service, &job, &mut voice).await {
@@ -93,7 +97,14 @@
 async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
     let (attempt, unsent) = service.claims.begin(&job.attempt)?;
-    let (admitted, unsent) = service.admit(job, unsent).await?;
+    let gone = voice.sender.clone();
+    let (admitted, unsent) = tokio::select! {
+        // A job that gets its slot at once is not cancelled.
+        biased;
+        admitted = service.admit(job, unsent) => admitted?,
+        // Nobody is left to tell.
+        () = gone.closed() => return Ok(()),
+    };
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
         let unsent = in_time(deadline, unsent)?;
@@ -175,12 +186,12 @@
     let began = Instant::now();
     let sent = unsent.send();
     let gone = voice.sender.clone();
-    let work = stream(service, call, voice);
+    let work = stream(service, call, &admitted.slot, voice);
     let result = tokio::select! {
         result = time::timeout_at(deadline, work) => result,
         () = gone.closed() => return Err(sent.fail(Kind::Cancelled, "streaming to the entry")),
     };
-    drop(admitted.slot);
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(_)) => {
             voice.end(false, began.elapsed()).await;
@@ -205,8 +216,8 @@
     let began = Instant::now();
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
-    let result = time::timeout_at(bound, stream(service, call, voice)).await;
-    drop(admitted.slot);
+    let result = time::timeout_at(bound, stream(service, call, &admitted.slot, voice)).await;
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(output)) => {
             // The caller has its answer before the platform does, so that a
@@ -252,6 +263,35 @@
     Ok(())
 }
 
+/// Frees the slot and says what was learnt of the endpoint and of the job;
+/// returns whether the endpoint crashed.
+async fn settle<T>(
+    service: &Service,
+    job: &wire::Job,
+    admitted: Admitted,
+    result: &Result<Result<T, Fault>, Elapsed>,
+) -> bool {
+    let mut crashed = false;
+    let ended = match result {
+        Ok(Ok(_)) => {
+            service.acquit(job);
+            Ended::Success
+        }
+        Ok(Err(fault)) if !fault.connected => Ended::Cold(Sign::Refused),
+        Ok(Err(fault)) if matches!(fault.kind, Kind::EndpointFailed | Kind::Truncated) => {
+            crashed = service.cut(job, admitted.address).await;
+            if crashed {
+                Ended::Cold(Sign::Refused)
+            } else {
+                Ended::Neutral
+            }
+        }
+        Ok(Err(_)) | Err(_) => Ended::Neutral,
+    };
+    admitted.slot.end(ended);
+    crashed
+}
+
 fn stop_of(fault: Fault, sent: Sent) -> Stop {
     match sent.unsend(fault.connected) {
         Ok(unsent) => unsent.refuse(fault.kind, fault.context),
@@ -260,11 +300,19 @@
 }
 
 /// Passes the parts of an answer on and returns all of them.
-async fn stream(service: &Service, call: Call, voice: &mut Voice) -> Result<Bytes, Fault> {
+async fn stream(
+    service: &Service,
+    call: Call,
+    slot: &Slot,
+    voice: &mut Voice,
+) -> Result<Bytes, Fault> {
     let mut parts = service.parts.port.call(call).await?;
     let mut output = BytesMut::new();
     while let Some(part) = parts.next().await {
         let part = part?;
+        if output.is_empty() {
+            slot.first_part();
+        }
         output.extend_from_slice(&part);
         voice.chunk(&part).await;
     }
--- a/crates/cicadacrank-node/src/sidecar/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/mod.rs
@@ -4,8 +4,10 @@
 //! stream, record. [`grpc`] serves it to entries.
 
 mod claims;
+mod door;
 mod duty;
 pub mod grpc;
+pub mod pulse;
 mod service;
 
 pub use self::{
--- /dev/null
+++ b/crates/cicadacrankd/tests/shutdown.rs
@@ -0,0 +1,86 @@
+//! A graceful shutdown cuts no request, at either role, under steady load.
+
+mod common;
+
+use cicadacrank_bench::fleet::{Fleet, Plan, Post};
+use common::{Answer, plan, profile, request, send, small, wait_begun};
+use serde_json::json;
+use std::time::Duration;
+use tokio::{task::JoinSet, time};
+
+/// Time between two requests of the steady load.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Requests of the steady load after the shutdown began.
+const REQUESTS: usize = 150;
+
+/// Time that an entry goes on taking requests; longer than the load lasts.
+const NOTICE_MS: u64 = 4_000;
+
+fn stream_slowly(fleet: &Fleet) {
+    for post in &fleet.posts {
+        let token_us = if post.endpoint.starts_with("writer") {
+            40_000
+        } else {
+            0
+        };
+        post.engine.set_profile(profile(0, token_us, 5));
+    }
+}
+
+/// Sends requests to one entry at a steady rate and returns their answers.
+async fn load(fleet: &Fleet, entry: usize) -> Vec<Answer> {
+    let mut tasks = JoinSet::new();
+    for _ in 0..REQUESTS {
+        tasks.spawn(send(request(fleet, entry, "ask", "")));
+        time::sleep(PAUSE).await;
+    }
+    tasks.join_all().await
+}
+
+fn assert_whole(answers: &[Answer]) {
+    for answer in answers {
+        assert_eq!(
+            answer.body["text"], "word0 word1 word2 word3 word4 ",
+            "{answer:?}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shutdown_sidecar_cuts_no_request() {
+    let mut fleet = small().await;
+    stream_slowly(&fleet);
+    // Streams are under way when the shutdown begins.
+    let before = tokio::spawn(send(request(&fleet, 0, "ask", "")));
+    wait_begun(&fleet, "/v1/completions").await;
+    let leaving = |post: &&mut Post| post.endpoint.ends_with("-n");
+    for post in fleet.posts.iter_mut().filter(leaving) {
+        post.sidecar.terminate().expect("terminate");
+    }
+    assert_whole(&load(&fleet, 0).await);
+    assert_whole(&[before.await.expect("task")]);
+    for post in fleet.posts.iter_mut().filter(leaving) {
+        let status = post.sidecar.wait().await.expect("wait");
+        assert!(status.success(), "{status}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shutdown_entry_cuts_no_request() {
+    let timeouts = json!({ "refresh_ms": 100, "notice_ms": NOTICE_MS });
+    let plan = Plan {
+        timeouts,
+        ..plan("tests/samples/small.rules")
+    };
+    let mut fleet = Fleet::start(plan).await.expect("a fleet");
+    stream_slowly(&fleet);
+    let before = tokio::spawn(send(request(&fleet, 0, "ask", "")));
+    wait_begun(&fleet, "/v1/completions").await;
+    fleet.entries[0].terminate().expect("terminate");
+    // The balancer goes on sending until it has seen the readiness go.
+    assert_whole(&load(&fleet, 0).await);
+    assert_whole(&[before.await.expect("task")]);
+    let status = fleet.entries[0].wait().await.expect("wait");
+    assert!(status.success(), "{status}");
+}
