--- a/crates/cicadacrank-core/src/spread/node.rs
+++ b/crates/cicadacrank-core/src/spread/node.rs
@@ -81,6 +81,7 @@
     contact: Duration,
     had_peers: bool,
     seeds: Vec<SocketAddr>,
+    pause: Duration,
     began: Duration,
     listed: bool,
     heard: bool,
@@ -138,6 +139,7 @@
             contact: now,
             had_peers: false,
             seeds: Vec::new(),
+            pause: Self::SYNC,
             began: now,
             listed: false,
             heard: false,
@@ -153,6 +155,13 @@
         self
     }
 
+    /// Gives another mean time between two syncs than [`Self::SYNC`].
+    #[must_use]
+    pub const fn with_pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+
     /// Returns the members.
     #[must_use]
     pub const fn table(&self) -> &Table {
@@ -176,7 +185,7 @@
         self.table.tick(now);
         let mut actions = Vec::new();
         if now >= self.next_sync {
-            self.next_sync = now + spread(Self::SYNC, random());
+            self.next_sync = now + spread(self.pause, random());
             let mut count = 1;
             if self.hot > 0 {
                 self.hot -= 1;
@@ -328,6 +337,9 @@
     pub fn list(&mut self, listed: &[Member], now: Duration) {
         self.contact = now;
         self.listed = true;
+        if !self.heard {
+            self.next_sync = now;
+        }
         self.table.list(listed, now);
         self.had_peers |= self.table.others().next().is_some();
     }
--- a/crates/cicadacrank-node/src/configuration/mod.rs
+++ b/crates/cicadacrank-node/src/configuration/mod.rs
@@ -3,15 +3,14 @@
 //! A [`Holder`] keeps the newest ruleset seen and never goes back: what is
 //! offered with an older or equal generation is ignored.
 
-mod follow;
-
-pub use self::follow::follow;
-
 use cicadacrank_core::{
     event::Event,
+    generation::{self, CodecError},
     rules::{self, Book},
+    spread::Document,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::{
     sync::{
         Arc,
@@ -33,6 +32,20 @@
     pub rules: String,
 }
 
+/// Reads what serving needs from the platform's ruleset object.
+///
+/// # Errors
+///
+/// Returns [`CodecError::Damaged`] if the value is no ruleset object, or one of
+/// a later layout.
+pub fn document(spec: Value) -> Result<Document, CodecError> {
+    let object = generation::Object::decode(spec)?;
+    Ok(Document {
+        generation: object.generation.0,
+        text: object.rules.into(),
+    })
+}
+
 /// Rules in force.
 #[derive(Debug)]
 pub struct Configuration {
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -1,15 +1,17 @@
 //! Runs an entry.
 
 use super::{
-    Addresses, Common, address_of, announce, bind, finish, serve_operator, wait_for_signal,
+    Addresses, Common, address_of, announce, bind, finish, serve_operator, start_peer,
+    wait_for_signal,
 };
-use crate::{entry, link, membership, operator};
+use crate::{entry, link, membership, operator, peer};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
 use salvo::{Listener as _, Server, conn::TcpListener};
 use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::time;
+use tokio_stream::wrappers::TcpListenerStream;
 
 /// Runs an entry until it is told to stop.
 pub(super) async fn run(common: Common) -> Result<()> {
@@ -21,12 +23,6 @@
         link: Arc::new(link::grpc::Client::new(connect)),
         metrics: Arc::clone(&common.metrics),
     }));
-    let pause = common.settings.timeouts.refresh();
-    tokio::spawn(membership::refresh(
-        Arc::clone(&service),
-        Arc::clone(&common.store),
-        pause,
-    ));
     let peer_listener = bind(common.settings.listen).await?;
     let listen = peer_listener.local_addr().into_diagnostic()?;
     let address = common
@@ -40,6 +36,12 @@
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
+    let peer = start_peer(&common, listen, operator_listen);
+    tokio::spawn(membership::refresh(Arc::clone(&service), Arc::clone(&peer)));
+    let peer_server = tonic::transport::Server::builder()
+        .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
+        .serve_with_incoming(TcpListenerStream::new(peer_listener));
+    tokio::spawn(peer_server);
     let server = Server::new(acceptor);
     let handle = server.handle();
     let server = tokio::spawn(server.serve(entry::http::router(Arc::clone(&service))));
@@ -51,6 +53,7 @@
     wait_for_signal().await?;
     Event::Draining.log(format_args!("entry {}", common.settings.instance));
     service.drain();
+    peer.leave();
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         handle.stop_graceful(None);
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -5,10 +5,11 @@
 mod sidecar;
 
 use crate::{
-    clock::Clock,
-    configuration::{self, Holder},
+    clock::{self, Clock},
+    configuration::Holder,
+    membership,
     metrics::Metrics,
-    operator,
+    operator, peer,
     platform::{self, Store},
     settings::{Role, Settings},
 };
@@ -16,12 +17,15 @@
 use miette::{Context as _, IntoDiagnostic as _, Result};
 use salvo::{Listener as _, Server, conn::TcpListener};
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     signal::unix::{SignalKind, signal},
     time,
 };
 
+/// Longest time that a sync with a peer may take.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The addresses a process has bound; printed as one line of JSON on the
 /// standard output when it is up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,17 +61,36 @@
         metrics: Arc::new(Metrics::new()),
         settings,
     };
-    tokio::spawn(configuration::follow(
-        Arc::clone(&common.holder),
-        Arc::clone(&common.store),
-        common.settings.timeouts.refresh(),
-    ));
     match common.settings.role {
         Role::Entry => entry::run(common).await,
         Role::Sidecar => sidecar::run(common).await,
     }
 }
 
+/// Returns the process's part in the exchange with peers, and drives it.
+fn start_peer(
+    common: &Common,
+    listen: SocketAddr,
+    operator_listen: SocketAddr,
+) -> Arc<peer::Service> {
+    let settings = &common.settings;
+    let bytes = common.metrics.peer_bytes.clone();
+    let link = peer::grpc::Client::new(SYNC_TIMEOUT, bytes);
+    let service = Arc::new(peer::Service::new(peer::Parts {
+        me: membership::own(settings, clock::unix_ms(), listen, operator_listen),
+        seeds: settings.peers.clone(),
+        pause: settings.timeouts.refresh(),
+        watching: peer::Watching::Chosen,
+        clock: common.clock,
+        holder: Arc::clone(&common.holder),
+        store: Arc::clone(&common.store),
+        link: Arc::new(link),
+        metrics: Arc::clone(&common.metrics),
+    }));
+    tokio::spawn(peer::run(Arc::clone(&service)));
+    service
+}
+
 /// Waits for the end of a shutdown, no longer than its bound.
 async fn finish(common: &Common, drain: impl Future<Output = ()>) {
     let bound = common.settings.timeouts.drain();
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -1,7 +1,9 @@
 //! Runs a sidecar.
 
-use super::{Addresses, Common, announce, bind, finish, serve_operator, wait_for_signal};
-use crate::{endpoint, link, operator, sidecar};
+use super::{
+    Addresses, Common, announce, bind, finish, serve_operator, start_peer, wait_for_signal,
+};
+use crate::{endpoint, link, operator, peer, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
@@ -26,6 +28,7 @@
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
+    let peer = start_peer(&common, listen, operator_listen);
     announce(&Addresses {
         listen,
         caller_listen: None,
@@ -39,6 +42,7 @@
                 .max_decoding_message_size(link::grpc::MESSAGE_BYTES)
                 .max_encoding_message_size(link::grpc::MESSAGE_BYTES),
         )
+        .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
         .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
             stopped.notified().await;
         });
@@ -46,6 +50,7 @@
     wait_for_signal().await?;
     Event::Draining.log(format_args!("sidecar {}", common.settings.instance));
     service.leave();
+    peer.leave();
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         service.finish().await;
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -9,7 +9,8 @@
 //! 4. [`endpoint`] speaks the protocol of engines and plain services.
 //!
 //! [`platform`] is the object API that holds all that must last, and
-//! [`configuration`] keeps the newest rules in force. [`daemon`] puts a process
+//! [`configuration`] keeps the newest rules in force, which [`peer`] fetches from
+//! other processes and, at a few of them, from the platform. [`daemon`] puts a process
 //! together from its [`settings`].
 //!
 //! ```no_run
@@ -31,6 +32,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod operator;
+pub mod peer;
 pub mod platform;
 pub mod settings;
 pub mod sidecar;
--- a/crates/cicadacrank-node/src/membership/refresh.rs
+++ b/crates/cicadacrank-node/src/membership/refresh.rs
@@ -1,50 +1,48 @@
 //! Keeps an entry's table of endpoints up to date.
 
-use super::Instance;
-use crate::{
-    entry,
-    platform::{Collection, Store},
-};
-use cicadacrank_core::event::Event;
-use std::{sync::Arc, time::Duration};
-use tokio::time;
+use crate::{entry, peer};
+use cicadacrank_core::membership::{Member, Role};
+use std::sync::Arc;
 
-/// Keeps an entry's table at the platform's instance list and the rules.
-pub async fn refresh(service: Arc<entry::Service>, store: Arc<dyn Store>, pause: Duration) {
+/// Keeps an entry's table at the known members and the rules in force.
+///
+/// An endpoint whose sidecar is leaving or dead, or that the rules take out, is
+/// dropped at once; a suspect stays, as it may refute.
+pub async fn refresh(service: Arc<entry::Service>, peer: Arc<peer::Service>) {
+    let mut members = peer.members();
+    let mut rules = service.parts().holder.subscribe();
     loop {
-        match store.list(Collection::Instances).await {
-            Ok(listing) => {
-                let instances = listing.objects.into_iter();
-                let instances: Vec<Instance> = instances
-                    .filter_map(|object| serde_json::from_value(object.spec).ok())
-                    .collect();
-                take_up(&service, &instances);
-            }
-            Err(fault) => Event::PlatformFailed.log(format_args!("listing instances: {fault}")),
+        take_up(&service, &peer.live());
+        tokio::select! {
+            Ok(()) = members.changed() => {}
+            Ok(()) = rules.changed() => {}
+            else => return,
         }
-        time::sleep(pause).await;
     }
 }
 
-fn take_up(service: &entry::Service, instances: &[Instance]) {
-    let Some(configuration) = service.parts().holder.current() else {
+fn take_up(service: &entry::Service, members: &[Member]) {
+    let Some(configuration) = service.parts().holder.newest() else {
         return;
     };
     let book = &configuration.book;
     let mut table = service.table();
     let mut seen: Vec<&str> = Vec::new();
-    for instance in instances.iter().filter(|instance| !instance.leaving) {
-        for name in &instance.endpoints {
+    let sidecars = members.iter().filter(|member| member.role == Role::Sidecar);
+    for member in sidecars.filter(|member| member.takes_work()) {
+        for name in &member.endpoints {
             let Some(key) = book.endpoint(name).filter(|key| !book.is_taken_out(*key)) else {
                 continue;
             };
             let pool = &book[book[key].pool].name;
             let data_centre = &book[book[key].data_centre].name;
-            table.insert(name, pool, data_centre, instance.address);
+            table.insert(name, pool, data_centre, member.address);
             seen.push(name);
         }
     }
     seen.sort_unstable();
     table.retain(|endpoint| seen.binary_search(&endpoint).is_ok());
-    service.set_listed();
+    if !seen.is_empty() {
+        service.set_listed();
+    }
 }
--- a/crates/cicadacrank-node/src/metrics.rs
+++ b/crates/cicadacrank-node/src/metrics.rs
@@ -20,6 +20,8 @@
     pub dropped_frames: IntCounter,
     /// Calls to the platform.
     pub platform_calls: IntCounter,
+    /// Bytes of syncs that this process began, both ways.
+    pub peer_bytes: IntCounter,
     /// Configuration generation in force.
     pub generation: IntGauge,
     /// Time from arrival to the end of the answer, in seconds.
@@ -46,6 +48,7 @@
         let attempts = counter("cicadacrank_attempts_total", "Attempts begun");
         let dropped_frames = counter("cicadacrank_dropped_frames_total", "Frames of no attempt");
         let platform_calls = counter("cicadacrank_platform_calls_total", "Calls to the platform");
+        let peer_bytes = counter("cicadacrank_peer_bytes_total", "Bytes of own syncs");
         let failed = IntCounterVec::new(
             Opts::new(
                 "cicadacrank_failed_total",
@@ -77,6 +80,7 @@
             attempts,
             dropped_frames,
             platform_calls,
+            peer_bytes,
             generation,
             latency,
         }
--- /dev/null
+++ b/crates/cicadacrank-node/src/peer/codec.rs
@@ -0,0 +1,154 @@
+//! Turns what the core decides on into messages and back.
+
+use cicadacrank_core::{
+    id,
+    membership::{BUCKETS, Buckets, Member, Role, State},
+    spread::{Digest, Document, Edit, News, Step, Update},
+};
+use cicadacrank_wire::wire;
+use flate2::{Compression, read::GzDecoder, write::GzEncoder};
+use std::io::{Read as _, Write as _};
+
+/// Largest rule file that is taken from a peer, in bytes.
+const RULES_BYTES: u64 = 4 << 20;
+
+pub(super) fn member(member: &Member) -> wire::Member {
+    wire::Member {
+        instance: member.name.clone(),
+        incarnation: member.incarnation,
+        address: member.address.to_string(),
+        data_centre: member.data_centre.clone(),
+        role: member.role as u32,
+        state: member.state as u32,
+        endpoints: member.endpoints.clone(),
+        operator_address: member.operator_address.to_string(),
+    }
+}
+
+pub(super) fn read_member(member: wire::Member) -> Option<Member> {
+    Some(Member {
+        name: member.instance,
+        incarnation: member.incarnation,
+        state: match member.state {
+            0 => State::Alive,
+            1 => State::Leaving,
+            2 => State::Suspect,
+            3 => State::Dead,
+            _ => return None,
+        },
+        role: match member.role {
+            0 => Role::Entry,
+            1 => Role::Sidecar,
+            _ => return None,
+        },
+        data_centre: member.data_centre,
+        address: member.address.parse().ok()?,
+        operator_address: member.operator_address.parse().ok()?,
+        endpoints: member.endpoints,
+    })
+}
+
+/// Reads members; what a later release added to the lists is left out.
+fn read_members(members: Vec<wire::Member>) -> Vec<Member> {
+    members.into_iter().filter_map(read_member).collect()
+}
+
+pub(super) fn digest(digest: &Digest) -> wire::Digest {
+    wire::Digest {
+        me: Some(member(&digest.me)),
+        generation: digest.generation,
+        buckets: digest.buckets.to_vec(),
+        members: digest.members.iter().map(member).collect(),
+        suspects: Vec::new(),
+    }
+}
+
+pub(super) fn read_digest(digest: wire::Digest) -> Option<Digest> {
+    Some(Digest {
+        me: read_member(digest.me?)?,
+        generation: digest.generation,
+        buckets: Buckets::try_from(digest.buckets).unwrap_or([0; BUCKETS]),
+        members: read_members(digest.members),
+    })
+}
+
+pub(super) fn update(update: &Update) -> wire::Update {
+    let (steps, rules) = match &update.news {
+        News::Nothing => (Vec::new(), Vec::new()),
+        News::Steps(steps) => (steps.iter().map(step).collect(), Vec::new()),
+        News::Whole(document) => (Vec::new(), compress(&document.text)),
+    };
+    wire::Update {
+        generation: update.generation,
+        steps,
+        rules,
+        members: update.members.iter().map(member).collect(),
+        suspects: Vec::new(),
+    }
+}
+
+pub(super) fn read_update(update: wire::Update) -> Update {
+    let generation = update.generation;
+    let news = if !update.steps.is_empty() {
+        let steps: Option<Vec<Step>> = update.steps.into_iter().map(read_step).collect();
+        steps.map_or(News::Nothing, News::Steps)
+    } else if update.rules.is_empty() {
+        News::Nothing
+    } else {
+        decompress(&update.rules).map_or(News::Nothing, |text| {
+            News::Whole(Document {
+                generation,
+                text: text.into(),
+            })
+        })
+    };
+    Update {
+        generation,
+        news,
+        members: read_members(update.members),
+    }
+}
+
+fn step(step: &Step) -> wire::Step {
+    let edits = step.edits.iter().map(|edit| wire::Edit {
+        keep: edit.keep,
+        drop: edit.drop,
+        insert: edit.insert.clone(),
+    });
+    wire::Step {
+        from: step.from,
+        to: step.to,
+        digest: step.digest.to_vec(),
+        edits: edits.collect(),
+    }
+}
+
+fn read_step(step: wire::Step) -> Option<Step> {
+    let edits = step.edits.into_iter().map(|edit| Edit {
+        keep: edit.keep,
+        drop: edit.drop,
+        insert: edit.insert,
+    });
+    Some(Step {
+        from: step.from,
+        to: step.to,
+        digest: <[u8; id::DIGEST_BYTES]>::try_from(step.digest).ok()?,
+        edits: edits.collect(),
+    })
+}
+
+fn compress(text: &str) -> Vec<u8> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
+    // Writing to memory does not fail.
+    if encoder.write_all(text.as_bytes()).is_err() {
+        return Vec::new();
+    }
+    encoder.finish().unwrap_or_default()
+}
+
+fn decompress(bytes: &[u8]) -> Option<String> {
+    let mut text = String::new();
+    let mut decoder = GzDecoder::new(bytes).take(RULES_BYTES);
+    decoder.read_to_string(&mut text).ok()?;
+    Some(text)
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/peer/grpc.rs
@@ -0,0 +1,153 @@
+//! Syncs over gRPC.
+//!
+//! Each sync makes a connection of its own: a process meets a given peer
+//! seldom, so hundreds of open connections would stand idle, and a new one
+//! proves that the peer takes new work.
+
+use super::{Fault, Link, Service};
+use crate::link::grpc::MESSAGE_BYTES;
+use cicadacrank_wire::wire::{
+    self,
+    peer_client::PeerClient,
+    peer_server::{Peer, PeerServer},
+};
+use futures_util::{FutureExt as _, future::BoxFuture};
+use hyper_util::rt::TokioIo;
+use prometheus::IntCounter;
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time,
+};
+use tonic::{Request, Response, Status, async_trait, transport::Endpoint};
+
+/// Client of peers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    timeout: Duration,
+    bytes: IntCounter,
+}
+
+impl Client {
+    /// Creates a client that gives up on a sync after `timeout` and counts the
+    /// bytes of its connections, both ways.
+    #[must_use]
+    pub const fn new(timeout: Duration, bytes: IntCounter) -> Self {
+        Self { timeout, bytes }
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        digest: wire::Digest,
+    ) -> Result<wire::Update, String> {
+        let endpoint =
+            Endpoint::from_shared(format!("http://{address}")).map_err(|error| text(&error))?;
+        let bytes = self.bytes.clone();
+        let connector = tower::service_fn(move |_| {
+            let bytes = bytes.clone();
+            async move {
+                let stream = TcpStream::connect(address).await?;
+                stream.set_nodelay(true)?;
+                Ok::<_, io::Error>(TokioIo::new(Counted { stream, bytes }))
+            }
+        });
+        let channel = endpoint
+            .connect_with_connector(connector)
+            .await
+            .map_err(|error| text(&error))?;
+        let mut client = PeerClient::new(channel).max_decoding_message_size(MESSAGE_BYTES);
+        let answer = client.sync(digest).await.map_err(|error| text(&error))?;
+        Ok(answer.into_inner())
+    }
+}
+
+impl Link for Client {
+    fn sync(
+        &self,
+        address: SocketAddr,
+        digest: wire::Digest,
+    ) -> BoxFuture<'_, Result<wire::Update, Fault>> {
+        async move {
+            let answer = time::timeout(self.timeout, self.call(address, digest)).await;
+            answer
+                .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+                .map_err(|context| Fault { address, context })
+        }
+        .boxed()
+    }
+}
+
+fn text(error: &dyn fmt::Display) -> String {
+    error.to_string()
+}
+
+/// Adapter from gRPC to the service.
+#[derive(Clone)]
+pub struct Server {
+    service: Arc<Service>,
+}
+
+impl Server {
+    /// Creates the adapter, ready to be served.
+    #[must_use]
+    pub fn serve(service: Arc<Service>) -> PeerServer<Self> {
+        PeerServer::new(Self { service }).max_encoding_message_size(MESSAGE_BYTES)
+    }
+}
+
+#[async_trait]
+impl Peer for Server {
+    async fn sync(&self, request: Request<wire::Digest>) -> Result<Response<wire::Update>, Status> {
+        let answer = self.service.answer(request.into_inner());
+        let answer = answer.ok_or_else(|| Status::invalid_argument("the digest cannot be read"))?;
+        Ok(Response::new(answer))
+    }
+}
+
+/// A connection that counts its bytes.
+struct Counted {
+    stream: TcpStream,
+    bytes: IntCounter,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.bytes.inc_by((buffer.filled().len() - before) as u64);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
+        self.bytes.inc_by(written as u64);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/peer/run.rs
@@ -0,0 +1,107 @@
+//! Drives the exchange.
+
+use super::{Service, watch};
+use crate::{
+    configuration::{RULESET_NAME, document},
+    membership::Instance,
+    platform::{Collection, Fault},
+};
+use cicadacrank_core::{
+    event::Event,
+    spread::{Action, News},
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{self, MissedTickBehavior},
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Takes part in the exchange for as long as it is polled.
+///
+/// # Panics
+///
+/// Panics if it is called twice for one service.
+pub async fn run(service: Arc<Service>) {
+    let queue = service
+        .queue
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .take();
+    let mut queue = queue.expect("the exchange runs once");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(watch::run(Arc::clone(&service)));
+    let mut hints = service.parts.holder.hints();
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => service.tick(),
+            Ok(()) = hints.changed() => {
+                let actions = service.node().ask(rand::random);
+                service.queue_up(actions);
+            }
+            Some(action) = queue.recv() => {
+                tasks.spawn(act(Arc::clone(&service), action));
+            }
+            Some(_) = tasks.join_next() => {}
+        }
+    }
+}
+
+async fn act(service: Arc<Service>, action: Action) {
+    match action {
+        Action::Sync { name, address } => sync(&service, &name, address).await,
+        Action::ReadRules => read_rules(&service).await,
+        Action::ReadInstances => read_instances(&service).await,
+    }
+}
+
+async fn sync(service: &Service, name: &str, address: SocketAddr) {
+    let digest = service.digest();
+    match service.parts.link.sync(address, digest).await {
+        Ok(update) => service.absorb(update),
+        Err(fault) => {
+            log::debug!("{fault}");
+            service.fail(name);
+        }
+    }
+}
+
+async fn read_rules(service: &Service) {
+    service.parts.metrics.platform_calls.inc();
+    let store = &service.parts.store;
+    match store.get(Collection::Rulesets, RULESET_NAME).await {
+        Ok(object) => {
+            service.node().reached(service.parts.clock.now());
+            match document(object.spec) {
+                Ok(document) => service.adopt(document, News::Nothing),
+                Err(error) => Event::GenerationRejected.log(format_args!("{error}")),
+            }
+        }
+        Err(Fault::Missing) => service.node().reached(service.parts.clock.now()),
+        Err(fault) => Event::PlatformFailed.log(format_args!("reading the rules: {fault}")),
+    }
+}
+
+async fn read_instances(service: &Service) {
+    service.parts.metrics.platform_calls.inc();
+    match service.parts.store.list(Collection::Instances).await {
+        Ok(listing) => {
+            let members = listing.objects.into_iter().filter_map(|object| {
+                let instance: Instance = serde_json::from_value(object.spec).ok()?;
+                Some(instance.into_member(object.name))
+            });
+            let members: Vec<_> = members.collect();
+            service.node().list(&members, service.parts.clock.now());
+            service.tell();
+        }
+        Err(fault) => Event::PlatformFailed.log(format_args!("listing instances: {fault}")),
+    }
+}
--- a/crates/cicadacrank-node/src/settings.rs
+++ b/crates/cicadacrank-node/src/settings.rs
@@ -88,6 +88,10 @@
     pub caller_listen: Option<SocketAddr>,
     /// Where operators read health, metrics and status.
     pub operator_listen: SocketAddr,
+    /// Other processes to ask for the configuration and for members when the
+    /// platform's list cannot be read.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Endpoints behind a sidecar; required for that role.
     #[serde(default)]
     pub endpoints: Vec<Endpoint>,
@@ -113,7 +117,7 @@
     pub notice_ms: u64,
     /// From the start of a shutdown until the process ends whatever is open.
     pub drain_ms: u64,
-    /// Between two looks at the platform's instance list.
+    /// Mean time between two syncs with peers.
     pub refresh_ms: u64,
     /// Life of a claim after its last change.
     pub claim_ms: u64,
@@ -164,7 +168,7 @@
         Duration::from_millis(self.drain_ms)
     }
 
-    /// Returns the time between two looks at the instance list.
+    /// Returns the mean time between two syncs with peers.
     #[must_use]
     pub const fn refresh(&self) -> Duration {
         Duration::from_millis(self.refresh_ms)
--- a/crates/cicadacrank-node/tests/settings.rs
+++ b/crates/cicadacrank-node/tests/settings.rs
@@ -38,7 +38,7 @@
     refused(
         "{\n  \"role\": \"entry\",\n  \"colour\": 1\n}",
         &expect![
-            "unknown field `colour`, expected one of `role`, `instance`, `data_centre`, `platform`, `listen`, `caller_listen`, `operator_listen`, `endpoints`, `timeouts`, `log` (line 3, column 3)"
+            "unknown field `colour`, expected one of `role`, `instance`, `data_centre`, `platform`, `listen`, `caller_listen`, `operator_listen`, `peers`, `endpoints`, `timeouts`, `log` (line 3, column 3)"
         ],
     );
 }
