Take an overtaken answer for old; measure the spread over real peer slices

Cause: an answer with steps that another had overtaken did not fit, and the node then asked for the whole rules. A first read by every process was followed by a second within 10 s; the pause is now drawn anew when the first rules arrive.

--- /dev/null
+++ b/crates/cicadacrank-bench/examples/spread/fleet.rs
@@ -0,0 +1,386 @@
+//! Many peer slices in one process.
+
+use super::{
+    cost::{self, Totals},
+    rules,
+};
+use cicadacrank_bench::platform::{self, Faults};
+use cicadacrank_core::membership::{Member, Role, State};
+use cicadacrank_node::{
+    clock::{self, Clock},
+    configuration::{Holder, RULESET_NAME, Ruleset},
+    membership::Instance,
+    metrics::Metrics,
+    peer::{self, Fault, Link},
+    platform::{Collection, http},
+    settings,
+};
+use cicadacrank_wire::wire;
+use futures_util::{FutureExt as _, future::BoxFuture};
+use std::{
+    future, io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Handle},
+    task::JoinSet,
+    time::{self, Instant},
+};
+use tokio_stream::wrappers::TcpListenerStream;
+
+/// Data centres of a fleet.
+const DATA_CENTRES: usize = 8;
+
+/// Endpoints and teams in the rules.
+const ENDPOINTS: usize = 840;
+const TEAMS: usize = 1200;
+
+/// One message of so many is lost under [`Trouble::Loss`].
+const LOSS: u64 = 5;
+
+/// One process of so many is paused under [`Trouble::Paused`].
+const PAUSED: usize = 10;
+
+/// Time that a pause lasts.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// Bound of a sync and of a call to the platform.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What goes wrong while a change is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// A fifth of all syncs is lost.
+    Loss,
+    /// All processes that watch end just before the change.
+    Watchers,
+    /// Watches deliver nothing.
+    Mute,
+    /// The platform is down from just after one process has read the change.
+    Outage,
+    /// A tenth of all processes stands still for the first 3 s.
+    Paused,
+}
+
+impl Trouble {
+    /// Every fault.
+    pub const FAULTS: [Self; 5] = [
+        Self::Loss,
+        Self::Watchers,
+        Self::Mute,
+        Self::Outage,
+        Self::Paused,
+    ];
+
+    /// Returns the name in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Loss => "lost messages",
+            Self::Watchers => "killed watchers",
+            Self::Mute => "mute watches",
+            Self::Outage => "platform outage",
+            Self::Paused => "paused nodes",
+        }
+    }
+}
+
+/// Faults of the way between peers.
+#[derive(Debug, Default)]
+struct Way {
+    loses: AtomicBool,
+    syncs: AtomicU64,
+}
+
+struct Lossy {
+    inner: peer::grpc::Client,
+    way: Arc<Way>,
+}
+
+impl Link for Lossy {
+    fn sync(
+        &self,
+        address: SocketAddr,
+        digest: wire::Digest,
+    ) -> BoxFuture<'_, Result<wire::Update, Fault>> {
+        self.way.syncs.fetch_add(1, Ordering::Relaxed);
+        let lost =
+            self.way.loses.load(Ordering::Relaxed) && rand::random::<u64>().is_multiple_of(LOSS);
+        async move {
+            if lost {
+                time::sleep(TIMEOUT).await;
+                let context = "lost".to_owned();
+                return Err(Fault { address, context });
+            }
+            self.inner.sync(address, digest).await
+        }
+        .boxed()
+    }
+}
+
+struct Slice {
+    name: String,
+    holder: Arc<Holder>,
+    metrics: Arc<Metrics>,
+    service: Arc<peer::Service>,
+    runtime: Option<Handle>,
+    tasks: JoinSet<()>,
+}
+
+/// Starts a runtime with a thread of its own, which ends with the program.
+fn runtime() -> io::Result<Handle> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let handle = runtime.handle().clone();
+    thread::spawn(move || runtime.block_on(future::pending::<()>()));
+    Ok(handle)
+}
+
+/// Many peer slices and their platform.
+pub struct Fleet {
+    platform: platform::Server,
+    slices: Vec<Slice>,
+    way: Arc<Way>,
+    everyone: bool,
+    generation: u64,
+    changed: Instant,
+    gone: Totals,
+}
+
+impl Fleet {
+    /// Starts a fleet of a number of processes, some of which can be paused.
+    pub async fn start(nodes: usize, everyone: bool, pausing: bool) -> io::Result<Self> {
+        let mut fleet = Self {
+            platform: platform::Server::start().await?,
+            slices: Vec::new(),
+            way: Arc::default(),
+            everyone,
+            generation: 0,
+            changed: Instant::now(),
+            gone: Totals {
+                bytes: 0.0,
+                syncs: 0.0,
+                calls: 0.0,
+                cpu: 0.0,
+            },
+        };
+        fleet.change();
+        for index in 0..nodes {
+            let runtime = (pausing && index % PAUSED == 0).then(runtime).transpose()?;
+            let slice = fleet.slice(index, runtime).await?;
+            fleet.slices.push(slice);
+        }
+        Ok(fleet)
+    }
+
+    async fn slice(&self, index: usize, runtime: Option<Handle>) -> io::Result<Slice> {
+        let handle = runtime.clone().unwrap_or_else(Handle::current);
+        let listener = handle.spawn(TcpListener::bind("127.0.0.1:0")).await??;
+        let address = listener.local_addr()?;
+        let name = format!("sidecar-{index:04}");
+        let data_centre = format!("dc-{}", index % DATA_CENTRES);
+        let endpoints = vec![format!("endpoint-{index}")];
+        let instance = Instance {
+            role: settings::Role::Sidecar,
+            data_centre: data_centre.clone(),
+            address,
+            operator_address: address,
+            endpoints: endpoints.clone(),
+            leaving: false,
+        };
+        self.platform.set_instance(&name, &instance);
+        let metrics = Arc::new(Metrics::new());
+        let holder = Arc::new(Holder::new());
+        let store = http::Client::new(self.platform.address, TIMEOUT).map_err(io::Error::other)?;
+        let service = Arc::new(peer::Service::new(peer::Parts {
+            me: Member {
+                name: name.clone(),
+                incarnation: clock::unix_ms(),
+                state: State::Alive,
+                role: Role::Sidecar,
+                data_centre,
+                address,
+                operator_address: address,
+                endpoints,
+            },
+            seeds: Vec::new(),
+            pause: Duration::from_secs(1),
+            watching: if self.everyone {
+                peer::Watching::Everyone
+            } else {
+                peer::Watching::Chosen
+            },
+            clock: Clock::new(),
+            holder: Arc::clone(&holder),
+            store: Arc::new(store),
+            link: Arc::new(Lossy {
+                inner: peer::grpc::Client::new(TIMEOUT, metrics.peer_bytes.clone()),
+                way: Arc::clone(&self.way),
+            }),
+            metrics: Arc::clone(&metrics),
+        }));
+        let mut tasks = JoinSet::new();
+        tasks.spawn_on(peer::run(Arc::clone(&service)), &handle);
+        let server = tonic::transport::Server::builder()
+            .add_service(peer::grpc::Server::serve(Arc::clone(&service)))
+            .serve_with_incoming(TcpListenerStream::new(listener));
+        let server = async move {
+            // It ends with the slice.
+            let _ = server.await;
+        };
+        tasks.spawn_on(server, &handle);
+        Ok(Slice {
+            name,
+            holder,
+            metrics,
+            service,
+            runtime,
+            tasks,
+        })
+    }
+
+    /// Waits until every process has the rules and knows all others.
+    pub async fn settle(&self, bound: Duration) -> io::Result<()> {
+        let end = Instant::now() + bound;
+        loop {
+            let settled = |slice: &Slice| {
+                slice.holder.current().is_some() && slice.service.live().len() == self.slices.len()
+            };
+            if self.slices.iter().all(settled) {
+                return Ok(());
+            }
+            if Instant::now() > end {
+                let known = self.slices.iter().map(|slice| slice.service.live().len());
+                let (least, most) = (known.clone().min(), known.max());
+                return Err(io::Error::other(format!(
+                    "not settled: {least:?} to {most:?} known"
+                )));
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Changes the rules at the platform and returns the generation.
+    pub fn change(&mut self) -> u64 {
+        self.generation += 1;
+        let ruleset = Ruleset {
+            generation: self.generation,
+            rules: rules::text(ENDPOINTS, TEAMS, self.generation),
+        };
+        let spec = serde_json::to_value(ruleset).unwrap_or_default();
+        self.changed = Instant::now();
+        self.platform
+            .state()
+            .put(Collection::Rulesets, RULESET_NAME, spec);
+        self.generation
+    }
+
+    /// Does what must go wrong before a change.
+    pub fn begin(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::None | Trouble::Outage => {}
+            Trouble::Loss => self.way.loses.store(true, Ordering::Relaxed),
+            Trouble::Mute => self.platform.set_faults(Faults {
+                mute_watches: true,
+                ..Faults::default()
+            }),
+            Trouble::Paused => self.pause(),
+            Trouble::Watchers => {
+                let before = self.totals();
+                self.slices.retain_mut(|slice| {
+                    let watches = slice.service.is_watching();
+                    if watches {
+                        slice.tasks.abort_all();
+                    }
+                    !watches
+                });
+                let after = self.totals();
+                self.gone.bytes += before.bytes - after.bytes;
+                self.gone.calls += before.calls - after.calls;
+            }
+        }
+    }
+
+    /// Does what must go wrong after a change.
+    pub async fn after(&self, trouble: Trouble, change: u64) {
+        match trouble {
+            Trouble::Outage => {
+                while !self
+                    .slices
+                    .iter()
+                    .any(|one| one.holder.generation() >= change)
+                {
+                    time::sleep(Duration::from_millis(1)).await;
+                }
+                self.platform.set_faults(Faults {
+                    down: true,
+                    ..Faults::default()
+                });
+            }
+            Trouble::None | Trouble::Loss | Trouble::Watchers | Trouble::Mute | Trouble::Paused => {
+            }
+        }
+    }
+
+    /// Ends what goes wrong.
+    pub fn end(&self, _trouble: Trouble) {
+        self.way.loses.store(false, Ordering::Relaxed);
+        self.platform.set_faults(Faults::default());
+    }
+
+    /// Stops processes where they are, as an overloaded machine would.
+    fn pause(&self) {
+        for runtime in self
+            .slices
+            .iter()
+            .filter_map(|slice| slice.runtime.as_ref())
+        {
+            runtime.spawn(async { thread::sleep(PAUSE) });
+        }
+    }
+
+    /// Waits until a change is in force everywhere; returns how long it took
+    /// at each process, in milliseconds.
+    pub async fn wait(&self, change: u64, bound: Duration) -> io::Result<Vec<u64>> {
+        let waits = self.slices.iter().map(|slice| async move {
+            let reached = slice.holder.wait(change, bound).await;
+            let spent = self.changed.elapsed().as_millis();
+            reached
+                .then(|| u64::try_from(spent).unwrap_or(u64::MAX))
+                .ok_or_else(|| io::Error::other(format!("{} was not reached", slice.name)))
+        });
+        futures_util::future::join_all(waits)
+            .await
+            .into_iter()
+            .collect()
+    }
+
+    /// Returns the number of processes that watch the platform.
+    pub fn watches(&self) -> usize {
+        let watching = |slice: &&Slice| slice.service.is_watching();
+        self.slices.iter().filter(watching).count()
+    }
+
+    /// Returns what all processes have used so far.
+    pub fn totals(&self) -> Totals {
+        let sum = |read: fn(&Metrics) -> u64| {
+            let values = self.slices.iter().map(|slice| read(&slice.metrics));
+            // Counts stay far below the precision of a float.
+            values.sum::<u64>() as f64
+        };
+        Totals {
+            bytes: 2.0 * sum(|metrics| metrics.peer_bytes.get()) + self.gone.bytes,
+            syncs: self.way.syncs.load(Ordering::Relaxed) as f64,
+            calls: sum(|metrics| metrics.platform_calls.get()) + self.gone.calls,
+            cpu: cost::cpu(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/examples/spread/slopes.rs
@@ -0,0 +1,257 @@
+//! Costs that grow with the size of a fleet, each at several sizes with a line
+//! through them.
+
+use super::{cost, count, rules};
+use cicadacrank_core::{
+    membership::{Member, Role, State, Table},
+    rules::parse,
+    spread::{Document, History, apply, difference},
+};
+use serde::Serialize;
+use std::{
+    hint::black_box,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// One cost over one size.
+#[derive(Debug, Serialize)]
+pub struct Slope {
+    name: &'static str,
+    size: &'static str,
+    unit: &'static str,
+    points: Vec<Point>,
+    fixed: f64,
+    each: f64,
+    fit: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Point {
+    size: f64,
+    cost: f64,
+}
+
+impl Slope {
+    /// Draws a line through points by least squares.
+    fn new(name: &'static str, size: &'static str, unit: &'static str, points: Vec<Point>) -> Self {
+        let number = count(points.len());
+        let mean = |read: fn(&Point) -> f64| points.iter().map(read).sum::<f64>() / number;
+        let (size_mean, cost_mean) = (mean(|point| point.size), mean(|point| point.cost));
+        let sum = |read: &dyn Fn(&Point) -> f64| points.iter().map(read).sum::<f64>();
+        let both = sum(&|point| (point.size - size_mean) * (point.cost - cost_mean));
+        let sizes = sum(&|point| (point.size - size_mean).powi(2));
+        let costs = sum(&|point| (point.cost - cost_mean).powi(2));
+        let each = both / sizes;
+        let fixed = cost_mean - each * size_mean;
+        let fit = both * both / (sizes * costs);
+        Self {
+            name,
+            size,
+            unit,
+            points,
+            fixed,
+            each,
+            fit,
+        }
+    }
+}
+
+/// Measures all slopes.
+pub fn measure() -> Vec<Slope> {
+    vec![
+        Slope::new(
+            "rule file",
+            "endpoints",
+            "bytes",
+            over(ENDPOINTS, |size| bytes(size, PIPELINES)),
+        ),
+        Slope::new(
+            "rule file",
+            "teams",
+            "bytes",
+            over(TEAMS, |size| bytes(27, size)),
+        ),
+        Slope::new(
+            "parsing",
+            "endpoints",
+            "us",
+            over(ENDPOINTS, |size| parsing(size, PIPELINES)),
+        ),
+        Slope::new(
+            "parsing",
+            "teams",
+            "us",
+            over(TEAMS, |size| parsing(27, size)),
+        ),
+        Slope::new(
+            "rules in memory",
+            "endpoints",
+            "KiB",
+            over(ENDPOINTS, |size| memory(size, PIPELINES)),
+        ),
+        Slope::new(
+            "rules in memory",
+            "teams",
+            "KiB",
+            over(TEAMS, |size| memory(27, size)),
+        ),
+        Slope::new(
+            "difference of a line",
+            "teams",
+            "us",
+            over(TEAMS, differing),
+        ),
+        Slope::new(
+            "taking up a difference",
+            "teams",
+            "us",
+            over(TEAMS, following),
+        ),
+        Slope::new(
+            "hashes of the member table",
+            "members",
+            "us",
+            over(MEMBERS, hashing),
+        ),
+        Slope::new(
+            "member table in memory",
+            "members",
+            "KiB",
+            over(MEMBERS, tables),
+        ),
+    ]
+}
+
+/// Least number of teams, so that each pipeline has one.
+const PIPELINES: usize = 27;
+
+const ENDPOINTS: [usize; 5] = [100, 200, 400, 800, 1600];
+const TEAMS: [usize; 5] = [150, 300, 600, 1200, 2400];
+const MEMBERS: [usize; 5] = [48, 96, 192, 384, 768];
+
+/// Prints the slopes as a table.
+pub fn print(slopes: &[Slope]) {
+    println!("| cost | unit | over | points | fixed | each | fit r2 |");
+    println!("|---|---|---|---|---|---|---|");
+    for slope in slopes {
+        let points = slope.points.iter();
+        let points: Vec<String> = points
+            .map(|point| format!("{:.0}: {:.1}", point.size, point.cost))
+            .collect();
+        println!(
+            "| {} | {} | {} | {} | {:.2} | {:.4} | {:.4} |",
+            slope.name,
+            slope.unit,
+            slope.size,
+            points.join(", "),
+            slope.fixed,
+            slope.each,
+            slope.fit
+        );
+    }
+}
+
+fn over(sizes: [usize; 5], mut cost: impl FnMut(usize) -> f64) -> Vec<Point> {
+    let point = |size| Point {
+        size: count(size),
+        cost: cost(size),
+    };
+    sizes.into_iter().map(point).collect()
+}
+
+fn bytes(endpoints: usize, teams: usize) -> f64 {
+    count(rules::text(endpoints, teams, 0).len())
+}
+
+fn parsing(endpoints: usize, teams: usize) -> f64 {
+    let text = rules::text(endpoints, teams, 0);
+    time(|| drop(black_box(parse(&text))))
+}
+
+/// Memory of a resolved rule file, as the mean of many kept at once.
+fn memory(endpoints: usize, teams: usize) -> f64 {
+    const KEPT: usize = 40;
+    let text = rules::text(endpoints, teams, 0);
+    kept(KEPT, || parse(&text).expect("the rules are valid"))
+}
+
+fn differing(teams: usize) -> f64 {
+    let (old, new) = (rules::text(840, teams, 0), rules::text(840, teams, 1));
+    time(|| drop(black_box(difference(&old, &new))))
+}
+
+fn following(teams: usize) -> f64 {
+    let (old, new) = (rules::text(840, teams, 0), rules::text(840, teams, 1));
+    let edits = difference(&old, &new);
+    let document = |generation, text: &str| Document {
+        generation,
+        text: text.into(),
+    };
+    assert_eq!(apply(&old, &edits).as_deref(), Ok(&*new));
+    let (mut ahead, mut behind) = (History::default(), History::default());
+    ahead.adopt(document(1, &old), Vec::new());
+    behind.adopt(document(1, &old), Vec::new());
+    ahead.adopt(document(2, &new), Vec::new());
+    let steps = ahead.since(1).expect("the step is known");
+    time(|| drop(black_box(behind.follow(&steps))))
+}
+
+fn member(index: usize) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        name: format!("sidecar-{index:04}"),
+        incarnation: 1,
+        state: State::Alive,
+        role: Role::Sidecar,
+        data_centre: format!("dc-{}", index % 8),
+        address,
+        operator_address: address,
+        endpoints: vec![format!("endpoint-{index}")],
+    }
+}
+
+fn table(members: usize) -> Table {
+    let mut table = Table::new(member(0));
+    for index in 1..members {
+        table.merge(&member(index), Duration::ZERO);
+    }
+    table
+}
+
+fn hashing(members: usize) -> f64 {
+    let table = table(members);
+    time(|| {
+        black_box(table.buckets());
+    })
+}
+
+fn tables(members: usize) -> f64 {
+    const KEPT: usize = 100;
+    kept(KEPT, || table(members))
+}
+
+/// Returns the memory of one of many values kept at once, in KiB.
+fn kept<T>(number: usize, mut make: impl FnMut() -> T) -> f64 {
+    // What one left behind must not count for the next.
+    drop(make());
+    let before = cost::resident_kib();
+    let values: Vec<T> = (0..number).map(|_| make()).collect();
+    let after = cost::resident_kib();
+    drop(black_box(values));
+    (after - before).max(0.0) / count(number)
+}
+
+/// Returns the median time of a run, in microseconds.
+fn time(mut run: impl FnMut()) -> f64 {
+    const RUNS: usize = 21;
+    let mut times: Vec<Duration> = (0..RUNS)
+        .map(|_| {
+            let began = Instant::now();
+            run();
+            began.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    times[RUNS / 2].as_secs_f64() * 1e6
+}
--- a/crates/cicadacrank-core/src/membership/table.rs
+++ b/crates/cicadacrank-core/src/membership/table.rs
@@ -192,7 +192,7 @@
     /// Takes members that changed lately, for the next message; each is sent a
     /// number of times that rises with the logarithm of the table.
     pub fn take_hot(&mut self) -> Vec<Member> {
-        let limit = 2 + 2 * (self.rows.len() + 1).ilog2();
+        let limit = 2 + (self.rows.len() + 1).ilog2();
         let mut hot: Vec<usize> = (0..self.rows.len())
             .filter(|index| self.rows[*index].sends < limit)
             .collect();
--- a/crates/cicadacrank-core/src/spread/node.rs
+++ b/crates/cicadacrank-core/src/spread/node.rs
@@ -4,6 +4,9 @@
 use crate::membership::{Buckets, Member, Table, is_watcher};
 use std::{net::SocketAddr, time::Duration};
 
+/// Parts that a random share of a time is counted in.
+const PARTS: u32 = 1024;
+
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -196,8 +199,7 @@
         if now >= self.next_rules {
             // Over the whole of twice the mean, so that processes that began
             // together do not read together.
-            let part = u32::try_from(random() % 1024).unwrap_or_default();
-            self.next_rules = now + self.read_pause(now) * 2 * part / 1024;
+            self.next_rules = now + self.read_pause(now) * 2 * part(random()) / PARTS;
             actions.push(Action::ReadRules);
         }
         if now >= self.next_instances {
@@ -286,6 +288,9 @@
         self.contact = now;
         self.merge(&update.members, now);
         self.heard |= update.generation > 0 && update.generation <= self.history.generation();
+        if update.generation <= self.history.generation() {
+            return None;
+        }
         let document = match &update.news {
             News::Nothing => return None,
             News::Steps(steps) => {
@@ -306,6 +311,7 @@
         &mut self,
         document: Document,
         news: News,
+        now: Duration,
         mut random: impl FnMut() -> u64,
     ) -> Vec<Action> {
         let from_peer = news != News::Nothing;
@@ -316,7 +322,11 @@
         let mut actions = Vec::new();
         // The sender of news has told its newest.
         self.heard |= from_peer;
+        let first = self.history.newest().is_none();
         if self.history.adopt(document, steps) {
+            if first {
+                self.next_rules = now + self.read_pause(now) * 2 * part(random()) / PARTS;
+            }
             self.hot = Self::HEAT;
             self.pick(Self::FANOUT, &mut random, &mut actions);
         }
@@ -437,6 +447,10 @@
 
 /// Returns a time between three quarters and five quarters of the mean.
 fn spread(mean: Duration, random: u64) -> Duration {
-    let part = u32::try_from(random % 1024).unwrap_or_default();
-    mean * 3 / 4 + mean / 2 * part / 1024
+    mean * 3 / 4 + mean / 2 * part(random) / PARTS
+}
+
+/// Returns a number below [`PARTS`].
+fn part(random: u64) -> u32 {
+    u32::try_from(random % u64::from(PARTS)).unwrap_or_default()
 }
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -106,6 +106,12 @@
         self.node().contact(self.parts.clock.now())
     }
 
+    /// Returns whether the process watches the platform.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        *self.watches.borrow()
+    }
+
     /// Tells peers that this process wants no new work.
     pub fn leave(&self) {
         let now = self.parts.clock.now();
@@ -173,9 +179,10 @@
         {
             return;
         }
+        let now = self.parts.clock.now();
         let generation = i64::try_from(self.parts.holder.generation()).unwrap_or(i64::MAX);
         self.parts.metrics.generation.set(generation);
-        let actions = self.node().adopt(document, news, rand::random);
+        let actions = self.node().adopt(document, news, now, rand::random);
         self.queue_up(actions);
     }
 
