--- a/crates/cicadacrank-core/src/accounting/bill.rs
+++ b/crates/cicadacrank-core/src/accounting/bill.rs
@@ -20,6 +20,9 @@
     pub owner: String,
     /// Team that used them.
     pub team: String,
+    /// Whether the team belongs to another owner or to none, so that the slots
+    /// were lent to it.
+    pub lent: bool,
     /// Slot time, in microseconds.
     pub slot_us: u64,
     /// Cost, in millionths of the currency unit.
@@ -75,7 +78,12 @@
             slot_us: account.idle_us,
             cost_micro: cost(account.idle_us, pool.idle_price_milli),
         });
+        let is_lent = |team: &str| {
+            let team = book.team(team).map(|key| &book[key]);
+            team.is_none_or(|team| team.owner != Some(endpoint.owner))
+        };
         let busy = account.busy.iter().map(|line| Busy {
+            lent: is_lent(&line.key.team),
             pipeline: line.key.pipeline.clone(),
             stage: line.key.stage.clone(),
             owner: owner.clone(),
--- a/crates/cicadacrank-core/tests/accounting.rs
+++ b/crates/cicadacrank-core/tests/accounting.rs
@@ -127,8 +127,8 @@
     let mut text = String::new();
     for row in &bill.busy {
         text += &format!(
-            "{} {} {} {}\n",
-            row.owner, row.team, row.slot_us, row.cost_micro
+            "{} {} {} {} {}\n",
+            row.owner, row.team, row.lent, row.slot_us, row.cost_micro
         );
     }
     for row in &bill.idle {
@@ -138,9 +138,9 @@
         );
     }
     expect![[r#"
-        tehus counter 3600000000 400000
-        torg council 7200000000 120000
-        torg counter 3600000000 60000
+        tehus counter false 3600000000 400000
+        torg council false 7200000000 120000
+        torg counter true 3600000000 60000
         booking-desk torg 10800000000 120000
         samovar-llm tehus 3600000000 250000
     "#]]
--- a/crates/cicadacrank/src/cmd/cost.rs
+++ b/crates/cicadacrank/src/cmd/cost.rs
@@ -65,13 +65,14 @@
 }
 
 fn text(bill: &Bill) -> String {
-    let mut busy = output::table(&["PIPELINE", "STAGE", "OWNER", "TEAM", "BUSY", "COST"]);
+    let mut busy = output::table(&["PIPELINE", "STAGE", "OWNER", "TEAM", "LENT", "BUSY", "COST"]);
     for row in &bill.busy {
         busy.add_row([
             row.pipeline.clone(),
             row.stage.clone(),
             row.owner.clone(),
             row.team.clone(),
+            if row.lent { "yes" } else { "no" }.to_owned(),
             seconds(row.slot_us),
             euros(row.cost_micro),
         ]);
--- a/crates/cicadacrank/tests/changes.rs
+++ b/crates/cicadacrank/tests/changes.rs
@@ -383,9 +383,9 @@
     let cost = desk.run("cost").await;
     assert_eq!((cost.code, cost.err.as_str()), (0, ""));
     expect![[r#"
-        PIPELINE   STAGE    OWNER  TEAM     BUSY        COST
-        book-room  booking  torg   council  3600.000 s  0.0600 eur
-        book-room  booking  torg   counter  7200.000 s  0.1200 eur
+        PIPELINE   STAGE    OWNER  TEAM     LENT  BUSY        COST
+        book-room  booking  torg   council  no    3600.000 s  0.0600 eur
+        book-room  booking  torg   counter  yes   7200.000 s  0.1200 eur
 
         POOL          OWNER  IDLE        COST
         booking-desk  torg   5400.000 s  0.0600 eur
