Route a shard of claims to one endpoint; keep half a stage's time for another

Table::home picks it by rendezvous hashing over the open endpoints of the pool; a full, tried, shunned or silent one is passed over for the usual choice. An attempt that heard nothing more marks its endpoint (Table::miss) until it is heard of again.

Red on the way: with a shard's home in the other data centre the fault matrix killed that sidecar, and a fresh request of the entry beside it was told 'deadline (partial)': the first stage has 800 ms and the bound on a silent link 1 s. The fault is older than this change. The bound is now at most half of the time left, so that a second endpoint gets the other half.

--- a/crates/cicadacrank-core/src/routing/row.rs
+++ b/crates/cicadacrank-core/src/routing/row.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of one endpoint.
 
+use super::Choice;
 use crate::admission::Tag;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -130,6 +131,25 @@
         work * 1000 / u64::from(self.report.slots.max(1))
     }
 
+    /// Notes that an attempt heard nothing more.
+    pub(super) fn miss(&mut self, now: Duration) {
+        self.unheard = self.unheard.max(1);
+        self.unheard_since = self.unheard_since.min(now.saturating_sub(QUIET));
+    }
+
+    /// Returns whether attempts have waited for a sign of life for [`QUIET`].
+    pub(super) fn is_quiet(&self, now: Duration) -> bool {
+        self.unheard > 0 && now.saturating_sub(self.unheard_since) >= QUIET
+    }
+
+    pub(super) fn choice(&self) -> Choice {
+        Choice {
+            endpoint: self.endpoint,
+            name: Arc::clone(&self.name),
+            address: self.address,
+        }
+    }
+
     fn is_silent(&self, now: Duration) -> bool {
         self.unheard >= UNHEARD && now.saturating_sub(self.unheard_since) >= QUIET
     }
--- a/crates/cicadacrank-core/src/routing/table.rs
+++ b/crates/cicadacrank-core/src/routing/table.rs
@@ -102,11 +102,23 @@
                 .flatten()
                 .min_by_key(|row| row.load(now))?,
         };
-        Some(Choice {
-            endpoint: best.endpoint,
-            name: Arc::clone(&best.name),
-            address: best.address,
-        })
+        Some(best.choice())
+    }
+
+    /// Chooses the endpoint that a shard of claims stays with while it is heard
+    /// of and has a slot free.
+    ///
+    /// Every entry chooses the same one (rendezvous hashing), so that one
+    /// sidecar writes the shard; two are safe but cost the platform more calls.
+    #[must_use]
+    pub fn home(&self, need: Need<'_>, shard: &str, now: Duration) -> Option<Choice> {
+        let rank = |row: &&Row| Tag::new(&format!("{shard} {}", row.name));
+        let open = self.rows.iter().filter(|row| {
+            row.pool == need.pool && row.is_open(now) && !need.tried.contains(&row.endpoint)
+        });
+        let home = open.max_by_key(rank)?;
+        let able = home.load(now) < SPILL && !home.is_quiet(now);
+        able.then(|| home.choice())
     }
 
     /// Notes that an attempt goes to the endpoint.
@@ -137,6 +149,14 @@
         }
     }
 
+    /// Notes that an attempt heard nothing more from the endpoint, so that it is
+    /// no home until it is heard of.
+    pub fn miss(&mut self, endpoint: Tag, now: Duration) {
+        if let Some(row) = self.row(endpoint) {
+            row.miss(now);
+        }
+    }
+
     fn row(&mut self, endpoint: Tag) -> Option<&mut Row> {
         let index = self.find(endpoint).ok()?;
         self.rows.get_mut(index)
--- a/crates/cicadacrank-core/tests/routing.rs
+++ b/crates/cicadacrank-core/tests/routing.rs
@@ -177,3 +177,66 @@
     table.adopt(4, &book);
     assert_eq!(table.choose(need, 0, START), None);
 }
+
+#[test]
+fn home_moves_only_the_shards_of_an_endpoint_that_cannot_take_them() {
+    type Change = fn(&mut Table);
+    let shards: Vec<String> = (0..64).map(|shard| format!("shard-{shard}")).collect();
+    let homes = |table: &Table, tried: &[Tag]| -> Vec<Option<Tag>> {
+        let need = Need {
+            pool: Tag::new("pool"),
+            data_centre: Tag::new("near"),
+            tried,
+        };
+        let home = |shard: &String| table.home(need, shard, START);
+        let homes = shards.iter().map(home);
+        homes.map(|home| home.map(|one| one.endpoint)).collect()
+    };
+    let lost = Tag::new("near-2");
+    let whole = homes(&table(), &[]);
+    let own = whole.iter().filter(|home| **home == Some(lost)).count();
+    assert!(
+        (10..34).contains(&own),
+        "{own} of 64 shards at one of three"
+    );
+    // What happens to near-2, and whether its shards have another home.
+    let cases: [(&str, Change, &[Tag], bool); 5] = [
+        (
+            "gone",
+            |table| table.retain(|name| name != "near-2"),
+            &[],
+            true,
+        ),
+        (
+            "shunned",
+            |table| table.shun(Tag::new("near-2"), START),
+            &[],
+            true,
+        ),
+        ("tried", |_| {}, &[lost], true),
+        (
+            "silent",
+            |table| table.miss(Tag::new("near-2"), START),
+            &[],
+            false,
+        ),
+        (
+            "full",
+            |table| table.report(Tag::new("near-2"), report(4, 0, 4), START),
+            &[],
+            false,
+        ),
+    ];
+    for (name, change, tried, moves) in cases {
+        let mut table = table();
+        change(&mut table);
+        for (before, after) in whole.iter().zip(homes(&table, tried)) {
+            if *before == Some(lost) {
+                assert_eq!(after.is_some(), moves, "{name}");
+                assert_ne!(after, Some(lost), "{name}");
+            } else {
+                assert_eq!(after, *before, "{name}");
+            }
+        }
+    }
+}
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -11,6 +11,7 @@
     error::{Effect, Failure, Kind},
     event::Event,
     id,
+    once::Name,
     quarantine::Standing,
     routing::{Need, Report},
     rules::Stage,
@@ -96,7 +97,8 @@
             if let Some(current) = current {
                 table.adopt(current.generation, &current.book);
             }
-            let choice = table.choose(need, rand::random(), now)?;
+            let home = shard_of(walk, stage).and_then(|shard| table.home(need, &shard, now));
+            let choice = home.or_else(|| table.choose(need, rand::random(), now))?;
             table.begin(choice.endpoint, now);
             choice
         };
@@ -135,6 +137,9 @@
         };
         let work = async {
             let bound = service.parts.settings.timeouts.connect() + SILENCE;
+            // Half of the time left is kept for an attempt elsewhere.
+            let left = self.until.saturating_duration_since(Instant::now());
+            let bound = bound.min(left / 2);
             let frames = time::timeout(bound, link.run(self.address, job))
                 .await
                 .map_err(|_| reader.silent())?
@@ -158,6 +163,9 @@
                 })
             }
             Err(_) => {
+                if reader.next == 0 {
+                    reader.miss();
+                }
                 let failure =
                     Failure::unknown(Kind::Deadline, format!("running stage {}", stage.name));
                 Err(Trouble {
@@ -223,6 +231,13 @@
     }
 }
 
+/// Returns the shard that claims the stage, if it may not be repeated.
+fn shard_of(walk: &Walk, stage: &Stage) -> Option<String> {
+    let request = &walk.request;
+    let name = Name::new(&request.team, &request.pipeline, &stage.name, &request.key);
+    (!stage.repeatable).then(|| name.object())
+}
+
 impl Reader<'_> {
     async fn read(&mut self, mut frames: link::Frames) -> Result<(), Trouble> {
         loop {
@@ -298,9 +313,15 @@
         // The connection may be at fault and not the sidecar: the table counts
         // what goes unanswered and leaves the sidecar out in time.
         let context = format!("no frame in {} ms", SILENCE.as_millis());
+        self.miss();
         self.cut(Kind::Silent, context)
     }
 
+    fn miss(&self) {
+        let now = self.service.parts.clock.now();
+        self.service.table().miss(self.attempt.endpoint, now);
+    }
+
     fn cut(&self, kind: Kind, context: String) -> Trouble {
         let attempt = self.attempt;
         Event::AttemptFailed.log(format_args!(
