Test the contracts of the platform's and the endpoints' clients

Tables over the stand-in (each fault, oversized object, lost answer with and without effect, dropped events) and over raw sockets (rubbish, truncated, silent, oversized, data after the end mark, 3xx to 5xx, refused connection).

--- /dev/null
+++ b/crates/cicadacrank-bench/tests/endpoint.rs
@@ -0,0 +1,244 @@
+//! Contract of the endpoints' client against raw sockets.
+
+use bytes::Bytes;
+use cicadacrank_core::rules::Service;
+use cicadacrank_node::endpoint::{Call, Fault, Port as _, http::Client};
+use futures_util::TryStreamExt as _;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    time,
+};
+
+/// Bound on a connection without progress.
+const PROGRESS: Duration = Duration::from_secs(1);
+
+/// Most bytes of output.
+const LIMIT: u64 = 16;
+
+/// What an endpoint does after its bytes.
+#[derive(Clone, Copy)]
+enum Then {
+    Close,
+    Stay,
+}
+
+use Then::{Close, Stay};
+
+/// Takes one connection, reads its request and answers with raw bytes.
+async fn raw(answer: &'static str, then: Then) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+        if matches!(then, Stay) {
+            // Ends when the client gives up.
+            let _ = stream.read(&mut request).await;
+        }
+    });
+    address
+}
+
+async fn call(address: SocketAddr, service: Service) -> Result<Vec<Bytes>, Fault> {
+    let client = Client::new(PROGRESS).expect("a client");
+    let call = Call {
+        address,
+        service,
+        path: "/bookings".to_owned(),
+        attempt: "1".to_owned(),
+        key: "key".to_owned(),
+        input: Bytes::from_static(b"{}"),
+        output_limit: LIMIT,
+        reuse: false,
+        progress: PROGRESS,
+    };
+    client.call(call).await?.try_collect().await
+}
+
+/// Describes a result as kind, whether bytes may have gone, and whether the
+/// endpoint refused the work.
+fn label(result: Result<Vec<Bytes>, Fault>) -> String {
+    match result {
+        Ok(parts) => format!("{parts:?}"),
+        Err(fault) => format!(
+            "{} connected={} refused={}",
+            fault.kind, fault.connected, fault.refused
+        ),
+    }
+}
+
+const PLAIN: &[(&str, &str, Then, &str)] = &[
+    (
+        "whole",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+        Stay,
+        "[b\"{}\"]",
+    ),
+    (
+        "rubbish",
+        "rubbish\r\n\r\n",
+        Close,
+        "endpoint-failed connected=true refused=false",
+    ),
+    (
+        "closed at once",
+        "",
+        Close,
+        "endpoint-failed connected=true refused=false",
+    ),
+    ("silent", "", Stay, "silent connected=true refused=false"),
+    (
+        "silent in the body",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{",
+        Stay,
+        "silent connected=true refused=false",
+    ),
+    (
+        "truncated",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}",
+        Close,
+        "truncated connected=true refused=false",
+    ),
+    (
+        "truncated chunks",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n",
+        Close,
+        "truncated connected=true refused=false",
+    ),
+    (
+        "oversized",
+        "HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\n12345678901234567",
+        Stay,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "redirected",
+        "HTTP/1.1 302 Found\r\nlocation: /x\r\ncontent-length: 0\r\n\r\n",
+        Stay,
+        "endpoint-failed connected=true refused=false",
+    ),
+    (
+        "refused",
+        "HTTP/1.1 422 No\r\ncontent-length: 2\r\n\r\nno",
+        Stay,
+        "endpoint-refused connected=true refused=true",
+    ),
+    (
+        "refused, cut short",
+        "HTTP/1.1 422 No\r\ncontent-length: 9\r\n\r\nno",
+        Close,
+        "endpoint-refused connected=true refused=false",
+    ),
+    (
+        "failed",
+        "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+        Stay,
+        "endpoint-failed connected=true refused=false",
+    ),
+    (
+        "busy",
+        "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n",
+        Stay,
+        "endpoint-failed connected=true refused=false",
+    ),
+];
+
+const HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+
+const STREAMS: &[(&str, &str, Then, &str)] = &[
+    (
+        "whole",
+        "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\ndata: [DONE]\n\n",
+        Close,
+        "[b\"a\", b\"b\"]",
+    ),
+    (
+        "no end mark",
+        "data: {\"choices\":[{\"text\":\"a\"}]}\n\n",
+        Close,
+        "truncated connected=true refused=false",
+    ),
+    (
+        "cut in an event",
+        "data: {\"choices\":[{\"te",
+        Close,
+        "truncated connected=true refused=false",
+    ),
+    (
+        "rubbish",
+        "data: rubbish\n\n",
+        Close,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "other JSON",
+        "data: {}\n\n",
+        Close,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "data after the end mark",
+        "data: [DONE]\n\ndata: {\"choices\":[]}\n\n",
+        Close,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "two end marks",
+        "data: [DONE]\n\ndata: [DONE]\n\n",
+        Close,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "oversized",
+        "data: {\"choices\":[{\"text\":\"12345678901234567\"}]}\n\n",
+        Stay,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "silent",
+        "data: {\"choices\":[{\"text\":\"a\"}]}\n\n",
+        Stay,
+        "silent connected=true refused=false",
+    ),
+    ("empty", "", Close, "truncated connected=true refused=false"),
+];
+
+#[tokio::test]
+async fn call_has_one_result_for_each_plain_answer() {
+    for (name, answer, then, expected) in PLAIN {
+        let address = raw(answer, *then).await;
+        assert_eq!(
+            label(call(address, Service::Plain).await),
+            *expected,
+            "{name}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn call_has_one_result_for_each_stream() {
+    for (name, events, then, expected) in STREAMS {
+        let answer = format!("{HEAD}{events}").leak();
+        let address = raw(answer, *then).await;
+        assert_eq!(
+            label(call(address, Service::Generate).await),
+            *expected,
+            "{name}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn call_knows_that_a_refused_connection_carried_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let found = time::timeout(PROGRESS * 20, call(address, Service::Plain)).await;
+    let found = label(found.expect("in time"));
+    assert_eq!(found, "unreachable connected=false refused=false");
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/tests/platform.rs
@@ -0,0 +1,273 @@
+//! Contract of the platform's client against the stand-in over HTTP.
+
+use cicadacrank_bench::{
+    memory::Store,
+    platform::{Faults, Server},
+};
+use cicadacrank_node::platform::{
+    Change, Collection, Fault, Store as _, Version,
+    http::{Client, OBJECT_BYTES},
+};
+use futures_util::StreamExt as _;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    time,
+};
+
+/// Bound of one call; a lost answer takes as long.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bound of one call to a platform that is slower than any bound.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Bound on waits for a condition.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn client(address: SocketAddr) -> Client {
+    Client::new(address, TIMEOUT).expect("a client")
+}
+
+fn impatient(address: SocketAddr) -> Client {
+    Client::new(address, SHORT_TIMEOUT).expect("a client")
+}
+
+/// Names a fault without its text.
+fn label<T>(result: &Result<T, Fault>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(Fault::Exists) => "exists",
+        Err(Fault::Conflict) => "conflict",
+        Err(Fault::Missing) => "missing",
+        Err(Fault::Throttled) => "throttled",
+        Err(Fault::Unreachable(_)) => "unreachable",
+        Err(Fault::Lost(_)) => "lost",
+        Err(Fault::Expired) => "expired",
+        Err(Fault::Invalid(_)) => "invalid",
+    }
+}
+
+/// Makes every call once: an object `old` is there, `none` is not.
+async fn calls(client: &Client, old: &Version) -> Vec<&'static str> {
+    let stale = Version("1000000".to_owned());
+    let claims = Collection::Claims;
+    vec![
+        label(&client.get(claims, "old").await),
+        label(&client.get(claims, "none").await),
+        label(&client.list(claims).await),
+        label(&client.create(claims, "old", json!(1)).await),
+        label(&client.update(claims, "none", &stale, json!(1)).await),
+        label(&client.update(claims, "old", &stale, json!(1)).await),
+        label(&client.delete(claims, "old", &stale).await),
+        label(&client.update(claims, "old", old, json!(2)).await),
+        label(&client.create(claims, "new", json!(1)).await),
+    ]
+}
+
+#[tokio::test]
+async fn call_has_one_result_for_each_fault() {
+    let cases = [
+        (
+            "well",
+            Faults::default(),
+            "ok missing ok exists missing conflict conflict ok ok",
+        ),
+        (
+            "down",
+            Faults {
+                down: true,
+                ..Faults::default()
+            },
+            "lost lost lost lost lost lost lost lost lost",
+        ),
+        (
+            "throttled",
+            Faults {
+                throttled: true,
+                ..Faults::default()
+            },
+            "throttled throttled throttled throttled throttled throttled throttled throttled throttled",
+        ),
+        (
+            "too slow",
+            Faults {
+                delay_ms: 60_000,
+                ..Faults::default()
+            },
+            "lost lost lost lost lost lost lost lost lost",
+        ),
+        (
+            "two answers lost",
+            Faults {
+                lose_answers: 2,
+                ..Faults::default()
+            },
+            "ok missing ok lost lost conflict conflict ok ok",
+        ),
+        (
+            "two calls lost",
+            Faults {
+                lose_calls: 2,
+                ..Faults::default()
+            },
+            "ok missing ok lost lost conflict conflict ok ok",
+        ),
+    ];
+    for (name, faults, expected) in cases {
+        let server = Server::start().await.expect("a stand-in");
+        let client = client(server.address);
+        let old = client.create(Collection::Claims, "old", json!(0)).await;
+        let slow = faults.delay_ms > 0;
+        server.set_faults(faults);
+        let client = if slow {
+            impatient(server.address)
+        } else {
+            client
+        };
+        let found = calls(&client, &old.expect("a version")).await;
+        assert_eq!(found.join(" "), expected, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn write_takes_effect_only_if_its_answer_was_lost() {
+    for (lose_answers, lose_calls, expected) in [(1, 0, json!("new")), (0, 1, json!("old"))] {
+        let server = Server::start().await.expect("a stand-in");
+        let client = client(server.address);
+        let claims = Collection::Claims;
+        let version = client.create(claims, "one", json!("old")).await;
+        server.set_faults(Faults {
+            lose_answers,
+            lose_calls,
+            ..Faults::default()
+        });
+        let version = version.expect("a version");
+        let lost = client.update(claims, "one", &version, json!("new")).await;
+        assert!(lost.expect_err("no answer").may_have_effect());
+        let object = client.get(claims, "one").await.expect("an object");
+        assert_eq!(object.spec, expected);
+        let again = client.update(claims, "one", &version, json!("new")).await;
+        assert_eq!(again.is_ok(), lose_calls == 1);
+    }
+}
+
+#[tokio::test]
+async fn create_refuses_an_oversized_object() {
+    let server = Server::start().await.expect("a stand-in");
+    let client = client(server.address);
+    let claims = Collection::Claims;
+    for (name, size, expected) in [
+        ("fits", OBJECT_BYTES - 2, "ok"),
+        ("over", OBJECT_BYTES, "invalid"),
+    ] {
+        let spec = Value::String("x".repeat(size));
+        let made = time::timeout(PATIENCE, client.create(claims, name, spec)).await;
+        assert_eq!(label(&made.expect("a result")), expected, "{name}");
+    }
+    assert_eq!(label(&client.get(claims, "over").await), "missing");
+}
+
+#[tokio::test]
+async fn watch_delivers_in_order_what_is_not_dropped() {
+    let cases = [
+        (Faults::default(), vec!["a", "b", "c"]),
+        (
+            Faults {
+                drop_events: 2,
+                ..Faults::default()
+            },
+            vec!["c"],
+        ),
+    ];
+    for (faults, expected) in cases {
+        let server = Server::start().await.expect("a stand-in");
+        let client = client(server.address);
+        let claims = Collection::Claims;
+        let start = Version("0".to_owned());
+        let mut watch = client.watch(claims, &start).await.expect("a watch");
+        server.set_faults(faults);
+        for name in ["a", "b", "c"] {
+            client.create(claims, name, json!(0)).await.expect("made");
+        }
+        let mut names = Vec::new();
+        while names.last().map(String::as_str) != Some("c") {
+            let change = time::timeout(PATIENCE, watch.next())
+                .await
+                .expect("in time");
+            let Some(Ok(Change::Put(object))) = change else {
+                panic!("{change:?}");
+            };
+            names.push(object.name);
+        }
+        assert_eq!(names, expected);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn write_is_turned_away_over_the_rate() {
+    let store = Store::new();
+    store.state().faults.writes_per_second = 2;
+    let mut found = Vec::new();
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        found.push(label(
+            &store.create(Collection::Claims, name, json!(0)).await,
+        ));
+        time::sleep(Duration::from_millis(250)).await;
+    }
+    assert_eq!(
+        found.join(" "),
+        "ok ok throttled throttled ok ok throttled throttled"
+    );
+}
+
+/// Answers one connection with raw bytes and closes it.
+async fn raw(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+    });
+    address
+}
+
+#[tokio::test]
+async fn get_survives_broken_answers() {
+    let cases = [
+        ("", "lost"),
+        ("rubbish\r\n\r\n", "lost"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello", "lost"),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{\"metadata\":",
+            "lost",
+        ),
+        (
+            "HTTP/1.1 409 Conflict\r\ncontent-length: 2\r\n\r\n{}",
+            "conflict",
+        ),
+        ("HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n", "expired"),
+        (
+            "HTTP/1.1 403 Forbidden\r\ncontent-length: 0\r\n\r\n",
+            "invalid",
+        ),
+        (
+            "HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 0\r\n\r\n",
+            "lost",
+        ),
+        ("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "lost"),
+    ];
+    for (answer, expected) in cases {
+        let client = client(raw(answer).await);
+        let found = client.get(Collection::Claims, "one").await;
+        assert_eq!(label(&found), expected, "{answer:?}");
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let found = client(address).get(Collection::Claims, "one").await;
+    assert_eq!(label(&found), "unreachable");
+}
