--- a/crates/cicadacrank-bench/examples/claims.rs
+++ b/crates/cicadacrank-bench/examples/claims.rs
@@ -38,6 +38,9 @@
 /// Life of a claim.
 const LIFE: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Rate above which claims are not spread: every commit would conflict.
+const LARGEST_SPREAD: u64 = 1_000;
+
 /// Which sidecar a request goes to.
 #[derive(Clone, Copy, Debug)]
 enum Routing {
@@ -152,8 +155,13 @@
             (100, 400),
             (400, 400),
             (1_000, 400),
+            (7_700, 0),
+            (7_700, 400),
         ] {
             for routing in [Routing::Spread, Routing::Sticky] {
+                if rate > LARGEST_SPREAD && matches!(routing, Routing::Spread) {
+                    continue;
+                }
                 let setting = Setting {
                     sidecars,
                     rate,
