--- a/crates/cicadacrank-bench/tests/interleaving.rs
+++ b/crates/cicadacrank-bench/tests/interleaving.rs
@@ -60,6 +60,11 @@
     answer: Option<Answer>,
 }
 
+/// Time before an action, in milliseconds; often none.
+fn pause() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), 0..50u64, 0..PAUSE_MS]
+}
+
 fn action() -> impl Strategy<Value = Action> {
     let sidecar = 0..ENDPOINTS.len();
     prop_oneof![
@@ -254,7 +259,7 @@
 
 #[test]
 fn run_keeps_the_promise_in_any_order() {
-    let actions = collection::vec((0..PAUSE_MS, action()), 4..40);
+    let actions = collection::vec((pause(), action()), 4..40);
     let whole = Cell::new(0);
     let result = TestRunner::new(config()).run(&actions, |actions| {
         let runtime = runtime::Builder::new_current_thread()
--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -2,6 +2,7 @@
 
 use crate::{clock::Clock, settings::Endpoint};
 use cicadacrank_core::{
+    accounting::{Account, Key, Ledger},
     admission::{Ask, Demand, Ended, Gate, Health, Sign, Terms, Ticket, Turn},
     error::Kind,
     id,
@@ -33,6 +34,7 @@
     taken_out: bool,
     waiting: Vec<Waiting>,
     cuts: Vec<Cut>,
+    ledger: Ledger,
 }
 
 /// A job whose connection to the endpoint was cut.
@@ -59,6 +61,7 @@
     door: Arc<Door>,
     ticket: Ticket,
     ended: Ended,
+    key: Option<Key>,
 }
 
 /// Takes a job that no longer waits out of the queue.
@@ -68,6 +71,13 @@
 }
 
 impl Slot {
+    /// Charges the time until the slot is freed.
+    pub(super) fn charge(&mut self, key: Key) {
+        self.door
+            .count(|ledger, slots, now| ledger.begin(&key, slots, now));
+        self.key = Some(key);
+    }
+
     /// Frees the slot and tells the gate how the work ended.
     pub(super) fn end(mut self, ended: Ended) {
         self.ended = ended;
@@ -84,6 +94,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(key) = &self.key {
+            self.door
+                .count(|ledger, slots, now| ledger.end(key, slots, now));
+        }
         let now = self.door.clock.now();
         self.door
             .turn(|gate| gate.release(self.ticket, self.ended, now));
@@ -224,6 +238,25 @@
         })
     }
 
+    /// Counts the time up to now at the number of slots so far.
+    pub(super) fn count_slots(&self) {
+        self.count(Ledger::tick);
+    }
+
+    /// Returns the account of this incarnation up to now.
+    pub(super) fn account(&self, since_ms: u64) -> Account {
+        self.count_slots();
+        let now = self.clock.now();
+        self.lock().ledger.account(&self.name, since_ms, now)
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Ledger, u32, Duration)) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let slots = state.gate.as_ref().map_or(0, Gate::slots);
+        count(&mut state.ledger, slots, now);
+    }
+
     /// Lets the gate decide and delivers what it decided, after the lock is
     /// free: an answer that nobody takes comes back here as a freed slot.
     fn turn(self: &Arc<Self>, decide: impl FnOnce(&mut Gate) -> Vec<Turn>) {
@@ -256,6 +289,7 @@
             door: Arc::clone(self),
             ticket,
             ended: Ended::Neutral,
+            key: None,
         }
     }
 
