--- a/crates/cicadacrank-bench/src/engine/model.rs
+++ b/crates/cicadacrank-bench/src/engine/model.rs
@@ -136,6 +136,11 @@
         self.chill(now);
     }
 
+    /// Returns how long it is still down.
+    pub(super) const fn down(&self, now: Duration) -> Duration {
+        self.down_until.saturating_sub(now)
+    }
+
     /// Returns the start that runs now.
     pub(super) const fn incarnation(&self) -> u64 {
         self.incarnation
--- a/crates/cicadacrank-bench/tests/engine.rs
+++ b/crates/cicadacrank-bench/tests/engine.rs
@@ -4,6 +4,7 @@
     engine::{Capacity, Fault, Load, Profile, Server, mark_of},
     fleet::{self, wait_for},
 };
+use tokio::net::TcpStream;
 
 async fn server(capacity: Capacity) -> Server {
     let profile = Profile {
@@ -16,6 +17,12 @@
     server
 }
 
+async fn restarted(server: &Server) {
+    wait_for("restart", async || server.is_up())
+        .await
+        .expect("the stand-in is back");
+}
+
 /// Returns the status and the body, or `None` if the connection was cut.
 async fn post(server: &Server, path: &str, body: &str) -> Option<(u16, String)> {
     let answer = fleet::client()
@@ -56,6 +63,7 @@
         let text = answer.map_or_else(String::new, |(_, text)| text);
         assert!(text.contains(part), "{fault:?} {path}: {text}");
         server.set_faults(Vec::new());
+        restarted(&server).await;
         let whole = post(&server, path, body).await.expect("an answer");
         assert_eq!(whole.0, 200, "{fault:?} {path}: the fault is gone");
     }
@@ -80,11 +88,30 @@
     assert_eq!(first, None, "what was in flight is cut");
     assert_eq!(server.incarnation(), 2);
     server.set_faults(Vec::new());
+    restarted(&server).await;
     server.turn_warm();
     let (one, two) = tokio::join!(post(&server, "/stock", "{}"), post(&server, "/stock", "{}"));
     assert!(one.is_some() && two.is_some(), "a warm one bears two");
 }
 
+#[tokio::test]
+async fn crash_refuses_connections_until_the_restart() {
+    let server = server(Capacity {
+        restart_ms: 50,
+        ..Capacity::default()
+    })
+    .await;
+    let connects = async || TcpStream::connect(server.address).await.is_ok();
+    assert!(connects().await);
+    server.crash();
+    wait_for("refusal", async || !connects().await)
+        .await
+        .expect("connections are refused");
+    restarted(&server).await;
+    assert!(connects().await);
+    assert!(post(&server, "/stock", "{}").await.is_some());
+}
+
 #[tokio::test]
 async fn load_lags() {
     let server = server(Capacity {
@@ -93,6 +120,7 @@
     })
     .await;
     server.crash();
+    restarted(&server).await;
     let url = format!("http://{}/load", server.address);
     let client = fleet::client().expect("a client");
     let load = async || -> Load {
