--- a/crates/cicadacrank-node/src/entry/service.rs
+++ b/crates/cicadacrank-node/src/entry/service.rs
@@ -74,7 +74,7 @@
     table: Mutex<Table>,
     data_centre: Tag,
     budgets: Mutex<Budgets>,
-    suspects: Suspects,
+    suspects: Arc<Suspects>,
     draining: AtomicBool,
     listed: AtomicBool,
     tracker: TaskTracker,
@@ -87,7 +87,7 @@
         Self {
             data_centre: Tag::new(&parts.settings.data_centre),
             budgets: Mutex::default(),
-            suspects: Suspects::new(parts.clock),
+            suspects: Arc::new(Suspects::new(parts.clock)),
             parts,
             table: Mutex::new(Table::default()),
             draining: AtomicBool::new(false),
@@ -117,7 +117,7 @@
 
     /// Returns the requests that are suspected of crashing endpoints.
     #[must_use]
-    pub const fn suspects(&self) -> &Suspects {
+    pub const fn suspects(&self) -> &Arc<Suspects> {
         &self.suspects
     }
 
