--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -33,8 +33,8 @@
     generation: u64,
     taken_out: bool,
     waiting: Vec<Waiting>,
-    ledger: Ledger,
     cuts: Vec<Cut>,
+    ledger: Ledger,
 }
 
 /// A job whose connection to the endpoint was cut.
