--- a/crates/cicadacrank-bench/examples/spread.rs
+++ b/crates/cicadacrank-bench/examples/spread.rs
@@ -2,9 +2,9 @@
 //!
 //! The peer slices of many processes run in this one, over loopback, against a
 //! stand-in of the platform: `cargo run --release -p cicadacrank-bench
-//! --example spread`. With `--slopes` it measures other costs that grow with
-//! the size of a fleet. Results go to the standard output as a table, and to
-//! the file named by `--json` as JSON.
+//! --example spread`. `--steady N` measures N processes while nothing changes,
+//! `--slopes` other costs that grow with the size of a fleet. Results go to the
+//! standard output, and as JSON to the file named by `--json`.
 
 #[path = "spread/cost.rs"]
 mod cost;
@@ -35,6 +35,9 @@
 /// Longest wait for a change to reach all.
 const LONGEST: Duration = Duration::from_secs(60);
 
+/// Time over which the cost of a steady fleet is measured.
+const STEADY: Duration = Duration::from_secs(30);
+
 /// Time over which idle cost is measured.
 const IDLE: Duration = Duration::from_secs(8);
 
@@ -67,6 +70,11 @@
         slopes::print(&slopes);
         return save(json, &slopes);
     }
+    if let Some(index) = arguments.iter().position(|one| one == "--steady") {
+        let nodes = arguments.get(index + 1).ok_or("name the number")?.parse()?;
+        let row = steady(nodes).await?;
+        return save(json, &row);
+    }
     let quick = arguments.iter().any(|one| one == "--quick");
     let mut rows = Vec::new();
     print_head();
@@ -89,6 +97,40 @@
     Ok(())
 }
 
+#[derive(Debug, Serialize)]
+struct Steady {
+    nodes: usize,
+    quiet_s: f64,
+    bytes_s: f64,
+    syncs_s: f64,
+    cpu_percent: f64,
+    platform_calls_s: f64,
+    resident_mib: f64,
+}
+
+/// Measures a fleet in which nothing changes, once all news has been spread.
+async fn steady(nodes: usize) -> Result<Steady, Box<dyn Error>> {
+    let fleet = Fleet::start(nodes, false, false).await?;
+    fleet.settle(LONGEST).await?;
+    let began = Instant::now();
+    while !fleet.is_quiet() {
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    let quiet = began.elapsed();
+    let idle = span(&fleet, STEADY).await;
+    let row = Steady {
+        nodes,
+        quiet_s: quiet.as_secs_f64(),
+        bytes_s: idle.bytes / count(nodes),
+        syncs_s: idle.syncs / count(nodes),
+        cpu_percent: idle.cpu * 100.0 / count(nodes),
+        platform_calls_s: idle.calls,
+        resident_mib: cost::resident_kib() / 1024.0,
+    };
+    println!("{row:?}");
+    Ok(row)
+}
+
 fn print_head() {
     println!(
         "| nodes | watching | fault | changes | to all p50 ms | p99 ms | max ms | idle B/s | B a change | syncs/s | idle CPU % | CPU ms a change | platform calls/s | watches | all MiB |"
--- a/crates/cicadacrank-bench/examples/spread/fleet.rs
+++ b/crates/cicadacrank-bench/examples/spread/fleet.rs
@@ -363,6 +363,11 @@
             .collect()
     }
 
+    /// Returns whether all news of members has been spread.
+    pub fn is_quiet(&self) -> bool {
+        self.slices.iter().all(|slice| slice.service.is_quiet())
+    }
+
     /// Returns the number of processes that watch the platform.
     pub fn watches(&self) -> usize {
         let watching = |slice: &&Slice| slice.service.is_watching();
--- a/crates/cicadacrank-bench/examples/spread/slopes.rs
+++ b/crates/cicadacrank-bench/examples/spread/slopes.rs
@@ -60,6 +60,25 @@
 /// Measures all slopes.
 pub fn measure() -> Vec<Slope> {
     vec![
+        // Memory first: later, values would take the place of earlier ones.
+        Slope::new(
+            "rules in memory",
+            "endpoints",
+            "KiB",
+            over(ENDPOINTS, |size| memory(size, PIPELINES)),
+        ),
+        Slope::new(
+            "rules in memory",
+            "teams",
+            "KiB",
+            over(TEAMS, |size| memory(27, size)),
+        ),
+        Slope::new(
+            "member table in memory",
+            "members",
+            "KiB",
+            over(MEMBERS, tables),
+        ),
         Slope::new(
             "rule file",
             "endpoints",
@@ -84,18 +103,6 @@
             "us",
             over(TEAMS, |size| parsing(27, size)),
         ),
-        Slope::new(
-            "rules in memory",
-            "endpoints",
-            "KiB",
-            over(ENDPOINTS, |size| memory(size, PIPELINES)),
-        ),
-        Slope::new(
-            "rules in memory",
-            "teams",
-            "KiB",
-            over(TEAMS, |size| memory(27, size)),
-        ),
         Slope::new(
             "difference of a line",
             "teams",
@@ -114,12 +121,6 @@
             "us",
             over(MEMBERS, hashing),
         ),
-        Slope::new(
-            "member table in memory",
-            "members",
-            "KiB",
-            over(MEMBERS, tables),
-        ),
     ]
 }
 
@@ -171,7 +172,7 @@
 
 /// Memory of a resolved rule file, as the mean of many kept at once.
 fn memory(endpoints: usize, teams: usize) -> f64 {
-    const KEPT: usize = 40;
+    const KEPT: usize = 300;
     let text = rules::text(endpoints, teams, 0);
     kept(KEPT, || parse(&text).expect("the rules are valid"))
 }
@@ -227,7 +228,7 @@
 }
 
 fn tables(members: usize) -> f64 {
-    const KEPT: usize = 100;
+    const KEPT: usize = 1000;
     kept(KEPT, || table(members))
 }
 
--- a/crates/cicadacrank-core/src/membership/table.rs
+++ b/crates/cicadacrank-core/src/membership/table.rs
@@ -192,7 +192,7 @@
     /// Takes members that changed lately, for the next message; each is sent a
     /// number of times that rises with the logarithm of the table.
     pub fn take_hot(&mut self) -> Vec<Member> {
-        let limit = 2 + (self.rows.len() + 1).ilog2();
+        let limit = self.limit();
         let mut hot: Vec<usize> = (0..self.rows.len())
             .filter(|index| self.rows[*index].sends < limit)
             .collect();
@@ -207,6 +207,16 @@
         members
     }
 
+    /// Returns whether no change is left to be sent.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.rows.iter().all(|row| row.sends >= self.limit())
+    }
+
+    fn limit(&self) -> u32 {
+        2 + (self.rows.len() + 1).ilog2()
+    }
+
     /// Returns the hash of the live members in each bucket.
     #[must_use]
     pub fn buckets(&self) -> Buckets {
--- a/crates/cicadacrank-core/src/spread/node.rs
+++ b/crates/cicadacrank-core/src/spread/node.rs
@@ -79,7 +79,8 @@
     history: History,
     hot: u32,
     next_sync: Duration,
-    next_rules: Duration,
+    rules_read: Duration,
+    rules_part: u32,
     next_instances: Duration,
     contact: Duration,
     had_peers: bool,
@@ -137,7 +138,8 @@
             history: History::default(),
             hot: 0,
             next_sync: now,
-            next_rules: now,
+            rules_read: now,
+            rules_part: 0,
             next_instances: now,
             contact: now,
             had_peers: false,
@@ -196,10 +198,13 @@
             }
             self.pick(count, &mut random, &mut actions);
         }
-        if now >= self.next_rules {
+        // The pause is worked out anew each time, as a process that has just
+        // begun knows few of the others that share the reads.
+        if now >= self.rules_read + self.read_pause(now) * 2 * self.rules_part / PARTS {
             // Over the whole of twice the mean, so that processes that began
             // together do not read together.
-            self.next_rules = now + self.read_pause(now) * 2 * part(random()) / PARTS;
+            self.rules_read = now;
+            self.rules_part = part(random());
             actions.push(Action::ReadRules);
         }
         if now >= self.next_instances {
@@ -311,7 +316,6 @@
         &mut self,
         document: Document,
         news: News,
-        now: Duration,
         mut random: impl FnMut() -> u64,
     ) -> Vec<Action> {
         let from_peer = news != News::Nothing;
@@ -322,11 +326,7 @@
         let mut actions = Vec::new();
         // The sender of news has told its newest.
         self.heard |= from_peer;
-        let first = self.history.newest().is_none();
         if self.history.adopt(document, steps) {
-            if first {
-                self.next_rules = now + self.read_pause(now) * 2 * part(random()) / PARTS;
-            }
             self.hot = Self::HEAT;
             self.pick(Self::FANOUT, &mut random, &mut actions);
         }
--- a/crates/cicadacrank-core/tests/spread.rs
+++ b/crates/cicadacrank-core/tests/spread.rs
@@ -139,13 +139,13 @@
     let seconds = Duration::from_secs;
     let mut node = Node::new(member(0, 1), Duration::ZERO);
     node.list(&[member(1, 0)], seconds(0));
-    node.adopt(document(3), News::Nothing, Duration::ZERO, || 0);
+    node.adopt(document(3), News::Nothing, || 0);
     assert!(!node.is_settled(seconds(1)), "the read may be stale");
     let mut peer = Node::new(member(1, 1), Duration::ZERO);
-    peer.adopt(document(5), News::Nothing, Duration::ZERO, || 0);
+    peer.adopt(document(5), News::Nothing, || 0);
     let update = peer.answer(&node.digest(), 0, seconds(1));
     let newest = node.absorb(&update, seconds(1)).expect("the peer is ahead");
-    node.adopt(newest, update.news, Duration::ZERO, || 0);
+    node.adopt(newest, update.news, || 0);
     assert!(node.is_settled(seconds(1)));
     assert_eq!(node.history().generation(), 5);
 }
@@ -154,16 +154,16 @@
 fn absorb_takes_an_answer_that_was_overtaken_for_old() {
     let mut ahead = Node::new(member(1, 1), Duration::ZERO);
     let mut node = Node::new(member(0, 1), Duration::ZERO);
-    node.adopt(document(1), News::Nothing, Duration::ZERO, || 0);
+    node.adopt(document(1), News::Nothing, || 0);
     for generation in 1..=3 {
-        ahead.adopt(document(generation), News::Nothing, Duration::ZERO, || 0);
+        ahead.adopt(document(generation), News::Nothing, || 0);
     }
     let update = ahead.answer(&node.digest(), 0, Duration::ZERO);
-    node.adopt(document(2), News::Nothing, Duration::ZERO, || 0);
+    node.adopt(document(2), News::Nothing, || 0);
     let newest = node
         .absorb(&update, Duration::ZERO)
         .expect("the last step fits");
-    node.adopt(newest, update.news.clone(), Duration::ZERO, || 0);
+    node.adopt(newest, update.news.clone(), || 0);
     assert_eq!(node.absorb(&update, Duration::ZERO), None);
     assert_eq!(node.digest().generation, 3, "the whole is not asked for");
 }
@@ -312,11 +312,10 @@
     }
 
     fn adopt(&mut self, at: usize, document: Document, news: News) {
-        let now = self.now;
         let random = &mut self.random;
         let actions = self.places[at]
             .node
-            .adopt(document, news, now, || random.random());
+            .adopt(document, news, || random.random());
         self.act(at, actions);
     }
 
@@ -467,6 +466,14 @@
     for count in [8, 32, 64] {
         let mut world = World::new(count, 1);
         world.faults = false;
+        for _ in 0..400 {
+            world.step();
+        }
+        let first = world.reads - u64::try_from(count).expect("few");
+        assert!(
+            first <= 45,
+            "{count}: {first} reads in 20 s beside one each"
+        );
         for _ in 0..600 {
             world.step();
         }
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -112,6 +112,12 @@
         *self.watches.borrow()
     }
 
+    /// Returns whether every change of members has been sent on often enough.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.node().table().is_quiet()
+    }
+
     /// Tells peers that this process wants no new work.
     pub fn leave(&self) {
         let now = self.parts.clock.now();
@@ -179,10 +185,9 @@
         {
             return;
         }
-        let now = self.parts.clock.now();
         let generation = i64::try_from(self.parts.holder.generation()).unwrap_or(i64::MAX);
         self.parts.metrics.generation.set(generation);
-        let actions = self.node().adopt(document, news, now, rand::random);
+        let actions = self.node().adopt(document, news, rand::random);
         self.queue_up(actions);
     }
 
