--- a/crates/cicadacrank-bench/examples/spread/fleet.rs
+++ b/crates/cicadacrank-bench/examples/spread/fleet.rs
@@ -13,6 +13,7 @@
     metrics::Metrics,
     peer::{self, Fault, Link},
     platform::{Collection, http},
+    quarantine::Suspects,
     settings,
 };
 use cicadacrank_wire::wire;
@@ -225,6 +226,7 @@
                 inner: peer::grpc::Client::new(TIMEOUT, metrics.peer_bytes.clone()),
                 way: Arc::clone(&self.way),
             }),
+            suspects: Arc::new(Suspects::new(Clock::new())),
             metrics: Arc::clone(&metrics),
         }));
         let mut tasks = JoinSet::new();
--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -1,28 +1,48 @@
 //! Serves a stand-in endpoint over HTTP.
 
-use super::profile::Profile;
+use super::{
+    answer,
+    capacity::{Capacity, Fault},
+    model::{Arrival, Begun, Load, Model},
+    profile::Profile,
+};
 use bytes::Bytes;
+use cicadacrank_node::clock::unix_ms;
 use futures_util::stream;
 use salvo::{
     Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::TcpListener, http::StatusCode, writing::Json,
+    conn::{TcpListener, tcp::TcpAcceptor},
+    http::{Method, StatusCode},
+    writing::Json,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{
-    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    task::JoinHandle,
+    time::{self, Instant},
 };
-use tokio::{task::JoinHandle, time};
 
 /// Largest body, in bytes.
 const BODY_BYTES: usize = 8 << 20;
 
+/// Pause between two looks of a silent stand-in.
+const SILENT_LOOK: Duration = Duration::from_millis(5);
+
+/// Pause before the port of a stand-in that fell over is bound again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// One piece of work that reached the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
+    /// When it arrived, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
     /// Path of the call.
     pub path: String,
     /// Attempt that the call names.
@@ -33,12 +53,17 @@
     pub body: String,
     /// Whether the answer was made in full.
     pub finished: bool,
+    /// Time it took a slot, in microseconds; zero while it runs.
+    pub busy_us: u64,
 }
 
 #[derive(Debug)]
 struct State {
     name: String,
-    profile: Profile,
+    origin: Instant,
+    model: Model,
+    /// Start whose connections are taken.
+    listening: u64,
     runs: Vec<Run>,
 }
 
@@ -47,13 +72,22 @@
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<Mutex<State>>,
+    api: Api,
     task: JoinHandle<()>,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct Api {
     state: Arc<Mutex<State>>,
+    fallen: Arc<Notify>,
+}
+
+/// Work in flight; dropping it ends it.
+struct Ticket {
+    api: Api,
+    run: usize,
+    begun: Begun,
+    since: Instant,
 }
 
 impl Server {
@@ -63,41 +97,78 @@
     ///
     /// Returns the error of the bind.
     pub async fn start(name: &str, profile: Profile) -> io::Result<Self> {
-        let acceptor = TcpListener::new("127.0.0.1:0")
-            .try_bind()
-            .await
-            .map_err(|error| io::Error::other(error.to_string()))?;
+        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
-            profile,
+            origin: Instant::now(),
+            model: Model::new(profile, Capacity::default()),
+            listening: 1,
             runs: Vec::new(),
         };
-        let state = Arc::new(Mutex::new(state));
-        let router = Router::with_path("{**path}").goal(Api {
-            state: Arc::clone(&state),
-        });
-        let task = tokio::spawn(salvo::Server::new(acceptor).serve(router));
-        Ok(Self {
-            address,
-            state,
-            task,
-        })
+        let api = Api {
+            state: Arc::new(Mutex::new(state)),
+            fallen: Arc::new(Notify::new()),
+        };
+        let task = tokio::spawn(listen(acceptor, address, api.clone()));
+        Ok(Self { address, api, task })
     }
 
     /// Changes how the stand-in behaves from here on.
     pub fn set_profile(&self, profile: Profile) {
-        self.lock().profile = profile;
+        self.api.lock().model.profile = profile;
     }
 
-    /// Returns the work that reached the stand-in so far.
+    /// Changes what the stand-in bears from here on.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        self.api.lock().model.capacity = capacity;
+    }
+
+    /// Gives the stand-in these faults in place of those it has.
+    pub fn set_faults(&self, faults: Vec<Fault>) {
+        self.api.lock().model.faults = faults;
+    }
+
+    /// Makes the stand-in cold without a sign.
+    pub fn turn_cold(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.chill(now);
+    }
+
+    /// Makes the stand-in warm.
+    pub fn turn_warm(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.warm(now);
+    }
+
+    /// Makes the stand-in fall over; what is in flight is cut.
+    pub fn crash(&self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.fall(now);
+        self.api.fallen.notify_one();
+    }
+
+    /// Returns how often the stand-in has started.
     #[must_use]
-    pub fn runs(&self) -> Vec<Run> {
-        self.lock().runs.clone()
+    pub fn incarnation(&self) -> u64 {
+        self.api.lock().model.incarnation()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns whether the stand-in takes connections; it does not while it is
+    /// down.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        let state = self.api.lock();
+        state.listening == state.model.incarnation()
+    }
+
+    /// Returns the work that reached the stand-in so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.api.lock().runs.clone()
     }
 }
 
@@ -117,6 +188,9 @@
         _control: &mut FlowCtrl,
     ) {
         let path = request.uri().path().to_owned();
+        if request.method() == Method::GET && path == "/load" {
+            return response.render(Json(self.load()));
+        }
         let header = |name: &str| request.header::<String>(name).unwrap_or_default();
         let (attempt, key) = (header("x-attempt-id"), header("idempotency-key"));
         let Ok(body) = request.payload_with_max_size(BODY_BYTES).await else {
@@ -129,21 +203,15 @@
             return;
         };
         let run = Run {
-            path: path.clone(),
+            at_ms: unix_ms(),
+            path,
             attempt,
             key,
             body,
             finished: false,
+            busy_us: 0,
         };
-        let (index, profile) = self.begin(run);
-        time::sleep(profile.first()).await;
-        match path.as_str() {
-            "/v1/completions" => self.complete(response, index, profile, &input),
-            _ => {
-                self.finish(index);
-                response.render(Json(self.answer(&path, &input)));
-            }
-        }
+        self.serve(run, &input, response).await;
     }
 }
 
@@ -152,63 +220,191 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self, run: Run) -> (usize, Profile) {
-        let mut state = self.lock();
-        state.runs.push(run);
-        (state.runs.len() - 1, state.profile.clone())
+    /// Returns the start that comes next, and how long until then.
+    fn down(&self) -> (u64, Duration) {
+        let state = self.lock();
+        let down = state.model.down(state.origin.elapsed());
+        (state.model.incarnation(), down)
     }
 
-    fn finish(&self, index: usize) {
-        self.lock().runs[index].finished = true;
+    fn load(&self) -> Load {
+        let state = self.lock();
+        state.model.report(state.origin.elapsed())
     }
 
-    fn answer(&self, path: &str, input: &Value) -> Value {
-        match path {
-            "/v1/embeddings" => json!({ "data": [{ "embedding": [0.25, 0.5, 0.75] }] }),
-            "/v1/retrieve" => json!({ "documents": [
-                { "id": 1, "text": "opening hours" }, { "id": 2, "text": "menu" },
-            ]}),
-            "/v1/rerank" => {
-                let count = input["documents"].as_array().map_or(0, Vec::len);
-                let results: Vec<Value> = (0..count)
-                    .rev()
-                    .map(|index| json!({ "index": index, "relevance_score": 0.5 }))
-                    .collect();
-                json!({ "results": results })
+    async fn serve(&self, run: Run, input: &Value, response: &mut Response) {
+        let path = run.path.clone();
+        let begun = {
+            let mut state = self.lock();
+            let now = state.origin.elapsed();
+            let prompt = input["prompt"].as_str().unwrap_or_default();
+            let before = state.model.incarnation();
+            let arrival = state.model.arrive(&run.body, prompt, now);
+            if state.model.incarnation() != before {
+                self.fallen.notify_one();
+            }
+            state.runs.push(run);
+            match arrival {
+                Arrival::Begun(begun) => Ok((begun, state.runs.len() - 1)),
+                Arrival::Cut => Err(true),
+                Arrival::Refused => Err(false),
+            }
+        };
+        let ticket = match begun {
+            Ok((begun, run)) => Ticket {
+                api: self.clone(),
+                run,
+                begun,
+                since: Instant::now(),
+            },
+            Err(true) => return cut(response),
+            Err(false) => {
+                response.status_code(StatusCode::UNPROCESSABLE_ENTITY);
+                return response.render("refused\n");
             }
-            _ => json!({
-                "service": self.lock().name, "path": path,
-                "for": input["request"]["query"],
-            }),
+        };
+        wait(ticket.begun.first).await;
+        ticket.pass_silence().await;
+        if !ticket.is_live() {
+            return cut(response);
+        }
+        match path.as_str() {
+            "/v1/completions" => complete(ticket, input, response),
+            _ => ticket.answer(&path, input, response),
+        }
+    }
+}
+
+impl Ticket {
+    fn is_live(&self) -> bool {
+        self.api.lock().model.incarnation() == self.begun.incarnation
+    }
+
+    /// Waits for as long as the stand-in is silent.
+    async fn pass_silence(&self) {
+        while self.has(|fault| *fault == Fault::Silent) && self.is_live() {
+            time::sleep(SILENT_LOOK).await;
+        }
+    }
+
+    fn has(&self, wanted: impl FnMut(&Fault) -> bool) -> bool {
+        self.api.lock().model.faults.iter().any(wanted)
+    }
+
+    fn truncates_at(&self, token: u64) -> bool {
+        self.has(|fault| matches!(fault, Fault::Truncate(after) if *after <= token))
+    }
+
+    fn finish(&self) {
+        self.api.lock().runs[self.run].finished = true;
+    }
+
+    fn answer(&self, path: &str, input: &Value, response: &mut Response) {
+        if self.truncates_at(u64::MAX) {
+            return cut(response);
+        }
+        self.finish();
+        if self.has(|fault| *fault == Fault::Rubbish) {
+            return response.render("} rubbish {");
+        }
+        let name = self.api.lock().name.clone();
+        response.render(Json(answer::whole(&name, path, input)));
+    }
+
+    /// Makes one event of a generation; `None` cuts the connection.
+    async fn event(&self, mark: &str, token: u64, count: u64) -> Option<String> {
+        if token > 0 {
+            let pause = self.api.lock().model.token();
+            wait(pause).await;
+        }
+        self.pass_silence().await;
+        if !self.is_live() || self.truncates_at(token) {
+            return None;
+        }
+        if self.has(|fault| *fault == Fault::Rubbish) {
+            return Some("data: } rubbish {\n\n".to_owned());
+        }
+        if token == count {
+            self.finish();
+            return Some("data: [DONE]\n\n".to_owned());
         }
+        let text = answer::token(mark, token);
+        Some(format!(
+            "data: {}\n\n",
+            json!({ "choices": [{ "text": text }] })
+        ))
     }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.api.lock();
+        let now = state.origin.elapsed();
+        state.model.leave(self.begun.incarnation, now);
+        let busy = self.since.elapsed().as_micros();
+        state.runs[self.run].busy_us = u64::try_from(busy).unwrap_or(u64::MAX);
+    }
+}
 
-    fn complete(&self, response: &mut Response, index: usize, profile: Profile, input: &Value) {
-        let asked = input["max_tokens"].as_u64().unwrap_or(profile.tokens);
-        let count = asked.min(profile.tokens);
-        drop(response.add_header("content-type", "text/event-stream", true));
-        let api = self.clone();
-        let events = stream::unfold(0, move |token| {
-            let (api, profile) = (api.clone(), profile.clone());
-            async move {
-                if token > count {
-                    return None;
-                }
-                if token > 0 {
-                    time::sleep(profile.token()).await;
-                }
-                let text = if token == count {
-                    api.finish(index);
-                    "data: [DONE]\n\n".to_owned()
-                } else {
-                    format!(
-                        "data: {}\n\n",
-                        json!({ "choices": [{ "text": format!("word{token} ") }] })
-                    )
-                };
-                Some((Ok::<_, Infallible>(Bytes::from(text)), token + 1))
+async fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
+    let bound = TcpListener::new(address).try_bind().await;
+    bound.map_err(|error| io::Error::other(error.to_string()))
+}
+
+/// Serves; while the stand-in is down, connections are refused.
+async fn listen(mut acceptor: TcpAcceptor, address: SocketAddr, api: Api) {
+    loop {
+        let router = Router::with_path("{**path}").goal(api.clone());
+        let server = salvo::Server::new(acceptor).serve(router);
+        let fallen = api.fallen.notified();
+        tokio::select! {
+            () = server => return,
+            () = fallen => {}
+        }
+        let (incarnation, down) = api.down();
+        time::sleep(down).await;
+        acceptor = loop {
+            match bind(address).await {
+                Ok(acceptor) => break acceptor,
+                Err(_) => time::sleep(REBIND_PAUSE).await,
             }
-        });
-        response.stream(events);
+        };
+        api.lock().listening = incarnation;
+    }
+}
+
+/// Waits; a pause of nothing ends at once, where a timer would take a tick.
+async fn wait(pause: Duration) {
+    if !pause.is_zero() {
+        time::sleep(pause).await;
     }
 }
+
+/// Cuts the connection in place of an answer.
+fn cut(response: &mut Response) {
+    response.stream(stream::iter([Err::<Bytes, _>(broken())]));
+}
+
+fn broken() -> io::Error {
+    io::Error::other("the stand-in fell over")
+}
+
+fn complete(ticket: Ticket, input: &Value, response: &mut Response) {
+    let tokens = ticket.api.lock().model.profile.tokens;
+    let count = input["max_tokens"].as_u64().unwrap_or(tokens).min(tokens);
+    let prompt = input["prompt"].as_str().unwrap_or_default();
+    let mark = answer::mark_of(prompt).to_owned();
+    drop(response.add_header("content-type", "text/event-stream", true));
+    let events = stream::try_unfold((ticket, 0), move |(ticket, token)| {
+        let mark = mark.clone();
+        async move {
+            if token > count {
+                return Ok(None);
+            }
+            let text = ticket.event(&mark, token, count).await;
+            let text = text.ok_or_else(broken)?;
+            Ok::<_, io::Error>(Some((Bytes::from(text), (ticket, token + 1))))
+        }
+    });
+    response.stream(events);
+}
--- a/crates/cicadacrank-bench/src/memory/port.rs
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -1,7 +1,7 @@
 //! Endpoints without a socket.
 
 use bytes::Bytes;
-use cicadacrank_core::error::Kind;
+use cicadacrank_core::{admission::Health, error::Kind};
 use cicadacrank_node::endpoint::{Call, Fault, Parts, Port as Edge};
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use std::{
@@ -78,6 +78,8 @@
 struct State {
     runs: Vec<Run>,
     script: VecDeque<Behaviour>,
+    refusing: bool,
+    health: Option<Health>,
     otherwise: Behaviour,
 }
 
@@ -98,6 +100,8 @@
             state: Arc::new(Mutex::new(State {
                 runs: Vec::new(),
                 script: VecDeque::new(),
+                refusing: false,
+                health: None,
                 otherwise: Behaviour::Answer(Duration::ZERO),
             })),
         }
@@ -115,6 +119,17 @@
         self.lock().script.push_back(behaviour);
     }
 
+    /// Says whether endpoints refuse connections after a cut, as crashed ones
+    /// do.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.lock().refusing = refusing;
+    }
+
+    /// Says what every endpoint reports of itself.
+    pub fn set_health(&self, health: Option<Health>) {
+        self.lock().health = health;
+    }
+
     /// Returns every run so far, in order.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -129,7 +144,7 @@
     fn begin(&self, call: &Call) -> (Behaviour, Bytes) {
         let mut state = self.lock();
         let behaviour = state.script.pop_front().unwrap_or(state.otherwise);
-        let output = Bytes::from(format!("{{\"run\":{}}}", state.runs.len()));
+        let output = Bytes::from(format!("\"run {}\"", state.runs.len()));
         if behaviour.runs() {
             state.runs.push(Run {
                 address: call.address,
@@ -187,6 +202,16 @@
         }
         .boxed()
     }
+
+    fn health(&self, _address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
+        let health = self.lock().health;
+        async move { health }.boxed()
+    }
+
+    fn is_refusing(&self, _address: SocketAddr) -> BoxFuture<'_, bool> {
+        let refusing = self.lock().refusing;
+        async move { refusing }.boxed()
+    }
 }
 
 fn parts(parts: Vec<Result<Bytes, Fault>>) -> Parts {
--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -1,12 +1,13 @@
 //! Stops or pauses what one process does at its edges.
 
+use cicadacrank_core::admission::Health;
 use cicadacrank_node::{
     endpoint::{self, Call, Parts},
     platform::{Change, Collection, Fault, Listing, Object, Store, Version},
 };
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 use tokio::sync::watch;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,4 +163,12 @@
         }
         .boxed()
     }
+
+    fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
+        self.process.hold(self.edge.health(address)).boxed()
+    }
+
+    fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
+        self.process.hold(self.edge.is_refusing(address)).boxed()
+    }
 }
--- a/crates/cicadacrank-core/src/once/claim.rs
+++ b/crates/cicadacrank-core/src/once/claim.rs
@@ -1,37 +1,85 @@
 //! The record of work that may not be repeated.
 
-use crate::id;
+use super::Stop;
+use crate::{error::Kind, id};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Name of a claim: a digest over team, pipeline, stage and idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Name([u8; Self::BYTES]);
+/// Shards of the claims of one stage.
+pub const SHARDS: usize = 16;
+
+/// Name of a claim: a digest over pipeline and stage, then one over team and
+/// idempotency key as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Name(u128);
 
 impl Name {
-    /// Length of a name, in bytes.
-    pub const BYTES: usize = 16;
+    /// Length of the digest over pipeline and stage, in bits.
+    const STAGE_BITS: u32 = 32;
+
+    /// Digits of a mark.
+    pub const MARK_DIGITS: usize = 6;
 
     /// Creates the name; parts are length-prefixed, so that none runs into the
     /// next.
     #[must_use]
     pub fn new(team: &str, pipeline: &str, stage: &str, key: &str) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [team, pipeline, stage, key] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
-        let mut name = [0; Self::BYTES];
-        hasher.finalize_xof().fill(&mut name);
-        Self(name)
+        let stage_digest = digest(&[pipeline, stage]) << (u128::BITS - Self::STAGE_BITS);
+        Self(stage_digest | digest(&[team, pipeline, stage, key]) >> Self::STAGE_BITS)
+    }
+
+    /// Returns the shard of the name among those of its stage.
+    #[must_use]
+    pub const fn shard(self) -> usize {
+        (self.0 % SHARDS as u128) as usize
+    }
+
+    /// Returns the name of the object that holds the shard.
+    #[must_use]
+    pub fn object(self) -> String {
+        let stage = self.0 >> (u128::BITS - Self::STAGE_BITS);
+        format!("shard-{stage:08x}-{:02x}", self.shard())
+    }
+
+    /// Returns a short mark of the name, in hexadecimal digits.
+    #[must_use]
+    pub fn mark(self) -> String {
+        let bits = 4 * Self::MARK_DIGITS as u32;
+        let mark = (self.0 / SHARDS as u128) & ((1 << bits) - 1);
+        format!("{mark:06x}")
+    }
+}
+
+fn digest(parts: &[&str]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut bytes = [0; size_of::<u128>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    u128::from_le_bytes(bytes)
+}
+
+impl From<Name> for String {
+    fn from(name: Name) -> Self {
+        name.to_string()
+    }
+}
+
+impl TryFrom<String> for Name {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let name = u128::from_str_radix(&text, 16).map(Self);
+        name.map_err(|_| "a name is 32 hexadecimal digits")
     }
 }
 
 impl fmt::Display for Name {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        write!(formatter, "{:032x}", self.0)
     }
 }
 
@@ -68,10 +116,30 @@
     },
 }
 
-/// The record that one attempt alone may run some work.
+impl Outcome {
+    /// Returns the kept output for a replay.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; the work is known to have ended.
+    pub fn replay(self) -> Result<String, Stop> {
+        match self {
+            Self::Answer { output } => Ok(output),
+            Self::Oversized => Err(Stop::partial(
+                Kind::OutcomeUnknown,
+                "the work ran; its answer was not kept",
+            )),
+            Self::Refused { context } => Err(Stop::partial(Kind::EndpointRefused, context)),
+        }
+    }
+}
+
+/// The record that one holder alone may run some work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// Attempt that holds the claim.
+    /// Holder of the claim.
+    pub holder: id::Holder,
+    /// Attempt it was made for.
     pub attempt: id::Attempt,
     /// Digest of the caller's body, in hexadecimal digits.
     pub digest: String,
@@ -82,14 +150,14 @@
     pub state: State,
 }
 
-/// What an attempt that meets a claim must do.
+/// What a holder-to-be that meets a claim must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The claim is the attempt's own: run the work.
+    /// The claim is its own: run the work.
     Run,
     /// Take the claim over, conditional on its version.
     TakeOver,
-    /// Another attempt holds the claim: look again later.
+    /// Another holds the claim: look again later.
     Wait,
     /// Answer with the recorded outcome.
     Replay(Outcome),
@@ -100,8 +168,14 @@
 impl Claim {
     /// Creates an open claim.
     #[must_use]
-    pub const fn new(attempt: id::Attempt, digest: String, ends_unix_ms: u64) -> Self {
+    pub const fn new(
+        holder: id::Holder,
+        attempt: id::Attempt,
+        digest: String,
+        ends_unix_ms: u64,
+    ) -> Self {
         Self {
+            holder,
             attempt,
             digest,
             ends_unix_ms,
@@ -116,15 +190,23 @@
         self
     }
 
-    /// Decides what `attempt` with a body of this digest must do on finding
-    /// this claim.
+    /// Returns whether the claim has ended and may be deleted.
+    #[must_use]
+    pub const fn is_ended(&self, now_unix_ms: u64) -> bool {
+        self.ends_unix_ms <= now_unix_ms
+    }
+
+    /// Decides what one that wants the claim must do on finding this one.
+    ///
+    /// The claim of the same attempt under another holder is another's: the
+    /// job arrived twice, and only one of the two may run it.
     #[must_use]
-    pub fn verdict(&self, attempt: id::Attempt, digest: &str) -> Verdict {
-        if self.digest != digest {
+    pub fn verdict(&self, wanted: &Self) -> Verdict {
+        if self.digest != wanted.digest {
             return Verdict::Reused;
         }
         match &self.state {
-            State::Open if self.attempt == attempt => Verdict::Run,
+            State::Open if self.holder == wanted.holder => Verdict::Run,
             State::Open => Verdict::Wait,
             State::Unsent => Verdict::TakeOver,
             State::Done { outcome } => Verdict::Replay(outcome.clone()),
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -4,11 +4,10 @@
     Addresses, Common, address_of, announce, bind, finish, serve_operator, start_peer,
     wait_for_signal,
 };
-use crate::{entry, link, membership, operator, peer};
+use crate::{entry, link, membership, operator, peer, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
 use salvo::{Listener as _, Server, conn::TcpListener};
-use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::time;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -36,7 +35,7 @@
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    let peer = start_peer(&common, listen, operator_listen);
+    let peer = start_peer(&common, listen, operator_listen, service.suspects());
     tokio::spawn(membership::refresh(Arc::clone(&service), Arc::clone(&peer)));
     let peer_server = tonic::transport::Server::builder()
         .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
@@ -69,7 +68,11 @@
         Self::is_ready(self)
     }
 
-    fn status(&self) -> Value {
-        json!({ "role": "entry", "generation": self.parts().holder.generation() })
+    fn status(&self) -> operator::Status {
+        operator::Status {
+            role: Some(Role::Entry),
+            generation: self.parts().holder.generation(),
+            endpoints: Vec::new(),
+        }
     }
 }
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -11,6 +11,7 @@
     metrics::Metrics,
     operator, peer,
     platform::{self, Store},
+    quarantine::Suspects,
     settings::{Role, Settings},
 };
 use cicadacrank_core::event::Event;
@@ -72,6 +73,7 @@
     common: &Common,
     listen: SocketAddr,
     operator_listen: SocketAddr,
+    suspects: &Arc<Suspects>,
 ) -> Arc<peer::Service> {
     let settings = &common.settings;
     let bytes = common.metrics.peer_bytes.clone();
@@ -85,6 +87,7 @@
         holder: Arc::clone(&common.holder),
         store: Arc::clone(&common.store),
         link: Arc::new(link),
+        suspects: Arc::clone(suspects),
         metrics: Arc::clone(&common.metrics),
     }));
     tokio::spawn(peer::run(Arc::clone(&service)));
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -3,11 +3,10 @@
 use super::{
     Addresses, Common, announce, bind, finish, serve_operator, start_peer, wait_for_signal,
 };
-use crate::{endpoint, link, operator, peer, sidecar};
+use crate::{endpoint, link, operator, peer, settings::Role, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
-use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::{sync::Notify, time};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -28,12 +27,14 @@
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    let peer = start_peer(&common, listen, operator_listen);
+    let peer = start_peer(&common, listen, operator_listen, service.suspects());
     announce(&Addresses {
         listen,
         caller_listen: None,
         operator_listen,
     })?;
+    let accounts = sidecar::Accounts::new(Arc::clone(&service));
+    let accounting = tokio::spawn(accounts.run(common.settings.timeouts.account()));
     let stop = Arc::new(Notify::new());
     let stopped = Arc::clone(&stop);
     let server = tonic::transport::Server::builder()
@@ -54,6 +55,8 @@
     let drain = async {
         time::sleep(common.settings.timeouts.notice()).await;
         service.finish().await;
+        accounting.abort();
+        sidecar::Accounts::new(Arc::clone(&service)).write().await;
         stop.notify_one();
         // The server ends once its last stream is through.
         drop(server.await);
@@ -67,7 +70,11 @@
         Self::is_ready(self)
     }
 
-    fn status(&self) -> Value {
-        json!({ "role": "sidecar", "generation": self.generation() })
+    fn status(&self) -> operator::Status {
+        operator::Status {
+            role: Some(Role::Sidecar),
+            generation: self.generation(),
+            endpoints: self.endpoints(),
+        }
     }
 }
--- a/crates/cicadacrank-node/src/endpoint/mod.rs
+++ b/crates/cicadacrank-node/src/endpoint/mod.rs
@@ -5,7 +5,7 @@
 pub mod http;
 
 use bytes::Bytes;
-use cicadacrank_core::{error::Kind, rules::Service};
+use cicadacrank_core::{admission::Health, error::Kind, rules::Service};
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use std::{net::SocketAddr, time::Duration};
 
@@ -66,4 +66,11 @@
 pub trait Port: Send + Sync + 'static {
     /// Makes one call and returns the parts of its answer.
     fn call(&self, call: Call) -> BoxFuture<'_, Result<Parts, Fault>>;
+
+    /// Returns whether the endpoint refuses connections now: after a cut during
+    /// a run, the sign that it crashed.
+    fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool>;
+
+    /// Returns what the endpoint reports of itself; `None` if it does not.
+    fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>>;
 }
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod quarantine;
 pub mod settings;
 pub mod sidecar;
--- a/crates/cicadacrank-node/src/sidecar/door.rs
+++ b/crates/cicadacrank-node/src/sidecar/door.rs
@@ -2,16 +2,23 @@
 
 use crate::{clock::Clock, settings::Endpoint};
 use cicadacrank_core::{
-    admission::{Ask, Demand, Ended, Gate, Sign, Terms, Ticket, Turn},
+    accounting::{Account, Key, Ledger},
+    admission::{Ask, Demand, Ended, Gate, Health, Sign, Terms, Ticket, Turn},
     error::Kind,
+    id,
+    quarantine::Fingerprint,
 };
 use cicadacrank_wire::wire;
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::{sync::oneshot, time};
 
+/// Time after a cut in which a report of a restart explains it.
+const CUT_LIFE: Duration = Duration::from_secs(5);
+
 /// The gate of one endpoint with those who wait at it.
 pub(super) struct Door {
     pub(super) name: String,
@@ -26,6 +33,16 @@
     generation: u64,
     taken_out: bool,
     waiting: Vec<Waiting>,
+    ledger: Ledger,
+    cuts: Vec<Cut>,
+}
+
+/// A job whose connection to the endpoint was cut.
+#[derive(Clone, Copy)]
+pub(super) struct Cut {
+    pub(super) fingerprint: Fingerprint,
+    pub(super) attempt: id::Attempt,
+    at: Duration,
 }
 
 struct Waiting {
@@ -44,6 +61,7 @@
     door: Arc<Door>,
     ticket: Ticket,
     ended: Ended,
+    key: Option<Key>,
 }
 
 /// Takes a job that no longer waits out of the queue.
@@ -53,6 +71,13 @@
 }
 
 impl Slot {
+    /// Charges the time until the slot is freed.
+    pub(super) fn charge(&mut self, key: Key) {
+        self.door
+            .count(|ledger, slots, now| ledger.begin(&key, slots, now));
+        self.key = Some(key);
+    }
+
     /// Frees the slot and tells the gate how the work ended.
     pub(super) fn end(mut self, ended: Ended) {
         self.ended = ended;
@@ -69,6 +94,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(key) = &self.key {
+            self.door
+                .count(|ledger, slots, now| ledger.end(key, slots, now));
+        }
         let now = self.door.clock.now();
         self.door
             .turn(|gate| gate.release(self.ticket, self.ended, now));
@@ -156,6 +185,37 @@
         }
     }
 
+    /// Takes up what the endpoint reports of itself; returns the jobs that a
+    /// restart before it has cut.
+    pub(super) fn observe(&self, health: Option<Health>) -> Vec<Cut> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let sign = state.gate.as_mut().and_then(|gate| gate.observe(health));
+        state.cuts.retain(|cut| now < cut.at + CUT_LIFE);
+        if sign == Some(Sign::Incarnation) {
+            return std::mem::take(&mut state.cuts);
+        }
+        Vec::new()
+    }
+
+    /// Returns whether the endpoint was asked for a report and has never made
+    /// one.
+    pub(super) fn is_mute(&self) -> bool {
+        let state = self.lock();
+        let gate = state.gate.as_ref();
+        gate.is_some_and(|gate| gate.incarnation().is_none())
+    }
+
+    /// Notes a cut that a report may yet show to be a restart.
+    pub(super) fn note_cut(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
+        let at = self.clock.now();
+        self.lock().cuts.push(Cut {
+            fingerprint,
+            attempt,
+            at,
+        });
+    }
+
     /// Notes a sign that the endpoint turned cold.
     pub(super) fn chill(&self, sign: Sign) {
         if let Some(gate) = &mut self.lock().gate {
@@ -170,15 +230,33 @@
 
     /// Returns the load for the next frame.
     pub(super) fn load(&self) -> Option<wire::Load> {
-        let now = self.clock.now();
         self.lock().gate.as_ref().map(|gate| wire::Load {
             in_flight: gate.in_flight(),
             queued: gate.queued(),
-            slots: gate.slots(now),
-            phase: gate.phase(now) as u32,
+            slots: gate.slots(),
+            phase: gate.phase() as u32,
         })
     }
 
+    /// Counts the time up to now at the number of slots so far.
+    pub(super) fn count_slots(&self) {
+        self.count(Ledger::tick);
+    }
+
+    /// Returns the account of this incarnation up to now.
+    pub(super) fn account(&self, since_ms: u64) -> Account {
+        self.count_slots();
+        let now = self.clock.now();
+        self.lock().ledger.account(&self.name, since_ms, now)
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Ledger, u32, Duration)) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let slots = state.gate.as_ref().map_or(0, Gate::slots);
+        count(&mut state.ledger, slots, now);
+    }
+
     /// Lets the gate decide and delivers what it decided, after the lock is
     /// free: an answer that nobody takes comes back here as a freed slot.
     fn turn(self: &Arc<Self>, decide: impl FnOnce(&mut Gate) -> Vec<Turn>) {
@@ -211,6 +289,7 @@
             door: Arc::clone(self),
             ticket,
             ended: Ended::Neutral,
+            key: None,
         }
     }
 
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -9,9 +9,9 @@
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::{Ended, Sign},
-    error::{Failure, Kind},
+    error::Kind,
     id,
-    once::{Name, Outcome, Sent, Unsent},
+    once::{Name, Outcome, Sent, Stop, Unsent},
 };
 use cicadacrank_wire::wire::{self, frame::Body};
 use futures_util::StreamExt as _;
@@ -28,6 +28,7 @@
     endpoint: String,
     sequence: u64,
     chunks: u64,
+    crashed: bool,
     sender: mpsc::Sender<wire::Frame>,
 }
 
@@ -64,13 +65,14 @@
         .await;
     }
 
-    async fn fail(&mut self, failure: Failure) {
-        self.service.parts.metrics.fail(&failure);
+    async fn fail(&mut self, stop: &Stop) {
+        let failure = stop.failure();
+        self.service.parts.metrics.fail(failure);
         self.say(Body::Failure(wire::Failure {
             kind: failure.kind.as_str().to_owned(),
             effect: failure.effect.as_str().to_owned(),
-            context: failure.context,
-            crashed: false,
+            context: failure.context.clone(),
+            crashed: self.crashed,
         }))
         .await;
     }
@@ -84,58 +86,64 @@
         endpoint: job.endpoint.clone(),
         sequence: 0,
         chunks: 0,
+        crashed: false,
         sender,
     };
-    if let Err(failure) = serve(&service, &job, &mut voice).await {
-        voice.fail(failure).await;
+    if let Err(stop) = serve(&service, &job, &mut voice).await {
+        voice.fail(&stop).await;
     }
 }
 
-async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Failure> {
+async fn serve(service: &Arc<Service>, job: &wire::Job, voice: &mut Voice) -> Result<(), Stop> {
     let deadline = Instant::now() + Duration::from_millis(job.remaining_ms);
-    let unsent = Unsent::begin();
+    let (attempt, unsent) = service.claims.begin(&job.attempt)?;
     let gone = voice.sender.clone();
     let (admitted, unsent) = tokio::select! {
+        // A job that gets its slot at once is not cancelled.
+        biased;
         admitted = service.admit(job, unsent) => admitted?,
-        () = gone.closed() => return Err(Failure::not_run(Kind::Cancelled, "waiting for a slot")),
+        // Nobody is left to tell.
+        () = gone.closed() => return Ok(()),
     };
     voice.say(Body::Admitted(wire::Admitted {})).await;
     if admitted.stage.repeatable {
-        check_deadline(deadline, &unsent)?;
+        let unsent = in_time(deadline, unsent)?;
         return repeat(service, job, admitted, deadline, unsent, voice).await;
     }
-    let (acquired, unsent) = claim(service, job, deadline, unsent).await?;
+    let (acquired, unsent) = claim(service, job, attempt, deadline, unsent).await?;
     match acquired {
         Acquired::Replay(outcome) => replay(outcome, voice).await,
-        Acquired::Held(held) => {
-            if let Err(failure) = check_deadline(deadline, &unsent) {
-                service.claims.release(held).await;
-                return Err(failure);
-            }
-            once(service, job, admitted, held, deadline, unsent, voice).await
+        Acquired::Held(held) if is_past(deadline) => {
+            service.claims.release(held, &unsent).await;
+            Err(late(unsent))
         }
+        Acquired::Held(held) => once(service, job, admitted, held, deadline, unsent, voice).await,
     }
 }
 
-fn check_deadline(deadline: Instant, _unsent: &Unsent) -> Result<(), Failure> {
-    if Instant::now() < deadline {
-        return Ok(());
+fn is_past(deadline: Instant) -> bool {
+    Instant::now() >= deadline
+}
+
+fn late(unsent: Unsent) -> Stop {
+    unsent.refuse(Kind::Deadline, "looking at the deadline before the send")
+}
+
+/// Gives the proof back if the deadline has not passed.
+fn in_time(deadline: Instant, unsent: Unsent) -> Result<Unsent, Stop> {
+    if is_past(deadline) {
+        return Err(late(unsent));
     }
-    Err(Failure::not_run(
-        Kind::Deadline,
-        "looking at the deadline before the send",
-    ))
+    Ok(unsent)
 }
 
 async fn claim(
     service: &Service,
     job: &wire::Job,
+    attempt: id::Attempt,
     deadline: Instant,
     unsent: Unsent,
-) -> Result<(Acquired, Unsent), Failure> {
-    let Some(attempt) = id::Attempt::parse(&job.attempt) else {
-        return Err(unsent.refuse(Kind::BadRequest, "reading the attempt id"));
-    };
+) -> Result<(Acquired, Unsent), Stop> {
     if job.key.is_empty() {
         return Err(unsent.refuse(Kind::KeyMissing, "claiming the work"));
     }
@@ -151,7 +159,20 @@
         .await
 }
 
-fn call_of(service: &Service, job: &wire::Job, admitted: &Admitted) -> Call {
+/// Returns the longest wait for the next part of an answer.
+///
+/// Work that may be repeated is given up in time for an attempt elsewhere; work
+/// that may not is waited for as long as the settings allow.
+fn progress_of(service: &Service, admitted: &Admitted, deadline: Instant) -> Duration {
+    let progress = service.parts.settings.timeouts.progress();
+    if !admitted.stage.repeatable {
+        return progress;
+    }
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    progress.min(remaining / 2)
+}
+
+fn call_of(service: &Service, job: &wire::Job, admitted: &Admitted, deadline: Instant) -> Call {
     Call {
         address: admitted.address,
         service: admitted.service,
@@ -161,7 +182,7 @@
         input: Bytes::from(job.input.clone()),
         output_limit: admitted.stage.output_limit_bytes,
         reuse: admitted.stage.repeatable,
-        progress: service.parts.settings.timeouts.progress(),
+        progress: progress_of(service, admitted, deadline),
     }
 }
 
@@ -173,8 +194,8 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
-    let call = call_of(service, job, &admitted);
+) -> Result<(), Stop> {
+    let call = call_of(service, job, &admitted, deadline);
     let began = Instant::now();
     let sent = unsent.send();
     let gone = voice.sender.clone();
@@ -183,13 +204,13 @@
         result = time::timeout_at(deadline, work) => result,
         () = gone.closed() => return Err(sent.fail(Kind::Cancelled, "streaming to the entry")),
     };
-    admitted.slot.end(ended_of(&result));
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(_)) => {
             voice.end(false, began.elapsed()).await;
             Ok(())
         }
-        Ok(Err(fault)) => Err(failure_of(fault, sent)),
+        Ok(Err(fault)) => Err(stop_of(fault, sent)),
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -203,35 +224,38 @@
     deadline: Instant,
     unsent: Unsent,
     voice: &mut Voice,
-) -> Result<(), Failure> {
-    let call = call_of(service, job, &admitted);
+) -> Result<(), Stop> {
+    let call = call_of(service, job, &admitted, deadline);
     let began = Instant::now();
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
     let result = time::timeout_at(bound, stream(service, call, &admitted.slot, voice)).await;
-    admitted.slot.end(ended_of(&result));
+    voice.crashed = settle(service, job, admitted, &result).await;
     match result {
         Ok(Ok(output)) => {
-            sent.finish();
-            service.claims.record(held, outcome_of(&output)).await;
+            // The caller has its answer before the platform does, so that a
+            // platform that is down holds back no answer.
             voice.end(false, began.elapsed()).await;
+            service.claims.record(held, outcome_of(&output)).await;
             Ok(())
         }
         Ok(Err(fault)) if fault.refused => {
             sent.finish();
             let context = fault.context.clone();
+            voice.fail(&sent.fail(fault.kind, fault.context)).await;
             service
                 .claims
                 .record(held, Outcome::Refused { context })
                 .await;
-            Err(failure_of(fault, sent))
+            Ok(())
         }
-        Ok(Err(fault)) => {
-            if !fault.connected {
-                service.claims.release(held).await;
+        Ok(Err(fault)) => match sent.unsend(fault.connected) {
+            Ok(unsent) => {
+                service.claims.release(held, &unsent).await;
+                Err(unsent.refuse(fault.kind, fault.context))
             }
-            Err(failure_of(fault, sent))
-        }
+            Err(sent) => Err(sent.fail(fault.kind, fault.context)),
+        },
         Err(_) => Err(sent.fail(Kind::Deadline, "running the work")),
     }
 }
@@ -245,31 +269,43 @@
     }
 }
 
-async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Failure> {
-    match outcome {
-        Outcome::Answer { output } => {
-            voice.chunk(&Bytes::from(output)).await;
-            voice.end(true, Duration::ZERO).await;
-            Ok(())
-        }
-        Outcome::Oversized => Err(Failure::partial(
-            Kind::OutcomeUnknown,
-            "the work ran; its answer was not kept",
-        )),
-        Outcome::Refused { context } => Err(Failure::partial(Kind::EndpointRefused, context)),
-    }
+async fn replay(outcome: Outcome, voice: &mut Voice) -> Result<(), Stop> {
+    let output = outcome.replay()?;
+    voice.chunk(&Bytes::from(output)).await;
+    voice.end(true, Duration::ZERO).await;
+    Ok(())
 }
 
-/// Returns what the gate learns from the end of a call.
-const fn ended_of<T>(result: &Result<Result<T, Fault>, Elapsed>) -> Ended {
-    match result {
-        Ok(Ok(_)) => Ended::Success,
+/// Frees the slot and says what was learnt of the endpoint and of the job;
+/// returns whether the endpoint crashed.
+async fn settle<T>(
+    service: &Service,
+    job: &wire::Job,
+    admitted: Admitted,
+    result: &Result<Result<T, Fault>, Elapsed>,
+) -> bool {
+    let mut crashed = false;
+    let ended = match result {
+        Ok(Ok(_)) => {
+            service.acquit(job);
+            Ended::Success
+        }
         Ok(Err(fault)) if !fault.connected => Ended::Cold(Sign::Refused),
+        Ok(Err(fault)) if matches!(fault.kind, Kind::EndpointFailed | Kind::Truncated) => {
+            crashed = service.cut(job, admitted.address).await;
+            if crashed {
+                Ended::Cold(Sign::Refused)
+            } else {
+                Ended::Neutral
+            }
+        }
         Ok(Err(_)) | Err(_) => Ended::Neutral,
-    }
+    };
+    admitted.slot.end(ended);
+    crashed
 }
 
-fn failure_of(fault: Fault, sent: Sent) -> Failure {
+fn stop_of(fault: Fault, sent: Sent) -> Stop {
     match sent.unsend(fault.connected) {
         Ok(unsent) => unsent.refuse(fault.kind, fault.context),
         Err(sent) => sent.fail(fault.kind, fault.context),
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -3,21 +3,25 @@
 use super::{
     Claims,
     door::{Door, Slot},
-    duty,
+    duty, pulse, watch,
 };
 use crate::{
     clock::{self, Clock},
     configuration::{Configuration, Holder},
     endpoint,
     metrics::Metrics,
-    platform,
+    operator, platform,
+    quarantine::Suspects,
     settings::Settings,
 };
 use cicadacrank_core::{
-    admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
-    error::{Failure, Kind},
-    once::Unsent,
-    rules::{self, Book, EndpointKey},
+    accounting::{Account, Key},
+    admission::{Demand, Sign, Tag},
+    error::Kind,
+    id,
+    once::{Stop, Unsent},
+    quarantine::{CRASHES, Fingerprint, Standing},
+    rules::{self, Book},
 };
 use cicadacrank_wire::wire;
 use std::{
@@ -28,7 +32,7 @@
     },
     time::Duration,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
 /// Frames that may wait for a slow entry.
@@ -61,6 +65,8 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
+    since_ms: u64,
+    suspects: Arc<Suspects>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -87,18 +93,31 @@
     /// Must be called inside a runtime: the doors follow the configuration.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
+        let since_ms = parts.clock.unix_ms();
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
-        let claims = Claims::new(Arc::clone(&parts.store), life);
+        let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
         let mut doors: Vec<Arc<Door>> = endpoints
             .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
             .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
-        tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
+        let suspects = Arc::new(Suspects::new(parts.clock));
+        for door in &doors {
+            tokio::spawn(watch::rules(Arc::clone(door), parts.holder.subscribe()));
+            let health = watch::health(
+                Arc::clone(door),
+                Arc::clone(&parts.port),
+                Arc::clone(&suspects),
+                parts.holder.subscribe(),
+            );
+            tokio::spawn(health);
+        }
         Self {
+            suspects,
             parts,
             claims,
             doors,
+            since_ms,
             leaving: AtomicBool::new(false),
             tracker: TaskTracker::new(),
         }
@@ -111,7 +130,11 @@
     pub fn run(self: &Arc<Self>, job: wire::Job) -> mpsc::Receiver<wire::Frame> {
         let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
         self.parts.metrics.attempts.inc();
-        self.tracker.spawn(duty::run(Arc::clone(self), job, sender));
+        let (inner, frames) = mpsc::channel(FRAME_BUFFER);
+        let (attempt, endpoint) = (job.attempt.clone(), job.endpoint.clone());
+        let pulse = pulse::run(Arc::clone(self), attempt, endpoint, frames, sender);
+        self.tracker.spawn(pulse);
+        self.tracker.spawn(duty::run(Arc::clone(self), job, inner));
         receiver
     }
 
@@ -127,6 +150,12 @@
         self.doors.iter().for_each(Door::leave);
     }
 
+    /// Returns the requests that are suspected of crashing endpoints.
+    #[must_use]
+    pub const fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     /// Notes a sign that an endpoint turned cold.
     pub fn chill(&self, endpoint: &str, sign: Sign) {
         if let Some(door) = self.find(endpoint) {
@@ -146,6 +175,33 @@
         self.tracker.wait().await;
     }
 
+    /// Returns what the endpoints bear and do, in order of name.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<operator::Endpoint> {
+        let endpoint = |door: &Arc<Door>| {
+            let load = door.load().unwrap_or_default();
+            operator::Endpoint {
+                name: door.name.clone(),
+                phase: phase_of(&load).to_owned(),
+                in_flight: load.in_flight,
+                queued: load.queued,
+                slots: load.slots,
+            }
+        };
+        self.doors.iter().map(endpoint).collect()
+    }
+
+    /// Counts slot time up to now.
+    pub(super) fn count_slots(&self) {
+        self.doors.iter().for_each(|door| door.count_slots());
+    }
+
+    /// Returns the accounts of the endpoints, in order of name.
+    pub(super) fn accounts(&self) -> Vec<Account> {
+        let doors = self.doors.iter();
+        doors.map(|door| door.account(self.since_ms)).collect()
+    }
+
     /// Returns the load of an endpoint for its next frame.
     #[must_use]
     pub fn load(&self, endpoint: &str) -> Option<wire::Load> {
@@ -157,10 +213,11 @@
         &self,
         job: &wire::Job,
         unsent: Unsent,
-    ) -> Result<(Admitted, Unsent), Failure> {
+    ) -> Result<(Admitted, Unsent), Stop> {
         if self.leaving.load(Ordering::SeqCst) {
             return Err(unsent.refuse(Kind::Leaving, "admitting a job"));
         }
+        self.parts.holder.hint(job.generation);
         if !self
             .parts
             .holder
@@ -188,7 +245,13 @@
         configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
-        let slot = checked.door.enter(checked.demand).await?;
+        let suspect = checked.demand.suspect;
+        let mut slot = checked.door.enter(checked.demand).await?;
+        slot.charge(key_of(job));
+        if self.is_suspect(job)? && !suspect {
+            // It became one while it waited; it goes where no other runs.
+            return Err(Kind::Overloaded);
+        }
         if let Some(current) = self.parts.holder.current()
             && current.generation != configuration.generation
         {
@@ -219,13 +282,16 @@
         if !book.is_granted(team, stage.pool, clock::minute_of_day()) {
             return Err(Kind::Forbidden);
         }
-        adopt(door, endpoint, configuration);
+        watch::adopt(door, endpoint, configuration);
         if book.is_taken_out(endpoint) {
             return Err(Kind::TakenOut);
         }
         Ok(Checked {
             door: Arc::clone(door),
-            demand: self.demand(job, book, team),
+            demand: Demand {
+                suspect: self.is_suspect(job)?,
+                ..self.demand(job, book, team)
+            },
             stage: stage.clone(),
             service: book[stage.pool].service,
         })
@@ -239,11 +305,48 @@
             weight: rule.weight,
             team_limit: rule.endpoint_limit,
             owner: rule.owner.map(|owner| Tag::new(&book[owner].name)),
-            suspect: job.crashes > 0,
+            suspect: false,
             deadline: self.parts.clock.now() + remaining,
         }
     }
 
+    /// Returns whether a job is suspected of crashing endpoints, by what this
+    /// process or the job's entry knows.
+    fn is_suspect(&self, job: &wire::Job) -> Result<bool, Kind> {
+        let condemned = u32::try_from(CRASHES).unwrap_or(u32::MAX);
+        match self.suspects.standing(fingerprint(job)) {
+            Standing::Condemned => Err(Kind::Quarantined),
+            _ if job.crashes >= condemned => Err(Kind::Quarantined),
+            Standing::Suspect => Ok(true),
+            Standing::Clear => Ok(job.crashes > 0),
+        }
+    }
+
+    /// Notes that the endpoint answered the job whole.
+    pub(super) fn acquit(&self, job: &wire::Job) {
+        self.suspects.acquit(fingerprint(job));
+    }
+
+    /// Notes that the connection to the endpoint was cut during the job;
+    /// returns whether the endpoint crashed.
+    pub(super) async fn cut(&self, job: &wire::Job, address: SocketAddr) -> bool {
+        let Some(attempt) = id::Attempt::parse(&job.attempt) else {
+            return false;
+        };
+        let port = &self.parts.port;
+        if port.is_refusing(address).await {
+            self.suspects.mark(fingerprint(job), attempt);
+            return true;
+        }
+        let Some(door) = self.find(&job.endpoint) else {
+            return false;
+        };
+        door.note_cut(fingerprint(job), attempt);
+        let health = port.health(address).await;
+        watch::explain(door, health, &self.suspects);
+        self.suspects.knows(fingerprint(job), attempt)
+    }
+
     fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
         let index = self
             .doors
@@ -253,50 +356,24 @@
     }
 }
 
-/// Keeps the doors at the configuration in force, also without any job.
-async fn follow(
-    doors: Vec<Arc<Door>>,
-    mut configurations: watch::Receiver<Option<Arc<Configuration>>>,
-) {
-    loop {
-        let current = configurations.borrow_and_update().clone();
-        if let Some(configuration) = current {
-            for door in &doors {
-                if let Some(endpoint) = configuration.book.endpoint(&door.name) {
-                    adopt(door, endpoint, &configuration);
-                }
-            }
-        }
-        if configurations.changed().await.is_err() {
-            return;
-        }
+/// Returns the word for the phase in a load.
+fn phase_of(load: &wire::Load) -> &'static str {
+    match load.phase {
+        0 => "cold",
+        1 => "warming",
+        2 => "warm",
+        _ => "leaving",
     }
 }
 
-fn adopt(door: &Arc<Door>, endpoint: EndpointKey, configuration: &Configuration) {
-    if door.is_at(configuration.generation) {
-        return;
+fn key_of(job: &wire::Job) -> Key {
+    Key {
+        pipeline: job.pipeline.clone(),
+        stage: job.stage.clone(),
+        team: job.team.clone(),
     }
-    let book = &configuration.book;
-    let terms = terms_of(book, endpoint);
-    door.adopt(configuration.generation, terms, book.is_taken_out(endpoint));
 }
 
-fn terms_of(book: &Book, endpoint: EndpointKey) -> Terms {
-    let endpoint = &book[endpoint];
-    let reservations = book.reservations.iter();
-    Terms {
-        limits: Limits {
-            cold_slots: endpoint.cold_slots,
-            warm_slots: endpoint.warm_slots,
-            warmup: Duration::from_millis(endpoint.warmup_ms),
-        },
-        reservations: reservations
-            .filter(|one| one.pool == endpoint.pool)
-            .map(|one| Reserved {
-                owner: Tag::new(&book[one.owner].name),
-                slots: one.slots,
-            })
-            .collect(),
-    }
+fn fingerprint(job: &wire::Job) -> Fingerprint {
+    Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
 }
--- a/crates/cicadacrank-node/tests/peer.rs
+++ b/crates/cicadacrank-node/tests/peer.rs
@@ -7,6 +7,7 @@
     metrics::Metrics,
     peer::{self, Link, Parts, Service, Watching},
     platform::{Change, Collection, Fault, Listing, Object, Store, Version},
+    quarantine::Suspects,
 };
 use cicadacrank_wire::wire;
 use futures_util::{
@@ -172,6 +173,7 @@
         holder: Arc::clone(&holder),
         store: Arc::new(link()),
         link: Arc::new(link()),
+        suspects: Arc::new(Suspects::new(Clock::new())),
         metrics: Arc::new(Metrics::new()),
     }));
     let listed = (own, Arc::clone(&service));
