--- a/crates/cicadacrank-bench/examples/spread.rs
+++ b/crates/cicadacrank-bench/examples/spread.rs
@@ -2,8 +2,8 @@
 //!
 //! The peer slices of many processes run in this one, over loopback, against a
 //! stand-in of the platform: `cargo run --release -p cicadacrank-bench
-//! --example spread`. `--steady N` measures N processes while nothing changes,
-//! `--slopes` other costs that grow with the size of a fleet. Results go to the
+//! --example spread`. `--steady N` measures N processes once the news of
+//! their start has been spread, `--slopes` other costs that grow with the size of a fleet. Results go to the
 //! standard output, and as JSON to the file named by `--json`.
 
 #[path = "spread/cost.rs"]
@@ -106,11 +106,17 @@
     cpu_percent: f64,
     platform_calls_s: f64,
     resident_mib: f64,
+    changes: u64,
+    change_bytes: f64,
+    change_cpu_ms: f64,
+    reached_p50_ms: u64,
+    reached_max_ms: u64,
 }
 
-/// Measures a fleet in which nothing changes, once all news has been spread.
+/// Measures a fleet once all news of its start has been spread: first while
+/// nothing changes, then over a few changes.
 async fn steady(nodes: usize) -> Result<Steady, Box<dyn Error>> {
-    let fleet = Fleet::start(nodes, false, false).await?;
+    let mut fleet = Fleet::start(nodes, false, false).await?;
     fleet.settle(LONGEST).await?;
     let began = Instant::now();
     while !fleet.is_quiet() {
@@ -118,6 +124,22 @@
     }
     let quiet = began.elapsed();
     let idle = span(&fleet, STEADY).await;
+    let resident_mib = cost::resident_kib() / 1024.0;
+    let mut reached = Vec::new();
+    let (before, began) = (fleet.totals(), Instant::now());
+    for _ in 0..FAULT_CHANGES {
+        let change = fleet.change();
+        reached.extend(fleet.wait(change, LONGEST).await?);
+        time::sleep(PAUSE).await;
+    }
+    let spent = began.elapsed().as_secs_f64();
+    let busy = fleet.totals() - before;
+    reached.sort_unstable();
+    let each = |busy: f64, idle: f64| {
+        (busy - idle * spent).max(0.0)
+            / count(nodes)
+            / count(usize::try_from(FAULT_CHANGES).unwrap_or(1))
+    };
     let row = Steady {
         nodes,
         quiet_s: quiet.as_secs_f64(),
@@ -125,7 +147,12 @@
         syncs_s: idle.syncs / count(nodes),
         cpu_percent: idle.cpu * 100.0 / count(nodes),
         platform_calls_s: idle.calls,
-        resident_mib: cost::resident_kib() / 1024.0,
+        resident_mib,
+        changes: FAULT_CHANGES,
+        change_bytes: each(busy.bytes, idle.bytes),
+        change_cpu_ms: each(busy.cpu, idle.cpu) * 1000.0,
+        reached_p50_ms: reached[reached.len() / 2],
+        reached_max_ms: reached[reached.len() - 1],
     };
     println!("{row:?}");
     Ok(row)
