--- a/crates/cicadacrank-bench/examples/spread/fleet.rs
+++ b/crates/cicadacrank-bench/examples/spread/fleet.rs
@@ -13,6 +13,7 @@
     metrics::Metrics,
     peer::{self, Fault, Link},
     platform::{Collection, http},
+    quarantine::Suspects,
     settings,
 };
 use cicadacrank_wire::wire;
@@ -225,6 +226,7 @@
                 inner: peer::grpc::Client::new(TIMEOUT, metrics.peer_bytes.clone()),
                 way: Arc::clone(&self.way),
             }),
+            suspects: Arc::new(Suspects::new(Clock::new())),
             metrics: Arc::clone(&metrics),
         }));
         let mut tasks = JoinSet::new();
@@ -363,6 +365,11 @@
             .collect()
     }
 
+    /// Returns whether all news of members has been spread.
+    pub fn is_quiet(&self) -> bool {
+        self.slices.iter().all(|slice| slice.service.is_quiet())
+    }
+
     /// Returns the number of processes that watch the platform.
     pub fn watches(&self) -> usize {
         let watching = |slice: &&Slice| slice.service.is_watching();
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -4,7 +4,7 @@
     Addresses, Common, address_of, announce, bind, finish, serve_operator, start_peer,
     wait_for_signal,
 };
-use crate::{entry, link, membership, operator, peer, quarantine, settings::Role};
+use crate::{entry, link, membership, operator, peer, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
 use salvo::{Listener as _, Server, conn::TcpListener};
@@ -35,11 +35,7 @@
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    let peer = start_peer(&common, listen, operator_listen);
-    tokio::spawn(quarantine::spread(
-        Arc::clone(service.suspects()),
-        Arc::clone(&peer),
-    ));
+    let peer = start_peer(&common, listen, operator_listen, service.suspects());
     tokio::spawn(membership::refresh(Arc::clone(&service), Arc::clone(&peer)));
     let peer_server = tonic::transport::Server::builder()
         .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -3,7 +3,7 @@
 use super::{
     Addresses, Common, announce, bind, finish, serve_operator, start_peer, wait_for_signal,
 };
-use crate::{endpoint, link, operator, peer, quarantine, settings::Role, sidecar};
+use crate::{endpoint, link, operator, peer, settings::Role, sidecar};
 use cicadacrank_core::event::Event;
 use cicadacrank_wire::wire::sidecar_server::SidecarServer;
 use miette::{IntoDiagnostic as _, Result};
@@ -27,11 +27,7 @@
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    let peer = start_peer(&common, listen, operator_listen);
-    tokio::spawn(quarantine::spread(
-        Arc::clone(service.suspects()),
-        Arc::clone(&peer),
-    ));
+    let peer = start_peer(&common, listen, operator_listen, service.suspects());
     announce(&Addresses {
         listen,
         caller_listen: None,
