--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use salvo::{
     Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::TcpListener,
+    conn::{TcpListener, tcp::TcpAcceptor},
     http::{Method, StatusCode},
     writing::Json,
 };
@@ -24,6 +24,7 @@
     time::Duration,
 };
 use tokio::{
+    sync::Notify,
     task::JoinHandle,
     time::{self, Instant},
 };
@@ -34,6 +35,9 @@
 /// Pause between two looks of a silent stand-in.
 const SILENT_LOOK: Duration = Duration::from_millis(5);
 
+/// Pause before the port of a stand-in that fell over is bound again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// One piece of work that reached the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
@@ -49,6 +53,8 @@
     pub body: String,
     /// Whether the answer was made in full.
     pub finished: bool,
+    /// Time it took a slot, in microseconds; zero while it runs.
+    pub busy_us: u64,
 }
 
 #[derive(Debug)]
@@ -56,6 +62,8 @@
     name: String,
     origin: Instant,
     model: Model,
+    /// Start whose connections are taken.
+    listening: u64,
     runs: Vec<Run>,
 }
 
@@ -71,6 +79,7 @@
 #[derive(Clone, Debug)]
 struct Api {
     state: Arc<Mutex<State>>,
+    fallen: Arc<Notify>,
 }
 
 /// Work in flight; dropping it ends it.
@@ -78,6 +87,7 @@
     api: Api,
     run: usize,
     begun: Begun,
+    since: Instant,
 }
 
 impl Server {
@@ -87,22 +97,20 @@
     ///
     /// Returns the error of the bind.
     pub async fn start(name: &str, profile: Profile) -> io::Result<Self> {
-        let acceptor = TcpListener::new("127.0.0.1:0")
-            .try_bind()
-            .await
-            .map_err(|error| io::Error::other(error.to_string()))?;
+        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
             origin: Instant::now(),
             model: Model::new(profile, Capacity::default()),
+            listening: 1,
             runs: Vec::new(),
         };
         let api = Api {
             state: Arc::new(Mutex::new(state)),
+            fallen: Arc::new(Notify::new()),
         };
-        let router = Router::with_path("{**path}").goal(api.clone());
-        let task = tokio::spawn(salvo::Server::new(acceptor).serve(router));
+        let task = tokio::spawn(listen(acceptor, address, api.clone()));
         Ok(Self { address, api, task })
     }
 
@@ -140,6 +148,7 @@
         let mut state = self.api.lock();
         let now = state.origin.elapsed();
         state.model.fall(now);
+        self.api.fallen.notify_one();
     }
 
     /// Returns how often the stand-in has started.
@@ -148,6 +157,14 @@
         self.api.lock().model.incarnation()
     }
 
+    /// Returns whether the stand-in takes connections; it does not while it is
+    /// down.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        let state = self.api.lock();
+        state.listening == state.model.incarnation()
+    }
+
     /// Returns the work that reached the stand-in so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -192,6 +209,7 @@
             key,
             body,
             finished: false,
+            busy_us: 0,
         };
         self.serve(run, &input, response).await;
     }
@@ -202,6 +220,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the start that comes next, and how long until then.
+    fn down(&self) -> (u64, Duration) {
+        let state = self.lock();
+        let down = state.model.down(state.origin.elapsed());
+        (state.model.incarnation(), down)
+    }
+
     fn load(&self) -> Load {
         let state = self.lock();
         state.model.report(state.origin.elapsed())
@@ -213,7 +238,11 @@
             let mut state = self.lock();
             let now = state.origin.elapsed();
             let prompt = input["prompt"].as_str().unwrap_or_default();
+            let before = state.model.incarnation();
             let arrival = state.model.arrive(&run.body, prompt, now);
+            if state.model.incarnation() != before {
+                self.fallen.notify_one();
+            }
             state.runs.push(run);
             match arrival {
                 Arrival::Begun(begun) => Ok((begun, state.runs.len() - 1)),
@@ -226,6 +255,7 @@
                 api: self.clone(),
                 run,
                 begun,
+                since: Instant::now(),
             },
             Err(true) => return cut(response),
             Err(false) => {
@@ -233,7 +263,7 @@
                 return response.render("refused\n");
             }
         };
-        time::sleep(ticket.begun.first).await;
+        wait(ticket.begun.first).await;
         ticket.pass_silence().await;
         if !ticket.is_live() {
             return cut(response);
@@ -285,7 +315,7 @@
     async fn event(&self, mark: &str, token: u64, count: u64) -> Option<String> {
         if token > 0 {
             let pause = self.api.lock().model.token();
-            time::sleep(pause).await;
+            wait(pause).await;
         }
         self.pass_silence().await;
         if !self.is_live() || self.truncates_at(token) {
@@ -311,6 +341,42 @@
         let mut state = self.api.lock();
         let now = state.origin.elapsed();
         state.model.leave(self.begun.incarnation, now);
+        let busy = self.since.elapsed().as_micros();
+        state.runs[self.run].busy_us = u64::try_from(busy).unwrap_or(u64::MAX);
+    }
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
+    let bound = TcpListener::new(address).try_bind().await;
+    bound.map_err(|error| io::Error::other(error.to_string()))
+}
+
+/// Serves; while the stand-in is down, connections are refused.
+async fn listen(mut acceptor: TcpAcceptor, address: SocketAddr, api: Api) {
+    loop {
+        let router = Router::with_path("{**path}").goal(api.clone());
+        let server = salvo::Server::new(acceptor).serve(router);
+        let fallen = api.fallen.notified();
+        tokio::select! {
+            () = server => return,
+            () = fallen => {}
+        }
+        let (incarnation, down) = api.down();
+        time::sleep(down).await;
+        acceptor = loop {
+            match bind(address).await {
+                Ok(acceptor) => break acceptor,
+                Err(_) => time::sleep(REBIND_PAUSE).await,
+            }
+        };
+        api.lock().listening = incarnation;
+    }
+}
+
+/// Waits; a pause of nothing ends at once, where a timer would take a tick.
+async fn wait(pause: Duration) {
+    if !pause.is_zero() {
+        time::sleep(pause).await;
     }
 }
 
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -3,24 +3,25 @@
 use super::{
     Claims,
     door::{Door, Slot},
-    duty, pulse,
+    duty, pulse, watch,
 };
 use crate::{
     clock::{self, Clock},
     configuration::{Configuration, Holder},
     endpoint,
     metrics::Metrics,
-    platform,
+    operator, platform,
     quarantine::Suspects,
     settings::Settings,
 };
 use cicadacrank_core::{
-    admission::{Demand, Limits, Reserved, Sign, Tag, Terms},
+    accounting::{Account, Key},
+    admission::{Demand, Sign, Tag},
     error::Kind,
     id,
     once::{Stop, Unsent},
     quarantine::{CRASHES, Fingerprint, Standing},
-    rules::{self, Book, EndpointKey},
+    rules::{self, Book},
 };
 use cicadacrank_wire::wire;
 use std::{
@@ -31,7 +32,7 @@
     },
     time::Duration,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
 /// Frames that may wait for a slow entry.
@@ -64,7 +65,8 @@
     pub(super) parts: Parts,
     pub(super) claims: Claims,
     doors: Vec<Arc<Door>>,
-    suspects: Suspects,
+    since_ms: u64,
+    suspects: Arc<Suspects>,
     leaving: AtomicBool,
     tracker: TaskTracker,
 }
@@ -91,6 +93,7 @@
     /// Must be called inside a runtime: the doors follow the configuration.
     #[must_use]
     pub fn new(parts: Parts) -> Self {
+        let since_ms = parts.clock.unix_ms();
         let life = Duration::from_millis(parts.settings.timeouts.claim_ms);
         let claims = Claims::new(Arc::clone(&parts.store), parts.clock, life);
         let endpoints = parts.settings.endpoints.iter();
@@ -98,12 +101,23 @@
             .map(|endpoint| Arc::new(Door::new(endpoint, parts.clock)))
             .collect();
         doors.sort_by(|one, other| one.name.cmp(&other.name));
-        tokio::spawn(follow(doors.clone(), parts.holder.subscribe()));
+        let suspects = Arc::new(Suspects::new(parts.clock));
+        for door in &doors {
+            tokio::spawn(watch::rules(Arc::clone(door), parts.holder.subscribe()));
+            let health = watch::health(
+                Arc::clone(door),
+                Arc::clone(&parts.port),
+                Arc::clone(&suspects),
+                parts.holder.subscribe(),
+            );
+            tokio::spawn(health);
+        }
         Self {
-            suspects: Suspects::new(parts.clock),
+            suspects,
             parts,
             claims,
             doors,
+            since_ms,
             leaving: AtomicBool::new(false),
             tracker: TaskTracker::new(),
         }
@@ -138,7 +152,7 @@
 
     /// Returns the requests that are suspected of crashing endpoints.
     #[must_use]
-    pub const fn suspects(&self) -> &Suspects {
+    pub const fn suspects(&self) -> &Arc<Suspects> {
         &self.suspects
     }
 
@@ -161,6 +175,33 @@
         self.tracker.wait().await;
     }
 
+    /// Returns what the endpoints bear and do, in order of name.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<operator::Endpoint> {
+        let endpoint = |door: &Arc<Door>| {
+            let load = door.load().unwrap_or_default();
+            operator::Endpoint {
+                name: door.name.clone(),
+                phase: phase_of(&load).to_owned(),
+                in_flight: load.in_flight,
+                queued: load.queued,
+                slots: load.slots,
+            }
+        };
+        self.doors.iter().map(endpoint).collect()
+    }
+
+    /// Counts slot time up to now.
+    pub(super) fn count_slots(&self) {
+        self.doors.iter().for_each(|door| door.count_slots());
+    }
+
+    /// Returns the accounts of the endpoints, in order of name.
+    pub(super) fn accounts(&self) -> Vec<Account> {
+        let doors = self.doors.iter();
+        doors.map(|door| door.account(self.since_ms)).collect()
+    }
+
     /// Returns the load of an endpoint for its next frame.
     #[must_use]
     pub fn load(&self, endpoint: &str) -> Option<wire::Load> {
@@ -205,7 +246,8 @@
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
         let suspect = checked.demand.suspect;
-        let slot = checked.door.enter(checked.demand).await?;
+        let mut slot = checked.door.enter(checked.demand).await?;
+        slot.charge(key_of(job));
         if self.is_suspect(job)? && !suspect {
             // It became one while it waited; it goes where no other runs.
             return Err(Kind::Overloaded);
@@ -240,7 +282,7 @@
         if !book.is_granted(team, stage.pool, clock::minute_of_day()) {
             return Err(Kind::Forbidden);
         }
-        adopt(door, endpoint, configuration);
+        watch::adopt(door, endpoint, configuration);
         if book.is_taken_out(endpoint) {
             return Err(Kind::TakenOut);
         }
@@ -288,11 +330,21 @@
     /// Notes that the connection to the endpoint was cut during the job;
     /// returns whether the endpoint crashed.
     pub(super) async fn cut(&self, job: &wire::Job, address: SocketAddr) -> bool {
-        let crashed = self.parts.port.is_refusing(address).await;
-        if crashed && let Some(attempt) = id::Attempt::parse(&job.attempt) {
+        let Some(attempt) = id::Attempt::parse(&job.attempt) else {
+            return false;
+        };
+        let port = &self.parts.port;
+        if port.is_refusing(address).await {
             self.suspects.mark(fingerprint(job), attempt);
+            return true;
         }
-        crashed
+        let Some(door) = self.find(&job.endpoint) else {
+            return false;
+        };
+        door.note_cut(fingerprint(job), attempt);
+        let health = port.health(address).await;
+        watch::explain(door, health, &self.suspects);
+        self.suspects.knows(fingerprint(job), attempt)
     }
 
     fn find(&self, endpoint: &str) -> Option<&Arc<Door>> {
@@ -304,54 +356,24 @@
     }
 }
 
-fn fingerprint(job: &wire::Job) -> Fingerprint {
-    Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
-}
-
-/// Keeps the doors at the configuration in force, also without any job.
-async fn follow(
-    doors: Vec<Arc<Door>>,
-    mut configurations: watch::Receiver<Option<Arc<Configuration>>>,
-) {
-    loop {
-        let current = configurations.borrow_and_update().clone();
-        if let Some(configuration) = current {
-            for door in &doors {
-                if let Some(endpoint) = configuration.book.endpoint(&door.name) {
-                    adopt(door, endpoint, &configuration);
-                }
-            }
-        }
-        if configurations.changed().await.is_err() {
-            return;
-        }
+/// Returns the word for the phase in a load.
+fn phase_of(load: &wire::Load) -> &'static str {
+    match load.phase {
+        0 => "cold",
+        1 => "warming",
+        2 => "warm",
+        _ => "leaving",
     }
 }
 
-fn adopt(door: &Arc<Door>, endpoint: EndpointKey, configuration: &Configuration) {
-    if door.is_at(configuration.generation) {
-        return;
+fn key_of(job: &wire::Job) -> Key {
+    Key {
+        pipeline: job.pipeline.clone(),
+        stage: job.stage.clone(),
+        team: job.team.clone(),
     }
-    let book = &configuration.book;
-    let terms = terms_of(book, endpoint);
-    door.adopt(configuration.generation, terms, book.is_taken_out(endpoint));
 }
 
-fn terms_of(book: &Book, endpoint: EndpointKey) -> Terms {
-    let endpoint = &book[endpoint];
-    let reservations = book.reservations.iter();
-    Terms {
-        limits: Limits {
-            cold_slots: endpoint.cold_slots,
-            warm_slots: endpoint.warm_slots,
-            warmup: Duration::from_millis(endpoint.warmup_ms),
-        },
-        reservations: reservations
-            .filter(|one| one.pool == endpoint.pool)
-            .map(|one| Reserved {
-                owner: Tag::new(&book[one.owner].name),
-                slots: one.slots,
-            })
-            .collect(),
-    }
+fn fingerprint(job: &wire::Job) -> Fingerprint {
+    Fingerprint::new(&job.team, &job.pipeline, &job.stage, &job.digest)
 }
