Send small parts at once on every connection the daemons accept

Cause: accepted connections had Nagle's algorithm on, so a frame or an event waited for the delayed acknowledgement of the one before it.

One stall of about 40 ms is left and not found yet.

--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -6,7 +6,7 @@
 use crate::{entry, link, membership, operator, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
-use salvo::{Listener as _, Server, conn::TcpListener};
+use salvo::{Server, conn::tcp::TcpAcceptor};
 use std::sync::Arc;
 use tokio::time;
 
@@ -26,16 +26,13 @@
         Arc::clone(&common.store),
         pause,
     ));
-    let peer_listener = bind(common.settings.listen).await?;
+    let peer_listener = bind(common.settings.listen)?;
     let listen = peer_listener.local_addr().into_diagnostic()?;
     let address = common
         .settings
         .caller_listen
         .unwrap_or(common.settings.listen);
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .into_diagnostic()?;
+    let acceptor = TcpAcceptor::try_from(bind(address)?).into_diagnostic()?;
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -18,10 +18,14 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{
+    net::TcpSocket,
     signal::unix::{SignalKind, signal},
     time,
 };
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// The addresses a process has bound; printed as one line of JSON on the
 /// standard output when it is up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,9 +81,20 @@
     Event::Stopped.log(format_args!("{}", common.settings.instance));
 }
 
-async fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
-    tokio::net::TcpListener::bind(address)
-        .await
+/// Binds a listener whose connections send small parts at once: they inherit
+/// the option from the listener.
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_nodelay(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen()
         .into_diagnostic()
         .wrap_err_with(|| format!("binding {address}"))
 }
--- a/crates/cicadacrank-node/src/daemon/sidecar.rs
+++ b/crates/cicadacrank-node/src/daemon/sidecar.rs
@@ -21,7 +21,7 @@
         port: Arc::new(port),
         metrics: Arc::clone(&common.metrics),
     }));
-    let listener = bind(common.settings.listen).await?;
+    let listener = bind(common.settings.listen)?;
     let listen = listener.local_addr().into_diagnostic()?;
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
