Let stand-ins send small parts at once, as servers of the field do

Cause: the stall of about 40 ms that was left on the path came from the stand-in engines: Nagle's algorithm held the second small part of an answer until the sidecar's delayed acknowledgement.

--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -6,12 +6,13 @@
     model::{Arrival, Begun, Load, Model},
     profile::Profile,
 };
+use crate::socket;
 use bytes::Bytes;
 use cicadacrank_node::clock::unix_ms;
 use futures_util::stream;
 use salvo::{
-    Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::{TcpListener, tcp::TcpAcceptor},
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    conn::tcp::TcpAcceptor,
     http::{Method, StatusCode},
     writing::Json,
 };
@@ -97,7 +98,7 @@
     ///
     /// Returns the error of the bind.
     pub async fn start(name: &str, profile: Profile) -> io::Result<Self> {
-        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let acceptor = socket::bind(socket::ANY)?;
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
@@ -346,11 +347,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
-    let bound = TcpListener::new(address).try_bind().await;
-    bound.map_err(|error| io::Error::other(error.to_string()))
-}
-
 /// Serves; while the stand-in is down, connections are refused.
 async fn listen(mut acceptor: TcpAcceptor, address: SocketAddr, api: Api) {
     loop {
@@ -364,7 +360,7 @@
         let (incarnation, down) = api.down();
         time::sleep(down).await;
         acceptor = loop {
-            match bind(address).await {
+            match socket::bind(address) {
                 Ok(acceptor) => break acceptor,
                 Err(_) => time::sleep(REBIND_PAUSE).await,
             }
--- a/crates/cicadacrank-bench/src/lib.rs
+++ b/crates/cicadacrank-bench/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod platform;
 pub mod process;
 pub mod report;
+mod socket;
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -4,6 +4,7 @@
     state::{Answer, Counts, Faults, State, Step},
     watch,
 };
+use crate::socket;
 use bytes::Bytes;
 use cicadacrank_node::{
     membership::Instance,
@@ -11,8 +12,7 @@
 };
 use futures_util::StreamExt as _;
 use salvo::{
-    Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::TcpListener,
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
     http::{Method, StatusCode},
     writing::Json,
 };
@@ -56,10 +56,7 @@
     ///
     /// Returns the error of the bind.
     pub async fn start() -> io::Result<Self> {
-        let acceptor = TcpListener::new("127.0.0.1:0")
-            .try_bind()
-            .await
-            .map_err(|error| io::Error::other(error.to_string()))?;
+        let acceptor = socket::bind(socket::ANY)?;
         let address = acceptor.local_addr()?;
         let state = Arc::new(Mutex::new(State::new()));
         let api = Api {
