Hold back the refusal of a crashing request until others have heard

Cause: the refusal reached the caller before the next sync reached other processes, and the request sent again elsewhere crashed more endpoints. Also: a success tells peers of suspects only if it acquitted one.

--- a/crates/cicadacrank-core/src/quarantine/list.rs
+++ b/crates/cicadacrank-core/src/quarantine/list.rs
@@ -108,13 +108,17 @@
     ///
     /// A condemned request stays so: it never runs, and a late answer from
     /// before says nothing new.
-    pub fn acquit(&mut self, fingerprint: Fingerprint) {
-        if let Ok(index) = self.find(fingerprint) {
-            let row = &mut self.rows[index];
-            if row.standing() == Standing::Suspect {
-                row.crashes.iter_mut().for_each(|one| one.acquitted = true);
-            }
+    /// Returns whether it was a suspect.
+    pub fn acquit(&mut self, fingerprint: Fingerprint) -> bool {
+        let Ok(index) = self.find(fingerprint) else {
+            return false;
+        };
+        let row = &mut self.rows[index];
+        let suspect = row.standing() == Standing::Suspect;
+        if suspect {
+            row.crashes.iter_mut().for_each(|one| one.acquitted = true);
         }
+        suspect
     }
 
     /// Takes up what another process knows.
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -54,7 +54,7 @@
     /// Part of the output has reached the caller.
     pub(super) passed_on: bool,
     /// The endpoint crashed under the work.
-    crashed: bool,
+    pub(super) crashed: bool,
 }
 
 /// Counts an attempt at an endpoint for as long as it lives.
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -26,6 +26,9 @@
 /// Pause before an attempt after a refusal.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time in which other processes hear of a suspect.
+const SPREAD: Duration = Duration::from_secs(2);
+
 /// Longest deadline a caller may state.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -40,6 +43,7 @@
     deadline: Instant,
     floor: Effect,
     chunks: u64,
+    crashed: bool,
 }
 
 /// Takes one request through its stages and answers.
@@ -47,7 +51,13 @@
     let began = Instant::now();
     let metrics = Arc::clone(&service.parts.metrics);
     let reply = match Walk::new(service, request, sender.clone(), began) {
-        Ok((mut walk, pipeline)) => walk.run(pipeline).await,
+        Ok((mut walk, pipeline)) => {
+            let reply = walk.run(pipeline).await;
+            if reply.is_err() && walk.crashed {
+                walk.wait_for_spread().await;
+            }
+            reply
+        }
         Err(failure) => Err(failure),
     };
     metrics.latency.observe(began.elapsed().as_secs_f64());
@@ -91,6 +101,7 @@
             deadline: began + bound.min(LONGEST_DEADLINE),
             floor: Effect::NotRun,
             chunks: 0,
+            crashed: false,
         };
         Ok((walk, pipeline))
     }
@@ -128,6 +139,13 @@
         condemned.map_or(Ok(()), |stage| Err(quarantined(stage)))
     }
 
+    /// Holds back the refusal of a request that crashed an endpoint, so that
+    /// other processes have heard of it when its caller sends it again.
+    async fn wait_for_spread(&self) {
+        let until = self.deadline.min(Instant::now() + SPREAD);
+        time::sleep_until(until).await;
+    }
+
     /// Returns when a stage must have ended: time that earlier stages left
     /// unused passes on to it.
     fn stage_deadline(&self, share_percent: u32) -> Instant {
@@ -168,6 +186,7 @@
                     return Ok(done.output);
                 }
                 Err(trouble) => {
+                    self.crashed |= trouble.crashed;
                     let retry = may_retry(&trouble, stage);
                     last = Some(self.note(trouble, stage));
                     if !retry || !self.service.budgets().of(pool).take() {
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -53,8 +53,10 @@
 
     /// Notes that a suspect ended well while no other ran beside it.
     pub fn acquit(&self, fingerprint: Fingerprint) {
-        self.lock().acquit(fingerprint);
-        self.changed.notify_one();
+        let acquitted = self.lock().acquit(fingerprint);
+        if acquitted {
+            self.changed.notify_one();
+        }
     }
 
     /// Takes up what a peer knows; what cannot be read is left out.
--- /dev/null
+++ b/crates/cicadacrankd/tests/crash.rs
@@ -0,0 +1,43 @@
+//! A request that crashes whatever runs it, over separate processes.
+
+mod common;
+
+use cicadacrank_bench::{
+    engine::{Capacity, Fault},
+    fleet::{Fleet, wait_for},
+};
+use common::{request, small};
+
+const POISON: &str = r#"{"query":"poison"}"#;
+
+/// Returns the status and the body of an answer.
+async fn ask(fleet: &Fleet, entry: usize, body: &str) -> (u16, String) {
+    let answer = request(fleet, entry, "ask", "").body(body.to_owned());
+    let answer = answer.send().await.expect("an answer");
+    let status = answer.status().as_u16();
+    (status, answer.text().await.expect("a body"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_request_takes_two_endpoints_over_all_entries() {
+    let fleet = small().await;
+    for post in &fleet.posts {
+        post.engine.set_capacity(Capacity {
+            restart_ms: 300,
+            ..Capacity::default()
+        });
+        post.engine
+            .set_faults(vec![Fault::CrashOn("poison".to_owned())]);
+    }
+    let crashes = || -> u64 {
+        let posts = fleet.posts.iter();
+        posts.map(|post| post.engine.incarnation() - 1).sum()
+    };
+    let (status, text) = ask(&fleet, 0, POISON).await;
+    assert!(status != 200 && crashes() == 2, "{status} {text}");
+    let refuses = async || ask(&fleet, 1, POISON).await.1.contains("quarantined");
+    wait_for("the other entry", refuses).await.expect("refused");
+    assert_eq!(crashes(), 2, "the other entry crashes none");
+    let serves = async || ask(&fleet, 1, r#"{"query":"tea"}"#).await.0 == 200;
+    wait_for("other requests", serves).await.expect("served");
+}
