--- a/crates/cicadacrank-bench/examples/spread.rs
+++ b/crates/cicadacrank-bench/examples/spread.rs
@@ -2,9 +2,9 @@
 //!
 //! The peer slices of many processes run in this one, over loopback, against a
 //! stand-in of the platform: `cargo run --release -p cicadacrank-bench
-//! --example spread`. With `--slopes` it measures other costs that grow with
-//! the size of a fleet. Results go to the standard output as a table, and to
-//! the file named by `--json` as JSON.
+//! --example spread`. `--steady N` measures N processes once the news of
+//! their start has been spread, `--slopes` other costs that grow with the size of a fleet. Results go to the
+//! standard output, and as JSON to the file named by `--json`.
 
 #[path = "spread/cost.rs"]
 mod cost;
@@ -35,6 +35,9 @@
 /// Longest wait for a change to reach all.
 const LONGEST: Duration = Duration::from_secs(60);
 
+/// Time over which the cost of a steady fleet is measured.
+const STEADY: Duration = Duration::from_secs(30);
+
 /// Time over which idle cost is measured.
 const IDLE: Duration = Duration::from_secs(8);
 
@@ -67,6 +70,11 @@
         slopes::print(&slopes);
         return save(json, &slopes);
     }
+    if let Some(index) = arguments.iter().position(|one| one == "--steady") {
+        let nodes = arguments.get(index + 1).ok_or("name the number")?.parse()?;
+        let row = steady(nodes).await?;
+        return save(json, &row);
+    }
     let quick = arguments.iter().any(|one| one == "--quick");
     let mut rows = Vec::new();
     print_head();
@@ -89,6 +97,67 @@
     Ok(())
 }
 
+#[derive(Debug, Serialize)]
+struct Steady {
+    nodes: usize,
+    quiet_s: f64,
+    bytes_s: f64,
+    syncs_s: f64,
+    cpu_percent: f64,
+    platform_calls_s: f64,
+    resident_mib: f64,
+    changes: u64,
+    change_bytes: f64,
+    change_cpu_ms: f64,
+    reached_p50_ms: u64,
+    reached_max_ms: u64,
+}
+
+/// Measures a fleet once all news of its start has been spread: first while
+/// nothing changes, then over a few changes.
+async fn steady(nodes: usize) -> Result<Steady, Box<dyn Error>> {
+    let mut fleet = Fleet::start(nodes, false, false).await?;
+    fleet.settle(LONGEST).await?;
+    let began = Instant::now();
+    while !fleet.is_quiet() {
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    let quiet = began.elapsed();
+    let idle = span(&fleet, STEADY).await;
+    let resident_mib = cost::resident_kib() / 1024.0;
+    let mut reached = Vec::new();
+    let (before, began) = (fleet.totals(), Instant::now());
+    for _ in 0..FAULT_CHANGES {
+        let change = fleet.change();
+        reached.extend(fleet.wait(change, LONGEST).await?);
+        time::sleep(PAUSE).await;
+    }
+    let spent = began.elapsed().as_secs_f64();
+    let busy = fleet.totals() - before;
+    reached.sort_unstable();
+    let each = |busy: f64, idle: f64| {
+        (busy - idle * spent).max(0.0)
+            / count(nodes)
+            / count(usize::try_from(FAULT_CHANGES).unwrap_or(1))
+    };
+    let row = Steady {
+        nodes,
+        quiet_s: quiet.as_secs_f64(),
+        bytes_s: idle.bytes / count(nodes),
+        syncs_s: idle.syncs / count(nodes),
+        cpu_percent: idle.cpu * 100.0 / count(nodes),
+        platform_calls_s: idle.calls,
+        resident_mib,
+        changes: FAULT_CHANGES,
+        change_bytes: each(busy.bytes, idle.bytes),
+        change_cpu_ms: each(busy.cpu, idle.cpu) * 1000.0,
+        reached_p50_ms: reached[reached.len() / 2],
+        reached_max_ms: reached[reached.len() - 1],
+    };
+    println!("{row:?}");
+    Ok(row)
+}
+
 fn print_head() {
     println!(
         "| nodes | watching | fault | changes | to all p50 ms | p99 ms | max ms | idle B/s | B a change | syncs/s | idle CPU % | CPU ms a change | platform calls/s | watches | all MiB |"
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -4,10 +4,10 @@
     Addresses, Common, address_of, announce, bind, finish, serve_operator, start_peer,
     wait_for_signal,
 };
-use crate::{entry, link, membership, operator, peer, quarantine, settings::Role};
+use crate::{entry, link, membership, operator, peer, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
-use salvo::{Listener as _, Server, conn::TcpListener};
+use salvo::{Server, conn::tcp::TcpAcceptor};
 use std::sync::Arc;
 use tokio::time;
 use tonic::transport::server::TcpIncoming;
@@ -22,24 +22,17 @@
         link: Arc::new(link::grpc::Client::new(connect)),
         metrics: Arc::clone(&common.metrics),
     }));
-    let peer_listener = bind(common.settings.listen).await?;
+    let peer_listener = bind(common.settings.listen)?;
     let listen = peer_listener.local_addr().into_diagnostic()?;
     let address = common
         .settings
         .caller_listen
         .unwrap_or(common.settings.listen);
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .into_diagnostic()?;
+    let acceptor = TcpAcceptor::try_from(bind(address)?).into_diagnostic()?;
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
-    let peer = start_peer(&common, listen, operator_listen);
-    tokio::spawn(quarantine::spread(
-        Arc::clone(service.suspects()),
-        Arc::clone(&peer),
-    ));
+    let peer = start_peer(&common, listen, operator_listen, service.suspects());
     tokio::spawn(membership::refresh(Arc::clone(&service), Arc::clone(&peer)));
     let peer_server = tonic::transport::Server::builder()
         .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -11,6 +11,7 @@
     metrics::Metrics,
     operator, peer,
     platform::{self, Store},
+    quarantine::Suspects,
     settings::{Role, Settings},
 };
 use cicadacrank_core::event::Event;
@@ -19,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
+    net::TcpSocket,
     signal::unix::{SignalKind, signal},
     time,
 };
@@ -26,6 +28,9 @@
 /// Longest time that a sync with a peer may take.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// The addresses a process has bound; printed as one line of JSON on the
 /// standard output when it is up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +77,7 @@
     common: &Common,
     listen: SocketAddr,
     operator_listen: SocketAddr,
+    suspects: &Arc<Suspects>,
 ) -> Arc<peer::Service> {
     let settings = &common.settings;
     let bytes = common.metrics.peer_bytes.clone();
@@ -85,6 +91,7 @@
         holder: Arc::clone(&common.holder),
         store: Arc::clone(&common.store),
         link: Arc::new(link),
+        suspects: Arc::clone(suspects),
         metrics: Arc::clone(&common.metrics),
     }));
     tokio::spawn(peer::run(Arc::clone(&service)));
@@ -100,9 +107,20 @@
     Event::Stopped.log(format_args!("{}", common.settings.instance));
 }
 
-async fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
-    tokio::net::TcpListener::bind(address)
-        .await
+/// Binds a listener whose connections send small parts at once: they inherit
+/// the option from the listener.
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_nodelay(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen()
         .into_diagnostic()
         .wrap_err_with(|| format!("binding {address}"))
 }
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -1,27 +1,29 @@
 //! The process's part in the exchange.
 
-use super::{Link, codec, suspects::Suspects};
+use super::{Link, codec};
 use crate::{
     clock::Clock,
     configuration::{Holder, Ruleset},
     metrics::Metrics,
     platform::Store,
+    quarantine::Suspects,
 };
 use cicadacrank_core::{
     event::Event,
     membership::Member,
     spread::{Action, Contact, Document, News, Node},
 };
-use cicadacrank_wire::wire::{self, Suspect};
+use cicadacrank_wire::wire;
 use std::{
+    mem,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::{broadcast, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
-/// Suspects that a slow listener may fall behind.
-const SUSPECT_BUFFER: usize = 256;
+/// Suspected requests in one message.
+const SUSPECTS: usize = 8;
 
 /// Who watches the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +52,8 @@
     pub store: Arc<dyn Store>,
     /// The way to peers.
     pub link: Arc<dyn Link>,
+    /// Suspected requests, carried along with each sync.
+    pub suspects: Arc<Suspects>,
     /// Metrics of the process.
     pub metrics: Arc<Metrics>,
 }
@@ -58,8 +62,6 @@
 pub struct Service {
     pub(super) parts: Parts,
     node: Mutex<Node>,
-    suspects: Mutex<Suspects>,
-    news: broadcast::Sender<Suspect>,
     members: watch::Sender<u64>,
     pub(super) watches: watch::Sender<bool>,
     actions: mpsc::UnboundedSender<Action>,
@@ -79,8 +81,6 @@
         Self {
             parts,
             node: Mutex::new(node),
-            suspects: Mutex::new(Suspects::default()),
-            news: broadcast::Sender::new(SUSPECT_BUFFER),
             members: watch::Sender::new(0),
             watches: watch::Sender::new(false),
             actions,
@@ -112,6 +112,12 @@
         *self.watches.borrow()
     }
 
+    /// Returns whether every change of members has been sent on often enough.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.node().table().is_quiet()
+    }
+
     /// Tells peers that this process wants no new work.
     pub fn leave(&self) {
         let now = self.parts.clock.now();
@@ -119,25 +125,13 @@
         self.queue_up(actions);
     }
 
-    /// Tells every process of a suspected request.
-    pub fn publish(&self, suspect: Suspect) {
-        self.merge_suspects(vec![suspect]);
-    }
-
-    /// Returns the suspects that other processes and this one tell of.
-    #[must_use]
-    pub fn suspects(&self) -> broadcast::Receiver<Suspect> {
-        self.news.subscribe()
-    }
-
     /// Answers a peer's sync.
     ///
     /// `None` means that the peer's message could not be read.
     #[must_use]
     pub fn answer(&self, mut message: wire::Digest) -> Option<wire::Update> {
         let now = self.parts.clock.now();
-        let suspects = self.lock_suspects().take_hot(now);
-        self.merge_suspects(std::mem::take(&mut message.suspects));
+        self.parts.suspects.merge(&mem::take(&mut message.suspects));
         let digest = codec::read_digest(message)?;
         let (update, pull) = {
             let mut node = self.node();
@@ -147,18 +141,18 @@
         self.queue_up(pull.into_iter().collect());
         self.tell();
         let mut message = codec::update(&update);
-        message.suspects = suspects;
+        message.suspects = self.some_suspects();
         Some(message)
     }
 
     pub(super) fn digest(&self) -> wire::Digest {
         let mut message = codec::digest(&self.node().digest());
-        message.suspects = self.lock_suspects().take_hot(self.parts.clock.now());
+        message.suspects = self.some_suspects();
         message
     }
 
     pub(super) fn absorb(&self, mut message: wire::Update) {
-        self.merge_suspects(std::mem::take(&mut message.suspects));
+        self.parts.suspects.merge(&mem::take(&mut message.suspects));
         let update = codec::read_update(message);
         let document = self.node().absorb(&update, self.parts.clock.now());
         if let Some(document) = document {
@@ -179,10 +173,9 @@
         {
             return;
         }
-        let now = self.parts.clock.now();
         let generation = i64::try_from(self.parts.holder.generation()).unwrap_or(i64::MAX);
         self.parts.metrics.generation.set(generation);
-        let actions = self.node().adopt(document, news, now, rand::random);
+        let actions = self.node().adopt(document, news, rand::random);
         self.queue_up(actions);
     }
 
@@ -240,18 +233,15 @@
         });
     }
 
-    fn lock_suspects(&self) -> MutexGuard<'_, Suspects> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn merge_suspects(&self, suspects: Vec<Suspect>) {
-        let now = self.parts.clock.now();
-        for suspect in suspects {
-            let news = self.lock_suspects().merge(suspect, now);
-            if let Some(news) = news {
-                // Nobody may be listening.
-                drop(self.news.send(news));
-            }
+    /// Returns suspects for one message, from a random place on, so that in time
+    /// all are sent.
+    fn some_suspects(&self) -> Vec<wire::Suspect> {
+        let mut suspects = self.parts.suspects.all();
+        if suspects.len() > SUSPECTS {
+            let start = rand::random_range(0..suspects.len());
+            suspects.rotate_left(start);
+            suspects.truncate(SUSPECTS);
         }
+        suspects
     }
 }
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! The suspects that this process knows of, and what it tells its peers.
 
-use crate::{clock::Clock, peer};
+use crate::clock::Clock;
 use cicadacrank_core::{
     event::Event,
     id,
@@ -8,17 +8,15 @@
 };
 use cicadacrank_wire::wire;
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::{Notify, broadcast::error::RecvError};
 
 /// Requests that are suspected of crashing endpoints.
 #[derive(Debug)]
 pub struct Suspects {
     clock: Clock,
     list: Mutex<List>,
-    changed: Notify,
 }
 
 impl Suspects {
@@ -28,7 +26,6 @@
         Self {
             clock,
             list: Mutex::default(),
-            changed: Notify::new(),
         }
     }
 
@@ -41,7 +38,6 @@
     /// Notes that an endpoint crashed with this attempt in flight.
     pub fn mark(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
         self.lock().mark(fingerprint, attempt, self.clock.now());
-        self.changed.notify_one();
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
@@ -53,10 +49,7 @@
 
     /// Notes that a suspect ended well while no other ran beside it.
     pub fn acquit(&self, fingerprint: Fingerprint) {
-        let acquitted = self.lock().acquit(fingerprint);
-        if acquitted {
-            self.changed.notify_one();
-        }
+        self.lock().acquit(fingerprint);
     }
 
     /// Takes up what a peer knows; what cannot be read is left out.
@@ -80,25 +73,6 @@
     }
 }
 
-/// Tells peers of the suspects here and takes up theirs, for as long as the
-/// process lives.
-pub async fn spread(suspects: Arc<Suspects>, peer: Arc<peer::Service>) {
-    let mut heard = peer.suspects();
-    loop {
-        tokio::select! {
-            () = suspects.changed.notified() => {
-                suspects.all().into_iter().for_each(|suspect| peer.publish(suspect));
-            }
-            suspect = heard.recv() => match suspect {
-                Ok(suspect) => suspects.merge(&[suspect]),
-                // A request that was missed is marked again by its next crash.
-                Err(RecvError::Lagged(_)) => {}
-                Err(RecvError::Closed) => return,
-            },
-        }
-    }
-}
-
 fn read(suspect: &wire::Suspect) -> Option<Suspect> {
     let attempts = |texts: &[String]| {
         let attempts = texts.iter().map(|text| id::Attempt::parse(text));
