--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -7,10 +7,10 @@
 use crate::{entry, link, membership, operator, peer, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
-use salvo::{Listener as _, Server, conn::TcpListener};
+use salvo::{Server, conn::tcp::TcpAcceptor};
 use std::sync::Arc;
 use tokio::time;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 /// Runs an entry until it is told to stop.
 pub(super) async fn run(common: Common) -> Result<()> {
@@ -22,16 +22,13 @@
         link: Arc::new(link::grpc::Client::new(connect)),
         metrics: Arc::clone(&common.metrics),
     }));
-    let peer_listener = bind(common.settings.listen).await?;
+    let peer_listener = bind(common.settings.listen)?;
     let listen = peer_listener.local_addr().into_diagnostic()?;
     let address = common
         .settings
         .caller_listen
         .unwrap_or(common.settings.listen);
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .into_diagnostic()?;
+    let acceptor = TcpAcceptor::try_from(bind(address)?).into_diagnostic()?;
     let caller_listen = address_of(&acceptor);
     let source: Arc<dyn operator::Source> = Arc::clone(&service) as _;
     let operator_listen = serve_operator(&common, &source).await?;
@@ -39,7 +36,7 @@
     tokio::spawn(membership::refresh(Arc::clone(&service), Arc::clone(&peer)));
     let peer_server = tonic::transport::Server::builder()
         .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
-        .serve_with_incoming(TcpListenerStream::new(peer_listener));
+        .serve_with_incoming(TcpIncoming::from(peer_listener).with_nodelay(Some(true)));
     tokio::spawn(peer_server);
     let server = Server::new(acceptor);
     let handle = server.handle();
