--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -10,8 +10,8 @@
 use cicadacrank_node::clock::unix_ms;
 use futures_util::stream;
 use salvo::{
-    Depot, FlowCtrl, Handler, Listener as _, Request, Response, Router, async_trait,
-    conn::{TcpListener, tcp::TcpAcceptor},
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    conn::tcp::TcpAcceptor,
     http::{Method, StatusCode},
     writing::Json,
 };
@@ -24,6 +24,7 @@
     time::Duration,
 };
 use tokio::{
+    net::TcpSocket,
     sync::Notify,
     task::JoinHandle,
     time::{self, Instant},
@@ -35,6 +36,9 @@
 /// Pause between two looks of a silent stand-in.
 const SILENT_LOOK: Duration = Duration::from_millis(5);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Pause before the port of a stand-in that fell over is bound again.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -97,7 +101,7 @@
     ///
     /// Returns the error of the bind.
     pub async fn start(name: &str, profile: Profile) -> io::Result<Self> {
-        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let acceptor = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = acceptor.local_addr()?;
         let state = State {
             name: name.to_owned(),
@@ -346,9 +350,13 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
-    let bound = TcpListener::new(address).try_bind().await;
-    bound.map_err(|error| io::Error::other(error.to_string()))
+/// Binds a listener whose connections send small parts at once, as engines do.
+fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    TcpAcceptor::try_from(socket.listen(BACKLOG)?)
 }
 
 /// Serves; while the stand-in is down, connections are refused.
@@ -364,7 +372,7 @@
         let (incarnation, down) = api.down();
         time::sleep(down).await;
         acceptor = loop {
-            match bind(address).await {
+            match bind(address) {
                 Ok(acceptor) => break acceptor,
                 Err(_) => time::sleep(REBIND_PAUSE).await,
             }
