--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -11,6 +11,7 @@
     metrics::Metrics,
     operator, peer,
     platform::{self, Store},
+    quarantine::Suspects,
     settings::{Role, Settings},
 };
 use cicadacrank_core::event::Event;
@@ -24,12 +25,12 @@
     time,
 };
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
 /// Longest time that a sync with a peer may take.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// The addresses a process has bound; printed as one line of JSON on the
 /// standard output when it is up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +77,7 @@
     common: &Common,
     listen: SocketAddr,
     operator_listen: SocketAddr,
+    suspects: &Arc<Suspects>,
 ) -> Arc<peer::Service> {
     let settings = &common.settings;
     let bytes = common.metrics.peer_bytes.clone();
@@ -89,6 +91,7 @@
         holder: Arc::clone(&common.holder),
         store: Arc::clone(&common.store),
         link: Arc::new(link),
+        suspects: Arc::clone(suspects),
         metrics: Arc::clone(&common.metrics),
     }));
     tokio::spawn(peer::run(Arc::clone(&service)));
--- a/crates/cicadacrank-node/src/peer/mod.rs
+++ b/crates/cicadacrank-node/src/peer/mod.rs
@@ -10,7 +10,6 @@
 pub mod grpc;
 mod run;
 mod service;
-mod suspects;
 mod watch;
 
 pub use self::{
