Resume a stream after the text that its caller has

Cause: an engine that falls over or a sidecar that dies in the middle of a stream cost the request its answer, since part of it had reached the caller. Ruled out: the sidecar's gate, which admitted nothing after the sign. Another attempt now goes on from the text passed on, as the end of the prompt, with the token limit lowered by its chunks; nothing is repeated or skipped. The test stream_is_not_resumed_once_part_of_it_was_passed_on held the former choice (end with an error). It is replaced by one as strict on the same promise: what the caller has plus the rest, each once, in order; and a stream that is cut each time is still not passed off as whole.

--- a/crates/cicadacrank-bench/src/engine/answer.rs
+++ b/crates/cicadacrank-bench/src/engine/answer.rs
@@ -28,6 +28,13 @@
     }
 }
 
+/// Returns the number of the token that follows a prompt: a prompt that ends
+/// with a token of the generation goes on after it.
+pub(super) fn next_token(mark: &str, prompt: &str, tokens: u64) -> u64 {
+    let ends = |index: &u64| prompt.ends_with(&token(mark, *index));
+    (0..tokens).rev().find(ends).map_or(0, |index| index + 1)
+}
+
 /// Returns the body of an answer that comes in one part.
 pub(super) fn whole(name: &str, path: &str, input: &Value) -> Value {
     match path {
--- a/crates/cicadacrank-bench/src/engine/server.rs
+++ b/crates/cicadacrank-bench/src/engine/server.rs
@@ -387,11 +387,13 @@
 
 fn complete(ticket: Ticket, input: &Value, response: &mut Response) {
     let tokens = ticket.api.lock().model.profile.tokens;
-    let count = input["max_tokens"].as_u64().unwrap_or(tokens).min(tokens);
     let prompt = input["prompt"].as_str().unwrap_or_default();
     let mark = answer::mark_of(prompt).to_owned();
+    let next = answer::next_token(&mark, prompt, tokens);
+    let asked = input["max_tokens"].as_u64().unwrap_or(tokens);
+    let count = next.saturating_add(asked).min(tokens);
     drop(response.add_header("content-type", "text/event-stream", true));
-    let events = stream::try_unfold((ticket, 0), move |(ticket, token)| {
+    let events = stream::try_unfold((ticket, next), move |(ticket, token)| {
         let mark = mark.clone();
         async move {
             if token > count {
--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -1,6 +1,6 @@
 //! The policy under load and faults, in one process with a paused clock.
 
-use cicadacrank_bench::memory::{Behaviour, Cut, Link, Port, Sidecar, Store};
+use cicadacrank_bench::memory::{Behaviour, Cut, Link, Port, Run, Sidecar, Store};
 use cicadacrank_core::{
     admission::Health,
     error::{Failure, Kind},
@@ -15,6 +15,7 @@
     settings::Settings,
 };
 use cicadacrank_wire::wire;
+use serde_json::Value;
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time};
 
@@ -224,18 +225,50 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn stream_is_not_resumed_once_part_of_it_was_passed_on() {
+async fn stream_is_resumed_after_what_was_passed_on() {
     let bench = Bench::new(Behaviour::Answer(Duration::ZERO));
     for _ in 0..2 {
         bench.port.push(Behaviour::Answer(Duration::ZERO));
     }
     bench.port.push(Behaviour::Truncate);
     let told = bench.ask(0, "tell", "story").await;
-    assert_eq!(told.kind(), Some(Kind::Truncated), "{told:?}");
+    assert_eq!(told.kind(), None, "{told:?}");
     let runs = bench.port.runs();
-    assert_eq!(runs.len(), 3, "the stream has one run");
-    let whole = str::from_utf8(&runs[2].output).expect("text");
-    assert!(whole.starts_with(&told.text) && !told.text.is_empty());
+    let [.., cut, rest] = runs.as_slice() else {
+        panic!("{runs:?}");
+    };
+    assert_eq!(runs.len(), 4, "one run more");
+    let rest_text = str::from_utf8(&rest.output).expect("text");
+    let passed = told
+        .text
+        .strip_suffix(rest_text)
+        .expect("the rest comes last, once");
+    assert!(!passed.is_empty());
+    assert!(
+        str::from_utf8(&cut.output)
+            .expect("text")
+            .starts_with(passed)
+    );
+    let input = |run: &Run| serde_json::from_slice::<Value>(&run.input).expect("JSON");
+    let (before, after) = (input(cut), input(rest));
+    let prompt = before["prompt"].as_str().expect("a prompt");
+    assert_eq!(
+        after["prompt"],
+        format!("{prompt}{passed}"),
+        "it goes on after the text"
+    );
+    let tokens = |input: &Value| input["max_tokens"].as_u64().expect("a limit");
+    assert_eq!(tokens(&after), tokens(&before) - 1, "the chunk counts");
+}
+
+#[tokio::test(start_paused = true)]
+async fn stream_that_is_cut_each_time_is_not_passed_off_as_whole() {
+    let bench = Bench::new(Behaviour::Truncate);
+    for _ in 0..2 {
+        bench.port.push(Behaviour::Answer(Duration::ZERO));
+    }
+    let told = bench.ask(0, "tell", "story").await;
+    assert_eq!(told.kind(), Some(Kind::Truncated), "{told:?}");
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/cicadacrank-core/src/pipeline/context.rs
+++ b/crates/cicadacrank-core/src/pipeline/context.rs
@@ -88,17 +88,28 @@
             Service::Rerank => json!({
                 "model": pool.model, "query": self.query, "documents": self.documents,
             }),
-            Service::Generate => json!({
-                "model": pool.model, "prompt": self.prompt(), "stream": true,
-                "max_tokens": self.request.get("max_tokens").and_then(Value::as_u64)
-                    .unwrap_or(TOKEN_COUNT),
-            }),
+            Service::Generate => generation(pool, &self.prompt(), self.token_limit()),
             Service::Plain => json!({
                 "request": self.request, "results": self.results, "text": self.text,
             }),
         }
     }
 
+    /// Returns the body of a call that goes on after generated text of which
+    /// the caller has `chunks` chunks.
+    ///
+    /// The text becomes the end of the prompt, so that the engine neither
+    /// repeats nor skips any of it. A chunk holds a token at least. `None` means
+    /// that the limit of tokens leaves nothing to ask for.
+    #[must_use]
+    pub fn input_after(&self, pool: &Pool, text: &str, chunks: u64) -> Option<Value> {
+        let left = self
+            .token_limit()
+            .checked_sub(chunks)
+            .filter(|left| *left > 0)?;
+        Some(generation(pool, &format!("{}{text}", self.prompt()), left))
+    }
+
     /// Adds the output of a stage.
     ///
     /// # Errors
@@ -139,6 +150,11 @@
         Ok(())
     }
 
+    fn token_limit(&self) -> u64 {
+        let stated = self.request.get("max_tokens").and_then(Value::as_u64);
+        stated.unwrap_or(TOKEN_COUNT)
+    }
+
     fn prompt(&self) -> String {
         let mut prompt = String::new();
         for part in self.documents.iter().chain(&self.results) {
@@ -150,6 +166,10 @@
     }
 }
 
+fn generation(pool: &Pool, prompt: &str, tokens: u64) -> Value {
+    json!({ "model": pool.model, "prompt": prompt, "stream": true, "max_tokens": tokens })
+}
+
 fn read<'a, T: Deserialize<'a>>(output: &'a [u8]) -> Result<T, Failure> {
     serde_json::from_slice(output).map_err(|error| rubbish(&error.to_string()))
 }
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -47,13 +47,20 @@
     pub(super) chunks: u64,
 }
 
+/// The part of an output that has reached the caller.
+#[derive(Default)]
+pub(super) struct Passed {
+    pub(super) output: Bytes,
+    pub(super) chunks: u64,
+}
+
 /// Why an attempt yielded nothing whole.
 pub(super) struct Trouble {
     pub(super) failure: Failure,
     /// The link failed, not the work.
     pub(super) link: bool,
-    /// Part of the output has reached the caller.
-    pub(super) passed_on: bool,
+    /// What has reached the caller of the output.
+    pub(super) passed: Passed,
     /// The endpoint crashed under the work.
     pub(super) crashed: bool,
 }
@@ -147,20 +154,17 @@
             reader.read(frames).await
         };
         let result = time::timeout_at(self.until, work).await;
-        let passed_on = reader.sender.is_some() && reader.chunks > 0;
+        let passed = reader.passed();
         match result {
             Ok(Ok(())) => Ok(Done {
-                output: reader.output.freeze(),
+                output: reader.output.split().freeze(),
                 chunks: reader.chunks,
             }),
             Ok(Err(trouble)) => {
                 if trouble.crashed {
                     service.suspects().mark(walk.fingerprint(stage), self.id);
                 }
-                Err(Trouble {
-                    passed_on,
-                    ..trouble
-                })
+                Err(Trouble { passed, ..trouble })
             }
             Err(_) => {
                 if reader.next == 0 {
@@ -171,7 +175,7 @@
                 Err(Trouble {
                     failure,
                     link: false,
-                    passed_on,
+                    passed,
                     crashed: false,
                 })
             }
@@ -225,7 +229,7 @@
         Trouble {
             failure,
             link: true,
-            passed_on: false,
+            passed: Passed::default(),
             crashed: false,
         }
     }
@@ -239,6 +243,17 @@
 }
 
 impl Reader<'_> {
+    /// Takes what has reached the caller.
+    fn passed(&self) -> Passed {
+        if self.sender.is_none() {
+            return Passed::default();
+        }
+        Passed {
+            output: self.output.clone().freeze(),
+            chunks: self.chunks,
+        }
+    }
+
     async fn read(&mut self, mut frames: link::Frames) -> Result<(), Trouble> {
         loop {
             let frame = time::timeout(SILENCE, frames.next()).await;
@@ -332,7 +347,7 @@
         Trouble {
             failure: Failure::unknown(kind, context),
             link: true,
-            passed_on: false,
+            passed: Passed::default(),
             crashed: false,
         }
     }
@@ -350,7 +365,7 @@
     Trouble {
         failure,
         link: false,
-        passed_on: false,
+        passed: Passed::default(),
         crashed,
     }
 }
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -5,7 +5,7 @@
     service::{Reply, Request, Service},
 };
 use crate::{clock, configuration::Configuration};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::Tag,
     error::{Effect, Failure, Kind, Retry},
@@ -46,6 +46,29 @@
     crashed: bool,
 }
 
+/// One stage with what it works on.
+#[derive(Clone, Copy)]
+struct Work<'a> {
+    stage: &'a rules::Stage,
+    pool: &'a rules::Pool,
+    context: &'a Context,
+    /// Whether the output goes to the caller as it arrives.
+    streams: bool,
+}
+
+impl Work<'_> {
+    /// Returns the input of an attempt, which goes on after what has reached
+    /// the caller; `None` if nothing is left to ask for.
+    fn input(&self, passed: &[u8], chunks: u64) -> Option<Bytes> {
+        if passed.is_empty() {
+            return Some(Bytes::from(self.context.input(self.pool).to_string()));
+        }
+        let text = str::from_utf8(passed).ok()?;
+        let input = self.context.input_after(self.pool, text, chunks)?;
+        Some(Bytes::from(input.to_string()))
+    }
+}
+
 /// Takes one request through its stages and answers.
 pub(super) async fn run(service: Arc<Service>, request: Request, sender: mpsc::Sender<Reply>) {
     let began = Instant::now();
@@ -117,9 +140,14 @@
             share += stage.share_percent;
             let pool = &configuration.book[stage.pool];
             let streams = index == last && pool.service == rules::Service::Generate;
-            let input = context.input(pool).to_string();
             let until = self.stage_deadline(share);
-            let output = self.stage(stage, Bytes::from(input), until, streams).await;
+            let work = Work {
+                stage,
+                pool,
+                context: &context,
+                streams,
+            };
+            let output = self.stage(work, until).await;
             let output = output.map_err(|failure| failure.with_floor(self.floor))?;
             self.floor = Effect::Partial;
             context.absorb(pool.service, &output)?;
@@ -153,14 +181,10 @@
         self.deadline.min(self.began + total * share_percent / 100)
     }
 
-    async fn stage(
-        &mut self,
-        stage: &rules::Stage,
-        input: Bytes,
-        until: Instant,
-        streams: bool,
-    ) -> Result<Bytes, Failure> {
-        let pool = Tag::new(&self.configuration.book[stage.pool].name);
+    async fn stage(&mut self, work: Work<'_>, until: Instant) -> Result<Bytes, Failure> {
+        let Work { stage, streams, .. } = work;
+        let pool = Tag::new(&work.pool.name);
+        let mut passed = BytesMut::new();
         let mut tried = Vec::new();
         let mut last = None;
         for _ in 0..ATTEMPTS {
@@ -177,16 +201,22 @@
                 break;
             };
             tried.push(attempt.endpoint);
+            let Some(input) = work.input(&passed, self.chunks) else {
+                break;
+            };
             let sender = streams.then(|| self.sender.clone());
-            match attempt.run(self, stage, input.clone(), sender).await {
+            match attempt.run(self, stage, input, sender).await {
                 Ok(done) => {
                     self.service.budgets().of(pool).succeed();
                     self.service.suspects().acquit(self.fingerprint(stage));
                     self.chunks += if streams { done.chunks } else { 0 };
-                    return Ok(done.output);
+                    passed.extend_from_slice(&done.output);
+                    return Ok(passed.freeze());
                 }
                 Err(trouble) => {
                     self.crashed |= trouble.crashed;
+                    self.chunks += trouble.passed.chunks;
+                    passed.extend_from_slice(&trouble.passed.output);
                     let retry = may_retry(&trouble, stage);
                     last = Some(self.note(trouble, stage));
                     if !retry || !self.service.budgets().of(pool).take() {
@@ -266,9 +296,6 @@
 /// Work that may not be repeated goes on through its claim, which keeps a
 /// second attempt from running what the first may have run.
 fn may_retry(trouble: &Trouble, stage: &rules::Stage) -> bool {
-    if trouble.passed_on {
-        return false;
-    }
     let failure = &trouble.failure;
     match failure.kind.retry() {
         Retry::Elsewhere => stage.repeatable || failure.effect == Effect::NotRun || trouble.link,
--- a/crates/cicadacrankd/tests/failure.rs
+++ b/crates/cicadacrankd/tests/failure.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
-use cicadacrank_bench::{fleet, platform::Faults, process::Daemon};
-use common::{begun, request, send, slow, small, wait_begun};
+use cicadacrank_bench::{
+    fleet::{self, Post},
+    platform::Faults,
+    process::Daemon,
+};
+use common::{begun, profile, request, send, slow, small, wait_begun};
 use serde_json::json;
 
 /// Time of a run that a test interrupts, in milliseconds.
@@ -114,3 +118,42 @@
     assert!(error.contains("binding 127.0.0.1:"), "{error}");
     post.sidecar.thaw().expect("thaw");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ask_sidecar_killed_during_stream_is_resumed_exactly() {
+    let mut fleet = small().await;
+    for post in fleet
+        .posts
+        .iter()
+        .filter(|post| post.endpoint.starts_with("writer"))
+    {
+        post.engine.set_profile(profile(0, 40_000, 8));
+    }
+    let ask = request(&fleet, 0, "ask", "").header("accept", "text/event-stream");
+    let mut answer = ask.send().await.expect("an answer");
+    let mut events = Vec::new();
+    while !String::from_utf8_lossy(&events).contains("word2 ") {
+        events.extend(answer.chunk().await.expect("a part").expect("more"));
+    }
+    let running = |post: &&mut Post| {
+        post.engine
+            .runs()
+            .iter()
+            .any(|run| run.path == "/v1/completions")
+    };
+    let post = fleet
+        .posts
+        .iter_mut()
+        .find(running)
+        .expect("a writer at work");
+    post.sidecar.kill().await.expect("kill");
+    while let Some(part) = answer.chunk().await.expect("a part") {
+        events.extend(part);
+    }
+    let events = String::from_utf8(events).expect("text");
+    let words = "word0 word1 word2 word3 word4 word5 word6 word7 ";
+    assert!(events.contains(&format!(r#""text":"{words}""#)), "{events}");
+    let chunks = events.matches("event: chunk").count();
+    assert_eq!(chunks, 8, "each word once: {events}");
+    assert_eq!(begun(&fleet, "/v1/completions"), 2);
+}
