Leave out an endpoint whose sidecar cannot reach it

Cause: an endpoint that was down was refused at once by its sidecar, looked idle for it and drew more attempts than any other, until the pool's retry budget was spent. Ruled out: the budget itself (1,000 requests make 1,043 attempts as stated) and the cold limit. Red: ask_endpoint_gone_draws_few_attempts, a request answered 502 unreachable with the other endpoint idle. An entry now shuns an endpoint on the typed refusal as it does on a refused connection of its own.

--- a/crates/cicadacrank-bench/examples/demo.rs
+++ b/crates/cicadacrank-bench/examples/demo.rs
@@ -6,13 +6,9 @@
 use cicadacrank_bench::{
     engine::Profile,
     fleet::{self, Fleet, Plan},
+    process,
 };
-use std::{
-    env,
-    error::Error,
-    path::{Path, PathBuf},
-    process::Command,
-};
+use std::{error::Error, path::Path};
 
 /// A request of one of the users.
 struct Sample {
@@ -38,32 +34,13 @@
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
-    let program = build()?;
+    let program = process::build()?;
     for (file, samples) in [("bergvik.rules", BERGVIK), ("tiha-nosht.rules", TIHA_NOSHT)] {
         run(&program, file, samples).await?;
     }
     Ok(())
 }
 
-/// Builds the daemon beside this example and returns its path.
-fn build() -> Result<PathBuf, Box<dyn Error>> {
-    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-    let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--package", "cicadacrankd"]);
-    if !cfg!(debug_assertions) {
-        command.arg("--release");
-    }
-    if !command.status()?.success() {
-        return Err("building the daemon failed".into());
-    }
-    let example = env::current_exe()?;
-    let folder = example
-        .parent()
-        .and_then(Path::parent)
-        .ok_or("no folder of programs")?;
-    Ok(folder.join("cicadacrankd"))
-}
-
 async fn run(program: &Path, file: &str, samples: &[Sample]) -> Result<(), Box<dyn Error>> {
     let samples_folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples");
     let rules = std::fs::read_to_string(samples_folder.join(file))?;
--- a/crates/cicadacrank-bench/examples/load.rs
+++ b/crates/cicadacrank-bench/examples/load.rs
@@ -7,6 +7,7 @@
 use bpaf::{OptionParser, Parser as _, construct, long};
 use cicadacrank_bench::{
     load::{Bench, Policy, Scenario},
+    process,
     report::{self, Report, Summary},
 };
 use std::{
@@ -59,7 +60,7 @@
 async fn main() -> Result<(), Box<dyn Error>> {
     let arguments = parser().run();
     let commit = commit();
-    let program = build()?;
+    let program = process::build()?;
     fs::create_dir_all(&arguments.out)?;
     let wanted = |name: &str| arguments.scenario.as_deref().is_none_or(|one| one == name);
     for scenario in Scenario::all() {
@@ -131,19 +132,3 @@
         |output| String::from_utf8_lossy(&output.stdout).trim().to_owned(),
     )
 }
-
-/// Builds the daemon beside this example and returns its path.
-fn build() -> Result<PathBuf, Box<dyn Error>> {
-    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-    let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--package", "cicadacrankd"]);
-    if !cfg!(debug_assertions) {
-        command.arg("--release");
-    }
-    if !command.status()?.success() {
-        return Err("building the daemon failed".into());
-    }
-    let example = env::current_exe()?;
-    let folder = example.parent().and_then(Path::parent);
-    Ok(folder.ok_or("no folder of programs")?.join("cicadacrankd"))
-}
--- a/crates/cicadacrank-bench/src/load/mod.rs
+++ b/crates/cicadacrank-bench/src/load/mod.rs
@@ -9,7 +9,7 @@
 mod direct;
 mod drive;
 mod overhead;
-mod processor;
+pub mod processor;
 mod scenario;
 mod script;
 
--- a/crates/cicadacrank-bench/src/load/processor.rs
+++ b/crates/cicadacrank-bench/src/load/processor.rs
@@ -10,7 +10,8 @@
 const TICK_MS: u64 = 10;
 
 /// Returns the processor time that these daemons used so far.
-pub(super) fn time<'a>(daemons: impl Iterator<Item = &'a Daemon>) -> Duration {
+#[must_use]
+pub fn time<'a>(daemons: impl Iterator<Item = &'a Daemon>) -> Duration {
     let ticks: u64 = daemons
         .filter_map(Daemon::id)
         .filter_map(|id| fs::read_to_string(format!("/proc/{id}/stat")).ok())
--- a/crates/cicadacrank-bench/src/process.rs
+++ b/crates/cicadacrank-bench/src/process.rs
@@ -4,7 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::{
-    fs, io,
+    env, fs, io,
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
 };
@@ -13,6 +13,28 @@
     process::{Child, Command},
 };
 
+/// Builds the daemon in the profile of the running example and returns its
+/// path, in the folder of programs beside that of examples.
+///
+/// # Errors
+///
+/// Returns an error if the build fails.
+pub fn build() -> io::Result<PathBuf> {
+    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = std::process::Command::new(cargo);
+    command.args(["build", "--quiet", "--package", "cicadacrankd"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if !command.status()?.success() {
+        return Err(io::Error::other("building the daemon failed"));
+    }
+    let example = env::current_exe()?;
+    let folder = example.parent().and_then(Path::parent);
+    let folder = folder.ok_or_else(|| io::Error::other("no folder of programs"))?;
+    Ok(folder.join("cicadacrankd"))
+}
+
 /// A running daemon; dropping it kills it.
 #[derive(Debug)]
 pub struct Daemon {
--- a/crates/cicadacrank-node/src/configuration/mod.rs
+++ b/crates/cicadacrank-node/src/configuration/mod.rs
@@ -5,7 +5,7 @@
 
 use cicadacrank_core::{
     event::Event,
-    generation::{self, CodecError},
+    generation::{self, CodecError, Generation},
     rules::{self, Book},
     spread::Document,
 };
@@ -57,10 +57,13 @@
     pub ruleset: Ruleset,
 }
 
+/// The newest configuration that the process has seen.
+pub type Newest = generation::Holder<Arc<Configuration>>;
+
 /// Holds the newest configuration and tells others of it.
 #[derive(Debug)]
 pub struct Holder {
-    sender: watch::Sender<Option<Arc<Configuration>>>,
+    sender: watch::Sender<Newest>,
     hint: watch::Sender<u64>,
     suspended: AtomicBool,
 }
@@ -70,7 +73,7 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            sender: watch::Sender::new(None),
+            sender: watch::Sender::new(Newest::new()),
             hint: watch::Sender::new(0),
             suspended: AtomicBool::new(false),
         }
@@ -85,13 +88,13 @@
         if self.suspended.load(Ordering::SeqCst) {
             return None;
         }
-        self.sender.borrow().clone()
+        self.newest()
     }
 
     /// Returns the newest ruleset, also while suspended.
     #[must_use]
     pub fn newest(&self) -> Option<Arc<Configuration>> {
-        self.sender.borrow().clone()
+        self.sender.borrow().get().cloned()
     }
 
     /// Says whether the process was cut off for so long that its configuration
@@ -122,15 +125,12 @@
     /// Returns the generation in force; zero when there is none.
     #[must_use]
     pub fn generation(&self) -> u64 {
-        self.sender
-            .borrow()
-            .as_ref()
-            .map_or(0, |current| current.generation)
+        self.sender.borrow().generation().unwrap_or_default().0
     }
 
     /// Returns a view that wakes with each change.
     #[must_use]
-    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+    pub fn subscribe(&self) -> watch::Receiver<Newest> {
         self.sender.subscribe()
     }
 
@@ -139,32 +139,24 @@
     /// Returns whether it was taken up. Rules that cannot be read are logged
     /// and leave the older in force.
     pub fn offer(&self, ruleset: Ruleset) -> bool {
-        if ruleset.generation <= self.generation() {
+        let generation = Generation(ruleset.generation);
+        if !self.sender.borrow().is_newer(generation) {
             return false;
         }
         let book = match rules::parse(&ruleset.rules) {
             Ok(book) => book,
             Err(faults) => {
-                Event::GenerationRejected
-                    .log(format_args!("generation {}: {faults}", ruleset.generation));
+                Event::GenerationRejected.log(format_args!("generation {generation}: {faults}"));
                 return false;
             }
         };
-        let generation = ruleset.generation;
         let next = Arc::new(Configuration {
-            generation,
+            generation: generation.0,
             book,
             ruleset,
         });
-        let adopted = self.sender.send_if_modified(|current| {
-            let newer = current
-                .as_ref()
-                .is_none_or(|current| current.generation < generation);
-            if newer {
-                *current = Some(next);
-            }
-            newer
-        });
+        let adopt = |newest: &mut Newest| newest.adopt(generation, next);
+        let adopted = self.sender.send_if_modified(adopt);
         if adopted {
             Event::GenerationAdopted.log(format_args!("generation {generation}"));
         }
@@ -176,10 +168,9 @@
     /// Returns whether it is in force.
     pub async fn wait(&self, generation: u64, bound: Duration) -> bool {
         let mut view = self.sender.subscribe();
-        let reached = view.wait_for(|current| {
-            current
-                .as_ref()
-                .is_some_and(|current| current.generation >= generation)
+        let reached = view.wait_for(|newest| {
+            let current = newest.generation();
+            current.is_some_and(|current| current.0 >= generation)
         });
         matches!(time::timeout(bound, reached).await, Ok(Ok(_)))
     }
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -303,11 +303,12 @@
         }
     }
 
-    /// Leaves out an endpoint that says it takes no work for now.
+    /// Leaves out an endpoint that takes no work for now; one that fails fast
+    /// would else look idle and draw more work than any other.
     fn refused(&self, trouble: Trouble) -> Trouble {
         if matches!(
             trouble.failure.kind,
-            Kind::Leaving | Kind::NotReady | Kind::TakenOut
+            Kind::Leaving | Kind::NotReady | Kind::TakenOut | Kind::Unreachable
         ) {
             let now = self.service.parts.clock.now();
             self.service.table().shun(self.attempt.endpoint, now);
--- a/crates/cicadacrank-node/src/sidecar/watch.rs
+++ b/crates/cicadacrank-node/src/sidecar/watch.rs
@@ -1,7 +1,11 @@
 //! Keeps each door at the rules in force and at what its endpoint reports.
 
 use super::door::Door;
-use crate::{configuration::Configuration, endpoint::Port, quarantine::Suspects};
+use crate::{
+    configuration::{Configuration, Newest},
+    endpoint::Port,
+    quarantine::Suspects,
+};
 use cicadacrank_core::{
     admission::{Health, Limits, Reserved, Tag, Terms},
     rules::{Book, EndpointKey},
@@ -17,12 +21,12 @@
 const SEARCH_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Configurations as they come into force.
-pub(super) type Configurations = watch::Receiver<Option<Arc<Configuration>>>;
+pub(super) type Configurations = watch::Receiver<Newest>;
 
 /// Keeps a door at the configuration in force, also without any job.
 pub(super) async fn rules(door: Arc<Door>, mut configurations: Configurations) {
     loop {
-        let current = configurations.borrow_and_update().clone();
+        let current = configurations.borrow_and_update().get().cloned();
         if let Some(configuration) = current
             && let Some(endpoint) = configuration.book.endpoint(&door.name)
         {
--- a/crates/cicadacrankd/tests/failure.rs
+++ b/crates/cicadacrankd/tests/failure.rs
@@ -3,12 +3,14 @@
 mod common;
 
 use cicadacrank_bench::{
+    engine,
     fleet::{self, Post},
     platform::Faults,
     process::Daemon,
 };
 use common::{begun, profile, request, send, slow, small, wait_begun};
 use serde_json::json;
+use std::time::Instant;
 
 /// Time of a run that a test interrupts, in milliseconds.
 const RUN_MS: u64 = 700;
@@ -157,3 +159,48 @@
     assert_eq!(chunks, 8, "each word once: {events}");
     assert_eq!(begun(&fleet, "/v1/completions"), 2);
 }
+
+/// Attempts that an endpoint which is gone may draw from one entry at first.
+const ATTEMPTS_AT_GONE: u128 = 16;
+
+/// Least time between two probes of an endpoint that is gone, in milliseconds.
+const PROBE_MS: u128 = 500;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ask_endpoint_gone_draws_few_attempts() {
+    let mut fleet = small().await;
+    let spare = engine::Server::start("spare", profile(0, 0, 3))
+        .await
+        .expect("a stand-in");
+    let gone = fleet
+        .posts
+        .iter_mut()
+        .find(|post| post.endpoint == "writer-n")
+        .expect("post");
+    // Nothing listens any more where the sidecar looks for its endpoint.
+    drop(std::mem::replace(&mut gone.engine, spare));
+    let began = Instant::now();
+    for _ in 0..100 {
+        let answer = send(request(&fleet, 0, "ask", "")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let post = fleet
+        .posts
+        .iter()
+        .find(|post| post.endpoint == "writer-n")
+        .expect("post");
+    let url = format!("http://{}/metrics", post.sidecar.addresses.operator_listen);
+    let page = fleet::client()
+        .expect("client")
+        .get(url)
+        .send()
+        .await
+        .expect("a page");
+    let page = page.text().await.expect("text");
+    let line = page
+        .lines()
+        .find_map(|line| line.strip_prefix("cicadacrank_attempts_total "));
+    let attempts: u128 = line.expect("a counter").parse().expect("a number");
+    let probes = began.elapsed().as_millis() / PROBE_MS;
+    assert!(attempts <= ATTEMPTS_AT_GONE + probes, "{attempts} attempts");
+}
