Give a sidecar two threads

Cause: a runtime with a thread a core woke idle threads for each token. What the path adds in latency was not measured again.

--- a/crates/cicadacrankd/src/cmd/serve.rs
+++ b/crates/cicadacrankd/src/cmd/serve.rs
@@ -1,9 +1,15 @@
 //! Runs the role that the settings name.
 
-use cicadacrank_node::{daemon, logging, settings::Settings};
+use cicadacrank_node::{
+    daemon, logging,
+    settings::{Role, Settings},
+};
 use miette::{IntoDiagnostic as _, Result};
 use std::path::Path;
-use tokio::runtime::Runtime;
+use tokio::runtime::Builder;
+
+/// Threads of a sidecar, which shares its instance with its endpoints.
+const SIDECAR_THREADS: usize = 2;
 
 /// Runs the daemon until it is told to stop.
 ///
@@ -14,7 +20,11 @@
 pub fn execute(path: &Path) -> Result<()> {
     let settings = Settings::load(path)?;
     logging::init(&settings.log)?;
-    Runtime::new()
-        .into_diagnostic()?
-        .block_on(daemon::run(settings))
+    let mut builder = Builder::new_multi_thread();
+    builder.enable_all();
+    if settings.role == Role::Sidecar {
+        builder.worker_threads(SIDECAR_THREADS);
+    }
+    let runtime = builder.build().into_diagnostic()?;
+    runtime.block_on(daemon::run(settings))
 }
