End a request whose caller went away

Cause: an entry walked on after its caller had gone and held slots for an answer that nobody read; only the sidecar ended early, when the entry did. Red: caller_that_goes_away_ends_its_request, 1 in flight in place of 0. Work that may not be repeated goes on at its sidecar, which records its outcome.

--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -353,3 +353,19 @@
     assert_eq!(bench.load(0).slots, 2);
     assert_eq!(sidecar.service.suspects().all().len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn caller_that_goes_away_ends_its_request() {
+    let bench = Bench::new(Behaviour::Answer(Duration::from_secs(1)));
+    let replies = bench.entries[0].run(request("ask", "story"));
+    time::sleep(Duration::from_millis(1)).await;
+    let in_flight = || {
+        (0..ENDPOINTS.len())
+            .map(|number| bench.load(number).in_flight)
+            .sum::<u32>()
+    };
+    assert_eq!(in_flight(), 1);
+    drop(replies);
+    time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(in_flight(), 0);
+}
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -320,7 +320,7 @@
         self.chunks += 1;
         self.output.extend_from_slice(&data);
         if let Some(sender) = &self.sender {
-            // A caller that went away ends the request when its walk is dropped.
+            // A caller that went away ends the walk.
             drop(sender.send(Reply::Chunk(data)).await);
         }
     }
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -75,7 +75,11 @@
     let metrics = Arc::clone(&service.parts.metrics);
     let reply = match Walk::new(service, request, sender.clone(), began) {
         Ok((mut walk, pipeline)) => {
-            let reply = walk.run(pipeline).await;
+            // What may not be repeated goes on at its sidecar all the same.
+            let reply = tokio::select! {
+                reply = walk.run(pipeline) => reply,
+                () = sender.closed() => Err(Failure::unknown(Kind::Cancelled, "walking the stages")),
+            };
             if reply.is_err() && walk.crashed {
                 walk.wait_for_spread().await;
             }
