Drop work done for each frame and state that the pulse made dead

An entry wrote the attempt's id as text for each frame it read; it is written once now. A whole answer was copied for the case of a cut that had not happened; the copy is made only when an attempt fails. The numbers that a job gave its frames were overwritten by the pulse, which numbers them, so the job keeps none. Processor time was not measured again.

--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -81,6 +81,8 @@
 struct Reader<'a> {
     attempt: &'a Attempt,
     service: &'a Service,
+    /// The attempt's id as frames carry it.
+    id: String,
     sender: Option<mpsc::Sender<Reply>>,
     output: BytesMut,
     chunks: u64,
@@ -137,6 +139,7 @@
         let mut reader = Reader {
             attempt: self,
             service,
+            id: self.id.to_string(),
             sender,
             output: BytesMut::new(),
             chunks: 0,
@@ -154,16 +157,16 @@
             reader.read(frames).await
         };
         let result = time::timeout_at(self.until, work).await;
-        let passed = reader.passed();
         match result {
             Ok(Ok(())) => Ok(Done {
-                output: reader.output.split().freeze(),
+                output: reader.output.freeze(),
                 chunks: reader.chunks,
             }),
             Ok(Err(trouble)) => {
                 if trouble.crashed {
                     service.suspects().mark(walk.fingerprint(stage), self.id);
                 }
+                let passed = reader.passed();
                 Err(Trouble { passed, ..trouble })
             }
             Err(_) => {
@@ -175,7 +178,7 @@
                 Err(Trouble {
                     failure,
                     link: false,
-                    passed,
+                    passed: reader.passed(),
                     crashed: false,
                 })
             }
@@ -260,7 +263,7 @@
             let frame = frame.map_err(|_| self.silent())?;
             let Some(frame) = frame else { break };
             let frame = frame.map_err(|fault| self.cut(fault.kind, fault.context))?;
-            if frame.attempt != self.attempt.id.to_string() || frame.sequence < self.next {
+            if frame.attempt != self.id || frame.sequence < self.next {
                 self.service.parts.metrics.dropped_frames.inc();
                 Event::FrameDropped.log(format_args!("attempt {}", self.attempt.id));
                 continue;
--- a/crates/cicadacrank-node/src/sidecar/duty.rs
+++ b/crates/cicadacrank-node/src/sidecar/duty.rs
@@ -21,12 +21,11 @@
     time::{self, Instant, error::Elapsed},
 };
 
-/// Sends the frames of one job in order.
+/// Sends the frames of one job in order; the pulse numbers them.
 struct Voice {
     service: Arc<Service>,
     attempt: String,
     endpoint: String,
-    sequence: u64,
     chunks: u64,
     crashed: bool,
     sender: mpsc::Sender<wire::Frame>,
@@ -37,12 +36,11 @@
     async fn say(&mut self, body: Body) -> bool {
         let frame = wire::Frame {
             attempt: self.attempt.clone(),
-            sequence: self.sequence,
+            sequence: 0,
             generation: self.service.parts.holder.generation(),
             load: self.service.load(&self.endpoint),
             body: Some(body),
         };
-        self.sequence += 1;
         self.sender.send(frame).await.is_ok()
     }
 
@@ -84,7 +82,6 @@
         service: Arc::clone(&service),
         attempt: job.attempt.clone(),
         endpoint: job.endpoint.clone(),
-        sequence: 0,
         chunks: 0,
         crashed: false,
         sender,
