--- /dev/null
+++ b/crates/cicadacrank-core/src/batch/desk.rs
@@ -0,0 +1,158 @@
+//! What a pool knows of one endpoint.
+
+use crate::{config::Worker, directory::Life};
+use std::time::Duration;
+
+/// First pause after a failure; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause after failures, below the time within which a restarted
+/// endpoint should be in use again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
+/// Pause after an endpoint said that it is full.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Weight of the newest call in the average of how slow an endpoint is.
+const NEWEST_WEIGHT: f64 = 0.5;
+
+/// Time in which half of a remembered slowness is forgotten, in seconds.
+const SLOWNESS_HALF_LIFE_S: f64 = 4.0;
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The endpoint answered.
+    Answered,
+    /// The endpoint refused the call and ran nothing of it.
+    Full,
+    /// No connection, no answer or one that cannot be read.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    bytes: u64,
+    until: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Desk {
+    pub(super) life: Life,
+    busy_since: Option<Duration>,
+    pub(super) busy_until: Duration,
+    paused_until: Duration,
+    failures: u32,
+    slowness: f64,
+    slowness_at: Duration,
+    holds: Vec<Hold>,
+    calling_bytes: u64,
+    pub(super) leaving: bool,
+}
+
+impl Desk {
+    pub(super) const fn new(life: Life) -> Self {
+        Self {
+            life,
+            busy_since: None,
+            busy_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
+            failures: 0,
+            slowness: 1.0,
+            slowness_at: Duration::ZERO,
+            holds: Vec::new(),
+            calling_bytes: 0,
+            leaving: false,
+        }
+    }
+
+    pub(super) const fn is_busy(&self) -> bool {
+        self.busy_since.is_some()
+    }
+
+    pub(super) fn is_free(&self, now: Duration) -> bool {
+        !self.is_busy() && !self.leaving && now >= self.paused_until
+    }
+
+    /// Returns when the endpoint can take a call, as far as is known.
+    pub(super) fn free_at(&self, now: Duration) -> Duration {
+        self.busy_until.max(self.paused_until).max(now)
+    }
+
+    /// Returns how many times as long as expected its calls take.
+    pub(super) fn slowness(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.slowness_at).as_secs_f64();
+        1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_HALF_LIFE_S).exp2()
+    }
+
+    /// Returns the room for results that is left.
+    pub(super) fn room(&mut self, worker: &Worker, now: Duration) -> u64 {
+        self.holds.retain(|hold| hold.until > now);
+        let held: u64 = self.holds.iter().map(|hold| hold.bytes).sum();
+        worker
+            .room_bytes
+            .saturating_sub(held)
+            .saturating_sub(self.calling_bytes)
+    }
+
+    /// Returns how long a call with this many pieces takes here.
+    pub(super) fn call_time(&self, worker: &Worker, pieces: usize, now: Duration) -> Duration {
+        let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+        (worker.call_time + worker.piece_time * pieces).mul_f64(self.slowness(now))
+    }
+
+    pub(super) fn begin(&mut self, expected: Duration, bytes: u64, now: Duration) {
+        self.busy_since = Some(now);
+        self.busy_until = now + expected;
+        self.calling_bytes = bytes;
+    }
+
+    /// Notes the end of the call; `expected` is what it would take at an
+    /// endpoint of the usual speed.
+    pub(super) fn end(
+        &mut self,
+        outcome: Outcome,
+        expected: Duration,
+        worker: &Worker,
+        now: Duration,
+    ) {
+        let since = self.busy_since.take().unwrap_or(now);
+        self.busy_until = now;
+        let bytes = std::mem::take(&mut self.calling_bytes);
+        match outcome {
+            Outcome::Answered => {
+                self.failures = 0;
+                let took = now.saturating_sub(since).as_secs_f64();
+                let ratio = (took / expected.as_secs_f64().max(0.001)).max(1.0);
+                let before = self.slowness(now);
+                self.slowness = before + (ratio - before) * NEWEST_WEIGHT;
+                self.slowness_at = now;
+                self.hold(bytes, now + worker.result_life);
+            }
+            Outcome::Full => self.paused_until = now + FULL_PAUSE,
+            Outcome::Failed => {
+                let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+                self.failures += 1;
+                self.paused_until = now + pause.min(LONGEST_PAUSE);
+                // The endpoint may still be at work on it, and keep the results.
+                self.hold(bytes, now + worker.result_life);
+            }
+        }
+    }
+
+    fn hold(&mut self, bytes: u64, until: Duration) {
+        if bytes > 0 {
+            self.holds.push(Hold { bytes, until });
+        }
+    }
+
+    /// Gives back room of results that were freed, the oldest first.
+    pub(super) fn free(&mut self, mut bytes: u64) {
+        for hold in &mut self.holds {
+            let part = hold.bytes.min(bytes);
+            hold.bytes -= part;
+            bytes -= part;
+        }
+        self.holds.retain(|hold| hold.bytes > 0);
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -0,0 +1,258 @@
+//! The pieces that wait for one service, and the calls made of them.
+
+use super::{Outcome, Piece, Ticket, desk::Desk};
+use crate::{config::Worker, directory::Life};
+use std::time::Duration;
+
+/// Slowness from which an endpoint is used only if no other will be free
+/// before it has finished.
+const SLOW: f64 = 2.0;
+
+/// Most pieces that wait; the rest is refused at once.
+const MOST_WAITING: usize = 4_096;
+
+/// Pieces that go to one endpoint together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The endpoint.
+    pub life: Life,
+    /// The pieces, in order.
+    pub tickets: Vec<Ticket>,
+    /// How long the call should take.
+    pub expected: Duration,
+}
+
+/// A piece that cannot be done before it expires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stranded(pub Ticket);
+
+/// All pieces that wait for one service.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    worker: Worker,
+    waiting: Vec<Piece>,
+    desks: Vec<Desk>,
+}
+
+impl Pool {
+    /// Creates a pool without endpoints.
+    #[must_use]
+    pub const fn new(worker: Worker) -> Self {
+        Self {
+            worker,
+            waiting: Vec::new(),
+            desks: Vec::new(),
+        }
+    }
+
+    /// Takes up the service as a newer configuration states it.
+    pub const fn set_worker(&mut self, worker: Worker) {
+        self.worker = worker;
+    }
+
+    /// Takes up the endpoints that may be used; what is known of those that
+    /// stay is kept.
+    pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Life>) {
+        let mut usable: Vec<_> = endpoints.collect();
+        usable.sort();
+        for desk in &mut self.desks {
+            desk.leaving = usable
+                .binary_search(&&desk.life)
+                .is_err();
+        }
+        self.desks.retain(|desk| !desk.leaving || desk.is_busy());
+        for life in usable {
+            let found = self.desks.binary_search_by(|desk| desk.life.cmp(life));
+            if let Err(index) = found {
+                self.desks.insert(index, Desk::new(life.clone()));
+            }
+        }
+    }
+
+    /// Adds a piece; returns whether there was room for it.
+    pub fn add(&mut self, piece: Piece) -> bool {
+        if self.waiting.len() >= MOST_WAITING {
+            return false;
+        }
+        self.waiting.push(piece);
+        true
+    }
+
+    /// Takes pieces back that nobody waits for any more.
+    pub fn withdraw(&mut self, job: u64) {
+        self.waiting.retain(|piece| piece.job != job);
+    }
+
+    /// Returns the number of pieces that wait.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no piece waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns about when pieces added now would be done, behind all that wait.
+    #[must_use]
+    pub fn estimate(&self, pieces: usize, now: Duration) -> Option<Duration> {
+        let mut free: Vec<Duration> = self.usable().map(|desk| desk.free_at(now)).collect();
+        free.sort();
+        let first = *free.first()?;
+        let full = self.full_call();
+        let ahead = self.waiting.len() + pieces;
+        let rounds = ahead.div_ceil(self.worker.batch.max(1) * free.len()).max(1);
+        let before = full * u32::try_from(rounds - 1).unwrap_or(u32::MAX);
+        let alone = self.call_time(pieces.min(self.worker.batch));
+        Some(first + before + alone)
+    }
+
+    /// Gives up pieces that cannot be done before they expire.
+    pub fn strand(&mut self, now: Duration) -> Vec<Stranded> {
+        let shortest = self.call_time(1);
+        let mut stranded = Vec::new();
+        self.waiting.retain(|piece| {
+            let hopeless = now + shortest > piece.expires;
+            if hopeless {
+                stranded.push(Stranded(piece.ticket));
+            }
+            !hopeless
+        });
+        stranded
+    }
+
+    /// Makes the next call, if an endpoint is free and a piece waits.
+    pub fn next(&mut self, now: Duration) -> Option<Call> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let index = self.choose_desk(now)?;
+        let (worker, room) = (self.worker, self.desks[index].room(&self.worker, now));
+        self.sort(now);
+        let desk = &self.desks[index];
+        let taken = fill(&self.waiting, worker, room, |pieces| {
+            now + desk.call_time(&worker, pieces, now)
+        });
+        if taken.is_empty() {
+            return None;
+        }
+        let expected = desk.call_time(&worker, taken.len(), now);
+        let bytes = taken.iter().map(|piece| piece.bytes).sum();
+        let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
+        let desk = &mut self.desks[index];
+        desk.begin(expected, bytes, now);
+        let life = desk.life.clone();
+        self.waiting
+            .retain(|piece| !tickets.contains(&piece.ticket));
+        Some(Call {
+            life,
+            tickets,
+            expected,
+        })
+    }
+
+    /// Notes how a call ended.
+    pub fn end(&mut self, call: &Call, outcome: Outcome, now: Duration) {
+        let expected = self.call_time(call.tickets.len());
+        let worker = self.worker;
+        if let Ok(index) = self.find(&call.life) {
+            self.desks[index].end(outcome, expected, &worker, now);
+            if self.desks[index].leaving {
+                self.desks.remove(index);
+            }
+        }
+    }
+
+    /// Notes that results at an endpoint were freed.
+    pub fn free(&mut self, life: &Life, bytes: u64) {
+        if let Ok(index) = self.find(life) {
+            self.desks[index].free(bytes);
+        }
+    }
+
+    /// Returns when a call may be made next if nothing else happens: at the
+    /// latest after this time the pool should be asked again.
+    #[must_use]
+    pub fn wake_at(&self, now: Duration) -> Option<Duration> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let idle = self.usable().filter(|desk| !desk.is_busy());
+        idle.map(|desk| desk.free_at(now)).min()
+    }
+
+    fn usable(&self) -> impl Iterator<Item = &Desk> {
+        self.desks.iter().filter(|desk| !desk.leaving)
+    }
+
+    fn find(&self, life: &Life) -> Result<usize, usize> {
+        self.desks.binary_search_by(|desk| desk.life.cmp(life))
+    }
+
+    fn call_time(&self, pieces: usize) -> Duration {
+        let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+        self.worker.call_time + self.worker.piece_time * pieces
+    }
+
+    fn full_call(&self) -> Duration {
+        self.call_time(self.worker.batch)
+    }
+
+    /// Picks the free endpoint that would finish first; a slow one is left idle
+    /// where a faster one will be free and done before it.
+    fn choose_desk(&self, now: Duration) -> Option<usize> {
+        let done = |desk: &Desk| desk.free_at(now) + desk.call_time(&self.worker, 1, now);
+        let index = (0..self.desks.len())
+            .filter(|index| self.desks[*index].is_free(now))
+            .min_by_key(|index| done(&self.desks[*index]))?;
+        let best = &self.desks[index];
+        if best.slowness(now) < SLOW {
+            return Some(index);
+        }
+        let sooner = self.usable().any(|desk| done(desk) < done(best));
+        (!sooner).then_some(index)
+    }
+
+    /// Puts pieces that can be on time first, the most pressing at the front.
+    fn sort(&mut self, now: Duration) {
+        let soonest = now + self.call_time(1);
+        self.waiting.sort_by_key(|piece| {
+            let late = soonest > piece.due;
+            let rank = if late { piece.rank } else { 0 };
+            (late, rank, piece.due, piece.job, piece.ticket)
+        });
+    }
+}
+
+/// Takes as many pieces as one call may carry: within its room, and no late
+/// piece that would make one late which is not.
+fn fill(
+    waiting: &[Piece],
+    worker: Worker,
+    mut room: u64,
+    done: impl Fn(usize) -> Duration,
+) -> Vec<Piece> {
+    let mut taken: Vec<Piece> = Vec::new();
+    let mut tightest = Duration::MAX;
+    for piece in waiting {
+        if taken.len() >= worker.batch {
+            break;
+        }
+        if piece.bytes > room {
+            continue;
+        }
+        let done = done(taken.len() + 1);
+        let late = done > piece.due;
+        if done > piece.expires || (late && done > tightest) {
+            continue;
+        }
+        if !late {
+            tightest = tightest.min(piece.due);
+        }
+        room -= piece.bytes;
+        taken.push(*piece);
+    }
+    taken
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -0,0 +1,171 @@
+//! Follows the store's list of endpoints over its outages.
+
+use super::{Endpoint, Snapshot, State};
+use std::time::Duration;
+
+/// Outage from which entries may have lapsed though their endpoints live: just
+/// below three times the shortest heartbeat in use.
+const LAPSE: Duration = Duration::from_secs(1);
+
+/// How long an endpoint that lapsed during an outage has to come back.
+const COMEBACK: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    endpoint: Endpoint,
+    missing: bool,
+}
+
+/// The endpoints as one process believes in them.
+///
+/// An entry that the store removes is gone at once, except in the moments after
+/// an outage: what lapsed while the store was away is kept until it had time to
+/// come back. An older statement of an endpoint never replaces a newer one.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    revision: u64,
+    entries: Vec<Entry>,
+    away_since: Option<Duration>,
+    comeback_until: Option<Duration>,
+}
+
+impl Tracker {
+    /// Notes that the store did not answer.
+    pub fn lose(&mut self, now: Duration) {
+        self.away_since.get_or_insert(now);
+    }
+
+    /// Notes that the store answers.
+    pub fn regain(&mut self, now: Duration) {
+        let Some(since) = self.away_since.take() else {
+            return;
+        };
+        if now.saturating_sub(since) >= LAPSE {
+            self.comeback_until = Some(now + COMEBACK);
+        }
+    }
+
+    /// Takes up a whole list.
+    pub fn list(&mut self, revision: u64, endpoints: Vec<Endpoint>, now: Duration) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        let listed: Vec<String> = {
+            let mut ids: Vec<_> = endpoints.iter().map(|one| one.life.id.clone()).collect();
+            ids.sort();
+            ids
+        };
+        let gone: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.endpoint.life.id.clone())
+            .filter(|id| listed.binary_search(id).is_err())
+            .collect();
+        for id in gone {
+            self.drop_entry(&id, now);
+        }
+        for endpoint in endpoints {
+            self.store(endpoint);
+        }
+    }
+
+    /// Takes up one entry that was written.
+    pub fn put(&mut self, revision: u64, endpoint: Endpoint) {
+        self.revision = self.revision.max(revision);
+        self.store(endpoint);
+    }
+
+    /// Takes up that one entry was removed.
+    pub fn remove(&mut self, revision: u64, id: &str, now: Duration) {
+        self.revision = self.revision.max(revision);
+        self.drop_entry(id, now);
+    }
+
+    /// Returns the revision of the store at which the endpoints hold.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes up what another process believes, if that is newer.
+    pub fn adopt(&mut self, snapshot: &Snapshot) -> bool {
+        if snapshot.revision <= self.revision {
+            return false;
+        }
+        self.revision = snapshot.revision;
+        let entry = |endpoint: &Endpoint| Entry {
+            endpoint: endpoint.clone(),
+            missing: false,
+        };
+        self.entries = snapshot.endpoints.iter().map(entry).collect();
+        self.entries.sort_by(by_id);
+        true
+    }
+
+    /// Drops what had its time to come back; returns whether anything was.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        if self.comeback_until.is_none_or(|until| now < until) {
+            return false;
+        }
+        self.comeback_until = None;
+        let before = self.entries.len();
+        self.entries.retain(|entry| !entry.missing);
+        self.entries.len() < before
+    }
+
+    /// Returns the endpoints, with the revision at which they hold.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let endpoints = self.entries.iter().map(|entry| entry.endpoint.clone());
+        Snapshot::new(self.revision, endpoints.collect())
+    }
+
+    fn store(&mut self, endpoint: Endpoint) {
+        match self.find(&endpoint.life.id) {
+            Ok(index) => {
+                let entry = &mut self.entries[index];
+                entry.missing = false;
+                if is_newer(&endpoint, &entry.endpoint) {
+                    entry.endpoint = endpoint;
+                }
+            }
+            Err(index) => self.entries.insert(
+                index,
+                Entry {
+                    endpoint,
+                    missing: false,
+                },
+            ),
+        }
+    }
+
+    fn drop_entry(&mut self, id: &str, now: Duration) {
+        let Ok(index) = self.find(id) else { return };
+        let kept = self.comeback_until.is_some_and(|until| now < until)
+            && self.entries[index].endpoint.state == State::Ready;
+        if kept {
+            self.entries[index].missing = true;
+        } else {
+            self.entries.remove(index);
+        }
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.endpoint.life.id.as_str().cmp(id))
+    }
+}
+
+fn by_id(one: &Entry, other: &Entry) -> std::cmp::Ordering {
+    one.endpoint.life.id.cmp(&other.endpoint.life.id)
+}
+
+/// Returns whether a statement comes after another of the same id.
+fn is_newer(one: &Endpoint, other: &Endpoint) -> bool {
+    match (one.life.born, other.life.born) {
+        (Some(new), Some(old)) if new != old => new > old,
+        (Some(_), Some(_)) => one.sequence >= other.sequence,
+        _ => true,
+    }
+}
--- a/crates/cicadacrank-core/src/error.rs
+++ b/crates/cicadacrank-core/src/error.rs
@@ -116,6 +116,11 @@
     Truncated = "truncated", 502, 15, 6, Elsewhere, "The answer ended before its end was stated.";
     Silent = "silent", 504, 14, 6, Elsewhere, "The connection made no progress within the bound.";
     OutcomeUnknown = "outcome-unknown", 409, 2, 8, Never, "An earlier attempt holds the claim and its outcome is not known.";
+    UnknownRoute = "unknown-route", 404, 5, 2, Never, "No route has this host and path.";
+    UnknownKey = "unknown-key", 401, 16, 4, Never, "No team holds the key of the request.";
+    TimeUp = "time-up", 503, 14, 5, Later, "The work cannot be done in the time that is left.";
+    Crashing = "crashing", 503, 9, 5, Later, "The request crashed endpoints and is kept away from more of them.";
+    EndpointCold = "endpoint-cold", 503, 8, 5, Later, "Cold endpoints bear no further request now.";
     Cancelled = "cancelled", 499, 1, 9, Never, "The caller went away.";
     Settings = "settings", 500, 3, 3, Never, "The settings are not valid.";
     Rules = "rules", 422, 3, 3, Never, "The rules are not valid.";
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -18,6 +18,10 @@
 //! 8. [`once`] keeps work that may not be repeated from running twice.
 //! 9. [`accounting`] adds up busy and idle time and what it costs whom.
 //!
+//! On a platform that keeps routes, services and keys itself, [`config`] holds
+//! them and [`directory`] the endpoints, [`placement`] picks an endpoint, [`batch`]
+//! forms the calls of stages, and [`share`] divides limits among processes.
+//!
 //! [`membership`] and [`spread`] decide how many processes act together.
 //!
 //! ```
@@ -29,6 +33,9 @@
 
 pub mod accounting;
 pub mod admission;
+pub mod batch;
+pub mod config;
+pub mod directory;
 pub mod error;
 pub mod event;
 pub mod generation;
@@ -36,8 +43,12 @@
 pub mod membership;
 pub mod once;
 pub mod pipeline;
+pub mod placement;
 pub mod quarantine;
 pub mod retry;
+pub mod roster;
 pub mod routing;
 pub mod rules;
+pub mod share;
 pub mod spread;
+pub mod stream;
--- a/crates/cicadacrank-core/src/once/mod.rs
+++ b/crates/cicadacrank-core/src/once/mod.rs
@@ -16,7 +16,7 @@
     claim::{Claim, Name, Outcome, SHARDS, State, Verdict},
     page::Page,
     seen::{ATTEMPTS, Seen},
-    send::{Sent, Unsent},
+    send::{Declined, Sent, Unsent},
     shard::{Entry, SHARD_BYTES, SPILL_BYTES, Shard},
     stop::Stop,
 };
--- a/crates/cicadacrank-core/src/once/send.rs
+++ b/crates/cicadacrank-core/src/once/send.rs
@@ -44,6 +44,18 @@
     }
 }
 
+/// An endpoint's own statement that it did not run the work and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Declined(());
+
+impl Declined {
+    /// Takes up the statement; only the reader of an endpoint's answer may.
+    #[must_use]
+    pub const fn stated() -> Self {
+        Self(())
+    }
+}
+
 /// The work may have reached its endpoint.
 ///
 /// ```compile_fail,E0599
@@ -88,6 +100,12 @@
         }
     }
 
+    /// Returns the proof back when the endpoint states that it did not run the
+    /// work.
+    pub const fn decline(self, _stated: Declined) -> Unsent {
+        Unsent::begin()
+    }
+
     /// Fails the work with the best effect that is still true.
     #[must_use]
     pub fn fail(self, kind: Kind, context: impl Into<String>) -> Stop {
--- /dev/null
+++ b/crates/cicadacrank-core/src/placement/fleet.rs
@@ -0,0 +1,428 @@
+//! The endpoints of all services, and the choice among them.
+
+use super::{Report, Vitals};
+use crate::{
+    config::Config,
+    directory::{Endpoint, Evacuation, Life, Snapshot, State},
+    share::Cold,
+};
+use std::{hash::Hasher as _, time::Duration};
+
+/// Tokens of prompt that weigh as much as one request in flight: a request that
+/// runs slows each step of all others a little.
+const TOKENS_PER_RUNNING: u64 = 60;
+
+/// Tokens of prompt that an attempt stands for beside its own, for the time
+/// that any request takes to begin.
+const TOKENS_PER_START: u64 = 1_500;
+
+/// Bytes of results that cost as much to bring from another data centre as
+/// reading one token.
+const BYTES_PER_TOKEN: u64 = 400;
+
+/// How much a failing endpoint counts as slower than one that answers.
+const FAILING_WEIGHT: f64 = 12.0;
+
+/// What a request in another data centre counts more, as a part of a request.
+const AWAY_WEIGHT: f64 = 0.1;
+
+/// Weight of the newest answer in the average over a service.
+const PACE_WEIGHT: f64 = 0.05;
+
+/// Identifies a row of the arena; never refers to another endpoint than the one
+/// it was given for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    index: u32,
+    generation: u32,
+}
+
+/// What one process has at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that have not ended.
+    pub in_flight: u32,
+    /// Tokens of their prompts that are not known to be read.
+    pub unread: u64,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// What the endpoint says of itself.
+    pub endpoint: Endpoint,
+    /// When it is no longer cold.
+    pub cold_until: Duration,
+    own: Load,
+    others: Load,
+    vitals: Vitals,
+    cold: Cold,
+}
+
+/// The prompt of a request to a model engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// All tokens.
+    pub tokens: u64,
+    /// Tokens of the parts that other requests share.
+    pub shared_tokens: u64,
+    /// Digest of the shared parts; `None` if there are none.
+    pub shared: Option<u64>,
+}
+
+/// Where a request and what it needs stand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sites<'a> {
+    /// Data centre of this process.
+    pub own: &'a str,
+    /// Data centres that hold results of stages, with their bytes.
+    pub results: &'a [(String, u64)],
+    /// The last endpoint that took the request: not chosen again.
+    pub tried: &'a [Key],
+}
+
+#[derive(Debug)]
+struct Slot {
+    generation: u32,
+    row: Option<Row>,
+}
+
+/// All endpoints that the directory names.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    slots: Vec<Slot>,
+    evacuation: Evacuation,
+    processes: usize,
+    position: usize,
+    paces: Vec<Pace>,
+}
+
+/// How long a unit of work takes at the endpoints of a service, on average.
+#[derive(Debug)]
+struct Pace {
+    service: String,
+    seconds: f64,
+}
+
+impl Fleet {
+    /// Takes up the list of endpoints; what is known of those that stay is kept.
+    pub fn update(&mut self, snapshot: &Snapshot, now: Duration) {
+        let listed = |life: &Life| {
+            let found = snapshot
+                .endpoints
+                .binary_search_by(|one| one.life.cmp(life));
+            found.ok().map(|index| &snapshot.endpoints[index])
+        };
+        for slot in &mut self.slots {
+            let Some(row) = &mut slot.row else { continue };
+            match listed(&row.endpoint.life) {
+                Some(endpoint) => row.update(endpoint, now),
+                None => {
+                    slot.row = None;
+                    slot.generation += 1;
+                }
+            }
+        }
+        for endpoint in &snapshot.endpoints {
+            if self.find(&endpoint.life).is_none() {
+                self.insert(Row::new(endpoint.clone(), now));
+            }
+        }
+    }
+
+    /// Takes up which data centres get no new work.
+    pub fn evacuate(&mut self, evacuation: Evacuation) {
+        self.evacuation = evacuation;
+    }
+
+    /// Takes up an upper bound of the processes that share the limits, and
+    /// the position of this one among them.
+    pub const fn set_processes(&mut self, processes: usize, position: usize) {
+        self.processes = processes;
+        self.position = position;
+    }
+
+    /// Takes up what the other processes have in flight.
+    pub fn set_others<'a>(&mut self, loads: impl Iterator<Item = (&'a str, Load)>) {
+        for slot in &mut self.slots {
+            if let Some(row) = &mut slot.row {
+                row.others = Load::default();
+            }
+        }
+        for (id, load) in loads {
+            let mut rows = self.slots.iter_mut().filter_map(|slot| slot.row.as_mut());
+            if let Some(row) = rows.find(|row| row.endpoint.life.id == id) {
+                row.others.in_flight += load.in_flight;
+                row.others.unread += load.unread;
+            }
+        }
+    }
+
+    /// Returns what this process has in flight, where it has any.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&str, Load)> {
+        self.rows()
+            .filter(|(_, row)| row.own.in_flight > 0)
+            .map(|(_, row)| (row.endpoint.life.id.as_str(), row.own))
+    }
+
+    /// Returns the endpoint of a row, unless it left the directory.
+    #[must_use]
+    pub fn row(&self, key: Key) -> Option<&Row> {
+        let slot = self.slots.get(key.index as usize)?;
+        (slot.generation == key.generation).then_some(slot.row.as_ref()?)
+    }
+
+    /// Returns the endpoints of a service that may get new work.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Row)> {
+        self.rows().filter(move |(_, row)| {
+            row.endpoint.service == service
+                && row.endpoint.state == State::Ready
+                && !self.evacuation.covers(&row.endpoint.data_centre)
+        })
+    }
+
+    /// Chooses the endpoint of a plain service where an answer is expected
+    /// soonest.
+    #[must_use]
+    pub fn choose_plain(&self, service: &str, sites: &Sites<'_>, now: Duration) -> Option<Key> {
+        self.choose(service, sites, now, |_, row| {
+            let busy = f64::from(row.in_flight()) / f64::from(row.endpoint.slots.max(1));
+            let away = f64::from(u8::from(row.endpoint.data_centre != sites.own));
+            1.0 + busy + away * AWAY_WEIGHT
+        })
+    }
+
+    /// Chooses the model engine where the first token is expected soonest.
+    pub fn choose_engine(
+        &mut self,
+        config: &Config,
+        service: &str,
+        prompt: Prompt,
+        sites: &Sites<'_>,
+        now: Duration,
+    ) -> Option<Key> {
+        let cold_rate = config.service(service).map_or(0.0, |one| one.cold_rate);
+        let (processes, position) = (self.processes, self.position);
+        let blocked: Vec<Key> = self
+            .slots
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(index, slot)| {
+                let row = slot.row.as_mut()?;
+                let key = Key {
+                    index: u32::try_from(index).ok()?,
+                    generation: slot.generation,
+                };
+                let held = row.endpoint.service == service
+                    && !row.may_send(cold_rate, processes, position, now);
+                held.then_some(key)
+            })
+            .collect();
+        let homes = self.homes(service, prompt);
+        let total: u64 = sites.results.iter().map(|(_, bytes)| bytes).sum();
+        self.choose(service, sites, now, |key, row| {
+            if blocked.contains(&key) {
+                return f64::INFINITY;
+            }
+            let near = sites
+                .results
+                .iter()
+                .find(|(data_centre, _)| *data_centre == row.endpoint.data_centre);
+            let far = total - near.map_or(0, |(_, bytes)| *bytes);
+            let held = if homes.contains(&key) {
+                prompt.shared_tokens
+            } else {
+                0
+            };
+            let tokens = row.own.unread
+                + row.others.unread
+                + u64::from(row.in_flight()) * TOKENS_PER_RUNNING
+                + prompt.tokens.saturating_sub(held)
+                + far / BYTES_PER_TOKEN
+                + TOKENS_PER_START;
+            tokens as f64
+        })
+    }
+
+    /// Notes that a request goes to an endpoint.
+    pub fn begin(&mut self, key: Key, unread: u64, now: Duration) {
+        if let Some(row) = self.row_mut(key) {
+            row.own.in_flight += 1;
+            row.own.unread += unread;
+            row.cold.send(now);
+        }
+    }
+
+    /// Notes that the prompt of a request is read.
+    pub fn read(&mut self, key: Key, unread: u64) {
+        if let Some(row) = self.row_mut(key) {
+            row.own.unread = row.own.unread.saturating_sub(unread);
+        }
+    }
+
+    /// Notes that a request has ended.
+    pub fn end(&mut self, key: Key) {
+        if let Some(row) = self.row_mut(key) {
+            row.own.in_flight = row.own.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an endpoint began to answer after `took`; `tokens` is what it
+    /// had to read, zero at a plain service.
+    pub fn answer(&mut self, key: Key, tokens: u64, took: Duration, now: Duration) {
+        let Some(service) = self.row(key).map(|row| row.endpoint.service.clone()) else {
+            return;
+        };
+        let work = (tokens + TOKENS_PER_START) as f64 / TOKENS_PER_START as f64;
+        let seconds = took.as_secs_f64() / work;
+        let found = self
+            .paces
+            .binary_search_by(|pace| pace.service.cmp(&service));
+        let index = found.unwrap_or_else(|index| {
+            self.paces.insert(index, Pace { service, seconds });
+            index
+        });
+        let pace = &mut self.paces[index];
+        let times = seconds / pace.seconds.max(f64::MIN_POSITIVE);
+        // One slow endpoint of many must not become what is expected of all.
+        let bounded = seconds.min(pace.seconds * 2.0);
+        pace.seconds += (bounded - pace.seconds) * PACE_WEIGHT;
+        self.note(key, Report::Answered(times), now);
+    }
+
+    /// Notes how an endpoint did.
+    pub fn note(&mut self, key: Key, report: Report, now: Duration) {
+        if let Some(row) = self.row_mut(key) {
+            row.vitals.note(report, now);
+        }
+    }
+
+    fn choose(
+        &self,
+        service: &str,
+        sites: &Sites<'_>,
+        now: Duration,
+        work: impl Fn(Key, &Row) -> f64,
+    ) -> Option<Key> {
+        let mut best: Option<(bool, f64, Key)> = None;
+        for (key, row) in self.usable(service) {
+            if sites.tried.contains(&key) {
+                continue;
+            }
+            let vitals = &row.vitals;
+            let cost = work(key, row)
+                * vitals.slowness(now)
+                * vitals.failing(now).mul_add(FAILING_WEIGHT, 1.0);
+            let candidate = (vitals.is_paused(now), cost, key);
+            if cost.is_finite() && best.is_none_or(|best| candidate < best) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    /// Returns, for each data centre, the endpoint at which requests with the
+    /// same shared parts gather.
+    fn homes(&self, service: &str, prompt: Prompt) -> Vec<Key> {
+        let Some(shared) = prompt.shared else {
+            return Vec::new();
+        };
+        let mut homes: Vec<(&str, u64, Key)> = Vec::new();
+        for (key, row) in self.usable(service) {
+            let weight = weight(shared, &row.endpoint.life.id);
+            let data_centre = row.endpoint.data_centre.as_str();
+            match homes.iter_mut().find(|home| home.0 == data_centre) {
+                Some(home) if home.1 < weight => *home = (data_centre, weight, key),
+                Some(_) => {}
+                None => homes.push((data_centre, weight, key)),
+            }
+        }
+        homes.into_iter().map(|(_, _, key)| key).collect()
+    }
+
+    fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
+        self.slots.iter().enumerate().filter_map(|(index, slot)| {
+            let key = Key {
+                index: u32::try_from(index).ok()?,
+                generation: slot.generation,
+            };
+            Some((key, slot.row.as_ref()?))
+        })
+    }
+
+    fn row_mut(&mut self, key: Key) -> Option<&mut Row> {
+        let slot = self.slots.get_mut(key.index as usize)?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        slot.row.as_mut()
+    }
+
+    fn find(&self, life: &Life) -> Option<Key> {
+        self.rows()
+            .find(|(_, row)| row.endpoint.life == *life)
+            .map(|(key, _)| key)
+    }
+
+    fn insert(&mut self, row: Row) {
+        match self.slots.iter_mut().find(|slot| slot.row.is_none()) {
+            Some(slot) => slot.row = Some(row),
+            None => self.slots.push(Slot {
+                generation: 0,
+                row: Some(row),
+            }),
+        }
+    }
+}
+
+impl Row {
+    fn new(endpoint: Endpoint, now: Duration) -> Self {
+        Self {
+            cold_until: now + endpoint.cold,
+            endpoint,
+            own: Load::default(),
+            others: Load::default(),
+            vitals: Vitals::new(),
+            cold: Cold::default(),
+        }
+    }
+
+    fn update(&mut self, endpoint: &Endpoint, now: Duration) {
+        if self.endpoint != *endpoint {
+            self.cold_until = now + endpoint.cold;
+            self.endpoint = endpoint.clone();
+        }
+    }
+
+    const fn in_flight(&self) -> u32 {
+        self.own.in_flight + self.others.in_flight
+    }
+
+    /// Returns whether the endpoint would bear one more request if it were cold.
+    ///
+    /// An endpoint may turn cold without a word, so the bound holds always.
+    fn may_send(
+        &mut self,
+        cold_rate: f64,
+        processes: usize,
+        position: usize,
+        now: Duration,
+    ) -> bool {
+        if cold_rate <= 0.0 {
+            return true;
+        }
+        let processes = processes.max(1);
+        let first = weight(0, &self.endpoint.life.id) % processes as u64;
+        let turn = (position as u64 + first) % processes as u64;
+        let grant = Cold::grant(cold_rate, processes, usize::try_from(turn).unwrap_or(0));
+        self.cold.may_send(grant, now)
+    }
+}
+
+/// Returns the weight of an endpoint for some parts of prompts, the same in
+/// every process.
+fn weight(seed: u64, id: &str) -> u64 {
+    let mut hasher = siphasher::sip::SipHasher13::new_with_keys(seed, 0);
+    hasher.write(id.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/cicadacrank-core/src/placement/vitals.rs
@@ -0,0 +1,107 @@
+//! How an endpoint answered lately.
+
+use std::time::Duration;
+
+/// Weight of the newest answer in the averages.
+const NEWEST_WEIGHT: f64 = 0.25;
+
+/// Time in which half of what is held against an endpoint is forgotten, in
+/// seconds; long enough to bridge the pauses between trials of a bad endpoint.
+const HALF_LIFE_S: f64 = 3.0;
+
+/// First pause after a connection could not be made; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest such pause, below the time within which a restarted endpoint should
+/// be in use again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// What an attempt says of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Report {
+    /// It answered; how many times as long as expected its first byte took.
+    Answered(f64),
+    /// It refused the work for lack of room.
+    Busy,
+    /// It failed the work, broke off or gave no answer in time.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+}
+
+/// Averages over the last answers of one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Vitals {
+    failing: f64,
+    slowness: f64,
+    at: Duration,
+    unreachable: u32,
+    paused_until: Duration,
+}
+
+impl Vitals {
+    /// Creates the state of an endpoint that nothing is known of.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            failing: 0.0,
+            slowness: 1.0,
+            at: Duration::ZERO,
+            unreachable: 0,
+            paused_until: Duration::ZERO,
+        }
+    }
+
+    /// Takes up what an attempt showed.
+    pub fn note(&mut self, report: Report, now: Duration) {
+        let failing = self.failing(now);
+        let slowness = self.slowness(now);
+        self.at = now;
+        let blend = |before: f64, newest: f64| before + (newest - before) * NEWEST_WEIGHT;
+        self.slowness = slowness;
+        match report {
+            Report::Answered(times) => {
+                self.failing = blend(failing, 0.0);
+                self.slowness = blend(slowness, times.clamp(1.0, 20.0));
+                self.unreachable = 0;
+            }
+            Report::Busy => self.failing = blend(failing, 0.5),
+            Report::Failed => self.failing = blend(failing, 1.0),
+            Report::Unreachable => {
+                self.failing = blend(failing, 1.0);
+                let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.unreachable.min(8));
+                self.paused_until = now + pause.min(LONGEST_PAUSE);
+                self.unreachable += 1;
+            }
+        }
+    }
+
+    /// Returns the part of attempts that fail, as far as the last ones show.
+    #[must_use]
+    pub fn failing(&self, now: Duration) -> f64 {
+        self.failing * self.kept(now)
+    }
+
+    /// Returns how many times as long as expected an answer takes.
+    #[must_use]
+    pub fn slowness(&self, now: Duration) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.kept(now)
+    }
+
+    /// Returns whether the endpoint is left alone after failed connections.
+    #[must_use]
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    fn kept(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        (-age / HALF_LIFE_S).exp2()
+    }
+}
+
+impl Default for Vitals {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -109,7 +109,7 @@
 
 /// Binds a listener whose connections send small parts at once: they inherit
 /// the option from the listener.
-fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+pub(crate) fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
     let listen = || {
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -0,0 +1,288 @@
+//! One attempt at a request, at one endpoint.
+
+use super::state::{State, lock};
+use crate::{
+    outbound::{Connection, Exchange},
+    platform::{
+        answer::Answer,
+        caller::{self, Additions},
+    },
+};
+use bytes::Bytes;
+use cicadacrank_core::{
+    directory::Endpoint,
+    error::Kind,
+    event::Event,
+    id,
+    once::{Sent, Unsent},
+    placement::{Key, Report},
+    quarantine::Fingerprint,
+};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
+use http_body_util::Full;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{self, Instant};
+
+/// Pause before an endpoint that broke off is asked whether it is still there:
+/// a crashed one has closed its listener by then.
+const CRASH_CHECK: Duration = Duration::from_millis(60);
+
+/// What goes to an endpoint.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Id of the caller's attempt, which the answer must bear.
+    pub attempt: Option<HeaderValue>,
+    /// Method as the caller sent it.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Team that holds the caller's key.
+    pub team: Option<String>,
+    /// When the caller has no use for an answer any more.
+    pub deadline: Instant,
+    /// What the request is known by, should it crash endpoints.
+    pub fingerprint: Fingerprint,
+}
+
+/// What an attempt adds to the request.
+#[derive(Clone, Debug, Default)]
+pub struct Extra {
+    /// Results of the last stages.
+    pub results: Vec<String>,
+    /// Last event that the caller has.
+    pub last_event: Option<String>,
+    /// Urgency, 0 first.
+    pub urgency: Option<u32>,
+    /// Tokens that the endpoint has to read.
+    pub tokens: u64,
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub struct Started {
+    /// The answer.
+    pub exchange: Exchange,
+    /// What its head states.
+    pub answer: Answer,
+    /// Counts it at its endpoint.
+    pub flight: Flight,
+    /// That the request was sent.
+    pub sent: Sent,
+}
+
+/// An attempt without an answer.
+#[derive(Debug)]
+pub enum Missed {
+    /// The endpoint did not run the request.
+    NotRun {
+        /// Proof of that.
+        unsent: Unsent,
+        /// Why.
+        kind: Kind,
+        /// Whether the endpoint was sent the request.
+        arrived: bool,
+    },
+    /// The endpoint may have run the request.
+    Unknown {
+        /// That it was sent.
+        sent: Sent,
+        /// Why there is no answer.
+        kind: Kind,
+        /// What happened.
+        context: String,
+    },
+}
+
+/// Counts an attempt at its endpoint until it is dropped.
+#[derive(Debug)]
+pub struct Flight {
+    state: Arc<State>,
+    /// The endpoint.
+    pub key: Key,
+    /// What the endpoint says of itself.
+    pub endpoint: Endpoint,
+    unread: u64,
+}
+
+impl Flight {
+    fn begin(state: &Arc<State>, key: Key, unread: u64) -> Option<Self> {
+        let mut fleet = lock(&state.fleet);
+        let endpoint = fleet.row(key)?.endpoint.clone();
+        fleet.begin(key, unread, state.clock.now());
+        drop(fleet);
+        Some(Self {
+            state: Arc::clone(state),
+            key,
+            endpoint,
+            unread,
+        })
+    }
+
+    /// Notes that the endpoint has read the prompt.
+    pub fn read(&mut self) {
+        lock(&self.state.fleet).read(self.key, std::mem::take(&mut self.unread));
+    }
+
+    /// Notes how the endpoint did.
+    pub fn note(&self, report: Report) {
+        lock(&self.state.fleet).note(self.key, report, self.state.clock.now());
+    }
+
+    /// Notes that the endpoint began to answer after `took`.
+    pub fn answer(&self, tokens: u64, took: Duration) {
+        lock(&self.state.fleet).answer(self.key, tokens, took, self.state.clock.now());
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut fleet = lock(&self.state.fleet);
+        fleet.read(self.key, self.unread);
+        fleet.end(self.key);
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer until
+/// `until`.
+pub async fn start(
+    state: &Arc<State>,
+    outgoing: &Outgoing,
+    key: Key,
+    extra: &Extra,
+    until: Instant,
+    unsent: Unsent,
+) -> Result<Started, Missed> {
+    let not_run = |unsent, kind| Missed::NotRun {
+        unsent,
+        kind,
+        arrived: false,
+    };
+    let Some(flight) = Flight::begin(state, key, extra.tokens) else {
+        return Err(not_run(unsent, Kind::NoEndpoint));
+    };
+    let endpoint = &flight.endpoint;
+    let service = [endpoint.service.as_str()];
+    state.metrics.attempts.with_label_values(&service).inc();
+    let connection = match time::timeout_at(until, Connection::open(endpoint.address)).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(_)) | Err(_) => {
+            flight.note(Report::Unreachable);
+            return Err(not_run(unsent, Kind::Unreachable));
+        }
+    };
+    let request = match encode(outgoing, endpoint, extra) {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("request cannot be written: {error}");
+            return Err(not_run(unsent, Kind::Internal));
+        }
+    };
+    let sent = unsent.send();
+    match time::timeout_at(until, connection.send(request)).await {
+        Ok(Ok(exchange)) => check(outgoing, exchange, flight, sent),
+        Ok(Err(error)) => {
+            flight.note(Report::Failed);
+            tokio::spawn(check_crash(
+                Arc::clone(state),
+                flight.endpoint.clone(),
+                outgoing.fingerprint,
+            ));
+            Err(Missed::Unknown {
+                sent,
+                kind: Kind::EndpointFailed,
+                context: error,
+            })
+        }
+        Err(_) => {
+            flight.note(Report::Failed);
+            Err(Missed::Unknown {
+                sent,
+                kind: Kind::Silent,
+                context: "no answer in time".to_owned(),
+            })
+        }
+    }
+}
+
+/// Tells whether the head of an answer is one to this request.
+fn check(
+    outgoing: &Outgoing,
+    exchange: Exchange,
+    flight: Flight,
+    sent: Sent,
+) -> Result<Started, Missed> {
+    let headers = exchange.response.headers();
+    let answer = Answer::decode(exchange.response.status(), headers);
+    let encoded = headers.contains_key(header::CONTENT_ENCODING);
+    let foreign = answer.attempt.is_some() && answer.attempt != outgoing.attempt;
+    if let (false, Some(declined)) = (foreign, answer.declined) {
+        flight.note(if answer.misdirected {
+            Report::Unreachable
+        } else {
+            Report::Busy
+        });
+        return Err(Missed::NotRun {
+            unsent: sent.decline(declined),
+            kind: Kind::Overloaded,
+            arrived: true,
+        });
+    }
+    let own = !foreign && answer.attempt.is_some() && answer.signed && !encoded;
+    if !own {
+        flight.note(Report::Failed);
+        return Err(Missed::Unknown {
+            sent,
+            kind: Kind::EndpointProtocol,
+            context: format!(
+                "status={} signed={} foreign={foreign} encoded={encoded}",
+                answer.status, answer.signed
+            ),
+        });
+    }
+    Ok(Started {
+        exchange,
+        answer,
+        flight,
+        sent,
+    })
+}
+
+fn encode(
+    outgoing: &Outgoing,
+    endpoint: &Endpoint,
+    extra: &Extra,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
+    let additions = Additions {
+        endpoint: &endpoint.life.id,
+        remaining,
+        team: outgoing.team.as_deref(),
+        results: &extra.results,
+        last_event: extra.last_event.as_deref(),
+        urgency: extra.urgency,
+    };
+    let mut request = Request::builder()
+        .method(outgoing.method.clone())
+        .uri(outgoing.uri.clone())
+        .body(Full::new(outgoing.body.clone()))?;
+    *request.headers_mut() = caller::encode(&outgoing.headers, &additions);
+    Ok(request)
+}
+
+/// Holds a crash against a request if its endpoint is there no more.
+pub async fn check_crash(state: Arc<State>, endpoint: Endpoint, fingerprint: Fingerprint) {
+    time::sleep(CRASH_CHECK).await;
+    if Connection::open(endpoint.address).await.is_ok() {
+        return;
+    }
+    let now = state.clock.now();
+    lock(&state.suspects).mark(fingerprint, id::Attempt::new(rand::random()), now);
+    Event::SuspectMarked.log(format_args!(
+        "fingerprint={fingerprint} endpoint={} born={:?}",
+        endpoint.life.id, endpoint.life.born
+    ));
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/owner.rs
@@ -0,0 +1,580 @@
+//! Forms the calls to endpoints that do stages, for all gateways.
+
+use super::{
+    plain::jitter,
+    stages::Product,
+    state::{State, lock},
+};
+use crate::{
+    outbound::{self, Broken},
+    platform::{
+        answer::Answer,
+        stage::{self, Made, Piece, Source},
+    },
+};
+use cicadacrank_core::{
+    batch::{self, Call, Outcome, Pool, Stranded, Ticket},
+    config::Config,
+    directory::{Endpoint, Life},
+    error::Kind,
+    event::Event,
+    placement::Fleet,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::{self, Instant},
+};
+
+/// Most bytes of the answer to a call.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// A call is given up after this many times what it should take.
+const CALL_PATIENCE: u32 = 4;
+
+/// Added to that, for the results that the endpoint has to fetch.
+const CALL_SLACK: Duration = Duration::from_millis(300);
+
+/// Endpoints that one piece is sent to at most.
+const MOST_TRIES: u32 = 2;
+
+/// Pause after which a caller may come back when a stage failed.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Longest time that results wait to be given up together.
+const RELEASE_PERIOD: Duration = Duration::from_millis(30);
+
+/// Longest time for giving results up; they end by themselves if it fails.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time between two looks at what waits.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+
+/// All pieces of one stage of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Id of the caller's attempt.
+    pub request: String,
+    /// Service that makes the pieces.
+    pub service: String,
+    /// Number of the stage in its route.
+    pub stage: u32,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// Key of the pieces, for stages that need no results.
+    pub key: Option<String>,
+    /// Results that each piece is given.
+    pub inputs: Vec<String>,
+    /// About how large one result is, in bytes.
+    pub bytes: u64,
+    /// Time until the results must be there for the request to be on time.
+    pub due: Duration,
+    /// Time until the results are of no use.
+    pub expires: Duration,
+    /// Rank of the request, 0 first.
+    pub rank: u32,
+}
+
+impl Order {
+    /// Returns the order as it is after some time.
+    pub fn with_time_passed(mut self, time: Duration) -> Self {
+        self.due = self.due.saturating_sub(time);
+        self.expires = self.expires.saturating_sub(time);
+        self
+    }
+}
+
+/// Why there are no results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// The kind from the closed list.
+    pub kind: Kind,
+    /// Pause before a further try could succeed.
+    pub retry_after: Duration,
+}
+
+/// The pools of all services that do stages, sorted by name.
+#[derive(Debug, Default)]
+pub struct Pools {
+    shops: Mutex<Vec<Arc<Shop>>>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct Shop {
+    service: String,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pool: Pool,
+    endpoints: Vec<Endpoint>,
+    waiting: Vec<Waiting>,
+    next_ticket: u64,
+    next_job: u64,
+    released: Vec<(Life, String)>,
+    running: bool,
+}
+
+/// A piece that has no result yet, sorted by ticket.
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    piece: batch::Piece,
+    request: String,
+    stage: u32,
+    number: u32,
+    source: Source,
+    tries: u32,
+    reply: mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
+}
+
+impl Pools {
+    /// Takes up the services of a configuration.
+    pub fn set_config(&self, config: &Config) {
+        let mut shops = lock(&self.shops);
+        let workers = config
+            .services
+            .iter()
+            .filter_map(|service| Some((&service.name, service.worker?)));
+        let mut next: Vec<Arc<Shop>> = Vec::new();
+        for (name, worker) in workers {
+            let known = shops.iter().find(|shop| shop.service == *name);
+            let shop = known.cloned().unwrap_or_else(|| {
+                Arc::new(Shop {
+                    service: name.clone(),
+                    inner: Mutex::new(Inner::new(Pool::new(worker))),
+                    wake: Notify::new(),
+                })
+            });
+            lock(&shop.inner).pool.set_worker(worker);
+            next.push(shop);
+        }
+        *shops = next;
+        drop(shops);
+        self.changed.notify_one();
+    }
+
+    /// Takes up the endpoints that may be used.
+    pub fn set_endpoints(&self, fleet: &Fleet) {
+        for shop in lock(&self.shops).iter() {
+            let mut inner = lock(&shop.inner);
+            let usable = fleet.usable(&shop.service);
+            inner.endpoints = usable.map(|(_, row)| row.endpoint.clone()).collect();
+            let Inner {
+                pool, endpoints, ..
+            } = &mut *inner;
+            pool.set_endpoints(endpoints.iter().map(|endpoint| &endpoint.life));
+            drop(inner);
+            shop.wake.notify_one();
+        }
+    }
+
+    /// Returns the number of a service among those that do stages.
+    pub fn number(&self, service: &str) -> Option<usize> {
+        let shops = lock(&self.shops);
+        shops
+            .binary_search_by(|shop| shop.service.as_str().cmp(service))
+            .ok()
+    }
+
+    fn find(&self, service: &str) -> Option<Arc<Shop>> {
+        let shops = lock(&self.shops);
+        let found = shops.binary_search_by(|shop| shop.service.as_str().cmp(service));
+        Some(Arc::clone(&shops[found.ok()?]))
+    }
+}
+
+impl Inner {
+    const fn new(pool: Pool) -> Self {
+        Self {
+            pool,
+            endpoints: Vec::new(),
+            waiting: Vec::new(),
+            next_ticket: 0,
+            next_job: 0,
+            released: Vec::new(),
+            running: false,
+        }
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let found = self
+            .waiting
+            .binary_search_by_key(&ticket, |one| one.ticket);
+        Some(self.waiting.remove(found.ok()?))
+    }
+
+    fn put(&mut self, waiting: Waiting) -> bool {
+        if !self.pool.add(waiting.piece) {
+            return false;
+        }
+        let index = self
+            .waiting
+            .partition_point(|one| one.ticket < waiting.ticket);
+        self.waiting.insert(index, waiting);
+        true
+    }
+
+    fn address(&self, life: &Life) -> Option<(SocketAddr, String)> {
+        let found = self.endpoints.iter().find(|one| one.life == *life)?;
+        Some((found.address, found.data_centre.clone()))
+    }
+}
+
+/// Takes the pieces of one order back when nobody waits for them any more.
+struct Withdrawal {
+    shop: Arc<Shop>,
+    job: u64,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        let mut inner = lock(&self.shop.inner);
+        inner.pool.withdraw(self.job);
+        inner.waiting.retain(|one| one.piece.job != self.job);
+    }
+}
+
+/// Starts to form calls.
+pub fn start(state: &Arc<State>) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        loop {
+            for shop in lock(&state.pools.shops).iter() {
+                let running = std::mem::replace(&mut lock(&shop.inner).running, true);
+                if !running {
+                    tokio::spawn(run(Arc::clone(&state), Arc::clone(shop)));
+                    tokio::spawn(run_releases(Arc::clone(shop)));
+                }
+            }
+            state.pools.changed.notified().await;
+        }
+    });
+}
+
+/// Has the pieces of an order made.
+pub async fn produce(state: &Arc<State>, order: Order) -> Result<Vec<Product>, Failure> {
+    let failure = |kind| Failure {
+        kind,
+        retry_after: jitter(RETRY_AFTER),
+    };
+    let shop = state
+        .pools
+        .find(&order.service)
+        .ok_or_else(|| failure(Kind::NoEndpoint))?;
+    let now = state.clock.now();
+    let (reply, mut results) = mpsc::unbounded_channel();
+    let count = order.pieces as usize;
+    let withdrawal = {
+        let mut inner = lock(&shop.inner);
+        let done = inner
+            .pool
+            .estimate(count, now)
+            .ok_or_else(|| failure(Kind::NoEndpoint))?;
+        if done > now + order.expires {
+            return Err(Failure {
+                kind: Kind::TimeUp,
+                retry_after: jitter(done.saturating_sub(now + order.expires).max(RETRY_AFTER)),
+            });
+        }
+        let job = inner.next_job;
+        inner.next_job += 1;
+        add(&mut inner, &order, job, now, &reply);
+        Withdrawal {
+            shop: Arc::clone(&shop),
+            job,
+        }
+    };
+    drop(reply);
+    shop.wake.notify_one();
+    let mut made: Vec<Option<Product>> = vec![None; count];
+    let mut failed = None;
+    while let Some((number, result)) = results.recv().await {
+        match result {
+            Ok(product) => made[number as usize] = Some(product),
+            Err(kind) => {
+                failed = Some(kind);
+                break;
+            }
+        }
+        if made.iter().all(Option::is_some) {
+            break;
+        }
+    }
+    drop(withdrawal);
+    let made: Vec<Product> = made.into_iter().flatten().collect();
+    if made.len() == count {
+        return Ok(made);
+    }
+    release(state, &made);
+    Err(failure(failed.unwrap_or(Kind::Internal)))
+}
+
+fn add(
+    inner: &mut Inner,
+    order: &Order,
+    job: u64,
+    now: Duration,
+    reply: &mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
+) {
+    for number in 0..order.pieces {
+        let ticket = Ticket(inner.next_ticket);
+        inner.next_ticket += 1;
+        let waiting = Waiting {
+            ticket,
+            piece: batch::Piece {
+                ticket,
+                job,
+                due: now + order.due,
+                expires: now + order.expires,
+                rank: order.rank,
+                bytes: order.bytes,
+            },
+            request: order.request.clone(),
+            stage: order.stage,
+            number,
+            source: match &order.key {
+                Some(key) => Source::Key(key.clone()),
+                None => Source::Results(order.inputs.clone()),
+            },
+            tries: 0,
+            reply: reply.clone(),
+        };
+        if !inner.put(waiting) {
+            // The receiver is there: it is the caller's.
+            drop(reply.send((number, Err(Kind::Overloaded))));
+        }
+    }
+}
+
+/// Makes calls of what waits at one service, for as long as the process runs.
+async fn run(state: Arc<State>, shop: Arc<Shop>) {
+    loop {
+        let sleep = {
+            let now = state.clock.now();
+            let mut inner = lock(&shop.inner);
+            for Stranded(ticket) in inner.pool.strand(now) {
+                if let Some(waiting) = inner.take(ticket) {
+                    drop(waiting.reply.send((waiting.number, Err(Kind::TimeUp))));
+                }
+            }
+            while let Some(call) = inner.pool.next(now) {
+                let taken = call.tickets.iter().map(|ticket| inner.take(*ticket));
+                let pieces: Vec<Waiting> = taken.collect::<Vec<_>>().into_iter().flatten().collect();
+                let address = inner.address(&call.life);
+                tokio::spawn(make(
+                    Arc::clone(&state),
+                    Arc::clone(&shop),
+                    call,
+                    pieces,
+                    address,
+                ));
+            }
+            let wake = inner.pool.wake_at(now);
+            wake.map_or(LONGEST_SLEEP, |at| {
+                at.saturating_sub(now)
+                    .clamp(Duration::from_millis(1), LONGEST_SLEEP)
+            })
+        };
+        drop(time::timeout(sleep, shop.wake.notified()).await);
+    }
+}
+
+/// Makes one call and hands out its results.
+async fn make(
+    state: Arc<State>,
+    shop: Arc<Shop>,
+    call: Call,
+    pieces: Vec<Waiting>,
+    address: Option<(SocketAddr, String)>,
+) {
+    let began = Instant::now();
+    state.metrics.batch.observe(pieces.len() as f64);
+    let (outcome, made, note) = match &address {
+        Some((address, _)) => exchange(&state, *address, &call, &pieces).await,
+        None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
+    };
+    let service = shop.service.as_str();
+    let labels = [service, outcome_name(outcome)];
+    state.metrics.stage_calls.with_label_values(&labels).inc();
+    Event::CallEnded.log(format_args!(
+        "service={service} endpoint={} pieces={} expected_ms={} took_ms={} outcome={outcome:?} \
+         first_id={} note={note:?}",
+        call.life.id,
+        pieces.len(),
+        call.expected.as_millis(),
+        began.elapsed().as_millis(),
+        pieces.first().map_or("-", |piece| piece.request.as_str()),
+    ));
+    let data_centre = address.map_or_else(String::new, |(_, data_centre)| data_centre);
+    lock(&shop.inner)
+        .pool
+        .end(&call, outcome, state.clock.now());
+    if outcome == Outcome::Answered {
+        for (waiting, made) in pieces.into_iter().zip(made) {
+            hand_out(&state, &shop, &call.life, &data_centre, waiting, made);
+        }
+    } else {
+        for waiting in pieces {
+            try_again(&state, &shop, waiting, Kind::EndpointFailed);
+        }
+    }
+    shop.wake.notify_one();
+}
+
+const fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Full => "full",
+        Outcome::Failed => "failed",
+    }
+}
+
+async fn exchange(
+    state: &State,
+    address: SocketAddr,
+    call: &Call,
+    pieces: &[Waiting],
+) -> (Outcome, Vec<Made>, String) {
+    let now = state.clock.now();
+    let wire: Vec<Piece> = pieces
+        .iter()
+        .map(|waiting| Piece {
+            request: waiting.request.clone(),
+            stage: waiting.stage,
+            number: waiting.number,
+            remaining: waiting.piece.expires.saturating_sub(now),
+            source: waiting.source.clone(),
+        })
+        .collect();
+    let request = match stage::encode(address, &call.life.id, &wire) {
+        Ok(request) => request,
+        Err(error) => return (Outcome::Failed, Vec::new(), error),
+    };
+    let timeout = call.expected * CALL_PATIENCE + CALL_SLACK;
+    match outbound::call(address, request, timeout, ANSWER_BYTES).await {
+        Ok(answer) => {
+            let head = Answer::decode(answer.status(), answer.headers());
+            if head.declined.is_some() {
+                let outcome = if head.misdirected {
+                    Outcome::Failed
+                } else {
+                    Outcome::Full
+                };
+                return (outcome, Vec::new(), format!("status {}", head.status));
+            }
+            match stage::decode(answer.status(), answer.body(), wire.len()) {
+                Ok(made) => (Outcome::Answered, made, String::new()),
+                Err(error) => (Outcome::Failed, Vec::new(), error),
+            }
+        }
+        Err(Broken::Unconnected(error) | Broken::Lost(error)) => {
+            (Outcome::Failed, Vec::new(), error)
+        }
+    }
+}
+
+fn hand_out(
+    state: &State,
+    shop: &Shop,
+    life: &Life,
+    data_centre: &str,
+    waiting: Waiting,
+    made: Made,
+) {
+    let result = match made {
+        Made::Result(handle) => Ok(Product {
+            handle,
+            endpoint: life.clone(),
+            service: shop.service.clone(),
+            data_centre: data_centre.to_owned(),
+            bytes: waiting.piece.bytes,
+        }),
+        Made::Late => Err(Kind::TimeUp),
+        Made::SourceGone => Err(Kind::EndpointFailed),
+        Made::NoRoom => return try_again(state, shop, waiting, Kind::Overloaded),
+        Made::Failed => return try_again(state, shop, waiting, Kind::EndpointFailed),
+    };
+    if let Err(unclaimed) = waiting.reply.send((waiting.number, result))
+        && let (_, Ok(product)) = unclaimed.0
+    {
+        release_here(shop, &[product]);
+    }
+}
+
+/// Lets a piece wait for another call, if it may.
+fn try_again(state: &State, shop: &Shop, mut waiting: Waiting, kind: Kind) {
+    waiting.tries += 1;
+    let wanted = !waiting.reply.is_closed();
+    if wanted && waiting.tries < MOST_TRIES && state.take_repeat(&shop.service) {
+        let (number, reply) = (waiting.number, waiting.reply.clone());
+        if !lock(&shop.inner).put(waiting) {
+            drop(reply.send((number, Err(Kind::Overloaded))));
+        }
+        return;
+    }
+    // Nobody waits for the piece any more if this fails.
+    drop(waiting.reply.send((waiting.number, Err(kind))));
+}
+
+/// Gives up results of services whose calls this gateway forms.
+pub fn release(state: &State, products: &[Product]) {
+    for product in products {
+        if let Some(shop) = state.pools.find(&product.service) {
+            release_here(&shop, std::slice::from_ref(product));
+        }
+    }
+}
+
+fn release_here(shop: &Shop, products: &[Product]) {
+    let mut inner = lock(&shop.inner);
+    for product in products {
+        inner.pool.free(&product.endpoint, product.bytes);
+        inner
+            .released
+            .push((product.endpoint.clone(), product.handle.clone()));
+    }
+}
+
+/// Tells endpoints which results are given up, several at a time.
+async fn run_releases(shop: Arc<Shop>) {
+    loop {
+        time::sleep(RELEASE_PERIOD).await;
+        let calls: Vec<_> = {
+            let mut inner = lock(&shop.inner);
+            let mut released = std::mem::take(&mut inner.released);
+            released.sort();
+            released
+                .chunk_by(|one, other| one.0 == other.0)
+                .filter_map(|group| {
+                    let life = &group[0].0;
+                    let handles: Vec<String> = group.iter().map(|one| one.1.clone()).collect();
+                    let (address, _) = inner.address(life)?;
+                    Some((address, life.id.clone(), handles))
+                })
+                .collect()
+        };
+        if !calls.is_empty() {
+            shop.wake.notify_one();
+        }
+        for (address, id, handles) in calls {
+            tokio::spawn(async move {
+                let Ok(request) = stage::encode_free(address, &id, &handles) else {
+                    return;
+                };
+                let answer =
+                    outbound::call(address, request, RELEASE_TIMEOUT, ANSWER_BYTES).await;
+                if let Err(broken) = answer {
+                    log::debug!("results at {id} end by themselves: {broken:?}");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/peers.rs
@@ -0,0 +1,500 @@
+//! Exchanges what the store does not tell with other gateways: who is there,
+//! what each has in flight, which requests crash endpoints; and, for those that
+//! the store turns away, what it holds.
+
+use super::{
+    owner::{self, Failure, Order},
+    stages::Product,
+    state::{State, lock},
+};
+use crate::daemon;
+use cicadacrank_core::{
+    directory::Life,
+    error::Kind,
+    event::Event,
+    id,
+    placement::Load,
+    quarantine::{Fingerprint, Suspect},
+    roster::Gateway,
+};
+use cicadacrank_wire::wire::{
+    self, Beat, EndpointLoad, GatewayState, Knowledge, Production, Released, Results, Versions,
+    gateway_client::GatewayClient,
+    gateway_server::{Gateway as Serve, GatewayServer},
+};
+use miette::Result;
+use rand::seq::IteratorRandom as _;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time;
+use tonic::{
+    Request, Response, Status, async_trait,
+    transport::{Channel, Endpoint, Server, server::TcpIncoming},
+};
+
+/// Time between two heartbeats.
+const BEAT_PERIOD: Duration = Duration::from_millis(250);
+
+/// Gateways that one heartbeat goes to at most.
+const FAN_OUT: usize = 8;
+
+/// Longest time for an answer to a heartbeat.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest time for fetching what another gateway knows.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time for connecting to another gateway.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Silence on a connection after which the other side is asked for a sign, and
+/// then taken for lost.
+const KEEPALIVE: Duration = Duration::from_millis(400);
+
+/// Added to the time of an order before its owner is taken for lost.
+const ORDER_SLACK: Duration = Duration::from_millis(200);
+
+/// Most bytes of a message: the configuration of a large deployment.
+const MESSAGE_BYTES: usize = 32 << 20;
+
+/// Connections to other gateways, by address.
+#[derive(Debug, Default)]
+pub struct Links {
+    channels: Mutex<Vec<Link>>,
+}
+
+#[derive(Debug)]
+struct Link {
+    address: String,
+    channel: Channel,
+}
+
+impl Links {
+    fn client(&self, address: &str) -> Result<GatewayClient<Channel>, String> {
+        let mut links = lock(&self.channels);
+        let found = links.binary_search_by(|link| link.address.as_str().cmp(address));
+        let channel = match found {
+            Ok(index) => links[index].channel.clone(),
+            Err(index) => {
+                let channel = Endpoint::from_shared(format!("http://{address}"))
+                    .map_err(|error| error.to_string())?
+                    .connect_timeout(CONNECT_TIMEOUT)
+                    .tcp_nodelay(true)
+                    .http2_keep_alive_interval(KEEPALIVE)
+                    .keep_alive_timeout(KEEPALIVE)
+                    .keep_alive_while_idle(true)
+                    .connect_lazy();
+                let link = Link {
+                    address: address.to_owned(),
+                    channel: channel.clone(),
+                };
+                links.insert(index, link);
+                channel
+            }
+        };
+        Ok(GatewayClient::new(channel)
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES))
+    }
+
+    /// Forgets a connection that may have gone silent.
+    fn drop_link(&self, address: &str) {
+        lock(&self.channels).retain(|link| link.address != address);
+    }
+}
+
+/// Starts to serve other gateways and to send heartbeats to them.
+///
+/// # Errors
+///
+/// Returns a report if the address cannot be bound.
+pub fn start(state: &Arc<State>) -> Result<()> {
+    let listener = daemon::bind(state.settings.listen)?;
+    let service = GatewayServer::new(Door(Arc::clone(state)))
+        .max_decoding_message_size(MESSAGE_BYTES)
+        .max_encoding_message_size(MESSAGE_BYTES);
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE * 4))
+        .http2_keepalive_timeout(Some(KEEPALIVE))
+        .add_service(service)
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("other gateways are not served any more: {error}");
+        }
+    });
+    tokio::spawn(beat(Arc::clone(state)));
+    Ok(())
+}
+
+async fn beat(state: Arc<State>) {
+    let mut period = time::interval(BEAT_PERIOD);
+    period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let own = state.settings.listen.to_string();
+    loop {
+        period.tick().await;
+        state.divide();
+        let known: Vec<Gateway> = lock(&state.roster).others().cloned().collect();
+        let mut addresses: Vec<String> =
+            known.iter().map(|gateway| gateway.address.clone()).collect();
+        for seed in &state.settings.seeds {
+            let seed = seed.to_string();
+            if seed != own && !addresses.contains(&seed) {
+                addresses.push(seed);
+            }
+        }
+        let chosen = addresses.into_iter().sample(&mut rand::rng(), FAN_OUT);
+        for address in chosen {
+            let instance = known
+                .iter()
+                .find(|gateway| gateway.address == address)
+                .map(|gateway| gateway.instance.clone());
+            tokio::spawn(beat_to(Arc::clone(&state), address, instance));
+        }
+    }
+}
+
+async fn beat_to(state: Arc<State>, address: String, instance: Option<String>) {
+    let client = state.links.client(&address);
+    let beat = make_beat(&state);
+    let answer = match client {
+        Ok(mut client) => time::timeout(BEAT_TIMEOUT, client.exchange(beat)).await,
+        Err(error) => {
+            log::error!("address {address} of a gateway: {error}");
+            return;
+        }
+    };
+    match answer {
+        Ok(Ok(beat)) => take_beat(&state, beat.into_inner(), &address),
+        Ok(Err(_)) | Err(_) => {
+            state.links.drop_link(&address);
+            let Some(instance) = instance else { return };
+            if lock(&state.roster).miss(&instance, state.clock.now()) {
+                Event::PeerLost.log(format_args!("instance={instance} fault=\"no heartbeat\""));
+                state.take_loads(&instance, Vec::new());
+            }
+        }
+    }
+}
+
+fn make_beat(state: &State) -> Beat {
+    let now = state.clock.now();
+    let roster = lock(&state.roster);
+    let me = Some(encode_gateway(roster.me()));
+    let others = roster.live(now).map(encode_gateway).collect();
+    drop(roster);
+    let loads = lock(&state.fleet)
+        .own_loads()
+        .map(|(id, load)| EndpointLoad {
+            endpoint: id.to_owned(),
+            in_flight: load.in_flight,
+            unread: load.unread,
+        })
+        .collect();
+    let suspects = lock(&state.suspects)
+        .suspects(now)
+        .map(|suspect| encode_suspect(&suspect))
+        .collect();
+    Beat {
+        me,
+        versions: Some(versions(state)),
+        others,
+        loads,
+        suspects,
+    }
+}
+
+fn versions(state: &State) -> Versions {
+    let (snapshot, evacuation) = state.directory();
+    Versions {
+        config: state.config().map_or(0, |config| config.version),
+        endpoints: snapshot.revision,
+        evacuation: evacuation.map_or(0, |evacuation| evacuation.revision),
+    }
+}
+
+/// Takes up a heartbeat; fetches what its sender knows better, from `address`.
+fn take_beat(state: &Arc<State>, beat: Beat, address: &str) {
+    let now = state.clock.now();
+    let Some(me) = beat.me.map(decode_gateway) else {
+        return;
+    };
+    let instance = me.instance.clone();
+    let source = if address.is_empty() {
+        me.address.clone()
+    } else {
+        address.to_owned()
+    };
+    let mut roster = lock(&state.roster);
+    if roster.hear(me, now) {
+        Event::PeerRegained.log(format_args!("instance={instance} address={source}"));
+    }
+    for other in beat.others {
+        roster.learn(decode_gateway(other), now);
+    }
+    drop(roster);
+    let loads = beat.loads.into_iter().map(|load| {
+        let EndpointLoad {
+            endpoint,
+            in_flight,
+            unread,
+        } = load;
+        (endpoint, Load { in_flight, unread })
+    });
+    state.take_loads(&instance, loads.collect());
+    for suspect in &beat.suspects {
+        if let Some(suspect) = decode_suspect(suspect) {
+            lock(&state.suspects).merge(&suspect, now);
+        }
+    }
+    let own = versions(state);
+    if let Some(theirs) = beat.versions
+        && (theirs.config > own.config
+            || theirs.endpoints > own.endpoints
+            || theirs.evacuation > own.evacuation)
+    {
+        tokio::spawn(fetch(Arc::clone(state), source, own));
+    }
+}
+
+async fn fetch(state: Arc<State>, address: String, own: Versions) {
+    let Ok(mut client) = state.links.client(&address) else {
+        return;
+    };
+    let answer = time::timeout(FETCH_TIMEOUT, client.fetch(own)).await;
+    let Ok(Ok(knowledge)) = answer else { return };
+    let Knowledge {
+        config,
+        endpoints,
+        evacuation,
+    } = knowledge.into_inner();
+    if let Some(config) = read(&config, &address) {
+        state.adopt_config(config, &address);
+    }
+    if let Some(snapshot) = read(&endpoints, &address)
+        && lock(&state.tracker).adopt(&snapshot)
+    {
+        state.adopt_endpoints(&address);
+    }
+    if let Some(evacuation) = read(&evacuation, &address) {
+        state.adopt_evacuation(evacuation, &address);
+    }
+}
+
+/// Reads what another gateway sent; nothing was newer if it is empty.
+fn read<T: serde::de::DeserializeOwned>(bytes: &[u8], address: &str) -> Option<T> {
+    if bytes.is_empty() {
+        return None;
+    }
+    serde_json::from_slice(bytes)
+        .inspect_err(|error| {
+            Event::ConfigRejected.log(format_args!("source={address} error={error}"));
+        })
+        .ok()
+}
+
+/// Has pieces made by the gateway at an address.
+///
+/// # Errors
+///
+/// Says why that gateway said nothing of them.
+pub async fn produce(
+    state: &Arc<State>,
+    address: &str,
+    order: &Order,
+) -> Result<Result<Vec<Product>, Failure>, String> {
+    let mut client = state.links.client(address)?;
+    let call = client.produce(encode_order(order));
+    let results = time::timeout(order.expires + ORDER_SLACK, call)
+        .await
+        .map_err(|_| "no results in time".to_owned())?
+        .map_err(|status| status.to_string())?
+        .into_inner();
+    if results.failure.is_empty() {
+        return Ok(Ok(results.results.into_iter().map(decode_product).collect()));
+    }
+    Ok(Err(Failure {
+        kind: Kind::from_name(&results.failure).unwrap_or(Kind::Internal),
+        retry_after: Duration::from_millis(results.retry_after_ms),
+    }))
+}
+
+/// Tells the gateway at an address that results are given up.
+pub fn release(state: &Arc<State>, address: String, products: Vec<Product>) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        let Ok(mut client) = state.links.client(&address) else {
+            return;
+        };
+        let results = Results {
+            results: products.iter().cloned().map(encode_product).collect(),
+            failure: String::new(),
+            retry_after_ms: 0,
+        };
+        let call = time::timeout(FETCH_TIMEOUT, client.release(results));
+        if !matches!(call.await, Ok(Ok(_))) {
+            owner::release(&state, &products);
+        }
+    });
+}
+
+/// Serves other gateways.
+#[derive(Debug)]
+struct Door(Arc<State>);
+
+#[async_trait]
+impl Serve for Door {
+    async fn exchange(&self, request: Request<Beat>) -> Result<Response<Beat>, Status> {
+        take_beat(&self.0, request.into_inner(), "");
+        Ok(Response::new(make_beat(&self.0)))
+    }
+
+    async fn fetch(&self, request: Request<Versions>) -> Result<Response<Knowledge>, Status> {
+        let theirs = request.into_inner();
+        let (snapshot, evacuation) = self.0.directory();
+        let mut knowledge = Knowledge::default();
+        if let Some(config) = self.0.config()
+            && config.version > theirs.config
+        {
+            knowledge.config = write(&*config)?;
+        }
+        if snapshot.revision > theirs.endpoints {
+            knowledge.endpoints = write(&snapshot)?;
+        }
+        if let Some(evacuation) = evacuation
+            && evacuation.revision > theirs.evacuation
+        {
+            knowledge.evacuation = write(&evacuation)?;
+        }
+        Ok(Response::new(knowledge))
+    }
+
+    async fn produce(&self, request: Request<Production>) -> Result<Response<Results>, Status> {
+        let order = decode_order(request.into_inner());
+        let results = match owner::produce(&self.0, order).await {
+            Ok(products) => Results {
+                results: products.into_iter().map(encode_product).collect(),
+                failure: String::new(),
+                retry_after_ms: 0,
+            },
+            Err(failure) => Results {
+                results: Vec::new(),
+                failure: failure.kind.as_str().to_owned(),
+                retry_after_ms: milliseconds(failure.retry_after),
+            },
+        };
+        Ok(Response::new(results))
+    }
+
+    async fn release(&self, request: Request<Results>) -> Result<Response<Released>, Status> {
+        let results = request.into_inner().results;
+        let products: Vec<Product> = results.into_iter().map(decode_product).collect();
+        owner::release(&self.0, &products);
+        Ok(Response::new(Released {}))
+    }
+}
+
+fn write(value: &impl serde::Serialize) -> Result<Vec<u8>, Status> {
+    serde_json::to_vec(value).map_err(|error| Status::internal(error.to_string()))
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn encode_gateway(gateway: &Gateway) -> GatewayState {
+    GatewayState {
+        instance: gateway.instance.clone(),
+        incarnation: gateway.incarnation,
+        address: gateway.address.clone(),
+        leaving: gateway.leaving,
+    }
+}
+
+fn decode_gateway(state: GatewayState) -> Gateway {
+    Gateway {
+        instance: state.instance,
+        incarnation: state.incarnation,
+        address: state.address,
+        leaving: state.leaving,
+    }
+}
+
+fn encode_suspect(suspect: &Suspect) -> wire::Suspect {
+    let texts = |ids: &[id::Attempt]| ids.iter().map(ToString::to_string).collect();
+    wire::Suspect {
+        fingerprint: suspect.fingerprint.as_bytes().to_vec(),
+        crashed: texts(&suspect.crashed),
+        remaining_ms: milliseconds(suspect.remaining),
+        acquitted: texts(&suspect.acquitted),
+    }
+}
+
+fn decode_suspect(suspect: &wire::Suspect) -> Option<Suspect> {
+    let ids = |texts: &[String]| {
+        let ids = texts.iter().filter_map(|text| id::Attempt::parse(text));
+        ids.collect()
+    };
+    Some(Suspect {
+        fingerprint: Fingerprint::from_bytes(&suspect.fingerprint)?,
+        crashed: ids(&suspect.crashed),
+        acquitted: ids(&suspect.acquitted),
+        remaining: Duration::from_millis(suspect.remaining_ms),
+    })
+}
+
+fn encode_order(order: &Order) -> Production {
+    Production {
+        request: order.request.clone(),
+        service: order.service.clone(),
+        stage: order.stage,
+        pieces: order.pieces,
+        key: order.key.clone(),
+        inputs: order.inputs.clone(),
+        bytes: order.bytes,
+        due_ms: milliseconds(order.due),
+        expires_ms: milliseconds(order.expires),
+        rank: order.rank,
+    }
+}
+
+fn decode_order(wire: Production) -> Order {
+    Order {
+        request: wire.request,
+        service: wire.service,
+        stage: wire.stage,
+        pieces: wire.pieces,
+        key: wire.key,
+        inputs: wire.inputs,
+        bytes: wire.bytes,
+        due: Duration::from_millis(wire.due_ms),
+        expires: Duration::from_millis(wire.expires_ms),
+        rank: wire.rank,
+    }
+}
+
+fn encode_product(product: Product) -> wire::Result {
+    wire::Result {
+        handle: product.handle,
+        endpoint: product.endpoint.id,
+        born: product.endpoint.born,
+        service: product.service,
+        data_centre: product.data_centre,
+        bytes: product.bytes,
+    }
+}
+
+fn decode_product(wire: wire::Result) -> Product {
+    Product {
+        handle: wire.handle,
+        endpoint: Life {
+            id: wire.endpoint,
+            born: wire.born,
+        },
+        service: wire.service,
+        data_centre: wire.data_centre,
+        bytes: wire.bytes,
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/reply.rs
@@ -0,0 +1,55 @@
+//! Answers of the gateway's own.
+
+use bytes::Bytes;
+use cicadacrank_core::{
+    error::{Effect, Kind},
+    once::Stop,
+};
+use futures_util::stream::BoxStream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+use std::{io, time::Duration};
+
+/// Parts of an answer that is passed on as it arrives.
+pub type Parts = BoxStream<'static, io::Result<Frame<Bytes>>>;
+
+/// The body of any answer.
+pub type Body = Either<Full<Bytes>, StreamBody<Parts>>;
+
+/// Returns the answer to a request that was not served.
+///
+/// Statuses that promise that the request did not run are only used where that
+/// is proved.
+pub fn failure(stop: &Stop, retry_after: Option<Duration>) -> Response<Body> {
+    let promised = matches!(stop.kind().http_status(), 408 | 421 | 429 | 503);
+    let status = match stop.effect() {
+        Effect::NotRun => stop.kind().http_status(),
+        Effect::Partial | Effect::Unknown if promised => 502,
+        Effect::Partial | Effect::Unknown => stop.kind().http_status(),
+    };
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from(text(stop)))));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let (503, Some(after)) = (status, retry_after) {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns an answer that says nothing but its status.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::new())));
+    *response.status_mut() = status;
+    response
+}
+
+fn text(stop: &Stop) -> String {
+    let kind: Kind = stop.kind();
+    format!("{kind} ({}): {}\n", stop.effect().as_str(), kind.row().text)
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -0,0 +1,305 @@
+//! From a caller's request to its route.
+
+use super::{
+    attempt::Outgoing,
+    plain,
+    reply::{self, Body},
+    state::{State, lock},
+    stream,
+};
+use crate::platform::caller::Caller;
+use bytes::Bytes;
+use cicadacrank_core::{
+    config::{Config, Missing, Route},
+    error::Kind,
+    event::Event,
+    id,
+    once::{Stop, Unsent},
+    quarantine::{Fingerprint, Standing},
+};
+use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::{Body as _, Incoming};
+use std::{
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::{self, Instant};
+
+/// What is kept of the caller's time for the way back.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// Pause after which a caller may come back to a gateway that knows too little
+/// to serve: about what it takes to learn the rest.
+const LEARNING: Duration = Duration::from_millis(300);
+
+/// Pause after which a caller may come back with a request that crashed
+/// endpoints.
+const CRASHED: Duration = Duration::from_secs(30);
+
+/// Longest time that a caller who states none is waited for.
+const MOST_PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request that was accepted.
+#[derive(Debug)]
+pub struct Job {
+    /// What goes to endpoints.
+    pub outgoing: Outgoing,
+    /// What the caller says beside.
+    pub caller: Caller,
+    /// Its route, which stays that of its arrival.
+    pub route: Route,
+    /// Service that takes it.
+    pub service: String,
+    /// Configuration it was accepted with.
+    pub config: Arc<Config>,
+    /// Its rank, 0 first.
+    pub rank: u32,
+    /// When it arrived.
+    pub arrived: Instant,
+}
+
+impl Job {
+    /// Returns the id of the attempt, for logs.
+    pub fn id(&self) -> &str {
+        self.caller.attempt_text()
+    }
+
+    /// Returns the time since it arrived, in milliseconds, for logs.
+    pub fn age_ms(&self) -> u128 {
+        self.arrived.elapsed().as_millis()
+    }
+}
+
+/// A request that is not served, and when its caller may come back.
+#[derive(Debug)]
+pub struct Refusal {
+    /// Why.
+    pub stop: Stop,
+    /// Pause before the caller may come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Stop> for Refusal {
+    fn from(stop: Stop) -> Self {
+        Self {
+            stop,
+            retry_after: None,
+        }
+    }
+}
+
+impl Refusal {
+    /// Sets the pause before the caller may come back.
+    pub const fn with_retry_after(mut self, pause: Duration) -> Self {
+        self.retry_after = Some(pause);
+        self
+    }
+}
+
+/// Answers a request.
+pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let entered = state.enter();
+    let arrived = Instant::now();
+    let caller = Caller::decode(request.headers());
+    let mut watch = Departure::new(&state, &caller, arrived);
+    let answer = match accept(&state, request, caller, arrived).await {
+        Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, entered).await,
+        Ok(job) => plain::serve(&state, &job).await,
+        Err(refusal) => Err(refusal),
+    };
+    watch.answered = true;
+    match answer {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.metrics.fail(&refusal.stop);
+            let failure = refusal.stop.failure();
+            Event::RequestRefused.log(format_args!(
+                "id={} age_ms={} kind={} effect={} retry_after_ms={} context={:?}",
+                watch.id,
+                arrived.elapsed().as_millis(),
+                failure.kind,
+                failure.effect.as_str(),
+                refusal.retry_after.map_or(0, |pause| pause.as_millis()),
+                failure.context,
+            ));
+            reply::failure(&refusal.stop, refusal.retry_after)
+        }
+    }
+}
+
+/// Logs that a caller left, should the answer never be made.
+struct Departure {
+    state: Arc<State>,
+    id: String,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Departure {
+    fn new(state: &Arc<State>, caller: &Caller, arrived: Instant) -> Self {
+        Self {
+            state: Arc::clone(state),
+            id: caller.attempt_text().to_owned(),
+            arrived,
+            answered: false,
+        }
+    }
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.state.metrics.left.inc();
+            Event::CallerLeft.log(format_args!(
+                "id={} age_ms={} events=0",
+                self.id,
+                self.arrived.elapsed().as_millis()
+            ));
+        }
+    }
+}
+
+async fn accept(
+    state: &Arc<State>,
+    request: Request<Incoming>,
+    caller: Caller,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
+    let unsent = Unsent::begin();
+    let config = match state.config() {
+        Some(config) if state.knows_all() => config,
+        _ => {
+            let stop = unsent.refuse(Kind::NotReady, "no configuration or directory yet");
+            return Err(Refusal::from(stop).with_retry_after(LEARNING));
+        }
+    };
+    let (head, body) = request.into_parts();
+    let host = host(&head.headers, &head.uri);
+    let admitted = config.admit(&host, head.uri.path(), caller.key.as_deref());
+    let (route, team) = match admitted {
+        Ok((route, team)) => (route.clone(), team.cloned()),
+        Err(missing) => {
+            let kind = match missing {
+                Missing::Route => Kind::UnknownRoute,
+                Missing::Key => Kind::UnknownKey,
+            };
+            let context = format!(
+                "config={} host={host} path={}",
+                config.version,
+                head.uri.path()
+            );
+            return Err(unsent.refuse(kind, context).into());
+        }
+    };
+    let patience = caller.patience.unwrap_or(MOST_PATIENCE).min(route.timeout);
+    let deadline = arrived + patience.saturating_sub(WAY_BACK);
+    let body = match time::timeout_at(deadline, read(state, &config, body)).await {
+        Ok(body) => body?,
+        Err(_) => return Err(unsent.refuse(Kind::TimeUp, "body not read in time").into()),
+    };
+    let team_name = team.as_ref().map_or("", |team| team.name.as_str());
+    let path = path(&head.uri);
+    let fingerprint = Fingerprint::new(team_name, path.as_str(), "", &id::digest(&body));
+    if lock(&state.suspects).standing(fingerprint, state.clock.now()) == Standing::Condemned {
+        let stop = unsent.refuse(Kind::Crashing, format!("fingerprint={fingerprint}"));
+        return Err(Refusal::from(stop).with_retry_after(CRASHED));
+    }
+    let Some(service) = route.target(draw(caller.attempt_text())).map(str::to_owned) else {
+        return Err(unsent
+            .refuse(Kind::NoEndpoint, "the route has no service")
+            .into());
+    };
+    state.earn_repeat(&service);
+    Ok(Job {
+        rank: team
+            .as_ref()
+            .and_then(|team| team.rank)
+            .unwrap_or(route.rank),
+        outgoing: Outgoing {
+            attempt: caller.attempt.clone(),
+            method: head.method,
+            uri: Uri::from(path),
+            headers: head.headers,
+            body,
+            team: team.map(|team| team.name),
+            deadline,
+            fingerprint,
+        },
+        caller,
+        route,
+        service,
+        config,
+        arrived,
+    })
+}
+
+/// Reads a body whole, within the limits of the configuration and of memory.
+async fn read(state: &State, config: &Config, body: Incoming) -> Result<Bytes, Refusal> {
+    let most = config.limits.body_bytes;
+    let stated = body.size_hint().upper();
+    if stated == Some(0) {
+        return Ok(Bytes::new());
+    }
+    if stated.is_some_and(|bytes| bytes > most as u64) {
+        return Err(Unsent::begin()
+            .refuse(Kind::TooLarge, format!("limit={most}"))
+            .into());
+    }
+    let reserved = stated.map_or(most, |bytes| usize::try_from(bytes).unwrap_or(most));
+    let permits = u32::try_from(reserved).unwrap_or(u32::MAX);
+    let Ok(_room) = state.body_bytes.try_acquire_many(permits) else {
+        return Err(Unsent::begin()
+            .refuse(Kind::Overloaded, "no memory for the body")
+            .into());
+    };
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Unsent::begin()
+            .refuse(Kind::TooLarge, format!("limit={most}"))
+            .into()),
+        Err(error) => Err(Unsent::begin()
+            .refuse(Kind::BadRequest, error.to_string())
+            .into()),
+    }
+}
+
+/// Returns the host of a request in lower case, without its port.
+fn host(headers: &http::HeaderMap, uri: &Uri) -> String {
+    let stated = headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| uri.host())
+        .unwrap_or_default();
+    let name = stated.rsplit_once(':').map_or(stated, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+fn path(uri: &Uri) -> PathAndQuery {
+    uri.path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
+
+/// Draws a number from an attempt's id, so that the choice can be traced.
+fn draw(attempt: &str) -> u64 {
+    use std::hash::Hasher as _;
+    let mut hasher = siphasher::sip::SipHasher13::new();
+    hasher.write(attempt.as_bytes());
+    hasher.finish()
+}
+
+/// Answers whether the gateway is ready, and with its metrics.
+pub fn inspect(state: &State, request: &Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/readyz") if state.is_ready() => reply::status(StatusCode::OK),
+        (&Method::GET, "/readyz") => reply::status(StatusCode::SERVICE_UNAVAILABLE),
+        (&Method::GET, "/metrics") => {
+            let text = Bytes::from(state.metrics.text());
+            Response::new(http_body_util::Either::Left(http_body_util::Full::new(
+                text,
+            )))
+        }
+        _ => reply::status(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -0,0 +1,186 @@
+//! Listens for callers, for the balancer and for readers of metrics.
+
+use super::{
+    reply::Body,
+    request,
+    state::State,
+};
+use crate::{daemon, outbound};
+use http::{HeaderValue, Response, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use miette::Result;
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time,
+};
+
+/// Pause after accepting failed, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Added to the time a connection may stay idle, so that the caller, which
+/// counts from an earlier moment, closes it first.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// The listeners of a gateway.
+#[derive(Debug)]
+pub struct Server {
+    state: Arc<State>,
+    callers: std::sync::Mutex<Option<TcpListener>>,
+    balancer: std::sync::Mutex<Option<TcpListener>>,
+    metrics: std::sync::Mutex<Option<TcpListener>>,
+    closing: watch::Sender<bool>,
+}
+
+/// Who speaks on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peer {
+    Caller,
+    Inspector,
+}
+
+impl Server {
+    /// Binds all addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns a report with the address that cannot be bound.
+    pub fn bind(state: &Arc<State>, metrics_port: Option<u16>) -> Result<Self> {
+        let settings = &state.settings;
+        let metrics = match metrics_port {
+            Some(port) => {
+                let address = SocketAddr::new(settings.listen.ip(), port);
+                Some(daemon::bind(address)?)
+            }
+            None => None,
+        };
+        let (closing, _) = watch::channel(false);
+        Ok(Self {
+            callers: Some(daemon::bind(settings.caller_listen)?).into(),
+            balancer: Some(daemon::bind(settings.readiness_listen)?).into(),
+            metrics: metrics.into(),
+            state: Arc::clone(state),
+            closing,
+        })
+    }
+
+    /// Begins to accept connections.
+    pub fn start(&self) {
+        let sockets = Arc::new(Semaphore::new(self.state.settings.sockets / 2));
+        for (listener, peer) in [
+            (&self.callers, Peer::Caller),
+            (&self.balancer, Peer::Inspector),
+            (&self.metrics, Peer::Inspector),
+        ] {
+            let Some(listener) = super::state::lock(listener).take() else {
+                continue;
+            };
+            tokio::spawn(accept(
+                Arc::clone(&self.state),
+                listener,
+                peer,
+                Arc::clone(&sockets),
+                self.closing.subscribe(),
+            ));
+        }
+    }
+
+    /// Closes kept connections that are idle and waits for all requests.
+    pub async fn finish(&self) {
+        self.closing.send_replace(true);
+        loop {
+            let drained = self.state.drained.notified();
+            if self.state.in_flight() == 0 {
+                return;
+            }
+            drained.await;
+        }
+    }
+}
+
+async fn accept(
+    state: Arc<State>,
+    listener: TcpListener,
+    peer: Peer,
+    sockets: Arc<Semaphore>,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        let Ok(permit) = Arc::clone(&sockets).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve(Arc::clone(&state), stream, peer, closing.clone());
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("accepting failed: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    state: Arc<State>,
+    stream: TcpStream,
+    peer: Peer,
+    mut closing: watch::Receiver<bool>,
+) {
+    if let Err(error) = outbound::tune(&stream) {
+        log::debug!("connection of a {peer:?}: {error}");
+        return;
+    }
+    let limits = state
+        .config()
+        .map(|config| config.limits)
+        .unwrap_or_default();
+    let service = service_fn(|request| answer(Arc::clone(&state), request, peer));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle + IDLE_SLACK)
+        .max_buf_size((limits.head_bytes * 2).max(MOST_READ))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closed(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of a {peer:?}: {error}");
+    }
+}
+
+/// Waits until kept connections are to be closed.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    // An error says that the server is gone, which asks for the same.
+    drop(closing.wait_for(|closing| *closing).await);
+}
+
+/// Bytes that are read from one connection before they are looked at.
+const MOST_READ: usize = 64 * 1024;
+
+async fn answer(
+    state: Arc<State>,
+    request: http::Request<Incoming>,
+    peer: Peer,
+) -> Result<Response<Body>, Infallible> {
+    if peer == Peer::Inspector {
+        return Ok(request::inspect(&state, &request));
+    }
+    let mut response = request::handle(Arc::clone(&state), request).await;
+    if state.is_draining() {
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -0,0 +1,297 @@
+//! What the parts of a gateway share.
+
+use super::{Settings, owner::Pools, peers::Links};
+use crate::{clock::Clock, metrics::gateway::Metrics, platform};
+use cicadacrank_core::{
+    config::Config,
+    directory::{Evacuation, Snapshot, Tracker},
+    event::Event,
+    placement::{Fleet, Load},
+    quarantine,
+    roster::{Gateway, Roster},
+    share::Repeats,
+};
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::Notify;
+
+/// Longest time for one call to the store, over what a watch waits: its usual
+/// answer takes milliseconds.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Part of the memory that bodies of requests may use.
+const BODIES_PART: u64 = 4;
+
+/// Everything that one gateway knows and counts.
+#[derive(Debug)]
+pub struct State {
+    pub(super) settings: Settings,
+    pub(super) clock: Clock,
+    pub(super) store: platform::Client,
+    pub(super) metrics: Metrics,
+    pub(super) fleet: Mutex<Fleet>,
+    pub(super) tracker: Mutex<Tracker>,
+    pub(super) roster: Mutex<Roster>,
+    pub(super) suspects: Mutex<quarantine::List>,
+    pub(super) pools: Pools,
+    pub(super) links: Links,
+    pub(super) body_bytes: tokio::sync::Semaphore,
+    config: Mutex<Option<Arc<Config>>>,
+    evacuation: Mutex<Option<Evacuation>>,
+    listed: AtomicBool,
+    loads: Mutex<Vec<Loads>>,
+    repeats: Mutex<Vec<Service>>,
+    draining: AtomicBool,
+    ready: AtomicBool,
+    in_flight: AtomicUsize,
+    pub(super) drained: Notify,
+}
+
+#[derive(Debug)]
+struct Loads {
+    instance: String,
+    loads: Vec<(String, Load)>,
+}
+
+#[derive(Debug)]
+struct Service {
+    name: String,
+    repeats: Repeats,
+}
+
+/// Locks a mutex; a panic elsewhere leaves values that are still whole.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl State {
+    /// Creates the state of a gateway that knows only its settings.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let clock = Clock::new();
+        let roster = Roster::new(Gateway {
+            instance: settings.instance.clone(),
+            incarnation: clock.unix_ms(),
+            address: settings.listen.to_string(),
+            leaving: false,
+        });
+        let body_bytes = usize::try_from(settings.memory_bytes / BODIES_PART).unwrap_or(0);
+        Self {
+            store: platform::Client::new(settings.store, STORE_TIMEOUT),
+            metrics: Metrics::new(),
+            fleet: Mutex::default(),
+            tracker: Mutex::default(),
+            roster: Mutex::new(roster),
+            suspects: Mutex::default(),
+            pools: Pools::default(),
+            links: Links::default(),
+            body_bytes: tokio::sync::Semaphore::new(
+                body_bytes.min(tokio::sync::Semaphore::MAX_PERMITS),
+            ),
+            config: Mutex::default(),
+            evacuation: Mutex::default(),
+            listed: AtomicBool::new(false),
+            loads: Mutex::default(),
+            repeats: Mutex::default(),
+            draining: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            drained: Notify::new(),
+            clock,
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.config).clone()
+    }
+
+    /// Puts a configuration in force, unless that in force is as new.
+    pub fn adopt_config(&self, config: Config, source: &str) {
+        let mut held = lock(&self.config);
+        let before = held.as_ref().map_or(0, |config| config.version);
+        if held.is_some() && config.version <= before {
+            return;
+        }
+        Event::ConfigAdopted.log(format_args!(
+            "version={} before={before} source={source} routes={} teams={}",
+            config.version,
+            config.routes.len(),
+            config.teams.len()
+        ));
+        self.metrics.config_version.set(as_i64(config.version));
+        let config = Arc::new(config);
+        *held = Some(Arc::clone(&config));
+        drop(held);
+        self.pools.set_config(&config);
+        self.refresh_pools();
+        self.check_ready();
+    }
+
+    /// Puts the tracked list of endpoints in force.
+    pub fn adopt_endpoints(&self, source: &str) {
+        let snapshot = lock(&self.tracker).snapshot();
+        Event::DirectoryChanged.log(format_args!(
+            "revision={} endpoints={} source={source}",
+            snapshot.revision,
+            snapshot.endpoints.len()
+        ));
+        lock(&self.fleet).update(&snapshot, self.clock.now());
+        self.listed.store(true, Ordering::Relaxed);
+        self.refresh_pools();
+        self.check_ready();
+    }
+
+    /// Puts a list of evacuated data centres in force, unless that in force is
+    /// as new.
+    pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) {
+        let mut held = lock(&self.evacuation);
+        if held
+            .as_ref()
+            .is_some_and(|held| evacuation.revision <= held.revision)
+        {
+            return;
+        }
+        let before = held.as_ref().map(|held| held.data_centres.clone());
+        if before.as_ref() != Some(&evacuation.data_centres) {
+            Event::EvacuationChanged.log(format_args!(
+                "revision={} data_centres={:?} source={source}",
+                evacuation.revision, evacuation.data_centres
+            ));
+        }
+        *held = Some(evacuation.clone());
+        drop(held);
+        lock(&self.fleet).evacuate(evacuation);
+        self.refresh_pools();
+        self.check_ready();
+    }
+
+    /// Returns the list of endpoints and that of evacuated data centres.
+    #[must_use]
+    pub fn directory(&self) -> (Snapshot, Option<Evacuation>) {
+        let snapshot = lock(&self.tracker).snapshot();
+        (snapshot, lock(&self.evacuation).clone())
+    }
+
+    /// Returns whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.knows_all() && !self.is_draining()
+    }
+
+    /// Returns whether all that serving needs is known.
+    #[must_use]
+    pub fn knows_all(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the process is about to end.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Withdraws readiness; accepted work goes on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        lock(&self.roster).leave();
+    }
+
+    /// Returns the number of requests that have no whole answer yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the value is dropped.
+    pub(super) fn enter(self: &Arc<Self>) -> Entered {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        Entered(Arc::clone(self))
+    }
+
+    /// Takes up what another gateway has in flight, in place of what it had.
+    pub(super) fn take_loads(&self, instance: &str, loads: Vec<(String, Load)>) {
+        let mut all = lock(&self.loads);
+        all.retain(|one| one.instance != instance);
+        if !loads.is_empty() {
+            all.push(Loads {
+                instance: instance.to_owned(),
+                loads,
+            });
+        }
+        let others = all.iter().flat_map(|one| &one.loads);
+        lock(&self.fleet).set_others(others.map(|(id, load)| (id.as_str(), *load)));
+    }
+
+    /// Divides the limits anew among the gateways that are known.
+    pub(super) fn divide(&self) {
+        let (processes, position) = lock(&self.roster).shares(self.clock.now());
+        lock(&self.fleet).set_processes(processes, position);
+    }
+
+    /// Notes a request for a service, which earns a part of a repeat.
+    pub(super) fn earn_repeat(&self, service: &str) {
+        let now = self.clock.now();
+        self.with_repeats(service, |repeats| repeats.request(now));
+    }
+
+    /// Takes one repeat at a service; returns whether there was one left.
+    pub(super) fn take_repeat(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        let (processes, _) = lock(&self.roster).shares(now);
+        self.with_repeats(service, |repeats| repeats.take(processes, now))
+    }
+
+    fn with_repeats<T>(&self, name: &str, act: impl FnOnce(&mut Repeats) -> T) -> T {
+        let mut services = lock(&self.repeats);
+        let found = services.binary_search_by(|service| service.name.as_str().cmp(name));
+        let index = found.unwrap_or_else(|index| {
+            let bounds = &self.settings.bounds;
+            let (ratio, extra) = (bounds.repeat_ratio, bounds.repeat_extra);
+            let service = Service {
+                name: name.to_owned(),
+                repeats: Repeats::new(ratio, extra, bounds.repeat_window),
+            };
+            services.insert(index, service);
+            index
+        });
+        act(&mut services[index].repeats)
+    }
+
+    fn refresh_pools(&self) {
+        let fleet = lock(&self.fleet);
+        self.pools.set_endpoints(&fleet);
+    }
+
+    fn check_ready(&self) {
+        let ready = lock(&self.config).is_some()
+            && lock(&self.evacuation).is_some()
+            && self.listed.load(Ordering::Relaxed);
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            Event::ReadyChanged.log(format_args!("ready={ready}"));
+        }
+    }
+}
+
+/// Counts one request as in flight.
+#[derive(Debug)]
+pub(super) struct Entered(Arc<State>);
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        if self.0.in_flight.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.drained.notify_waiters();
+        }
+    }
+}
+
+fn as_i64(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -0,0 +1,474 @@
+//! Requests that a model engine answers by a stream of events.
+
+use super::{
+    attempt::{self, Extra, Flight, Missed, Started},
+    plain::{jitter, pass_on},
+    reply::Body,
+    request::{Job, Refusal},
+    stages::{self, Products},
+    state::{Entered, State, lock},
+};
+use crate::outbound::Exchange;
+use bytes::Bytes;
+use cicadacrank_core::{
+    error::Kind,
+    event::Event,
+    stream::Splitter,
+    once::{Sent, Stop, Unsent},
+    placement::{Key, Report, Sites},
+};
+use futures_util::stream;
+use http::Response;
+use http_body_util::{BodyExt as _, Either, StreamBody};
+use hyper::body::Frame;
+use std::{io, sync::Arc, time::Duration};
+use tokio::time::{self, Instant};
+
+/// What a request to an idle engine takes from its send to its first event,
+/// and what is kept of the objective for it.
+const FIRST_EVENT: Duration = Duration::from_millis(150);
+
+/// Time after which a caller leaves a stream that shows nothing, at least.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Objectives after which it leaves, at least.
+const PATIENCE_OBJECTIVES: u32 = 4;
+
+/// Pauses between events after which it leaves, at least.
+const PATIENCE_GAPS: u32 = 8;
+
+/// Silence after which a stream that may be resumed goes on elsewhere.
+const RESUME_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Pause before engines are looked at again when all have had their share of
+/// cold starts.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause after which a caller may come back when no engine takes its request.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Serves a request from a model engine, after its stages.
+pub async fn serve(
+    state: &Arc<State>,
+    job: Job,
+    entered: Entered,
+) -> Result<Response<Body>, Refusal> {
+    let expires = job.outgoing.deadline.min(job.arrived + patience(&job));
+    let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT);
+    let products = stages::make(state, &job, due, expires - FIRST_EVENT).await?;
+    let mut tried = Vec::new();
+    let (started, unread) = begin(state, &job, &products, &mut tried, expires).await?;
+    let mut relay = Relay {
+        state: Arc::clone(state),
+        splitter: Splitter::default(),
+        products: Some(products),
+        arrivals: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+        tried,
+        events: 0,
+        unread,
+        sent_at: Instant::now(),
+        started,
+        finished: false,
+        expires,
+        job,
+        _entered: entered,
+    };
+    let first = relay.first().await?;
+    let head = relay.head();
+    let rest = stream::unfold((relay, first), |(mut relay, ready)| async move {
+        let part = match ready {
+            Some(bytes) => Some(Ok(bytes)),
+            None => relay.next().await,
+        };
+        let part = part?.map(Frame::data);
+        Some((part, (relay, None)))
+    });
+    Ok(pass_on(
+        head,
+        Either::Right(StreamBody::new(Box::pin(rest) as super::reply::Parts)),
+    ))
+}
+
+/// Returns how long a caller waits for the next event.
+fn patience(job: &Job) -> Duration {
+    let gap = job.route.event_gap.unwrap_or_default();
+    LEAST_PATIENCE
+        .max(job.route.objective * PATIENCE_OBJECTIVES)
+        .max(gap * PATIENCE_GAPS)
+}
+
+/// An exchange without its head, and what the request has unread at it.
+struct Running {
+    exchange: Exchange,
+    flight: Flight,
+    sent: Sent,
+}
+
+/// Finds an engine that takes the request.
+async fn begin(
+    state: &Arc<State>,
+    job: &Job,
+    products: &Products,
+    tried: &mut Vec<Key>,
+    expires: Instant,
+) -> Result<(Running, u64), Refusal> {
+    let mut unsent = Unsent::begin();
+    let mut arrivals = 0;
+    let refuse = |unsent: Unsent, kind, context: &str| {
+        let stop = unsent.refuse(kind, context);
+        Refusal::from(stop).with_retry_after(jitter(RETRY_AFTER))
+    };
+    loop {
+        let Some(key) = choose(state, job, products, tried, expires).await else {
+            return Err(refuse(unsent, Kind::NoEndpoint, "no engine to choose"));
+        };
+        if arrivals > 0 && !state.take_repeat(&job.service) {
+            return Err(refuse(unsent, Kind::Overloaded, "no repeats left"));
+        }
+        tried.push(key);
+        let extra = extra(job, products, None);
+        let tokens = extra.tokens;
+        match attempt::start(state, &job.outgoing, key, &extra, expires, unsent).await {
+            Ok(Started {
+                exchange,
+                flight,
+                sent,
+                ..
+            }) => {
+                let running = Running {
+                    exchange,
+                    flight,
+                    sent,
+                };
+                return Ok((running, tokens));
+            }
+            Err(Missed::NotRun {
+                unsent: proof,
+                kind,
+                arrived,
+            }) => {
+                arrivals += u32::from(arrived);
+                if arrivals >= job.route.attempts || Instant::now() >= expires {
+                    return Err(refuse(proof, kind, "no engine took it"));
+                }
+                unsent = proof;
+            }
+            Err(Missed::Unknown {
+                sent,
+                kind,
+                context,
+            }) => {
+                arrivals += 1;
+                let again = job.route.repeat.is_repeatable()
+                    && arrivals < job.route.attempts
+                    && Instant::now() < expires
+                    && state.take_repeat(&job.service);
+                if !again {
+                    return Err(sent.fail(kind, context).into());
+                }
+                Event::AttemptFailed.log(format_args!(
+                    "id={} age_ms={} kind={kind} context={context:?}",
+                    job.id(),
+                    job.age_ms()
+                ));
+                let Some(key) = choose(state, job, products, tried, expires).await else {
+                    return Err(sent.fail(kind, context).into());
+                };
+                tried.push(key);
+                let extra = self::extra(job, products, None);
+                let second =
+                    attempt::start(state, &job.outgoing, key, &extra, expires, Unsent::begin());
+                return match second.await {
+                    Ok(Started {
+                        exchange,
+                        flight,
+                        sent,
+                        ..
+                    }) => Ok((
+                        Running {
+                            exchange,
+                            flight,
+                            sent,
+                        },
+                        extra.tokens,
+                    )),
+                    Err(_) => Err(sent.fail(kind, context).into()),
+                };
+            }
+        }
+    }
+}
+
+/// Chooses an engine; waits a little where all have had their share of cold
+/// starts.
+async fn choose(
+    state: &Arc<State>,
+    job: &Job,
+    products: &Products,
+    tried: &[Key],
+    expires: Instant,
+) -> Option<Key> {
+    let results = products.sites();
+    loop {
+        let sites = Sites {
+            own: &state.settings.data_centre,
+            results: &results,
+            tried,
+        };
+        let now = state.clock.now();
+        let prompt = job.caller.prompt;
+        let (key, any) = {
+            let mut fleet = lock(&state.fleet);
+            let key = fleet.choose_engine(&job.config, &job.service, prompt, &sites, now);
+            let any = fleet
+                .usable(&job.service)
+                .any(|(key, _)| !tried.contains(&key));
+            (key, any)
+        };
+        if key.is_some() || !any || Instant::now() + COLD_PAUSE >= expires {
+            return key;
+        }
+        time::sleep(COLD_PAUSE).await;
+    }
+}
+
+fn extra(job: &Job, products: &Products, last_event: Option<String>) -> Extra {
+    Extra {
+        results: products.handles(),
+        last_event,
+        urgency: Some(job.rank.min(9)),
+        tokens: job.caller.prompt.tokens,
+    }
+}
+
+/// Passes the events of a stream on.
+struct Relay {
+    state: Arc<State>,
+    job: Job,
+    started: Running,
+    splitter: Splitter,
+    products: Option<Products>,
+    tried: Vec<Key>,
+    arrivals: u32,
+    events: u64,
+    unread: u64,
+    sent_at: Instant,
+    expires: Instant,
+    finished: bool,
+    _entered: Entered,
+}
+
+impl Relay {
+    fn head(&self) -> http::response::Parts {
+        let response = &self.started.exchange.response;
+        let mut head = Response::new(()).into_parts().0;
+        head.status = response.status();
+        head.headers = response.headers().clone();
+        head
+    }
+
+    /// Waits for the first events, so that an engine that fails before them is
+    /// answered for by a status.
+    async fn first(&mut self) -> Result<Option<Bytes>, Refusal> {
+        if !self.started.exchange.response.status().is_success() {
+            return Ok(None);
+        }
+        match self.next().await {
+            Some(Ok(bytes)) => Ok(Some(bytes)),
+            None => Ok(None),
+            Some(Err(error)) => {
+                self.finished = true;
+                let stop = broken(error.to_string());
+                Err(stop.into())
+            }
+        }
+    }
+
+    /// Returns the next whole events; `None` after the end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.finished {
+            return None;
+        }
+        loop {
+            let limit = self.limit();
+            let body = self.started.exchange.response.body_mut();
+            let failure = match time::timeout_at(limit, body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    let whole = self.splitter.push(&bytes);
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    self.pass(&whole);
+                    return Some(Ok(whole));
+                }
+                Ok(None) => return self.end(),
+                Ok(Some(Err(error))) => {
+                    let crash = attempt::check_crash(
+                        Arc::clone(&self.state),
+                        self.started.flight.endpoint.clone(),
+                        self.job.outgoing.fingerprint,
+                    );
+                    tokio::spawn(crash);
+                    error.to_string()
+                }
+                Err(_) => "no event in time".to_owned(),
+            };
+            self.started.flight.note(Report::Failed);
+            if !self.resume(&failure).await {
+                self.finished = true;
+                Event::StreamBroken.log(format_args!(
+                    "id={} age_ms={} endpoint={} events={} context={failure:?}",
+                    self.job.id(),
+                    self.job.age_ms(),
+                    self.started.flight.endpoint.life.id,
+                    self.events,
+                ));
+                return Some(Err(io::Error::other(failure)));
+            }
+        }
+    }
+
+    /// Returns until when the next event is waited for.
+    fn limit(&self) -> Instant {
+        let silence = if self.may_resume() {
+            RESUME_SILENCE
+        } else {
+            patience(&self.job)
+        };
+        let limit = if self.events == 0 {
+            self.expires
+        } else {
+            Instant::now() + silence
+        };
+        limit.min(self.job.outgoing.deadline)
+    }
+
+    fn may_resume(&self) -> bool {
+        self.job.route.repeat.is_repeatable() && self.arrivals < self.job.route.attempts
+    }
+
+    /// Notes events that are passed on.
+    fn pass(&mut self, whole: &Bytes) {
+        if self.events == 0 {
+            let took = self.sent_at.elapsed();
+            self.started.flight.read();
+            self.started.flight.answer(self.unread, took);
+            let route = [self.job.route.name.as_str()];
+            let seconds = self.job.arrived.elapsed().as_secs_f64();
+            let first_byte = &self.state.metrics.first_byte;
+            first_byte.with_label_values(&route).observe(seconds);
+            Event::AttemptChosen.log(format_args!(
+                "id={} route={} config={} endpoint={} age_ms={} first_event_ms={} tokens={} length={}",
+                self.job.id(),
+                self.job.route.name,
+                self.job.config.version,
+                self.started.flight.endpoint.life.id,
+                self.job.age_ms(),
+                took.as_millis(),
+                self.unread,
+                whole.len(),
+            ));
+            if !self.may_resume() {
+                self.products = None;
+            }
+        }
+        self.events += 1;
+    }
+
+    /// Ends the stream if the engine has ended it.
+    fn end(&mut self) -> Option<io::Result<Bytes>> {
+        self.finished = true;
+        self.started.sent.finish();
+        lock(&self.state.suspects).acquit(self.job.outgoing.fingerprint);
+        let route = [self.job.route.name.as_str()];
+        self.state.metrics.served.with_label_values(&route).inc();
+        Event::RequestServed.log(format_args!(
+            "id={} route={} config={} endpoint={} status={} age_ms={} events={}",
+            self.job.id(),
+            self.job.route.name,
+            self.job.config.version,
+            self.started.flight.endpoint.life.id,
+            self.started.exchange.response.status().as_u16(),
+            self.job.age_ms(),
+            self.events,
+        ));
+        let rest = self.splitter.rest();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Goes on at another engine after the last whole event.
+    async fn resume(&mut self, failure: &str) -> bool {
+        if !self.may_resume() || Instant::now() >= self.job.outgoing.deadline {
+            return false;
+        }
+        let Some(products) = &self.products else {
+            return false;
+        };
+        if !self.state.take_repeat(&self.job.service) {
+            return false;
+        }
+        let until = self.limit();
+        let chosen = choose(&self.state, &self.job, products, &self.tried, until).await;
+        let Some(key) = chosen else { return false };
+        self.tried.push(key);
+        self.arrivals += 1;
+        let last_event = self.splitter.last_id().map(str::to_owned);
+        let extra = extra(&self.job, products, last_event);
+        let attempt = attempt::start(
+            &self.state,
+            &self.job.outgoing,
+            key,
+            &extra,
+            self.job.outgoing.deadline,
+            Unsent::begin(),
+        );
+        let Ok(started) = attempt.await else {
+            return false;
+        };
+        if !started.answer.status.is_success() {
+            return false;
+        }
+        Event::StreamResumed.log(format_args!(
+            "id={} age_ms={} from={} to={} after={:?} context={failure:?}",
+            self.job.id(),
+            self.job.age_ms(),
+            self.started.flight.endpoint.life.id,
+            started.flight.endpoint.life.id,
+            extra.last_event,
+        ));
+        self.splitter.restart();
+        let head = self.head();
+        let mut exchange = started.exchange;
+        *exchange.response.headers_mut() = head.headers;
+        self.started = Running {
+            exchange,
+            flight: started.flight,
+            sent: started.sent,
+        };
+        true
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.state.metrics.left.inc();
+            Event::CallerLeft.log(format_args!(
+                "id={} age_ms={} events={}",
+                self.job.id(),
+                self.job.age_ms(),
+                self.events
+            ));
+        }
+    }
+}
+
+/// Returns why a stream that showed nothing yet has no answer.
+fn broken(context: String) -> Stop {
+    Unsent::begin()
+        .send()
+        .fail(Kind::EndpointFailed, context)
+}
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -8,6 +8,9 @@
 //!    drives its endpoint.
 //! 4. [`endpoint`] speaks the protocol of engines and plain services.
 //!
+//! On a platform that registers endpoints itself, the [`gateway`] role takes the
+//! place of both: it has each stage made and speaks to endpoints directly.
+//!
 //! [`platform`] is the object API that holds all that must last, and
 //! [`configuration`] keeps the newest rules in force, which [`peer`] fetches from
 //! other processes and, at a few of them, from the platform. [`daemon`] puts a process
@@ -27,11 +30,13 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod entry;
+pub mod gateway;
 pub mod link;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
+pub mod outbound;
 pub mod peer;
 pub mod platform;
 pub mod quarantine;
--- a/crates/cicadacrank-node/src/logging.rs
+++ b/crates/cicadacrank-node/src/logging.rs
@@ -4,9 +4,21 @@
     clock,
     settings::{Format, Log},
 };
+use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
 use serde::Serialize;
-use std::io;
+use std::{
+    io::{self, Write as _},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, Receiver, TrySendError},
+    },
+    thread,
+};
+
+/// Lines that may wait to be written; more are dropped and counted.
+const MOST_WAITING: usize = 4_096;
 
 #[derive(Serialize)]
 struct Line<'a> {
@@ -53,3 +65,52 @@
         .apply()
         .into_diagnostic()
 }
+
+/// Sends the log to the standard output, one line an event, without ever
+/// waiting for its reader.
+///
+/// # Errors
+///
+/// Returns a report if a log was set up before.
+pub fn init_bounded() -> Result<()> {
+    let (lines, waiting) = mpsc::sync_channel::<String>(MOST_WAITING);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&dropped);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write(&waiting, &counted))
+        .into_diagnostic()?;
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("event", log::LevelFilter::Debug)
+        .chain(fern::Output::call(move |record| {
+            let line = format!(
+                "{} {} {}\n",
+                clock::unix_ms(),
+                record.level(),
+                record.args()
+            );
+            if let Err(TrySendError::Full(_)) = lines.try_send(line) {
+                dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }))
+        .apply()
+        .into_diagnostic()
+}
+
+/// Writes lines until the process ends; whoever reads them no more ends
+/// nothing but the log.
+fn write(waiting: &Receiver<String>, dropped: &AtomicU64) {
+    let mut output = io::stdout();
+    while let Ok(line) = waiting.recv() {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let event = Event::LinesDropped;
+            let number = event.number();
+            drop(writeln!(output, "{} WARN {number} {event:?}: lines={lost}", clock::unix_ms()));
+        }
+        if output.write_all(line.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/cicadacrank-node/src/metrics.rs
+++ b/crates/cicadacrank-node/src/metrics.rs
@@ -1,4 +1,6 @@
-//! Counters and histograms of both roles.
+//! Counters and histograms of all roles.
+
+pub mod gateway;
 
 use cicadacrank_core::error::Failure;
 use prometheus::{
@@ -96,15 +98,18 @@
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        if TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buffer)
-            .is_err()
-        {
-            return String::new();
-        }
-        String::from_utf8(buffer).unwrap_or_default()
+        encode(&self.registry)
+    }
+}
+
+/// Returns the metrics of a registry in the Prometheus text format.
+fn encode(registry: &Registry) -> String {
+    let mut buffer = Vec::new();
+    if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut buffer) {
+        log::error!("metrics cannot be written: {error}");
+        return String::new();
     }
+    String::from_utf8_lossy(&buffer).into_owned()
 }
 
 impl Default for Metrics {
--- /dev/null
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -0,0 +1,131 @@
+//! What a gateway measures.
+
+use cicadacrank_core::once::Stop;
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    core::Collector,
+};
+
+/// Counters and histograms of a gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests whose answer of an endpoint was passed on whole, by route.
+    pub served: IntCounterVec,
+    /// Requests answered with an error, by kind and effect.
+    pub failed: IntCounterVec,
+    /// Callers that went away before their answer was whole.
+    pub left: IntCounter,
+    /// Attempts begun, by service.
+    pub attempts: IntCounterVec,
+    /// Calls to the platform's store.
+    pub store_calls: IntCounter,
+    /// Calls with pieces of stages, by service and outcome.
+    pub stage_calls: IntCounterVec,
+    /// Pieces of one call.
+    pub batch: Histogram,
+    /// Time that pieces took from their request until all were there, in
+    /// seconds, by service.
+    pub stages: HistogramVec,
+    /// Time from a request's arrival to the first byte of its answer, in
+    /// seconds, by route.
+    pub first_byte: HistogramVec,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+}
+
+impl Metrics {
+    /// Creates the metrics in a registry of their own.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
+        };
+        let counter = |name: &str, help: &str| register(&registry, IntCounter::new(name, help));
+        let histograms = |name: &str, help: &str, labels: &[&str]| {
+            register(
+                &registry,
+                HistogramVec::new(HistogramOpts::new(name, help), labels),
+            )
+        };
+        let batch = HistogramOpts::new("cicadacrank_gateway_batch_pieces", "Pieces of one call")
+            .buckets(vec![1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0]);
+        Self {
+            served: counters(
+                "cicadacrank_gateway_served_total",
+                "Requests answered whole",
+                &["route"],
+            ),
+            failed: counters(
+                "cicadacrank_gateway_failed_total",
+                "Requests answered with an error",
+                &["kind", "effect"],
+            ),
+            left: counter("cicadacrank_gateway_left_total", "Callers that went away"),
+            attempts: counters(
+                "cicadacrank_gateway_attempts_total",
+                "Attempts begun",
+                &["service"],
+            ),
+            store_calls: counter(
+                "cicadacrank_gateway_store_calls_total",
+                "Calls to the platform's store",
+            ),
+            stage_calls: counters(
+                "cicadacrank_gateway_stage_calls_total",
+                "Calls with pieces of stages",
+                &["service", "outcome"],
+            ),
+            batch: register(&registry, Histogram::with_opts(batch)),
+            stages: histograms(
+                "cicadacrank_gateway_stage_seconds",
+                "Time for all pieces of a stage",
+                &["service"],
+            ),
+            first_byte: histograms(
+                "cicadacrank_gateway_first_byte_seconds",
+                "Time to the first byte of an answer",
+                &["route"],
+            ),
+            config_version: register(
+                &registry,
+                IntGauge::new(
+                    "cicadacrank_gateway_config_version",
+                    "Configuration in force",
+                ),
+            ),
+            registry,
+        }
+    }
+
+    /// Counts a request that was not served.
+    pub fn fail(&self, stop: &Stop) {
+        let labels = [stop.kind().as_str(), stop.effect().as_str()];
+        self.failed.with_label_values(&labels).inc();
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        super::encode(&self.registry)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Registers a metric whose name the code makes valid and unique.
+fn register<T: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: Result<T, prometheus::Error>,
+) -> T {
+    let metric = metric.expect("metric names are valid");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/platform/caller.rs
@@ -0,0 +1,186 @@
+//! Reads the heads of callers' requests, and writes those that endpoints get.
+
+use cicadacrank_core::placement::Prompt;
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use siphasher::sip::SipHasher13;
+use std::{hash::Hasher as _, time::Duration};
+
+const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const TEAM: HeaderName = HeaderName::from_static("x-tenant");
+const EXPECTED_ENDPOINT: HeaderName = HeaderName::from_static("x-expected-instance");
+const TOKENS: HeaderName = HeaderName::from_static("x-token-usage");
+const PROMPT: HeaderName = HeaderName::from_static("x-prompt-prefix");
+/// Despite its name a list: the number of pieces of each stage.
+const PIECES: HeaderName = HeaderName::from_static("x-segment-count");
+const PIECE_KEY: HeaderName = HeaderName::from_static("x-segment-key");
+/// Despite its name a list of results, not a number.
+const RESULTS: HeaderName = HeaderName::from_static("x-input-count");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const URGENCY: HeaderName = HeaderName::from_static("x-request-priority");
+
+/// Headers that concern one connection, or that only the system sets.
+const NOT_FORWARDED: [HeaderName; 22] = [
+    header::AUTHORIZATION,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    TEAM,
+    EXPECTED_ENDPOINT,
+    DEADLINE,
+    RESULTS,
+    URGENCY,
+    HeaderName::from_static("x-cache-retention"),
+    HeaderName::from_static("x-pin-ms"),
+    HeaderName::from_static("x-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+];
+
+/// What the head of a request says beside its method and path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// Id of the caller's attempt, as it sent it.
+    pub attempt: Option<HeaderValue>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Key that it presents.
+    pub key: Option<String>,
+    /// What it says of its prompt.
+    pub prompt: Prompt,
+    /// Number of pieces of each stage.
+    pub pieces: Vec<u32>,
+    /// Key of its pieces.
+    pub piece_key: String,
+}
+
+/// What the system adds to a request for an endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Additions<'a> {
+    /// Id of the endpoint that is meant.
+    pub endpoint: &'a str,
+    /// Time that is left.
+    pub remaining: Duration,
+    /// Team that holds the caller's key.
+    pub team: Option<&'a str>,
+    /// Results of the last stages.
+    pub results: &'a [String],
+    /// Last event that the caller has, where a stream is to go on.
+    pub last_event: Option<&'a str>,
+    /// Urgency, 0 first, where it is not the usual one.
+    pub urgency: Option<u32>,
+}
+
+impl Caller {
+    /// Reads the head of a request; what cannot be read counts as not said.
+    #[must_use]
+    pub fn decode(headers: &HeaderMap) -> Self {
+        let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        let patience = text(&DEADLINE)
+            .and_then(|value| value.trim().parse::<f64>().ok())
+            .and_then(|value| Duration::try_from_secs_f64(value / 1_000.0).ok());
+        let key = text(&header::AUTHORIZATION)
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .map(|key| key.trim().to_owned());
+        let pieces = text(&PIECES).unwrap_or_default().split(',');
+        Self {
+            attempt: headers.get(&ATTEMPT).cloned(),
+            patience,
+            key,
+            prompt: prompt(text(&TOKENS), text(&PROMPT)),
+            pieces: pieces
+                .filter_map(|count| count.trim().parse().ok())
+                .collect(),
+            piece_key: text(&PIECE_KEY).unwrap_or_default().to_owned(),
+        }
+    }
+
+    /// Returns the id of the attempt as text, for logs.
+    #[must_use]
+    pub fn attempt_text(&self) -> &str {
+        self.attempt
+            .as_ref()
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("-")
+    }
+}
+
+/// Returns the headers that an endpoint gets for a caller's headers.
+#[must_use]
+pub fn encode(headers: &HeaderMap, additions: &Additions<'_>) -> HeaderMap {
+    let mut encoded = forwarded(headers);
+    let mut set = |name: HeaderName, value: &str| match HeaderValue::from_str(value) {
+        Ok(value) => drop(encoded.insert(name, value)),
+        Err(error) => log::error!("header {name} cannot be sent: {error}"),
+    };
+    set(EXPECTED_ENDPOINT, additions.endpoint);
+    set(DEADLINE, &additions.remaining.as_millis().to_string());
+    if let Some(team) = additions.team {
+        set(TEAM, team);
+    }
+    if !additions.results.is_empty() {
+        set(RESULTS, &additions.results.join(","));
+    }
+    if let Some(event) = additions.last_event {
+        set(LAST_EVENT, event);
+    }
+    if let Some(urgency) = additions.urgency {
+        set(URGENCY, &urgency.to_string());
+    }
+    encoded
+}
+
+/// Returns the headers that concern more than one connection.
+#[must_use]
+pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let dropped = NOT_FORWARDED.contains(name) || named.iter().any(|one| one == name.as_str());
+        if !dropped {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded
+}
+
+fn prompt(tokens: Option<&str>, parts: Option<&str>) -> Prompt {
+    let stated = tokens
+        .and_then(|text| text.split(',').next())
+        .and_then(|count| count.trim().parse().ok());
+    let mut sizes = Vec::new();
+    let mut hasher = SipHasher13::new_with_keys(0, 0);
+    let mut shared = None;
+    for part in parts.unwrap_or_default().split(',') {
+        let Some((id, size)) = part.trim().split_once(':') else {
+            continue;
+        };
+        // The last part belongs to the request alone.
+        if !sizes.is_empty() {
+            shared = Some(hasher.finish());
+        }
+        hasher.write(id.as_bytes());
+        sizes.push(size.parse::<u64>().unwrap_or_default());
+    }
+    let all: u64 = sizes.iter().sum();
+    let last = sizes.last().copied().unwrap_or_default();
+    Prompt {
+        tokens: stated.unwrap_or(all),
+        shared_tokens: all - last,
+        shared,
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -0,0 +1,244 @@
+//! Reads the operators' configuration.
+
+use cicadacrank_core::config::{
+    Config, Engine, Key, Limits, Repeat, Route, Service, Stage, Target, Team, Worker,
+};
+use serde::Deserialize;
+use serde_json::Value;
+use std::time::Duration;
+
+/// Name of the one object that holds the configuration.
+pub const NAME: &str = "main";
+
+/// Bytes in a megabyte as the platform counts it.
+const MEGABYTE: f64 = 1_000_000.0;
+
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTeam>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    route_kind: WireKind,
+    timeout_ms: f64,
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u32,
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<WireTarget>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    phases: Vec<WireStage>,
+    #[serde(default)]
+    anonymous_access: bool,
+    #[serde(default)]
+    session_affinity: bool,
+    #[serde(default)]
+    stream_resumption: bool,
+    max_gap_ms: Option<f64>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireKind {
+    Idempotent,
+    NonIdempotent,
+    Streaming,
+}
+
+#[derive(Deserialize)]
+struct WireTarget {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireStage {
+    service: String,
+    #[serde(default)]
+    after: Vec<usize>,
+    #[serde(default)]
+    byte_count: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: String,
+    connection_limit: u32,
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
+    engine: Option<WireEngine>,
+    /// What the service does for stages, not the pieces themselves.
+    segments: Option<WireWorker>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEngine {
+    slots: u32,
+    kv_cache_tokens: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireWorker {
+    slots: u32,
+    queue: u32,
+    batch: usize,
+    call_time_ms: f64,
+    item_time_ms: f64,
+    /// All room for results, not what is left of it.
+    headroom_mb: f64,
+    handle_ttl_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTeam {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u32>,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+///
+/// Returns the field that cannot be read.
+pub fn decode(content: &Value) -> Result<Config, String> {
+    let wire = WireConfig::deserialize(content).map_err(|error| error.to_string())?;
+    let mut keys = Vec::new();
+    for (team, wire) in wire.tenants.iter().enumerate() {
+        keys.extend(wire.api_keys.iter().map(|secret| Key {
+            secret: secret.clone(),
+            team,
+        }));
+    }
+    let teams = wire.tenants.into_iter().map(|team| Team {
+        name: team.name,
+        rank: team.priority,
+    });
+    let routes: Result<_, String> = wire.routes.into_iter().map(route).collect();
+    let services: Result<_, String> = wire.services.into_iter().map(service).collect();
+    Ok(Config::new(Config {
+        version: wire.version,
+        routes: routes?,
+        services: services?,
+        teams: teams.collect(),
+        keys,
+        limits: Limits {
+            head_bytes: wire.limits.max_header_bytes,
+            body_bytes: wire.limits.max_body_bytes,
+            idle: milliseconds(wire.limits.idle_timeout_ms, "idleTimeoutMs")?,
+        },
+    }))
+}
+
+fn route(wire: WireRoute) -> Result<Route, String> {
+    let repeat = match wire.route_kind {
+        WireKind::Idempotent => Repeat::Idempotent,
+        WireKind::NonIdempotent => Repeat::Once,
+        WireKind::Streaming if wire.stream_resumption => Repeat::ResumableStream,
+        WireKind::Streaming => Repeat::Stream,
+    };
+    let split = wire.traffic_split.into_iter().map(|target| Target {
+        service: target.service,
+        weight: target.weight,
+    });
+    let mut targets: Vec<Target> = split.collect();
+    if targets.is_empty() {
+        targets.extend(wire.service.map(|service| Target { service, weight: 1 }));
+    }
+    let stages: Result<Vec<_>, String> = wire.phases.into_iter().enumerate().map(stage).collect();
+    Ok(Route {
+        timeout: milliseconds(wire.timeout_ms, "timeoutMs")?,
+        objective: milliseconds(wire.target_latency_ms, "targetLatencyMs")?,
+        event_gap: match wire.max_gap_ms {
+            Some(gap) => Some(milliseconds(gap, "maxGapMs")?),
+            None => None,
+        },
+        name: wire.name,
+        host: wire.host.to_ascii_lowercase(),
+        prefix: wire.path_prefix,
+        repeat,
+        attempts: wire.max_attempts,
+        rank: wire.priority,
+        targets,
+        stages: stages?,
+        anonymous: wire.anonymous_access,
+        prompt_parts: wire.session_affinity,
+    })
+}
+
+fn stage((number, wire): (usize, WireStage)) -> Result<Stage, String> {
+    if wire.after.iter().any(|before| *before >= number) {
+        return Err(format!("phase {number} comes before one that it is after"));
+    }
+    Ok(Stage {
+        service: wire.service,
+        after: wire.after,
+        result_bytes: wire.byte_count.max(0.0) as u64,
+    })
+}
+
+fn service(wire: WireService) -> Result<Service, String> {
+    let worker = match wire.segments {
+        Some(worker) => Some(Worker {
+            slots: worker.slots,
+            queue: worker.queue,
+            batch: worker.batch.max(1),
+            call_time: milliseconds(worker.call_time_ms, "callTimeMs")?,
+            piece_time: milliseconds(worker.item_time_ms, "itemTimeMs")?,
+            room_bytes: (worker.headroom_mb * MEGABYTE).max(0.0) as u64,
+            result_life: milliseconds(worker.handle_ttl_s * 1_000.0, "handleTtlS")?,
+        }),
+        None => None,
+    };
+    Ok(Service {
+        name: wire.name,
+        connections: wire.connection_limit,
+        cold_time: milliseconds(wire.cold_start_s * 1_000.0, "coldStartS")?,
+        cold_rate: wire.cold_per_s,
+        engine: wire.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_cache_tokens,
+        }),
+        worker,
+    })
+}
+
+fn milliseconds(value: f64, name: &str) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(value / 1_000.0)
+        .map_err(|error| format!("`{name}` is {value}: {error}"))
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -0,0 +1,57 @@
+//! Reads what endpoints say of themselves.
+
+use super::Entry;
+use cicadacrank_core::directory::{Endpoint, Life, State};
+use serde::Deserialize;
+use std::{net::SocketAddr, time::Duration};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEndpoint {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    slots: u32,
+    state: WireState,
+    #[serde(default)]
+    cold_remaining_ms: f64,
+    #[serde(default)]
+    sequence: u64,
+    /// Start of the endpoint, not of its entry.
+    born: Option<u64>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// Reads the entry of an endpoint.
+///
+/// # Errors
+///
+/// Returns what cannot be read; such an entry names no endpoint.
+pub fn decode(object: &Entry) -> Result<Endpoint, String> {
+    let wire = WireEndpoint::deserialize(&object.content).map_err(|error| error.to_string())?;
+    let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
+        .map_err(|error| format!("`coldRemainingMs` is {}: {error}", wire.cold_remaining_ms))?;
+    Ok(Endpoint {
+        life: Life {
+            id: object.name.clone(),
+            born: wire.born,
+        },
+        service: wire.service,
+        address: wire.address,
+        data_centre: wire.zone,
+        slots: wire.slots,
+        state: match wire.state {
+            WireState::Ready => State::Ready,
+            WireState::Draining => State::Draining,
+        },
+        cold,
+        sequence: wire.sequence,
+    })
+}
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -4,7 +4,16 @@
 //! API server for custom resources. Every call has a timeout. The faults tell
 //! apart what surely did not take effect from what may have.
 
+pub mod answer;
+pub mod caller;
+pub mod config;
+pub mod endpoint;
 pub mod http;
+mod objects;
+pub mod settings;
+pub mod stage;
+
+pub use self::objects::{Changes, Client, Kind, Listing as Objects, Object as Entry};
 
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
--- /dev/null
+++ b/crates/cicadacrank-node/src/platform/settings.rs
@@ -0,0 +1,125 @@
+//! Reads the settings file that the platform writes for each process.
+
+use crate::gateway::{Bounds, Settings};
+use miette::{Context as _, IntoDiagnostic as _, Result};
+use serde::Deserialize;
+use std::{env, fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+/// Variable that holds the path of the settings file.
+const PATH_VARIABLE: &str = "CICADACRANK_BOOT";
+
+/// Returns where the platform put the settings file.
+///
+/// # Errors
+///
+/// Returns a report if the platform does not say so.
+pub fn path() -> Result<PathBuf> {
+    env::var_os(PATH_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or_else(|| miette::miette!("the environment variable {PATH_VARIABLE} is not set"))
+}
+
+/// Reads and checks the settings file.
+///
+/// # Errors
+///
+/// Returns a report with the file and the place of the fault.
+pub fn load(path: &std::path::Path) -> Result<Settings> {
+    let text = fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("reading settings from {}", path.display()))?;
+    parse(&text).wrap_err_with(|| format!("checking settings in {}", path.display()))
+}
+
+/// Reads and checks settings from text.
+///
+/// # Errors
+///
+/// Returns a report with the place of the fault.
+pub fn parse(text: &str) -> Result<Settings> {
+    let file: File = toml::from_str(text).into_diagnostic()?;
+    file.check()
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct File {
+    node_name: String,
+    zone: String,
+    #[serde(default)]
+    seed_nodes: Vec<SocketAddr>,
+    listen_addresses: Listen,
+    limits: Limits,
+    bounds: FileBounds,
+    platform: Platform,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Listen {
+    frontend: SocketAddr,
+    readiness: SocketAddr,
+    /// Where other processes of the system reach this one, whatever they do.
+    control_plane: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    memory_mb: u64,
+    /// Of these, [`RESERVED_DESCRIPTORS`] are for files only.
+    file_descriptors: usize,
+}
+
+/// Descriptors that sockets cannot use.
+const RESERVED_DESCRIPTORS: usize = 200;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FileBounds {
+    grace_period_s: f64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    retry_budget_extra: f64,
+    stability_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Platform {
+    address: SocketAddr,
+}
+
+impl File {
+    fn check(self) -> Result<Settings> {
+        let bounds = Bounds {
+            grace: seconds(self.bounds.grace_period_s, "gracePeriodS")?,
+            repeat_ratio: self.bounds.retry_budget_ratio,
+            repeat_extra: self.bounds.retry_budget_extra,
+            repeat_window: seconds(self.bounds.budget_window_s, "budgetWindowS")?,
+            settle: Duration::from_millis(self.bounds.stability_ms),
+        };
+        Ok(Settings {
+            instance: self.node_name,
+            data_centre: self.zone,
+            caller_listen: self.listen_addresses.frontend,
+            readiness_listen: self.listen_addresses.readiness,
+            listen: self.listen_addresses.control_plane,
+            seeds: self.seed_nodes,
+            store: self.platform.address,
+            memory_bytes: self.limits.memory_mb << 20,
+            sockets: self
+                .limits
+                .file_descriptors
+                .saturating_sub(RESERVED_DESCRIPTORS),
+            bounds,
+        })
+    }
+}
+
+fn seconds(value: f64, name: &str) -> Result<Duration> {
+    Duration::try_from_secs_f64(value)
+        .ok()
+        .filter(|time| !time.is_zero())
+        .ok_or_else(|| miette::miette!("`{name}` is {value}, not a time above zero"))
+}
