Fill calls under backlog, release results early, gather prompts at one engine

Cause: under a burst calls of stages carried 18 to 35 of 60 pieces though more waited: an on-time piece at the edge of its time kept late ones out, so that each call was short and the fixed 200 ms were paid for few pieces. Failed stages were answered 502 though nothing had run. Ruled out: too few endpoints; all were busy all the time, with calls not full.

--- a/crates/cicadacrank-core/src/batch/desk.rs
+++ b/crates/cicadacrank-core/src/batch/desk.rs
@@ -1,5 +1,6 @@
 //! What a pool knows of one endpoint.
 
+use super::Site;
 use crate::{config::Worker, directory::Life};
 use std::time::Duration;
 
@@ -39,6 +40,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Desk {
     pub(super) life: Life,
+    pub(super) site: Site,
     busy_since: Option<Duration>,
     pub(super) busy_until: Duration,
     paused_until: Duration,
@@ -51,9 +53,10 @@
 }
 
 impl Desk {
-    pub(super) const fn new(life: Life) -> Self {
+    pub(super) const fn new(life: Life, site: Site) -> Self {
         Self {
             life,
+            site,
             busy_since: None,
             busy_until: Duration::ZERO,
             paused_until: Duration::ZERO,
--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -5,7 +5,8 @@
 //! for one service: while every endpoint is busy, pieces gather, and the next
 //! call is the fuller. Pieces that can still be on time go first, the most
 //! pressing of them at the front; pieces that are late already fill what is
-//! left; pieces that cannot be done before they expire are given back at once.
+//! left, those that are least late first; pieces that will not have their turn
+//! before they expire are given back at once.
 
 mod desk;
 mod pool;
@@ -36,4 +37,11 @@
     pub rank: u32,
     /// About how large the result is, in bytes.
     pub bytes: u64,
+    /// Data centre of what it is made of, where bringing that to another one
+    /// matters.
+    pub near: Option<Site>,
 }
+
+/// Identifies a data centre within its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Site(pub u32);
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -1,6 +1,6 @@
 //! The pieces that wait for one service, and the calls made of them.
 
-use super::{Outcome, Piece, Ticket, desk::Desk};
+use super::{Outcome, Piece, Site, Ticket, desk::Desk};
 use crate::{config::Worker, directory::Life};
 use std::time::Duration;
 
@@ -32,6 +32,7 @@
     worker: Worker,
     waiting: Vec<Piece>,
     desks: Vec<Desk>,
+    sites: Vec<String>,
 }
 
 impl Pool {
@@ -42,6 +43,7 @@
             worker,
             waiting: Vec::new(),
             desks: Vec::new(),
+            sites: Vec::new(),
         }
     }
 
@@ -50,25 +52,35 @@
         self.worker = worker;
     }
 
-    /// Takes up the endpoints that may be used; what is known of those that
-    /// stay is kept.
-    pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Life>) {
+    /// Takes up the endpoints that may be used, with their data centres; what is
+    /// known of those that stay is kept.
+    pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = (&'a Life, &'a str)>) {
         let mut usable: Vec<_> = endpoints.collect();
         usable.sort();
         for desk in &mut self.desks {
-            desk.leaving = usable
-                .binary_search(&&desk.life)
-                .is_err();
+            let found = usable.binary_search_by(|(life, _)| (*life).cmp(&desk.life));
+            desk.leaving = found.is_err();
         }
         self.desks.retain(|desk| !desk.leaving || desk.is_busy());
-        for life in usable {
+        for (life, data_centre) in usable {
+            let site = self.site(data_centre);
             let found = self.desks.binary_search_by(|desk| desk.life.cmp(life));
             if let Err(index) = found {
-                self.desks.insert(index, Desk::new(life.clone()));
+                self.desks.insert(index, Desk::new(life.clone(), site));
             }
         }
     }
 
+    /// Returns what identifies a data centre here.
+    pub fn site(&mut self, data_centre: &str) -> Site {
+        let found = self.sites.iter().position(|name| name == data_centre);
+        let index = found.unwrap_or_else(|| {
+            self.sites.push(data_centre.to_owned());
+            self.sites.len() - 1
+        });
+        Site(u32::try_from(index).unwrap_or(u32::MAX))
+    }
+
     /// Adds a piece; returns whether there was room for it.
     pub fn add(&mut self, piece: Piece) -> bool {
         if self.waiting.len() >= MOST_WAITING {
@@ -109,16 +121,37 @@
         Some(first + before + alone)
     }
 
-    /// Gives up pieces that cannot be done before they expire.
+    /// Gives up pieces that will not have their turn before they expire.
     pub fn strand(&mut self, now: Duration) -> Vec<Stranded> {
-        let shortest = self.call_time(1);
+        let Some(first) = self.usable().map(|desk| desk.free_at(now)).min() else {
+            let alone = self.call_time(1);
+            return self.strand_after(|_| now + alone);
+        };
+        let desks = self.usable().count();
+        self.sort(now, None);
+        let (full, batch) = (self.full_call(), self.worker.batch.max(1));
+        let alone = self.call_time(self.waiting.len().min(batch));
+        // Endpoints become free one after the other, evenly over a call.
+        let turn = full / u32::try_from(desks).unwrap_or(u32::MAX).max(1);
+        self.strand_after(|ahead| {
+            let turns = u32::try_from(ahead / batch).unwrap_or(u32::MAX);
+            first + turn.saturating_mul(turns) + alone
+        })
+    }
+
+    /// Gives up pieces that expire before `done` says that one with so many
+    /// ahead of it would be there.
+    fn strand_after(&mut self, done: impl Fn(usize) -> Duration) -> Vec<Stranded> {
         let mut stranded = Vec::new();
+        let mut ahead = 0;
         self.waiting.retain(|piece| {
-            let hopeless = now + shortest > piece.expires;
-            if hopeless {
+            let kept = done(ahead) <= piece.expires;
+            if kept {
+                ahead += 1;
+            } else {
                 stranded.push(Stranded(piece.ticket));
             }
-            !hopeless
+            kept
         });
         stranded
     }
@@ -130,7 +163,7 @@
         }
         let index = self.choose_desk(now)?;
         let (worker, room) = (self.worker, self.desks[index].room(&self.worker, now));
-        self.sort(now);
+        self.sort(now, Some(self.desks[index].site));
         let desk = &self.desks[index];
         let taken = fill(&self.waiting, worker, room, |pieces| {
             now + desk.call_time(&worker, pieces, now)
@@ -215,19 +248,43 @@
         (!sooner).then_some(index)
     }
 
-    /// Puts pieces that can be on time first, the most pressing at the front.
-    fn sort(&mut self, now: Duration) {
-        let soonest = now + self.call_time(1);
-        self.waiting.sort_by_key(|piece| {
-            let late = soonest > piece.due;
-            let rank = if late { piece.rank } else { 0 };
-            (late, rank, piece.due, piece.job, piece.ticket)
+    /// Puts pieces that can be on time first, the most pressing at the front;
+    /// then those that are late, the least late at the front.
+    ///
+    /// While more waits than one call carries, calls are full, and what a full
+    /// call would make late is late. Pieces far from `site` come behind others
+    /// that are on time, unless they cannot wait for another call.
+    fn sort(&mut self, now: Duration, site: Option<Site>) {
+        let next = self.call_time(self.waiting.len().min(self.worker.batch));
+        let after_next = now + next + self.full_call();
+        self.waiting.sort_by_cached_key(|piece| {
+            let far = matches!((site, piece.near), (Some(here), Some(near)) if here != near);
+            let order = if now + next > piece.due {
+                Order::Late {
+                    rank: piece.rank,
+                    by: now.saturating_sub(piece.due),
+                }
+            } else {
+                Order::OnTime {
+                    far: far && piece.due > after_next,
+                    due: piece.due,
+                }
+            };
+            (order, piece.job, piece.ticket)
         });
     }
 }
 
-/// Takes as many pieces as one call may carry: within its room, and no late
-/// piece that would make one late which is not.
+/// Where a piece stands among those that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Order {
+    OnTime { far: bool, due: Duration },
+    Late { rank: u32, by: Duration },
+}
+
+/// Takes as many pieces as one call may carry, within its room and before they
+/// expire. While a call does not carry all that waits, no late piece may make
+/// one late that is not: with more waiting, full calls serve more in all.
 fn fill(
     waiting: &[Piece],
     worker: Worker,
@@ -236,16 +293,15 @@
 ) -> Vec<Piece> {
     let mut taken: Vec<Piece> = Vec::new();
     let mut tightest = Duration::MAX;
+    let gathers = waiting.len() <= worker.batch;
     for piece in waiting {
         if taken.len() >= worker.batch {
             break;
         }
-        if piece.bytes > room {
-            continue;
-        }
         let done = done(taken.len() + 1);
         let late = done > piece.due;
-        if done > piece.expires || (late && done > tightest) {
+        let spoils = gathers && late && done > tightest;
+        if piece.bytes > room || done > piece.expires || spoils {
             continue;
         }
         if !late {
--- a/crates/cicadacrank-core/src/error.rs
+++ b/crates/cicadacrank-core/src/error.rs
@@ -119,6 +119,7 @@
     UnknownRoute = "unknown-route", 404, 5, 2, Never, "No route has this host and path.";
     UnknownKey = "unknown-key", 401, 16, 4, Never, "No team holds the key of the request.";
     TimeUp = "time-up", 503, 14, 5, Later, "The work cannot be done in the time that is left.";
+    StageFailed = "stage-failed", 503, 14, 5, Later, "A stage of the request could not be made.";
     Crashing = "crashing", 503, 9, 5, Later, "The request crashed endpoints and is kept away from more of them.";
     EndpointCold = "endpoint-cold", 503, 8, 5, Later, "Cold endpoints bear no further request now.";
     Cancelled = "cancelled", 499, 1, 9, Never, "The caller went away.";
--- a/crates/cicadacrank-core/src/placement/fleet.rs
+++ b/crates/cicadacrank-core/src/placement/fleet.rs
@@ -17,8 +17,8 @@
 const TOKENS_PER_START: u64 = 1_500;
 
 /// Bytes of results that cost as much to bring from another data centre as
-/// reading one token.
-const BYTES_PER_TOKEN: u64 = 400;
+/// reading one token, at what the users pay for both.
+const BYTES_PER_TOKEN: u64 = 2_600;
 
 /// How much a failing endpoint counts as slower than one that answers.
 const FAILING_WEIGHT: f64 = 12.0;
@@ -218,7 +218,7 @@
                 held.then_some(key)
             })
             .collect();
-        let homes = self.homes(service, prompt);
+        let home = self.home(service, prompt);
         let total: u64 = sites.results.iter().map(|(_, bytes)| bytes).sum();
         self.choose(service, sites, now, |key, row| {
             if blocked.contains(&key) {
@@ -229,7 +229,7 @@
                 .iter()
                 .find(|(data_centre, _)| *data_centre == row.endpoint.data_centre);
             let far = total - near.map_or(0, |(_, bytes)| *bytes);
-            let held = if homes.contains(&key) {
+            let held = if home == Some(key) {
                 prompt.shared_tokens
             } else {
                 0
@@ -321,23 +321,12 @@
         best.map(|(_, _, key)| key)
     }
 
-    /// Returns, for each data centre, the endpoint at which requests with the
-    /// same shared parts gather.
-    fn homes(&self, service: &str, prompt: Prompt) -> Vec<Key> {
-        let Some(shared) = prompt.shared else {
-            return Vec::new();
-        };
-        let mut homes: Vec<(&str, u64, Key)> = Vec::new();
-        for (key, row) in self.usable(service) {
-            let weight = weight(shared, &row.endpoint.life.id);
-            let data_centre = row.endpoint.data_centre.as_str();
-            match homes.iter_mut().find(|home| home.0 == data_centre) {
-                Some(home) if home.1 < weight => *home = (data_centre, weight, key),
-                Some(_) => {}
-                None => homes.push((data_centre, weight, key)),
-            }
-        }
-        homes.into_iter().map(|(_, _, key)| key).collect()
+    /// Returns the endpoint at which requests with the same shared parts gather.
+    fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
+        let shared = prompt.shared?;
+        self.usable(service)
+            .max_by_key(|(_, row)| weight(shared, &row.endpoint.life.id))
+            .map(|(key, _)| key)
     }
 
     fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 
 /// Time before the end of the grace period at which the process ends whatever
 /// is open.
-const LAST_CALL: Duration = Duration::from_millis(400);
+const LAST_CALL: Duration = Duration::from_millis(900);
 
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cicadacrank-node/src/gateway/owner.rs
+++ b/crates/cicadacrank-node/src/gateway/owner.rs
@@ -69,6 +69,9 @@
     pub key: Option<String>,
     /// Results that each piece is given.
     pub inputs: Vec<String>,
+    /// Data centre of most of the inputs, where bringing them to another one
+    /// matters.
+    pub near: Option<String>,
     /// About how large one result is, in bytes.
     pub bytes: u64,
     /// Time until the results must be there for the request to be on time.
@@ -170,7 +173,8 @@
             let Inner {
                 pool, endpoints, ..
             } = &mut *inner;
-            pool.set_endpoints(endpoints.iter().map(|endpoint| &endpoint.life));
+            let usable = endpoints.iter();
+            pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
             drop(inner);
             shop.wake.notify_one();
         }
@@ -314,7 +318,7 @@
         return Ok(made);
     }
     release(state, &made);
-    Err(failure(failed.unwrap_or(Kind::Internal)))
+    Err(failure(failed.unwrap_or(Kind::StageFailed)))
 }
 
 fn add(
@@ -324,6 +328,7 @@
     now: Duration,
     reply: &mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
 ) {
+    let near = order.near.as_deref().map(|name| inner.pool.site(name));
     for number in 0..order.pieces {
         let ticket = Ticket(inner.next_ticket);
         inner.next_ticket += 1;
@@ -336,6 +341,7 @@
                 expires: now + order.expires,
                 rank: order.rank,
                 bytes: order.bytes,
+                near,
             },
             request: order.request.clone(),
             stage: order.stage,
@@ -423,7 +429,7 @@
         }
     } else {
         for waiting in pieces {
-            try_again(&state, &shop, waiting, Kind::EndpointFailed);
+            try_again(&state, &shop, waiting, Kind::StageFailed);
         }
     }
     shop.wake.notify_one();
@@ -498,9 +504,9 @@
             bytes: waiting.piece.bytes,
         }),
         Made::Late => Err(Kind::TimeUp),
-        Made::SourceGone => Err(Kind::EndpointFailed),
+        Made::SourceGone => Err(Kind::StageFailed),
         Made::NoRoom => return try_again(state, shop, waiting, Kind::Overloaded),
-        Made::Failed => return try_again(state, shop, waiting, Kind::EndpointFailed),
+        Made::Failed => return try_again(state, shop, waiting, Kind::StageFailed),
     };
     if let Err(unclaimed) = waiting.reply.send((waiting.number, result))
         && let (_, Ok(product)) = unclaimed.0
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -14,6 +14,9 @@
 /// Time that a stage waits for its turn and travels, beside its call.
 const STAGE_SLACK: Duration = Duration::from_millis(40);
 
+/// Bytes of inputs for each piece from which its data centre matters.
+const HEAVY_INPUTS: u64 = 50_000;
+
 /// One result of a stage.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Product {
@@ -46,17 +49,17 @@
 
     /// Returns the data centres that hold them, with their bytes.
     pub fn sites(&self) -> Vec<(String, u64)> {
-        let mut sites: Vec<(String, u64)> = Vec::new();
-        for product in self.for_request() {
-            match sites
-                .iter_mut()
-                .find(|(data_centre, _)| *data_centre == product.data_centre)
-            {
-                Some(site) => site.1 += product.bytes,
-                None => sites.push((product.data_centre.clone(), product.bytes)),
+        sites(self.for_request())
+    }
+
+    /// Gives up results that no stage still needs.
+    fn release_used(&mut self, route: &Route, done: &[bool]) {
+        for number in 0..route.stages.len() {
+            let used = following(route, number).all(|next| done[next]);
+            if used && !self.last.contains(&number) && !self.by_stage[number].is_empty() {
+                release(&self.state, std::mem::take(&mut self.by_stage[number]));
             }
         }
-        sites
     }
 
     fn for_request(&self) -> impl Iterator<Item = &Product> {
@@ -74,6 +77,19 @@
     }
 }
 
+/// Returns the data centres that hold results, with their bytes.
+fn sites<'a>(products: impl Iterator<Item = &'a Product>) -> Vec<(String, u64)> {
+    let mut sites: Vec<(String, u64)> = Vec::new();
+    for product in products {
+        let data_centre = &product.data_centre;
+        match sites.iter_mut().find(|site| site.0 == *data_centre) {
+            Some(site) => site.1 += product.bytes,
+            None => sites.push((data_centre.clone(), product.bytes)),
+        }
+    }
+    sites
+}
+
 /// Gives up results, all of one service.
 fn release(state: &Arc<State>, products: Vec<Product>) {
     let Some(service) = products.first().map(|one| one.service.clone()) else {
@@ -131,6 +147,7 @@
             Some((number, Ok(made))) => {
                 products.by_stage[number] = made;
                 done[number] = true;
+                products.release_used(route, &done);
             }
             Some((number, Err(failure))) => return Err(refuse(job, number, &failure)),
             // A stage that was omitted made others possible.
@@ -145,7 +162,9 @@
 
 fn order(job: &Job, number: usize, products: &Products, due: Instant, expires: Instant) -> Order {
     let stage = &job.route.stages[number];
-    let inputs = stage.after.iter().flat_map(|one| &products.by_stage[*one]);
+    let inputs = || stage.after.iter().flat_map(|one| &products.by_stage[*one]);
+    let heavy = inputs().map(|one| one.bytes).sum::<u64>() >= HEAVY_INPUTS;
+    let largest = sites(inputs()).into_iter().max_by_key(|site| site.1);
     let now = Instant::now();
     Order {
         request: job.id().to_owned(),
@@ -156,7 +175,8 @@
             .after
             .is_empty()
             .then(|| job.caller.piece_key.clone()),
-        inputs: inputs.map(|one| one.handle.clone()).collect(),
+        inputs: inputs().map(|one| one.handle.clone()).collect(),
+        near: largest.filter(|_| heavy).map(|(data_centre, _)| data_centre),
         bytes: stage.result_bytes,
         due: due.saturating_duration_since(now),
         expires: expires.saturating_duration_since(now),
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -57,6 +57,7 @@
     let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT);
     let products = stages::make(state, &job, due, expires - FIRST_EVENT).await?;
     let mut tried = Vec::new();
+    let sent_at = Instant::now();
     let (started, unread) = begin(state, &job, &products, &mut tried, expires).await?;
     let mut relay = Relay {
         state: Arc::clone(state),
@@ -66,7 +67,7 @@
         tried,
         events: 0,
         unread,
-        sent_at: Instant::now(),
+        sent_at,
         started,
         finished: false,
         expires,
