--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -20,6 +20,10 @@
     pub tickets: Vec<Ticket>,
     /// How long the call should take.
     pub expected: Duration,
+    /// Pieces that wait for other calls.
+    pub left: usize,
+    /// Room for results that the endpoint had, in bytes.
+    pub room: u64,
 }
 
 /// A piece that cannot be done before it expires.
@@ -183,6 +187,8 @@
             life,
             tickets,
             expected,
+            left: self.waiting.len(),
+            room,
         })
     }
 
@@ -285,6 +291,9 @@
 /// Takes as many pieces as one call may carry, within its room and before they
 /// expire. While a call does not carry all that waits, no late piece may make
 /// one late that is not: with more waiting, full calls serve more in all.
+///
+/// The pieces of a job go together: were they split, results of many jobs would
+/// take up the room that none of them needs to be whole.
 fn fill(
     waiting: &[Piece],
     worker: Worker,
@@ -294,21 +303,26 @@
     let mut taken: Vec<Piece> = Vec::new();
     let mut tightest = Duration::MAX;
     let gathers = waiting.len() <= worker.batch;
-    for piece in waiting {
-        if taken.len() >= worker.batch {
-            break;
-        }
-        let done = done(taken.len() + 1);
-        let late = done > piece.due;
+    for job in waiting.chunk_by(|one, other| one.job == other.job) {
+        let first = job[0];
+        let each = first.bytes.max(1);
+        let places = (worker.batch - taken.len()).min(usize::try_from(room / each).unwrap_or(0));
+        let largest = worker
+            .batch
+            .min(usize::try_from(worker.room_bytes / each).unwrap_or(0));
+        let count = job.len().min(places);
+        let split = count < job.len() && job.len() <= largest;
+        let done = done(taken.len() + count);
+        let late = done > first.due;
         let spoils = gathers && late && done > tightest;
-        if piece.bytes > room || done > piece.expires || spoils {
+        if count == 0 || split || done > first.expires || spoils {
             continue;
         }
         if !late {
-            tightest = tightest.min(piece.due);
+            tightest = tightest.min(first.due);
         }
-        room -= piece.bytes;
-        taken.push(*piece);
+        room -= first.bytes * count as u64;
+        taken.extend_from_slice(&job[..count]);
     }
     taken
 }
--- a/crates/cicadacrank-node/src/gateway/owner.rs
+++ b/crates/cicadacrank-node/src/gateway/owner.rs
@@ -411,10 +411,12 @@
     let labels = [service, outcome_name(outcome)];
     state.metrics.stage_calls.with_label_values(&labels).inc();
     Event::CallEnded.log(format_args!(
-        "service={service} endpoint={} pieces={} expected_ms={} took_ms={} outcome={outcome:?} \
-         first_id={} note={note:?}",
+        "service={service} endpoint={} pieces={} left={} room={} expected_ms={} took_ms={} \
+         outcome={outcome:?} first_id={} note={note:?}",
         call.life.id,
         pieces.len(),
+        call.left,
+        call.room,
         call.expected.as_millis(),
         began.elapsed().as_millis(),
         pieces.first().map_or("-", |piece| piece.request.as_str()),
