--- a/crates/cicadacrank-core/src/config/lookup.rs
+++ b/crates/cicadacrank-core/src/config/lookup.rs
@@ -100,7 +100,10 @@
 
     /// Returns the numbers of the stages that no other stage follows.
     pub fn last_stages(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.stages.len())
-            .filter(|number| self.stages.iter().all(|stage| !stage.after.contains(number)))
+        (0..self.stages.len()).filter(|number| {
+            self.stages
+                .iter()
+                .all(|stage| !stage.after.contains(number))
+        })
     }
 }
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -108,7 +108,8 @@
     /// Returns the number of gateways that limits are divided among, and the
     /// position of this one.
     pub fn shares(&mut self, now: Duration) -> (usize, usize) {
-        self.rows.retain(|row| now.saturating_sub(row.known) < REMEMBERED);
+        self.rows
+            .retain(|row| now.saturating_sub(row.known) < REMEMBERED);
         let position = self
             .rows
             .partition_point(|row| row.gateway.instance < self.me.instance);
@@ -142,8 +143,7 @@
                 }
                 if gateway.incarnation >= row.gateway.incarnation {
                     let leaving = gateway.leaving
-                        || (row.gateway.leaving
-                            && gateway.incarnation == row.gateway.incarnation);
+                        || (row.gateway.leaving && gateway.incarnation == row.gateway.incarnation);
                     row.gateway = Gateway { leaving, ..gateway };
                 }
                 index
--- /dev/null
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -0,0 +1,248 @@
+//! Load patterns at services that do stages.
+
+use cicadacrank_core::{
+    batch::{Call, Outcome, Piece, Pool, Results, Stranded, Ticket},
+    config::Worker,
+    directory::Life,
+};
+use std::time::Duration;
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+const WORKER: Worker = Worker {
+    slots: 1,
+    queue: 2,
+    batch: 10,
+    call_time: ms(200),
+    piece_time: ms(10),
+    room_bytes: 100,
+    result_life: ms(4_000),
+};
+
+fn life(id: &str) -> Life {
+    Life {
+        id: id.to_owned(),
+        born: Some(1),
+    }
+}
+
+fn pool(endpoints: &[(&str, &str)]) -> Pool {
+    let mut pool = Pool::new(WORKER);
+    let lives: Vec<_> = endpoints.iter().map(|one| (life(one.0), one.1)).collect();
+    pool.set_endpoints(lives.iter().map(|(life, site)| (life, *site)));
+    pool
+}
+
+fn piece(ticket: u64, job: u64, due: u64) -> Piece {
+    Piece {
+        ticket: Ticket(ticket),
+        job,
+        due: ms(due),
+        expires: ms(due + 2_000),
+        rank: 0,
+        bytes: 0,
+        near: None,
+    }
+}
+
+fn tickets(call: &Call) -> Vec<u64> {
+    call.tickets.iter().map(|ticket| ticket.0).collect()
+}
+
+fn answered(held: u64) -> (Outcome, Results) {
+    (Outcome::Answered, Results { held, refused: 0 })
+}
+
+fn end(pool: &mut Pool, call: &Call, (outcome, results): (Outcome, Results), now: Duration) {
+    pool.end(call, outcome, results, now);
+}
+
+#[test]
+fn next_gathers_pieces_while_busy() {
+    let mut pool = pool(&[("a", "x")]);
+    assert!(pool.add(piece(1, 1, 1_000)));
+    let first = pool.next(ms(0)).expect("the endpoint is free");
+    for ticket in 2..8 {
+        assert!(pool.add(piece(ticket, ticket, 1_000)));
+    }
+    assert_eq!(pool.next(ms(50)), None);
+    end(&mut pool, &first, answered(0), ms(210));
+    let second = pool.next(ms(210)).expect("the endpoint is free again");
+    assert_eq!(tickets(&second), [2, 3, 4, 5, 6, 7]);
+}
+
+#[test]
+fn burst_of_pressing_pieces_fills_calls() {
+    let mut pool = pool(&[("a", "x")]);
+    // Each is on time alone; a call that carried only those would pay its fixed
+    // time for few of them.
+    for ticket in 0..40 {
+        assert!(pool.add(piece(ticket, ticket, 215 + ticket)));
+    }
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(call.tickets.len(), WORKER.batch);
+}
+
+#[test]
+fn burst_leaves_late_pieces_behind_those_on_time() {
+    let mut pool = pool(&[("a", "x")]);
+    for ticket in 0..10 {
+        assert!(pool.add(piece(ticket, ticket, 100)));
+    }
+    for ticket in 10..20 {
+        assert!(pool.add(piece(ticket, ticket, 900)));
+    }
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(tickets(&call), (10..20).collect::<Vec<_>>());
+}
+
+#[test]
+fn quiet_call_takes_no_late_piece_that_spoils_one_on_time() {
+    let mut pool = pool(&[("a", "x")]);
+    assert!(pool.add(piece(1, 1, 215)));
+    assert!(pool.add(piece(2, 2, 50)));
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(tickets(&call), [1]);
+}
+
+#[test]
+fn burst_with_little_room_keeps_jobs_whole() {
+    let mut pool = pool(&[("a", "x")]);
+    for job in 0..4 {
+        for number in 0..4 {
+            let piece = Piece {
+                bytes: 15,
+                ..piece(job * 4 + number, job, 5_000)
+            };
+            assert!(pool.add(piece));
+        }
+    }
+    // Room for six results: one job and a half.
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(tickets(&call), [0, 1, 2, 3]);
+}
+
+#[test]
+fn restart_counts_only_results_that_are_held() {
+    let mut pool = pool(&[("a", "x")]);
+    for ticket in 0..8 {
+        let piece = Piece {
+            bytes: 12,
+            ..piece(ticket, ticket, 5_000)
+        };
+        assert!(pool.add(piece));
+    }
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(call.tickets.len(), 8);
+    // Results of an earlier run of this process still fill the endpoint.
+    let refused = Results {
+        held: 0,
+        refused: 96,
+    };
+    pool.end(&call, Outcome::Answered, refused, ms(280));
+    for ticket in 8..16 {
+        let piece = Piece {
+            bytes: 12,
+            ..piece(ticket, ticket, 5_000)
+        };
+        assert!(pool.add(piece));
+    }
+    assert_eq!(pool.next(ms(300)), None);
+    let call = pool.next(ms(600)).expect("the room is tried again");
+    assert_eq!(call.tickets.len(), 8);
+}
+
+#[test]
+fn free_gives_room_back() {
+    let mut pool = pool(&[("a", "x")]);
+    let heavy = |ticket| Piece {
+        bytes: 60,
+        ..piece(ticket, ticket, 5_000)
+    };
+    assert!(pool.add(heavy(1)));
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    end(&mut pool, &call, answered(60), ms(210));
+    assert!(pool.add(heavy(2)));
+    assert_eq!(pool.next(ms(210)), None);
+    pool.free(&life("a"), 60);
+    assert!(pool.next(ms(210)).is_some());
+}
+
+#[test]
+fn overload_gives_back_what_expires_before_its_turn() {
+    let mut pool = pool(&[("a", "x")]);
+    // Eight full calls of 300 ms each: those behind the seventh are lost.
+    for ticket in 0..80 {
+        assert!(pool.add(piece(ticket, ticket, 100)));
+    }
+    let stranded = pool.strand(ms(0));
+    assert_eq!(stranded.len(), 10);
+    assert!(stranded.contains(&Stranded(Ticket(79))));
+    assert_eq!(pool.len(), 70);
+}
+
+#[test]
+fn slow_endpoint_is_left_idle_while_a_faster_one_is_sooner_done() {
+    let mut pool = pool(&[("a", "x"), ("b", "x")]);
+    assert!(pool.add(piece(1, 1, 9_000)));
+    let call = pool.next(ms(0)).expect("both are free");
+    assert_eq!(call.life, life("a"));
+    end(&mut pool, &call, answered(0), ms(2_000));
+    assert!(pool.add(piece(2, 2, 9_000)));
+    let call = pool.next(ms(2_000)).expect("the other is free");
+    assert_eq!(call.life, life("b"));
+    assert!(pool.add(piece(3, 3, 9_000)));
+    assert_eq!(pool.next(ms(2_010)), None);
+}
+
+#[test]
+fn failed_endpoint_is_paused_and_tried_again() {
+    let mut pool = pool(&[("a", "x")]);
+    assert!(pool.add(piece(1, 1, 9_000)));
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    pool.end(&call, Outcome::Failed, Results::default(), ms(10));
+    assert!(pool.add(piece(2, 2, 9_000)));
+    assert_eq!(pool.next(ms(100)), None);
+    assert!(pool.next(ms(400)).is_some());
+}
+
+#[test]
+fn set_endpoints_keeps_what_is_known_of_those_that_stay() {
+    let mut pool = pool(&[("a", "x"), ("b", "x")]);
+    assert!(pool.add(piece(1, 1, 9_000)));
+    let call = pool.next(ms(0)).expect("both are free");
+    let other = life("b");
+    pool.set_endpoints([(&other, "x")].into_iter());
+    assert!(pool.add(piece(2, 2, 9_000)));
+    let second = pool.next(ms(0)).expect("the one that stays is free");
+    assert_eq!(second.life, other);
+    // The end of a call at an endpoint that left changes nothing.
+    end(&mut pool, &call, answered(0), ms(210));
+    assert!(pool.add(piece(3, 3, 9_000)));
+    assert_eq!(pool.next(ms(220)), None);
+}
+
+#[test]
+fn next_prefers_pieces_near_the_endpoint_while_all_are_on_time() {
+    let mut pool = pool(&[("a", "x")]);
+    let here = pool.site("x");
+    let there = pool.site("y");
+    for ticket in 0..10 {
+        let piece = Piece {
+            near: Some(there),
+            ..piece(ticket, ticket, 3_000)
+        };
+        assert!(pool.add(piece));
+    }
+    for ticket in 10..20 {
+        let piece = Piece {
+            near: Some(here),
+            ..piece(ticket, ticket, 4_000)
+        };
+        assert!(pool.add(piece));
+    }
+    let call = pool.next(ms(0)).expect("the endpoint is free");
+    assert_eq!(tickets(&call), (10..20).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -0,0 +1,134 @@
+//! The list of endpoints over outages of its store.
+
+use cicadacrank_core::directory::{Endpoint, Evacuation, Life, Snapshot, State, Tracker};
+use std::time::Duration;
+
+const fn at(seconds: f64) -> Duration {
+    Duration::from_millis((seconds * 1_000.0) as u64)
+}
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        life: Life {
+            id: id.to_owned(),
+            born: Some(10),
+        },
+        service: "engine".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: "x".to_owned(),
+        slots: 1,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        sequence: 1,
+    }
+}
+
+fn ids(tracker: &Tracker) -> Vec<String> {
+    let endpoints = tracker.snapshot().endpoints;
+    endpoints.into_iter().map(|one| one.life.id).collect()
+}
+
+fn tracker() -> Tracker {
+    let mut tracker = Tracker::default();
+    tracker.list(5, vec![endpoint("a"), endpoint("b")], at(0.0));
+    tracker
+}
+
+#[test]
+fn remove_takes_effect_at_once_while_the_store_is_there() {
+    let mut tracker = tracker();
+    tracker.remove(6, "a", at(1.0));
+    assert_eq!(ids(&tracker), ["b"]);
+    assert_eq!(tracker.revision(), 6);
+}
+
+#[test]
+fn entries_lapsed_in_an_outage_have_time_to_come_back() {
+    let mut tracker = tracker();
+    tracker.lose(at(1.0));
+    tracker.regain(at(5.0));
+    tracker.list(9, vec![endpoint("b")], at(5.0));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+    assert!(!tracker.expire(at(6.9)));
+    assert!(tracker.expire(at(7.0)));
+    assert_eq!(ids(&tracker), ["b"]);
+}
+
+#[test]
+fn entries_that_come_back_stay() {
+    let mut tracker = tracker();
+    tracker.lose(at(1.0));
+    tracker.regain(at(5.0));
+    tracker.list(9, Vec::new(), at(5.0));
+    tracker.put(10, endpoint("a"));
+    assert!(tracker.expire(at(7.5)));
+    assert_eq!(ids(&tracker), ["a"]);
+}
+
+#[test]
+fn short_outage_forgives_nothing() {
+    let mut tracker = tracker();
+    tracker.lose(at(1.0));
+    tracker.regain(at(1.5));
+    tracker.list(9, vec![endpoint("b")], at(1.5));
+    assert_eq!(ids(&tracker), ["b"]);
+}
+
+#[test]
+fn draining_endpoint_that_lapsed_is_gone() {
+    let mut tracker = tracker();
+    tracker.put(
+        6,
+        Endpoint {
+            state: State::Draining,
+            sequence: 2,
+            ..endpoint("a")
+        },
+    );
+    tracker.lose(at(1.0));
+    tracker.regain(at(5.0));
+    tracker.list(9, vec![endpoint("b")], at(5.0));
+    assert_eq!(ids(&tracker), ["b"]);
+}
+
+#[test]
+fn older_statement_never_replaces_a_newer_one() {
+    let mut tracker = tracker();
+    let draining = Endpoint {
+        state: State::Draining,
+        sequence: 4,
+        ..endpoint("a")
+    };
+    tracker.put(6, draining);
+    tracker.put(
+        7,
+        Endpoint {
+            sequence: 3,
+            ..endpoint("a")
+        },
+    );
+    assert_eq!(tracker.snapshot().endpoints[0].state, State::Draining);
+    let mut reborn = endpoint("a");
+    reborn.life.born = Some(20);
+    tracker.put(8, reborn);
+    assert_eq!(tracker.snapshot().endpoints[0].state, State::Ready);
+    assert_eq!(tracker.snapshot().endpoints[0].life.born, Some(20));
+}
+
+#[test]
+fn adopt_takes_newer_lists_only() {
+    let mut tracker = tracker();
+    let newer = Snapshot::new(8, vec![endpoint("c")]);
+    assert!(!tracker.adopt(&Snapshot::new(5, Vec::new())));
+    assert!(tracker.adopt(&newer));
+    assert_eq!(ids(&tracker), ["c"]);
+    tracker.list(7, vec![endpoint("a")], at(1.0));
+    assert_eq!(ids(&tracker), ["c"]);
+}
+
+#[test]
+fn evacuation_covers_named_data_centres() {
+    let evacuation = Evacuation::new(3, vec!["y".to_owned(), "x".to_owned()]);
+    assert!(evacuation.covers("x"));
+    assert!(!evacuation.covers("z"));
+}
--- /dev/null
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -0,0 +1,221 @@
+//! Where requests go under load and faults.
+
+use cicadacrank_core::{
+    config::{Config, Service},
+    directory::{Endpoint, Evacuation, Life, Snapshot, State},
+    placement::{Fleet, Key, Load, Prompt, Report, Sites},
+};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn endpoint(id: &str, data_centre: &str) -> Endpoint {
+    Endpoint {
+        life: Life {
+            id: id.to_owned(),
+            born: Some(1),
+        },
+        service: "engine".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: data_centre.to_owned(),
+        slots: 8,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        sequence: 1,
+    }
+}
+
+fn config(cold_rate: f64) -> Config {
+    Config::new(Config {
+        services: vec![Service {
+            name: "engine".to_owned(),
+            connections: 100,
+            cold_time: Duration::from_secs(3),
+            cold_rate,
+            engine: None,
+            worker: None,
+        }],
+        ..Config::default()
+    })
+}
+
+fn fleet(endpoints: &[Endpoint]) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.update(&Snapshot::new(1, endpoints.to_vec()), Duration::ZERO);
+    fleet.set_processes(1, 0);
+    fleet
+}
+
+fn six() -> Vec<Endpoint> {
+    ["a", "b", "c", "d", "e", "f"]
+        .map(|id| endpoint(id, "x"))
+        .to_vec()
+}
+
+fn id(fleet: &Fleet, key: Key) -> String {
+    let row = fleet.row(key).expect("the endpoint is there");
+    row.endpoint.life.id.clone()
+}
+
+fn prompt(shared: u64) -> Prompt {
+    Prompt {
+        tokens: 6_000,
+        shared_tokens: 4_000,
+        shared: Some(shared),
+    }
+}
+
+#[test]
+fn choose_plain_spreads_over_idle_endpoints() {
+    let mut fleet = fleet(&six());
+    let mut chosen = Vec::new();
+    for _ in 0..6 {
+        let key = fleet
+            .choose_plain("engine", &Sites::default(), NOW)
+            .expect("one is there");
+        fleet.begin(key, 0, NOW);
+        chosen.push(id(&fleet, key));
+    }
+    chosen.sort();
+    assert_eq!(chosen, ["a", "b", "c", "d", "e", "f"]);
+}
+
+#[test]
+fn choose_plain_counts_what_others_have_in_flight() {
+    let mut fleet = fleet(&six()[..2]);
+    let load = Load {
+        in_flight: 4,
+        unread: 0,
+    };
+    fleet.set_others([("a", load)].into_iter());
+    let key = fleet
+        .choose_plain("engine", &Sites::default(), NOW)
+        .expect("one is there");
+    assert_eq!(id(&fleet, key), "b");
+}
+
+#[test]
+fn failing_endpoint_is_left_alone_and_then_tried_again() {
+    let mut fleet = fleet(&six()[..2]);
+    let choose = |fleet: &Fleet, now| {
+        let key = fleet.choose_plain("engine", &Sites::default(), now);
+        key.expect("one is there")
+    };
+    let bad = choose(&fleet, NOW);
+    for _ in 0..3 {
+        fleet.note(bad, Report::Failed, NOW);
+    }
+    let good = choose(&fleet, NOW);
+    assert_ne!(good, bad);
+    // With the good one as busy as it gets, the bad one is not worse forever.
+    for _ in 0..16 {
+        fleet.begin(good, 0, NOW);
+    }
+    assert_eq!(choose(&fleet, NOW + Duration::from_secs(15)), bad);
+}
+
+#[test]
+fn requests_with_the_same_shared_parts_gather() {
+    let mut fleet = fleet(&six());
+    let config = config(0.0);
+    let mut homes = Vec::new();
+    for shared in 0..60 {
+        let choose = |fleet: &mut Fleet| {
+            let key =
+                fleet.choose_engine(&config, "engine", prompt(shared), &Sites::default(), NOW);
+            key.expect("one is there")
+        };
+        let first = choose(&mut fleet);
+        assert_eq!(choose(&mut fleet), first);
+        homes.push(id(&fleet, first));
+    }
+    homes.sort();
+    homes.dedup();
+    assert_eq!(homes.len(), 6, "all engines are homes of some parts");
+}
+
+#[test]
+fn burst_of_long_prompts_spreads_from_a_home() {
+    let mut fleet = fleet(&six());
+    let config = config(0.0);
+    let mut chosen = Vec::new();
+    for _ in 0..12 {
+        let key = fleet
+            .choose_engine(&config, "engine", prompt(7), &Sites::default(), NOW)
+            .expect("one is there");
+        fleet.begin(key, 6_000, NOW);
+        chosen.push(key);
+    }
+    for key in &chosen {
+        let here = chosen.iter().filter(|one| *one == key).count();
+        assert!(here <= 3, "{here} of 12 prompts at one of 6 engines");
+    }
+}
+
+#[test]
+fn cold_share_sends_no_more_than_its_grant() {
+    let mut fleet = fleet(&six()[..1]);
+    let config = config(20.0);
+    fleet.set_processes(4, 1);
+    let mut sent = 0;
+    for step in 0..1_000 {
+        let now = NOW + Duration::from_millis(step);
+        let key = fleet.choose_engine(&config, "engine", prompt(1), &Sites::default(), now);
+        if let Some(key) = key {
+            fleet.begin(key, 0, now);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 5);
+}
+
+#[test]
+fn evacuated_and_draining_endpoints_get_nothing() {
+    let mut draining = endpoint("b", "y");
+    draining.state = State::Draining;
+    let mut fleet = fleet(&[endpoint("a", "x"), draining]);
+    assert!(
+        fleet
+            .choose_plain("engine", &Sites::default(), NOW)
+            .is_some()
+    );
+    fleet.evacuate(Evacuation::new(2, vec!["x".to_owned()]));
+    assert_eq!(fleet.choose_plain("engine", &Sites::default(), NOW), None);
+}
+
+#[test]
+fn row_of_an_earlier_life_is_gone() {
+    let mut fleet = fleet(&[endpoint("a", "x")]);
+    let key = fleet
+        .choose_plain("engine", &Sites::default(), NOW)
+        .expect("one is there");
+    let mut reborn = endpoint("a", "x");
+    reborn.life.born = Some(2);
+    fleet.update(&Snapshot::new(2, vec![reborn]), NOW);
+    assert!(fleet.row(key).is_none());
+    // What ends late at the earlier life changes nothing.
+    fleet.end(key);
+    assert_eq!(fleet.usable("engine").count(), 1);
+}
+
+#[test]
+fn heavy_results_draw_requests_to_their_data_centre() {
+    let mut fleet = fleet(&[endpoint("a", "x"), endpoint("b", "y")]);
+    let config = config(0.0);
+    let plain = Prompt {
+        tokens: 1_000,
+        shared_tokens: 0,
+        shared: None,
+    };
+    for (site, expected) in [("x", "a"), ("y", "b")] {
+        let results = [(site.to_owned(), 5_000_000)];
+        let sites = Sites {
+            results: &results,
+            ..Sites::default()
+        };
+        let key = fleet
+            .choose_engine(&config, "engine", plain, &sites, NOW)
+            .expect("one is there");
+        assert_eq!(id(&fleet, key), expected);
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -0,0 +1,90 @@
+//! Gateways that know of each other.
+
+use cicadacrank_core::roster::{Gateway, LIVE, REMEMBERED, Roster};
+use std::time::Duration;
+
+fn gateway(instance: &str) -> Gateway {
+    Gateway {
+        instance: instance.to_owned(),
+        incarnation: 1,
+        address: format!("{instance}:1"),
+        leaving: false,
+    }
+}
+
+fn roster(me: &str, others: &[&str]) -> Roster {
+    let mut roster = Roster::new(gateway(me));
+    for other in others {
+        roster.hear(gateway(other), Duration::ZERO);
+    }
+    roster
+}
+
+fn owner(roster: &Roster, service: usize, now: Duration) -> String {
+    let owner = roster.owner(service, now).unwrap_or_else(|| roster.me());
+    owner.instance.clone()
+}
+
+#[test]
+fn owner_is_the_same_for_all_that_see_the_same() {
+    let names = ["a", "b", "c", "d"];
+    for service in 0..9 {
+        let owners: Vec<String> = names
+            .iter()
+            .map(|me| {
+                let others: Vec<&str> = names.iter().filter(|one| *one != me).copied().collect();
+                owner(&roster(me, &others), service, Duration::ZERO)
+            })
+            .collect();
+        assert!(owners.iter().all(|one| *one == owners[0]), "{owners:?}");
+    }
+}
+
+#[test]
+fn owner_is_never_silent_or_leaving() {
+    let mut roster = roster("b", &["a"]);
+    assert_eq!(owner(&roster, 0, Duration::ZERO), "a");
+    assert_eq!(owner(&roster, 0, LIVE), "b");
+    roster.hear(
+        Gateway {
+            leaving: true,
+            ..gateway("a")
+        },
+        LIVE,
+    );
+    assert_eq!(owner(&roster, 0, LIVE), "b");
+}
+
+#[test]
+fn restarted_gateway_is_not_leaving_any_more() {
+    let mut roster = roster("b", &[]);
+    let leaving = Gateway {
+        leaving: true,
+        ..gateway("a")
+    };
+    roster.hear(leaving, Duration::ZERO);
+    // Gossip that is behind does not take a statement back.
+    roster.learn(gateway("a"), Duration::ZERO);
+    assert_eq!(owner(&roster, 0, Duration::ZERO), "b");
+    let restarted = Gateway {
+        incarnation: 2,
+        ..gateway("a")
+    };
+    roster.hear(restarted, Duration::ZERO);
+    assert_eq!(owner(&roster, 0, Duration::ZERO), "a");
+}
+
+#[test]
+fn shares_count_silent_gateways_until_they_are_forgotten() {
+    let mut roster = roster("b", &["a", "c"]);
+    assert_eq!(roster.shares(LIVE * 3), (3, 1));
+    assert_eq!(roster.shares(REMEMBERED), (1, 0));
+}
+
+#[test]
+fn miss_tells_of_a_loss_once() {
+    let mut roster = roster("b", &["a"]);
+    assert!(roster.miss("a", Duration::ZERO));
+    assert!(!roster.miss("a", Duration::ZERO));
+    assert!(roster.hear(gateway("a"), Duration::ZERO));
+}
--- /dev/null
+++ b/crates/cicadacrank-core/tests/share.rs
@@ -0,0 +1,99 @@
+//! Shares of limits that hold for all processes together.
+
+use cicadacrank_core::share::{Cold, Repeats};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::time::Duration;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Returns the most values of `times` that lie in any span of this length.
+fn most_within(mut times: Vec<Duration>, span: Duration) -> usize {
+    times.sort();
+    let mut first = 0;
+    let mut most = 0;
+    for (index, time) in times.iter().enumerate() {
+        while times[first] + span <= *time {
+            first += 1;
+        }
+        most = most.max(index + 1 - first);
+    }
+    most
+}
+
+#[test]
+fn grant_adds_up_to_the_limit_for_every_fleet() {
+    for processes in 1..60 {
+        for limit in [0.0, 0.5, 1.0, 7.0, 20.0, 35.0] {
+            let sum: usize = (0..processes)
+                .map(|position| Cold::grant(limit, processes, position))
+                .sum();
+            assert_eq!(sum, limit as usize, "{processes} processes, limit {limit}");
+        }
+    }
+}
+
+#[test]
+fn may_send_bounds_all_processes_in_every_second() {
+    for seed in 0..20 {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let processes = random.random_range(1..40);
+        let mut all = Vec::new();
+        for position in 0..processes {
+            let grant = Cold::grant(20.0, processes, position);
+            let mut cold = Cold::default();
+            let mut times: Vec<u64> = (0..2_000).map(|_| random.random_range(0..6_000)).collect();
+            times.sort_unstable();
+            for now in times.into_iter().map(Duration::from_millis) {
+                if cold.may_send(grant, now) {
+                    cold.send(now);
+                    all.push(now);
+                }
+            }
+        }
+        let most = most_within(all, Duration::from_secs(1));
+        assert!(most <= 20, "seed {seed}: {most} in a second");
+    }
+}
+
+#[test]
+fn may_send_waits_after_a_start() {
+    let mut cold = Cold::default();
+    assert!(!cold.may_send(5, Duration::from_millis(500)));
+    assert!(cold.may_send(5, Duration::from_millis(1_500)));
+}
+
+#[test]
+fn take_bounds_repeats_of_all_processes_in_every_window() {
+    for seed in 0..20 {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let processes = random.random_range(1..12);
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for _ in 0..processes {
+            let mut share = Repeats::new(0.2, 56.0, WINDOW);
+            for tick in 0..4_000_u64 {
+                let now = Duration::from_millis(tick * 10);
+                if random.random_bool(0.3) {
+                    share.request(now);
+                    requests.push(now);
+                }
+                if random.random_bool(0.3) && share.take(processes, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        let most = most_within(repeats, WINDOW);
+        let earned = 0.2 * most_within(requests, WINDOW) as f64;
+        assert!(most as f64 <= earned + 56.0, "seed {seed}: {most} repeats");
+    }
+}
+
+#[test]
+fn take_grants_little_right_after_a_start() {
+    let mut share = Repeats::new(0.2, 56.0, WINDOW);
+    let taken = (0..100)
+        .filter(|_| share.take(4, Duration::from_secs(1)))
+        .count();
+    assert_eq!(taken, 1);
+}
--- a/crates/cicadacrank-node/src/gateway/owner.rs
+++ b/crates/cicadacrank-node/src/gateway/owner.rs
@@ -209,9 +209,7 @@
     }
 
     fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let found = self
-            .waiting
-            .binary_search_by_key(&ticket, |one| one.ticket);
+        let found = self.waiting.binary_search_by_key(&ticket, |one| one.ticket);
         Some(self.waiting.remove(found.ok()?))
     }
 
@@ -373,7 +371,8 @@
             }
             while let Some(call) = inner.pool.next(now) {
                 let taken = call.tickets.iter().map(|ticket| inner.take(*ticket));
-                let pieces: Vec<Waiting> = taken.collect::<Vec<_>>().into_iter().flatten().collect();
+                let pieces: Vec<Waiting> =
+                    taken.collect::<Vec<_>>().into_iter().flatten().collect();
                 let address = inner.address(&call.life);
                 tokio::spawn(make(
                     Arc::clone(&state),
@@ -591,8 +590,7 @@
                 let Ok(request) = stage::encode_free(address, &id, &handles) else {
                     return;
                 };
-                let answer =
-                    outbound::call(address, request, RELEASE_TIMEOUT, ANSWER_BYTES).await;
+                let answer = outbound::call(address, request, RELEASE_TIMEOUT, ANSWER_BYTES).await;
                 if let Err(broken) = answer {
                     log::debug!("results at {id} end by themselves: {broken:?}");
                 }
--- a/crates/cicadacrank-node/src/gateway/peers.rs
+++ b/crates/cicadacrank-node/src/gateway/peers.rs
@@ -137,8 +137,10 @@
         period.tick().await;
         state.divide();
         let known: Vec<Gateway> = lock(&state.roster).others().cloned().collect();
-        let mut addresses: Vec<String> =
-            known.iter().map(|gateway| gateway.address.clone()).collect();
+        let mut addresses: Vec<String> = known
+            .iter()
+            .map(|gateway| gateway.address.clone())
+            .collect();
         for seed in &state.settings.seeds {
             let seed = seed.to_string();
             if seed != own && !addresses.contains(&seed) {
@@ -313,7 +315,11 @@
         .map_err(|status| status.to_string())?
         .into_inner();
     if results.failure.is_empty() {
-        return Ok(Ok(results.results.into_iter().map(decode_product).collect()));
+        return Ok(Ok(results
+            .results
+            .into_iter()
+            .map(decode_product)
+            .collect()));
     }
     Ok(Err(Failure {
         kind: Kind::from_name(&results.failure).unwrap_or(Kind::Internal),
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -78,9 +78,9 @@
                 if !again {
                     return Err(sent.fail(kind, context).into());
                 }
-                return repeat(state, job, &mut tried).await.map_err(|missed| {
-                    missed.unwrap_or_else(|| sent.fail(kind, context).into())
-                });
+                return repeat(state, job, &mut tried)
+                    .await
+                    .map_err(|missed| missed.unwrap_or_else(|| sent.fail(kind, context).into()));
             }
         }
     }
@@ -159,7 +159,13 @@
     let response = match read {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(failed(sent, Kind::Truncated, error)),
-        Err(_) => return Err(failed(sent, Kind::Silent, "answer not whole in time".into())),
+        Err(_) => {
+            return Err(failed(
+                sent,
+                Kind::Silent,
+                "answer not whole in time".into(),
+            ));
+        }
     };
     sent.finish();
     if answer.status.is_server_error() && job.route.repeat.is_repeatable() && !last {
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -20,10 +20,7 @@
 use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
-use std::{
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// What is kept of the caller's time for the way back.
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -1,10 +1,6 @@
 //! Listens for callers, for the balancer and for readers of metrics.
 
-use super::{
-    reply::Body,
-    request,
-    state::State,
-};
+use super::{reply::Body, request, state::State};
 use crate::{daemon, outbound};
 use http::{HeaderValue, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -171,12 +171,11 @@
         service: stage.service.clone(),
         stage: u32::try_from(number).unwrap_or(u32::MAX),
         pieces: pieces(job, number),
-        key: stage
-            .after
-            .is_empty()
-            .then(|| job.caller.piece_key.clone()),
+        key: stage.after.is_empty().then(|| job.caller.piece_key.clone()),
         inputs: inputs().map(|one| one.handle.clone()).collect(),
-        near: largest.filter(|_| heavy).map(|(data_centre, _)| data_centre),
+        near: largest
+            .filter(|_| heavy)
+            .map(|(data_centre, _)| data_centre),
         bytes: stage.result_bytes,
         due: due.saturating_duration_since(now),
         expires: expires.saturating_duration_since(now),
@@ -201,8 +200,7 @@
 }
 
 fn following(route: &Route, number: usize) -> impl Iterator<Item = usize> + '_ {
-    (number + 1..route.stages.len())
-        .filter(move |next| route.stages[*next].after.contains(&number))
+    (number + 1..route.stages.len()).filter(move |next| route.stages[*next].after.contains(&number))
 }
 
 /// Has pieces made by the gateway that forms the calls of their service; if it
@@ -221,10 +219,8 @@
             Err(fault) => {
                 let lost = lock(&state.roster).miss(&gateway.instance, state.clock.now());
                 if lost {
-                    Event::PeerLost.log(format_args!(
-                        "instance={} fault={fault}",
-                        gateway.instance
-                    ));
+                    Event::PeerLost
+                        .log(format_args!("instance={} fault={fault}", gateway.instance));
                 }
                 let order = order.with_time_passed(began.elapsed());
                 owner::produce(state, order).await
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -13,9 +13,9 @@
 use cicadacrank_core::{
     error::Kind,
     event::Event,
-    stream::Splitter,
     once::{Sent, Stop, Unsent},
     placement::{Key, Report, Sites},
+    stream::Splitter,
 };
 use futures_util::stream;
 use http::Response;
@@ -469,7 +469,5 @@
 
 /// Returns why a stream that showed nothing yet has no answer.
 fn broken(context: String) -> Stop {
-    Unsent::begin()
-        .send()
-        .fail(Kind::EndpointFailed, context)
+    Unsent::begin().send().fail(Kind::EndpointFailed, context)
 }
--- a/crates/cicadacrank-node/src/gateway/view.rs
+++ b/crates/cicadacrank-node/src/gateway/view.rs
@@ -90,10 +90,8 @@
 
     fn end(&mut self, state: &State) {
         if self.count > 0 {
-            Event::PlatformRegained.log(format_args!(
-                "kind={:?} failures={}",
-                self.kind, self.count
-            ));
+            Event::PlatformRegained
+                .log(format_args!("kind={:?} failures={}", self.kind, self.count));
             self.count = 0;
         }
         if self.kind == Kind::Endpoints {
--- a/crates/cicadacrank-node/src/logging.rs
+++ b/crates/cicadacrank-node/src/logging.rs
@@ -107,7 +107,11 @@
         if lost > 0 {
             let event = Event::LinesDropped;
             let number = event.number();
-            drop(writeln!(output, "{} WARN {number} {event:?}: lines={lost}", clock::unix_ms()));
+            drop(writeln!(
+                output,
+                "{} WARN {number} {event:?}: lines={lost}",
+                clock::unix_ms()
+            ));
         }
         if output.write_all(line.as_bytes()).is_err() {
             return;
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -171,7 +171,9 @@
                 _ => return Ok(listing),
             }
         }
-        Err(Fault::Invalid(format!("a list has over {MOST_PAGES} pages")))
+        Err(Fault::Invalid(format!(
+            "a list has over {MOST_PAGES} pages"
+        )))
     }
 
     /// Waits for changes of a kind after a revision, for `wait` at most.
@@ -212,7 +214,8 @@
             },
             specification: content,
         };
-        let body = serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
+        let body =
+            serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
         let body = Bytes::from(body);
         let kind = kind.as_str();
         let path = format!("/objects/{kind}");
