--- /dev/null
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -0,0 +1,344 @@
+//! Stand-ins for endpoints: plain services, model engines and services that do
+//! stages.
+
+use bytes::Bytes;
+use futures_util::stream::{self, BoxStream, StreamExt as _};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Either, Full, StreamBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{net::TcpListener, task::JoinHandle, time};
+
+/// Events of each stream.
+pub const EVENTS: u64 = 6;
+
+/// Time between two events.
+const EVENT_GAP: Duration = Duration::from_millis(15);
+
+/// What an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Answers at once.
+    Desk,
+    /// Answers with a stream.
+    Engine,
+    /// Makes pieces of stages.
+    Worker,
+}
+
+impl Role {
+    /// Every role.
+    pub const ALL: [Self; 3] = [Self::Desk, Self::Engine, Self::Worker];
+
+    const fn service(self) -> &'static str {
+        match self {
+            Self::Desk => "desk",
+            Self::Engine => "llm",
+            Self::Worker => "encode",
+        }
+    }
+}
+
+/// What an endpoint does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses, and says that it ran nothing.
+    Decline,
+    /// It runs the request and closes the connection.
+    LoseAnswer,
+    /// It runs the request and answers with another request's id.
+    Foreign,
+    /// It answers without its signature.
+    Unsigned,
+    /// It breaks off in the middle of its answer.
+    BreakOff,
+    /// It runs the request and fails.
+    Fail,
+    /// It says nothing for a long time.
+    Hang,
+    /// It is not the endpoint that is meant.
+    Misdirected,
+}
+
+/// A request that an endpoint ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// Method, path and query.
+    pub target: String,
+    /// Team as the system states it.
+    pub team: String,
+    /// Body.
+    pub body: Bytes,
+    /// Results that it was given.
+    pub results: String,
+    /// Whether it bore a key or a header that only the system sets.
+    pub leaked: bool,
+}
+
+type Body = Either<Full<Bytes>, StreamBody<BoxStream<'static, io::Result<Frame<Bytes>>>>>;
+
+#[derive(Debug, Default)]
+struct State {
+    runs: Vec<Run>,
+    pieces: Vec<(String, u64, u64)>,
+    released: u64,
+    fault: Fault,
+}
+
+/// A running endpoint; dropping it ends it.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Id that it goes by.
+    pub id: String,
+    /// What it is.
+    pub role: Role,
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Endpoint {
+    /// Starts an endpoint on a port of the system's choice.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the bind.
+    pub async fn start(role: Role, number: usize) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let id = format!("i-{}-{number}", role.service());
+        let task = tokio::spawn(accept(listener, role, address, Arc::clone(&state)));
+        Ok(Self {
+            id,
+            role,
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// Returns its entry in the store.
+    #[must_use]
+    pub fn entry(&self, state: &str, sequence: u64) -> Value {
+        json!({ "service": self.role.service(), "address": self.address.to_string(),
+            "zone": "one", "version": "v1", "slots": 4, "state": state,
+            "coldRemainingMs": 0, "sequence": sequence, "born": 1000 })
+    }
+
+    /// Tells it what to do wrong from here on.
+    pub fn set_fault(&self, fault: Fault) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Returns the requests that it ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Returns the pieces that it made: attempt, stage and number.
+    #[must_use]
+    pub fn pieces(&self) -> Vec<(String, u64, u64)> {
+        lock(&self.state).pieces.clone()
+    }
+
+    /// Returns the number of results that were given up here.
+    #[must_use]
+    pub fn released(&self) -> u64 {
+        lock(&self.state).released
+    }
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, role: Role, address: SocketAddr, state: Arc<Mutex<State>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = Arc::clone(&state);
+        let service = service_fn(move |request| answer(role, address, Arc::clone(&state), request));
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // An error is a fault that was asked for, or a caller that left.
+            drop(connection.await);
+        });
+    }
+}
+
+async fn answer(
+    role: Role,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> io::Result<Response<Body>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let path = head.uri.path().to_owned();
+    if path == "/stage-free" {
+        let freed = json(&body)["kvHandles"].as_array().map_or(0, Vec::len);
+        lock(&state).released += freed as u64;
+        return Ok(plain(StatusCode::OK, &head.headers, Bytes::new(), false));
+    }
+    let fault = lock(&state).fault;
+    match fault {
+        Fault::Decline => return Ok(decline(StatusCode::SERVICE_UNAVAILABLE, &head.headers)),
+        Fault::Misdirected => return Ok(decline(StatusCode::MISDIRECTED_REQUEST, &head.headers)),
+        _ => {}
+    }
+    if path == "/stage-run" {
+        return stage(address, &state, fault, &json(&body)).await;
+    }
+    let text = |name: &str| header(&head.headers, name);
+    lock(&state).runs.push(Run {
+        attempt: text("x-attempt-id"),
+        target: format!("{} {}", head.method, head.uri),
+        team: text("x-tenant"),
+        body: body.clone(),
+        results: text("x-input-count"),
+        leaked: head.headers.contains_key("authorization") || head.headers.contains_key("x-pin-ms"),
+    });
+    match fault {
+        Fault::LoseAnswer => return Err(io::Error::other("the answer is lost")),
+        Fault::Hang => time::sleep(Duration::from_secs(60)).await,
+        Fault::Fail => {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            return Ok(plain(status, &head.headers, Bytes::new(), true));
+        }
+        _ => {}
+    }
+    let mut response = match role {
+        Role::Engine => events(&head.headers, fault),
+        Role::Desk | Role::Worker => {
+            let body = Bytes::from(format!("answer to {}", text("x-attempt-id")));
+            if fault == Fault::BreakOff {
+                broken(&head.headers, body)
+            } else {
+                plain(StatusCode::OK, &head.headers, body, true)
+            }
+        }
+    };
+    match fault {
+        Fault::Foreign => {
+            let other = "ffffffffffffffff".parse().map_err(io::Error::other)?;
+            response.headers_mut().insert("x-attempt-id", other);
+        }
+        Fault::Unsigned => drop(response.headers_mut().remove("x-response-signature")),
+        _ => {}
+    }
+    Ok(response)
+}
+
+async fn stage(
+    address: SocketAddr,
+    state: &Mutex<State>,
+    fault: Fault,
+    call: &Value,
+) -> io::Result<Response<Body>> {
+    let items = call["items"].as_array().cloned().unwrap_or_default();
+    time::sleep(Duration::from_millis(20)).await;
+    if matches!(fault, Fault::LoseAnswer | Fault::BreakOff) {
+        return Err(io::Error::other("the answer is lost"));
+    }
+    let mut made = Vec::new();
+    for item in &items {
+        let piece = (
+            item["id"].as_str().unwrap_or_default().to_owned(),
+            item["phase"].as_u64().unwrap_or_default(),
+            item["segment"].as_u64().unwrap_or_default(),
+        );
+        made.push(match fault {
+            Fault::Fail => json!({ "reason": "error" }),
+            _ => json!({ "kvHandle": format!("{address}/{}-{}-{}", piece.0, piece.1, piece.2) }),
+        });
+        lock(state).pieces.push(piece);
+    }
+    let body = Bytes::from(json!({ "items": made }).to_string());
+    Ok(Response::new(Either::Left(Full::new(body))))
+}
+
+fn events(headers: &HeaderMap, fault: Fault) -> Response<Body> {
+    let from = header(headers, "last-event-id").parse().unwrap_or(0_u64);
+    let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
+    let parts = stream::iter(from + 1..=last).then(|number| async move {
+        time::sleep(EVENT_GAP).await;
+        let event = format!("id: {number}\ndata: token {number}\n\n");
+        Ok(Frame::data(Bytes::from(event)))
+    });
+    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if fault == Fault::BreakOff {
+        parts
+            .chain(stream::iter([Err(io::Error::other("broken off"))]))
+            .boxed()
+    } else {
+        parts.boxed()
+    };
+    let mut response = plain(StatusCode::OK, headers, Bytes::new(), true);
+    *response.body_mut() = Either::Right(StreamBody::new(end));
+    response
+}
+
+fn broken(headers: &HeaderMap, body: Bytes) -> Response<Body> {
+    let parts = stream::iter([
+        Ok(Frame::data(body.slice(..5))),
+        Err(io::Error::other("broken off")),
+    ]);
+    let mut response = plain(StatusCode::OK, headers, Bytes::new(), true);
+    *response.body_mut() = Either::Right(StreamBody::new(parts.boxed()));
+    response
+}
+
+fn plain(status: StatusCode, headers: &HeaderMap, body: Bytes, signed: bool) -> Response<Body> {
+    let mut response = Response::new(Either::Left(Full::new(body)));
+    *response.status_mut() = status;
+    if let Some(attempt) = headers.get("x-attempt-id") {
+        response
+            .headers_mut()
+            .insert("x-attempt-id", attempt.clone());
+    }
+    if signed {
+        let signature = http::HeaderValue::from_static("3e1b.07");
+        response
+            .headers_mut()
+            .insert("x-response-signature", signature);
+    }
+    response
+}
+
+fn decline(status: StatusCode, headers: &HeaderMap) -> Response<Body> {
+    let mut response = plain(status, headers, Bytes::new(), false);
+    let one = http::HeaderValue::from_static("1");
+    response.headers_mut().insert("x-not-executed", one);
+    response
+}
+
+fn header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+fn json(body: &[u8]) -> Value {
+    serde_json::from_slice(body).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -0,0 +1,221 @@
+//! Gateways as processes of their own.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{ExitStatus, Stdio},
+    time::Duration,
+};
+use tokio::{
+    process::{Child, Command},
+    time::{self, Instant},
+};
+
+/// Bound on the time until a gateway is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks at a gateway.
+const POLL: Duration = Duration::from_millis(20);
+
+/// What the platform would write into the settings file.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    name: String,
+    caller: SocketAddr,
+    readiness: SocketAddr,
+    peer: SocketAddr,
+    store: SocketAddr,
+    seeds: Vec<SocketAddr>,
+}
+
+impl Settings {
+    /// Creates settings with free ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a bind.
+    pub fn new(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> io::Result<Self> {
+        let mut listeners = Vec::new();
+        for _ in 0..3 {
+            listeners.push(TcpListener::bind("127.0.0.1:0")?);
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            caller: listeners[0].local_addr()?,
+            readiness: listeners[1].local_addr()?,
+            peer: listeners[2].local_addr()?,
+            store,
+            seeds,
+        })
+    }
+
+    fn text(&self) -> String {
+        format!(
+            "nodeName = {:?}\nzone = \"one\"\nseedNodes = {:?}\n\
+             [listenAddresses]\nfrontend = {:?}\nreadiness = {:?}\ncontrolPlane = {:?}\n\
+             [limits]\nmemoryMb = 260\nfileDescriptors = 1000\n\
+             [bounds]\ngracePeriodS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
+             retryBudgetExtra = 56\nstabilityMs = 3000\n[platform]\naddress = {:?}\n",
+            self.name,
+            self.seeds
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>(),
+            self.caller.to_string(),
+            self.readiness.to_string(),
+            self.peer.to_string(),
+            self.store.to_string(),
+        )
+    }
+}
+
+/// A gateway; dropping it kills it.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Where its log goes.
+    pub log: PathBuf,
+    settings: Settings,
+    program: PathBuf,
+    file: PathBuf,
+    child: Child,
+}
+
+impl Gateway {
+    /// Starts a gateway; its settings and log are kept in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the start.
+    pub fn start(program: &Path, folder: &Path, settings: Settings) -> io::Result<Self> {
+        let file = folder.join(format!("{}.toml", settings.name));
+        fs::write(&file, settings.text())?;
+        let log = folder.join(format!("{}.log", settings.name));
+        Ok(Self {
+            child: spawn(program, &file, &log)?,
+            program: program.to_owned(),
+            log,
+            settings,
+            file,
+        })
+    }
+
+    /// Starts the process anew, after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the start.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.file, &self.log)?;
+        Ok(())
+    }
+
+    /// Returns where callers reach it.
+    #[must_use]
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.settings.caller
+    }
+
+    /// Returns where other gateways reach it.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.settings.peer
+    }
+
+    /// Returns whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.settings.readiness);
+        reqwest::get(url)
+            .await
+            .is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with its log if it does not become so.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while !self.is_ready().await {
+            if Instant::now() > until {
+                return Err(io::Error::other(self.log_text()));
+            }
+            time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns what it has logged.
+    #[must_use]
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Kills the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the signal.
+    pub fn kill(&self) -> io::Result<()> {
+        self.signal(Signal::KILL)
+    }
+
+    /// Asks the process to shut down.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the signal.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Stops the process where it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the signal.
+    pub fn freeze(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the signal.
+    pub fn thaw(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let pid = id
+            .and_then(Pid::from_raw)
+            .ok_or_else(|| io::Error::other("it has ended"))?;
+        kill_process(pid, signal).map_err(io::Error::from)
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the wait.
+    pub async fn wait(&mut self) -> io::Result<ExitStatus> {
+        self.child.wait().await
+    }
+}
+
+fn spawn(program: &Path, file: &Path, log: &Path) -> io::Result<Child> {
+    let output = fs::File::options().create(true).append(true).open(log)?;
+    Command::new(program)
+        .arg("gateway")
+        .arg("--settings")
+        .arg(file)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .kill_on_drop(true)
+        .spawn()
+}
--- /dev/null
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -0,0 +1,171 @@
+//! A small deployment on the users' platform: gateways as processes of their
+//! own, stand-ins for their endpoints, and the store of [`crate::platform`].
+//!
+//! [`Deployment::start`] brings it up; [`Proxy`] stands between two parts of it
+//! and does to their connections what networks do.
+
+mod caller;
+mod endpoint;
+mod gateway;
+mod proxy;
+
+pub use self::{
+    caller::{Answer, Caller, send},
+    endpoint::{EVENTS, Endpoint, Fault, Role, Run},
+    gateway::Gateway,
+    proxy::{Proxy, Trouble},
+};
+
+use crate::platform::Server;
+use cicadacrank_node::platform::Collection;
+use serde_json::{Value, json};
+use std::{io, path::PathBuf};
+use tempfile::TempDir;
+
+/// Host of all routes.
+pub const HOST: &str = "tea.example";
+
+/// Key of the one team.
+pub const KEY: &str = "k-desk";
+
+/// How large a deployment is.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The daemon.
+    pub program: PathBuf,
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Number of endpoints of each role.
+    pub endpoints: usize,
+}
+
+/// A running deployment; dropping it ends it.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform's store.
+    pub store: Server,
+    /// What stands between the gateways and the store.
+    pub store_proxy: Proxy,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// The gateways.
+    pub gateways: Vec<Gateway>,
+    folder: TempDir,
+}
+
+impl Deployment {
+    /// Starts all parts and waits until the gateways are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that did not start.
+    pub async fn start(plan: &Plan) -> io::Result<Self> {
+        let store = Server::start().await?;
+        let store_proxy = Proxy::start(store.address).await?;
+        let folder = TempDir::new()?;
+        store
+            .state()
+            .put(Collection::Config, "main", config(1, &json!([])));
+        let mut endpoints = Vec::new();
+        for role in Role::ALL {
+            for number in 0..plan.endpoints {
+                let endpoint = Endpoint::start(role, number).await?;
+                store.state().put(
+                    Collection::Endpoints,
+                    &endpoint.id,
+                    endpoint.entry("ready", 1),
+                );
+                endpoints.push(endpoint);
+            }
+        }
+        let mut gateways: Vec<Gateway> = Vec::new();
+        for number in 0..plan.gateways {
+            let seeds = gateways.iter().map(Gateway::peer_address).collect();
+            let name = format!("gateway-{number}");
+            let settings = gateway::Settings::new(&name, store_proxy.address, seeds)?;
+            gateways.push(Gateway::start(&plan.program, folder.path(), settings)?);
+        }
+        for gateway in &gateways {
+            gateway.wait_ready().await?;
+        }
+        Ok(Self {
+            store,
+            store_proxy,
+            endpoints,
+            gateways,
+            folder,
+        })
+    }
+
+    /// Returns the endpoints of a role.
+    pub fn of(&self, role: Role) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.iter().filter(move |one| one.role == role)
+    }
+
+    /// Returns every run of a caller's attempt, at any endpoint.
+    #[must_use]
+    pub fn runs(&self, attempt: &str) -> Vec<Run> {
+        let runs = self.endpoints.iter().flat_map(Endpoint::runs);
+        runs.filter(|run| run.attempt == attempt).collect()
+    }
+
+    /// Puts a configuration with further routes in the store.
+    pub fn configure(&self, version: u64, routes: &Value) {
+        let content = config(version, routes);
+        self.store.state().put(Collection::Config, "main", content);
+    }
+
+    /// Returns the folder with settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+}
+
+/// Returns a configuration with the standard routes and some more.
+#[must_use]
+pub fn config(version: u64, more: &Value) -> Value {
+    let mut routes = vec![
+        route("/book/", "non_idempotent", "desk", 1),
+        route("/look/", "idempotent", "desk", 2),
+        stream("/draft/", false, 1),
+        stream("/chat/", true, 2),
+    ];
+    routes.extend(more.as_array().cloned().unwrap_or_default());
+    let service = |name: &str| {
+        json!({ "name": name, "healthPath": "/healthz", "connectionLimit": 100,
+            "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0 })
+    };
+    let mut encode = service("encode");
+    encode["segments"] = json!({ "slots": 1, "queue": 2, "batch": 8, "callTimeMs": 20.0,
+        "itemTimeMs": 1.0, "headroomMb": 1.0, "handleTtlS": 4.0, "linkMbps": 10000 });
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [service("desk"), service("llm"), encode],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "desk-team", "apiKeys": [KEY] }],
+    })
+}
+
+/// Returns a route as operators write it.
+#[must_use]
+pub fn route(prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!({ "name": prefix, "host": HOST, "pathPrefix": prefix, "routeKind": kind,
+        "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 0, "service": service,
+        "maxAttempts": attempts, "phases": [], "anonymousAccess": false,
+        "sessionAffinity": false, "streamResumption": false })
+}
+
+fn stream(prefix: &str, resumable: bool, attempts: u32) -> Value {
+    let mut route = route(prefix, "streaming", "llm", attempts);
+    route["phases"] = json!([
+        { "service": "encode", "after": [], "byteCount": 1000 },
+        { "service": "encode", "after": [0], "byteCount": 1000 },
+    ]);
+    route["sessionAffinity"] = json!(true);
+    route["streamResumption"] = json!(resumable);
+    route["maxGapMs"] = json!(300);
+    route
+}
--- a/crates/cicadacrank-bench/src/lib.rs
+++ b/crates/cicadacrank-bench/src/lib.rs
@@ -8,6 +8,7 @@
 //! Nothing here is published.
 
 pub mod checker;
+pub mod deployment;
 pub mod engine;
 pub mod fleet;
 pub mod load;
--- a/crates/cicadacrank-bench/src/platform/mod.rs
+++ b/crates/cicadacrank-bench/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's object API.
 //!
 //! [`State`] holds the objects and the faults it has been told to show;
-//! [`Server`] serves it over HTTP as a Kubernetes API server would.
+//! [`Server`] serves it over HTTP as the users' platform does.
 
 mod server;
 mod state;
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -15,6 +15,9 @@
 /// Older listings kept of each collection.
 const KEPT_LISTINGS: usize = 64;
 
+/// Revision of an empty store: the platform's counter starts above zero.
+const FIRST_REVISION: u64 = 1;
+
 /// Period over which writes are limited.
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -115,12 +118,12 @@
             objects: Vec::new(),
             history: VecDeque::from([Past {
                 since: Instant::now(),
-                revision: 0,
+                revision: FIRST_REVISION,
                 objects: Vec::new(),
             }]),
         };
         Self {
-            revision: 0,
+            revision: FIRST_REVISION,
             shelves: Collection::ALL.into_iter().map(shelf).collect(),
             steps: VecDeque::new(),
             sender: broadcast::Sender::new(WATCH_BUFFER),
@@ -130,6 +133,12 @@
         }
     }
 
+    /// Returns the revision of the whole store.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Reads one object.
     #[must_use]
     pub fn get(&self, collection: Collection, name: &str) -> Option<Object> {
--- a/crates/cicadacrank-node/src/daemon/mod.rs
+++ b/crates/cicadacrank-node/src/daemon/mod.rs
@@ -58,7 +58,7 @@
 /// Returns a report if an address cannot be bound.
 pub async fn run(settings: Settings) -> Result<()> {
     let timeout = settings.timeouts.platform();
-    let store = platform::http::Client::new(settings.platform, timeout).into_diagnostic()?;
+    let store = platform::Client::new(settings.platform, timeout);
     let common = Common {
         clock: Clock::new(),
         holder: Arc::new(Holder::new()),
--- a/crates/cicadacrank-node/src/gateway/view.rs
+++ b/crates/cicadacrank-node/src/gateway/view.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's store.
 
 use super::state::{State, lock};
-use crate::platform::{self, Changes, Entry, Fault, Kind, Objects};
+use crate::platform::{self, Change, Changes, Collection, Fault, Listing, Object, Store as _};
 use cicadacrank_core::{
     directory::{Endpoint, Evacuation},
     event::Event,
@@ -24,25 +24,46 @@
 /// How often endpoints that did not come back after an outage are looked for.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum View {
+    Config,
+    Endpoints,
+    Evacuation,
+}
+
+impl View {
+    const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Evacuation];
+
+    const fn collection(self) -> Collection {
+        match self {
+            Self::Config => Collection::Config,
+            Self::Endpoints => Collection::Endpoints,
+            Self::Evacuation => Collection::Evacuations,
+        }
+    }
+}
+
 /// Starts to follow the store.
 pub fn start(state: &Arc<State>) {
-    for kind in [Kind::Config, Kind::Endpoints, Kind::Evacuations] {
-        tokio::spawn(follow(Arc::clone(state), kind));
+    for view in View::ALL {
+        tokio::spawn(follow(Arc::clone(state), view));
     }
     tokio::spawn(register(Arc::clone(state)));
     tokio::spawn(expire(Arc::clone(state)));
 }
 
-async fn follow(state: Arc<State>, kind: Kind) {
-    let mut failures = Failures::new(kind);
+async fn follow(state: Arc<State>, view: View) {
+    let collection = view.collection();
+    let mut failures = Failures::new(collection);
     let mut names = Vec::new();
     loop {
         state.metrics.store_calls.inc();
-        let mut revision = match state.store.list(kind).await {
+        let mut version = match state.store.list(collection).await {
             Ok(listing) => {
                 failures.end(&state);
-                take_list(&state, kind, &listing, &mut names);
-                listing.revision
+                take_list(&state, view, &listing, &mut names);
+                listing.version
             }
             Err(fault) => {
                 failures.pause(&state, &fault).await;
@@ -51,11 +72,11 @@
         };
         loop {
             state.metrics.store_calls.inc();
-            match state.store.watch(kind, revision, WATCH_WAIT).await {
+            match state.store.changes(collection, &version, WATCH_WAIT).await {
                 Ok(changes) => {
                     failures.end(&state);
-                    revision = revision.max(changes.revision);
-                    take_changes(&state, kind, &changes, &mut names);
+                    take_changes(&state, view, &changes, &mut names);
+                    version = changes.version;
                 }
                 Err(Fault::Expired) => break,
                 Err(fault) => failures.pause(&state, &fault).await,
@@ -66,20 +87,26 @@
 
 /// Failures of calls for one kind, in a row.
 struct Failures {
-    kind: Kind,
+    collection: Collection,
     count: u32,
 }
 
 impl Failures {
-    const fn new(kind: Kind) -> Self {
-        Self { kind, count: 0 }
+    const fn new(collection: Collection) -> Self {
+        Self {
+            collection,
+            count: 0,
+        }
     }
 
     async fn pause(&mut self, state: &State, fault: &Fault) {
         if self.count == 0 {
-            Event::PlatformFailed.log(format_args!("kind={:?} fault={fault}", self.kind));
+            Event::PlatformFailed.log(format_args!(
+                "collection={:?} fault={fault}",
+                self.collection
+            ));
         }
-        if self.kind == Kind::Endpoints {
+        if self.collection == Collection::Endpoints {
             lock(&state.tracker).lose(state.clock.now());
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.count.min(8));
@@ -90,71 +117,76 @@
 
     fn end(&mut self, state: &State) {
         if self.count > 0 {
-            Event::PlatformRegained
-                .log(format_args!("kind={:?} failures={}", self.kind, self.count));
+            Event::PlatformRegained.log(format_args!(
+                "collection={:?} failures={}",
+                self.collection, self.count
+            ));
             self.count = 0;
         }
-        if self.kind == Kind::Endpoints {
+        if self.collection == Collection::Endpoints {
             lock(&state.tracker).regain(state.clock.now());
         }
     }
 }
 
-fn take_list(state: &State, kind: Kind, listing: &Objects, names: &mut Vec<String>) {
-    match kind {
-        Kind::Config => {
+fn take_list(state: &State, view: View, listing: &Listing, names: &mut Vec<String>) {
+    match view {
+        View::Config => {
             for object in &listing.objects {
                 take_config(state, object);
             }
         }
-        Kind::Endpoints => {
+        View::Endpoints => {
             let endpoints = listing.objects.iter().filter_map(read_endpoint).collect();
-            lock(&state.tracker).list(listing.revision, endpoints, state.clock.now());
+            lock(&state.tracker).list(listing.version.number(), endpoints, state.clock.now());
             state.adopt_endpoints("store");
         }
-        Kind::Evacuations => {
+        View::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
-            let evacuation = Evacuation::new(listing.revision, names.clone());
+            let evacuation = Evacuation::new(listing.version.number(), names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
-        Kind::Gateways => {}
     }
 }
 
-fn take_changes(state: &State, kind: Kind, changes: &Changes, names: &mut Vec<String>) {
-    match kind {
-        Kind::Config => {
-            for change in changes.changes.iter().filter(|change| !change.removed) {
-                take_config(state, &change.object);
+fn take_changes(state: &State, view: View, changes: &Changes, names: &mut Vec<String>) {
+    match view {
+        View::Config => {
+            for change in &changes.changes {
+                if let Change::Put(object) = change {
+                    take_config(state, object);
+                }
             }
         }
-        Kind::Endpoints => take_endpoints(state, changes),
-        Kind::Evacuations => {
+        View::Endpoints => take_endpoints(state, changes),
+        View::Evacuation => {
             for change in &changes.changes {
-                names.retain(|name| *name != change.object.name);
-                if !change.removed {
-                    names.push(change.object.name.clone());
+                let (Change::Put(object) | Change::Deleted(object)) = change;
+                names.retain(|name| *name != object.name);
+                if matches!(change, Change::Put(_)) {
+                    names.push(object.name.clone());
                 }
             }
-            let evacuation = Evacuation::new(changes.revision, names.clone());
+            let evacuation = Evacuation::new(changes.version.number(), names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
-        Kind::Gateways => {}
     }
 }
 
 fn take_endpoints(state: &State, changes: &Changes) {
     let now = state.clock.now();
+    let revision = changes.version.number();
     let mut tracker = lock(&state.tracker);
     // Another gateway may have brought a newer list already.
-    if changes.revision <= tracker.revision() {
+    if revision <= tracker.revision() {
         return;
     }
     for change in &changes.changes {
-        let revision = changes.revision;
-        match read_endpoint(&change.object) {
-            Some(endpoint) if !change.removed => tracker.put(revision, endpoint),
-            _ => tracker.remove(revision, &change.object.name, now),
+        let (Change::Put(object) | Change::Deleted(object)) = change;
+        let written = matches!(change, Change::Put(_));
+        match written.then(|| read_endpoint(object)).flatten() {
+            Some(endpoint) => tracker.put(revision, endpoint),
+            None => tracker.remove(revision, &object.name, now),
         }
     }
     drop(tracker);
@@ -163,25 +195,27 @@
     }
 }
 
-fn take_config(state: &State, object: &Entry) {
+fn take_config(state: &State, object: &Object) {
     if object.name != platform::config::NAME {
         return;
     }
-    match platform::config::decode(&object.content) {
+    match platform::config::decode(&object.spec) {
         Ok(config) => state.adopt_config(config, "store"),
         Err(error) => Event::ConfigRejected.log(format_args!(
             "object={} revision={} error={error}",
-            object.name, object.revision
+            object.name,
+            object.version.number()
         )),
     }
 }
 
-fn read_endpoint(object: &Entry) -> Option<Endpoint> {
+fn read_endpoint(object: &Object) -> Option<Endpoint> {
     platform::endpoint::decode(object)
         .inspect_err(|error| {
             Event::ConfigRejected.log(format_args!(
                 "object={} revision={} error={error}",
-                object.name, object.revision
+                object.name,
+                object.version.number()
             ));
         })
         .ok()
@@ -194,12 +228,12 @@
         "address": me.address,
         "incarnation": me.incarnation,
     });
-    let mut failures = Failures::new(Kind::Gateways);
+    let mut failures = Failures::new(Collection::Gateways);
     loop {
         state.metrics.store_calls.inc();
         let put = state
             .store
-            .put(Kind::Gateways, &me.instance, content.clone())
+            .put(Collection::Gateways, &me.instance, content.clone())
             .await;
         state.metrics.store_calls.inc();
         match put {
@@ -209,7 +243,7 @@
     }
     loop {
         state.metrics.store_calls.inc();
-        match state.store.list(Kind::Gateways).await {
+        match state.store.list(Collection::Gateways).await {
             Ok(listing) => {
                 failures.end(&state);
                 learn(&state, &listing);
@@ -220,11 +254,11 @@
     }
 }
 
-fn learn(state: &State, listing: &Objects) {
+fn learn(state: &State, listing: &Listing) {
     let now = state.clock.now();
     for object in &listing.objects {
-        let address = object.content["address"].as_str();
-        let incarnation = object.content["incarnation"].as_u64();
+        let address = object.spec["address"].as_str();
+        let incarnation = object.spec["incarnation"].as_u64();
         let (Some(address), Some(incarnation)) = (address, incarnation) else {
             Event::ConfigRejected.log(format_args!("object={} of no gateway", object.name));
             continue;
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -1,6 +1,6 @@
 //! Reads what endpoints say of themselves.
 
-use super::Entry;
+use super::Object;
 use cicadacrank_core::directory::{Endpoint, Life, State};
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
@@ -34,8 +34,8 @@
 /// # Errors
 ///
 /// Returns what cannot be read; such an entry names no endpoint.
-pub fn decode(object: &Entry) -> Result<Endpoint, String> {
-    let wire = WireEndpoint::deserialize(&object.content).map_err(|error| error.to_string())?;
+pub fn decode(object: &Object) -> Result<Endpoint, String> {
+    let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
     let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
         .map_err(|error| format!("`coldRemainingMs` is {}: {error}", wire.cold_remaining_ms))?;
     Ok(Endpoint {
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -1,19 +1,19 @@
-//! The platform's object API: versions, conditional updates and watches.
+//! The users' platform: its settings file, its object store, and the words that
+//! its callers, endpoints and operators use.
 //!
-//! [`Store`] is the edge; [`http::Client`] speaks the protocol of a Kubernetes
-//! API server for custom resources. Every call has a timeout. The faults tell
-//! apart what surely did not take effect from what may have.
+//! Everything here translates and nothing decides. [`Store`] is the edge towards
+//! the object store and [`Client`] the one client of it; the other modules turn
+//! what is on the wire into types of the system, and back.
 
 pub mod answer;
 pub mod caller;
 pub mod config;
 pub mod endpoint;
-pub mod http;
 mod objects;
 pub mod settings;
 pub mod stage;
 
-pub use self::objects::{Changes, Client, Kind, Listing as Objects, Object as Entry};
+pub use self::objects::{Client, OBJECT_BYTES};
 
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
@@ -31,27 +31,43 @@
     Instances,
     /// Busy and idle time of endpoints.
     Accounts,
+    /// The operators' configuration of a deployment.
+    Config,
+    /// Endpoints that registered themselves.
+    Endpoints,
+    /// Data centres that get no new work.
+    Evacuations,
+    /// Gateways of this system.
+    Gateways,
 }
 
 impl Collection {
     /// Every collection.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 9] = [
         Self::Rulesets,
         Self::Audits,
         Self::Claims,
         Self::Instances,
         Self::Accounts,
+        Self::Config,
+        Self::Endpoints,
+        Self::Evacuations,
+        Self::Gateways,
     ];
 
-    /// Returns the plural used in paths.
+    /// Returns the name used in paths.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::Rulesets => "rulesets",
-            Self::Audits => "audits",
-            Self::Claims => "claims",
-            Self::Instances => "instances",
-            Self::Accounts => "accounts",
+            Self::Rulesets => "cicadacrank-rulesets",
+            Self::Audits => "cicadacrank-audits",
+            Self::Claims => "cicadacrank-claims",
+            Self::Instances => "cicadacrank-instances",
+            Self::Accounts => "cicadacrank-accounts",
+            Self::Config => "config",
+            Self::Endpoints => "servers",
+            Self::Evacuations => "evacuations",
+            Self::Gateways => "cicadacrank-gateways",
         }
     }
 }
@@ -60,6 +76,20 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Version(pub String);
 
+impl Version {
+    /// Returns the number that the platform counts changes by; zero before any.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.0.parse().unwrap_or_default()
+    }
+}
+
+impl From<u64> for Version {
+    fn from(revision: u64) -> Self {
+        Self(revision.to_string())
+    }
+}
+
 /// An object as the platform holds it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Object {
@@ -89,6 +119,15 @@
     Deleted(Object),
 }
 
+/// What a watch has seen.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// Version from which a watch goes on.
+    pub version: Version,
+}
+
 /// Why a call has no result.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -4,9 +4,14 @@
 //! that has gone silent, and a timeout. The faults tell apart what surely did
 //! not take effect from what may have.
 
-use super::Fault;
+use super::{Change, Changes, Collection, Fault, Listing, Object, Store, Version};
 use crate::outbound::{self, Broken};
 use bytes::Bytes;
+use futures_util::{
+    FutureExt as _, StreamExt as _,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
@@ -19,67 +24,12 @@
 /// Most bytes of an answer: a page of a list is about a megabyte.
 const ANSWER_BYTES: usize = 16 << 20;
 
-/// Kinds of objects that the platform itself knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    /// The operators' configuration.
-    Config,
-    /// Endpoints that registered themselves.
-    Endpoints,
-    /// Data centres that get no new work.
-    Evacuations,
-    /// Gateways of this system.
-    Gateways,
-}
-
-impl Kind {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Endpoints => "servers",
-            Self::Evacuations => "evacuations",
-            Self::Gateways => "cicadacrank-gateways",
-        }
-    }
-}
+/// Time that a watch waits for a change before it is made anew: the platform's
+/// longest.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
 
-/// An object with its content.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Object {
-    /// Name, unique in its kind.
-    pub name: String,
-    /// Revision of its last change.
-    pub revision: u64,
-    /// What its writer put into it.
-    pub content: Value,
-}
-
-/// All objects of a kind.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Listing {
-    /// The objects, in order of name.
-    pub objects: Vec<Object>,
-    /// Revision of the store from which a watch goes on.
-    pub revision: u64,
-}
-
-/// One change that a watch tells of.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Change {
-    /// The object after the change, or as it was when it was removed.
-    pub object: Object,
-    /// Whether it was removed.
-    pub removed: bool,
-}
-
-/// What a watch has seen.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Changes {
-    /// The changes, in order.
-    pub changes: Vec<Change>,
-    /// Revision of the store from which a watch goes on.
-    pub revision: u64,
-}
+/// Largest object the platform holds, in bytes.
+pub const OBJECT_BYTES: usize = 1 << 20;
 
 #[derive(Deserialize, Serialize)]
 struct WireObject {
@@ -121,10 +71,11 @@
 
 impl From<WireObject> for Object {
     fn from(wire: WireObject) -> Self {
+        let revision = wire.metadata.revision.unwrap_or_default();
         Self {
             name: wire.metadata.name,
-            revision: wire.metadata.revision.unwrap_or_default(),
-            content: wire.specification,
+            version: Version::from(revision),
+            spec: wire.specification,
         }
     }
 }
@@ -143,61 +94,38 @@
         Self { address, timeout }
     }
 
-    /// Lists all objects of a kind.
-    ///
-    /// # Errors
-    ///
-    /// Says why there is no list.
-    pub async fn list(&self, kind: Kind) -> Result<Listing, Fault> {
-        let mut listing = Listing::default();
-        let mut after = String::new();
-        for _ in 0..MOST_PAGES {
-            let path = match after.as_str() {
-                "" => format!("/objects/{}", kind.as_str()),
-                name => format!("/objects/{}?after={name}", kind.as_str()),
-            };
-            let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
-            let page: WirePage = decode(&bytes)?;
-            // Pages are read one after the other: a change between two of them
-            // is seen by a watch that goes on from the first.
-            if after.is_empty() {
-                listing.revision = page.at;
-            }
-            listing
-                .objects
-                .extend(page.items.into_iter().map(Object::from));
-            match listing.objects.last() {
-                Some(last) if page.has_more => after.clone_from(&last.name),
-                _ => return Ok(listing),
-            }
-        }
-        Err(Fault::Invalid(format!(
-            "a list has over {MOST_PAGES} pages"
-        )))
-    }
-
-    /// Waits for changes of a kind after a revision, for `wait` at most.
+    /// Waits for changes of a collection after a version, for `wait` at most.
     ///
     /// # Errors
     ///
     /// Says why there is no answer; [`Fault::Expired`] asks for a new list.
-    pub async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<Changes, Fault> {
+    pub async fn changes(
+        &self,
+        collection: Collection,
+        after: &Version,
+        wait: Duration,
+    ) -> Result<Changes, Fault> {
         let path = format!(
-            "/objects/{}?watch={after}&waitMs={}",
-            kind.as_str(),
+            "/objects/{}?watch={}&waitMs={}",
+            collection.as_str(),
+            after.number(),
             wait.as_millis()
         );
         let bytes = self
             .call(Method::GET, &path, None, wait + self.timeout)
             .await?;
         let events: WireEvents = decode(&bytes)?;
-        let change = |event: WireEvent| Change {
-            object: event.object.into(),
-            removed: event.deleted,
+        let change = |event: WireEvent| {
+            let object = event.object.into();
+            if event.deleted {
+                Change::Deleted(object)
+            } else {
+                Change::Put(object)
+            }
         };
         Ok(Changes {
             changes: events.events.into_iter().map(change).collect(),
-            revision: events.at,
+            version: Version::from(events.at),
         })
     }
 
@@ -206,31 +134,55 @@
     /// # Errors
     ///
     /// Says why the object may not be as asked.
-    pub async fn put(&self, kind: Kind, name: &str, content: Value) -> Result<(), Fault> {
+    pub async fn put(&self, collection: Collection, name: &str, spec: Value) -> Result<(), Fault> {
+        match self
+            .write(Method::POST, collection, name, None, &spec)
+            .await
+        {
+            Err(Fault::Conflict) => {
+                let put = self.write(Method::PUT, collection, name, None, &spec);
+                put.await.map(drop)
+            }
+            other => other.map(drop),
+        }
+    }
+
+    async fn page(&self, collection: Collection, after: Option<&str>) -> Result<WirePage, Fault> {
+        let kind = collection.as_str();
+        let path = after.map_or_else(
+            || format!("/objects/{kind}"),
+            |name| format!("/objects/{kind}?after={name}"),
+        );
+        decode(&self.call(Method::GET, &path, None, self.timeout).await?)
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        collection: Collection,
+        name: &str,
+        version: Option<&Version>,
+        spec: &Value,
+    ) -> Result<Version, Fault> {
         let object = WireObject {
             metadata: Metadata {
                 name: name.to_owned(),
-                revision: None,
+                revision: version.map(Version::number),
             },
-            specification: content,
+            specification: spec.clone(),
         };
         let body =
             serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
-        let body = Bytes::from(body);
-        let kind = kind.as_str();
-        let path = format!("/objects/{kind}");
-        let created = self
-            .call(Method::POST, &path, Some(body.clone()), self.timeout)
-            .await;
-        match created {
-            Err(Fault::Conflict) => {
-                let path = format!("/objects/{kind}/{name}");
-                self.call(Method::PUT, &path, Some(body), self.timeout)
-                    .await?;
-                Ok(())
-            }
-            other => other.map(drop),
-        }
+        let kind = collection.as_str();
+        let path = if method == Method::POST {
+            format!("/objects/{kind}")
+        } else {
+            format!("/objects/{kind}/{name}")
+        };
+        let body = Some(Bytes::from(body));
+        let bytes = self.call(method, &path, body, self.timeout).await?;
+        let written: WireObject = decode(&bytes)?;
+        Ok(Object::from(written).version)
     }
 
     async fn call(
@@ -261,10 +213,12 @@
             StatusCode::GONE => Err(Fault::Expired),
             StatusCode::CONFLICT => Err(Fault::Conflict),
             StatusCode::NOT_FOUND => Err(Fault::Missing),
+            // Both say that nothing was done.
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(Fault::Throttled)
             }
-            status => Err(Fault::Invalid(format!("status {status}"))),
+            status if status.is_client_error() => Err(Fault::Invalid(format!("status {status}"))),
+            status => Err(Fault::Lost(format!("status {status}"))),
         }
     }
 }
@@ -272,3 +226,144 @@
 fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
     serde_json::from_slice(bytes).map_err(|error| Fault::Lost(format!("unreadable: {error}")))
 }
+
+impl Store for Client {
+    fn get<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+    ) -> BoxFuture<'a, Result<Object, Fault>> {
+        async move {
+            let path = format!("/objects/{}/{name}", collection.as_str());
+            let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
+            decode::<WireObject>(&bytes).map(Object::from)
+        }
+        .boxed()
+    }
+
+    fn create<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        async move {
+            let made = self.write(Method::POST, collection, name, None, &spec);
+            made.await.map_err(|fault| match fault {
+                Fault::Conflict => Fault::Exists,
+                other => other,
+            })
+        }
+        .boxed()
+    }
+
+    fn update<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+        spec: Value,
+    ) -> BoxFuture<'a, Result<Version, Fault>> {
+        async move {
+            self.write(Method::PUT, collection, name, Some(version), &spec)
+                .await
+        }
+        .boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<(), Fault>> {
+        async move {
+            let path = format!(
+                "/objects/{}/{name}?revision={}",
+                collection.as_str(),
+                version.number()
+            );
+            let deleted = self.call(Method::DELETE, &path, None, self.timeout);
+            deleted.await.map(drop)
+        }
+        .boxed()
+    }
+
+    fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing, Fault>> {
+        async move {
+            let mut page = self.page(collection, None).await?;
+            // Pages are read one after the other: a change between two of them
+            // is seen by a watch that goes on from the first.
+            let version = Version::from(page.at);
+            let mut objects: Vec<Object> = Vec::new();
+            for _ in 0..MOST_PAGES {
+                objects.extend(page.items.into_iter().map(Object::from));
+                match objects.last() {
+                    Some(last) if page.has_more => {
+                        page = self.page(collection, Some(&last.name)).await?;
+                    }
+                    _ => return Ok(Listing { objects, version }),
+                }
+            }
+            Err(Fault::Invalid(format!(
+                "a list has over {MOST_PAGES} pages"
+            )))
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        collection: Collection,
+        version: &'a Version,
+    ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
+        let follow = Follow {
+            client: *self,
+            collection,
+            version: version.clone(),
+            seen: Vec::new().into_iter(),
+            failed: false,
+        };
+        let steps = stream::unfold(follow, |mut follow| async move {
+            follow.next().await.map(|step| (step, follow))
+        });
+        std::future::ready(Ok(steps.boxed())).boxed()
+    }
+}
+
+/// A watch that is made anew each time it has waited long enough.
+struct Follow {
+    client: Client,
+    collection: Collection,
+    version: Version,
+    seen: std::vec::IntoIter<Change>,
+    failed: bool,
+}
+
+impl Follow {
+    /// Returns the next change; `None` after a failure.
+    async fn next(&mut self) -> Option<Result<Change, Fault>> {
+        loop {
+            if let Some(change) = self.seen.next() {
+                return Some(Ok(change));
+            }
+            if self.failed {
+                return None;
+            }
+            let changes = self
+                .client
+                .changes(self.collection, &self.version, WATCH_WAIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    self.version = changes.version;
+                    self.seen = changes.changes.into_iter();
+                }
+                Err(fault) => {
+                    self.failed = true;
+                    return Some(Err(fault));
+                }
+            }
+        }
+    }
+}
--- a/crates/cicadacrank/src/cmd/args.rs
+++ b/crates/cicadacrank/src/cmd/args.rs
@@ -10,7 +10,7 @@
         edit::{self, Target},
     },
 };
-use cicadacrank_node::platform::http::Client;
+use cicadacrank_node::platform::Client;
 use std::{
     fs::File,
     io::{self, Read},
@@ -54,16 +54,15 @@
 
 impl Platform {
     /// Returns a client of the platform.
-    pub fn client(&self) -> Result<Client, Error> {
+    pub fn client(&self) -> Client {
         let timeout = CALL_TIMEOUT.min(Duration::from_secs(self.timeout));
         Client::new(self.platform, timeout)
-            .map_err(|fault| Error::not_run(Kind::Internal, fault.to_string()))
     }
 
     /// Starts a session with the rule object.
     pub fn session(&self) -> Result<Session, Error> {
         let timeout = Duration::from_secs(self.timeout);
-        Ok(Session::new(self.client()?, timeout))
+        Ok(Session::new(self.client(), timeout))
     }
 }
 
--- a/crates/cicadacrank/src/cmd/cost.rs
+++ b/crates/cicadacrank/src/cmd/cost.rs
@@ -51,7 +51,7 @@
 }
 
 async fn accounts(platform: &Platform) -> Result<Vec<Account>, Error> {
-    let listing = platform.client()?.list(Collection::Accounts).await;
+    let listing = platform.client().list(Collection::Accounts).await;
     let listing = listing.map_err(|fault| {
         Error::not_run(Kind::PlatformDown, format!("listing accounts: {fault}"))
     })?;
--- a/crates/cicadacrank/src/cmd/status.rs
+++ b/crates/cicadacrank/src/cmd/status.rs
@@ -95,7 +95,7 @@
             return Ok(instances.iter().map(target).collect());
         }
     };
-    let listing = platform.client()?.list(Collection::Instances).await;
+    let listing = platform.client().list(Collection::Instances).await;
     let listing = listing.map_err(|fault| {
         Error::not_run(Kind::PlatformDown, format!("listing instances: {fault}"))
     })?;
--- a/crates/cicadacrank/src/ruleset.rs
+++ b/crates/cicadacrank/src/ruleset.rs
@@ -14,7 +14,7 @@
 };
 use cicadacrank_node::{
     configuration::RULESET_NAME,
-    platform::{Collection, Fault, Store, Version, http::Client},
+    platform::{Client, Collection, Fault, Store, Version},
 };
 use serde_json::Value;
 use std::time::Duration;
--- /dev/null
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -0,0 +1,328 @@
+//! A gateway as a process of its own, between callers and endpoints.
+
+use cicadacrank_bench::deployment::{
+    Answer, Caller, Deployment, EVENTS, Endpoint, Fault, Plan, Role, Trouble, route, send,
+};
+use cicadacrank_bench::fleet;
+use cicadacrank_node::platform::Collection;
+use reqwest::Method;
+use serde_json::json;
+use std::time::Duration;
+
+async fn deployment(gateways: usize, endpoints: usize) -> Deployment {
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
+        gateways,
+        endpoints,
+    };
+    Deployment::start(&plan).await.expect("a deployment")
+}
+
+fn caller() -> Caller {
+    Caller::new().expect("a caller")
+}
+
+async fn book(deployment: &Deployment, attempt: &str) -> Answer {
+    let gateway = deployment.gateways[0].caller_address();
+    let request = caller().request(Method::POST, gateway, "/book/1?x=2", attempt);
+    send(request.header("x-pin-ms", "9").body("two seats")).await
+}
+
+async fn look(deployment: &Deployment, attempt: &str) -> Answer {
+    let gateway = deployment.gateways[0].caller_address();
+    send(caller().request(Method::GET, gateway, "/look/1", attempt)).await
+}
+
+async fn stream(deployment: &Deployment, path: &str, attempt: &str) -> Answer {
+    let gateway = deployment.gateways[0].caller_address();
+    send(caller().stream(gateway, path, attempt)).await
+}
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|number| format!("id: {number}\ndata: token {number}\n\n"))
+        .collect()
+}
+
+fn set_faults(deployment: &Deployment, role: Role, fault: Fault) {
+    deployment.of(role).for_each(|one| one.set_fault(fault));
+}
+
+#[tokio::test]
+async fn request_reaches_its_endpoint_unchanged() {
+    let deployment = deployment(1, 1).await;
+    let answer = book(&deployment, "a1").await;
+    assert_eq!(answer.status, Some(200));
+    assert!(answer.signed && answer.whole);
+    assert_eq!(answer.attempt, "a1");
+    assert_eq!(&answer.body[..], b"answer to a1");
+    let runs = deployment.runs("a1");
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].target, "POST /book/1?x=2");
+    assert_eq!(&runs[0].body[..], b"two seats");
+    assert_eq!(runs[0].team, "desk-team");
+    assert!(!runs[0].leaked);
+}
+
+#[tokio::test]
+async fn request_without_a_right_is_refused() {
+    let deployment = deployment(1, 1).await;
+    let gateway = deployment.gateways[0].caller_address();
+    let caller = caller();
+    let cases = [
+        ("/none/", "Bearer k-desk", 404),
+        ("/book/", "Bearer k-other", 401),
+        ("/book/", "k-desk", 401),
+    ];
+    for (path, key, expected) in cases {
+        let request = caller.request(Method::GET, gateway, path, "a1");
+        let request = request.headers(
+            [(
+                "authorization".parse().expect("a name"),
+                key.parse().expect("a value"),
+            )]
+            .into_iter()
+            .collect(),
+        );
+        assert_eq!(send(request).await.status, Some(expected), "{path} {key}");
+    }
+    assert_eq!(deployment.runs("a1").len(), 0);
+}
+
+/// What a caller gets, and how often the work ran, for each fault of endpoints.
+#[tokio::test]
+async fn faulty_endpoints_never_run_a_booking_twice() {
+    let cases = [
+        (Fault::Decline, 503, 0),
+        (Fault::Misdirected, 503, 0),
+        (Fault::LoseAnswer, 502, 1),
+        (Fault::Foreign, 502, 1),
+        (Fault::Unsigned, 502, 1),
+        (Fault::BreakOff, 502, 1),
+        (Fault::Fail, 500, 1),
+        (Fault::Hang, 504, 1),
+    ];
+    let deployment = deployment(1, 2).await;
+    for (fault, status, runs) in cases {
+        set_faults(&deployment, Role::Desk, fault);
+        let attempt = format!("{fault:?}");
+        let answer = book(&deployment, &attempt).await;
+        assert_eq!(answer.status, Some(status), "{fault:?}");
+        assert_eq!(deployment.runs(&attempt).len(), runs, "{fault:?}");
+        assert_eq!(answer.retry_after.is_some(), status == 503, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn lookup_goes_to_another_endpoint_after_a_fault() {
+    let deployment = deployment(1, 2).await;
+    // The budget of repeats fills with time.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for fault in [Fault::LoseAnswer, Fault::Foreign, Fault::BreakOff] {
+        let attempt = format!("{fault:?}");
+        set_faults(&deployment, Role::Desk, Fault::None);
+        let first: Vec<&Endpoint> = deployment.of(Role::Desk).collect();
+        first[0].set_fault(fault);
+        let mut served = 0;
+        for number in 0..4 {
+            let answer = look(&deployment, &format!("{attempt}-{number}")).await;
+            served += u32::from(answer.status == Some(200));
+        }
+        assert_eq!(served, 4, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn stream_is_served_after_its_stages() {
+    let deployment = deployment(2, 2).await;
+    for (number, gateway) in deployment.gateways.iter().enumerate() {
+        let attempt = format!("s{number}");
+        let answer = send(caller().stream(gateway.caller_address(), "/draft/x", &attempt)).await;
+        assert_eq!(answer.status, Some(200), "{}", gateway.log_text());
+        assert!(answer.whole);
+        assert_eq!(answer.body, events(1, EVENTS));
+        let runs = deployment.runs(&attempt);
+        assert_eq!(runs.len(), 1);
+        let results: Vec<&str> = runs[0].results.split(',').collect();
+        assert_eq!(results.len(), 2);
+        let last = format!("/{attempt}-1-");
+        assert!(results.iter().all(|one| one.contains(&last)), "{results:?}");
+    }
+    let pieces = deployment.of(Role::Worker).flat_map(Endpoint::pieces);
+    assert_eq!(pieces.count(), 8);
+    fleet::wait_for("results given up", async || {
+        deployment
+            .of(Role::Worker)
+            .map(Endpoint::released)
+            .sum::<u64>()
+            == 8
+    })
+    .await
+    .expect("all results are given up");
+}
+
+#[tokio::test]
+async fn broken_stream_never_looks_whole() {
+    let deployment = deployment(1, 2).await;
+    set_faults(&deployment, Role::Engine, Fault::BreakOff);
+    let answer = stream(&deployment, "/draft/x", "s1").await;
+    assert_eq!(answer.status, Some(200));
+    assert!(!answer.whole);
+    assert!(events(1, EVENTS).as_bytes().starts_with(&answer.body));
+    assert_eq!(deployment.runs("s1").len(), 1);
+}
+
+#[tokio::test]
+async fn resumable_stream_goes_on_elsewhere_after_its_last_event() {
+    let deployment = deployment(1, 2).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.of(Role::Engine).collect();
+    for (number, broken) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        broken.set_fault(Fault::BreakOff);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+        assert_eq!(answer.body, events(1, EVENTS));
+    }
+}
+
+#[tokio::test]
+async fn failed_stage_is_a_refusal_that_is_true() {
+    let deployment = deployment(1, 1).await;
+    for fault in [Fault::Fail, Fault::LoseAnswer, Fault::Decline] {
+        set_faults(&deployment, Role::Worker, fault);
+        let attempt = format!("{fault:?}");
+        let answer = stream(&deployment, "/draft/x", &attempt).await;
+        assert_eq!(answer.status, Some(503), "{fault:?}");
+        assert!(answer.retry_after.is_some());
+        assert_eq!(deployment.runs(&attempt).len(), 0);
+    }
+}
+
+#[tokio::test]
+async fn newer_configuration_takes_effect_and_never_goes_back() {
+    let deployment = deployment(1, 1).await;
+    let gateway = deployment.gateways[0].caller_address();
+    let status = async |path: &str| {
+        let request = caller().request(Method::GET, gateway, path, "c1");
+        send(request).await.status
+    };
+    assert_eq!(status("/new/").await, Some(404));
+    let added = json!([route("/new/", "idempotent", "desk", 2)]);
+    deployment.configure(5, &added);
+    fleet::wait_for("the new route", async || status("/new/").await == Some(200))
+        .await
+        .expect("the route is there");
+    deployment.configure(4, &json!([]));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(status("/new/").await, Some(200));
+}
+
+#[tokio::test]
+async fn unreadable_objects_change_nothing() {
+    let deployment = deployment(1, 1).await;
+    let mut store = deployment.store.state();
+    store.put(Collection::Config, "main", json!({ "version": "seven" }));
+    for (name, content) in [
+        ("i-bad-1", json!(null)),
+        (
+            "i-bad-2",
+            json!({ "service": "desk", "address": "nowhere" }),
+        ),
+        (
+            "i-bad-3",
+            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": 7 }),
+        ),
+        (
+            "i-bad-4",
+            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": "one",
+            "state": "asleep", "sequence": 1 }),
+        ),
+    ] {
+        store.put(Collection::Endpoints, name, content);
+    }
+    drop(store);
+    fleet::wait_for("the faults in the log", async || {
+        deployment.gateways[0]
+            .log_text()
+            .matches("ConfigRejected")
+            .count()
+            >= 5
+    })
+    .await
+    .expect("each fault is logged");
+    for number in 0..5 {
+        let answer = book(&deployment, &format!("a{number}")).await;
+        assert_eq!(answer.status, Some(200));
+    }
+}
+
+#[tokio::test]
+async fn draining_endpoint_gets_nothing_new() {
+    let deployment = deployment(1, 2).await;
+    let desks: Vec<&Endpoint> = deployment.of(Role::Desk).collect();
+    let entry = desks[0].entry("draining", 2);
+    deployment
+        .store
+        .state()
+        .put(Collection::Endpoints, &desks[0].id, entry);
+    fleet::wait_for("the change in the log", async || {
+        deployment.gateways[0]
+            .log_text()
+            .matches("DirectoryChanged")
+            .count()
+            >= 2
+    })
+    .await
+    .expect("the change is seen");
+    for number in 0..8 {
+        assert_eq!(
+            book(&deployment, &format!("a{number}")).await.status,
+            Some(200)
+        );
+    }
+    assert_eq!(desks[0].runs().len(), 0);
+}
+
+#[tokio::test]
+async fn gateway_that_the_store_turns_away_learns_from_others() {
+    let mut deployment = deployment(2, 1).await;
+    deployment.store_proxy.set_trouble(Trouble::Reset);
+    let gateway = &mut deployment.gateways[1];
+    gateway.kill().expect("a signal");
+    gateway.wait().await.expect("an end");
+    gateway.restart().expect("a start");
+    gateway
+        .wait_ready()
+        .await
+        .expect("it is ready without the store");
+    let address = gateway.caller_address();
+    let request = caller().request(Method::POST, address, "/book/1", "a1");
+    assert_eq!(send(request.body("x")).await.status, Some(200));
+}
+
+#[tokio::test]
+async fn terminated_gateway_ends_what_it_has_taken() {
+    let mut deployment = deployment(1, 2).await;
+    let address = deployment.gateways[0].caller_address();
+    let open = tokio::spawn(send(caller().stream(address, "/draft/x", "s1")));
+    fleet::wait_for("work begun", async || !deployment.runs("s1").is_empty())
+        .await
+        .expect("the stream has begun");
+    deployment.gateways[0].terminate().expect("a signal");
+    assert!(!fleet_is_ready(&deployment).await);
+    // Until the balancer has noticed, new requests are served too.
+    assert_eq!(book(&deployment, "late").await.status, Some(200));
+    let answer = open.await.expect("no panic");
+    assert!(answer.whole);
+    assert_eq!(answer.body, events(1, EVENTS));
+    let end = deployment.gateways[0].wait().await.expect("an end");
+    assert!(end.success());
+}
+
+async fn fleet_is_ready(deployment: &Deployment) -> bool {
+    let wait = fleet::wait_for("readiness withdrawn", async || {
+        !deployment.gateways[0].is_ready().await
+    });
+    wait.await.is_err()
+}
