Add a randomized soak over real processes

Gateways as processes, proxies before the store and each endpoint, signals, faults of endpoints and store, in series and overlapping; callers and endpoints check at most once, true refusals, whole answers, own results. Also mends a test that failed once with 'address already in use': a port that had been free was taken by a connection of another test; each gateway now has a loopback address of its own.

--- a/crates/cicadacrank-bench/examples/spread/fleet.rs
+++ b/crates/cicadacrank-bench/examples/spread/fleet.rs
@@ -12,7 +12,7 @@
     membership::Instance,
     metrics::Metrics,
     peer::{self, Fault, Link},
-    platform::{Collection, http},
+    platform::{Client, Collection},
     quarantine::Suspects,
     settings,
 };
@@ -200,7 +200,7 @@
         self.platform.set_instance(&name, &instance);
         let metrics = Arc::new(Metrics::new());
         let holder = Arc::new(Holder::new());
-        let store = http::Client::new(self.platform.address, TIMEOUT).map_err(io::Error::other)?;
+        let store = Client::new(self.platform.address, TIMEOUT);
         let service = Arc::new(peer::Service::new(peer::Parts {
             me: Member {
                 name: name.clone(),
--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for endpoints: plain services, model engines and services that do
 //! stages.
 
+use super::Proxy;
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream, StreamExt as _};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -108,8 +109,8 @@
     pub id: String,
     /// What it is.
     pub role: Role,
-    /// Where it listens.
-    pub address: SocketAddr,
+    /// What stands between the gateways and it.
+    pub proxy: Proxy,
     state: Arc<Mutex<State>>,
     task: JoinHandle<()>,
 }
@@ -131,11 +132,12 @@
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let id = format!("i-{}-{number}", role.service());
+        let proxy = Proxy::start(address).await?;
         let task = tokio::spawn(accept(listener, role, address, Arc::clone(&state)));
         Ok(Self {
             id,
             role,
-            address,
+            proxy,
             state,
             task,
         })
@@ -144,7 +146,7 @@
     /// Returns its entry in the store.
     #[must_use]
     pub fn entry(&self, state: &str, sequence: u64) -> Value {
-        json!({ "service": self.role.service(), "address": self.address.to_string(),
+        json!({ "service": self.role.service(), "address": self.proxy.address.to_string(),
             "zone": "one", "version": "v1", "slots": 4, "state": state,
             "coldRemainingMs": 0, "sequence": sequence, "born": 1000 })
     }
--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -3,9 +3,10 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 use tokio::{
@@ -19,6 +20,21 @@
 /// Pause between two looks at a gateway.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Returns a loopback address that no other gateway of these tests uses: a port
+/// that was free once is not taken by a connection of another process there.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        128 | high,
+        low,
+        u8::try_from(number % 250).unwrap_or(0) + 2,
+    )
+}
+
 /// What the platform would write into the settings file.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -37,9 +53,10 @@
     ///
     /// Returns the error of a bind.
     pub fn new(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> io::Result<Self> {
+        let address = own_address();
         let mut listeners = Vec::new();
         for _ in 0..3 {
-            listeners.push(TcpListener::bind("127.0.0.1:0")?);
+            listeners.push(TcpListener::bind((address, 0))?);
         }
         Ok(Self {
             name: name.to_owned(),
--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod gateway;
 mod proxy;
+pub mod soak;
 
 pub use self::{
     caller::{Answer, Caller, send},
--- a/crates/cicadacrank-bench/src/deployment/proxy.rs
+++ b/crates/cicadacrank-bench/src/deployment/proxy.rs
@@ -70,11 +70,7 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    target: SocketAddr,
-    state: watch::Receiver<Trouble>,
-) {
+async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Receiver<Trouble>) {
     while let Ok((inbound, _)) = listener.accept().await {
         let state = state.clone();
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/cicadacrank-bench/src/deployment/soak.rs
@@ -0,0 +1,386 @@
+//! A randomized soak: faults from outside while callers and endpoints check
+//! what they were promised.
+//!
+//! The seed decides which faults come when and for how long; they come in
+//! series and overlap. What callers must be able to rely on is checked for each
+//! answer, and again at the end against what endpoints ran.
+
+use super::{Answer, Caller, Deployment, EVENTS, Fault, Plan, Trouble, route, send};
+use crate::platform::Faults;
+use cicadacrank_node::platform::Collection;
+use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use reqwest::Method;
+use serde_json::json;
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+/// Callers that send one request after the other.
+const CALLERS: u64 = 6;
+
+/// Requests after the last fault, all of which must be served.
+const LAST_REQUESTS: usize = 12;
+
+/// Time for all to be as it was after the last fault.
+const HEALING: Duration = Duration::from_secs(6);
+
+/// What one soak is.
+#[derive(Clone, Debug)]
+pub struct Soak {
+    /// The deployment.
+    pub plan: Plan,
+    /// Decides all faults and requests.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+}
+
+/// What one soak showed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Requests sent while faults came.
+    pub requests: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Promises that were broken; each names the attempt.
+    pub broken: Vec<String>,
+}
+
+/// What a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Book,
+    Look,
+    Draft,
+    Chat,
+}
+
+impl Kind {
+    const ALL: [Self; 4] = [Self::Book, Self::Look, Self::Draft, Self::Chat];
+
+    const fn may_repeat(self) -> bool {
+        matches!(self, Self::Look | Self::Chat)
+    }
+
+    const fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Chat)
+    }
+
+    async fn send(self, caller: &Caller, gateway: SocketAddr, attempt: &str) -> Answer {
+        let request = match self {
+            Self::Book => caller
+                .request(Method::POST, gateway, "/book/1", attempt)
+                .body("two seats"),
+            Self::Look => caller.request(Method::GET, gateway, "/look/1", attempt),
+            Self::Draft => caller.stream(gateway, "/draft/1", attempt),
+            Self::Chat => caller.stream(gateway, "/chat/1", attempt),
+        };
+        send(request).await
+    }
+}
+
+/// A request and its answer.
+struct Sent {
+    kind: Kind,
+    attempt: String,
+    answer: Answer,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// Returns the error of a part that cannot be started.
+pub async fn run(soak: &Soak) -> io::Result<Report> {
+    let mut deployment = Deployment::start(&soak.plan).await?;
+    let gateways: Vec<SocketAddr> = deployment
+        .gateways
+        .iter()
+        .map(super::Gateway::caller_address)
+        .collect();
+    let until = Instant::now() + soak.length;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        callers.spawn(call(soak.seed, number, gateways.clone(), until));
+    }
+    disturb(&mut deployment, soak.seed, until).await?;
+    let mut all = Vec::new();
+    while let Some(sent) = callers.join_next().await {
+        all.extend(sent.map_err(io::Error::other)??);
+    }
+    let mut report = Report {
+        requests: all.len(),
+        ..Report::default()
+    };
+    report.served = all
+        .iter()
+        .filter(|sent| sent.answer.status == Some(200) && sent.answer.whole)
+        .count();
+    heal(&mut deployment).await?;
+    all.extend(call_last(&gateways, &mut report).await?);
+    for sent in &all {
+        check(&deployment, sent, &mut report.broken);
+    }
+    Ok(report)
+}
+
+/// Sends one request after the other until faults end.
+async fn call(
+    seed: u64,
+    number: u64,
+    gateways: Vec<SocketAddr>,
+    until: Instant,
+) -> io::Result<Vec<Sent>> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed ^ (number + 1) << 32);
+    let caller = Caller::new()?;
+    let mut all = Vec::new();
+    while Instant::now() < until {
+        let kind = *Kind::ALL.choose(&mut random).unwrap_or(&Kind::Look);
+        let gateway = gateways[random.random_range(0..gateways.len())];
+        let attempt = format!("{seed:x}-{number}-{}", all.len());
+        let answer = kind.send(&caller, gateway, &attempt).await;
+        all.push(Sent {
+            kind,
+            attempt,
+            answer,
+        });
+        time::sleep(Duration::from_millis(random.random_range(5..60))).await;
+    }
+    Ok(all)
+}
+
+/// Brings one fault after the other; each lasts for a while of its own.
+async fn disturb(deployment: &mut Deployment, seed: u64, until: Instant) -> io::Result<()> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut version = 1;
+    let mut ended: Vec<(Instant, usize)> = Vec::new();
+    while Instant::now() < until {
+        restart(deployment, &mut ended).await?;
+        let endpoint = random.random_range(0..deployment.endpoints.len());
+        let gateway = random.random_range(0..deployment.gateways.len());
+        match random.random_range(0..9) {
+            0 => deployment.store_proxy.set_trouble(trouble(&mut random)),
+            1 => deployment.endpoints[endpoint]
+                .proxy
+                .set_trouble(trouble(&mut random)),
+            2 => deployment.endpoints[endpoint].set_fault(fault(&mut random)),
+            3 => end(deployment, gateway, &mut random, &mut ended)?,
+            4 => pause(deployment, gateway, &mut random).await?,
+            5 => {
+                version += random.random_range(1..4);
+                let added = json!([route("/new/", "idempotent", "desk", 2)]);
+                deployment.configure(version, &added);
+            }
+            6 => announce(deployment, endpoint, &mut version, &mut random),
+            7 => deployment.store.set_faults(Faults {
+                lose_answers: random.random_range(0..3),
+                list_lag_ms: random.random_range(0..1_500),
+                delay_ms: random.random_range(0..200),
+                ..Faults::default()
+            }),
+            _ => calm(deployment),
+        }
+        time::sleep(Duration::from_millis(random.random_range(100..700))).await;
+    }
+    for (at, _) in &mut ended {
+        *at = Instant::now();
+    }
+    restart(deployment, &mut ended).await
+}
+
+fn trouble(random: &mut Xoshiro256PlusPlus) -> Trouble {
+    match random.random_range(0..4) {
+        0 => Trouble::Delay(random.random_range(10..400)),
+        1 => Trouble::Reset,
+        2 => Trouble::Silence,
+        _ => Trouble::SilenceBack,
+    }
+}
+
+fn fault(random: &mut Xoshiro256PlusPlus) -> Fault {
+    let faults = [
+        Fault::Decline,
+        Fault::LoseAnswer,
+        Fault::Foreign,
+        Fault::Unsigned,
+        Fault::BreakOff,
+        Fault::Fail,
+        Fault::Misdirected,
+    ];
+    *faults.choose(random).unwrap_or(&Fault::None)
+}
+
+/// Kills or terminates a gateway, to be started anew later.
+fn end(
+    deployment: &Deployment,
+    number: usize,
+    random: &mut Xoshiro256PlusPlus,
+    ended: &mut Vec<(Instant, usize)>,
+) -> io::Result<()> {
+    if ended.iter().any(|(_, one)| *one == number) {
+        return Ok(());
+    }
+    let gateway = &deployment.gateways[number];
+    let pause = if random.random_bool(0.5) {
+        gateway.kill()?;
+        random.random_range(0..1_500)
+    } else {
+        gateway.terminate()?;
+        random.random_range(0..9_000)
+    };
+    ended.push((Instant::now() + Duration::from_millis(pause), number));
+    Ok(())
+}
+
+/// Starts gateways anew whose time has come.
+async fn restart(deployment: &mut Deployment, ended: &mut Vec<(Instant, usize)>) -> io::Result<()> {
+    let now = Instant::now();
+    for (_, number) in ended.extract_if(.., |(at, _)| *at <= now) {
+        let gateway = &mut deployment.gateways[number];
+        gateway.wait().await?;
+        gateway.restart()?;
+    }
+    Ok(())
+}
+
+async fn pause(
+    deployment: &Deployment,
+    number: usize,
+    random: &mut Xoshiro256PlusPlus,
+) -> io::Result<()> {
+    let gateway = &deployment.gateways[number];
+    if gateway.freeze().is_ok() {
+        time::sleep(Duration::from_millis(random.random_range(50..1_500))).await;
+        gateway.thaw()?;
+    }
+    Ok(())
+}
+
+/// Changes what an endpoint says of itself.
+fn announce(
+    deployment: &Deployment,
+    number: usize,
+    sequence: &mut u64,
+    random: &mut Xoshiro256PlusPlus,
+) {
+    *sequence += 1;
+    let endpoint = &deployment.endpoints[number];
+    let mut store = deployment.store.state();
+    match random.random_range(0..3) {
+        0 => store.remove(Collection::Endpoints, &endpoint.id),
+        1 => {
+            let entry = endpoint.entry("draining", *sequence);
+            store.put(Collection::Endpoints, &endpoint.id, entry);
+        }
+        _ => {
+            let entry = endpoint.entry("ready", *sequence);
+            store.put(Collection::Endpoints, &endpoint.id, entry);
+        }
+    }
+}
+
+/// Ends all troubles and faults.
+fn calm(deployment: &Deployment) {
+    deployment.store_proxy.set_trouble(Trouble::None);
+    deployment.store.set_faults(Faults::default());
+    for endpoint in &deployment.endpoints {
+        endpoint.proxy.set_trouble(Trouble::None);
+        endpoint.set_fault(Fault::None);
+    }
+}
+
+async fn heal(deployment: &mut Deployment) -> io::Result<()> {
+    calm(deployment);
+    for endpoint in &deployment.endpoints {
+        let entry = endpoint.entry("ready", 1_000_000);
+        let mut store = deployment.store.state();
+        store.put(Collection::Endpoints, &endpoint.id, entry);
+    }
+    for gateway in &deployment.gateways {
+        gateway.wait_ready().await?;
+    }
+    time::sleep(HEALING).await;
+    Ok(())
+}
+
+/// Sends requests when nothing is wrong any more.
+async fn call_last(gateways: &[SocketAddr], report: &mut Report) -> io::Result<Vec<Sent>> {
+    let caller = Caller::new()?;
+    let mut all = Vec::new();
+    for number in 0..LAST_REQUESTS {
+        let kind = Kind::ALL[number % Kind::ALL.len()];
+        let attempt = format!("last-{number}");
+        let gateway = gateways[number % gateways.len()];
+        let answer = kind.send(&caller, gateway, &attempt).await;
+        if answer.status != Some(200) {
+            let broken = format!("{attempt}: {kind:?} not served after the faults: {answer:?}");
+            report.broken.push(broken);
+        }
+        all.push(Sent {
+            kind,
+            attempt,
+            answer,
+        });
+    }
+    Ok(all)
+}
+
+/// Checks what one caller was told against what endpoints ran.
+fn check(deployment: &Deployment, sent: &Sent, broken: &mut Vec<String>) {
+    let Sent {
+        kind,
+        attempt,
+        answer,
+    } = sent;
+    let runs = deployment.runs(attempt);
+    let mut fail = |promise: &str| {
+        let told = (answer.status, answer.whole, answer.body.len());
+        broken.push(format!(
+            "{attempt}: {kind:?}: {promise}: told {told:?}, runs {runs:?}"
+        ));
+    };
+    if runs.len() > 1 && !kind.may_repeat() {
+        fail("ran more than once");
+    }
+    if matches!(answer.status, Some(429 | 503)) && !answer.signed && !runs.is_empty() {
+        fail("refused though it ran");
+    }
+    if runs.iter().any(|run| run.team != "desk-team" || run.leaked) {
+        fail("an endpoint got a header that was not its own");
+    }
+    if answer.status != Some(200) {
+        return;
+    }
+    if !answer.signed || answer.attempt != *attempt || runs.is_empty() {
+        fail("an answer that is not the endpoint's");
+    }
+    let expected = if kind.is_stream() {
+        (1..=EVENTS)
+            .map(|number| format!("id: {number}\ndata: token {number}\n\n"))
+            .collect()
+    } else {
+        format!("answer to {attempt}")
+    };
+    let whole = answer.body == expected;
+    let part = kind.is_stream() && expected.as_bytes().starts_with(&answer.body);
+    if answer.whole && !whole {
+        fail("an answer that only looks whole");
+    }
+    if !answer.whole && !part {
+        fail("a part that belongs to another answer");
+    }
+    if kind.is_stream() && !runs.iter().all(|run| own_results(attempt, &run.results)) {
+        fail("results of another request");
+    }
+}
+
+fn own_results(attempt: &str, results: &str) -> bool {
+    let mut handles: Vec<&str> = results.split(',').collect();
+    handles.sort_unstable();
+    handles.dedup();
+    let own = format!("/{attempt}-1-");
+    handles.len() == 2 && handles.iter().all(|handle| handle.contains(&own))
+}
