--- a/crates/cicadacrank-core/src/batch/desk.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -50,7 +50,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(super) struct Desk {
+pub(super) struct Endpoint {
     pub(super) life: Life,
     pub(super) site: Site,
     busy_since: Option<Duration>,
@@ -64,7 +64,7 @@
     pub(super) leaving: bool,
 }
 
-impl Desk {
+impl Endpoint {
     pub(super) const fn new(life: Life, site: Site) -> Self {
         Self {
             life,
--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -8,12 +8,12 @@
 //! left, those that are least late first; pieces that will not have their turn
 //! before they expire are given back at once.
 
-mod desk;
+mod endpoint;
 mod pool;
 
 pub use self::{
-    desk::{Outcome, Results},
-    pool::{Call, Pool, Stranded},
+    endpoint::{Outcome, Results},
+    pool::{Call, Expired, Pool},
 };
 
 use std::time::Duration;
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -1,6 +1,6 @@
 //! The pieces that wait for one service, and the calls made of them.
 
-use super::{Outcome, Piece, Results, Site, Ticket, desk::Desk};
+use super::{Outcome, Piece, Results, Site, Ticket, endpoint::Endpoint};
 use crate::{config::Worker, directory::Life};
 use std::time::Duration;
 
@@ -28,14 +28,14 @@
 
 /// A piece that cannot be done before it expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Stranded(pub Ticket);
+pub struct Expired(pub Ticket);
 
 /// All pieces that wait for one service.
 #[derive(Clone, Debug)]
 pub struct Pool {
     worker: Worker,
     waiting: Vec<Piece>,
-    desks: Vec<Desk>,
+    endpoints: Vec<Endpoint>,
     sites: Vec<String>,
 }
 
@@ -46,7 +46,7 @@
         Self {
             worker,
             waiting: Vec::new(),
-            desks: Vec::new(),
+            endpoints: Vec::new(),
             sites: Vec::new(),
         }
     }
@@ -61,16 +61,20 @@
     pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = (&'a Life, &'a str)>) {
         let mut usable: Vec<_> = endpoints.collect();
         usable.sort();
-        for desk in &mut self.desks {
-            let found = usable.binary_search_by(|(life, _)| (*life).cmp(&desk.life));
-            desk.leaving = found.is_err();
+        for endpoint in &mut self.endpoints {
+            let found = usable.binary_search_by(|(life, _)| (*life).cmp(&endpoint.life));
+            endpoint.leaving = found.is_err();
         }
-        self.desks.retain(|desk| !desk.leaving || desk.is_busy());
+        self.endpoints
+            .retain(|endpoint| !endpoint.leaving || endpoint.is_busy());
         for (life, data_centre) in usable {
             let site = self.site(data_centre);
-            let found = self.desks.binary_search_by(|desk| desk.life.cmp(life));
+            let found = self
+                .endpoints
+                .binary_search_by(|endpoint| endpoint.life.cmp(life));
             if let Err(index) = found {
-                self.desks.insert(index, Desk::new(life.clone(), site));
+                self.endpoints
+                    .insert(index, Endpoint::new(life.clone(), site));
             }
         }
     }
@@ -94,8 +98,8 @@
         true
     }
 
-    /// Takes pieces back that nobody waits for any more.
-    pub fn withdraw(&mut self, job: u64) {
+    /// Drops the pieces of a job that nobody waits for any more.
+    pub fn cancel(&mut self, job: u64) {
         self.waiting.retain(|piece| piece.job != job);
     }
 
@@ -114,7 +118,10 @@
     /// Returns about when pieces added now would be done, behind all that wait.
     #[must_use]
     pub fn estimate(&self, pieces: usize, now: Duration) -> Option<Duration> {
-        let mut free: Vec<Duration> = self.usable().map(|desk| desk.free_at(now)).collect();
+        let mut free: Vec<Duration> = self
+            .usable()
+            .map(|endpoint| endpoint.free_at(now))
+            .collect();
         free.sort();
         let first = *free.first()?;
         let full = self.full_call();
@@ -126,18 +133,18 @@
     }
 
     /// Gives up pieces that will not have their turn before they expire.
-    pub fn strand(&mut self, now: Duration) -> Vec<Stranded> {
-        let Some(first) = self.usable().map(|desk| desk.free_at(now)).min() else {
+    pub fn expire(&mut self, now: Duration) -> Vec<Expired> {
+        let Some(first) = self.usable().map(|endpoint| endpoint.free_at(now)).min() else {
             let alone = self.call_time(1);
-            return self.strand_after(|_| now + alone);
+            return self.expire_after(|_| now + alone);
         };
-        let desks = self.usable().count();
+        let count = self.usable().count();
         self.sort(now, None);
         let (full, batch) = (self.full_call(), self.worker.batch.max(1));
         let alone = self.call_time(self.waiting.len().min(batch));
         // Endpoints become free one after the other, evenly over a call.
-        let turn = full / u32::try_from(desks).unwrap_or(u32::MAX).max(1);
-        self.strand_after(|ahead| {
+        let turn = full / u32::try_from(count).unwrap_or(u32::MAX).max(1);
+        self.expire_after(|ahead| {
             let turns = u32::try_from(ahead / batch).unwrap_or(u32::MAX);
             first + turn.saturating_mul(turns) + alone
         })
@@ -145,19 +152,19 @@
 
     /// Gives up pieces that expire before `done` says that one with so many
     /// ahead of it would be there.
-    fn strand_after(&mut self, done: impl Fn(usize) -> Duration) -> Vec<Stranded> {
-        let mut stranded = Vec::new();
+    fn expire_after(&mut self, done: impl Fn(usize) -> Duration) -> Vec<Expired> {
+        let mut expired = Vec::new();
         let mut ahead = 0;
         self.waiting.retain(|piece| {
             let kept = done(ahead) <= piece.expires;
             if kept {
                 ahead += 1;
             } else {
-                stranded.push(Stranded(piece.ticket));
+                expired.push(Expired(piece.ticket));
             }
             kept
         });
-        stranded
+        expired
     }
 
     /// Makes the next call, if an endpoint is free and a piece waits.
@@ -165,22 +172,22 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let index = self.choose_desk(now)?;
-        let (worker, room) = (self.worker, self.desks[index].room(&self.worker, now));
-        self.sort(now, Some(self.desks[index].site));
-        let desk = &self.desks[index];
+        let index = self.choose_endpoint(now)?;
+        let (worker, room) = (self.worker, self.endpoints[index].room(&self.worker, now));
+        self.sort(now, Some(self.endpoints[index].site));
+        let endpoint = &self.endpoints[index];
         let taken = fill(&self.waiting, worker, room, |pieces| {
-            now + desk.call_time(&worker, pieces, now)
+            now + endpoint.call_time(&worker, pieces, now)
         });
         if taken.is_empty() {
             return None;
         }
-        let expected = desk.call_time(&worker, taken.len(), now);
+        let expected = endpoint.call_time(&worker, taken.len(), now);
         let bytes = taken.iter().map(|piece| piece.bytes).sum();
         let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
-        let desk = &mut self.desks[index];
-        desk.begin(expected, bytes, now);
-        let life = desk.life.clone();
+        let endpoint = &mut self.endpoints[index];
+        endpoint.begin(expected, bytes, now);
+        let life = endpoint.life.clone();
         self.waiting
             .retain(|piece| !tickets.contains(&piece.ticket));
         Some(Call {
@@ -197,9 +204,9 @@
         let expected = self.call_time(call.tickets.len());
         let worker = self.worker;
         if let Ok(index) = self.find(&call.life) {
-            self.desks[index].end(outcome, results, expected, &worker, now);
-            if self.desks[index].leaving {
-                self.desks.remove(index);
+            self.endpoints[index].end(outcome, results, expected, &worker, now);
+            if self.endpoints[index].leaving {
+                self.endpoints.remove(index);
             }
         }
     }
@@ -207,7 +214,7 @@
     /// Notes that results at an endpoint were freed.
     pub fn free(&mut self, life: &Life, bytes: u64) {
         if let Ok(index) = self.find(life) {
-            self.desks[index].free(bytes);
+            self.endpoints[index].free(bytes);
         }
     }
 
@@ -218,16 +225,17 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let idle = self.usable().filter(|desk| !desk.is_busy());
-        idle.map(|desk| desk.free_at(now)).min()
+        let idle = self.usable().filter(|endpoint| !endpoint.is_busy());
+        idle.map(|endpoint| endpoint.free_at(now)).min()
     }
 
-    fn usable(&self) -> impl Iterator<Item = &Desk> {
-        self.desks.iter().filter(|desk| !desk.leaving)
+    fn usable(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.iter().filter(|endpoint| !endpoint.leaving)
     }
 
     fn find(&self, life: &Life) -> Result<usize, usize> {
-        self.desks.binary_search_by(|desk| desk.life.cmp(life))
+        self.endpoints
+            .binary_search_by(|endpoint| endpoint.life.cmp(life))
     }
 
     fn call_time(&self, pieces: usize) -> Duration {
@@ -241,16 +249,17 @@
 
     /// Picks the free endpoint that would finish first; a slow one is left idle
     /// where a faster one will be free and done before it.
-    fn choose_desk(&self, now: Duration) -> Option<usize> {
-        let done = |desk: &Desk| desk.free_at(now) + desk.call_time(&self.worker, 1, now);
-        let index = (0..self.desks.len())
-            .filter(|index| self.desks[*index].is_free(now))
-            .min_by_key(|index| done(&self.desks[*index]))?;
-        let best = &self.desks[index];
+    fn choose_endpoint(&self, now: Duration) -> Option<usize> {
+        let done =
+            |endpoint: &Endpoint| endpoint.free_at(now) + endpoint.call_time(&self.worker, 1, now);
+        let index = (0..self.endpoints.len())
+            .filter(|index| self.endpoints[*index].is_free(now))
+            .min_by_key(|index| done(&self.endpoints[*index]))?;
+        let best = &self.endpoints[index];
         if best.slowness(now) < SLOW {
             return Some(index);
         }
-        let sooner = self.usable().any(|desk| done(desk) < done(best));
+        let sooner = self.usable().any(|endpoint| done(endpoint) < done(best));
         (!sooner).then_some(index)
     }
 
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -1,7 +1,7 @@
 //! Load patterns at services that do stages.
 
 use cicadacrank_core::{
-    batch::{Call, Outcome, Piece, Pool, Results, Stranded, Ticket},
+    batch::{Call, Expired, Outcome, Piece, Pool, Results, Ticket},
     config::Worker,
     directory::Life,
 };
@@ -177,9 +177,9 @@
     for ticket in 0..80 {
         assert!(pool.add(piece(ticket, ticket, 100)));
     }
-    let stranded = pool.strand(ms(0));
-    assert_eq!(stranded.len(), 10);
-    assert!(stranded.contains(&Stranded(Ticket(79))));
+    let expired = pool.expire(ms(0));
+    assert_eq!(expired.len(), 10);
+    assert!(expired.contains(&Expired(Ticket(79))));
     assert_eq!(pool.len(), 70);
 }
 
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt at a request, at one endpoint.
 
-use super::state::{State, lock};
+use super::{
+    reply,
+    request::{Job, Refusal},
+    state::{State, lock},
+};
 use crate::{
     outbound::{Connection, Exchange},
     platform::{
@@ -97,6 +101,95 @@
     },
 }
 
+/// The attempts at one request, each at an endpoint of its own.
+#[derive(Debug)]
+pub struct Attempts {
+    /// Endpoints that were chosen.
+    pub tried: Vec<Key>,
+    /// Endpoints that the request arrived at.
+    pub arrivals: u32,
+    unsent: Option<Unsent>,
+    doubted: bool,
+    retry_after: Duration,
+}
+
+impl Attempts {
+    /// Creates the state before the first attempt; a caller that is refused may
+    /// come back after about `retry_after`.
+    pub const fn new(retry_after: Duration) -> Self {
+        Self {
+            tried: Vec::new(),
+            arrivals: 0,
+            unsent: Some(Unsent::begin()),
+            doubted: false,
+            retry_after,
+        }
+    }
+
+    /// Begins an attempt, if the service bears a further one.
+    pub fn begin(&mut self, state: &State, job: &Job, key: Key) -> Result<Unsent, Refusal> {
+        if self.arrivals > 0 && !state.take_repeat(&job.service) {
+            return Err(self.give_up(Kind::Overloaded));
+        }
+        self.tried.push(key);
+        Ok(self.unsent.take().unwrap_or(Unsent::begin()))
+    }
+
+    /// Takes up why an attempt has no answer; fails if there may be no other
+    /// before `until`.
+    pub fn miss(&mut self, job: &Job, missed: Missed, until: Instant) -> Result<(), Refusal> {
+        let (kind, failed) = match missed {
+            Missed::NotRun {
+                unsent,
+                kind,
+                arrived,
+            } => {
+                self.arrivals += u32::from(arrived);
+                self.unsent = Some(unsent);
+                (kind, None)
+            }
+            Missed::Unknown {
+                sent,
+                kind,
+                context,
+            } => {
+                self.arrivals += 1;
+                (kind, Some((sent, context)))
+            }
+        };
+        let spent = self.arrivals >= job.route.attempts || Instant::now() >= until;
+        let Some((sent, context)) = failed else {
+            return if spent {
+                Err(self.give_up(kind))
+            } else {
+                Ok(())
+            };
+        };
+        Event::AttemptFailed.log(format_args!(
+            "id={} age_ms={} kind={kind} context={context:?}",
+            job.id(),
+            job.age_ms()
+        ));
+        if spent || !job.route.repeat.is_repeatable() {
+            return Err(sent.fail(kind, context).into());
+        }
+        self.doubted = true;
+        Ok(())
+    }
+
+    /// Ends the request without an answer; that it has not run is only said if
+    /// no attempt may have.
+    pub fn give_up(&mut self, kind: Kind) -> Refusal {
+        let context = format!("tried={} arrivals={}", self.tried.len(), self.arrivals);
+        let unsent = self.unsent.take().unwrap_or(Unsent::begin());
+        if self.doubted {
+            return unsent.doubt(kind, context).into();
+        }
+        let refusal = Refusal::from(unsent.refuse(kind, context));
+        refusal.with_retry_after(reply::jitter(self.retry_after))
+    }
+}
+
 /// Counts an attempt at its endpoint until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -167,12 +260,10 @@
     let endpoint = &flight.endpoint;
     let service = [endpoint.service.as_str()];
     state.metrics.attempts.with_label_values(&service).inc();
-    let connection = match time::timeout_at(until, Connection::open(endpoint.address)).await {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(_)) | Err(_) => {
-            flight.note(Report::Unreachable);
-            return Err(not_run(unsent, Kind::Unreachable));
-        }
+    let connection = time::timeout_at(until, Connection::open(endpoint.address)).await;
+    let Ok(Ok(connection)) = connection else {
+        flight.note(Report::Unreachable);
+        return Err(not_run(unsent, Kind::Unreachable));
     };
     let request = match encode(outgoing, endpoint, extra) {
         Ok(request) => request,
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -3,15 +3,15 @@
 //!
 //! A request takes these steps:
 //!
-//! 1. [`server`] accepts the connection and hands each request to [`request`],
+//! 1. `server` accepts the connection and hands each request to `request`,
 //!    which finds its route and its team, reads its body and sets its deadline.
-//! 2. [`stages`] has the stages of its route made, by the gateway that [`owner`]
+//! 2. `stages` has the stages of its route made, by the gateway that `owner`
 //!    says forms the calls of each service.
-//! 3. [`plain`] or [`stream`] picks an endpoint and makes attempts, each with a
-//!    connection of its own ([`attempt`]).
-//! 4. [`reply`] turns what failed into an answer.
+//! 3. `plain` or `stream` picks an endpoint and makes attempts, each with a
+//!    connection of its own (`attempt`).
+//! 4. `reply` turns what failed into an answer.
 //!
-//! [`view`] follows the store, and [`peers`] exchanges with other gateways what
+//! `view` follows the store, and `peers` exchanges with other gateways what
 //! the store does not tell. [`State`] holds what all of these share.
 
 mod attempt;
--- a/crates/cicadacrank-node/src/gateway/owner.rs
+++ b/crates/cicadacrank-node/src/gateway/owner.rs
@@ -1,7 +1,7 @@
 //! Forms the calls to endpoints that do stages, for all gateways.
 
 use super::{
-    plain::jitter,
+    reply::jitter,
     stages::Product,
     state::{State, lock},
 };
@@ -13,7 +13,7 @@
     },
 };
 use cicadacrank_core::{
-    batch::{self, Call, Outcome, Pool, Results, Stranded, Ticket},
+    batch::{self, Call, Expired, Outcome, Pool, Results, Ticket},
     config::Config,
     directory::{Endpoint, Life},
     error::Kind,
@@ -103,12 +103,12 @@
 /// The pools of all services that do stages, sorted by name.
 #[derive(Debug, Default)]
 pub struct Pools {
-    shops: Mutex<Vec<Arc<Shop>>>,
+    batchers: Mutex<Vec<Arc<Batcher>>>,
     changed: Notify,
 }
 
 #[derive(Debug)]
-struct Shop {
+struct Batcher {
     service: String,
     inner: Mutex<Inner>,
     wake: Notify,
@@ -141,34 +141,34 @@
 impl Pools {
     /// Takes up the services of a configuration.
     pub fn set_config(&self, config: &Config) {
-        let mut shops = lock(&self.shops);
+        let mut batchers = lock(&self.batchers);
         let workers = config
             .services
             .iter()
             .filter_map(|service| Some((&service.name, service.worker?)));
-        let mut next: Vec<Arc<Shop>> = Vec::new();
+        let mut next: Vec<Arc<Batcher>> = Vec::new();
         for (name, worker) in workers {
-            let known = shops.iter().find(|shop| shop.service == *name);
-            let shop = known.cloned().unwrap_or_else(|| {
-                Arc::new(Shop {
+            let known = batchers.iter().find(|batcher| batcher.service == *name);
+            let batcher = known.cloned().unwrap_or_else(|| {
+                Arc::new(Batcher {
                     service: name.clone(),
                     inner: Mutex::new(Inner::new(Pool::new(worker))),
                     wake: Notify::new(),
                 })
             });
-            lock(&shop.inner).pool.set_worker(worker);
-            next.push(shop);
+            lock(&batcher.inner).pool.set_worker(worker);
+            next.push(batcher);
         }
-        *shops = next;
-        drop(shops);
+        *batchers = next;
+        drop(batchers);
         self.changed.notify_one();
     }
 
     /// Takes up the endpoints that may be used.
     pub fn set_endpoints(&self, fleet: &Fleet) {
-        for shop in lock(&self.shops).iter() {
-            let mut inner = lock(&shop.inner);
-            let usable = fleet.usable(&shop.service);
+        for batcher in lock(&self.batchers).iter() {
+            let mut inner = lock(&batcher.inner);
+            let usable = fleet.usable(&batcher.service);
             inner.endpoints = usable.map(|(_, row)| row.endpoint.clone()).collect();
             let Inner {
                 pool, endpoints, ..
@@ -176,22 +176,22 @@
             let usable = endpoints.iter();
             pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
             drop(inner);
-            shop.wake.notify_one();
+            batcher.wake.notify_one();
         }
     }
 
     /// Returns the number of a service among those that do stages.
     pub fn number(&self, service: &str) -> Option<usize> {
-        let shops = lock(&self.shops);
-        shops
-            .binary_search_by(|shop| shop.service.as_str().cmp(service))
+        let batchers = lock(&self.batchers);
+        batchers
+            .binary_search_by(|batcher| batcher.service.as_str().cmp(service))
             .ok()
     }
 
-    fn find(&self, service: &str) -> Option<Arc<Shop>> {
-        let shops = lock(&self.shops);
-        let found = shops.binary_search_by(|shop| shop.service.as_str().cmp(service));
-        Some(Arc::clone(&shops[found.ok()?]))
+    fn find(&self, service: &str) -> Option<Arc<Batcher>> {
+        let batchers = lock(&self.batchers);
+        let found = batchers.binary_search_by(|batcher| batcher.service.as_str().cmp(service));
+        Some(Arc::clone(&batchers[found.ok()?]))
     }
 }
 
@@ -231,15 +231,15 @@
 }
 
 /// Takes the pieces of one order back when nobody waits for them any more.
-struct Withdrawal {
-    shop: Arc<Shop>,
+struct Cancellation {
+    batcher: Arc<Batcher>,
     job: u64,
 }
 
-impl Drop for Withdrawal {
+impl Drop for Cancellation {
     fn drop(&mut self) {
-        let mut inner = lock(&self.shop.inner);
-        inner.pool.withdraw(self.job);
+        let mut inner = lock(&self.batcher.inner);
+        inner.pool.cancel(self.job);
         inner.waiting.retain(|one| one.piece.job != self.job);
     }
 }
@@ -249,11 +249,11 @@
     let state = Arc::clone(state);
     tokio::spawn(async move {
         loop {
-            for shop in lock(&state.pools.shops).iter() {
-                let running = std::mem::replace(&mut lock(&shop.inner).running, true);
+            for batcher in lock(&state.pools.batchers).iter() {
+                let running = std::mem::replace(&mut lock(&batcher.inner).running, true);
                 if !running {
-                    tokio::spawn(run(Arc::clone(&state), Arc::clone(shop)));
-                    tokio::spawn(run_releases(Arc::clone(shop)));
+                    tokio::spawn(run(Arc::clone(&state), Arc::clone(batcher)));
+                    tokio::spawn(run_releases(Arc::clone(batcher)));
                 }
             }
             state.pools.changed.notified().await;
@@ -267,15 +267,15 @@
         kind,
         retry_after: jitter(RETRY_AFTER),
     };
-    let shop = state
+    let batcher = state
         .pools
         .find(&order.service)
         .ok_or_else(|| failure(Kind::NoEndpoint))?;
     let now = state.clock.now();
     let (reply, mut results) = mpsc::unbounded_channel();
     let count = order.pieces as usize;
-    let withdrawal = {
-        let mut inner = lock(&shop.inner);
+    let cancellation = {
+        let mut inner = lock(&batcher.inner);
         let done = inner
             .pool
             .estimate(count, now)
@@ -289,13 +289,13 @@
         let job = inner.next_job;
         inner.next_job += 1;
         add(&mut inner, &order, job, now, &reply);
-        Withdrawal {
-            shop: Arc::clone(&shop),
+        Cancellation {
+            batcher: Arc::clone(&batcher),
             job,
         }
     };
     drop(reply);
-    shop.wake.notify_one();
+    batcher.wake.notify_one();
     let mut made: Vec<Option<Product>> = vec![None; count];
     let mut failed = None;
     while let Some((number, result)) = results.recv().await {
@@ -310,7 +310,7 @@
             break;
         }
     }
-    drop(withdrawal);
+    drop(cancellation);
     let made: Vec<Product> = made.into_iter().flatten().collect();
     if made.len() == count {
         return Ok(made);
@@ -359,12 +359,12 @@
 }
 
 /// Makes calls of what waits at one service, for as long as the process runs.
-async fn run(state: Arc<State>, shop: Arc<Shop>) {
+async fn run(state: Arc<State>, batcher: Arc<Batcher>) {
     loop {
         let sleep = {
             let now = state.clock.now();
-            let mut inner = lock(&shop.inner);
-            for Stranded(ticket) in inner.pool.strand(now) {
+            let mut inner = lock(&batcher.inner);
+            for Expired(ticket) in inner.pool.expire(now) {
                 if let Some(waiting) = inner.take(ticket) {
                     drop(waiting.reply.send((waiting.number, Err(Kind::TimeUp))));
                 }
@@ -376,7 +376,7 @@
                 let address = inner.address(&call.life);
                 tokio::spawn(make(
                     Arc::clone(&state),
-                    Arc::clone(&shop),
+                    Arc::clone(&batcher),
                     call,
                     pieces,
                     address,
@@ -388,14 +388,14 @@
                     .clamp(Duration::from_millis(1), LONGEST_SLEEP)
             })
         };
-        drop(time::timeout(sleep, shop.wake.notified()).await);
+        drop(time::timeout(sleep, batcher.wake.notified()).await);
     }
 }
 
 /// Makes one call and hands out its results.
 async fn make(
     state: Arc<State>,
-    shop: Arc<Shop>,
+    batcher: Arc<Batcher>,
     call: Call,
     pieces: Vec<Waiting>,
     address: Option<(SocketAddr, String)>,
@@ -406,7 +406,7 @@
         Some((address, _)) => exchange(&state, *address, &call, &pieces).await,
         None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
     };
-    let service = shop.service.as_str();
+    let service = batcher.service.as_str();
     let labels = [service, outcome_name(outcome)];
     state.metrics.stage_calls.with_label_values(&labels).inc();
     Event::CallEnded.log(format_args!(
@@ -422,19 +422,19 @@
     ));
     let data_centre = address.map_or_else(String::new, |(_, data_centre)| data_centre);
     let results = results(&pieces, &made);
-    lock(&shop.inner)
+    lock(&batcher.inner)
         .pool
         .end(&call, outcome, results, state.clock.now());
     if outcome == Outcome::Answered {
         for (waiting, made) in pieces.into_iter().zip(made) {
-            hand_out(&state, &shop, &call.life, &data_centre, waiting, made);
+            hand_out(&state, &batcher, &call.life, &data_centre, waiting, made);
         }
     } else {
         for waiting in pieces {
-            try_again(&state, &shop, waiting, Kind::StageFailed);
+            try_again(&state, &batcher, waiting, Kind::StageFailed);
         }
     }
-    shop.wake.notify_one();
+    batcher.wake.notify_one();
 }
 
 /// Adds up what the endpoint has room for, and what it had none for.
@@ -504,7 +504,7 @@
 
 fn hand_out(
     state: &State,
-    shop: &Shop,
+    batcher: &Batcher,
     life: &Life,
     data_centre: &str,
     waiting: Waiting,
@@ -514,29 +514,29 @@
         Made::Result(handle) => Ok(Product {
             handle,
             endpoint: life.clone(),
-            service: shop.service.clone(),
+            service: batcher.service.clone(),
             data_centre: data_centre.to_owned(),
             bytes: waiting.piece.bytes,
         }),
         Made::Late => Err(Kind::TimeUp),
         Made::SourceGone => Err(Kind::StageFailed),
-        Made::NoRoom => return try_again(state, shop, waiting, Kind::Overloaded),
-        Made::Failed => return try_again(state, shop, waiting, Kind::StageFailed),
+        Made::NoRoom => return try_again(state, batcher, waiting, Kind::Overloaded),
+        Made::Failed => return try_again(state, batcher, waiting, Kind::StageFailed),
     };
     if let Err(unclaimed) = waiting.reply.send((waiting.number, result))
         && let (_, Ok(product)) = unclaimed.0
     {
-        release_here(shop, &[product]);
+        release_here(batcher, &[product]);
     }
 }
 
 /// Lets a piece wait for another call, if it may.
-fn try_again(state: &State, shop: &Shop, mut waiting: Waiting, kind: Kind) {
+fn try_again(state: &State, batcher: &Batcher, mut waiting: Waiting, kind: Kind) {
     waiting.tries += 1;
     let wanted = !waiting.reply.is_closed();
-    if wanted && waiting.tries < MOST_TRIES && state.take_repeat(&shop.service) {
+    if wanted && waiting.tries < MOST_TRIES && state.take_repeat(&batcher.service) {
         let (number, reply) = (waiting.number, waiting.reply.clone());
-        if !lock(&shop.inner).put(waiting) {
+        if !lock(&batcher.inner).put(waiting) {
             drop(reply.send((number, Err(Kind::Overloaded))));
         }
         return;
@@ -548,14 +548,14 @@
 /// Gives up results of services whose calls this gateway forms.
 pub fn release(state: &State, products: &[Product]) {
     for product in products {
-        if let Some(shop) = state.pools.find(&product.service) {
-            release_here(&shop, std::slice::from_ref(product));
+        if let Some(batcher) = state.pools.find(&product.service) {
+            release_here(&batcher, std::slice::from_ref(product));
         }
     }
 }
 
-fn release_here(shop: &Shop, products: &[Product]) {
-    let mut inner = lock(&shop.inner);
+fn release_here(batcher: &Batcher, products: &[Product]) {
+    let mut inner = lock(&batcher.inner);
     for product in products {
         inner.pool.free(&product.endpoint, product.bytes);
         inner
@@ -565,11 +565,11 @@
 }
 
 /// Tells endpoints which results are given up, several at a time.
-async fn run_releases(shop: Arc<Shop>) {
+async fn run_releases(batcher: Arc<Batcher>) {
     loop {
         time::sleep(RELEASE_PERIOD).await;
         let calls: Vec<_> = {
-            let mut inner = lock(&shop.inner);
+            let mut inner = lock(&batcher.inner);
             let mut released = std::mem::take(&mut inner.released);
             released.sort();
             released
@@ -583,7 +583,7 @@
                 .collect()
         };
         if !calls.is_empty() {
-            shop.wake.notify_one();
+            batcher.wake.notify_one();
         }
         for (address, id, handles) in calls {
             tokio::spawn(async move {
--- a/crates/cicadacrank-node/src/gateway/peers.rs
+++ b/crates/cicadacrank-node/src/gateway/peers.rs
@@ -112,7 +112,7 @@
 /// Returns a report if the address cannot be bound.
 pub fn start(state: &Arc<State>) -> Result<()> {
     let listener = daemon::bind(state.settings.listen)?;
-    let service = GatewayServer::new(Door(Arc::clone(state)))
+    let service = GatewayServer::new(Handler(Arc::clone(state)))
         .max_decoding_message_size(MESSAGE_BYTES)
         .max_encoding_message_size(MESSAGE_BYTES);
     let server = Server::builder()
@@ -348,10 +348,10 @@
 
 /// Serves other gateways.
 #[derive(Debug)]
-struct Door(Arc<State>);
+struct Handler(Arc<State>);
 
 #[async_trait]
-impl Serve for Door {
+impl Serve for Handler {
     async fn exchange(&self, request: Request<Beat>) -> Result<Response<Beat>, Status> {
         take_beat(&self.0, request.into_inner(), "");
         Ok(Response::new(make_beat(&self.0)))
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -1,7 +1,7 @@
 //! Requests that one endpoint answers at once.
 
 use super::{
-    attempt::{self, Extra, Missed, Started},
+    attempt::{self, Attempts, Extra, Missed, Started},
     reply::Body,
     request::{Job, Refusal},
     state::{State, lock},
@@ -33,86 +33,18 @@
 
 /// Serves a request from an endpoint of a plain service.
 pub async fn serve(state: &Arc<State>, job: &Job) -> Result<Response<Body>, Refusal> {
-    let mut tried: Vec<Key> = Vec::new();
-    let mut unsent = Unsent::begin();
-    let mut arrivals = 0;
+    let mut attempts = Attempts::new(RETRY_AFTER);
     loop {
-        let last = arrivals + 1 >= job.route.attempts;
-        let Some(key) = choose(state, job, &tried) else {
-            let stop = unsent.refuse(Kind::NoEndpoint, format!("tried={}", tried.len()));
-            return Err(Refusal::from(stop).with_retry_after(jitter(RETRY_AFTER)));
+        let Some(key) = choose(state, job, &attempts.tried) else {
+            return Err(attempts.give_up(Kind::NoEndpoint));
         };
-        if arrivals > 0 && !state.take_repeat(&job.service) {
-            let stop = unsent.refuse(Kind::Overloaded, "no repeats left");
-            return Err(Refusal::from(stop).with_retry_after(jitter(RETRY_AFTER)));
-        }
-        tried.push(key);
+        let unsent = attempts.begin(state, job, key)?;
+        let last = attempts.arrivals + 1 >= job.route.attempts;
         match exchange(state, job, key, last, unsent).await {
             Ok(response) => return Ok(response),
-            Err(Missed::NotRun {
-                unsent: proof,
-                kind,
-                arrived,
-            }) => {
-                arrivals += u32::from(arrived);
-                if arrivals >= job.route.attempts || Instant::now() >= job.outgoing.deadline {
-                    let stop = proof.refuse(kind, format!("tried={}", tried.len()));
-                    return Err(Refusal::from(stop).with_retry_after(jitter(RETRY_AFTER)));
-                }
-                unsent = proof;
-            }
-            Err(Missed::Unknown {
-                sent,
-                kind,
-                context,
-            }) => {
-                arrivals += 1;
-                Event::AttemptFailed.log(format_args!(
-                    "id={} age_ms={} kind={kind} context={context:?}",
-                    job.id(),
-                    job.age_ms()
-                ));
-                let again = job.route.repeat.is_repeatable()
-                    && arrivals < job.route.attempts
-                    && Instant::now() < job.outgoing.deadline;
-                if !again {
-                    return Err(sent.fail(kind, context).into());
-                }
-                return repeat(state, job, &mut tried)
-                    .await
-                    .map_err(|missed| missed.unwrap_or_else(|| sent.fail(kind, context).into()));
-            }
-        }
-    }
-}
-
-/// Sends a request that may have run to one more endpoint; without an answer
-/// from there either, nothing is known but what was before.
-async fn repeat(
-    state: &Arc<State>,
-    job: &Job,
-    tried: &mut Vec<Key>,
-) -> Result<Response<Body>, Option<Refusal>> {
-    let mut arrivals = 1;
-    while arrivals < job.route.attempts {
-        let Some(key) = choose(state, job, tried) else {
-            break;
-        };
-        if !state.take_repeat(&job.service) {
-            break;
-        }
-        tried.push(key);
-        let last = arrivals + 1 >= job.route.attempts;
-        match exchange(state, job, key, last, Unsent::begin()).await {
-            Ok(response) => return Ok(response),
-            Err(Missed::NotRun { arrived, .. }) => arrivals += u32::from(arrived),
-            Err(Missed::Unknown { .. }) => arrivals += 1,
-        }
-        if Instant::now() >= job.outgoing.deadline {
-            break;
+            Err(missed) => attempts.miss(job, missed, job.outgoing.deadline)?,
         }
     }
-    Err(None)
 }
 
 fn choose(state: &State, job: &Job, tried: &[Key]) -> Option<Key> {
@@ -208,8 +140,3 @@
     *response.headers_mut() = caller::forwarded(&head.headers);
     response
 }
-
-/// Spreads the return of callers that were refused together.
-pub fn jitter(pause: Duration) -> Duration {
-    pause.mul_f64(rand::random_range(0.75..1.5))
-}
--- a/crates/cicadacrank-node/src/gateway/reply.rs
+++ b/crates/cicadacrank-node/src/gateway/reply.rs
@@ -42,6 +42,11 @@
     response
 }
 
+/// Spreads the return of callers that were refused together.
+pub fn jitter(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.75..1.5))
+}
+
 /// Returns an answer that says nothing but its status.
 pub fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Either::Left(Full::new(Bytes::new())));
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -1,8 +1,8 @@
 //! Requests that a model engine answers by a stream of events.
 
 use super::{
-    attempt::{self, Extra, Flight, Missed, Started},
-    plain::{jitter, pass_on},
+    attempt::{self, Attempts, Extra, Flight, Started},
+    plain::pass_on,
     reply::Body,
     request::{Job, Refusal},
     stages::{self, Products},
@@ -56,17 +56,16 @@
     let expires = job.outgoing.deadline.min(job.arrived + patience(&job));
     let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT);
     let products = stages::make(state, &job, due, expires - FIRST_EVENT).await?;
-    let mut tried = Vec::new();
+    let mut attempts = Attempts::new(RETRY_AFTER);
     let sent_at = Instant::now();
-    let (started, unread) = begin(state, &job, &products, &mut tried, expires).await?;
+    let started = begin(state, &job, &products, &mut attempts, expires).await?;
     let mut relay = Relay {
         state: Arc::clone(state),
         splitter: Splitter::default(),
         products: Some(products),
-        arrivals: u32::try_from(tried.len()).unwrap_or(u32::MAX),
-        tried,
+        arrivals: attempts.arrivals + 1,
+        tried: attempts.tried,
         events: 0,
-        unread,
         sent_at,
         started,
         finished: false,
@@ -98,104 +97,41 @@
         .max(gap * PATIENCE_GAPS)
 }
 
-/// An exchange without its head, and what the request has unread at it.
+/// An attempt whose events are passed on.
 struct Running {
     exchange: Exchange,
     flight: Flight,
     sent: Sent,
 }
 
+impl From<Started> for Running {
+    fn from(started: Started) -> Self {
+        Self {
+            exchange: started.exchange,
+            flight: started.flight,
+            sent: started.sent,
+        }
+    }
+}
+
 /// Finds an engine that takes the request.
 async fn begin(
     state: &Arc<State>,
     job: &Job,
     products: &Products,
-    tried: &mut Vec<Key>,
+    attempts: &mut Attempts,
     expires: Instant,
-) -> Result<(Running, u64), Refusal> {
-    let mut unsent = Unsent::begin();
-    let mut arrivals = 0;
-    let refuse = |unsent: Unsent, kind, context: &str| {
-        let stop = unsent.refuse(kind, context);
-        Refusal::from(stop).with_retry_after(jitter(RETRY_AFTER))
-    };
+) -> Result<Running, Refusal> {
     loop {
-        let Some(key) = choose(state, job, products, tried, expires).await else {
-            return Err(refuse(unsent, Kind::NoEndpoint, "no engine to choose"));
+        let chosen = choose(state, job, products, &attempts.tried, expires).await;
+        let Some(key) = chosen else {
+            return Err(attempts.give_up(Kind::NoEndpoint));
         };
-        if arrivals > 0 && !state.take_repeat(&job.service) {
-            return Err(refuse(unsent, Kind::Overloaded, "no repeats left"));
-        }
-        tried.push(key);
+        let unsent = attempts.begin(state, job, key)?;
         let extra = extra(job, products, None);
-        let tokens = extra.tokens;
         match attempt::start(state, &job.outgoing, key, &extra, expires, unsent).await {
-            Ok(Started {
-                exchange,
-                flight,
-                sent,
-                ..
-            }) => {
-                let running = Running {
-                    exchange,
-                    flight,
-                    sent,
-                };
-                return Ok((running, tokens));
-            }
-            Err(Missed::NotRun {
-                unsent: proof,
-                kind,
-                arrived,
-            }) => {
-                arrivals += u32::from(arrived);
-                if arrivals >= job.route.attempts || Instant::now() >= expires {
-                    return Err(refuse(proof, kind, "no engine took it"));
-                }
-                unsent = proof;
-            }
-            Err(Missed::Unknown {
-                sent,
-                kind,
-                context,
-            }) => {
-                arrivals += 1;
-                let again = job.route.repeat.is_repeatable()
-                    && arrivals < job.route.attempts
-                    && Instant::now() < expires
-                    && state.take_repeat(&job.service);
-                if !again {
-                    return Err(sent.fail(kind, context).into());
-                }
-                Event::AttemptFailed.log(format_args!(
-                    "id={} age_ms={} kind={kind} context={context:?}",
-                    job.id(),
-                    job.age_ms()
-                ));
-                let Some(key) = choose(state, job, products, tried, expires).await else {
-                    return Err(sent.fail(kind, context).into());
-                };
-                tried.push(key);
-                let extra = self::extra(job, products, None);
-                let second =
-                    attempt::start(state, &job.outgoing, key, &extra, expires, Unsent::begin());
-                return match second.await {
-                    Ok(Started {
-                        exchange,
-                        flight,
-                        sent,
-                        ..
-                    }) => Ok((
-                        Running {
-                            exchange,
-                            flight,
-                            sent,
-                        },
-                        extra.tokens,
-                    )),
-                    Err(_) => Err(sent.fail(kind, context).into()),
-                };
-            }
+            Ok(started) => return Ok(started.into()),
+            Err(missed) => attempts.miss(job, missed, expires)?,
         }
     }
 }
@@ -252,7 +188,6 @@
     tried: Vec<Key>,
     arrivals: u32,
     events: u64,
-    unread: u64,
     sent_at: Instant,
     expires: Instant,
     finished: bool,
@@ -356,7 +291,9 @@
         if self.events == 0 {
             let took = self.sent_at.elapsed();
             self.started.flight.read();
-            self.started.flight.answer(self.unread, took);
+            self.started
+                .flight
+                .answer(self.job.caller.prompt.tokens, took);
             let route = [self.job.route.name.as_str()];
             let seconds = self.job.arrived.elapsed().as_secs_f64();
             let first_byte = &self.state.metrics.first_byte;
@@ -369,7 +306,7 @@
                 self.started.flight.endpoint.life.id,
                 self.job.age_ms(),
                 took.as_millis(),
-                self.unread,
+                self.job.caller.prompt.tokens,
                 whole.len(),
             ));
             if !self.may_resume() {
@@ -441,14 +378,7 @@
             extra.last_event,
         ));
         self.splitter.restart();
-        let head = self.head();
-        let mut exchange = started.exchange;
-        *exchange.response.headers_mut() = head.headers;
-        self.started = Running {
-            exchange,
-            flight: started.flight,
-            sent: started.sent,
-        };
+        self.started = started.into();
         true
     }
 }
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -135,6 +135,10 @@
 }
 
 /// Makes a connection send small parts at once and notice a silent other side.
+///
+/// # Errors
+///
+/// Returns the error of an option that cannot be set.
 pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- /dev/null
+++ b/crates/cicadacrank-node/tests/names.rs
@@ -0,0 +1,72 @@
+//! The platform's names stay in the folder that translates them.
+
+use std::{fs, path::Path};
+
+/// Names that only the platform uses; its plain words, such as `name`, are also
+/// ours.
+const NAMES: [&str; 30] = [
+    "routeKind",
+    "pathPrefix",
+    "timeoutMs",
+    "targetLatencyMs",
+    "maxAttempts",
+    "trafficSplit",
+    "anonymousAccess",
+    "sessionAffinity",
+    "streamResumption",
+    "maxGapMs",
+    "apiKeys",
+    "kvHandle",
+    "coldRemainingMs",
+    "coldPerS",
+    "connectionLimit",
+    "headroomMb",
+    "handleTtlS",
+    "itemTimeMs",
+    "callTimeMs",
+    "byteCount",
+    "controlPlane",
+    "seedNodes",
+    "stage-run",
+    "stage-free",
+    "x-attempt-id",
+    "x-deadline-ms",
+    "x-token-usage",
+    "x-segment",
+    "x-expected-instance",
+    "x-not-executed",
+];
+
+fn check(folder: &Path, found: &mut Vec<String>) {
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            if !path.ends_with("cicadacrank-node/src/platform") {
+                check(&path, found);
+            }
+            continue;
+        }
+        let text = fs::read_to_string(&path).unwrap_or_default().to_lowercase();
+        for name in NAMES {
+            if text.contains(&name.to_lowercase()) {
+                found.push(format!("{}: {name}", path.display()));
+            }
+        }
+    }
+}
+
+#[test]
+fn names_of_the_platform_stay_in_its_folder() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut found = Vec::new();
+    for package in [
+        "cicadacrank",
+        "cicadacrank-core",
+        "cicadacrank-node",
+        "cicadacrank-wire",
+        "cicadacrankd",
+    ] {
+        check(&crates.join(package).join("src"), &mut found);
+    }
+    assert!(found.is_empty(), "{found:#?}");
+}
--- /dev/null
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -0,0 +1,255 @@
+//! What the platform writes, as it is read.
+
+use cicadacrank_core::{config::Repeat, directory::State, placement::Prompt};
+use cicadacrank_node::platform::{
+    Object, Version,
+    answer::Answer,
+    caller::{self, Additions, Caller},
+    config, endpoint, settings,
+    stage::{self, Made},
+};
+use http::{HeaderMap, StatusCode};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+fn object(spec: Value) -> Object {
+    Object {
+        name: "i-1".to_owned(),
+        version: Version::from(7),
+        spec,
+    }
+}
+
+fn entry() -> Value {
+    json!({ "service": "llm", "address": "10.1.0.9:80", "zone": "a", "slots": 8,
+        "state": "ready", "coldRemainingMs": 1500, "sequence": 4, "born": 12, "more": true })
+}
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let pair = |(name, value): &(&str, &str)| {
+        let name: http::HeaderName = name.parse().expect("a name");
+        (name, value.parse().expect("a value"))
+    };
+    pairs.iter().map(pair).collect()
+}
+
+#[test]
+fn endpoint_decodes_what_it_says() {
+    let endpoint = endpoint::decode(&object(entry())).expect("an endpoint");
+    assert_eq!(endpoint.life.born, Some(12));
+    assert_eq!(endpoint.state, State::Ready);
+    assert_eq!(endpoint.cold, Duration::from_millis(1_500));
+}
+
+#[test]
+fn endpoint_refuses_what_names_none() {
+    for (field, value) in [
+        ("service", json!(7)),
+        ("address", json!("somewhere")),
+        ("zone", Value::Null),
+        ("state", json!("asleep")),
+        ("coldRemainingMs", json!(-1)),
+        ("coldRemainingMs", json!("soon")),
+        ("sequence", json!(1.5)),
+        ("born", json!("x")),
+    ] {
+        let mut spec = entry();
+        spec[field] = value.clone();
+        let decoded = endpoint::decode(&object(spec));
+        assert!(decoded.is_err(), "{field} {value}");
+    }
+}
+
+fn configuration() -> Value {
+    json!({
+        "version": 7,
+        "routes": [{ "name": "r", "host": "Tea.Example", "pathPrefix": "/a/",
+            "routeKind": "streaming", "timeoutMs": 5000, "targetLatencyMs": 910,
+            "priority": 1, "trafficSplit": [{ "service": "llm", "weight": 9 }],
+            "maxAttempts": 2, "streamResumption": true, "maxGapMs": 300,
+            "phases": [{ "service": "e", "after": [], "byteCount": 8000 }] }],
+        "services": [{ "name": "e", "connectionLimit": 10,
+            "segments": { "slots": 1, "queue": 2, "batch": 14, "callTimeMs": 200.0,
+                "itemTimeMs": 12.0, "headroomMb": 32.0, "handleTtlS": 4.0 } }],
+        "limits": { "maxHeaderBytes": 100, "maxBodyBytes": 200, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "t", "apiKeys": ["k"], "priority": 3 }],
+    })
+}
+
+#[test]
+fn config_decodes_what_operators_write() {
+    let config = config::decode(&configuration()).expect("a configuration");
+    let route = config.route("tea.example", "/a/x").expect("a route");
+    assert_eq!(route.repeat, Repeat::ResumableStream);
+    assert_eq!(route.objective, Duration::from_millis(910));
+    let worker = config.service("e").and_then(|service| service.worker);
+    let worker = worker.expect("a service that does stages");
+    assert_eq!(worker.room_bytes, 32_000_000);
+    assert_eq!(worker.result_life, Duration::from_secs(4));
+    assert_eq!(config.team("k").and_then(|team| team.rank), Some(3));
+}
+
+#[test]
+fn config_refuses_what_it_cannot_read() {
+    for (pointer, value) in [
+        ("/version", json!("7")),
+        ("/routes/0/routeKind", json!("sometimes")),
+        ("/routes/0/timeoutMs", json!(-5)),
+        ("/routes/0/phases/0/after", json!([0])),
+        ("/services/0/segments/callTimeMs", json!("long")),
+        ("/limits", json!(null)),
+        ("/tenants/0/apiKeys", json!("k")),
+    ] {
+        let mut content = configuration();
+        *content.pointer_mut(pointer).expect("a field") = value;
+        assert!(config::decode(&content).is_err(), "{pointer}");
+    }
+}
+
+#[test]
+fn caller_decodes_heads() {
+    let caller = Caller::decode(&headers(&[
+        ("x-attempt-id", "9c41"),
+        ("x-deadline-ms", "5000"),
+        ("authorization", "Bearer key"),
+        ("x-token-usage", "1460,80"),
+        ("x-prompt-prefix", "5c1e:800,91bd:410,e440:250"),
+        ("x-segment-count", "2,0,3"),
+    ]));
+    assert_eq!(caller.attempt_text(), "9c41");
+    assert_eq!(caller.patience, Some(Duration::from_secs(5)));
+    assert_eq!(caller.key.as_deref(), Some("key"));
+    assert_eq!(caller.pieces, [2, 0, 3]);
+    assert_eq!(caller.prompt.tokens, 1_460);
+    assert_eq!(caller.prompt.shared_tokens, 1_210);
+    assert!(caller.prompt.shared.is_some());
+}
+
+#[test]
+fn caller_takes_unreadable_heads_as_unsaid() {
+    let caller = Caller::decode(&headers(&[
+        ("x-deadline-ms", "soon"),
+        ("x-prompt-prefix", ",,:"),
+        ("authorization", "Basic x"),
+    ]));
+    assert_eq!(caller.patience, None);
+    assert_eq!(caller.key, None);
+    assert_eq!(caller.prompt, Prompt::default());
+    assert_eq!(caller.attempt_text(), "-");
+}
+
+#[test]
+fn encode_passes_on_only_what_endpoints_may_get() {
+    let sent = headers(&[
+        ("x-attempt-id", "9c41"),
+        ("authorization", "Bearer key"),
+        ("x-tenant", "forged"),
+        ("x-pin-ms", "9"),
+        ("kv-from", "10.0.0.1:1/a"),
+        ("x-expected-instance", "forged"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("x-other", "kept"),
+    ]);
+    let additions = Additions {
+        endpoint: "i-1",
+        remaining: Duration::from_millis(750),
+        team: Some("t"),
+        results: &["h1".to_owned(), "h2".to_owned()],
+        last_event: Some("4"),
+        urgency: Some(2),
+    };
+    let mut encoded: Vec<(String, String)> = caller::encode(&sent, &additions)
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_str().expect("text").to_owned()))
+        .collect();
+    encoded.sort();
+    let expected = [
+        ("last-event-id", "4"),
+        ("x-attempt-id", "9c41"),
+        ("x-deadline-ms", "750"),
+        ("x-expected-instance", "i-1"),
+        ("x-input-count", "h1,h2"),
+        ("x-other", "kept"),
+        ("x-request-priority", "2"),
+        ("x-tenant", "t"),
+    ];
+    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    assert_eq!(encoded, expected);
+}
+
+#[test]
+fn answer_states_that_a_request_did_not_run() {
+    for (status, headers, declined) in [
+        (503, headers(&[("x-not-executed", "1")]), true),
+        (503, headers(&[]), false),
+        (421, headers(&[]), true),
+        (200, headers(&[("x-not-executed", "1")]), false),
+        (500, headers(&[("x-response-signature", "s")]), false),
+    ] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let answer = Answer::decode(status, &headers);
+        assert_eq!(answer.declined.is_some(), declined, "{status}");
+    }
+}
+
+#[test]
+fn stage_decodes_results_and_reasons() {
+    let body = br#"{"items":[{"kvHandle":"h"},{"reason":"gone"},{"reason":"room"},{"reason":"late"},{"reason":"?"},{}]}"#;
+    let made = stage::decode(StatusCode::OK, body, 6).expect("an answer");
+    let expected = [
+        Made::Result("h".to_owned()),
+        Made::SourceGone,
+        Made::NoRoom,
+        Made::Late,
+        Made::Failed,
+        Made::Failed,
+    ];
+    assert_eq!(made, expected);
+    assert!(stage::decode(StatusCode::OK, body, 5).is_err());
+    assert!(stage::decode(StatusCode::OK, b"{", 1).is_err());
+    assert!(stage::decode(StatusCode::BAD_GATEWAY, body, 6).is_err());
+}
+
+#[test]
+fn settings_refuse_what_they_cannot_use() {
+    let text = "nodeName = \"n\"\nzone = \"a\"\nnewField = 1\n\
+        [listenAddresses]\nfrontend = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\ncontrolPlane = \"127.0.0.1:3\"\n\
+        [limits]\nmemoryMb = 260\nfileDescriptors = 4100\n\
+        [bounds]\ngracePeriodS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetExtra = 56\nstabilityMs = 3000\n\
+        [platform]\naddress = \"127.0.0.1:4\"\n";
+    let settings = settings::parse(text).expect("settings");
+    assert_eq!(settings.sockets, 3_900);
+    assert_eq!(settings.bounds.grace, Duration::from_secs(8));
+    for (from, to) in [
+        ("nodeName", "nodeTitle"),
+        ("127.0.0.1:1", "localhost:1"),
+        ("gracePeriodS = 8", "gracePeriodS = -8"),
+        ("budgetWindowS = 10", "budgetWindowS = 0"),
+        ("memoryMb = 260", "memoryMb = \"much\""),
+    ] {
+        let report = settings::parse(&text.replace(from, to));
+        assert!(report.is_err(), "{from} -> {to}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn decoders_survive_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(value) = serde_json::from_slice::<Value>(&bytes) {
+            drop(endpoint::decode(&object(value.clone())));
+            drop(config::decode(&value));
+        }
+        drop(stage::decode(StatusCode::OK, &bytes, 1));
+        if let Ok(value) = http::HeaderValue::from_bytes(&bytes) {
+            let mut headers = HeaderMap::new();
+            for name in ["x-token-usage", "x-prompt-prefix", "x-segment-count", "x-deadline-ms"] {
+                headers.insert(name, value.clone());
+            }
+            drop(Caller::decode(&headers));
+        }
+    }
+}
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -221,27 +221,7 @@
 #[tokio::test]
 async fn unreadable_objects_change_nothing() {
     let deployment = deployment(1, 1).await;
-    let mut store = deployment.store.state();
-    store.put(Collection::Config, "main", json!({ "version": "seven" }));
-    for (name, content) in [
-        ("i-bad-1", json!(null)),
-        (
-            "i-bad-2",
-            json!({ "service": "desk", "address": "nowhere" }),
-        ),
-        (
-            "i-bad-3",
-            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": 7 }),
-        ),
-        (
-            "i-bad-4",
-            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": "one",
-            "state": "asleep", "sequence": 1 }),
-        ),
-    ] {
-        store.put(Collection::Endpoints, name, content);
-    }
-    drop(store);
+    write_unreadable(&deployment);
     fleet::wait_for("the faults in the log", async || {
         deployment.gateways[0]
             .log_text()
@@ -326,3 +306,27 @@
     });
     wait.await.is_err()
 }
+
+/// Writes objects that no reader can take as what they should be.
+fn write_unreadable(deployment: &Deployment) {
+    let mut store = deployment.store.state();
+    store.put(Collection::Config, "main", json!({ "version": "seven" }));
+    for (name, content) in [
+        ("i-bad-1", json!(null)),
+        (
+            "i-bad-2",
+            json!({ "service": "desk", "address": "nowhere" }),
+        ),
+        (
+            "i-bad-3",
+            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": 7 }),
+        ),
+        (
+            "i-bad-4",
+            json!({ "service": "desk", "address": "127.0.0.1:1", "zone": "one",
+            "state": "asleep", "sequence": 1 }),
+        ),
+    ] {
+        store.put(Collection::Endpoints, name, content);
+    }
+}
