--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -1,6 +1,7 @@
 //! Gateways as processes of their own.
 
-use rustix::process::{Pid, Signal, kill_process};
+use crate::process;
+use rustix::process::Signal;
 use std::{
     fs, io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -176,7 +177,7 @@
     ///
     /// Returns the error of the signal.
     pub fn kill(&self) -> io::Result<()> {
-        self.signal(Signal::KILL)
+        process::signal(&self.child, Signal::KILL)
     }
 
     /// Asks the process to shut down.
@@ -185,7 +186,7 @@
     ///
     /// Returns the error of the signal.
     pub fn terminate(&self) -> io::Result<()> {
-        self.signal(Signal::TERM)
+        process::signal(&self.child, Signal::TERM)
     }
 
     /// Stops the process where it is.
@@ -194,7 +195,7 @@
     ///
     /// Returns the error of the signal.
     pub fn freeze(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        process::signal(&self.child, Signal::STOP)
     }
 
     /// Lets a frozen process go on.
@@ -203,15 +204,7 @@
     ///
     /// Returns the error of the signal.
     pub fn thaw(&self) -> io::Result<()> {
-        self.signal(Signal::CONT)
-    }
-
-    fn signal(&self, signal: Signal) -> io::Result<()> {
-        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
-        let pid = id
-            .and_then(Pid::from_raw)
-            .ok_or_else(|| io::Error::other("it has ended"))?;
-        kill_process(pid, signal).map_err(io::Error::from)
+        process::signal(&self.child, Signal::CONT)
     }
 
     /// Waits for the end of the process.
--- a/crates/cicadacrank-bench/src/process.rs
+++ b/crates/cicadacrank-bench/src/process.rs
@@ -140,10 +140,15 @@
     }
 
     fn signal(&self, signal: Signal) -> io::Result<()> {
-        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
-        let pid = id
-            .and_then(Pid::from_raw)
-            .ok_or_else(|| io::Error::other("it has ended"))?;
-        kill_process(pid, signal).map_err(io::Error::from)
+        self::signal(&self.child, signal)
     }
 }
+
+/// Sends a signal to a process that a test has started.
+pub(crate) fn signal(child: &Child, signal: Signal) -> io::Result<()> {
+    let id = child.id().and_then(|id| i32::try_from(id).ok());
+    let pid = id
+        .and_then(Pid::from_raw)
+        .ok_or_else(|| io::Error::other("it has ended"))?;
+    kill_process(pid, signal).map_err(io::Error::from)
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -0,0 +1,121 @@
+//! Messages between gateways, and the types that they stand for.
+
+use crate::gateway::{owner::Order, stages::Product};
+use cicadacrank_core::{
+    directory::Life,
+    id,
+    quarantine::{Fingerprint, Suspect},
+    roster::Gateway,
+};
+use cicadacrank_wire::wire::{self, GatewayState, Production};
+use std::time::Duration;
+
+/// Returns a time as messages carry it.
+pub fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Writes what is known of a gateway.
+pub fn encode_gateway(gateway: &Gateway) -> GatewayState {
+    GatewayState {
+        instance: gateway.instance.clone(),
+        incarnation: gateway.incarnation,
+        address: gateway.address.clone(),
+        leaving: gateway.leaving,
+    }
+}
+
+/// Reads what is known of a gateway.
+pub fn decode_gateway(state: GatewayState) -> Gateway {
+    Gateway {
+        instance: state.instance,
+        incarnation: state.incarnation,
+        address: state.address,
+        leaving: state.leaving,
+    }
+}
+
+/// Writes a request that is suspected of crashing endpoints.
+pub fn encode_suspect(suspect: &Suspect) -> wire::Suspect {
+    let texts = |ids: &[id::Attempt]| ids.iter().map(ToString::to_string).collect();
+    wire::Suspect {
+        fingerprint: suspect.fingerprint.as_bytes().to_vec(),
+        crashed: texts(&suspect.crashed),
+        remaining_ms: milliseconds(suspect.remaining),
+        acquitted: texts(&suspect.acquitted),
+    }
+}
+
+/// Reads such a request; `None` if it is not named.
+pub fn decode_suspect(suspect: &wire::Suspect) -> Option<Suspect> {
+    let ids = |texts: &[String]| {
+        let ids = texts.iter().filter_map(|text| id::Attempt::parse(text));
+        ids.collect()
+    };
+    Some(Suspect {
+        fingerprint: Fingerprint::from_bytes(&suspect.fingerprint)?,
+        crashed: ids(&suspect.crashed),
+        acquitted: ids(&suspect.acquitted),
+        remaining: Duration::from_millis(suspect.remaining_ms),
+    })
+}
+
+/// Writes an order of pieces.
+pub fn encode_order(order: &Order) -> Production {
+    Production {
+        request: order.request.clone(),
+        service: order.service.clone(),
+        stage: order.stage,
+        pieces: order.pieces,
+        key: order.key.clone(),
+        inputs: order.inputs.clone(),
+        near: order.near.clone(),
+        bytes: order.bytes,
+        due_ms: milliseconds(order.due),
+        expires_ms: milliseconds(order.expires),
+        rank: order.rank,
+    }
+}
+
+/// Reads an order of pieces.
+pub fn decode_order(wire: Production) -> Order {
+    Order {
+        request: wire.request,
+        service: wire.service,
+        stage: wire.stage,
+        pieces: wire.pieces,
+        key: wire.key,
+        inputs: wire.inputs,
+        near: wire.near,
+        bytes: wire.bytes,
+        due: Duration::from_millis(wire.due_ms),
+        expires: Duration::from_millis(wire.expires_ms),
+        rank: wire.rank,
+    }
+}
+
+/// Writes a result.
+pub fn encode_product(product: Product) -> wire::Result {
+    wire::Result {
+        handle: product.handle,
+        endpoint: product.endpoint.id,
+        born: product.endpoint.born,
+        service: product.service,
+        data_centre: product.data_centre,
+        bytes: product.bytes,
+    }
+}
+
+/// Reads a result.
+pub fn decode_product(wire: wire::Result) -> Product {
+    Product {
+        handle: wire.handle,
+        endpoint: Life {
+            id: wire.endpoint,
+            born: wire.born,
+        },
+        service: wire.service,
+        data_centre: wire.data_centre,
+        bytes: wire.bytes,
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/peers.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -2,23 +2,21 @@
 //! what each has in flight, which requests crash endpoints; and, for those that
 //! the store turns away, what it holds.
 
+mod codec;
+
+use self::codec::{
+    decode_gateway, decode_order, decode_product, decode_suspect, encode_gateway, encode_order,
+    encode_product, encode_suspect, milliseconds,
+};
 use super::{
     owner::{self, Failure, Order},
     stages::Product,
     state::{State, lock},
 };
 use crate::daemon;
-use cicadacrank_core::{
-    directory::Life,
-    error::Kind,
-    event::Event,
-    id,
-    placement::Load,
-    quarantine::{Fingerprint, Suspect},
-    roster::Gateway,
-};
+use cicadacrank_core::{error::Kind, event::Event, placement::Load, roster::Gateway};
 use cicadacrank_wire::wire::{
-    self, Beat, EndpointLoad, GatewayState, Knowledge, Production, Released, Results, Versions,
+    Beat, EndpointLoad, Knowledge, Production, Released, Results, Versions,
     gateway_client::GatewayClient,
     gateway_server::{Gateway as Serve, GatewayServer},
 };
@@ -405,104 +403,3 @@
 fn write(value: &impl serde::Serialize) -> Result<Vec<u8>, Status> {
     serde_json::to_vec(value).map_err(|error| Status::internal(error.to_string()))
 }
-
-fn milliseconds(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn encode_gateway(gateway: &Gateway) -> GatewayState {
-    GatewayState {
-        instance: gateway.instance.clone(),
-        incarnation: gateway.incarnation,
-        address: gateway.address.clone(),
-        leaving: gateway.leaving,
-    }
-}
-
-fn decode_gateway(state: GatewayState) -> Gateway {
-    Gateway {
-        instance: state.instance,
-        incarnation: state.incarnation,
-        address: state.address,
-        leaving: state.leaving,
-    }
-}
-
-fn encode_suspect(suspect: &Suspect) -> wire::Suspect {
-    let texts = |ids: &[id::Attempt]| ids.iter().map(ToString::to_string).collect();
-    wire::Suspect {
-        fingerprint: suspect.fingerprint.as_bytes().to_vec(),
-        crashed: texts(&suspect.crashed),
-        remaining_ms: milliseconds(suspect.remaining),
-        acquitted: texts(&suspect.acquitted),
-    }
-}
-
-fn decode_suspect(suspect: &wire::Suspect) -> Option<Suspect> {
-    let ids = |texts: &[String]| {
-        let ids = texts.iter().filter_map(|text| id::Attempt::parse(text));
-        ids.collect()
-    };
-    Some(Suspect {
-        fingerprint: Fingerprint::from_bytes(&suspect.fingerprint)?,
-        crashed: ids(&suspect.crashed),
-        acquitted: ids(&suspect.acquitted),
-        remaining: Duration::from_millis(suspect.remaining_ms),
-    })
-}
-
-fn encode_order(order: &Order) -> Production {
-    Production {
-        request: order.request.clone(),
-        service: order.service.clone(),
-        stage: order.stage,
-        pieces: order.pieces,
-        key: order.key.clone(),
-        inputs: order.inputs.clone(),
-        near: order.near.clone(),
-        bytes: order.bytes,
-        due_ms: milliseconds(order.due),
-        expires_ms: milliseconds(order.expires),
-        rank: order.rank,
-    }
-}
-
-fn decode_order(wire: Production) -> Order {
-    Order {
-        request: wire.request,
-        service: wire.service,
-        stage: wire.stage,
-        pieces: wire.pieces,
-        key: wire.key,
-        inputs: wire.inputs,
-        near: wire.near,
-        bytes: wire.bytes,
-        due: Duration::from_millis(wire.due_ms),
-        expires: Duration::from_millis(wire.expires_ms),
-        rank: wire.rank,
-    }
-}
-
-fn encode_product(product: Product) -> wire::Result {
-    wire::Result {
-        handle: product.handle,
-        endpoint: product.endpoint.id,
-        born: product.endpoint.born,
-        service: product.service,
-        data_centre: product.data_centre,
-        bytes: product.bytes,
-    }
-}
-
-fn decode_product(wire: wire::Result) -> Product {
-    Product {
-        handle: wire.handle,
-        endpoint: Life {
-            id: wire.endpoint,
-            born: wire.born,
-        },
-        service: wire.service,
-        data_centre: wire.data_centre,
-        bytes: wire.bytes,
-    }
-}
