--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -99,9 +99,19 @@
     runs: Vec<Run>,
     pieces: Vec<(String, u64, u64)>,
     released: u64,
+    abandoned: u64,
     fault: Fault,
 }
 
+/// Counts work that was given up by whoever asked for it.
+struct Work(Arc<Mutex<State>>);
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        lock(&self.0).abandoned += 1;
+    }
+}
+
 /// A running endpoint; dropping it ends it.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -168,6 +178,12 @@
         lock(&self.state).pieces.clone()
     }
 
+    /// Returns how often work that it hung on was given up.
+    #[must_use]
+    pub fn abandoned(&self) -> u64 {
+        lock(&self.state).abandoned
+    }
+
     /// Returns the number of results that were given up here.
     #[must_use]
     pub fn released(&self) -> u64 {
@@ -225,7 +241,10 @@
     });
     match fault {
         Fault::LoseAnswer => return Err(io::Error::other("the answer is lost")),
-        Fault::Hang => time::sleep(Duration::from_secs(60)).await,
+        Fault::Hang => {
+            let _work = Work(Arc::clone(&state));
+            time::sleep(Duration::from_secs(60)).await;
+        }
         Fault::Fail => {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(plain(status, &head.headers, Bytes::new(), true));
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -132,6 +132,25 @@
     }
 }
 
+#[tokio::test]
+async fn caller_that_leaves_ends_the_work_at_the_endpoint() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Desk, Fault::Hang);
+    let gateway = deployment.gateways[0].caller_address();
+    let request = caller().request(Method::GET, gateway, "/look/1", "a1");
+    let open = tokio::spawn(send(request));
+    fleet::wait_for("work begun", async || !deployment.runs("a1").is_empty())
+        .await
+        .expect("the work has begun");
+    open.abort();
+    fleet::wait_for("work given up", async || {
+        deployment.of(Role::Desk).any(|one| one.abandoned() == 1)
+    })
+    .await
+    .expect("the endpoint is left");
+    assert!(deployment.gateways[0].log_text().contains("CallerLeft"));
+}
+
 #[tokio::test]
 async fn stream_is_served_after_its_stages() {
     let deployment = deployment(2, 2).await;
