Use the list of suspects that the other roles have

It now uses that one, which reads messages more strictly: a suspect with an unreadable attempt is left out whole. Listeners are kept as a list instead of three optional ones under locks.

--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -17,7 +17,6 @@
     directory::Endpoint,
     error::Kind,
     event::Event,
-    id,
     once::{Sent, Unsent},
     placement::{Key, Report},
     quarantine::Fingerprint,
@@ -395,10 +394,5 @@
     if Connection::open(endpoint.address).await.is_ok() {
         return;
     }
-    let now = state.clock.now();
-    lock(&state.suspects).mark(fingerprint, id::Attempt::new(rand::random()), now);
-    Event::SuspectMarked.log(format_args!(
-        "fingerprint={fingerprint} endpoint={} born={:?}",
-        endpoint.life.id, endpoint.life.born
-    ));
+    state.suspects.mark_crash(fingerprint, &endpoint.life);
 }
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -94,7 +94,7 @@
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut reload = signal(SignalKind::hangup()).into_diagnostic()?;
     let state = Arc::new(State::new(settings.clone()));
-    let server = server::Server::bind(&state, metrics_port)?;
+    let mut server = server::Server::bind(&state, metrics_port)?;
     server.start();
     peers::start(&state)?;
     view::start(&state);
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -1,12 +1,7 @@
 //! Messages between gateways, and the types that they stand for.
 
 use crate::gateway::{owner::Order, stages::Product};
-use cicadacrank_core::{
-    directory::Life,
-    id,
-    quarantine::{Fingerprint, Suspect},
-    roster::Gateway,
-};
+use cicadacrank_core::{directory::Life, roster::Gateway};
 use cicadacrank_wire::wire::{self, GatewayState, Production};
 use std::time::Duration;
 
@@ -35,31 +30,6 @@
     }
 }
 
-/// Writes a request that is suspected of crashing endpoints.
-pub fn encode_suspect(suspect: &Suspect) -> wire::Suspect {
-    let texts = |ids: &[id::Attempt]| ids.iter().map(ToString::to_string).collect();
-    wire::Suspect {
-        fingerprint: suspect.fingerprint.as_bytes().to_vec(),
-        crashed: texts(&suspect.crashed),
-        remaining_ms: milliseconds(suspect.remaining),
-        acquitted: texts(&suspect.acquitted),
-    }
-}
-
-/// Reads such a request; `None` if it is not named.
-pub fn decode_suspect(suspect: &wire::Suspect) -> Option<Suspect> {
-    let ids = |texts: &[String]| {
-        let ids = texts.iter().filter_map(|text| id::Attempt::parse(text));
-        ids.collect()
-    };
-    Some(Suspect {
-        fingerprint: Fingerprint::from_bytes(&suspect.fingerprint)?,
-        crashed: ids(&suspect.crashed),
-        acquitted: ids(&suspect.acquitted),
-        remaining: Duration::from_millis(suspect.remaining_ms),
-    })
-}
-
 /// Writes an order of pieces.
 pub fn encode_order(order: &Order) -> Production {
     Production {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -5,8 +5,8 @@
 mod codec;
 
 use self::codec::{
-    decode_gateway, decode_order, decode_product, decode_suspect, encode_gateway, encode_order,
-    encode_product, encode_suspect, milliseconds,
+    decode_gateway, decode_order, decode_product, encode_gateway, encode_order, encode_product,
+    milliseconds,
 };
 use super::{
     owner::{self, Failure, Order},
@@ -193,16 +193,12 @@
             unread: load.unread,
         })
         .collect();
-    let suspects = lock(&state.suspects)
-        .suspects(now)
-        .map(|suspect| encode_suspect(&suspect))
-        .collect();
     Beat {
         me,
         versions: Some(versions(state)),
         others,
         loads,
-        suspects,
+        suspects: state.suspects.all(),
     }
 }
 
@@ -244,11 +240,7 @@
         (endpoint, Load { in_flight, unread })
     });
     state.take_loads(&instance, loads.collect());
-    for suspect in &beat.suspects {
-        if let Some(suspect) = decode_suspect(suspect) {
-            lock(&state.suspects).merge(&suspect, now);
-        }
-    }
+    state.suspects.merge(&beat.suspects);
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -4,7 +4,7 @@
     attempt::Outgoing,
     plain,
     reply::{self, Body},
-    state::{State, lock},
+    state::State,
     stream,
 };
 use crate::platform::caller::Caller;
@@ -198,7 +198,7 @@
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
     let path = path(&head.uri);
     let fingerprint = Fingerprint::new(team_name, path.as_str(), "", &id::digest(&body));
-    if lock(&state.suspects).standing(fingerprint, state.clock.now()) == Standing::Condemned {
+    if state.suspects.standing(fingerprint) == Standing::Condemned {
         let stop = unsent.refuse(Kind::Crashing, format!("fingerprint={fingerprint}"));
         return Err(Refusal::from(stop).with_retry_after(CRASHED));
     }
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -24,9 +24,7 @@
 #[derive(Debug)]
 pub struct Server {
     state: Arc<State>,
-    callers: std::sync::Mutex<Option<TcpListener>>,
-    balancer: std::sync::Mutex<Option<TcpListener>>,
-    metrics: std::sync::Mutex<Option<TcpListener>>,
+    listeners: Vec<(TcpListener, Peer)>,
     closing: watch::Sender<bool>,
 }
 
@@ -45,34 +43,26 @@
     /// Returns a report with the address that cannot be bound.
     pub fn bind(state: &Arc<State>, metrics_port: Option<u16>) -> Result<Self> {
         let settings = &state.settings;
-        let metrics = match metrics_port {
-            Some(port) => {
-                let address = SocketAddr::new(settings.listen.ip(), port);
-                Some(daemon::bind(address)?)
-            }
-            None => None,
-        };
+        let mut listeners = vec![
+            (daemon::bind(settings.caller_listen)?, Peer::Caller),
+            (daemon::bind(settings.readiness_listen)?, Peer::Inspector),
+        ];
+        if let Some(port) = metrics_port {
+            let address = SocketAddr::new(settings.listen.ip(), port);
+            listeners.push((daemon::bind(address)?, Peer::Inspector));
+        }
         let (closing, _) = watch::channel(false);
         Ok(Self {
-            callers: Some(daemon::bind(settings.caller_listen)?).into(),
-            balancer: Some(daemon::bind(settings.readiness_listen)?).into(),
-            metrics: metrics.into(),
+            listeners,
             state: Arc::clone(state),
             closing,
         })
     }
 
     /// Begins to accept connections.
-    pub fn start(&self) {
+    pub fn start(&mut self) {
         let sockets = Arc::new(Semaphore::new(self.state.settings.sockets / 2));
-        for (listener, peer) in [
-            (&self.callers, Peer::Caller),
-            (&self.balancer, Peer::Inspector),
-            (&self.metrics, Peer::Inspector),
-        ] {
-            let Some(listener) = super::state::lock(listener).take() else {
-                continue;
-            };
+        for (listener, peer) in self.listeners.drain(..) {
             tokio::spawn(accept(
                 Arc::clone(&self.state),
                 listener,
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,13 +1,12 @@
 //! What the parts of a gateway share.
 
 use super::{Settings, owner::Pools, peers::Links};
-use crate::{clock::Clock, metrics::gateway::Metrics, platform};
+use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Suspects};
 use cicadacrank_core::{
     config::Config,
     directory::{Evacuation, Snapshot, Tracker},
     event::Event,
     placement::{Fleet, Load},
-    quarantine,
     roster::{Gateway, Roster},
     share::Repeats,
 };
@@ -37,7 +36,7 @@
     pub(super) fleet: Mutex<Fleet>,
     pub(super) tracker: Mutex<Tracker>,
     pub(super) roster: Mutex<Roster>,
-    pub(super) suspects: Mutex<quarantine::List>,
+    pub(super) suspects: Suspects,
     pub(super) pools: Pools,
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
@@ -87,7 +86,7 @@
             fleet: Mutex::default(),
             tracker: Mutex::default(),
             roster: Mutex::new(roster),
-            suspects: Mutex::default(),
+            suspects: Suspects::new(clock),
             pools: Pools::default(),
             links: Links::default(),
             body_bytes: tokio::sync::Semaphore::new(
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -320,7 +320,7 @@
     fn end(&mut self) -> Option<io::Result<Bytes>> {
         self.finished = true;
         self.started.sent.finish();
-        lock(&self.state.suspects).acquit(self.job.outgoing.fingerprint);
+        self.state.suspects.acquit(self.job.outgoing.fingerprint);
         let route = [self.job.route.name.as_str()];
         self.state.metrics.served.with_label_values(&route).inc();
         Event::RequestServed.log(format_args!(
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use cicadacrank_core::{
+    directory::Life,
     event::Event,
     id,
     quarantine::{Fingerprint, List, Standing, Suspect},
@@ -41,6 +42,16 @@
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
+    /// Notes that this endpoint crashed with the request in flight.
+    pub fn mark_crash(&self, fingerprint: Fingerprint, endpoint: &Life) {
+        let attempt = id::Attempt::new(rand::random());
+        self.lock().mark(fingerprint, attempt, self.clock.now());
+        Event::SuspectMarked.log(format_args!(
+            "fingerprint={fingerprint} endpoint={} born={:?}",
+            endpoint.id, endpoint.born
+        ));
+    }
+
     /// Returns whether this attempt is held against the request.
     #[must_use]
     pub fn knows(&self, fingerprint: Fingerprint, attempt: id::Attempt) -> bool {
