Wait for an endpoint that refuses connections while the stage has time

A pool of two: the first attempt crashes one endpoint, the link to the other's sidecar breaks and leaves it out for 500 ms, the next attempt falls back to the first, which refuses connections for the 300 ms of its restart and is left out too. With nothing open the walk gave up at once, with seconds left.

Ruled out: an endpoint not yet known (entries start after all sidecars are listed).

Change: with all endpoints of a pool left out for now, the stage waits for the first to reopen if that is before its deadline (Table::reopens); the wait is no attempt. A pool that stays away reopens ever later, up to 8 s, and requests that cannot wait that long still fail at once.

--- a/crates/cicadacrank-core/src/routing/row.rs
+++ b/crates/cicadacrank-core/src/routing/row.rs
@@ -117,6 +117,11 @@
         !self.taken_out && self.shunned_until <= now
     }
 
+    /// Returns the time from which an attempt may go there.
+    pub(super) const fn opens(&self) -> Duration {
+        self.shunned_until
+    }
+
     /// Returns the work at the endpoint in thousandths of its slots.
     ///
     /// A report fades with its age; what this entry began since counts in full.
--- a/crates/cicadacrank-core/src/routing/table.rs
+++ b/crates/cicadacrank-core/src/routing/table.rs
@@ -105,6 +105,16 @@
         Some(best.choice())
     }
 
+    /// Returns when the first endpoint of the pool that is left out for now is
+    /// tried again; `None` if the pool has none.
+    #[must_use]
+    pub fn reopens(&self, pool: Tag) -> Option<Duration> {
+        let rows = self.rows.iter();
+        rows.filter(|row| row.pool == pool && !row.taken_out)
+            .map(Row::opens)
+            .min()
+    }
+
     /// Chooses the endpoint that a shard of claims stays with while it is heard
     /// of and has a slot free.
     ///
--- a/crates/cicadacrank-core/tests/routing.rs
+++ b/crates/cicadacrank-core/tests/routing.rs
@@ -105,6 +105,19 @@
     assert_eq!(choose(&table, &tried, 0, START), None);
 }
 
+#[test]
+fn reopens_tells_when_the_first_endpoint_is_tried_again() {
+    let mut table = table();
+    let (pool, near, far) = (Tag::new("pool"), Tag::new("near-1"), Tag::new("far-1"));
+    table.shun(near, START);
+    table.shun(Tag::new("near-2"), START + FIRST_SHUN);
+    table.shun(far, START + FIRST_SHUN);
+    assert_eq!(choose(&table, &[], 0, START + FIRST_SHUN / 2), None);
+    assert_eq!(table.reopens(pool), Some(START + FIRST_SHUN));
+    assert!(choose(&table, &[], 0, START + FIRST_SHUN).is_some());
+    assert_eq!(table.reopens(Tag::new("other")), None);
+}
+
 #[test]
 fn choose_sends_a_bounded_number_to_a_dead_sidecar() {
     // Refusing at once or silent for good; attempts in ten minutes, one each
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -191,10 +191,8 @@
         let mut passed = BytesMut::new();
         let mut tried = Vec::new();
         let mut last = None;
-        for _ in 0..ATTEMPTS {
-            if Instant::now() >= until {
-                break;
-            }
+        let mut attempts = 0;
+        while attempts < ATTEMPTS && Instant::now() < until {
             let standing = self.service.suspects().standing(self.fingerprint(stage));
             if standing == Standing::Condemned {
                 return Err(quarantined(stage));
@@ -202,8 +200,15 @@
             let attempt = Attempt::new(self, stage, &tried, until);
             // With every endpoint tried once, each may be tried again.
             let Some(attempt) = attempt.or_else(|| Attempt::new(self, stage, &[], until)) else {
-                break;
+                // All are left out for now: one that refused connections may
+                // be back while the stage still has time.
+                let Some(reopens) = self.reopening(pool, until) else {
+                    break;
+                };
+                time::sleep_until(reopens).await;
+                continue;
             };
+            attempts += 1;
             tried.push(attempt.endpoint);
             let Some(input) = work.input(&passed, self.chunks) else {
                 break;
@@ -233,6 +238,15 @@
         Err(last.unwrap_or_else(|| self.none(stage, until)))
     }
 
+    /// Returns when an endpoint that is left out for now may be tried again;
+    /// `None` if that is not before the stage must have ended.
+    fn reopening(&self, pool: Tag, until: Instant) -> Option<Instant> {
+        let reopens = self.service.table().reopens(pool)?;
+        let clock = self.service.parts.clock;
+        let at = clock.instant(reopens).max(Instant::now() + RETRY_PAUSE);
+        (at < until).then_some(at)
+    }
+
     /// Returns what the request is known by in a stage.
     pub(super) fn fingerprint(&self, stage: &rules::Stage) -> Fingerprint {
         let request = &self.request;
--- a/crates/cicadacrankd/tests/crash.rs
+++ b/crates/cicadacrankd/tests/crash.rs
@@ -41,3 +41,22 @@
     let serves = async || ask(&fleet, 1, r#"{"query":"tea"}"#).await.0 == 200;
     wait_for("other requests", serves).await.expect("served");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_connections_end_no_request_that_has_time_left() {
+    let fleet = small().await;
+    for post in &fleet.posts {
+        post.engine.set_capacity(Capacity {
+            restart_ms: 300,
+            ..Capacity::default()
+        });
+        post.engine.crash();
+    }
+    let down = async || fleet.posts.iter().all(|post| !post.engine.is_up());
+    wait_for("all endpoints down", down).await.expect("down");
+    let request = request(&fleet, 0, "ask", "").header("x-deadline-ms", "20000");
+    let answer = request.send().await.expect("an answer");
+    let status = answer.status().as_u16();
+    let text = answer.text().await.expect("a body");
+    assert_eq!(status, 200, "{text}");
+}
