Give inputs up once the next stage has fetched them

Its results were held about 0.36 s after the call that made them (wait 0.04 s, the next stage's call 0.32 s, from log lines 321 of one request), just longer than a call of 31 pieces (0.345 s): results of two calls were held when the third began, and 3 x 31 is what its room of 98 results bears.

Ruled out: waiting before the next stage (0.04 s), slow endpoints (took = expected).

Change: an endpoint fetches the inputs before it works, so inputs that only this stage needs are handed over with the order and given up half of the expected call after its start; they are kept if the call fails before. Late pieces near an endpoint go first, as those on time do. Calls log made, no_room and gone.

Conclusion: the length of the hold against the call decides how full calls are.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -71,6 +71,8 @@
     Fail,
     /// It says nothing for a long time.
     Hang,
+    /// It says nothing for a long time to calls that bear results of others.
+    HangWithInputs,
     /// It is not the endpoint that is meant.
     Misdirected,
 }
@@ -284,6 +286,10 @@
     if matches!(fault, Fault::LoseAnswer | Fault::BreakOff) {
         return Err(io::Error::other("the answer is lost"));
     }
+    let follows = items.iter().any(|item| item["inputs"].is_array());
+    if fault == Fault::HangWithInputs && follows {
+        time::sleep(Duration::from_secs(60)).await;
+    }
     let mut made = Vec::new();
     for item in &items {
         let piece = (
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -277,6 +277,7 @@
             let order = if now + next > piece.due {
                 Order::Late {
                     rank: piece.rank,
+                    far,
                     by: now.saturating_sub(piece.due),
                 }
             } else {
@@ -294,7 +295,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Order {
     OnTime { far: bool, due: Duration },
-    Late { rank: u32, by: Duration },
+    Late { rank: u32, far: bool, by: Duration },
 }
 
 /// Takes as many pieces as one call may carry, within its room and before they
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -246,3 +246,25 @@
     let call = pool.next(ms(0)).expect("the endpoint is free");
     assert_eq!(tickets(&call), (10..20).collect::<Vec<_>>());
 }
+
+#[test]
+fn burst_of_late_pieces_stays_in_the_data_centre_of_its_inputs() {
+    let mut pool = pool(&[("a", "x"), ("b", "y")]);
+    let (x, y) = (pool.site("x"), pool.site("y"));
+    for ticket in 0..40 {
+        // Late by the time it is called, those of the other data centre less so.
+        let near = if ticket % 2 == 0 { x } else { y };
+        let piece = Piece {
+            near: Some(near),
+            ..piece(ticket, ticket, 1 + ticket % 2)
+        };
+        assert!(pool.add(piece));
+    }
+    let first = pool.next(ms(10)).expect("an endpoint is free");
+    let second = pool.next(ms(10)).expect("the other is free");
+    for call in [first, second] {
+        let odd = u64::from(call.life == life("b"));
+        assert!(tickets(&call).iter().all(|ticket| ticket % 2 == odd));
+        assert_eq!(call.tickets.len(), WORKER.batch);
+    }
+}
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -0,0 +1,216 @@
+//! One call to an endpoint that does a stage.
+
+use super::{
+    ANSWER_BYTES, Batcher, Waiting,
+    release::{release_here, tell},
+};
+use crate::{
+    gateway::{
+        stages::Product,
+        state::{State, lock},
+    },
+    outbound::{self, Broken},
+    platform::{
+        answer::Answer,
+        stage::{self, Made, Piece},
+    },
+};
+use cicadacrank_core::{
+    batch::{Call, Outcome, Results},
+    directory::Life,
+    error::Kind,
+    event::Event,
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{self, Instant};
+
+/// A call is given up after this many times what it should take.
+const CALL_PATIENCE: u32 = 4;
+
+/// Added to that, for the results that the endpoint has to fetch.
+const CALL_SLACK: Duration = Duration::from_millis(300);
+
+/// Part of a call, as a divisor of what it should take, after which the
+/// endpoint has long fetched the inputs: it does so before it starts to work.
+const INPUTS_PART: u32 = 2;
+
+/// Endpoints that one piece is sent to at most.
+const MOST_TRIES: u32 = 2;
+
+/// Makes one call and hands out its results.
+pub(super) async fn make(
+    state: Arc<State>,
+    batcher: Arc<Batcher>,
+    call: Call,
+    mut pieces: Vec<Waiting>,
+    address: Option<(SocketAddr, String)>,
+) {
+    let began = Instant::now();
+    state.metrics.batch.observe(pieces.len() as f64);
+    let spent: Vec<_> = pieces.iter_mut().map(|piece| piece.spent.take()).collect();
+    let mut spent = Some(spent);
+    let (outcome, made, note) = match &address {
+        Some((address, _)) => {
+            // What was given up is room for this call.
+            tell(&batcher, &call.life).await;
+            let exchange = exchange(&state, *address, &call, &pieces);
+            tokio::pin!(exchange);
+            let fetched = call.expected / INPUTS_PART;
+            match time::timeout(fetched, &mut exchange).await {
+                Ok(result) => result,
+                Err(_) => {
+                    spent = None;
+                    exchange.await
+                }
+            }
+        }
+        None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
+    };
+    for (piece, spent) in pieces.iter_mut().zip(spent.into_iter().flatten()) {
+        piece.spent = spent;
+    }
+    let service = batcher.service.as_str();
+    let labels = [service, outcome_name(outcome)];
+    state.metrics.stage_calls.with_label_values(&labels).inc();
+    Event::CallEnded.log(format_args!(
+        "service={service} endpoint={} pieces={} left={} room={} expected_ms={} took_ms={} \
+         outcome={outcome:?} made={} no_room={} gone={} first_id={} note={note:?}",
+        call.life.id,
+        pieces.len(),
+        call.left,
+        call.room,
+        call.expected.as_millis(),
+        began.elapsed().as_millis(),
+        count(&made, |one| matches!(one, Made::Result(_))),
+        count(&made, |one| matches!(one, Made::NoRoom)),
+        count(&made, |one| matches!(one, Made::SourceGone)),
+        pieces.first().map_or("-", |piece| piece.request.as_str()),
+    ));
+    let data_centre = address.map_or_else(String::new, |(_, data_centre)| data_centre);
+    let results = results(&pieces, &made);
+    lock(&batcher.inner)
+        .pool
+        .end(&call, outcome, results, state.clock.now());
+    if outcome == Outcome::Answered {
+        for (waiting, made) in pieces.into_iter().zip(made) {
+            hand_out(&state, &batcher, &call.life, &data_centre, waiting, made);
+        }
+    } else {
+        for waiting in pieces {
+            try_again(&state, &batcher, waiting, Kind::StageFailed);
+        }
+    }
+    batcher.wake.notify_one();
+}
+
+fn count(made: &[Made], wanted: impl Fn(&Made) -> bool) -> usize {
+    made.iter().filter(|one| wanted(one)).count()
+}
+
+/// Adds up what the endpoint has room for, and what it had none for.
+fn results(pieces: &[Waiting], made: &[Made]) -> Results {
+    let mut results = Results::default();
+    for (waiting, made) in pieces.iter().zip(made) {
+        match made {
+            Made::Result(_) => results.held += waiting.piece.bytes,
+            Made::NoRoom => results.refused += waiting.piece.bytes,
+            Made::Late | Made::SourceGone | Made::Failed => {}
+        }
+    }
+    results
+}
+
+const fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Full => "full",
+        Outcome::Failed => "failed",
+    }
+}
+
+async fn exchange(
+    state: &State,
+    address: SocketAddr,
+    call: &Call,
+    pieces: &[Waiting],
+) -> (Outcome, Vec<Made>, String) {
+    let now = state.clock.now();
+    let wire: Vec<Piece> = pieces
+        .iter()
+        .map(|waiting| Piece {
+            request: waiting.request.clone(),
+            stage: waiting.stage,
+            number: waiting.number,
+            remaining: waiting.piece.expires.saturating_sub(now),
+            source: waiting.source.clone(),
+        })
+        .collect();
+    let request = match stage::encode(address, &call.life.id, &wire) {
+        Ok(request) => request,
+        Err(error) => return (Outcome::Failed, Vec::new(), error),
+    };
+    let timeout = call.expected * CALL_PATIENCE + CALL_SLACK;
+    match outbound::call(address, request, timeout, ANSWER_BYTES).await {
+        Ok(answer) => {
+            let head = Answer::decode(answer.status(), answer.headers());
+            if head.declined.is_some() {
+                let outcome = if head.misdirected {
+                    Outcome::Failed
+                } else {
+                    Outcome::Full
+                };
+                return (outcome, Vec::new(), format!("status {}", head.status));
+            }
+            match stage::decode(answer.status(), answer.body(), wire.len()) {
+                Ok(made) => (Outcome::Answered, made, String::new()),
+                Err(error) => (Outcome::Failed, Vec::new(), error),
+            }
+        }
+        Err(Broken::Unconnected(error) | Broken::Lost(error)) => {
+            (Outcome::Failed, Vec::new(), error)
+        }
+    }
+}
+
+fn hand_out(
+    state: &State,
+    batcher: &Batcher,
+    life: &Life,
+    data_centre: &str,
+    waiting: Waiting,
+    made: Made,
+) {
+    let result = match made {
+        Made::Result(handle) => Ok(Product {
+            handle,
+            endpoint: life.clone(),
+            service: batcher.service.clone(),
+            data_centre: data_centre.to_owned(),
+            bytes: waiting.piece.bytes,
+        }),
+        Made::Late => Err(Kind::TimeUp),
+        Made::SourceGone => Err(Kind::StageFailed),
+        Made::NoRoom => return try_again(state, batcher, waiting, Kind::Overloaded),
+        Made::Failed => return try_again(state, batcher, waiting, Kind::StageFailed),
+    };
+    if let Err(unclaimed) = waiting.reply.send((waiting.number, result))
+        && let (_, Ok(product)) = unclaimed.0
+    {
+        release_here(batcher, &[product]);
+    }
+}
+
+/// Lets a piece wait for another call, if it may.
+fn try_again(state: &State, batcher: &Batcher, mut waiting: Waiting, kind: Kind) {
+    waiting.tries += 1;
+    let wanted = !waiting.reply.is_closed();
+    if wanted && waiting.tries < MOST_TRIES && state.take_repeat(&batcher.service) {
+        let (number, reply) = (waiting.number, waiting.reply.clone());
+        if !lock(&batcher.inner).put(waiting) {
+            drop(reply.send((number, Err(Kind::Overloaded))));
+        }
+        return;
+    }
+    // Nobody waits for the piece any more if this fails.
+    drop(waiting.reply.send((waiting.number, Err(kind))));
+}
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -1,28 +1,22 @@
 //! Forms the calls to endpoints that do stages, for all gateways.
 
+mod call;
 mod release;
 
 pub use self::release::release;
 
-use self::release::{release_here, run_releases};
+use self::release::{Spent, run_releases};
 use super::{
     reply::jitter,
     stages::Product,
     state::{State, lock},
 };
-use crate::{
-    outbound::{self, Broken},
-    platform::{
-        answer::Answer,
-        stage::{self, Made, Piece, Source},
-    },
-};
+use crate::platform::stage::Source;
 use cicadacrank_core::{
-    batch::{self, Call, Expired, Outcome, Pool, Results, Ticket},
+    batch::{self, Expired, Pool, Ticket},
     config::Config,
     directory::{Endpoint, Life},
     error::Kind,
-    event::Event,
     placement::Fleet,
 };
 use std::{
@@ -32,21 +26,12 @@
 };
 use tokio::{
     sync::{Notify, mpsc},
-    time::{self, Instant},
+    time,
 };
 
 /// Most bytes of the answer to a call.
 const ANSWER_BYTES: usize = 1 << 20;
 
-/// A call is given up after this many times what it should take.
-const CALL_PATIENCE: u32 = 4;
-
-/// Added to that, for the results that the endpoint has to fetch.
-const CALL_SLACK: Duration = Duration::from_millis(300);
-
-/// Endpoints that one piece is sent to at most.
-const MOST_TRIES: u32 = 2;
-
 /// Pause after which a caller may come back when a stage failed.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -79,6 +64,9 @@
     pub expires: Duration,
     /// Rank of the request, 0 first.
     pub rank: u32,
+    /// Those of the inputs that nothing else needs: given up once every piece
+    /// has been given them.
+    pub spent: Vec<Product>,
 }
 
 impl Order {
@@ -134,6 +122,7 @@
     number: u32,
     source: Source,
     tries: u32,
+    spent: Option<Arc<Spent>>,
     reply: mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
 }
 
@@ -271,6 +260,7 @@
         .find(&order.service)
         .ok_or_else(|| failure(Kind::NoEndpoint))?;
     let now = state.clock.now();
+    let spent = Spent::new(state, order.spent.clone());
     let (reply, mut results) = mpsc::unbounded_channel();
     let count = order.pieces as usize;
     let cancellation = {
@@ -287,7 +277,7 @@
         }
         let job = inner.next_job;
         inner.next_job += 1;
-        add(&mut inner, &order, job, now, &reply);
+        add(&mut inner, &order, job, now, spent, &reply);
         Cancellation {
             batcher: Arc::clone(&batcher),
             job,
@@ -323,6 +313,7 @@
     order: &Order,
     job: u64,
     now: Duration,
+    spent: Option<Arc<Spent>>,
     reply: &mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
 ) {
     let near = order.near.as_deref().map(|name| inner.pool.site(name));
@@ -348,6 +339,7 @@
                 None => Source::Results(order.inputs.clone()),
             },
             tries: 0,
+            spent: spent.clone(),
             reply: reply.clone(),
         };
         if !inner.put(waiting) {
@@ -373,7 +365,7 @@
                 let pieces: Vec<Waiting> =
                     taken.collect::<Vec<_>>().into_iter().flatten().collect();
                 let address = inner.address(&call.life);
-                tokio::spawn(make(
+                tokio::spawn(call::make(
                     Arc::clone(&state),
                     Arc::clone(&batcher),
                     call,
@@ -390,156 +382,3 @@
         drop(time::timeout(sleep, batcher.wake.notified()).await);
     }
 }
-
-/// Makes one call and hands out its results.
-async fn make(
-    state: Arc<State>,
-    batcher: Arc<Batcher>,
-    call: Call,
-    pieces: Vec<Waiting>,
-    address: Option<(SocketAddr, String)>,
-) {
-    let began = Instant::now();
-    state.metrics.batch.observe(pieces.len() as f64);
-    let (outcome, made, note) = match &address {
-        Some((address, _)) => exchange(&state, *address, &call, &pieces).await,
-        None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
-    };
-    let service = batcher.service.as_str();
-    let labels = [service, outcome_name(outcome)];
-    state.metrics.stage_calls.with_label_values(&labels).inc();
-    Event::CallEnded.log(format_args!(
-        "service={service} endpoint={} pieces={} left={} room={} expected_ms={} took_ms={} \
-         outcome={outcome:?} first_id={} note={note:?}",
-        call.life.id,
-        pieces.len(),
-        call.left,
-        call.room,
-        call.expected.as_millis(),
-        began.elapsed().as_millis(),
-        pieces.first().map_or("-", |piece| piece.request.as_str()),
-    ));
-    let data_centre = address.map_or_else(String::new, |(_, data_centre)| data_centre);
-    let results = results(&pieces, &made);
-    lock(&batcher.inner)
-        .pool
-        .end(&call, outcome, results, state.clock.now());
-    if outcome == Outcome::Answered {
-        for (waiting, made) in pieces.into_iter().zip(made) {
-            hand_out(&state, &batcher, &call.life, &data_centre, waiting, made);
-        }
-    } else {
-        for waiting in pieces {
-            try_again(&state, &batcher, waiting, Kind::StageFailed);
-        }
-    }
-    batcher.wake.notify_one();
-}
-
-/// Adds up what the endpoint has room for, and what it had none for.
-fn results(pieces: &[Waiting], made: &[Made]) -> Results {
-    let mut results = Results::default();
-    for (waiting, made) in pieces.iter().zip(made) {
-        match made {
-            Made::Result(_) => results.held += waiting.piece.bytes,
-            Made::NoRoom => results.refused += waiting.piece.bytes,
-            Made::Late | Made::SourceGone | Made::Failed => {}
-        }
-    }
-    results
-}
-
-const fn outcome_name(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answered => "answered",
-        Outcome::Full => "full",
-        Outcome::Failed => "failed",
-    }
-}
-
-async fn exchange(
-    state: &State,
-    address: SocketAddr,
-    call: &Call,
-    pieces: &[Waiting],
-) -> (Outcome, Vec<Made>, String) {
-    let now = state.clock.now();
-    let wire: Vec<Piece> = pieces
-        .iter()
-        .map(|waiting| Piece {
-            request: waiting.request.clone(),
-            stage: waiting.stage,
-            number: waiting.number,
-            remaining: waiting.piece.expires.saturating_sub(now),
-            source: waiting.source.clone(),
-        })
-        .collect();
-    let request = match stage::encode(address, &call.life.id, &wire) {
-        Ok(request) => request,
-        Err(error) => return (Outcome::Failed, Vec::new(), error),
-    };
-    let timeout = call.expected * CALL_PATIENCE + CALL_SLACK;
-    match outbound::call(address, request, timeout, ANSWER_BYTES).await {
-        Ok(answer) => {
-            let head = Answer::decode(answer.status(), answer.headers());
-            if head.declined.is_some() {
-                let outcome = if head.misdirected {
-                    Outcome::Failed
-                } else {
-                    Outcome::Full
-                };
-                return (outcome, Vec::new(), format!("status {}", head.status));
-            }
-            match stage::decode(answer.status(), answer.body(), wire.len()) {
-                Ok(made) => (Outcome::Answered, made, String::new()),
-                Err(error) => (Outcome::Failed, Vec::new(), error),
-            }
-        }
-        Err(Broken::Unconnected(error) | Broken::Lost(error)) => {
-            (Outcome::Failed, Vec::new(), error)
-        }
-    }
-}
-
-fn hand_out(
-    state: &State,
-    batcher: &Batcher,
-    life: &Life,
-    data_centre: &str,
-    waiting: Waiting,
-    made: Made,
-) {
-    let result = match made {
-        Made::Result(handle) => Ok(Product {
-            handle,
-            endpoint: life.clone(),
-            service: batcher.service.clone(),
-            data_centre: data_centre.to_owned(),
-            bytes: waiting.piece.bytes,
-        }),
-        Made::Late => Err(Kind::TimeUp),
-        Made::SourceGone => Err(Kind::StageFailed),
-        Made::NoRoom => return try_again(state, batcher, waiting, Kind::Overloaded),
-        Made::Failed => return try_again(state, batcher, waiting, Kind::StageFailed),
-    };
-    if let Err(unclaimed) = waiting.reply.send((waiting.number, result))
-        && let (_, Ok(product)) = unclaimed.0
-    {
-        release_here(batcher, &[product]);
-    }
-}
-
-/// Lets a piece wait for another call, if it may.
-fn try_again(state: &State, batcher: &Batcher, mut waiting: Waiting, kind: Kind) {
-    waiting.tries += 1;
-    let wanted = !waiting.reply.is_closed();
-    if wanted && waiting.tries < MOST_TRIES && state.take_repeat(&batcher.service) {
-        let (number, reply) = (waiting.number, waiting.reply.clone());
-        if !lock(&batcher.inner).put(waiting) {
-            drop(reply.send((number, Err(Kind::Overloaded))));
-        }
-        return;
-    }
-    // Nobody waits for the piece any more if this fails.
-    drop(waiting.reply.send((waiting.number, Err(kind))));
-}
--- a/crates/cicadacrank-node/src/gateway/owner/release.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/release.rs
@@ -3,21 +3,51 @@
 use super::{ANSWER_BYTES, Batcher};
 use crate::{
     gateway::{
-        stages::Product,
+        stages::{self, Product},
         state::{State, lock},
     },
     outbound,
     platform::stage,
 };
+use cicadacrank_core::directory::Life;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
-/// Longest time that results wait to be given up together.
-const RELEASE_PERIOD: Duration = Duration::from_millis(30);
+/// Longest time that results wait to be given up together; less than a call
+/// takes, before which its endpoint is told in any case.
+const RELEASE_PERIOD: Duration = Duration::from_millis(100);
 
 /// Longest time for giving results up; they end by themselves if it fails.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Inputs of a stage that nothing else needs; they are given up when no piece
+/// has yet to be given them.
+#[derive(Debug)]
+pub(super) struct Spent {
+    state: Arc<State>,
+    products: Vec<Product>,
+}
+
+impl Spent {
+    /// Takes over the inputs; `None` if there are none.
+    pub(super) fn new(state: &Arc<State>, products: Vec<Product>) -> Option<Arc<Self>> {
+        (!products.is_empty()).then(|| {
+            Arc::new(Self {
+                state: Arc::clone(state),
+                products,
+            })
+        })
+    }
+}
+
+impl Drop for Spent {
+    fn drop(&mut self) {
+        let (state, products) = (Arc::clone(&self.state), std::mem::take(&mut self.products));
+        // A task of its own: pieces are dropped under the lock of their pool.
+        tokio::spawn(async move { stages::release_all(&state, products) });
+    }
+}
+
 /// Gives up results of services whose calls this gateway forms.
 pub fn release(state: &State, products: &[Product]) {
     for product in products {
@@ -41,33 +71,35 @@
 pub(super) async fn run_releases(batcher: Arc<Batcher>) {
     loop {
         time::sleep(RELEASE_PERIOD).await;
-        let calls: Vec<_> = {
+        let lives: Vec<Life> = {
             let mut inner = lock(&batcher.inner);
-            let mut released = std::mem::take(&mut inner.released);
-            released.sort();
-            released
-                .chunk_by(|one, other| one.0 == other.0)
-                .filter_map(|group| {
-                    let life = &group[0].0;
-                    let handles: Vec<String> = group.iter().map(|one| one.1.clone()).collect();
-                    let (address, _) = inner.address(life)?;
-                    Some((address, life.id.clone(), handles))
-                })
-                .collect()
+            inner.released.sort();
+            let groups = inner.released.chunk_by(|one, other| one.0 == other.0);
+            groups.map(|group| group[0].0.clone()).collect()
         };
-        if !calls.is_empty() {
-            batcher.wake.notify_one();
-        }
-        for (address, id, handles) in calls {
-            tokio::spawn(async move {
-                let Ok(request) = stage::encode_free(address, &id, &handles) else {
-                    return;
-                };
-                let answer = outbound::call(address, request, RELEASE_TIMEOUT, ANSWER_BYTES).await;
-                if let Err(broken) = answer {
-                    log::debug!("results at {id} end by themselves: {broken:?}");
-                }
-            });
+        for life in lives {
+            let batcher = Arc::clone(&batcher);
+            tokio::spawn(async move { tell(&batcher, &life).await });
         }
     }
 }
+
+/// Tells an endpoint which of its results are given up.
+pub(super) async fn tell(batcher: &Batcher, life: &Life) {
+    let (address, handles) = {
+        let mut inner = lock(&batcher.inner);
+        let released = inner.released.extract_if(.., |one| one.0 == *life);
+        let handles: Vec<String> = released.map(|one| one.1).collect();
+        (inner.address(life), handles)
+    };
+    let Some((address, _)) = address.filter(|_| !handles.is_empty()) else {
+        return;
+    };
+    let request = match stage::encode_free(address, &life.id, &handles) {
+        Ok(request) => request,
+        Err(error) => return log::error!("results at {} cannot be named: {error}", life.id),
+    };
+    if let Err(broken) = outbound::call(address, request, RELEASE_TIMEOUT, ANSWER_BYTES).await {
+        log::debug!("results at {} end by themselves: {broken:?}", life.id);
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -44,6 +44,7 @@
         due_ms: milliseconds(order.due),
         expires_ms: milliseconds(order.expires),
         rank: order.rank,
+        spent: order.spent.iter().cloned().map(encode_product).collect(),
     }
 }
 
@@ -61,6 +62,7 @@
         due: Duration::from_millis(wire.due_ms),
         expires: Duration::from_millis(wire.expires_ms),
         rank: wire.rank,
+        spent: wire.spent.into_iter().map(decode_product).collect(),
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -52,6 +52,17 @@
         sites(self.for_request())
     }
 
+    /// Takes out the inputs that only this stage needs.
+    fn take_spent(&mut self, route: &Route, number: usize) -> Vec<Product> {
+        let mut spent = Vec::new();
+        for input in &route.stages[number].after {
+            if following(route, *input).eq([number]) {
+                spent.append(&mut self.by_stage[*input]);
+            }
+        }
+        spent
+    }
+
     /// Gives up results that no stage still needs.
     fn release_used(&mut self, route: &Route, done: &[bool]) {
         for number in 0..route.stages.len() {
@@ -69,11 +80,16 @@
 
 impl Drop for Products {
     fn drop(&mut self) {
-        let mut held: Vec<Product> = self.by_stage.drain(..).flatten().collect();
-        held.sort_by(|one, other| one.service.cmp(&other.service));
-        for products in held.chunk_by(|one, other| one.service == other.service) {
-            release(&self.state, products.to_vec());
-        }
+        let held = self.by_stage.drain(..).flatten().collect();
+        release_all(&self.state, held);
+    }
+}
+
+/// Gives up results of any services.
+pub fn release_all(state: &Arc<State>, mut products: Vec<Product>) {
+    products.sort_by(|one, other| one.service.cmp(&other.service));
+    for products in products.chunk_by(|one, other| one.service == other.service) {
+        release(state, products.to_vec());
     }
 }
 
@@ -136,7 +152,8 @@
                 continue;
             }
             let after = time_after(job, number);
-            let order = order(job, number, &products, due - after, expires - after);
+            let mut order = order(job, number, &products, due - after, expires - after);
+            order.spent = products.take_spent(route, number);
             let state = Arc::clone(state);
             making.push(async move { (number, produce(&state, order).await) });
         }
@@ -163,8 +180,6 @@
 fn order(job: &Job, number: usize, products: &Products, due: Instant, expires: Instant) -> Order {
     let stage = &job.route.stages[number];
     let inputs = || stage.after.iter().flat_map(|one| &products.by_stage[*one]);
-    let heavy = inputs().map(|one| one.bytes).sum::<u64>() >= HEAVY_INPUTS;
-    let largest = sites(inputs()).into_iter().max_by_key(|site| site.1);
     let now = Instant::now();
     Order {
         request: job.id().to_owned(),
@@ -173,16 +188,25 @@
         pieces: pieces(job, number),
         key: stage.after.is_empty().then(|| job.caller.piece_key.clone()),
         inputs: inputs().map(|one| one.handle.clone()).collect(),
-        near: largest
-            .filter(|_| heavy)
-            .map(|(data_centre, _)| data_centre),
+        near: near(job, number, products),
         bytes: stage.result_bytes,
         due: due.saturating_duration_since(now),
         expires: expires.saturating_duration_since(now),
         rank: job.rank,
+        spent: Vec::new(),
     }
 }
 
+/// Returns the data centre of most of a stage's inputs, if they are large.
+fn near(job: &Job, number: usize, products: &Products) -> Option<String> {
+    let stage = &job.route.stages[number];
+    let inputs = stage.after.iter().flat_map(|one| &products.by_stage[*one]);
+    let sites = sites(inputs);
+    let heavy = sites.iter().map(|site| site.1).sum::<u64>() >= HEAVY_INPUTS;
+    let largest = sites.into_iter().max_by_key(|site| site.1);
+    largest.filter(|_| heavy).map(|site| site.0)
+}
+
 /// Returns the least time that stages after this one take.
 fn time_after(job: &Job, number: usize) -> Duration {
     following(&job.route, number)
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -180,6 +180,22 @@
     .expect("all results are given up");
 }
 
+#[tokio::test]
+async fn inputs_are_given_up_while_the_next_stage_works() {
+    let deployment = deployment(2, 2).await;
+    set_faults(&deployment, Role::Worker, Fault::HangWithInputs);
+    let gateway = deployment.gateways[0].caller_address();
+    let request = tokio::spawn(send(caller().stream(gateway, "/draft/x", "s1")));
+    fleet::wait_for("inputs given up", async || {
+        let workers = deployment.of(Role::Worker);
+        workers.map(Endpoint::released).sum::<u64>() == 2
+    })
+    .await
+    .expect("the inputs of the stage that hangs are given up");
+    assert!(!request.is_finished());
+    request.abort();
+}
+
 #[tokio::test]
 async fn broken_stream_never_looks_whole() {
     let deployment = deployment(1, 2).await;
