Pass by an endpoint without room when forming calls

In the poor ones the owner of the third stage began no call from 5.6 to 7.1 s with up to 3,190 pieces waiting and 18 endpoints idle: the endpoint that would finish first had no room, the call came out empty, and Pool::next returned nothing without a look at the others. While it stood still the second stage ran out of room too.

Change: all free endpoints are tried in order of when they would finish. Pieces are looked at for expiry every 20 ms rather than at each event, a call's pieces are taken out in one pass, and the pool is woken by releases instead of every millisecond while idle endpoints have no room.

Test burst_passes_by_an_endpoint_without_room failed before.

--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -167,36 +167,50 @@
         expired
     }
 
-    /// Makes the next call, if an endpoint is free and a piece waits.
+    /// Makes the next call, if an endpoint is free and has room, and a piece
+    /// waits.
     pub fn next(&mut self, now: Duration) -> Option<Call> {
-        if self.waiting.is_empty() {
-            return None;
-        }
-        let index = self.choose_endpoint(now)?;
-        let (worker, room) = (self.worker, self.endpoints[index].room(&self.worker, now));
-        self.sort(now, Some(self.endpoints[index].site));
-        let endpoint = &self.endpoints[index];
-        let taken = fill(&self.waiting, worker, room, |pieces| {
-            now + endpoint.call_time(&worker, pieces, now)
-        });
-        if taken.is_empty() {
-            return None;
+        let smallest = self.waiting.iter().map(|piece| piece.bytes).min()?;
+        let mut sorted_for = None;
+        for index in self.free_endpoints(now) {
+            let (worker, site) = (self.worker, self.endpoints[index].site);
+            let room = self.endpoints[index].room(&worker, now);
+            if room < smallest {
+                continue;
+            }
+            if sorted_for != Some(site) {
+                self.sort(now, Some(site));
+                sorted_for = Some(site);
+            }
+            let endpoint = &self.endpoints[index];
+            let taken = fill(&self.waiting, worker, room, |pieces| {
+                now + endpoint.call_time(&worker, pieces, now)
+            });
+            if !taken.is_empty() {
+                return Some(self.begin(index, &taken, room, now));
+            }
         }
-        let expected = endpoint.call_time(&worker, taken.len(), now);
-        let bytes = taken.iter().map(|piece| piece.bytes).sum();
-        let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
+        None
+    }
+
+    fn begin(&mut self, index: usize, taken: &[Piece], room: u64, now: Duration) -> Call {
         let endpoint = &mut self.endpoints[index];
+        let expected = endpoint.call_time(&self.worker, taken.len(), now);
+        let bytes = taken.iter().map(|piece| piece.bytes).sum();
         endpoint.begin(expected, bytes, now);
         let life = endpoint.life.clone();
+        let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
+        let mut gone = tickets.clone();
+        gone.sort_unstable();
         self.waiting
-            .retain(|piece| !tickets.contains(&piece.ticket));
-        Some(Call {
+            .retain(|piece| gone.binary_search(&piece.ticket).is_err());
+        Call {
             life,
             tickets,
             expected,
             left: self.waiting.len(),
             room,
-        })
+        }
     }
 
     /// Notes how a call ended.
@@ -218,15 +232,16 @@
         }
     }
 
-    /// Returns when a call may be made next if nothing else happens: at the
-    /// latest after this time the pool should be asked again.
+    /// Returns when an endpoint that is paused may be called again. Beside that
+    /// the pool should be asked for calls whenever it is told of anything.
     #[must_use]
     pub fn wake_at(&self, now: Duration) -> Option<Duration> {
         if self.waiting.is_empty() {
             return None;
         }
         let idle = self.usable().filter(|endpoint| !endpoint.is_busy());
-        idle.map(|endpoint| endpoint.free_at(now)).min()
+        let paused = idle.map(|endpoint| endpoint.free_at(now));
+        paused.filter(|free_at| *free_at > now).min()
     }
 
     fn usable(&self) -> impl Iterator<Item = &Endpoint> {
@@ -247,20 +262,22 @@
         self.call_time(self.worker.batch)
     }
 
-    /// Picks the free endpoint that would finish first; a slow one is left idle
-    /// where a faster one will be free and done before it.
-    fn choose_endpoint(&self, now: Duration) -> Option<usize> {
+    /// Returns the free endpoints, the one that would finish first at the front;
+    /// a slow one is left idle where a faster one will be free and done before
+    /// it.
+    fn free_endpoints(&self, now: Duration) -> Vec<usize> {
         let done =
             |endpoint: &Endpoint| endpoint.free_at(now) + endpoint.call_time(&self.worker, 1, now);
-        let index = (0..self.endpoints.len())
+        let useful = |endpoint: &Endpoint| {
+            endpoint.slowness(now) < SLOW
+                || !self.usable().any(|other| done(other) < done(endpoint))
+        };
+        let mut free: Vec<usize> = (0..self.endpoints.len())
             .filter(|index| self.endpoints[*index].is_free(now))
-            .min_by_key(|index| done(&self.endpoints[*index]))?;
-        let best = &self.endpoints[index];
-        if best.slowness(now) < SLOW {
-            return Some(index);
-        }
-        let sooner = self.usable().any(|endpoint| done(endpoint) < done(best));
-        (!sooner).then_some(index)
+            .filter(|index| useful(&self.endpoints[*index]))
+            .collect();
+        free.sort_by_key(|index| done(&self.endpoints[*index]));
+        free
     }
 
     /// Puts pieces that can be on time first, the most pressing at the front;
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -268,3 +268,22 @@
         assert_eq!(call.tickets.len(), WORKER.batch);
     }
 }
+
+#[test]
+fn burst_passes_by_an_endpoint_without_room() {
+    let mut pool = pool(&[("a", "x"), ("b", "x")]);
+    let with_bytes = |ticket| Piece {
+        bytes: 20,
+        ..piece(ticket, ticket, 9_000)
+    };
+    for ticket in 0..5 {
+        assert!(pool.add(with_bytes(ticket)));
+    }
+    let first = pool.next(ms(0)).expect("both are free");
+    assert_eq!((&first.life, first.tickets.len()), (&life("a"), 5));
+    end(&mut pool, &first, answered(100), ms(250));
+    // The first is free, and has no room; the second has.
+    assert!(pool.add(with_bytes(5)));
+    let second = pool.next(ms(300)).expect("the other has room");
+    assert_eq!(second.life, life("b"));
+}
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -35,6 +35,10 @@
 /// Pause after which a caller may come back when a stage failed.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Time between two looks for pieces that will not have their turn in time: a
+/// small part of the shortest call.
+const EXPIRE_PERIOD: Duration = Duration::from_millis(20);
+
 /// Longest time between two looks at what waits.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
@@ -196,9 +200,18 @@
         }
     }
 
-    fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let found = self.waiting.binary_search_by_key(&ticket, |one| one.ticket);
-        Some(self.waiting.remove(found.ok()?))
+    /// Takes pieces out of those that wait, in the order of the tickets.
+    fn take(&mut self, tickets: &[Ticket]) -> Vec<Waiting> {
+        let mut order: Vec<(Ticket, usize)> = tickets.iter().copied().zip(0..).collect();
+        order.sort_unstable();
+        let place = |ticket| order.binary_search_by_key(&ticket, |one| one.0);
+        let taken = self
+            .waiting
+            .extract_if(.., |one| place(one.ticket).is_ok())
+            .filter_map(|one| Some((order[place(one.ticket).ok()?].1, one)));
+        let mut taken: Vec<(usize, Waiting)> = taken.collect();
+        taken.sort_unstable_by_key(|one| one.0);
+        taken.into_iter().map(|one| one.1).collect()
     }
 
     fn put(&mut self, waiting: Waiting) -> bool {
@@ -351,19 +364,17 @@
 
 /// Makes calls of what waits at one service, for as long as the process runs.
 async fn run(state: Arc<State>, batcher: Arc<Batcher>) {
+    let mut looked = Duration::ZERO;
     loop {
         let sleep = {
             let now = state.clock.now();
             let mut inner = lock(&batcher.inner);
-            for Expired(ticket) in inner.pool.expire(now) {
-                if let Some(waiting) = inner.take(ticket) {
-                    drop(waiting.reply.send((waiting.number, Err(Kind::TimeUp))));
-                }
+            if now >= looked + EXPIRE_PERIOD {
+                looked = now;
+                expire(&mut inner, now);
             }
             while let Some(call) = inner.pool.next(now) {
-                let taken = call.tickets.iter().map(|ticket| inner.take(*ticket));
-                let pieces: Vec<Waiting> =
-                    taken.collect::<Vec<_>>().into_iter().flatten().collect();
+                let pieces = inner.take(&call.tickets);
                 let address = inner.address(&call.life);
                 tokio::spawn(call::make(
                     Arc::clone(&state),
@@ -382,3 +393,13 @@
         drop(time::timeout(sleep, batcher.wake.notified()).await);
     }
 }
+
+/// Answers for pieces that will not have their turn in time.
+fn expire(inner: &mut Inner, now: Duration) {
+    let expired = inner.pool.expire(now);
+    let tickets: Vec<Ticket> = expired.into_iter().map(|Expired(ticket)| ticket).collect();
+    for waiting in inner.take(&tickets) {
+        // Nobody waits for the piece any more if this fails.
+        drop(waiting.reply.send((waiting.number, Err(Kind::TimeUp))));
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/owner/release.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/release.rs
@@ -65,6 +65,8 @@
             .released
             .push((product.endpoint.clone(), product.handle.clone()));
     }
+    drop(inner);
+    batcher.wake.notify_one();
 }
 
 /// Tells endpoints which results are given up, several at a time.
