Leave pieces that are on time for endpoints near their inputs

Change: a piece that will be on time one full call later is not taken by an endpoint in another data centre than its inputs, while a sound one is there. A pool that left pieces looks again every 20 ms.

--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -89,6 +89,11 @@
         !self.is_busy() && !self.leaving && now >= self.paused_until
     }
 
+    /// Returns whether the endpoint is left alone for now.
+    pub(super) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
     /// Returns when the endpoint can take a call, as far as is known.
     pub(super) fn free_at(&self, now: Duration) -> Duration {
         self.busy_until.max(self.paused_until).max(now)
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -8,6 +8,10 @@
 /// before it has finished.
 const SLOW: f64 = 2.0;
 
+/// Time between two looks at pieces that are left for endpoints nearer to their
+/// inputs: a small part of the shortest call.
+const DEFERRED_PERIOD: Duration = Duration::from_millis(20);
+
 /// Most pieces that wait; the rest is refused at once.
 const MOST_WAITING: usize = 4_096;
 
@@ -37,6 +41,8 @@
     waiting: Vec<Piece>,
     endpoints: Vec<Endpoint>,
     sites: Vec<String>,
+    /// Pieces were left for endpoints nearer to their inputs.
+    deferred: bool,
 }
 
 impl Pool {
@@ -48,6 +54,7 @@
             waiting: Vec::new(),
             endpoints: Vec::new(),
             sites: Vec::new(),
+            deferred: false,
         }
     }
 
@@ -172,6 +179,8 @@
     pub fn next(&mut self, now: Duration) -> Option<Call> {
         let smallest = self.waiting.iter().map(|piece| piece.bytes).min()?;
         let mut sorted_for = None;
+        let mut candidates = Vec::new();
+        self.deferred = false;
         for index in self.free_endpoints(now) {
             let (worker, site) = (self.worker, self.endpoints[index].site);
             let room = self.endpoints[index].room(&worker, now);
@@ -181,9 +190,11 @@
             if sorted_for != Some(site) {
                 self.sort(now, Some(site));
                 sorted_for = Some(site);
+                candidates = self.candidates(site, now);
+                self.deferred |= candidates.len() < self.waiting.len();
             }
             let endpoint = &self.endpoints[index];
-            let taken = fill(&self.waiting, worker, room, |pieces| {
+            let taken = fill(&candidates, worker, room, |pieces| {
                 now + endpoint.call_time(&worker, pieces, now)
             });
             if !taken.is_empty() {
@@ -193,6 +204,32 @@
         None
     }
 
+    /// Returns the pieces that an endpoint at a site may be called for, in order:
+    /// those that will be on time without it are left for endpoints near their
+    /// inputs.
+    fn candidates(&self, site: Site, now: Duration) -> Vec<Piece> {
+        let mut sites: Vec<Site> = self
+            .usable()
+            .filter(|endpoint| !endpoint.is_paused(now) && endpoint.slowness(now) < SLOW)
+            .map(|endpoint| endpoint.site)
+            .collect();
+        sites.sort_unstable();
+        sites.dedup();
+        let turn = self.turn();
+        let waits = |piece: &Piece| {
+            let near = piece.near.filter(|near| *near != site);
+            near.is_some_and(|near| sites.binary_search(&near).is_ok())
+                && piece.due > now + turn + self.full_call()
+        };
+        let waiting = self.waiting.iter().copied();
+        waiting.filter(|piece| !waits(piece)).collect()
+    }
+
+    /// Returns how long a call takes that carries what waits, up to a full one.
+    fn turn(&self) -> Duration {
+        self.call_time(self.waiting.len().min(self.worker.batch))
+    }
+
     fn begin(&mut self, index: usize, taken: &[Piece], room: u64, now: Duration) -> Call {
         let endpoint = &mut self.endpoints[index];
         let expected = endpoint.call_time(&self.worker, taken.len(), now);
@@ -241,7 +278,11 @@
         }
         let idle = self.usable().filter(|endpoint| !endpoint.is_busy());
         let paused = idle.map(|endpoint| endpoint.free_at(now));
-        paused.filter(|free_at| *free_at > now).min()
+        let deferred = self.deferred.then_some(now + DEFERRED_PERIOD);
+        paused
+            .filter(|free_at| *free_at > now)
+            .chain(deferred)
+            .min()
     }
 
     fn usable(&self) -> impl Iterator<Item = &Endpoint> {
@@ -287,7 +328,7 @@
     /// call would make late is late. Pieces far from `site` come behind others
     /// that are on time, unless they cannot wait for another call.
     fn sort(&mut self, now: Duration, site: Option<Site>) {
-        let next = self.call_time(self.waiting.len().min(self.worker.batch));
+        let next = self.turn();
         let after_next = now + next + self.full_call();
         self.waiting.sort_by_cached_key(|piece| {
             let far = matches!((site, piece.near), (Some(here), Some(near)) if here != near);
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -287,3 +287,30 @@
     let second = pool.next(ms(300)).expect("the other has room");
     assert_eq!(second.life, life("b"));
 }
+
+#[test]
+fn quiet_pieces_wait_for_an_endpoint_near_their_inputs() {
+    let mut pool = pool(&[("a", "x"), ("b", "y")]);
+    let (x, y) = (pool.site("x"), pool.site("y"));
+    let with_near = |ticket, due, near| Piece {
+        near: Some(near),
+        ..piece(ticket, ticket, due)
+    };
+    assert!(pool.add(with_near(1, 2_000, x)));
+    let first = pool.next(ms(0)).expect("the endpoint at x is free");
+    assert_eq!(first.life, life("a"));
+    // One has time to wait for it, one has not, one is near the other endpoint.
+    assert!(pool.add(with_near(2, 2_000, x)));
+    assert!(pool.add(with_near(3, 500, x)));
+    assert!(pool.add(with_near(4, 2_000, y)));
+    let second = pool.next(ms(10)).expect("the endpoint at y is free");
+    assert_eq!((&second.life, tickets(&second)), (&life("b"), vec![3, 4]));
+    assert_eq!(pool.next(ms(10)), None);
+    end(&mut pool, &second, answered(0), ms(240));
+    assert_eq!(pool.next(ms(240)), None);
+    // With the endpoint at x gone, nothing is left for it.
+    let left = life("b");
+    pool.set_endpoints([(&left, "y")].into_iter());
+    let third = pool.next(ms(250)).expect("the endpoint at y is free");
+    assert_eq!(tickets(&third), [2]);
+}
