Keep readiness answers apart from callers; split the owner by duty

Callers and the balancer shared one bound on sockets, so that a flood of connections could delay a readiness answer and take the gateway out of rotation: each listener of inspectors has a bound of its own now. Heartbeats compared versions on a copy of the whole directory; the revisions alone do. Pools of pieces, calls and releases each have a module.

--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -1,11 +1,15 @@
 //! Forms the calls to endpoints that do stages, for all gateways.
 
 mod call;
+mod pools;
 mod release;
 
-pub use self::release::release;
+pub use self::{pools::Pools, release::release};
 
-use self::release::{Spent, run_releases};
+use self::{
+    pools::{Batcher, Inner, Waiting},
+    release::{Spent, run_releases},
+};
 use super::{
     reply::jitter,
     stages::Product,
@@ -13,21 +17,11 @@
 };
 use crate::platform::stage::Source;
 use cicadacrank_core::{
-    batch::{self, Expired, Pool, Ticket},
-    config::Config,
-    directory::{Endpoint, Life},
+    batch::{self, Expired, Ticket},
     error::Kind,
-    placement::Fleet,
-};
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
-use tokio::{
-    sync::{Notify, mpsc},
-    time,
 };
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::mpsc, time};
 
 /// Most bytes of the answer to a call.
 const ANSWER_BYTES: usize = 1 << 20;
@@ -91,146 +85,6 @@
     pub retry_after: Duration,
 }
 
-/// The pools of all services that do stages, sorted by name.
-#[derive(Debug, Default)]
-pub struct Pools {
-    batchers: Mutex<Vec<Arc<Batcher>>>,
-    changed: Notify,
-}
-
-#[derive(Debug)]
-struct Batcher {
-    service: String,
-    inner: Mutex<Inner>,
-    wake: Notify,
-}
-
-#[derive(Debug)]
-struct Inner {
-    pool: Pool,
-    endpoints: Vec<Endpoint>,
-    waiting: Vec<Waiting>,
-    next_ticket: u64,
-    next_job: u64,
-    released: Vec<(Life, String)>,
-    running: bool,
-}
-
-/// A piece that has no result yet, sorted by ticket.
-#[derive(Debug)]
-struct Waiting {
-    ticket: Ticket,
-    piece: batch::Piece,
-    request: String,
-    stage: u32,
-    number: u32,
-    source: Source,
-    tries: u32,
-    spent: Option<Arc<Spent>>,
-    reply: mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
-}
-
-impl Pools {
-    /// Takes up the services of a configuration.
-    pub fn set_config(&self, config: &Config) {
-        let mut batchers = lock(&self.batchers);
-        let workers = config
-            .services
-            .iter()
-            .filter_map(|service| Some((&service.name, service.worker?)));
-        let mut next: Vec<Arc<Batcher>> = Vec::new();
-        for (name, worker) in workers {
-            let known = batchers.iter().find(|batcher| batcher.service == *name);
-            let batcher = known.cloned().unwrap_or_else(|| {
-                Arc::new(Batcher {
-                    service: name.clone(),
-                    inner: Mutex::new(Inner::new(Pool::new(worker))),
-                    wake: Notify::new(),
-                })
-            });
-            lock(&batcher.inner).pool.set_worker(worker);
-            next.push(batcher);
-        }
-        *batchers = next;
-        drop(batchers);
-        self.changed.notify_one();
-    }
-
-    /// Takes up the endpoints that may be used.
-    pub fn set_endpoints(&self, fleet: &Fleet) {
-        for batcher in lock(&self.batchers).iter() {
-            let mut inner = lock(&batcher.inner);
-            let usable = fleet.usable(&batcher.service);
-            inner.endpoints = usable.map(|(_, row)| row.endpoint.clone()).collect();
-            let Inner {
-                pool, endpoints, ..
-            } = &mut *inner;
-            let usable = endpoints.iter();
-            pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
-            drop(inner);
-            batcher.wake.notify_one();
-        }
-    }
-
-    /// Returns the number of a service among those that do stages.
-    pub fn number(&self, service: &str) -> Option<usize> {
-        let batchers = lock(&self.batchers);
-        batchers
-            .binary_search_by(|batcher| batcher.service.as_str().cmp(service))
-            .ok()
-    }
-
-    fn find(&self, service: &str) -> Option<Arc<Batcher>> {
-        let batchers = lock(&self.batchers);
-        let found = batchers.binary_search_by(|batcher| batcher.service.as_str().cmp(service));
-        Some(Arc::clone(&batchers[found.ok()?]))
-    }
-}
-
-impl Inner {
-    const fn new(pool: Pool) -> Self {
-        Self {
-            pool,
-            endpoints: Vec::new(),
-            waiting: Vec::new(),
-            next_ticket: 0,
-            next_job: 0,
-            released: Vec::new(),
-            running: false,
-        }
-    }
-
-    /// Takes pieces out of those that wait, in the order of the tickets.
-    fn take(&mut self, tickets: &[Ticket]) -> Vec<Waiting> {
-        let mut order: Vec<(Ticket, usize)> = tickets.iter().copied().zip(0..).collect();
-        order.sort_unstable();
-        let place = |ticket| order.binary_search_by_key(&ticket, |one| one.0);
-        let taken = self
-            .waiting
-            .extract_if(.., |one| place(one.ticket).is_ok())
-            .filter_map(|one| Some((order[place(one.ticket).ok()?].1, one)));
-        let mut taken: Vec<(usize, Waiting)> = taken.collect();
-        taken.sort_unstable_by_key(|one| one.0);
-        taken.into_iter().map(|one| one.1).collect()
-    }
-
-    fn put(&mut self, waiting: Waiting) -> bool {
-        if !self.pool.add(waiting.piece) {
-            return false;
-        }
-        let index = self
-            .waiting
-            .partition_point(|one| one.ticket < waiting.ticket);
-        self.waiting.insert(index, waiting);
-        true
-    }
-
-    fn address(&self, life: &Life) -> Option<(SocketAddr, String)> {
-        let found = self.endpoints.iter().find(|one| one.life == *life)?;
-        Some((found.address, found.data_centre.clone()))
-    }
-}
-
 /// Takes the pieces of one order back when nobody waits for them any more.
 struct Cancellation {
     batcher: Arc<Batcher>,
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -0,0 +1,156 @@
+//! The pieces that wait for each service, with who waits for them.
+
+use super::{Product, release::Spent};
+use crate::{gateway::state::lock, platform::stage::Source};
+use cicadacrank_core::{
+    batch::{self, Pool, Ticket},
+    config::Config,
+    directory::{Endpoint, Life},
+    error::Kind,
+    placement::Fleet,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+use tokio::sync::{Notify, mpsc};
+
+/// The pools of all services that do stages, sorted by name.
+#[derive(Debug, Default)]
+pub struct Pools {
+    pub(super) batchers: Mutex<Vec<Arc<Batcher>>>,
+    pub(super) changed: Notify,
+}
+
+#[derive(Debug)]
+pub(super) struct Batcher {
+    pub(super) service: String,
+    pub(super) inner: Mutex<Inner>,
+    pub(super) wake: Notify,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) pool: Pool,
+    pub(super) endpoints: Vec<Endpoint>,
+    pub(super) waiting: Vec<Waiting>,
+    pub(super) next_ticket: u64,
+    pub(super) next_job: u64,
+    pub(super) released: Vec<(Life, String)>,
+    pub(super) running: bool,
+}
+
+/// A piece that has no result yet, sorted by ticket.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) ticket: Ticket,
+    pub(super) piece: batch::Piece,
+    pub(super) request: String,
+    pub(super) stage: u32,
+    pub(super) number: u32,
+    pub(super) source: Source,
+    pub(super) tries: u32,
+    pub(super) spent: Option<Arc<Spent>>,
+    pub(super) reply: mpsc::UnboundedSender<(u32, Result<Product, Kind>)>,
+}
+
+impl Pools {
+    /// Takes up the services of a configuration.
+    pub fn set_config(&self, config: &Config) {
+        let mut batchers = lock(&self.batchers);
+        let workers = config
+            .services
+            .iter()
+            .filter_map(|service| Some((&service.name, service.worker?)));
+        let mut next: Vec<Arc<Batcher>> = Vec::new();
+        for (name, worker) in workers {
+            let known = batchers.iter().find(|batcher| batcher.service == *name);
+            let batcher = known.cloned().unwrap_or_else(|| {
+                Arc::new(Batcher {
+                    service: name.clone(),
+                    inner: Mutex::new(Inner::new(Pool::new(worker))),
+                    wake: Notify::new(),
+                })
+            });
+            lock(&batcher.inner).pool.set_worker(worker);
+            next.push(batcher);
+        }
+        *batchers = next;
+        drop(batchers);
+        self.changed.notify_one();
+    }
+
+    /// Takes up the endpoints that may be used.
+    pub fn set_endpoints(&self, fleet: &Fleet) {
+        for batcher in lock(&self.batchers).iter() {
+            let mut inner = lock(&batcher.inner);
+            let usable = fleet.usable(&batcher.service);
+            inner.endpoints = usable.map(|(_, row)| row.endpoint.clone()).collect();
+            let Inner {
+                pool, endpoints, ..
+            } = &mut *inner;
+            let usable = endpoints.iter();
+            pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
+            drop(inner);
+            batcher.wake.notify_one();
+        }
+    }
+
+    /// Returns the number of a service among those that do stages.
+    pub fn number(&self, service: &str) -> Option<usize> {
+        let batchers = lock(&self.batchers);
+        batchers
+            .binary_search_by(|batcher| batcher.service.as_str().cmp(service))
+            .ok()
+    }
+
+    pub(super) fn find(&self, service: &str) -> Option<Arc<Batcher>> {
+        let batchers = lock(&self.batchers);
+        let found = batchers.binary_search_by(|batcher| batcher.service.as_str().cmp(service));
+        Some(Arc::clone(&batchers[found.ok()?]))
+    }
+}
+
+impl Inner {
+    pub(super) const fn new(pool: Pool) -> Self {
+        Self {
+            pool,
+            endpoints: Vec::new(),
+            waiting: Vec::new(),
+            next_ticket: 0,
+            next_job: 0,
+            released: Vec::new(),
+            running: false,
+        }
+    }
+
+    /// Takes pieces out of those that wait, in the order of the tickets.
+    pub(super) fn take(&mut self, tickets: &[Ticket]) -> Vec<Waiting> {
+        let mut order: Vec<(Ticket, usize)> = tickets.iter().copied().zip(0..).collect();
+        order.sort_unstable();
+        let place = |ticket| order.binary_search_by_key(&ticket, |one| one.0);
+        let taken = self
+            .waiting
+            .extract_if(.., |one| place(one.ticket).is_ok())
+            .filter_map(|one| Some((order[place(one.ticket).ok()?].1, one)));
+        let mut taken: Vec<(usize, Waiting)> = taken.collect();
+        taken.sort_unstable_by_key(|one| one.0);
+        taken.into_iter().map(|one| one.1).collect()
+    }
+
+    pub(super) fn put(&mut self, waiting: Waiting) -> bool {
+        if !self.pool.add(waiting.piece) {
+            return false;
+        }
+        let index = self
+            .waiting
+            .partition_point(|one| one.ticket < waiting.ticket);
+        self.waiting.insert(index, waiting);
+        true
+    }
+
+    pub(super) fn address(&self, life: &Life) -> Option<(SocketAddr, String)> {
+        let found = self.endpoints.iter().find(|one| one.life == *life)?;
+        Some((found.address, found.data_centre.clone()))
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/owner/release.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/release.rs
@@ -1,6 +1,6 @@
 //! Gives up results that nobody needs any more.
 
-use super::{ANSWER_BYTES, Batcher};
+use super::{ANSWER_BYTES, pools::Batcher};
 use crate::{
     gateway::{
         stages::{self, Product},
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -203,11 +203,11 @@
 }
 
 fn versions(state: &State) -> Versions {
-    let (snapshot, evacuation) = state.directory();
+    let (endpoints, evacuation) = state.revisions();
     Versions {
         config: state.config().map_or(0, |config| config.version),
-        endpoints: snapshot.revision,
-        evacuation: evacuation.map_or(0, |evacuation| evacuation.revision),
+        endpoints,
+        evacuation,
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -20,6 +20,10 @@
 /// counts from an earlier moment, closes it first.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
+/// Connections of balancers or readers of metrics at one address, so that
+/// callers cannot take those up.
+const INSPECTOR_SOCKETS: usize = 32;
+
 /// The listeners of a gateway.
 #[derive(Debug)]
 pub struct Server {
@@ -61,13 +65,16 @@
 
     /// Begins to accept connections.
     pub fn start(&mut self) {
-        let sockets = Arc::new(Semaphore::new(self.state.settings.sockets / 2));
         for (listener, peer) in self.listeners.drain(..) {
+            let sockets = match peer {
+                Peer::Caller => self.state.settings.sockets / 2,
+                Peer::Inspector => INSPECTOR_SOCKETS,
+            };
             tokio::spawn(accept(
                 Arc::clone(&self.state),
                 listener,
                 peer,
-                Arc::clone(&sockets),
+                Arc::new(Semaphore::new(sockets)),
                 self.closing.subscribe(),
             ));
         }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -179,6 +179,15 @@
         (snapshot, lock(&self.evacuation).clone())
     }
 
+    /// Returns the revisions of the list of endpoints and of that of evacuated
+    /// data centres; zero where nothing is known.
+    #[must_use]
+    pub fn revisions(&self) -> (u64, u64) {
+        let evacuation = lock(&self.evacuation);
+        let evacuation = evacuation.as_ref().map_or(0, |one| one.revision);
+        (lock(&self.tracker).revision(), evacuation)
+    }
+
     /// Returns whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
