--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -8,6 +8,7 @@
 use reqwest::Method;
 use serde_json::json;
 use std::time::Duration;
+use tokio::{net::TcpStream, time};
 
 async fn deployment(gateways: usize, endpoints: usize) -> Deployment {
     let plan = Plan {
@@ -365,3 +366,25 @@
         store.put(Collection::Endpoints, name, content);
     }
 }
+
+#[tokio::test]
+async fn flood_of_connections_holds_up_no_readiness_answer() {
+    let deployment = deployment(1, 1).await;
+    let gateway = &deployment.gateways[0];
+    // More than the half of its 800 sockets that callers may take up.
+    let mut idle = Vec::new();
+    for _ in 0..450 {
+        let connection = TcpStream::connect(gateway.caller_address());
+        idle.push(connection.await.expect("a connection"));
+    }
+    for _ in 0..3 {
+        let ready = time::timeout(Duration::from_secs(5), gateway.is_ready()).await;
+        assert_eq!(ready, Ok(true));
+    }
+    drop(idle);
+    fleet::wait_for("callers are served again", async || {
+        book(&deployment, "f1").await.status == Some(200)
+    })
+    .await
+    .expect("an answer");
+}
