--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -10,6 +10,9 @@
 use std::time::Duration;
 use tokio::{net::TcpStream, time};
 
+/// Asks in which a gateway has accepted all connections of a flood.
+const READINESS_ASKS: usize = 100;
+
 async fn deployment(gateways: usize, endpoints: usize) -> Deployment {
     let plan = Plan {
         program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
@@ -377,7 +380,7 @@
         let connection = TcpStream::connect(gateway.caller_address());
         idle.push(connection.await.expect("a connection"));
     }
-    for _ in 0..3 {
+    for _ in 0..READINESS_ASKS {
         let ready = time::timeout(Duration::from_secs(5), gateway.is_ready()).await;
         assert_eq!(ready, Ok(true));
     }
