Keep inputs until the answer where another owner may call the endpoint too

The owner before ends what it has taken while the next one begins; both call the same endpoints, so a call waits for the other's (1.18 of the time of the endpoints used, by both owners' logs), and its inputs were given up after half of its expected time, before its turn.

Ruled out: endpoints that crashed (none in those seconds), lifetimes (4 s).

Change: inputs are given up early only if the endpoint answered its last call within 2 s and in the usual time; else with the answer. Calls log prompt=.

Test: batch::handover_of_a_service_tells_calls_that_wait_for_others.

--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -23,6 +23,15 @@
 /// Time in which half of a remembered slowness is forgotten, in seconds.
 const SLOWNESS_HALF_LIFE_S: f64 = 4.0;
 
+/// How much longer than at the usual speed a call may take at an endpoint that
+/// worked on it at once; waiting for a call of another process adds half as much
+/// on average.
+const PROMPT_RATIO: f64 = 1.4;
+
+/// Time after such a call in which the next one is taken to have its turn at
+/// once too: a few calls.
+const PROMPT_SPAN: Duration = Duration::from_secs(2);
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -59,6 +68,7 @@
     failures: u32,
     slowness: f64,
     slowness_at: Duration,
+    prompt_at: Option<Duration>,
     holds: Vec<Hold>,
     calling_bytes: u64,
     pub(super) leaving: bool,
@@ -75,6 +85,7 @@
             failures: 0,
             slowness: 1.0,
             slowness_at: Duration::ZERO,
+            prompt_at: None,
             holds: Vec::new(),
             calling_bytes: 0,
             leaving: false,
@@ -99,6 +110,12 @@
         self.busy_until.max(self.paused_until).max(now)
     }
 
+    /// Returns whether a call has its turn at once, as the last one had: nobody
+    /// else calls the endpoint.
+    pub(super) fn is_prompt(&self, now: Duration) -> bool {
+        self.prompt_at.is_some_and(|at| now < at + PROMPT_SPAN)
+    }
+
     /// Returns how many times as long as expected its calls take.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.slowness_at).as_secs_f64();
@@ -138,6 +155,8 @@
         now: Duration,
     ) {
         let since = self.busy_since.take().unwrap_or(now);
+        let prompt = now.saturating_sub(since) <= expected.mul_f64(PROMPT_RATIO);
+        self.prompt_at = (outcome == Outcome::Answered && prompt).then_some(now);
         self.busy_until = now;
         let bytes = std::mem::take(&mut self.calling_bytes);
         match outcome {
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -28,6 +28,8 @@
     pub left: usize,
     /// Room for results that the endpoint had, in bytes.
     pub room: u64,
+    /// Whether the endpoint will work on it at once.
+    pub prompt: bool,
 }
 
 /// A piece that cannot be done before it expires.
@@ -234,6 +236,7 @@
         let endpoint = &mut self.endpoints[index];
         let expected = endpoint.call_time(&self.worker, taken.len(), now);
         let bytes = taken.iter().map(|piece| piece.bytes).sum();
+        let prompt = endpoint.is_prompt(now);
         endpoint.begin(expected, bytes, now);
         let life = endpoint.life.clone();
         let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
@@ -247,6 +250,7 @@
             expected,
             left: self.waiting.len(),
             room,
+            prompt,
         }
     }
 
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -314,3 +314,22 @@
     let third = pool.next(ms(250)).expect("the endpoint at y is free");
     assert_eq!(tickets(&third), [2]);
 }
+
+#[test]
+fn handover_of_a_service_tells_calls_that_wait_for_others() {
+    let mut pool = pool(&[("a", "x")]);
+    let mut call_at = |now: u64, takes: u64| {
+        assert!(pool.add(piece(now, now, 9_000)));
+        let call = pool.next(ms(now)).expect("the endpoint is free");
+        end(&mut pool, &call, answered(0), ms(now + takes));
+        call.prompt
+    };
+    // Nothing is known of the endpoint; the owner before still calls it.
+    assert!(!call_at(0, 400));
+    assert!(!call_at(500, 215));
+    // Now it answers in the expected time.
+    assert!(call_at(1_000, 500));
+    assert!(!call_at(2_000, 210));
+    // What was seen long ago says nothing.
+    assert!(!call_at(9_000, 210));
+}
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -31,7 +31,7 @@
 const CALL_SLACK: Duration = Duration::from_millis(300);
 
 /// Part of a call, as a divisor of what it should take, after which the
-/// endpoint has long fetched the inputs: it does so before it starts to work.
+/// endpoint has long fetched the inputs: it does so when their turn comes.
 const INPUTS_PART: u32 = 2;
 
 /// Endpoints that one piece is sent to at most.
@@ -55,7 +55,11 @@
             tell(&batcher, &call.life).await;
             let exchange = exchange(&state, *address, &call, &pieces);
             tokio::pin!(exchange);
-            let fetched = call.expected / INPUTS_PART;
+            let fetched = if call.prompt {
+                call.expected / INPUTS_PART
+            } else {
+                call_timeout(&call)
+            };
             match time::timeout(fetched, &mut exchange).await {
                 Ok(result) => result,
                 Err(_) => {
@@ -74,13 +78,14 @@
     state.metrics.stage_calls.with_label_values(&labels).inc();
     Event::CallEnded.log(format_args!(
         "service={service} endpoint={} pieces={} left={} room={} expected_ms={} took_ms={} \
-         outcome={outcome:?} made={} no_room={} gone={} first_id={} note={note:?}",
+         prompt={} outcome={outcome:?} made={} no_room={} gone={} first_id={} note={note:?}",
         call.life.id,
         pieces.len(),
         call.left,
         call.room,
         call.expected.as_millis(),
         began.elapsed().as_millis(),
+        call.prompt,
         count(&made, |one| matches!(one, Made::Result(_))),
         count(&made, |one| matches!(one, Made::NoRoom)),
         count(&made, |one| matches!(one, Made::SourceGone)),
@@ -103,6 +108,10 @@
     batcher.wake.notify_one();
 }
 
+fn call_timeout(call: &Call) -> Duration {
+    call.expected * CALL_PATIENCE + CALL_SLACK
+}
+
 fn count(made: &[Made], wanted: impl Fn(&Made) -> bool) -> usize {
     made.iter().filter(|one| wanted(one)).count()
 }
@@ -149,8 +158,7 @@
         Ok(request) => request,
         Err(error) => return (Outcome::Failed, Vec::new(), error),
     };
-    let timeout = call.expected * CALL_PATIENCE + CALL_SLACK;
-    match outbound::call(address, request, timeout, ANSWER_BYTES).await {
+    match outbound::call(address, request, call_timeout(call), ANSWER_BYTES).await {
         Ok(answer) => {
             let head = Answer::decode(answer.status(), answer.headers());
             if head.declined.is_some() {
