Refuse a request that crashed endpoints once the entries are told

Cause: the final answer was held for two seconds so that gossip could reach the other entries before the caller came back; the users ask that no final answer is held.

Ruled out: answering at once, since the other entry would crash a third endpoint (the test crashing_request_takes_two_endpoints_over_all_entries is as strict as before); telling peers before the second attempt, which would make every request wait that was in flight at a crash.

Change: a noted crash is told to all entries at once; the refusal waits for that, 250 ms at most, and 521 SuspectUntold says when it was not enough.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -76,6 +76,7 @@
     PeerLost = 511, Warn, "Another gateway does not answer.";
     PeerRegained = 512, Info, "Another gateway answers again.";
     SuspectMarked = 520, Warn, "A request is suspected of crashing endpoints.";
+    SuspectUntold = 521, Warn, "Not all entries could be told of a suspect in time.";
 }
 
 impl Event {
--- a/crates/cicadacrank-node/src/entry/walk.rs
+++ b/crates/cicadacrank-node/src/entry/walk.rs
@@ -9,6 +9,7 @@
 use cicadacrank_core::{
     admission::Tag,
     error::{Effect, Failure, Kind, Retry},
+    event::Event,
     id,
     pipeline::Context,
     quarantine::{Fingerprint, Standing},
@@ -26,8 +27,9 @@
 /// Pause before an attempt after a refusal.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
-/// Time in which other processes hear of a suspect.
-const SPREAD: Duration = Duration::from_secs(2);
+/// Longest time that a refusal waits until peers have been told of a crash: some
+/// round trips between regions.
+const SPREAD: Duration = Duration::from_millis(250);
 
 /// Longest deadline a caller may state.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
@@ -171,11 +173,14 @@
         condemned.map_or(Ok(()), |stage| Err(quarantined(stage)))
     }
 
-    /// Holds back the refusal of a request that crashed an endpoint, so that
-    /// other processes have heard of it when its caller sends it again.
+    /// Waits until peers have been told that the request crashed an endpoint, so
+    /// that they refuse it when its caller sends it again.
     async fn wait_for_spread(&self) {
         let until = self.deadline.min(Instant::now() + SPREAD);
-        time::sleep_until(until).await;
+        let told = self.service.suspects().wait_until_told();
+        if time::timeout_at(until, told).await.is_err() {
+            Event::SuspectUntold.log(format_args!("request {}", self.request.id));
+        }
     }
 
     /// Returns when a stage must have ended: time that earlier stages left
--- a/crates/cicadacrank-node/src/peer/run.rs
+++ b/crates/cicadacrank-node/src/peer/run.rs
@@ -8,6 +8,7 @@
 };
 use cicadacrank_core::{
     event::Event,
+    membership::Role,
     spread::{Action, News},
 };
 use std::{
@@ -38,6 +39,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(watch::run(Arc::clone(&service)));
     let mut hints = service.parts.holder.hints();
+    let mut marks = service.parts.suspects.marks();
     let mut ticks = time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -47,6 +49,9 @@
                 let actions = service.node().ask(rand::random);
                 service.queue_up(actions);
             }
+            Ok(()) = marks.changed() => {
+                tasks.spawn(tell(Arc::clone(&service), *marks.borrow_and_update()));
+            }
             Some(action) = queue.recv() => {
                 tasks.spawn(act(Arc::clone(&service), action));
             }
@@ -74,6 +79,22 @@
     }
 }
 
+/// Tells all entries, which refuse what crashes endpoints, of the crashes noted
+/// so far: each sync carries them.
+async fn tell(service: Arc<Service>, marks: u64) {
+    let me = service.parts.me.name.clone();
+    let entries = service
+        .live()
+        .into_iter()
+        .filter(|peer| peer.role == Role::Entry);
+    let syncs = entries.filter(|peer| peer.name != me).map(|peer| {
+        let service = Arc::clone(&service);
+        async move { sync(&service, &peer.name, peer.address).await }
+    });
+    syncs.collect::<JoinSet<_>>().join_all().await;
+    service.parts.suspects.tell(marks);
+}
+
 async fn read_rules(service: &Service) {
     service.parts.metrics.platform_calls.inc();
     let store = &service.parts.store;
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -12,12 +12,17 @@
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
+use tokio::sync::watch;
 
 /// Requests that are suspected of crashing endpoints.
 #[derive(Debug)]
 pub struct Suspects {
     clock: Clock,
     list: Mutex<List>,
+    /// Crashes noted by this process.
+    marks: watch::Sender<u64>,
+    /// Those of them that peers have been told of.
+    told: watch::Sender<u64>,
 }
 
 impl Suspects {
@@ -27,6 +32,8 @@
         Self {
             clock,
             list: Mutex::default(),
+            marks: watch::Sender::new(0),
+            told: watch::Sender::new(0),
         }
     }
 
@@ -39,6 +46,7 @@
     /// Notes that an endpoint crashed with this attempt in flight.
     pub fn mark(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
         self.lock().mark(fingerprint, attempt, self.clock.now());
+        self.marks.send_modify(|marks| *marks += 1);
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
@@ -52,6 +60,25 @@
         ));
     }
 
+    /// Returns a view of how many crashes this process has noted.
+    #[must_use]
+    pub fn marks(&self) -> watch::Receiver<u64> {
+        self.marks.subscribe()
+    }
+
+    /// Notes that peers have been told of the first `marks` crashes.
+    pub fn tell(&self, marks: u64) {
+        self.told
+            .send_if_modified(|told| marks > std::mem::replace(told, marks.max(*told)));
+    }
+
+    /// Waits until peers have been told of all crashes noted so far.
+    pub async fn wait_until_told(&self) {
+        let marks = *self.marks.borrow();
+        // An error says that the process ends.
+        drop(self.told.subscribe().wait_for(|told| *told >= marks).await);
+    }
+
     /// Returns whether this attempt is held against the request.
     #[must_use]
     pub fn knows(&self, fingerprint: Fingerprint, attempt: id::Attempt) -> bool {
--- a/crates/cicadacrankd/tests/crash.rs
+++ b/crates/cicadacrankd/tests/crash.rs
@@ -7,6 +7,11 @@
     fleet::{Fleet, wait_for},
 };
 use common::{request, small};
+use std::time::{Duration, Instant};
+
+/// Time in which a request is refused that crashed two endpoints: its attempts,
+/// and no more than it takes to tell the other entry.
+const LONGEST_REFUSAL: Duration = Duration::from_secs(2);
 
 const POISON: &str = r#"{"query":"poison"}"#;
 
@@ -33,7 +38,9 @@
         let posts = fleet.posts.iter();
         posts.map(|post| post.engine.incarnation() - 1).sum()
     };
+    let began = Instant::now();
     let (status, text) = ask(&fleet, 0, POISON).await;
+    assert!(began.elapsed() < LONGEST_REFUSAL, "{:?}", began.elapsed());
     assert!(status != 200 && crashes() == 2, "{status} {text}");
     let refuses = async || ask(&fleet, 1, POISON).await.1.contains("quarantined");
     wait_for("the other entry", refuses).await.expect("refused");
