Take late only what ends before the process does

Ruled out: streams of before SIGTERM (they may be cut in the last sixth), readiness (withdrawn at once).

Change: after the notice of 2.5 s a request is taken only if its deadline is before the end; else it is refused at once as not run, to come back elsewhere. A connection that comes after the notice gets one answer instead of being closed unread.

Tests: node drain, gateway::terminated_gateway_takes_late_only_what_it_can_end.

--- a/crates/cicadacrank-core/src/error.rs
+++ b/crates/cicadacrank-core/src/error.rs
@@ -104,7 +104,7 @@
     TeamLimit = "team-limit", 429, 8, 5, Later, "The team is at its limit.";
     NoEndpoint = "no-endpoint", 503, 14, 5, Later, "No endpoint of the pool can take the work.";
     TakenOut = "taken-out", 503, 14, 5, Elsewhere, "The endpoint or its data centre was taken out.";
-    Leaving = "leaving", 503, 14, 5, Elsewhere, "The endpoint is leaving.";
+    Leaving = "leaving", 503, 14, 5, Elsewhere, "The endpoint or this process is leaving.";
     Stale = "stale", 503, 9, 5, Elsewhere, "The process holds an older configuration than its peer.";
     NotReady = "not-ready", 503, 14, 5, Elsewhere, "The process has no configuration in force.";
     PlatformDown = "platform-down", 503, 14, 6, Later, "The platform did not answer in time.";
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 mod stream;
 mod view;
 
-pub use self::state::State;
+pub use self::state::{Drain, State};
 
 use crate::platform;
 use cicadacrank_core::event::Event;
@@ -34,7 +34,7 @@
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time,
+    time::{self, Instant},
 };
 
 /// Time from SIGTERM until kept connections are closed: the balancer asks for
@@ -114,13 +114,18 @@
         }
     }
     Event::Draining.log(format_args!("instance={}", settings.instance));
-    state.drain();
     let bound = settings.bounds.grace.saturating_sub(LAST_CALL);
-    let drain = async {
-        time::sleep(NOTICE.min(bound)).await;
+    let now = Instant::now();
+    let drain = Drain {
+        noticed: now + NOTICE.min(bound),
+        ends: now + bound,
+    };
+    state.drain(drain);
+    let finish = async {
+        time::sleep_until(drain.noticed).await;
         server.finish().await;
     };
-    if time::timeout(bound, drain).await.is_err() {
+    if time::timeout_at(drain.ends, finish).await.is_err() {
         Event::DrainExpired.log(format_args!(
             "instance={} in_flight={}",
             settings.instance,
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -26,6 +26,9 @@
 /// What is kept of the caller's time for the way back.
 const WAY_BACK: Duration = Duration::from_millis(10);
 
+/// Pause after which a caller may come back to another gateway.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Pause after which a caller may come back to a gateway that knows too little
 /// to serve: about what it takes to learn the rest.
 const LEARNING: Duration = Duration::from_millis(300);
@@ -191,6 +194,12 @@
     };
     let patience = caller.patience.unwrap_or(MOST_PATIENCE).min(route.timeout);
     let deadline = arrived + patience.saturating_sub(WAY_BACK);
+    if let Some(drain) = state.draining()
+        && !drain.takes(arrived, deadline)
+    {
+        let stop = unsent.refuse(Kind::Leaving, "the process ends before the deadline");
+        return Err(Refusal::from(stop).with_retry_after(reply::jitter(ELSEWHERE)));
+    }
     let body = match time::timeout_at(deadline, read(state, &config, body)).await {
         Ok(body) => body?,
         Err(_) => return Err(unsent.refuse(Kind::TimeUp, "body not read in time").into()),
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -134,16 +134,19 @@
         .config()
         .map(|config| config.limits)
         .unwrap_or_default();
+    // A connection that comes late is good for one answer.
+    let late = *closing.borrow();
     let service = service_fn(|request| answer(Arc::clone(&state), request, peer));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(!late)
         .header_read_timeout(limits.idle + IDLE_SLACK)
         .max_buf_size((limits.head_bytes * 2).max(MOST_READ))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = closed(&mut closing) => {
+        () = closed(&mut closing), if !late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -171,7 +174,7 @@
         return Ok(request::inspect(&state, &request));
     }
     let mut response = request::handle(Arc::clone(&state), request).await;
-    if state.is_draining() {
+    if state.draining().is_some() {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -12,12 +12,12 @@
 };
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 /// Longest time for one call to the store, over what a watch waits: its usual
 /// answer takes milliseconds.
@@ -45,12 +45,30 @@
     listed: AtomicBool,
     loads: Mutex<Vec<Loads>>,
     repeats: Mutex<Vec<Service>>,
-    draining: AtomicBool,
+    drain: OnceLock<Drain>,
     ready: AtomicBool,
     in_flight: AtomicUsize,
     pub(super) drained: Notify,
 }
 
+/// How a process that was told to stop goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// Until then the balancer may not have noticed.
+    pub noticed: Instant,
+    /// When it ends whatever is open.
+    pub ends: Instant,
+}
+
+impl Drain {
+    /// Returns whether a request that arrived at `arrived` is taken: later than
+    /// the notice only if it will have its answer before the end.
+    #[must_use]
+    pub fn takes(&self, arrived: Instant, deadline: Instant) -> bool {
+        arrived < self.noticed || deadline <= self.ends
+    }
+}
+
 #[derive(Debug)]
 struct Loads {
     instance: String,
@@ -97,7 +115,7 @@
             listed: AtomicBool::new(false),
             loads: Mutex::default(),
             repeats: Mutex::default(),
-            draining: AtomicBool::new(false),
+            drain: OnceLock::new(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             drained: Notify::new(),
@@ -191,7 +209,7 @@
     /// Returns whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.knows_all() && !self.is_draining()
+        self.knows_all() && self.draining().is_none()
     }
 
     /// Returns whether all that serving needs is known.
@@ -200,15 +218,15 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the process is about to end.
+    /// Returns how the process is about to end, if it is.
     #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+    pub fn draining(&self) -> Option<&Drain> {
+        self.drain.get()
     }
 
     /// Withdraws readiness; accepted work goes on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    pub fn drain(&self, drain: Drain) {
+        self.drain.get_or_init(|| drain);
         lock(&self.roster).leave();
     }
 
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -5,7 +5,10 @@
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
-use reqwest::Method;
+use reqwest::{
+    Method,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
 use serde_json::json;
 use std::time::Duration;
 use tokio::{net::TcpStream, time};
@@ -340,6 +343,38 @@
     assert!(end.success());
 }
 
+#[tokio::test]
+async fn terminated_gateway_takes_late_only_what_it_can_end() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Hang);
+    let hanging = caller().request(Method::POST, address, "/book/1", "a1");
+    let open = tokio::spawn(send(hanging.headers(long_deadline())));
+    fleet::wait_for("work begun", async || !deployment.runs("a1").is_empty())
+        .await
+        .expect("the booking has begun");
+    set_faults(&deployment, Role::Desk, Fault::None);
+    deployment.gateways[0].terminate().expect("a signal");
+    // The open booking keeps the process from ending.
+    let mut late = 0;
+    fleet::wait_for("long requests refused", async || {
+        late += 1;
+        let request = caller().request(Method::GET, address, "/look/1", &format!("l{late}"));
+        let answer = send(request.headers(long_deadline())).await;
+        answer.status == Some(503) && answer.retry_after.is_some()
+    })
+    .await
+    .expect("a request that may outlast the process is refused");
+    assert_eq!(look(&deployment, "short").await.status, Some(200));
+    open.abort();
+}
+
+/// A deadline later than a gateway's grace period, in place of the usual one.
+fn long_deadline() -> HeaderMap {
+    let name = HeaderName::from_static("x-deadline-ms");
+    HeaderMap::from_iter([(name, HeaderValue::from_static("60000"))])
+}
+
 async fn fleet_is_ready(deployment: &Deployment) -> bool {
     let wait = fleet::wait_for("readiness withdrawn", async || {
         !deployment.gateways[0].is_ready().await
