--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -47,32 +47,14 @@
 ) {
     let began = Instant::now();
     state.metrics.batch.observe(pieces.len() as f64);
-    let spent: Vec<_> = pieces.iter_mut().map(|piece| piece.spent.take()).collect();
-    let mut spent = Some(spent);
     let (outcome, made, note) = match &address {
         Some((address, _)) => {
             // What was given up is room for this call.
             tell(&batcher, &call.life).await;
-            let exchange = exchange(&state, *address, &call, &pieces);
-            tokio::pin!(exchange);
-            let fetched = if call.prompt {
-                call.expected / INPUTS_PART
-            } else {
-                call_timeout(&call)
-            };
-            match time::timeout(fetched, &mut exchange).await {
-                Ok(result) => result,
-                Err(_) => {
-                    spent = None;
-                    exchange.await
-                }
-            }
+            spend(&state, *address, &call, &mut pieces).await
         }
         None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
     };
-    for (piece, spent) in pieces.iter_mut().zip(spent.into_iter().flatten()) {
-        piece.spent = spent;
-    }
     let service = batcher.service.as_str();
     let labels = [service, outcome_name(outcome)];
     state.metrics.stage_calls.with_label_values(&labels).inc();
@@ -108,6 +90,38 @@
     batcher.wake.notify_one();
 }
 
+/// Makes the exchange of a call, and gives the inputs of its pieces up once the
+/// endpoint has fetched them. Pieces keep theirs if the call ends before that: a
+/// further call may need them.
+async fn spend(
+    state: &State,
+    address: SocketAddr,
+    call: &Call,
+    pieces: &mut [Waiting],
+) -> (Outcome, Vec<Made>, String) {
+    let spent: Vec<_> = pieces.iter_mut().map(|piece| piece.spent.take()).collect();
+    let fetched = if call.prompt {
+        call.expected / INPUTS_PART
+    } else {
+        call_timeout(call)
+    };
+    let result = {
+        let exchange = exchange(state, address, call, pieces);
+        tokio::pin!(exchange);
+        match time::timeout(fetched, &mut exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                drop(spent);
+                return exchange.await;
+            }
+        }
+    };
+    for (piece, spent) in pieces.iter_mut().zip(spent) {
+        piece.spent = spent;
+    }
+    result
+}
+
 fn call_timeout(call: &Call) -> Duration {
     call.expected * CALL_PATIENCE + CALL_SLACK
 }
