--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -6,7 +6,11 @@
 //! call is the fuller. Pieces that can still be on time go first, the most
 //! pressing of them at the front; pieces that are late already fill what is
 //! left, those that are least late first; pieces that will not have their turn
-//! before they expire are given back at once.
+//! before they expire are given back at once. A piece with time to spare is left
+//! for endpoints in the data centre of its inputs.
+//!
+//! Results take up room at their endpoint until they are given up, and a call is
+//! no larger than the room that is left; endpoints without room are passed by.
 
 mod endpoint;
 mod pool;
