Know an endpoint's incarnation before the first job, and probe a crash until it is decided

The sidecar's first health report had come before the first rules and was dropped, so the restart that the request caused was taken for a first report, and the probe of the port ran before the dying endpoint had closed it. Neither probe counted the crash, so neither entry marked the request, and the other entry let two more endpoints crash.

Ruled out: the notification of the other entry (no mark existed to be sent).

The new test fails without the change to the node.

--- a/crates/cicadacrank-bench/src/memory/port.rs
+++ b/crates/cicadacrank-bench/src/memory/port.rs
@@ -30,6 +30,9 @@
     CutBefore,
     /// Runs the work and cuts the connection before the answer.
     CutAfter,
+    /// Runs the work, cuts the connection before the answer, and restarts at
+    /// once, so that it reports a new incarnation and refuses no connection.
+    Restart,
     /// Runs the work and never answers, so that the progress timeout of the
     /// caller expires.
     Silent,
@@ -37,7 +40,7 @@
 
 impl Behaviour {
     /// All behaviours; `Answer` has no delay.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Answer(Duration::ZERO),
         Self::Rubbish,
         Self::Truncate,
@@ -45,6 +48,7 @@
         Self::RefuseConnection,
         Self::CutBefore,
         Self::CutAfter,
+        Self::Restart,
         Self::Silent,
     ];
 
@@ -52,9 +56,12 @@
     #[must_use]
     pub const fn runs(self) -> bool {
         match self {
-            Self::Answer(_) | Self::Rubbish | Self::Truncate | Self::CutAfter | Self::Silent => {
-                true
-            }
+            Self::Answer(_)
+            | Self::Rubbish
+            | Self::Truncate
+            | Self::CutAfter
+            | Self::Restart
+            | Self::Silent => true,
             Self::RefuseWork | Self::RefuseConnection | Self::CutBefore => false,
         }
     }
@@ -148,6 +155,11 @@
         let mut state = self.lock();
         let behaviour = state.script.pop_front().unwrap_or(state.otherwise);
         let output = Bytes::from(format!("\"run {}\"", state.runs.len()));
+        if behaviour == Behaviour::Restart
+            && let Some(health) = &mut state.health
+        {
+            health.incarnation += 1;
+        }
         if behaviour.runs() {
             state.runs.push(Run {
                 address: call.address,
@@ -192,7 +204,7 @@
                     connected: false,
                     ..Fault::new(Kind::Unreachable, "connection refused")
                 }),
-                Behaviour::CutBefore | Behaviour::CutAfter => {
+                Behaviour::CutBefore | Behaviour::CutAfter | Behaviour::Restart => {
                     failed(Kind::EndpointFailed, "connection reset")
                 }
                 Behaviour::Silent => {
--- a/crates/cicadacrank-bench/src/memory/sidecar.rs
+++ b/crates/cicadacrank-bench/src/memory/sidecar.rs
@@ -35,14 +35,17 @@
     /// Panics if the rules are not valid.
     #[must_use]
     pub fn new(number: u16, endpoints: &[&str], rules: &str, store: &Store, port: &Port) -> Self {
+        let sidecar = Self::without_rules(number, endpoints, store, port);
+        sidecar.offer(rules);
+        sidecar
+    }
+
+    /// Creates a sidecar that has no rules yet.
+    #[must_use]
+    pub fn without_rules(number: u16, endpoints: &[&str], store: &Store, port: &Port) -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + number));
         let process = Process::new();
         let holder = Arc::new(Holder::new());
-        let offered = holder.offer(Ruleset {
-            generation: 1,
-            rules: rules.to_owned(),
-        });
-        assert!(offered, "the rules are valid");
         let metrics = Arc::new(Metrics::new());
         let service = Arc::new(Service::new(Parts {
             settings: settings(number, endpoints, address),
@@ -60,6 +63,19 @@
             service,
         }
     }
+
+    /// Puts rules in force, as generation 1.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the rules are not valid.
+    pub fn offer(&self, rules: &str) {
+        let offered = self.holder.offer(Ruleset {
+            generation: 1,
+            rules: rules.to_owned(),
+        });
+        assert!(offered, "the rules are valid");
+    }
 }
 
 fn settings(number: u16, endpoints: &[&str], address: SocketAddr) -> Settings {
--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -33,11 +33,18 @@
 
 impl Bench {
     fn new(default_behaviour: Behaviour) -> Self {
+        let bench = Self::without_rules(default_behaviour);
+        bench.offer_rules();
+        bench
+    }
+
+    /// Creates a bench whose sidecars have no rules yet.
+    fn without_rules(default_behaviour: Behaviour) -> Self {
         let store = Store::new();
         let port = Port::new().with_default_behaviour(default_behaviour);
         let sidecars: Vec<Sidecar> = (1..)
             .zip(ENDPOINTS)
-            .map(|(number, name)| Sidecar::new(number, &[name], RULES, &store, &port))
+            .map(|(number, name)| Sidecar::without_rules(number, &[name], &store, &port))
             .collect();
         let link = Link::new(sidecars.clone());
         let entries = (0..2).map(|_| entry(&link, &sidecars)).collect();
@@ -49,6 +56,12 @@
         }
     }
 
+    fn offer_rules(&self) {
+        for sidecar in &self.sidecars {
+            sidecar.offer(RULES);
+        }
+    }
+
     /// Sends a request to an entry and returns its outcome.
     async fn send(&self, entry: usize, pipeline: &str, query: &str) -> Outcome {
         read_outcome(self.entries[entry].run(request(pipeline, query))).await
@@ -211,6 +224,22 @@
     );
 }
 
+/// A request that arrives with the first rules restarts each endpoint that runs it. The
+/// sidecars have to know the incarnations from before the request.
+#[tokio::test(start_paused = true)]
+async fn crashing_request_that_arrives_first_is_quarantined_after_two_restarts() {
+    let bench = Bench::without_rules(Behaviour::Restart);
+    bench.port.set_health(Some(Health {
+        incarnation: 1,
+        cold: false,
+    }));
+    time::sleep(Duration::from_millis(1)).await;
+    bench.offer_rules();
+    let outcome = bench.send(0, "ask", "poison").await;
+    assert_eq!(outcome.kind(), Some(Kind::Quarantined), "{outcome:?}");
+    assert_eq!(bench.port.runs().len(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn request_in_flight_at_one_crash_is_served_and_cleared() {
     let bench = Bench::new(Behaviour::Answer(Duration::from_millis(1)));
--- a/crates/cicadacrank-node/src/sidecar/limiter.rs
+++ b/crates/cicadacrank-node/src/sidecar/limiter.rs
@@ -16,7 +16,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{sync::oneshot, time};
+use tokio::{
+    sync::{oneshot, watch},
+    time,
+};
 
 /// Period after a broken connection in which a reported restart is taken for
 /// its cause.
@@ -28,11 +31,15 @@
     pub(super) address: SocketAddr,
     clock: Clock,
     state: Mutex<State>,
+    /// Whether the first health request to the endpoint has ended.
+    observed: watch::Sender<bool>,
 }
 
 #[derive(Default)]
 struct State {
     gate: Option<Gate>,
+    /// Health report that arrived before the first rules.
+    early_report: Option<Health>,
     generation: u64,
     taken_out: bool,
     waiting: Vec<Waiter>,
@@ -128,6 +135,7 @@
             address: endpoint.address,
             clock,
             state: Mutex::default(),
+            observed: watch::Sender::new(false),
         }
     }
 
@@ -158,7 +166,13 @@
                         gate.mark_cold(ColdReason::BroughtBack);
                     }
                 }
-                None => state.gate = Some(Gate::new(policy)),
+                None => {
+                    let mut gate = Gate::new(policy);
+                    if let Some(report) = state.early_report.take() {
+                        gate.observe(Some(report));
+                    }
+                    state.gate = Some(gate);
+                }
             }
         }
         let now = self.clock.now();
@@ -209,7 +223,13 @@
     pub(super) fn observe(&self, health: Option<Health>) -> Vec<Cut> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let reason = state.gate.as_mut().and_then(|gate| gate.observe(health));
+        let reason = match &mut state.gate {
+            Some(gate) => gate.observe(health),
+            None => {
+                state.early_report = health.or(state.early_report);
+                None
+            }
+        };
         state.cuts.retain(|cut| now < cut.at + CUT_TTL);
         if reason == Some(ColdReason::Incarnation) {
             return std::mem::take(&mut state.cuts);
@@ -217,6 +237,26 @@
         Vec::new()
     }
 
+    /// Records that the first health request to the endpoint has ended, with
+    /// or without a report.
+    pub(super) fn mark_observed(&self) {
+        self.observed.send_replace(true);
+    }
+
+    /// Waits until the first health request to the endpoint has ended.
+    ///
+    /// Without the incarnation from before a job, a restart that the job causes
+    /// cannot be distinguished from a first report.
+    pub(super) async fn wait_until_observed(&self) {
+        // The wait fails only if the sender is dropped, and `self` holds it.
+        drop(
+            self.observed
+                .subscribe()
+                .wait_for(|observed| *observed)
+                .await,
+        );
+    }
+
     /// Returns whether rules were adopted and the endpoint has not made a
     /// health report since.
     pub(super) fn has_never_reported(&self) -> bool {
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -32,7 +32,7 @@
     },
     time::Duration,
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time};
 use tokio_util::task::TaskTracker;
 
 /// Maximum number of frames buffered for a slow entry, in each of a job's two
@@ -43,6 +43,10 @@
 /// process does not have yet.
 const GENERATION_WAIT: Duration = Duration::from_millis(250);
 
+/// Delays before the probes that determine whether an endpoint crashed. A dying
+/// process may close its connections before the port on which it listens.
+const CRASH_PROBE_DELAYS_MS: [u64; 4] = [0, 5, 20, 50];
+
 /// Maximum wait for a slot, regardless of the deadline of the job.
 const MAX_SLOT_WAIT: Duration = Duration::from_secs(600);
 
@@ -257,6 +261,7 @@
         configuration: Arc<Configuration>,
     ) -> Result<Admitted, Kind> {
         let mut checked = self.check(job, &configuration)?;
+        checked.limiter.wait_until_observed().await;
         let suspect = checked.demand.suspect;
         let mut slot = checked.limiter.acquire(checked.demand).await?;
         slot.charge(account_key(job));
@@ -349,22 +354,29 @@
     /// Records that the connection to the endpoint broke during the job, and
     /// returns whether the endpoint crashed.
     ///
-    /// The endpoint crashed if it refuses connections or reports a restart.
+    /// The endpoint crashed if it refuses connections or reports a restart. It
+    /// is probed again while it does neither and gives no report either.
     pub(super) async fn detect_crash(&self, job: &wire::Job, address: SocketAddr) -> bool {
         let Some(attempt) = id::Attempt::parse(&job.attempt) else {
             return false;
         };
-        let port = &self.parts.port;
-        if port.is_refusing(address).await {
-            self.suspects.record_crash(fingerprint(job), attempt);
-            return true;
-        }
         let Some(limiter) = self.limiter(&job.endpoint) else {
             return false;
         };
+        let port = &self.parts.port;
         limiter.record_cut(fingerprint(job), attempt);
-        let health = port.health(address).await;
-        updates::apply_health(limiter, health, &self.suspects);
+        for delay_ms in CRASH_PROBE_DELAYS_MS {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+            if port.is_refusing(address).await {
+                self.suspects.record_crash(fingerprint(job), attempt);
+                return true;
+            }
+            let health = port.health(address).await;
+            updates::apply_health(limiter, health, &self.suspects);
+            if health.is_some() {
+                break;
+            }
+        }
         self.suspects.has_crash(fingerprint(job), attempt)
     }
 
--- a/crates/cicadacrank-node/src/sidecar/updates.rs
+++ b/crates/cicadacrank-node/src/sidecar/updates.rs
@@ -49,6 +49,7 @@
 ) {
     while configurations.has_changed().is_ok() {
         apply_health(&limiter, port.health(limiter.address).await, &suspects);
+        limiter.mark_observed();
         let interval = if limiter.has_never_reported() {
             DISCOVERY_INTERVAL
         } else {
