Refuse a job without a claim before its entry's deadline passes

Under load the entry gave up first and reported 504, effect unknown.

Changed: a job stops waiting for its claim a quarter of the remaining time before the deadline, 500 ms at most, so that the refusal (not run) reaches the entry.

--- a/crates/cicadacrank-node/src/sidecar/job.rs
+++ b/crates/cicadacrank-node/src/sidecar/job.rs
@@ -21,6 +21,10 @@
     time::{self, Instant, error::Elapsed},
 };
 
+/// Longest time before the deadline at which a job stops waiting for its claim,
+/// so that its entry learns that the work has not run.
+const MAX_CLAIM_MARGIN: Duration = Duration::from_millis(500);
+
 /// Sends the frames of one job in order; the [heartbeat](super::heartbeat)
 /// numbers them.
 struct Responder {
@@ -147,6 +151,13 @@
     Ok(unsent)
 }
 
+/// Returns the time by which a job must have its claim: a quarter of the
+/// remaining time before the deadline, [`MAX_CLAIM_MARGIN`] at most.
+fn claim_deadline(deadline: Instant) -> Instant {
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    deadline - MAX_CLAIM_MARGIN.min(remaining / 4)
+}
+
 async fn claim(
     service: &Service,
     job: &wire::Job,
@@ -165,7 +176,7 @@
         .collect();
     service
         .claims
-        .acquire(name, attempt, &digest, deadline, unsent)
+        .acquire(name, attempt, &digest, claim_deadline(deadline), unsent)
         .await
 }
 
