Fetch the shared parts of a prompt from its home, and keep more prompts there

Cause: each prompt has one engine that its shared parts are assigned to. It went elsewhere for a short queue, and an answer after a long queue was taken for a slow engine.

Changed: a request that goes elsewhere names its home as the engine to fetch the parts from (`Kv-Fetch`); a token in the queue costs 0.4 of one that is read again; the unread tokens leave out shared parts that the engine or its source holds; the expected time of an answer includes the queue before it; first stages with large results for the engine prefer the data centre of the home.

--- a/crates/cicadacrank-core/src/placement/fleet.rs
+++ b/crates/cicadacrank-core/src/placement/fleet.rs
@@ -20,6 +20,14 @@
 /// reading one prompt token, at the price that users pay for both.
 const BYTES_PER_TOKEN: u64 = 2_600;
 
+/// Cost of a prompt token that other requests wait to have read, relative to one
+/// that is read again. Waiting costs nothing while the objective is met.
+const QUEUE_WEIGHT: f64 = 0.4;
+
+/// Cost of the shared parts of a prompt at an engine that has to fetch them from
+/// another one, relative to reading them.
+const FETCH_WEIGHT: f64 = 1.0;
+
 /// Increase of the cost of an endpoint at a failure rate of 1, relative to one
 /// without failures.
 const FAILURE_WEIGHT: f64 = 12.0;
@@ -73,6 +81,18 @@
     pub shared: Option<u64>,
 }
 
+/// An engine selected for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The engine.
+    pub key: Key,
+    /// Another engine that probably caches the shared parts of the prompt, while
+    /// the selected one probably does not.
+    pub source: Option<Key>,
+    /// Number of prompt tokens that the engine probably has to read.
+    pub unread: u64,
+}
+
 /// Data centres of a request and its inputs, and the endpoints to avoid.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Locality<'a> {
@@ -107,6 +127,14 @@
     seconds: f64,
 }
 
+impl Prompt {
+    /// Returns the number of tokens that are not shared with other requests.
+    #[must_use]
+    pub const fn own_tokens(&self) -> u64 {
+        self.tokens.saturating_sub(self.shared_tokens)
+    }
+}
+
 impl Fleet {
     /// Applies a new list of endpoints. The state of endpoints that remain is
     /// kept.
@@ -201,7 +229,8 @@
         })
     }
 
-    /// Selects the model engine with the earliest expected first token.
+    /// Selects the model engine with the earliest expected first token, and the
+    /// engine from which it may fetch the shared parts of the prompt.
     pub fn choose_engine(
         &mut self,
         config: &Config,
@@ -209,7 +238,7 @@
         prompt: Prompt,
         locality: &Locality<'_>,
         now: Duration,
-    ) -> Option<Key> {
+    ) -> Option<Choice> {
         let cold_rate = config.service(service).map_or(0.0, |one| one.cold_rate);
         let (processes, position) = (self.processes, self.position);
         let blocked: Vec<Key> = self
@@ -227,9 +256,9 @@
                 held.then_some(key)
             })
             .collect();
-        let preferred = self.preferred(service, prompt);
+        let home = self.home(service, prompt);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
-        self.choose(service, locality, now, |key, row| {
+        let key = self.choose(service, locality, now, |key, row| {
             if blocked.contains(&key) {
                 return f64::INFINITY;
             }
@@ -238,21 +267,36 @@
                 .iter()
                 .find(|(data_centre, _)| *data_centre == row.endpoint.data_centre);
             let far = total - near.map_or(0, |(_, bytes)| *bytes);
-            let held = if preferred == Some(key) {
-                prompt.shared_tokens
+            let shared = if home == Some(key) {
+                0.0
             } else {
-                0
+                prompt.shared_tokens as f64 * FETCH_WEIGHT
             };
-            let tokens = row.own_load.unread
-                + row.peer_load.unread
-                + u64::from(row.in_flight()) * TOKENS_PER_RUNNING_REQUEST
-                + prompt.tokens.saturating_sub(held)
-                + far / BYTES_PER_TOKEN
-                + TOKENS_PER_START;
-            tokens as f64
+            let queue = row.unread() + u64::from(row.in_flight()) * TOKENS_PER_RUNNING_REQUEST;
+            let tokens = prompt.own_tokens() + far / BYTES_PER_TOKEN + TOKENS_PER_START;
+            tokens as f64 + queue as f64 * QUEUE_WEIGHT + shared
+        })?;
+        let source = home.filter(|home| *home != key);
+        let source = source.filter(|home| {
+            self.row(*home)
+                .is_some_and(|row| !row.health.in_backoff(now))
+        });
+        Some(Choice {
+            key,
+            source,
+            unread: prompt.own_tokens(),
         })
     }
 
+    /// Returns the data centre of the engine that probably caches the shared parts
+    /// of a prompt, or `None` if there are none.
+    #[must_use]
+    pub fn home_data_centre(&self, service: &str, prompt: Prompt) -> Option<&str> {
+        let home = self.home(service, prompt)?;
+        let row = self.row(home)?;
+        Some(row.endpoint.data_centre.as_str())
+    }
+
     /// Records the start of a request at an endpoint.
     pub fn begin(&mut self, key: Key, unread: u64, now: Duration) {
         if let Some(row) = self.row_mut(key) {
@@ -277,7 +321,8 @@
     }
 
     /// Records that an endpoint started to respond after `took`. `tokens` is
-    /// the number of prompt tokens that it had to read, 0 for a plain service.
+    /// the number of prompt tokens that it had to read before, those of other
+    /// requests included, 0 for a plain service.
     pub fn record_answer(&mut self, key: Key, tokens: u64, took: Duration, now: Duration) {
         let Some(service) = self.row(key).map(|row| row.endpoint.service.clone()) else {
             return;
@@ -333,7 +378,7 @@
     /// Returns the endpoint to which rendezvous hashing assigns the shared
     /// parts of a prompt, so that requests with the same parts go to the same
     /// endpoint.
-    fn preferred(&self, service: &str, prompt: Prompt) -> Option<Key> {
+    fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
         let shared = prompt.shared?;
         self.usable(service)
             .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
@@ -400,6 +445,13 @@
         self.own_load.in_flight + self.peer_load.in_flight
     }
 
+    /// Returns the known number of prompt tokens that the endpoint has yet to
+    /// read, for all processes.
+    #[must_use]
+    pub const fn unread(&self) -> u64 {
+        self.own_load.unread + self.peer_load.unread
+    }
+
     /// Returns whether one more request is within the limit for a cold
     /// endpoint.
     ///
--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -13,6 +13,6 @@
 mod health;
 
 pub use self::{
-    fleet::{Fleet, Key, Load, Locality, Prompt, Row},
+    fleet::{Choice, Fleet, Key, Load, Locality, Prompt, Row},
     health::{Health, Report},
 };
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -3,7 +3,7 @@
 use cicadacrank_core::{
     config::{Config, Service},
     directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
-    placement::{Fleet, Key, Load, Locality, Prompt, Report},
+    placement::{Choice, Fleet, Key, Load, Locality, Prompt, Report},
 };
 use std::time::Duration;
 
@@ -122,9 +122,9 @@
     let mut preferred = Vec::new();
     for shared in 0..60 {
         let choose = |fleet: &mut Fleet| {
-            let key =
+            let choice =
                 fleet.choose_engine(&config, "engine", prompt(shared), &Locality::default(), NOW);
-            key.expect("an endpoint is available")
+            choice.expect("an endpoint is available").key
         };
         let first = choose(&mut fleet);
         assert_eq!(choose(&mut fleet), first);
@@ -147,7 +147,8 @@
     for _ in 0..12 {
         let key = fleet
             .choose_engine(&config, "engine", prompt(7), &Locality::default(), NOW)
-            .expect("an endpoint is available");
+            .expect("an endpoint is available")
+            .key;
         fleet.begin(key, 6_000, NOW);
         chosen.push(key);
     }
@@ -165,8 +166,8 @@
     let mut sent = 0;
     for step in 0..1_000 {
         let now = NOW + Duration::from_millis(step);
-        let key = fleet.choose_engine(&config, "engine", prompt(1), &Locality::default(), now);
-        if let Some(key) = key {
+        let choice = fleet.choose_engine(&config, "engine", prompt(1), &Locality::default(), now);
+        if let Some(Choice { key, .. }) = choice {
             fleet.begin(key, 0, now);
             sent += 1;
         }
@@ -223,7 +224,65 @@
         };
         let key = fleet
             .choose_engine(&config, "engine", plain, &locality, NOW)
-            .expect("an endpoint is available");
+            .expect("an endpoint is available")
+            .key;
         assert_eq!(id(&fleet, key), expected);
     }
 }
+
+/// Returns the engine that a request with these shared parts goes to while all engines
+/// are idle.
+fn home(shared: u64) -> Key {
+    fleet(&six())
+        .choose_engine(
+            &config(0.0),
+            "engine",
+            prompt(shared),
+            &Locality::default(),
+            NOW,
+        )
+        .expect("an endpoint is available")
+        .key
+}
+
+#[test]
+fn prompt_waits_at_its_home_while_the_queue_is_short() {
+    let mut fleet = fleet(&six());
+    fleet.begin(home(7), 8_000, NOW);
+    let choice = fleet
+        .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+        .expect("an endpoint is available");
+    assert_eq!((choice.key, choice.source), (home(7), None));
+    assert_eq!(choice.unread, 2_000, "the home has read the shared parts");
+}
+
+#[test]
+fn prompt_away_from_its_home_is_fetched_from_it() {
+    let mut fleet = fleet(&six());
+    fleet.begin(home(7), 40_000, NOW);
+    let choose = |fleet: &mut Fleet| {
+        fleet
+            .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+            .expect("an endpoint is available")
+    };
+    let choice = choose(&mut fleet);
+    assert_ne!(choice.key, home(7));
+    assert_eq!(choice.source, Some(home(7)));
+    // An engine that cannot be reached cannot be fetched from.
+    fleet.record(home(7), Report::Unreachable, NOW);
+    assert_eq!(choose(&mut fleet).source, None);
+}
+
+#[test]
+fn answer_after_the_known_queue_does_not_count_as_slow() {
+    let mut fleet = fleet(&six());
+    let per_token = Duration::from_micros(18);
+    for tokens in [2_000, 2_000, 30_000, 30_000, 30_000] {
+        let took = per_token * u32::try_from(tokens + 1_500).expect("the number is small");
+        fleet.record_answer(home(7), tokens, took, NOW);
+    }
+    let choice = fleet
+        .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+        .expect("an endpoint is available");
+    assert_eq!(choice.key, home(7));
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// Delay between a broken connection and the check whether the endpoint crashed.
@@ -62,6 +62,8 @@
     pub urgency: Option<u32>,
     /// Number of prompt tokens that the endpoint has to process.
     pub tokens: u64,
+    /// Engine from which the endpoint may fetch shared parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// An attempt whose response head was received and accepted.
@@ -216,6 +218,9 @@
     /// was selected.
     in_flight: u32,
     prefill_tokens: u64,
+    /// Number of prompt tokens that the endpoint has to process before its first
+    /// event, those of earlier requests included.
+    tokens_until_first_event: u64,
 }
 
 impl Guard {
@@ -223,6 +228,7 @@
         let mut fleet = lock(&state.fleet);
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
+        let tokens_until_first_event = row.unread() + prefill_tokens;
         fleet.begin(key, prefill_tokens, state.clock.now());
         drop(fleet);
         Some(Self {
@@ -231,6 +237,7 @@
             endpoint,
             in_flight,
             prefill_tokens,
+            tokens_until_first_event,
         })
     }
 
@@ -244,9 +251,9 @@
         lock(&self.state.fleet).record(self.key, report, self.state.clock.now());
     }
 
-    /// Records that the endpoint began to respond after `took` to a request with
-    /// `tokens` prompt tokens.
-    pub fn record_answer(&self, tokens: u64, took: Duration) {
+    /// Records that the endpoint began to respond after `took`.
+    pub fn record_answer(&self, took: Duration) {
+        let tokens = self.tokens_until_first_event;
         lock(&self.state.fleet).record_answer(self.key, tokens, took, self.state.clock.now());
     }
 }
@@ -331,7 +338,7 @@
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
         "id={} service={} endpoint={} born={:?} sequence={} in_flight={} tokens={} results={} \
-         after={:?} remaining_ms={}",
+         fetch_from={:?} after={:?} remaining_ms={}",
         id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
         guard.endpoint.service,
         guard.endpoint.life.id,
@@ -340,6 +347,7 @@
         guard.in_flight,
         parameters.tokens,
         parameters.results.len(),
+        parameters.fetch_from,
         parameters.last_event,
         remaining.as_millis(),
     ));
@@ -405,6 +413,7 @@
         results: &parameters.results,
         last_event: parameters.last_event.as_deref(),
         urgency: parameters.urgency,
+        fetch_from: parameters.fetch_from,
     };
     let mut request = Request::builder()
         .method(outgoing.method.clone())
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -118,7 +118,7 @@
     if answer.status.is_server_error() {
         guard.record(Report::Failed);
     } else {
-        guard.record_answer(0, took);
+        guard.record_answer(took);
         state.suspects.clear(job.outgoing.fingerprint);
     }
     Event::RequestServed.log(format_args!(
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -143,6 +143,9 @@
     expires: Instant,
 ) -> Result<Outputs, Refusal> {
     let route = &job.route;
+    let home = lock(&state.fleet)
+        .home_data_centre(&job.service, job.caller.prompt)
+        .map(str::to_owned);
     let mut outputs = Outputs {
         state: Arc::clone(state),
         by_stage: vec![Vec::new(); route.stages.len()],
@@ -164,6 +167,7 @@
             }
             let after = min_time_after(job, number);
             let mut task = build_task(job, number, &outputs, due - after, expires - after);
+            task.near = preferred_data_centre(job, number, &outputs, home.as_deref());
             task.spent = outputs.take_exclusive_inputs(route, number);
             let state = Arc::clone(state);
             running.push(async move { (number, produce(&state, task).await) });
@@ -199,7 +203,7 @@
         pieces: pieces(job, number),
         key: stage.after.is_empty().then(|| job.caller.piece_key.clone()),
         inputs: inputs().map(|one| one.handle.clone()).collect(),
-        near: preferred_data_centre(job, number, outputs),
+        near: None,
         bytes: stage.result_bytes,
         due: due.saturating_duration_since(now),
         expires: expires.saturating_duration_since(now),
@@ -208,10 +212,24 @@
     }
 }
 
-/// Returns the data centre that holds most bytes of the inputs of a stage, or
-/// `None` if the inputs are smaller than [`MIN_LOCALITY_BYTES`].
-fn preferred_data_centre(job: &Job, number: usize, outputs: &Outputs) -> Option<String> {
+/// Returns the data centre that holds most bytes of the inputs of a stage. A stage
+/// without inputs whose results go to the model engine prefers `home`, the data
+/// centre of the engine that caches the prompt.
+///
+/// Returns `None` if the bytes to transfer are fewer than [`MIN_LOCALITY_BYTES`].
+fn preferred_data_centre(
+    job: &Job,
+    number: usize,
+    outputs: &Outputs,
+    home: Option<&str>,
+) -> Option<String> {
     let stage = &job.route.stages[number];
+    if stage.after.is_empty() {
+        let bytes = stage.result_bytes * u64::from(pieces(job, number));
+        let for_engine = outputs.last_stages.contains(&number);
+        let home = home.filter(|_| for_engine && bytes >= MIN_LOCALITY_BYTES);
+        return home.map(str::to_owned);
+    }
     let inputs = stage.after.iter().flat_map(|one| &outputs.by_stage[*one]);
     let totals = bytes_by_data_centre(inputs);
     let large = totals.iter().map(|total| total.1).sum::<u64>() >= MIN_LOCALITY_BYTES;
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -14,7 +14,7 @@
     error::Kind,
     event::Event,
     once::{ExecutionError, Sent, Unsent},
-    placement::{Key, Locality, Report},
+    placement::{Choice, Key, Locality, Report},
     stream::Splitter,
 };
 use futures_util::stream;
@@ -136,11 +136,12 @@
 ) -> Result<Upstream, Refusal> {
     loop {
         let chosen = choose(state, job, outputs, &attempts.tried, expires).await;
-        let Some(key) = chosen else {
+        let Some(choice) = chosen else {
             return Err(attempts.refuse(Kind::NoEndpoint));
         };
+        let key = choice.key;
         let unsent = attempts.begin(state, job, key)?;
-        let parameters = parameters(job, outputs, None);
+        let parameters = parameters(state, job, outputs, choice, None);
         match attempt::start(state, &job.outgoing, key, &parameters, expires, unsent).await {
             Ok(started) => return Ok(started.into()),
             Err(failure) => attempts.record_failure(job, failure, expires)?,
@@ -156,7 +157,7 @@
     outputs: &Outputs,
     tried: &[Key],
     expires: Instant,
-) -> Option<Key> {
+) -> Option<Choice> {
     let results = outputs.bytes_by_data_centre();
     loop {
         let locality = Locality {
@@ -166,27 +167,36 @@
         };
         let now = state.clock.now();
         let prompt = job.caller.prompt;
-        let (key, has_untried) = {
+        let (choice, has_untried) = {
             let mut fleet = lock(&state.fleet);
-            let key = fleet.choose_engine(&job.config, &job.service, prompt, &locality, now);
+            let choice = fleet.choose_engine(&job.config, &job.service, prompt, &locality, now);
             let has_untried = fleet
                 .usable(&job.service)
                 .any(|(key, _)| !tried.contains(&key));
-            (key, has_untried)
+            (choice, has_untried)
         };
-        if key.is_some() || !has_untried || Instant::now() + COLD_START_RECHECK >= expires {
-            return key;
+        if choice.is_some() || !has_untried || Instant::now() + COLD_START_RECHECK >= expires {
+            return choice;
         }
         time::sleep(COLD_START_RECHECK).await;
     }
 }
 
-fn parameters(job: &Job, outputs: &Outputs, last_event: Option<String>) -> Parameters {
+fn parameters(
+    state: &State,
+    job: &Job,
+    outputs: &Outputs,
+    choice: Choice,
+    last_event: Option<String>,
+) -> Parameters {
+    let fleet = lock(&state.fleet);
+    let source = choice.source.and_then(|source| fleet.row(source));
     Parameters {
+        fetch_from: source.map(|row| row.endpoint.address),
         results: outputs.handles(),
         last_event,
         urgency: Some(job.rank.min(9)),
-        tokens: job.caller.prompt.tokens,
+        tokens: choice.unread,
     }
 }
 
@@ -306,9 +316,7 @@
         if self.events == 0 {
             let took = self.sent_at.elapsed();
             self.upstream.guard.record_prefill();
-            self.upstream
-                .guard
-                .record_answer(self.job.caller.prompt.tokens, took);
+            self.upstream.guard.record_answer(took);
             let route = &self.job.route.name;
             self.state
                 .metrics
@@ -366,11 +374,12 @@
         }
         let until = self.event_deadline();
         let chosen = choose(&self.state, &self.job, outputs, &self.tried, until).await;
-        let Some(key) = chosen else { return false };
+        let Some(choice) = chosen else { return false };
+        let key = choice.key;
         self.tried.push(key);
         self.arrivals += 1;
         let last_event = self.splitter.last_id().map(str::to_owned);
-        let parameters = parameters(&self.job, outputs, last_event);
+        let parameters = parameters(&self.state, &self.job, outputs, choice, last_event);
         let attempt = attempt::start(
             &self.state,
             &self.job.outgoing,
--- a/crates/cicadacrank-node/src/platform/caller.rs
+++ b/crates/cicadacrank-node/src/platform/caller.rs
@@ -3,7 +3,7 @@
 use cicadacrank_core::placement::Prompt;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use siphasher::sip::SipHasher13;
-use std::{hash::Hasher as _, time::Duration};
+use std::{hash::Hasher as _, net::SocketAddr, time::Duration};
 
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -18,6 +18,7 @@
 const RESULTS: HeaderName = HeaderName::from_static("x-input-count");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const URGENCY: HeaderName = HeaderName::from_static("x-request-priority");
+const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 
 /// Headers that are never forwarded: those of a single connection, the caller's
 /// credentials, and those that only the system sets.
@@ -43,7 +44,7 @@
     HeaderName::from_static("x-pin-ms"),
     HeaderName::from_static("x-kv-backup"),
     HeaderName::from_static("kv-from"),
-    HeaderName::from_static("kv-fetch"),
+    FETCH_FROM,
 ];
 
 /// Decoded headers of a caller's request.
@@ -78,6 +79,9 @@
     pub last_event: Option<&'a str>,
     /// Priority, where 0 is the most urgent; `None` leaves the header out.
     pub urgency: Option<u32>,
+    /// Engine from which the endpoint first fetches the parts of the prompt that it
+    /// does not cache itself.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 impl Caller {
@@ -138,6 +142,9 @@
     if let Some(urgency) = additions.urgency {
         set(URGENCY, &urgency.to_string());
     }
+    if let Some(address) = additions.fetch_from {
+        set(FETCH_FROM, &address.to_string());
+    }
     encoded
 }
 
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, StatusCode};
 use proptest::prelude::*;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 fn object(spec: Value) -> Object {
     Object {
@@ -146,6 +146,7 @@
         ("authorization", "Bearer key"),
         ("x-tenant", "forged"),
         ("x-pin-ms", "9"),
+        ("kv-fetch", "forged"),
         ("kv-from", "10.0.0.1:1/a"),
         ("x-expected-instance", "forged"),
         ("connection", "x-hop"),
@@ -159,6 +160,7 @@
         results: &["h1".to_owned(), "h2".to_owned()],
         last_event: Some("4"),
         urgency: Some(2),
+        fetch_from: Some(SocketAddr::from(([10, 0, 0, 9], 8080))),
     };
     let mut encoded: Vec<(String, String)> = caller::encode(&sent, &additions)
         .iter()
@@ -171,6 +173,7 @@
         .collect();
     encoded.sort();
     let expected = [
+        ("kv-fetch", "10.0.0.9:8080"),
         ("last-event-id", "4"),
         ("x-attempt-id", "9c41"),
         ("x-deadline-ms", "750"),
