Pass heartbeats on among gateways, and grant sends beyond a share from a reserve

Cause 1: a gateway counted as live only after direct contact within a second. Each exchanges its heartbeat with 8 at random a quarter of a second, so with 42 gateways a live one was silent for a second with a chance of 0.18: every gateway had another list, and several formed the calls of one service. Changed: gateways count their heartbeats and pass the counts on; a gateway is live if its count rose within 1.5 s. A loss is logged once, like a return. A seeded simulation of up to 90 gateways shows no false loss and a stopped one known to all within 2 s.

Cause 2: equal shares of an engine's cold-start limit (10 a second for 13 gateways, 16 for 42) leave some gateways none, so most requests could not go to the home of their prompt. Changed: one gateway an endpoint, by rendezvous among the live ones, grants single sends beyond the shares. Its reserve is half of what the shares leave below the bound, so that two that grant at once, while they disagree, stay within it. A grant is used within 40 ms or not at all; the reserve is closed while the endpoint is known to be cold.

--- a/crates/cicadacrank-core/src/placement/fleet.rs
+++ b/crates/cicadacrank-core/src/placement/fleet.rs
@@ -68,6 +68,8 @@
     peer_load: Load,
     health: Health,
     throttle: Throttle,
+    /// Requests beyond the shares of the processes that this process granted.
+    reserve: Throttle,
 }
 
 /// Size and shared parts of the prompt of a model engine request.
@@ -81,8 +83,22 @@
     pub shared: Option<u64>,
 }
 
+/// Reduction of the cost of an engine from which on it is worth asking for a grant
+/// to use it, in prompt tokens.
+const MIN_GRANT_GAIN: f64 = 300.0;
+
+/// The engines among which a request may be sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Selection {
+    /// The best engine within the share that this process has in the limits for
+    /// cold starts.
+    pub within_share: Option<Choice>,
+    /// A better engine, which needs a grant from the reserve of its limit.
+    pub beyond_share: Option<Choice>,
+}
+
 /// An engine selected for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
     /// The engine.
     pub key: Key,
@@ -91,6 +107,7 @@
     pub source: Option<Key>,
     /// Number of prompt tokens that the engine probably has to read.
     pub unread: u64,
+    cost: f64,
 }
 
 /// Data centres of a request and its inputs, and the endpoints to avoid.
@@ -227,10 +244,11 @@
             let remote = f64::from(u8::from(row.endpoint.data_centre != locality.own));
             1.0 + busy + remote * REMOTE_WEIGHT
         })
+        .map(|(key, _)| key)
     }
 
-    /// Selects the model engine with the earliest expected first token, and the
-    /// engine from which it may fetch the shared parts of the prompt.
+    /// Selects the model engines with the earliest expected first token, and the
+    /// engines from which they may fetch the shared parts of the prompt.
     pub fn choose_engine(
         &mut self,
         config: &Config,
@@ -238,7 +256,7 @@
         prompt: Prompt,
         locality: &Locality<'_>,
         now: Duration,
-    ) -> Option<Choice> {
+    ) -> Selection {
         let cold_rate = config.service(service).map_or(0.0, |one| one.cold_rate);
         let (processes, position) = (self.processes, self.position);
         let blocked: Vec<Key> = self
@@ -256,9 +274,30 @@
                 held.then_some(key)
             })
             .collect();
+        let within_share = self.choose_unblocked(service, prompt, locality, &blocked, now);
+        let best = if blocked.is_empty() {
+            None
+        } else {
+            self.choose_unblocked(service, prompt, locality, &[], now)
+        };
+        let cost = within_share.map_or(f64::INFINITY, |choice| choice.cost);
+        Selection {
+            within_share,
+            beyond_share: best.filter(|best| best.cost + MIN_GRANT_GAIN <= cost),
+        }
+    }
+
+    fn choose_unblocked(
+        &self,
+        service: &str,
+        prompt: Prompt,
+        locality: &Locality<'_>,
+        blocked: &[Key],
+        now: Duration,
+    ) -> Option<Choice> {
         let home = self.home(service, prompt);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
-        let key = self.choose(service, locality, now, |key, row| {
+        let (key, cost) = self.choose(service, locality, now, |key, row| {
             if blocked.contains(&key) {
                 return f64::INFINITY;
             }
@@ -285,6 +324,7 @@
             key,
             source,
             unread: prompt.own_tokens(),
+            cost,
         })
     }
 
@@ -297,12 +337,43 @@
         Some(row.endpoint.data_centre.as_str())
     }
 
-    /// Records the start of a request at an endpoint.
+    /// Returns the service of an endpoint, or `None` if the endpoint is unknown.
+    #[must_use]
+    pub fn service_of(&self, endpoint: &Incarnation) -> Option<&str> {
+        let row = self.row(self.find(endpoint)?)?;
+        Some(row.endpoint.service.as_str())
+    }
+
+    /// Grants one request of any process to an endpoint beyond the shares of the
+    /// processes, from a reserve of `limit` requests a second. The reserve is closed
+    /// while the endpoint is known to be cold.
+    pub fn try_grant(&mut self, endpoint: &Incarnation, limit: usize, now: Duration) -> bool {
+        let usable = self.find(endpoint).and_then(|key| self.row_mut(key));
+        let Some(row) = usable.filter(|row| row.cold_until <= now) else {
+            return false;
+        };
+        let granted = row.reserve.may_send(limit, now);
+        if granted {
+            row.reserve.record_send(now);
+        }
+        granted
+    }
+
+    /// Records the start of a request at an endpoint, within the share of this
+    /// process.
     pub fn begin(&mut self, key: Key, unread: u64, now: Duration) {
+        self.begin_granted(key, unread);
+        if let Some(row) = self.row_mut(key) {
+            row.throttle.record_send(now);
+        }
+    }
+
+    /// Records the start of a request at an endpoint, by a grant from the reserve
+    /// of its limit.
+    pub fn begin_granted(&mut self, key: Key, unread: u64) {
         if let Some(row) = self.row_mut(key) {
             row.own_load.in_flight += 1;
             row.own_load.unread += unread;
-            row.throttle.record_send(now);
         }
     }
 
@@ -357,7 +428,7 @@
         locality: &Locality<'_>,
         now: Duration,
         work: impl Fn(Key, &Row) -> f64,
-    ) -> Option<Key> {
+    ) -> Option<(Key, f64)> {
         let mut best: Option<(bool, f64, Key)> = None;
         for (key, row) in self.usable(service) {
             if locality.tried.contains(&key) {
@@ -372,7 +443,7 @@
                 best = Some(candidate);
             }
         }
-        best.map(|(_, _, key)| key)
+        best.map(|(_, cost, key)| (key, cost))
     }
 
     /// Returns the endpoint to which rendezvous hashing assigns the shared
@@ -429,6 +500,7 @@
             peer_load: Load::default(),
             health: Health::new(),
             throttle: Throttle::default(),
+            reserve: Throttle::default(),
         }
     }
 
--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -13,6 +13,6 @@
 mod health;
 
 pub use self::{
-    fleet::{Choice, Fleet, Key, Load, Locality, Prompt, Row},
+    fleet::{Choice, Fleet, Key, Load, Locality, Prompt, Row, Selection},
     health::{Health, Report},
 };
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -1,13 +1,17 @@
 //! The gateways of a deployment, as one of them knows them.
 //!
-//! A gateway is live if it was heard from recently. Limits are divided among
+//! Each gateway counts its heartbeats, and gateways pass these counts on. A gateway
+//! is live if its count rose recently, so that a gateway of a large deployment
+//! needs no direct contact with all others. Limits are divided among
 //! all recently known gateways, live or not, since a silent gateway may still
 //! send. Each service with stages has one live gateway that forms its calls.
 
-use std::time::Duration;
+use siphasher::sip::SipHasher13;
+use std::{hash::Hasher as _, time::Duration};
 
-/// Silence after which a gateway no longer counts as live: four heartbeats.
-pub const LIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a new heartbeat after which a gateway no longer counts as live. A
+/// heartbeat reaches all gateways within a few intervals.
+pub const LIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Silence after which a gateway loses its share of limits. It is well above
 /// the longest pause after which an instance resumes with its state.
@@ -24,6 +28,8 @@
     pub address: String,
     /// Whether the gateway is about to stop.
     pub leaving: bool,
+    /// Number of heartbeats that the process has sent.
+    pub heartbeats: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -31,6 +37,18 @@
     gateway: Gateway,
     last_heard: Option<Duration>,
     last_known: Duration,
+    /// Whether the gateway was last reported as live to the caller.
+    reported_live: bool,
+}
+
+impl Row {
+    /// Records a sign of life. Returns whether the gateway was reported as lost
+    /// before.
+    const fn record_life(&mut self, now: Duration) -> bool {
+        self.last_heard = Some(now);
+        self.last_known = now;
+        !std::mem::replace(&mut self.reported_live, true)
+    }
 }
 
 /// All gateways known to the local gateway.
@@ -61,11 +79,24 @@
         self.local.leaving = true;
     }
 
-    /// Adds or updates a gateway that another process named.
-    pub fn learn(&mut self, gateway: Gateway, now: Duration) {
-        if gateway.instance != self.local.instance {
-            self.upsert(gateway, now);
+    /// Counts a heartbeat of the local gateway.
+    pub const fn count_heartbeat(&mut self) {
+        self.local.heartbeats += 1;
+    }
+
+    /// Adds or updates a gateway that another process named. Returns whether this
+    /// shows that a gateway that was not live has sent a heartbeat.
+    pub fn learn(&mut self, gateway: Gateway, now: Duration) -> bool {
+        if gateway.instance == self.local.instance {
+            return false;
         }
+        let known = self.find(&gateway.instance).ok();
+        let known = known.map(|index| &self.rows[index].gateway);
+        let rose = known.is_some_and(|known| {
+            known.incarnation == gateway.incarnation && known.heartbeats < gateway.heartbeats
+        });
+        let index = self.upsert(gateway, now);
+        rose && self.rows[index].record_life(now)
     }
 
     /// Records a message from a gateway. Returns whether the gateway was not
@@ -75,23 +106,31 @@
             return false;
         }
         let index = self.upsert(gateway, now);
-        let row = &mut self.rows[index];
-        let was_live = is_live(row, now);
-        row.last_heard = Some(now);
-        row.last_known = now;
-        !was_live
+        self.rows[index].record_life(now)
     }
 
-    /// Records that a gateway did not answer. Returns whether it was live
-    /// before.
-    pub fn record_failure(&mut self, instance: &str, now: Duration) -> bool {
+    /// Records that a gateway did not answer, so that it does not count as live
+    /// until its next heartbeat. Returns whether it was live before.
+    pub fn record_failure(&mut self, instance: &str) -> bool {
         let Ok(index) = self.find(instance) else {
             return false;
         };
         let row = &mut self.rows[index];
-        let was_live = is_live(row, now);
         row.last_heard = None;
-        was_live
+        std::mem::take(&mut row.reported_live)
+    }
+
+    /// Returns the names of the gateways that have become silent since the last
+    /// call.
+    pub fn take_silent(&mut self, now: Duration) -> Vec<String> {
+        let rows = self.rows.iter_mut();
+        let silent = rows.filter(|row| row.reported_live && !is_live(row, now));
+        silent
+            .map(|row| {
+                row.reported_live = false;
+                row.gateway.instance.clone()
+            })
+            .collect()
     }
 
     /// Returns all other known gateways.
@@ -137,6 +176,19 @@
         (owner.instance != self.local.instance).then_some(owner)
     }
 
+    /// Returns the gateway that keeps the reserve of an endpoint's limit, or `None`
+    /// if that is the local gateway.
+    #[must_use]
+    pub fn reserve_keeper(&self, endpoint: &str, now: Duration) -> Option<&Gateway> {
+        let live = self.rows.iter().filter(|row| is_live(row, now));
+        let keeper = live
+            .map(|row| &row.gateway)
+            .chain([&self.local])
+            .filter(|gateway| !gateway.leaving)
+            .max_by_key(|gateway| rendezvous_weight(&gateway.instance, endpoint))?;
+        (keeper.instance != self.local.instance).then_some(keeper)
+    }
+
     fn upsert(&mut self, gateway: Gateway, now: Duration) -> usize {
         match self.find(&gateway.instance) {
             Ok(index) => {
@@ -148,7 +200,17 @@
                 if gateway.incarnation >= row.gateway.incarnation {
                     let leaving = gateway.leaving
                         || (row.gateway.leaving && gateway.incarnation == row.gateway.incarnation);
-                    row.gateway = Gateway { leaving, ..gateway };
+                    let newest = gateway.incarnation > row.gateway.incarnation;
+                    let heartbeats = if newest {
+                        gateway.heartbeats
+                    } else {
+                        gateway.heartbeats.max(row.gateway.heartbeats)
+                    };
+                    row.gateway = Gateway {
+                        leaving,
+                        heartbeats,
+                        ..gateway
+                    };
                 }
                 index
             }
@@ -157,6 +219,7 @@
                     gateway,
                     last_heard: None,
                     last_known: now,
+                    reported_live: false,
                 };
                 self.rows.insert(index, row);
                 index
@@ -170,6 +233,14 @@
     }
 }
 
+fn rendezvous_weight(instance: &str, endpoint: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(instance.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(endpoint.as_bytes());
+    hasher.finish()
+}
+
 fn is_live(row: &Row, now: Duration) -> bool {
     row.last_heard
         .is_some_and(|heard| now.saturating_sub(heard) < LIVE_TIMEOUT)
--- a/crates/cicadacrank-core/src/share/throttle.rs
+++ b/crates/cicadacrank-core/src/share/throttle.rs
@@ -25,6 +25,16 @@
         whole / processes + usize::from(position < whole % processes)
     }
 
+    /// Returns the number of sends per window that one process may grant to others
+    /// beyond all shares, if an endpoint breaks its limit only above `bound` sends.
+    ///
+    /// It is half of what the shares leave, since two processes may grant at the
+    /// same time while they disagree on which of them does.
+    #[must_use]
+    pub fn reserve(limit: f64, bound: f64) -> usize {
+        ((bound - limit).max(0.0) / 2.0) as usize
+    }
+
     /// Returns whether one more send is within the grant.
     pub fn may_send(&mut self, grant: usize, now: Duration) -> bool {
         while self.sends.front().is_some_and(|sent| *sent + WINDOW <= now) {
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -124,7 +124,7 @@
         let choose = |fleet: &mut Fleet| {
             let choice =
                 fleet.choose_engine(&config, "engine", prompt(shared), &Locality::default(), NOW);
-            choice.expect("an endpoint is available").key
+            choice.within_share.expect("an endpoint is available").key
         };
         let first = choose(&mut fleet);
         assert_eq!(choose(&mut fleet), first);
@@ -147,6 +147,7 @@
     for _ in 0..12 {
         let key = fleet
             .choose_engine(&config, "engine", prompt(7), &Locality::default(), NOW)
+            .within_share
             .expect("an endpoint is available")
             .key;
         fleet.begin(key, 6_000, NOW);
@@ -167,7 +168,7 @@
     for step in 0..1_000 {
         let now = NOW + Duration::from_millis(step);
         let choice = fleet.choose_engine(&config, "engine", prompt(1), &Locality::default(), now);
-        if let Some(Choice { key, .. }) = choice {
+        if let Some(Choice { key, .. }) = choice.within_share {
             fleet.begin(key, 0, now);
             sent += 1;
         }
@@ -224,6 +225,7 @@
         };
         let key = fleet
             .choose_engine(&config, "engine", plain, &locality, NOW)
+            .within_share
             .expect("an endpoint is available")
             .key;
         assert_eq!(id(&fleet, key), expected);
@@ -241,6 +243,7 @@
             &Locality::default(),
             NOW,
         )
+        .within_share
         .expect("an endpoint is available")
         .key
 }
@@ -251,6 +254,7 @@
     fleet.begin(home(7), 8_000, NOW);
     let choice = fleet
         .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+        .within_share
         .expect("an endpoint is available");
     assert_eq!((choice.key, choice.source), (home(7), None));
     assert_eq!(choice.unread, 2_000, "the home has read the shared parts");
@@ -263,6 +267,7 @@
     let choose = |fleet: &mut Fleet| {
         fleet
             .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+            .within_share
             .expect("an endpoint is available")
     };
     let choice = choose(&mut fleet);
@@ -283,6 +288,45 @@
     }
     let choice = fleet
         .choose_engine(&config(0.0), "engine", prompt(7), &Locality::default(), NOW)
+        .within_share
         .expect("an endpoint is available");
     assert_eq!(choice.key, home(7));
 }
+
+/// With more processes than the limit of an engine, some have no share in it.
+#[test]
+fn home_beyond_the_share_is_proposed_and_granted_within_the_reserve() {
+    let mut fleet = fleet(&six());
+    fleet.set_processes(42, 41);
+    let selection =
+        fleet.choose_engine(&config(6.0), "engine", prompt(7), &Locality::default(), NOW);
+    let beyond = selection.beyond_share.expect("the home has no share left");
+    assert_eq!(beyond.key, home(7));
+    let within = selection.within_share;
+    assert!(within.is_none_or(|choice| choice.source == Some(home(7))));
+
+    let life = fleet
+        .row(home(7))
+        .expect("the row exists")
+        .endpoint
+        .life
+        .clone();
+    let granted = (0..20).filter(|_| fleet.try_grant(&life, 4, NOW)).count();
+    assert_eq!(granted, 4);
+    assert!(fleet.try_grant(&life, 4, NOW + Duration::from_secs(2)));
+}
+
+#[test]
+fn reserve_is_closed_while_the_endpoint_is_cold_or_unknown() {
+    let mut cold = endpoint("a", "x");
+    cold.cold = Duration::from_secs(3);
+    let mut fleet = Fleet::default();
+    fleet.update(&Snapshot::new(1, vec![cold.clone()]), NOW);
+    assert!(!fleet.try_grant(&cold.life, 4, NOW));
+    assert!(fleet.try_grant(&cold.life, 4, NOW + Duration::from_secs(3)));
+    let restarted = Incarnation {
+        born: Some(2),
+        ..cold.life
+    };
+    assert!(!fleet.try_grant(&restarted, 4, NOW + Duration::from_secs(3)));
+}
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -1,6 +1,8 @@
 //! Rosters: liveness, ownership and shares of gateways.
 
 use cicadacrank_core::roster::{Gateway, LIVE_TIMEOUT, RETENTION, Roster};
+use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use std::time::Duration;
 
 fn gateway(instance: &str) -> Gateway {
@@ -9,6 +11,7 @@
         incarnation: 1,
         address: format!("{instance}:1"),
         leaving: false,
+        heartbeats: 0,
     }
 }
 
@@ -84,7 +87,147 @@
 #[test]
 fn record_failure_reports_a_loss_once() {
     let mut roster = roster("b", &["a"]);
-    assert!(roster.record_failure("a", Duration::ZERO));
-    assert!(!roster.record_failure("a", Duration::ZERO));
+    assert!(roster.record_failure("a"));
+    assert!(!roster.record_failure("a"));
     assert!(roster.record_contact(gateway("a"), Duration::ZERO));
 }
+
+/// Interval between the heartbeats of a simulated gateway, in milliseconds.
+const INTERVAL_MS: u64 = 250;
+
+/// Number of gateways that a simulated gateway exchanges each heartbeat with.
+const FAN_OUT: usize = 8;
+
+/// Gateways that exchange their heartbeats with random others.
+struct Simulation {
+    rosters: Vec<Roster>,
+    phases_ms: Vec<u64>,
+    stopped: Option<usize>,
+    random: Xoshiro256PlusPlus,
+    /// Losses of a running gateway that another one reported.
+    false_losses: usize,
+    /// Gateways that reported the loss of the stopped one.
+    aware: Vec<usize>,
+}
+
+impl Simulation {
+    fn new(size: usize, seed: u64) -> Self {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let names: Vec<String> = (0..size).map(|index| format!("g-{index:04}")).collect();
+        let rosters = (0..size)
+            .map(|index| {
+                let mut roster = Roster::new(gateway(&names[index]));
+                for (_, other) in names
+                    .iter()
+                    .enumerate()
+                    .filter(|(other, _)| *other != index)
+                {
+                    roster.record_contact(gateway(other), Duration::ZERO);
+                }
+                roster
+            })
+            .collect();
+        let phases_ms = (0..size)
+            .map(|_| random.random_range(0..INTERVAL_MS))
+            .collect();
+        Self {
+            rosters,
+            phases_ms,
+            stopped: None,
+            random,
+            false_losses: 0,
+            aware: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, from_ms: u64, until_ms: u64) {
+        for now_ms in from_ms..until_ms {
+            for index in 0..self.rosters.len() {
+                let is_due = now_ms % INTERVAL_MS == self.phases_ms[index];
+                if is_due && self.stopped != Some(index) {
+                    self.beat(index, Duration::from_millis(now_ms));
+                }
+            }
+        }
+    }
+
+    fn beat(&mut self, index: usize, now: Duration) {
+        self.rosters[index].count_heartbeat();
+        for silent in self.rosters[index].take_silent(now) {
+            let lost = self.position(&silent);
+            if self.stopped == Some(lost) {
+                self.aware.push(index);
+            } else {
+                self.false_losses += 1;
+            }
+        }
+        let count = self.rosters.len();
+        for peer in (0..count)
+            .filter(|peer| *peer != index)
+            .sample(&mut self.random, FAN_OUT)
+        {
+            if self.stopped != Some(peer) {
+                self.pass_on(index, peer, now);
+                self.pass_on(peer, index, now);
+            }
+        }
+    }
+
+    fn pass_on(&mut self, from: usize, to: usize, now: Duration) {
+        let sender = self.rosters[from].local().clone();
+        let others: Vec<Gateway> = self.rosters[from].live(now).cloned().collect();
+        self.rosters[to].record_contact(sender, now);
+        for other in others {
+            self.rosters[to].learn(other, now);
+        }
+    }
+
+    fn position(&self, instance: &str) -> usize {
+        self.rosters
+            .iter()
+            .position(|roster| roster.local().instance == instance)
+            .expect("the gateway is simulated")
+    }
+}
+
+/// With random direct contacts only, a gateway of 42 hears nothing of another one for a
+/// second with a chance of 0.18.
+#[test]
+fn quiet_fleet_loses_no_gateway_and_a_stopped_one_is_lost_by_all() {
+    for (size, seed) in [(2, 1), (13, 2), (42, 3), (42, 4), (90, 5)] {
+        let mut simulation = Simulation::new(size, seed);
+        simulation.run(0, 8_000);
+        assert_eq!(simulation.false_losses, 0, "{size} gateways");
+        simulation.stopped = Some(size / 2);
+        simulation.run(8_000, 10_000);
+        assert_eq!(simulation.false_losses, 0, "{size} gateways");
+        assert_eq!(
+            simulation.aware.len(),
+            size - 1,
+            "all of {size} gateways know within two seconds"
+        );
+    }
+}
+
+#[test]
+fn reserve_keeper_is_the_same_for_all_and_differs_by_endpoint() {
+    let names = ["a", "b", "c", "d"];
+    let mut keepers = Vec::new();
+    for endpoint in 0..40 {
+        let endpoint = format!("i-{endpoint}");
+        let seen: Vec<String> = names
+            .iter()
+            .map(|local| {
+                let others: Vec<&str> = names.iter().filter(|one| *one != local).copied().collect();
+                let roster = roster(local, &others);
+                let keeper = roster.reserve_keeper(&endpoint, Duration::ZERO);
+                keeper.unwrap_or(roster.local()).instance.clone()
+            })
+            .collect();
+        assert!(seen.iter().all(|one| *one == seen[0]), "{seen:?}");
+        keepers.push(seen[0].clone());
+    }
+    keepers.sort();
+    keepers.dedup();
+    assert_eq!(keepers, names);
+}
--- a/crates/cicadacrank-core/tests/share.rs
+++ b/crates/cicadacrank-core/tests/share.rs
@@ -97,3 +97,21 @@
         .count();
     assert_eq!(taken, 1);
 }
+
+#[test]
+fn reserve_of_two_keepers_and_all_shares_stay_within_the_bound() {
+    for limit in [1.0, 10.0, 16.0, 20.0, 31.0] {
+        let bound: f64 = limit * 1.5 + 5.0;
+        for processes in 1..200 {
+            let shares: usize = (0..processes)
+                .map(|position| Throttle::grant(limit, processes, position))
+                .sum();
+            let granted = 2 * Throttle::reserve(limit, bound);
+            assert!(
+                (shares + granted) as f64 <= bound,
+                "limit {limit}, {processes} processes"
+            );
+        }
+    }
+    assert_eq!(Throttle::reserve(10.0, 0.0), 0, "no bound is known");
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -64,6 +64,9 @@
     pub tokens: u64,
     /// Engine from which the endpoint may fetch shared parts of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// Whether another gateway granted the attempt, so that it does not count
+    /// towards the share of this one in the limit for cold starts.
+    pub granted: bool,
 }
 
 /// An attempt whose response head was received and accepted.
@@ -224,12 +227,17 @@
 }
 
 impl Guard {
-    fn begin(state: &Arc<State>, key: Key, prefill_tokens: u64) -> Option<Self> {
+    fn begin(state: &Arc<State>, key: Key, parameters: &Parameters) -> Option<Self> {
+        let prefill_tokens = parameters.tokens;
         let mut fleet = lock(&state.fleet);
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
         let tokens_until_first_event = row.unread() + prefill_tokens;
-        fleet.begin(key, prefill_tokens, state.clock.now());
+        if parameters.granted {
+            fleet.begin_granted(key, prefill_tokens);
+        } else {
+            fleet.begin(key, prefill_tokens, state.clock.now());
+        }
         drop(fleet);
         Some(Self {
             state: Arc::clone(state),
@@ -286,7 +294,7 @@
         kind,
         arrived: false,
     };
-    let Some(guard) = Guard::begin(state, key, parameters.tokens) else {
+    let Some(guard) = Guard::begin(state, key, parameters) else {
         return Err(not_run(unsent, Kind::NoEndpoint));
     };
     let endpoint = &guard.endpoint;
@@ -338,7 +346,7 @@
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
         "id={} service={} endpoint={} born={:?} sequence={} in_flight={} tokens={} results={} \
-         fetch_from={:?} after={:?} remaining_ms={}",
+         fetch_from={:?} granted={} after={:?} remaining_ms={}",
         id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
         guard.endpoint.service,
         guard.endpoint.life.id,
@@ -348,6 +356,7 @@
         parameters.tokens,
         parameters.results.len(),
         parameters.fetch_from,
+        parameters.granted,
         parameters.last_event,
         remaining.as_millis(),
     ));
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -85,6 +85,11 @@
     pub retry_window: Duration,
     /// Time after a failure from which all limits must hold again.
     pub recovery_time: Duration,
+    /// Number of requests a second at which a cold endpoint's limit is broken,
+    /// relative to the rate that its service states.
+    pub cold_ratio: f64,
+    /// Number of requests added to that.
+    pub cold_extra: f64,
 }
 
 /// Runs a gateway until it receives SIGTERM and has shut down. On SIGHUP, checks
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -17,6 +17,7 @@
         incarnation: gateway.incarnation,
         address: gateway.address.clone(),
         leaving: gateway.leaving,
+        heartbeats: gateway.heartbeats,
     }
 }
 
@@ -27,6 +28,7 @@
         incarnation: state.incarnation,
         address: state.address,
         leaving: state.leaving,
+        heartbeats: state.heartbeats,
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -14,9 +14,12 @@
     state::{State, lock},
 };
 use crate::daemon;
-use cicadacrank_core::{error::Kind, event::Event, placement::Load, roster::Gateway};
+use cicadacrank_core::{
+    directory::Incarnation, error::Kind, event::Event, placement::Load, roster::Gateway,
+};
 use cicadacrank_wire::wire::{
-    Beat, EndpointLoad, Knowledge, Production, Released, Results, Versions,
+    Beat, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released, Results,
+    Versions,
     gateway_client::GatewayClient,
     gateway_server::{Gateway as Serve, GatewayServer},
 };
@@ -26,7 +29,7 @@
     sync::{Arc, Mutex},
     time::Duration,
 };
-use tokio::time;
+use tokio::time::{self, Instant};
 use tonic::{
     Request, Response, Status, async_trait,
     transport::{Channel, Endpoint, Server, server::TcpIncoming},
@@ -44,6 +47,10 @@
 /// Timeout of a fetch of newer state, and of a release, at another gateway.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Timeout of a request for a grant. It also bounds the age of a grant that is
+/// used, so that sends stay within the window in which they were granted.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// Timeout of a connection attempt to another gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -141,6 +148,8 @@
     let own = state.settings.listen.to_string();
     loop {
         period.tick().await;
+        lock(&state.roster).count_heartbeat();
+        report_silent(&state);
         state.update_shares();
         let known: Vec<Gateway> = lock(&state.roster).others().cloned().collect();
         let mut addresses: Vec<String> = known
@@ -164,6 +173,15 @@
     }
 }
 
+/// Logs the gateways that have become silent, and drops their load.
+fn report_silent(state: &State) {
+    let silent = lock(&state.roster).take_silent(state.clock.now());
+    for instance in silent {
+        Event::PeerLost.log(format_args!("instance={instance} fault=\"no heartbeat\""));
+        state.set_peer_loads(&instance, Vec::new());
+    }
+}
+
 async fn send_heartbeat(state: Arc<State>, address: String, instance: Option<String>) {
     let client = state.links.client(&address);
     let beat = heartbeat(&state);
@@ -179,8 +197,8 @@
         Ok(Err(_)) | Err(_) => {
             state.links.drop_link(&address);
             let Some(instance) = instance else { return };
-            if lock(&state.roster).record_failure(&instance, state.clock.now()) {
-                Event::PeerLost.log(format_args!("instance={instance} fault=\"no heartbeat\""));
+            if lock(&state.roster).record_failure(&instance) {
+                Event::PeerLost.log(format_args!("instance={instance} fault=\"no answer\""));
                 state.set_peer_loads(&instance, Vec::new());
             }
         }
@@ -237,7 +255,13 @@
         Event::PeerRegained.log(format_args!("instance={instance} address={source}"));
     }
     for other in beat.others {
-        roster.learn(decode_gateway(other), now);
+        let other = decode_gateway(other);
+        let (instance, address) = (other.instance.clone(), other.address.clone());
+        if roster.learn(other, now) {
+            Event::PeerRegained.log(format_args!(
+                "instance={instance} address={address} source={source}"
+            ));
+        }
     }
     drop(roster);
     let loads = beat.loads.into_iter().map(|load| {
@@ -325,6 +349,29 @@
     }))
 }
 
+/// Asks for a grant to send one request to an endpoint beyond the share of this
+/// gateway, from the gateway that keeps the reserve of the endpoint's limit.
+pub async fn grant(state: &Arc<State>, endpoint: &Incarnation) -> bool {
+    let keeper = lock(&state.roster)
+        .reserve_keeper(&endpoint.id, state.clock.now())
+        .map(|gateway| gateway.address.clone());
+    let Some(address) = keeper else {
+        return state.try_grant(endpoint);
+    };
+    let Ok(mut client) = state.links.client(&address) else {
+        return false;
+    };
+    let asked_at = Instant::now();
+    let request = GrantRequest {
+        endpoint: endpoint.id.clone(),
+        born: endpoint.born,
+    };
+    let answer = time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
+    // A process that was paused finds the answer although its time has passed.
+    let is_current = asked_at.elapsed() <= GRANT_TIMEOUT;
+    matches!(answer, Ok(Ok(answer)) if answer.get_ref().granted && is_current)
+}
+
 /// Releases results through the gateway at an address, or locally if that
 /// gateway does not answer.
 pub fn release(state: &Arc<State>, address: String, outputs: Vec<Output>) {
@@ -393,6 +440,16 @@
         Ok(Response::new(results))
     }
 
+    async fn grant(&self, request: Request<GrantRequest>) -> Result<Response<GrantAnswer>, Status> {
+        let request = request.into_inner();
+        let endpoint = Incarnation {
+            id: request.endpoint,
+            born: request.born,
+        };
+        let granted = self.0.try_grant(&endpoint);
+        Ok(Response::new(GrantAnswer { granted }))
+    }
+
     async fn release(&self, request: Request<Results>) -> Result<Response<Released>, Status> {
         let results = request.into_inner().results;
         let outputs: Vec<Output> = results.into_iter().map(decode_output).collect();
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -4,11 +4,11 @@
 use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Suspects};
 use cicadacrank_core::{
     config::Config,
-    directory::{Evacuation, Snapshot, Tracker},
+    directory::{Evacuation, Incarnation, Snapshot, Tracker},
     event::Event,
     placement::{Fleet, Load},
     roster::{Gateway, Roster},
-    share::Budget,
+    share::{Budget, Throttle},
 };
 use std::{
     sync::{
@@ -100,6 +100,7 @@
             incarnation: clock.unix_ms(),
             address: settings.listen.to_string(),
             leaving: false,
+            heartbeats: 0,
         });
         let body_bytes = usize::try_from(settings.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(0);
         Self {
@@ -279,6 +280,25 @@
         lock(&self.fleet).set_processes(processes, position);
     }
 
+    /// Grants one request of any gateway to an endpoint, if the reserve of the
+    /// endpoint's limit allows it.
+    pub(super) fn try_grant(&self, endpoint: &Incarnation) -> bool {
+        let Some(config) = self.config() else {
+            return false;
+        };
+        let mut fleet = lock(&self.fleet);
+        let Some(rate) = fleet
+            .service_of(endpoint)
+            .and_then(|service| config.service(service))
+            .map(|service| service.cold_rate)
+        else {
+            return false;
+        };
+        let bounds = &self.settings.bounds;
+        let bound = rate * bounds.cold_ratio + bounds.cold_extra;
+        fleet.try_grant(endpoint, Throttle::reserve(rate, bound), self.clock.now())
+    }
+
     /// Records a request to a service, which earns a fraction of a retry.
     pub(super) fn earn_retry(&self, service: &str) {
         let now = self.clock.now();
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Guard, Parameters, Started},
+    peers,
     plain::forward_response,
     reply::Body,
     request::{Job, Refusal},
@@ -11,6 +12,7 @@
 use crate::outbound::Exchange;
 use bytes::Bytes;
 use cicadacrank_core::{
+    directory::Incarnation,
     error::Kind,
     event::Event,
     once::{ExecutionError, Sent, Unsent},
@@ -136,12 +138,12 @@
 ) -> Result<Upstream, Refusal> {
     loop {
         let chosen = choose(state, job, outputs, &attempts.tried, expires).await;
-        let Some(choice) = chosen else {
+        let Some(chosen) = chosen else {
             return Err(attempts.refuse(Kind::NoEndpoint));
         };
-        let key = choice.key;
+        let key = chosen.choice.key;
         let unsent = attempts.begin(state, job, key)?;
-        let parameters = parameters(state, job, outputs, choice, None);
+        let parameters = parameters(state, job, outputs, chosen, None);
         match attempt::start(state, &job.outgoing, key, &parameters, expires, unsent).await {
             Ok(started) => return Ok(started.into()),
             Err(failure) => attempts.record_failure(job, failure, expires)?,
@@ -149,6 +151,14 @@
     }
 }
 
+/// An engine selected for an attempt.
+#[derive(Clone, Copy)]
+struct Chosen {
+    choice: Choice,
+    /// Whether the attempt was granted from the reserve of the engine's limit.
+    granted: bool,
+}
+
 /// Selects an engine that was not tried yet. While all of them have reached their
 /// cold-start limit, checks again until shortly before `expires`.
 async fn choose(
@@ -157,38 +167,60 @@
     outputs: &Outputs,
     tried: &[Key],
     expires: Instant,
-) -> Option<Choice> {
+) -> Option<Chosen> {
     let results = outputs.bytes_by_data_centre();
-    loop {
-        let locality = Locality {
-            own: &state.settings.data_centre,
-            results: &results,
-            tried,
-        };
-        let now = state.clock.now();
+    let locality = Locality {
+        own: &state.settings.data_centre,
+        results: &results,
+        tried,
+    };
+    let select = || {
+        let mut fleet = lock(&state.fleet);
         let prompt = job.caller.prompt;
-        let (choice, has_untried) = {
-            let mut fleet = lock(&state.fleet);
-            let choice = fleet.choose_engine(&job.config, &job.service, prompt, &locality, now);
-            let has_untried = fleet
-                .usable(&job.service)
-                .any(|(key, _)| !tried.contains(&key));
-            (choice, has_untried)
-        };
-        if choice.is_some() || !has_untried || Instant::now() + COLD_START_RECHECK >= expires {
-            return choice;
+        let now = state.clock.now();
+        fleet.choose_engine(&job.config, &job.service, prompt, &locality, now)
+    };
+    loop {
+        if let Some(choice) = select().beyond_share
+            && let Some(endpoint) = incarnation(state, choice.key)
+            && peers::grant(state, &endpoint).await
+        {
+            return Some(Chosen {
+                choice,
+                granted: true,
+            });
+        }
+        // The fleet may have changed while this gateway waited for the grant.
+        if let Some(choice) = select().within_share {
+            return Some(Chosen {
+                choice,
+                granted: false,
+            });
+        }
+        let has_untried = lock(&state.fleet)
+            .usable(&job.service)
+            .any(|(key, _)| !tried.contains(&key));
+        if !has_untried || Instant::now() + COLD_START_RECHECK >= expires {
+            return None;
         }
         time::sleep(COLD_START_RECHECK).await;
     }
 }
 
+/// Returns the incarnation of an endpoint, or `None` if it has left the directory.
+fn incarnation(state: &State, key: Key) -> Option<Incarnation> {
+    let fleet = lock(&state.fleet);
+    fleet.row(key).map(|row| row.endpoint.life.clone())
+}
+
 fn parameters(
     state: &State,
     job: &Job,
     outputs: &Outputs,
-    choice: Choice,
+    chosen: Chosen,
     last_event: Option<String>,
 ) -> Parameters {
+    let Chosen { choice, granted } = chosen;
     let fleet = lock(&state.fleet);
     let source = choice.source.and_then(|source| fleet.row(source));
     Parameters {
@@ -197,6 +229,7 @@
         last_event,
         urgency: Some(job.rank.min(9)),
         tokens: choice.unread,
+        granted,
     }
 }
 
@@ -374,12 +407,12 @@
         }
         let until = self.event_deadline();
         let chosen = choose(&self.state, &self.job, outputs, &self.tried, until).await;
-        let Some(choice) = chosen else { return false };
-        let key = choice.key;
+        let Some(chosen) = chosen else { return false };
+        let key = chosen.choice.key;
         self.tried.push(key);
         self.arrivals += 1;
         let last_event = self.splitter.last_id().map(str::to_owned);
-        let parameters = parameters(&self.state, &self.job, outputs, choice, last_event);
+        let parameters = parameters(&self.state, &self.job, outputs, chosen, last_event);
         let attempt = attempt::start(
             &self.state,
             &self.job.outgoing,
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -285,7 +285,9 @@
             incarnation,
             address: address.to_owned(),
             leaving: false,
+            heartbeats: 0,
         };
+        // The store shows no heartbeats.
         lock(&state.roster).learn(gateway, now);
     }
     state.update_shares();
--- a/crates/cicadacrank-node/src/platform/settings.rs
+++ b/crates/cicadacrank-node/src/platform/settings.rs
@@ -83,6 +83,10 @@
     budget_window_s: f64,
     retry_budget_extra: f64,
     stability_ms: u64,
+    #[serde(default)]
+    cold_overrun: f64,
+    #[serde(default)]
+    cold_tolerance: f64,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +103,8 @@
             retry_extra: self.bounds.retry_budget_extra,
             retry_window: seconds(self.bounds.budget_window_s, "budgetWindowS")?,
             recovery_time: Duration::from_millis(self.bounds.stability_ms),
+            cold_ratio: self.bounds.cold_overrun,
+            cold_extra: self.bounds.cold_tolerance,
         };
         Ok(Settings {
             instance: self.node_name,
