--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -21,7 +21,7 @@
 
 /// Timeout of a call to the store, in addition to the time that a watch waits.
 /// The store usually answers within milliseconds.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Divisor of the memory of the process. The quotient is the memory that request
 /// bodies may use.
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -1,6 +1,6 @@
 //! Lists and watches the platform's store.
 
-use super::state::{State, lock};
+use super::state::{STORE_TIMEOUT, State, lock};
 use crate::platform::{self, Change, Changes, Collection, Fault, Listing, Object, Store as _};
 use cicadacrank_core::{
     directory::{Endpoint, Evacuation},
@@ -12,9 +12,14 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
-/// Maximum time for which a watch waits for a change. It is short enough to
-/// detect an unresponsive connection before the tolerated silence ends.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum time for which a watch waits for a change to endpoints. It is short
+/// enough to notice each outage of the store in which endpoints may expire.
+const ENDPOINTS_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pause after changes to endpoints before the next call, which gathers further
+/// changes. It is a small part of the time for which a leaving endpoint still
+/// accepts requests.
+const GATHER_TIME: Duration = Duration::from_millis(400);
 
 /// Backoff after the first failed call. It doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -45,6 +50,20 @@
             Self::Evacuation => Collection::Evacuations,
         }
     }
+
+    /// Returns the maximum time for which a watch waits for a change.
+    ///
+    /// A connection that has gone silent is replaced after this time and the timeout
+    /// of a call. For resources that rarely change, that is the time within which a
+    /// process has to recover.
+    fn watch_timeout(self, recovery_time: Duration) -> Duration {
+        match self {
+            Self::Endpoints => ENDPOINTS_WATCH_TIMEOUT,
+            Self::Config | Self::Evacuation => recovery_time
+                .saturating_sub(STORE_TIMEOUT)
+                .max(ENDPOINTS_WATCH_TIMEOUT),
+        }
+    }
 }
 
 /// Starts watching the store and registers the gateway in it.
@@ -60,6 +79,7 @@
 /// version has expired.
 async fn watch(state: Arc<State>, resource: Resource) {
     let collection = resource.collection();
+    let timeout = resource.watch_timeout(state.settings.bounds.recovery_time);
     let mut failures = Failures::new(collection);
     let mut names = Vec::new();
     loop {
@@ -77,15 +97,14 @@
         };
         loop {
             state.metrics.store_calls.inc();
-            match state
-                .store
-                .changes(collection, &version, WATCH_TIMEOUT)
-                .await
-            {
+            match state.store.changes(collection, &version, timeout).await {
                 Ok(changes) => {
                     failures.record_success(&state);
                     apply_changes(&state, resource, &changes, &mut names);
                     version = changes.version;
+                    if resource == Resource::Endpoints && !changes.changes.is_empty() {
+                        time::sleep(GATHER_TIME).await;
+                    }
                 }
                 Err(Fault::Expired) => break,
                 Err(fault) => failures.back_off(&state, &fault).await,
