Prefer, but do not defer, pieces near the engine of their prompt

Cause: with one endpoint of a service in a data centre, pieces that waited for the one near the home of their prompt left others idle.

--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -42,9 +42,11 @@
     pub rank: u32,
     /// Approximate size of the result in bytes.
     pub bytes: u64,
-    /// Data centre of the inputs, if transferring them to another one is
-    /// expensive.
+    /// Data centre of the inputs, or of the engine that the result goes to, if
+    /// the transfer from or to another one is expensive.
     pub near: Option<DataCentre>,
+    /// Whether the piece may wait for an endpoint in that data centre.
+    pub deferrable: bool,
 }
 
 /// Identifies a data centre within its pool.
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -218,8 +218,8 @@
     }
 
     /// Returns the pieces that an endpoint in this data centre may process, in
-    /// queue order. It leaves out pieces that can wait for an endpoint near
-    /// their inputs and still be on time.
+    /// queue order. It leaves out deferrable pieces that can wait for an endpoint
+    /// near their inputs and still be on time.
     fn candidates(&self, data_centre: DataCentre, now: Duration) -> Vec<Piece> {
         let mut data_centres: Vec<DataCentre> = self
             .usable()
@@ -233,7 +233,10 @@
             let near = piece
                 .near
                 .filter(|near| data_centres.binary_search(near).is_ok());
-            near.is_some() && is_remote(piece, Some(data_centre)) && piece.due > after_next
+            piece.deferrable
+                && near.is_some()
+                && is_remote(piece, Some(data_centre))
+                && piece.due > after_next
         };
         let waiting = self.waiting.iter().copied();
         waiting.filter(|piece| !waits(piece)).collect()
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -51,6 +51,7 @@
         rank: 0,
         bytes: 0,
         near: None,
+        deferrable: true,
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -208,6 +208,9 @@
                 rank: task.rank,
                 bytes: task.bytes,
                 near,
+                // Waiting for an endpoint near the engine that only may take the
+                // results would leave other endpoints idle.
+                deferrable: task.key.is_none(),
             },
             request: task.request.clone(),
             stage: task.stage,
