--- a/crates/cicadacrank-bench/src/report/mod.rs
+++ b/crates/cicadacrank-bench/src/report/mod.rs
@@ -1,6 +1,7 @@
 //! Results of trials as JSON, as Markdown tables and as a plot.
 
 mod cost;
+pub mod ledger;
 mod plot;
 mod summary;
 mod table;
