Release no inputs by a guess around a handover of a service

Cause: inputs are released half a call after its expected start. Changed: a call counts as starting at once only if this gateway has owned the service for two seconds. The test of the handover keeps its checks, two seconds later.

--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -12,6 +12,10 @@
 /// are checked again. It is short compared with the shortest call.
 const DEFERRED_RECHECK: Duration = Duration::from_millis(20);
 
+/// Time after a change of ownership during which another process may still call
+/// the endpoints. It covers the calls that the other process has queued.
+const HANDOVER_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum number of queued pieces. Further pieces are rejected immediately.
 const MAX_WAITING: usize = 4_096;
 
@@ -45,6 +49,8 @@
     data_centres: Vec<String>,
     /// Whether pieces were deferred to endpoints nearer to their inputs.
     deferred: bool,
+    /// Since when this process forms the calls of the service.
+    owned_since: Option<Duration>,
 }
 
 impl Pool {
@@ -57,9 +63,16 @@
             endpoints: Vec::new(),
             data_centres: Vec::new(),
             deferred: false,
+            owned_since: None,
         }
     }
 
+    /// Sets whether this process forms the calls of the service. A process that
+    /// does not may still form calls from pieces that it has queued.
+    pub fn set_owned(&mut self, owned: bool, now: Duration) {
+        self.owned_since = owned.then(|| self.owned_since.unwrap_or(now));
+    }
+
     /// Sets the worker parameters from a newer configuration.
     pub const fn set_worker(&mut self, worker: Worker) {
         self.worker = worker;
@@ -249,10 +262,13 @@
     }
 
     fn begin(&mut self, index: usize, taken: &[Piece], room: u64, now: Duration) -> Call {
+        let calls_alone = self
+            .owned_since
+            .is_some_and(|since| now >= since + HANDOVER_TIME);
         let endpoint = &mut self.endpoints[index];
         let expected = endpoint.call_time(&self.worker, taken.len(), now);
         let bytes = taken.iter().map(|piece| piece.bytes).sum();
-        let immediate = endpoint.starts_immediately(now);
+        let immediate = calls_alone && endpoint.starts_immediately(now);
         endpoint.begin(expected, bytes, now);
         let incarnation = endpoint.incarnation.clone();
         let tickets: Vec<Ticket> = taken.iter().map(|piece| piece.ticket).collect();
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -340,22 +340,49 @@
     assert_eq!(tickets(&third), [2]);
 }
 
+/// Forms and ends one call at the only endpoint. Returns whether it was expected to
+/// start without queueing.
+fn is_immediate(pool: &mut Pool, now: u64, takes: u64) -> bool {
+    assert!(pool.add(piece(now, now, 20_000)));
+    let call = pool.next_call(ms(now)).expect("the endpoint is free");
+    end(pool, &call, answered(0), ms(now + takes));
+    call.immediate
+}
+
 #[test]
 fn handover_of_a_service_detects_queued_calls() {
     let mut pool = pool(&[("a", "x")]);
-    let mut call_at = |now: u64, takes: u64| {
-        assert!(pool.add(piece(now, now, 9_000)));
-        let call = pool.next_call(ms(now)).expect("the endpoint is free");
-        end(&mut pool, &call, answered(0), ms(now + takes));
-        call.immediate
-    };
+    pool.set_owned(true, ms(0));
     // There is no earlier call to judge by, and the previous owner still calls
     // the endpoint.
-    assert!(!call_at(0, 400));
-    assert!(!call_at(500, 215));
+    assert!(!is_immediate(&mut pool, 2_000, 400));
+    assert!(!is_immediate(&mut pool, 2_500, 215));
     // The endpoint now answers in the expected time.
-    assert!(call_at(1_000, 500));
-    assert!(!call_at(2_000, 210));
+    assert!(is_immediate(&mut pool, 3_000, 500));
+    assert!(!is_immediate(&mut pool, 4_000, 210));
     // An observation from long ago no longer counts.
-    assert!(!call_at(9_000, 210));
+    assert!(!is_immediate(&mut pool, 11_000, 210));
+}
+
+/// Around a handover, the previous owner still forms calls from its queue. Inputs that
+/// are released by the expected start of a call would then be gone before it starts.
+#[test]
+fn no_call_counts_as_immediate_around_a_handover() {
+    let mut pool = pool(&[("a", "x")]);
+    for now in [0, 500, 1_000, 1_500] {
+        assert!(!is_immediate(&mut pool, now, 210), "not the owner");
+    }
+    pool.set_owned(true, ms(2_000));
+    for now in [2_000, 2_500, 3_000, 3_500] {
+        pool.set_owned(true, ms(now));
+        assert!(!is_immediate(&mut pool, now, 210), "owner for too short");
+    }
+    assert!(is_immediate(&mut pool, 4_000, 210));
+    pool.set_owned(false, ms(4_500));
+    assert!(
+        !is_immediate(&mut pool, 4_500, 210),
+        "not the owner any more"
+    );
+    pool.set_owned(true, ms(5_000));
+    assert!(!is_immediate(&mut pool, 5_000, 210), "owner again");
 }
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -237,7 +237,9 @@
     loop {
         let sleep = {
             let now = state.clock.now();
+            let owned = is_owner(&state, &batcher.service);
             let mut inner = lock(&batcher.inner);
+            inner.pool.set_owned(owned, now);
             if now >= last_expiry + EXPIRY_INTERVAL {
                 last_expiry = now;
                 expire(&mut inner, now);
@@ -263,6 +265,13 @@
     }
 }
 
+/// Returns whether this gateway forms the calls of a service.
+fn is_owner(state: &State, service: &str) -> bool {
+    let number = state.pools.number(service).unwrap_or(0);
+    let roster = lock(&state.roster);
+    !roster.local().leaving && roster.owner(number, state.clock.now()).is_none()
+}
+
 /// Fails the pieces that cannot be completed before they expire.
 fn expire(inner: &mut Inner, now: Duration) {
     let expired = inner.pool.expire(now);
