--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -355,12 +355,23 @@
     let keeper = lock(&state.roster)
         .reserve_keeper(&endpoint.id, state.clock.now())
         .map(|gateway| gateway.address.clone());
-    let Some(address) = keeper else {
-        return state.try_grant(endpoint);
+    let answer = match keeper {
+        Some(address) => request_grant(state, &address, endpoint).await,
+        None => Some(state.try_grant(endpoint)),
     };
-    let Ok(mut client) = state.links.client(&address) else {
-        return false;
+    let outcome = match answer {
+        Some(true) => "granted",
+        Some(false) => "refused",
+        None => "unanswered",
     };
+    state.metrics.grants.with_label_values(&[outcome]).inc();
+    answer == Some(true)
+}
+
+/// Asks the gateway at an address for a grant. Returns `None` without a timely
+/// answer.
+async fn request_grant(state: &State, address: &str, endpoint: &Incarnation) -> Option<bool> {
+    let mut client = state.links.client(address).ok()?;
     let asked_at = Instant::now();
     let request = GrantRequest {
         endpoint: endpoint.id.clone(),
@@ -369,7 +380,8 @@
     let answer = time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
     // A process that was paused finds the answer although its time has passed.
     let is_current = asked_at.elapsed() <= GRANT_TIMEOUT;
-    matches!(answer, Ok(Ok(answer)) if answer.get_ref().granted && is_current)
+    let answer = answer.ok()?.ok().filter(|_| is_current)?;
+    Some(answer.into_inner().granted)
 }
 
 /// Releases results through the gateway at an address, or locally if that
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -24,6 +24,8 @@
     pub store_calls: IntCounter,
     /// Calls with pieces of stages, by service and outcome.
     pub stage_calls: IntCounterVec,
+    /// Requests for a grant beyond the share of this gateway, by outcome.
+    pub grants: IntCounterVec,
     /// Number of pieces per call.
     pub batch: Histogram,
     /// Time from requesting the pieces of a stage until all are complete, in
@@ -79,6 +81,11 @@
                 "Calls with pieces of stages",
                 &["service", "outcome"],
             ),
+            grants: counters(
+                "cicadacrank_gateway_grants_total",
+                "Requests for a grant beyond the share in a limit for cold starts",
+                &["outcome"],
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
