--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -1,7 +1,8 @@
 //! Tests of the gateway as a separate process between callers and endpoints.
 
 use cicadacrank_bench::deployment::{
-    Answer, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role, route, send,
+    Answer, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role, config, route,
+    send,
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
@@ -198,19 +199,49 @@
     .expect("all results are released");
 }
 
+/// Returns the number of results that the workers hold.
+fn held_results(deployment: &Deployment) -> u64 {
+    let made = deployment
+        .endpoints_with(Role::Worker)
+        .flat_map(Endpoint::pieces)
+        .count();
+    let released = deployment
+        .endpoints_with(Role::Worker)
+        .map(Endpoint::released);
+    made as u64 - released.sum::<u64>()
+}
+
 #[tokio::test]
 async fn inputs_are_released_while_the_next_stage_runs() {
-    // The only worker answers the first stage normally and hangs in the second.
     let deployment = deployment(2, 1).await;
-    set_faults(&deployment, Role::Worker, Fault::HangWithInputs);
-    let gateway = deployment.gateways[0].caller_address();
-    let request = tokio::spawn(send(caller().stream(gateway, "/draft/x", "s1")));
-    fleet::wait_for("inputs released", async || {
-        let workers = deployment.endpoints_with(Role::Worker);
-        workers.map(Endpoint::released).sum::<u64>() == 2
+    let mut number = 0;
+    // A gateway that has formed the calls for a while expects them to start at once.
+    fleet::wait_for("a call that is expected to start at once", async || {
+        number += 1;
+        let answer = stream(&deployment, "/draft/x", &format!("s{number}")).await;
+        assert_eq!(answer.status, Some(200));
+        let mut gateways = deployment.gateways.iter();
+        gateways.any(|gateway| gateway.log_text().contains("prompt=true"))
     })
     .await
-    .expect("the inputs of the hanging stage are released");
+    .expect("a call is expected to start at once");
+    fleet::wait_for("earlier results released", async || {
+        held_results(&deployment) == 0
+    })
+    .await
+    .expect("the results of the earlier requests are released");
+    let released = || -> u64 {
+        let workers = deployment.endpoints_with(Role::Worker);
+        workers.map(Endpoint::released).sum()
+    };
+    let before = released();
+    // The only worker answers the first stage normally and hangs in the second.
+    set_faults(&deployment, Role::Worker, Fault::HangWithInputs);
+    let gateway = deployment.gateways[0].caller_address();
+    let request = tokio::spawn(send(caller().stream(gateway, "/draft/x", "hanging")));
+    fleet::wait_for("inputs released", async || released() == before + 2)
+        .await
+        .expect("the inputs of the hanging stage are released");
     assert!(!request.is_finished());
     request.abort();
 }
@@ -274,6 +305,43 @@
     assert_eq!(status("/new/").await, Some(200));
 }
 
+/// Two gateways divide a limit of one request a second, so that one of them has no share.
+#[tokio::test]
+async fn gateway_without_a_share_of_a_cold_limit_sends_by_grants() {
+    let deployment = deployment(2, 1).await;
+    let mut limited = config(2, &json!([]));
+    for service in limited["services"].as_array_mut().expect("services") {
+        service["coldPerS"] = json!(1.0);
+    }
+    deployment
+        .store
+        .state()
+        .put(Collection::Config, "main", limited);
+    let is_known = async |text: &str| {
+        let mut gateways = deployment.gateways.iter();
+        gateways.all(|gateway| gateway.log_text().contains(text))
+    };
+    fleet::wait_for("the limit in effect", async || {
+        is_known("ConfigAdopted: version=2").await && is_known("PeerRegained").await
+    })
+    .await
+    .expect("both gateways know the limit and each other");
+    let mut number = 0;
+    fleet::wait_for("a grant", async || {
+        number += 1;
+        for (index, gateway) in deployment.gateways.iter().enumerate() {
+            let attempt = format!("a{number}-{index}");
+            let request = caller().stream(gateway.caller_address(), "/draft/", &attempt);
+            let answer = send(request).await;
+            assert_eq!(answer.status, Some(200), "{attempt}");
+        }
+        let mut gateways = deployment.gateways.iter();
+        gateways.any(|gateway| gateway.log_text().contains("granted=true"))
+    })
+    .await
+    .expect("a request is sent by a grant");
+}
+
 #[tokio::test]
 async fn invalid_objects_are_ignored() {
     let deployment = deployment(1, 1).await;
