--- a/crates/cicadacrank-core/src/placement/fleet.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -1,33 +1,20 @@
 //! The endpoints of all services, and the selection among them.
 
+mod engine;
+
+pub use self::engine::{Choice, Prompt, Selection};
+
 use super::{Health, Report};
 use crate::{
-    config::Config,
     directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
     share::Throttle,
 };
 use std::{hash::Hasher as _, time::Duration};
 
-/// Cost of one request in flight, in prompt tokens. Each running request slows
-/// every step of the others slightly.
-const TOKENS_PER_RUNNING_REQUEST: u64 = 60;
-
 /// Fixed cost of starting a request, in prompt tokens, added to the length of
 /// its own prompt.
 const TOKENS_PER_START: u64 = 1_500;
 
-/// Bytes of results whose transfer from another data centre costs as much as
-/// reading one prompt token, at the price that users pay for both.
-const BYTES_PER_TOKEN: u64 = 2_600;
-
-/// Cost of a prompt token that other requests wait to have read, relative to one
-/// that is read again. Waiting costs nothing while the objective is met.
-const QUEUE_WEIGHT: f64 = 0.4;
-
-/// Cost of the shared parts of a prompt at an engine that has to fetch them from
-/// another one, relative to reading them.
-const FETCH_WEIGHT: f64 = 1.0;
-
 /// Increase of the cost of an endpoint at a failure rate of 1, relative to one
 /// without failures.
 const FAILURE_WEIGHT: f64 = 12.0;
@@ -72,44 +59,6 @@
     reserve: Throttle,
 }
 
-/// Size and shared parts of the prompt of a model engine request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Prompt {
-    /// Total number of tokens.
-    pub tokens: u64,
-    /// Number of tokens in the parts that are shared with other requests.
-    pub shared_tokens: u64,
-    /// Digest of the shared parts, or `None` if there are none.
-    pub shared: Option<u64>,
-}
-
-/// Reduction of the cost of an engine from which on it is worth asking for a grant
-/// to use it, in prompt tokens.
-const MIN_GRANT_GAIN: f64 = 300.0;
-
-/// The engines among which a request may be sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Selection {
-    /// The best engine within the share that this process has in the limits for
-    /// cold starts.
-    pub within_share: Option<Choice>,
-    /// A better engine, which needs a grant from the reserve of its limit.
-    pub beyond_share: Option<Choice>,
-}
-
-/// An engine selected for a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Choice {
-    /// The engine.
-    pub key: Key,
-    /// Another engine that probably caches the shared parts of the prompt, while
-    /// the selected one probably does not.
-    pub source: Option<Key>,
-    /// Number of prompt tokens that the engine probably has to read.
-    pub unread: u64,
-    cost: f64,
-}
-
 /// Data centres of a request and its inputs, and the endpoints to avoid.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Locality<'a> {
@@ -144,14 +93,6 @@
     seconds: f64,
 }
 
-impl Prompt {
-    /// Returns the number of tokens that are not shared with other requests.
-    #[must_use]
-    pub const fn own_tokens(&self) -> u64 {
-        self.tokens.saturating_sub(self.shared_tokens)
-    }
-}
-
 impl Fleet {
     /// Applies a new list of endpoints. The state of endpoints that remain is
     /// kept.
@@ -247,96 +188,6 @@
         .map(|(key, _)| key)
     }
 
-    /// Selects the model engines with the earliest expected first token, and the
-    /// engines from which they may fetch the shared parts of the prompt.
-    pub fn choose_engine(
-        &mut self,
-        config: &Config,
-        service: &str,
-        prompt: Prompt,
-        locality: &Locality<'_>,
-        now: Duration,
-    ) -> Selection {
-        let cold_rate = config.service(service).map_or(0.0, |one| one.cold_rate);
-        let (processes, position) = (self.processes, self.position);
-        let blocked: Vec<Key> = self
-            .slots
-            .iter_mut()
-            .enumerate()
-            .filter_map(|(index, slot)| {
-                let row = slot.row.as_mut()?;
-                let key = Key {
-                    index: u32::try_from(index).ok()?,
-                    generation: slot.generation,
-                };
-                let held = row.endpoint.service == service
-                    && !row.may_send(cold_rate, processes, position, now);
-                held.then_some(key)
-            })
-            .collect();
-        let within_share = self.choose_unblocked(service, prompt, locality, &blocked, now);
-        let best = if blocked.is_empty() {
-            None
-        } else {
-            self.choose_unblocked(service, prompt, locality, &[], now)
-        };
-        let cost = within_share.map_or(f64::INFINITY, |choice| choice.cost);
-        Selection {
-            within_share,
-            beyond_share: best.filter(|best| best.cost + MIN_GRANT_GAIN <= cost),
-        }
-    }
-
-    fn choose_unblocked(
-        &self,
-        service: &str,
-        prompt: Prompt,
-        locality: &Locality<'_>,
-        blocked: &[Key],
-        now: Duration,
-    ) -> Option<Choice> {
-        let home = self.home(service, prompt);
-        let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
-        let (key, cost) = self.choose(service, locality, now, |key, row| {
-            if blocked.contains(&key) {
-                return f64::INFINITY;
-            }
-            let near = locality
-                .results
-                .iter()
-                .find(|(data_centre, _)| *data_centre == row.endpoint.data_centre);
-            let far = total - near.map_or(0, |(_, bytes)| *bytes);
-            let shared = if home == Some(key) {
-                0.0
-            } else {
-                prompt.shared_tokens as f64 * FETCH_WEIGHT
-            };
-            let queue = row.unread() + u64::from(row.in_flight()) * TOKENS_PER_RUNNING_REQUEST;
-            let tokens = prompt.own_tokens() + far / BYTES_PER_TOKEN + TOKENS_PER_START;
-            tokens as f64 + queue as f64 * QUEUE_WEIGHT + shared
-        })?;
-        let source = home.filter(|home| *home != key);
-        let source = source.filter(|home| {
-            self.row(*home)
-                .is_some_and(|row| !row.health.in_backoff(now))
-        });
-        Some(Choice {
-            key,
-            source,
-            unread: prompt.own_tokens(),
-            cost,
-        })
-    }
-
-    /// Returns the data centre of the engine that probably caches the shared parts
-    /// of a prompt, or `None` if there are none.
-    #[must_use]
-    pub fn home_data_centre(&self, service: &str, prompt: Prompt) -> Option<&str> {
-        let home = self.home(service, prompt)?;
-        let row = self.row(home)?;
-        Some(row.endpoint.data_centre.as_str())
-    }
-
     /// Returns the service of an endpoint, or `None` if the endpoint is unknown.
     #[must_use]
     pub fn service_of(&self, endpoint: &Incarnation) -> Option<&str> {
@@ -446,16 +297,6 @@
         best.map(|(_, cost, key)| (key, cost))
     }
 
-    /// Returns the endpoint to which rendezvous hashing assigns the shared
-    /// parts of a prompt, so that requests with the same parts go to the same
-    /// endpoint.
-    fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
-        let shared = prompt.shared?;
-        self.usable(service)
-            .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
-            .map(|(key, _)| key)
-    }
-
     fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
         self.slots.iter().enumerate().filter_map(|(index, slot)| {
             let key = Key {
