Release the results of stages when a stream begins, also one that may be resumed

A stream that may be resumed held its results until its end, seconds after its engine had fetched them, and they filled the room of the last stage's endpoints (45 results each). Changed: results are released at the first event. A stream that is resumed later has its stages run again, each piece for a retry of its service's budget. Ruled out: slow endpoints (calls took what was expected), the store, lost gateways. The new test fails without the change.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -73,6 +73,8 @@
     Hang,
     /// It delays its answer for a minute to stage calls that have inputs.
     HangWithInputs,
+    /// It sends the first event of a stream and delays the others for a minute.
+    StallAfterEvent,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
 }
@@ -330,8 +332,12 @@
 fn event_stream(headers: &HeaderMap, fault: Fault) -> Response<Body> {
     let last_seen = header(headers, "last-event-id").parse().unwrap_or(0_u64);
     let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
-    let parts = stream::iter(last_seen + 1..=last).then(|number| async move {
+    let stalls = fault == Fault::StallAfterEvent;
+    let parts = stream::iter(last_seen + 1..=last).then(move |number| async move {
         time::sleep(EVENT_GAP).await;
+        if stalls && number > 1 {
+            time::sleep(Duration::from_secs(60)).await;
+        }
         let event = format!("id: {number}\ndata: token {number}\n\n");
         Ok(Frame::data(Bytes::from(event)))
     });
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -188,6 +188,18 @@
     }
 }
 
+/// Runs all stages of a request again, until `expires`. Returns `None` if a stage
+/// fails or the retry budget of its service does not allow for all its pieces.
+pub async fn repeat(state: &Arc<State>, job: &Job, expires: Instant) -> Option<Outputs> {
+    for (number, stage) in job.route.stages.iter().enumerate() {
+        let allowed = (0..pieces(job, number)).all(|_| state.try_take_retry(&stage.service));
+        if !allowed {
+            return None;
+        }
+    }
+    run(state, job, Instant::now(), expires).await.ok()
+}
+
 fn pieces(job: &Job, stage: usize) -> u32 {
     job.caller.pieces.get(stage).copied().unwrap_or(0)
 }
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -365,11 +365,10 @@
                 self.job.caller.prompt.tokens,
                 events.len(),
             ));
-            if !self.may_resume() {
-                self.outputs = None;
-            }
         }
         self.events += 1;
+        // The engine has fetched the results, and other requests need their room.
+        self.outputs = None;
     }
 
     /// Completes the stream after the engine has ended it. Returns the incomplete
@@ -393,26 +392,32 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    /// Resumes the stream at another engine after the last complete event. Returns
-    /// whether that succeeded.
+    /// Resumes the stream at another engine after the last complete event. Runs the
+    /// stages again if their results were released. Returns whether that succeeded.
     async fn resume(&mut self, failure: &str) -> bool {
         if !self.may_resume() || Instant::now() >= self.job.outgoing.deadline {
             return false;
         }
-        let Some(outputs) = &self.outputs else {
-            return false;
-        };
         if !self.state.try_take_retry(&self.job.service) {
             return false;
         }
-        let until = self.event_deadline();
-        let chosen = choose(&self.state, &self.job, outputs, &self.tried, until).await;
+        let until = Instant::now() + event_timeout(&self.job);
+        let until = until.min(self.job.outgoing.deadline);
+        let outputs = match self.outputs.take() {
+            Some(outputs) => outputs,
+            // The results of the stages were released after the first event.
+            None => match stages::repeat(&self.state, &self.job, until).await {
+                Some(outputs) => outputs,
+                None => return false,
+            },
+        };
+        let chosen = choose(&self.state, &self.job, &outputs, &self.tried, until).await;
         let Some(chosen) = chosen else { return false };
         let key = chosen.choice.key;
         self.tried.push(key);
         self.arrivals += 1;
         let last_event = self.splitter.last_id().map(str::to_owned);
-        let parameters = parameters(&self.state, &self.job, outputs, chosen, last_event);
+        let parameters = parameters(&self.state, &self.job, &outputs, chosen, last_event);
         let attempt = attempt::start(
             &self.state,
             &self.job.outgoing,
@@ -437,6 +442,7 @@
         ));
         self.splitter.discard_partial();
         self.upstream = started.into();
+        self.outputs = Some(outputs);
         true
     }
 }
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -246,6 +246,25 @@
     request.abort();
 }
 
+/// Results that a running stream held would take the room of the results for others.
+#[tokio::test]
+async fn results_are_released_when_a_stream_that_may_be_resumed_begins() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Engine, Fault::StallAfterEvent);
+    let gateway = deployment.gateways[0].caller_address();
+    let request = tokio::spawn(send(caller().stream(gateway, "/chat/x", "s1")));
+    fleet::wait_for("the first event", async || {
+        deployment.gateways[0].log_text().contains("StreamBegan")
+    })
+    .await
+    .expect("the stream begins");
+    fleet::wait_for("results released", async || held_results(&deployment) == 0)
+        .await
+        .expect("the results are released");
+    assert!(!request.is_finished());
+    request.abort();
+}
+
 #[tokio::test]
 async fn broken_stream_is_never_reported_complete() {
     let deployment = deployment(1, 2).await;
