End a stream of bytes that form no event, and count the time of an event from its start

Found while looking for what operators of similar systems met: bytes that are no answer, without end. A stream was buffered until an event was complete, however long, and each part of an event gave it the whole time for an event again, so bytes without end filled the memory until the request's deadline, and a stalled stream that sent a byte now and then ended only there. Changed: an event is at most 1 MiB; the time for it runs from the end of the one before.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -75,6 +75,8 @@
     HangWithInputs,
     /// It sends the first event of a stream and delays the others for a minute.
     StallAfterEvent,
+    /// It answers a stream with bytes that form no event, without end.
+    Endless,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
 }
@@ -330,6 +332,13 @@
 }
 
 fn event_stream(headers: &HeaderMap, fault: Fault) -> Response<Body> {
+    if fault == Fault::Endless {
+        let part = || Ok(Frame::data(Bytes::from_static(&[b'x'; 1 << 14])));
+        let parts = stream::repeat_with(part).boxed();
+        let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
+        *response.body_mut() = Either::Right(StreamBody::new(parts));
+        return response;
+    }
     let last_seen = header(headers, "last-event-id").parse().unwrap_or(0_u64);
     let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
     let stalls = fault == Fault::StallAfterEvent;
--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -8,6 +8,14 @@
 /// Prefix of the line that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Maximum size of an event in bytes. Bytes without end that form no event would
+/// otherwise fill the memory.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event that is larger than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Oversized;
+
 /// Buffers the incomplete event at the end of a stream and keeps the id of the
 /// last complete one that had an id.
 #[derive(Clone, Debug, Default)]
@@ -18,7 +26,11 @@
 
 impl Splitter {
     /// Appends bytes and returns all events that are now complete, unchanged.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the incomplete event at the end is too large.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Oversized> {
         // The terminator may be split across two chunks.
         let search_start = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
         self.buffer.extend_from_slice(bytes);
@@ -26,7 +38,11 @@
             .windows(EVENT_END.len())
             .rposition(|window| window == EVENT_END);
         let Some(position) = found else {
-            return Bytes::new();
+            return if self.buffer.len() > MAX_EVENT_BYTES {
+                Err(Oversized)
+            } else {
+                Ok(Bytes::new())
+            };
         };
         let events = self
             .buffer
@@ -34,7 +50,7 @@
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
-        events.freeze()
+        Ok(events.freeze())
     }
 
     /// Returns the incomplete data left at the end of the stream.
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -17,7 +17,7 @@
     event::Event,
     once::{ExecutionError, Sent, Unsent},
     placement::{Choice, Key, Locality, Report},
-    stream::Splitter,
+    stream::{MAX_EVENT_BYTES, Oversized, Splitter},
 };
 use futures_util::stream;
 use http::Response;
@@ -283,20 +283,23 @@
         if self.finished {
             return None;
         }
+        // Parts of an event do not extend the time for it.
+        let mut deadline = self.event_deadline();
         loop {
-            let deadline = self.event_deadline();
             let body = self.upstream.exchange.response.body_mut();
             let failure = match time::timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    let events = self.splitter.push(&bytes);
-                    if events.is_empty() {
-                        continue;
+                    match self.splitter.push(&bytes) {
+                        Ok(events) if events.is_empty() => continue,
+                        Ok(events) => {
+                            self.record_events(&events);
+                            return Some(Ok(events));
+                        }
+                        Err(Oversized) => format!("an event exceeds {MAX_EVENT_BYTES} bytes"),
                     }
-                    self.record_events(&events);
-                    return Some(Ok(events));
                 }
                 Ok(None) => return self.finish(),
                 Ok(Some(Err(error))) => {
@@ -322,6 +325,7 @@
                 ));
                 return Some(Err(io::Error::other(failure)));
             }
+            deadline = self.event_deadline();
         }
     }
 
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -265,6 +265,17 @@
     request.abort();
 }
 
+#[tokio::test]
+async fn stream_of_bytes_without_an_event_is_ended_and_reported() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Engine, Fault::Endless);
+    let answer = stream(&deployment, "/draft/x", "s1").await;
+    assert_eq!(answer.status, Some(502));
+    let log = deployment.gateways[0].log_text();
+    assert!(log.contains("an event exceeds"), "{log}");
+    assert!(log.contains("effect=unknown"), "{log}");
+}
+
 #[tokio::test]
 async fn broken_stream_is_never_reported_complete() {
     let deployment = deployment(1, 2).await;
