--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -179,14 +179,14 @@
     /// Returns the gateway that keeps the reserve of an endpoint's limit, or `None`
     /// if that is the local gateway.
     #[must_use]
-    pub fn reserve_keeper(&self, endpoint: &str, now: Duration) -> Option<&Gateway> {
+    pub fn grantor(&self, endpoint: &str, now: Duration) -> Option<&Gateway> {
         let live = self.rows.iter().filter(|row| is_live(row, now));
-        let keeper = live
+        let grantor = live
             .map(|row| &row.gateway)
             .chain([&self.local])
             .filter(|gateway| !gateway.leaving)
             .max_by_key(|gateway| rendezvous_weight(&gateway.instance, endpoint))?;
-        (keeper.instance != self.local.instance).then_some(keeper)
+        (grantor.instance != self.local.instance).then_some(grantor)
     }
 
     fn upsert(&mut self, gateway: Gateway, now: Duration) -> usize {
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -210,9 +210,9 @@
 }
 
 #[test]
-fn reserve_keeper_is_the_same_for_all_and_differs_by_endpoint() {
+fn grantor_is_the_same_for_all_and_differs_by_endpoint() {
     let names = ["a", "b", "c", "d"];
-    let mut keepers = Vec::new();
+    let mut grantors = Vec::new();
     for endpoint in 0..40 {
         let endpoint = format!("i-{endpoint}");
         let seen: Vec<String> = names
@@ -220,14 +220,14 @@
             .map(|local| {
                 let others: Vec<&str> = names.iter().filter(|one| *one != local).copied().collect();
                 let roster = roster(local, &others);
-                let keeper = roster.reserve_keeper(&endpoint, Duration::ZERO);
-                keeper.unwrap_or(roster.local()).instance.clone()
+                let grantor = roster.grantor(&endpoint, Duration::ZERO);
+                grantor.unwrap_or(roster.local()).instance.clone()
             })
             .collect();
         assert!(seen.iter().all(|one| *one == seen[0]), "{seen:?}");
-        keepers.push(seen[0].clone());
+        grantors.push(seen[0].clone());
     }
-    keepers.sort();
-    keepers.dedup();
-    assert_eq!(keepers, names);
+    grantors.sort();
+    grantors.dedup();
+    assert_eq!(grantors, names);
 }
--- a/crates/cicadacrank-core/tests/share.rs
+++ b/crates/cicadacrank-core/tests/share.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn reserve_of_two_keepers_and_all_shares_stay_within_the_bound() {
+fn reserve_of_two_grantors_and_all_shares_stay_within_the_bound() {
     for limit in [1.0, 10.0, 16.0, 20.0, 31.0] {
         let bound: f64 = limit * 1.5 + 5.0;
         for processes in 1..200 {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -352,10 +352,10 @@
 /// Asks for a grant to send one request to an endpoint beyond the share of this
 /// gateway, from the gateway that keeps the reserve of the endpoint's limit.
 pub async fn grant(state: &Arc<State>, endpoint: &Incarnation) -> bool {
-    let keeper = lock(&state.roster)
-        .reserve_keeper(&endpoint.id, state.clock.now())
+    let grantor = lock(&state.roster)
+        .grantor(&endpoint.id, state.clock.now())
         .map(|gateway| gateway.address.clone());
-    let answer = match keeper {
+    let answer = match grantor {
         Some(address) => request_grant(state, &address, endpoint).await,
         None => Some(state.try_grant(endpoint)),
     };
