Pass no list of endpoints on while it holds removed entries

Since endpoints' changes are gathered for 400 ms, gateways take lists from one another often, which shows the fault. Changed: while such entries are kept, the list is not passed on.

--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -93,6 +93,15 @@
         self.revision
     }
 
+    /// Returns the current endpoints and their revision for other processes, or
+    /// `None` while entries that the store has removed are kept for the grace
+    /// period. Another process could not tell them from current ones.
+    #[must_use]
+    pub fn shareable(&self) -> Option<Snapshot> {
+        let complete = self.entries.iter().all(|entry| !entry.missing);
+        complete.then(|| self.snapshot())
+    }
+
     /// Replaces the list with the snapshot of another process if that is newer.
     /// Returns whether it was.
     pub fn adopt(&mut self, snapshot: &Snapshot) -> bool {
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -132,3 +132,19 @@
     assert!(evacuation.covers("x"));
     assert!(!evacuation.covers("z"));
 }
+
+/// A gateway that was cut from the store keeps removed entries for two seconds. Another
+/// gateway that adopted its list would keep them for good, since it skips the removal,
+/// which is older than the list.
+#[test]
+fn list_with_removed_entries_is_not_passed_on_during_the_grace_period() {
+    let mut tracker = tracker();
+    assert_eq!(tracker.shareable(), Some(tracker.snapshot()));
+    tracker.mark_unavailable(at(1.0));
+    tracker.mark_available(at(5.0));
+    tracker.remove(9, "a", at(5.5));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+    assert_eq!(tracker.shareable(), None);
+    assert!(tracker.expire(at(7.0)));
+    assert_eq!(tracker.shareable(), Some(tracker.snapshot()));
+}
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -424,7 +424,9 @@
         {
             knowledge.config = to_json(&*config)?;
         }
-        if snapshot.revision > theirs.endpoints {
+        if let Some(snapshot) = snapshot
+            && snapshot.revision > theirs.endpoints
+        {
             knowledge.endpoints = to_json(&snapshot)?;
         }
         if let Some(evacuation) = evacuation
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -196,11 +196,11 @@
         self.check_ready();
     }
 
-    /// Returns the list of endpoints and, if known, the list of evacuated data
-    /// centres.
+    /// Returns the list of endpoints, if it may be passed on, and, if known, the
+    /// list of evacuated data centres.
     #[must_use]
-    pub fn directory(&self) -> (Snapshot, Option<Evacuation>) {
-        let snapshot = lock(&self.tracker).snapshot();
+    pub fn directory(&self) -> (Option<Snapshot>, Option<Evacuation>) {
+        let snapshot = lock(&self.tracker).shareable();
         (snapshot, lock(&self.evacuation).clone())
     }
 
