--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -189,26 +189,25 @@
         .flat_map(Endpoint::pieces);
     assert_eq!(pieces.count(), 8);
     fleet::wait_for("results released", async || {
-        deployment
-            .endpoints_with(Role::Worker)
-            .map(Endpoint::released)
-            .sum::<u64>()
-            == 8
+        released_results(&deployment) == 8
     })
     .await
     .expect("all results are released");
 }
 
+/// Returns the number of results that the workers were told to release.
+fn released_results(deployment: &Deployment) -> u64 {
+    let workers = deployment.endpoints_with(Role::Worker);
+    workers.map(Endpoint::released).sum()
+}
+
 /// Returns the number of results that the workers hold.
 fn held_results(deployment: &Deployment) -> u64 {
     let made = deployment
         .endpoints_with(Role::Worker)
         .flat_map(Endpoint::pieces)
         .count();
-    let released = deployment
-        .endpoints_with(Role::Worker)
-        .map(Endpoint::released);
-    made as u64 - released.sum::<u64>()
+    made as u64 - released_results(deployment)
 }
 
 #[tokio::test]
@@ -230,18 +229,16 @@
     })
     .await
     .expect("the results of the earlier requests are released");
-    let released = || -> u64 {
-        let workers = deployment.endpoints_with(Role::Worker);
-        workers.map(Endpoint::released).sum()
-    };
-    let before = released();
+    let before = released_results(&deployment);
     // The only worker answers the first stage normally and hangs in the second.
     set_faults(&deployment, Role::Worker, Fault::HangWithInputs);
     let gateway = deployment.gateways[0].caller_address();
     let request = tokio::spawn(send(caller().stream(gateway, "/draft/x", "hanging")));
-    fleet::wait_for("inputs released", async || released() == before + 2)
-        .await
-        .expect("the inputs of the hanging stage are released");
+    fleet::wait_for("inputs released", async || {
+        released_results(&deployment) == before + 2
+    })
+    .await
+    .expect("the inputs of the hanging stage are released");
     assert!(!request.is_finished());
     request.abort();
 }
