--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -49,6 +49,42 @@
     pub deadline: Instant,
     /// Fingerprint that identifies the request if it crashes endpoints.
     pub fingerprint: Fingerprint,
+    /// Ids of the parts of the prompt that other requests may share.
+    pub shared_parts: Vec<String>,
+}
+
+impl Outgoing {
+    /// Returns the id of the caller's attempt, for logs.
+    fn id(&self) -> &str {
+        let id = self.attempt.as_ref().and_then(|id| id.to_str().ok());
+        id.unwrap_or("-")
+    }
+}
+
+/// A request whose connection to an endpoint broke, which may have crashed it.
+#[derive(Debug)]
+pub struct Interruption {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Id of the caller's attempt.
+    id: String,
+    fingerprint: Fingerprint,
+    shared_parts: Vec<String>,
+    /// Number of events that had arrived.
+    events: u64,
+}
+
+impl Interruption {
+    /// Creates the interruption of a request after `events` events.
+    pub fn new(outgoing: &Outgoing, endpoint: &Endpoint, events: u64) -> Self {
+        Self {
+            endpoint: endpoint.clone(),
+            id: outgoing.id().to_owned(),
+            fingerprint: outgoing.fingerprint,
+            shared_parts: outgoing.shared_parts.clone(),
+            events,
+        }
+    }
 }
 
 /// Parameters that one attempt adds to the request.
@@ -318,11 +354,8 @@
         Ok(Ok(exchange)) => check_head(outgoing, exchange, guard, sent),
         Ok(Err(error)) => {
             guard.record(Report::Failed);
-            tokio::spawn(check_crash(
-                Arc::clone(state),
-                guard.endpoint.clone(),
-                outgoing.fingerprint,
-            ));
+            let interruption = Interruption::new(outgoing, &guard.endpoint, 0);
+            tokio::spawn(check_crash(Arc::clone(state), interruption));
             Err(Failure::Unknown {
                 sent,
                 kind: Kind::EndpointFailed,
@@ -342,12 +375,11 @@
 
 /// Logs the selected endpoint and the data that the selection was based on.
 fn log_choice(outgoing: &Outgoing, guard: &Guard, parameters: &Parameters) {
-    let id = outgoing.attempt.as_ref();
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
         "id={} service={} endpoint={} born={:?} sequence={} in_flight={} tokens={} results={} \
-         fetch_from={:?} granted={} after={:?} remaining_ms={}",
-        id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+         fetch_from={:?} granted={} after={:?} parts={:?} remaining_ms={}",
+        outgoing.id(),
         guard.endpoint.service,
         guard.endpoint.life.id,
         guard.endpoint.life.born,
@@ -358,6 +390,7 @@
         parameters.fetch_from,
         parameters.granted,
         parameters.last_event,
+        outgoing.shared_parts,
         remaining.as_millis(),
     ));
 }
@@ -432,13 +465,23 @@
     Ok(request)
 }
 
-/// Records a crash for a request if its endpoint no longer accepts connections.
-pub async fn check_crash(state: Arc<State>, endpoint: Endpoint, fingerprint: Fingerprint) {
+/// Records a crash for an interrupted request if its endpoint no longer accepts
+/// connections.
+pub async fn check_crash(state: Arc<State>, interruption: Interruption) {
     time::sleep(CRASH_CHECK_DELAY).await;
+    let Interruption {
+        endpoint,
+        id,
+        fingerprint,
+        shared_parts,
+        events,
+    } = interruption;
     if Connection::open(endpoint.address).await.is_ok() {
         return;
     }
-    state
-        .suspects
-        .record_endpoint_crash(fingerprint, &endpoint.life);
+    state.suspects.record_endpoint_crash(fingerprint);
+    Event::SuspectMarked.log(format_args!(
+        "id={id} fingerprint={fingerprint} endpoint={} born={:?} events={events} parts={shared_parts:?}",
+        endpoint.life.id, endpoint.life.born
+    ));
 }
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -236,6 +236,7 @@
             team: team.map(|team| team.name),
             deadline,
             fingerprint,
+            shared_parts: caller.shared_parts.clone(),
         },
         caller,
         route,
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -1,7 +1,7 @@
 //! Requests that a model engine answers with a stream of events.
 
 use super::{
-    attempt::{self, Attempts, Guard, Parameters, Started},
+    attempt::{self, Attempts, Guard, Interruption, Parameters, Started},
     peers,
     plain::forward_response,
     reply::Body,
@@ -303,11 +303,9 @@
                 }
                 Ok(None) => return self.finish(),
                 Ok(Some(Err(error))) => {
-                    let crash = attempt::check_crash(
-                        Arc::clone(&self.state),
-                        self.upstream.guard.endpoint.clone(),
-                        self.job.outgoing.fingerprint,
-                    );
+                    let endpoint = &self.upstream.guard.endpoint;
+                    let interruption = Interruption::new(&self.job.outgoing, endpoint, self.events);
+                    let crash = attempt::check_crash(Arc::clone(&self.state), interruption);
                     tokio::spawn(crash);
                     error.to_string()
                 }
--- a/crates/cicadacrank-node/src/platform/caller.rs
+++ b/crates/cicadacrank-node/src/platform/caller.rs
@@ -58,6 +58,8 @@
     pub key: Option<String>,
     /// Size and shared parts of the prompt.
     pub prompt: Prompt,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<String>,
     /// Number of pieces of each stage.
     pub pieces: Vec<u32>,
     /// Key from which the pieces of the first stages are made.
@@ -102,6 +104,7 @@
             timeout,
             key,
             prompt: parse_prompt(text(&TOKENS), text(&PROMPT)),
+            shared_parts: parse_shared_parts(text(&PROMPT)),
             pieces: pieces
                 .filter_map(|count| count.trim().parse().ok())
                 .collect(),
@@ -198,3 +201,12 @@
         shared,
     }
 }
+
+/// Returns the ids of all parts but the last, which belongs to the request alone.
+fn parse_shared_parts(parts: Option<&str>) -> Vec<String> {
+    let ids = parts.unwrap_or_default().split(',');
+    let ids = ids.filter_map(|part| part.trim().split_once(':'));
+    let mut ids: Vec<String> = ids.map(|(id, _)| id.to_owned()).collect();
+    ids.pop();
+    ids
+}
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -2,7 +2,6 @@
 
 use crate::clock::Clock;
 use cicadacrank_core::{
-    directory::Incarnation,
     event::Event,
     id,
     quarantine::{Fingerprint, List, Status, Suspect},
@@ -49,15 +48,11 @@
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
-    /// Records that this endpoint crashed with the request in flight.
+    /// Records that an endpoint crashed with the request in flight.
     ///
     /// A random attempt id is recorded, so each call counts as another crash.
-    pub fn record_endpoint_crash(&self, fingerprint: Fingerprint, endpoint: &Incarnation) {
+    pub fn record_endpoint_crash(&self, fingerprint: Fingerprint) {
         self.add_crash(fingerprint, id::Attempt::new(rand::random()));
-        Event::SuspectMarked.log(format_args!(
-            "fingerprint={fingerprint} endpoint={} born={:?}",
-            endpoint.id, endpoint.born
-        ));
     }
 
     /// Returns a receiver for the number of crashes recorded by this process.
