Reproduce the crashes by a part of a prompt, red

Two gateways, ten engines that crash when they begin to answer a prompt with one part; each request has another body and another last part.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -1,7 +1,7 @@
 //! Simulated endpoints: plain services, model engines and services that run
 //! pipeline stages.
 
-use super::Proxy;
+use super::{Impairment, Proxy};
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream, StreamExt as _};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -19,11 +19,17 @@
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
-use tokio::{net::TcpListener, task::JoinHandle, time};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time};
 
 /// Number of events of a complete stream.
 pub const EVENTS: u64 = 6;
 
+/// Id of the part of a prompt at which an engine with [`Fault::CrashOnPart`] crashes.
+pub const CRASHING_PART: &str = "dead";
+
+/// Time between the head of an answer and the crash of its engine.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(15);
 
@@ -79,6 +85,8 @@
     Endless,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
+    /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
+    CrashOnPart,
 }
 
 /// Request that an endpoint ran.
@@ -106,6 +114,7 @@
     pieces: Vec<(String, u64, u64)>,
     released: u64,
     abandoned: u64,
+    crashed: bool,
     fault: Fault,
 }
 
@@ -150,7 +159,13 @@
         let state = Arc::new(Mutex::new(State::default()));
         let id = format!("i-{}-{number}", role.service());
         let proxy = Proxy::start(address).await?;
-        let task = tokio::spawn(accept(listener, role, address, Arc::clone(&state)));
+        let context = Context {
+            role,
+            address,
+            state: Arc::clone(&state),
+            port: proxy.switch(),
+        };
+        let task = tokio::spawn(accept(listener, context));
         Ok(Self {
             id,
             role,
@@ -193,6 +208,12 @@
         lock(&self.state).abandoned
     }
 
+    /// Returns whether the endpoint crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.state).crashed
+    }
+
     /// Returns the number of stage results that the endpoint was asked to release.
     #[must_use]
     pub fn released(&self) -> u64 {
@@ -200,14 +221,24 @@
     }
 }
 
+/// What the handler of a request needs from its endpoint.
+#[derive(Clone, Debug)]
+struct Context {
+    role: Role,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    /// Closes the port of the endpoint.
+    port: watch::Sender<Impairment>,
+}
+
 fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, role: Role, address: SocketAddr, state: Arc<Mutex<State>>) {
+async fn accept(listener: TcpListener, context: Context) {
     while let Ok((stream, _)) = listener.accept().await {
-        let state = Arc::clone(&state);
-        let service = service_fn(move |request| handle(role, address, Arc::clone(&state), request));
+        let context = context.clone();
+        let service = service_fn(move |request| handle(context.clone(), request));
         tokio::spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // An error is an injected fault or a client that disconnected.
@@ -216,12 +247,13 @@
     }
 }
 
-async fn handle(
-    role: Role,
-    address: SocketAddr,
-    state: Arc<Mutex<State>>,
-    request: Request<Incoming>,
-) -> io::Result<Response<Body>> {
+async fn handle(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let Context {
+        role,
+        address,
+        state,
+        port,
+    } = context;
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let path = head.uri.path().to_owned();
@@ -275,6 +307,14 @@
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(plain_response(status, &head.headers, Bytes::new(), true));
         }
+        Fault::CrashOnPart if text("x-prompt-prefix").contains(CRASHING_PART) => {
+            lock(&state).crashed = true;
+            tokio::spawn(async move {
+                time::sleep(CRASH_DELAY).await;
+                port.send_replace(Impairment::Down);
+            });
+            return Ok(silent_response(&head.headers));
+        }
         _ => {}
     }
     let mut response = match role {
@@ -364,6 +404,13 @@
     response
 }
 
+/// Returns a response whose body never sends anything.
+fn silent_response(headers: &HeaderMap) -> Response<Body> {
+    let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
+    *response.body_mut() = Either::Right(StreamBody::new(stream::pending().boxed()));
+    response
+}
+
 fn truncated_response(headers: &HeaderMap, body: Bytes) -> Response<Body> {
     let parts = stream::iter([
         Ok(Frame::data(body.slice(..5))),
--- a/crates/cicadacrank-bench/src/deployment/proxy.rs
+++ b/crates/cicadacrank-bench/src/deployment/proxy.rs
@@ -25,6 +25,8 @@
     Delay(u64),
     /// Open connections are closed, and so are new ones.
     Reset,
+    /// The port is closed for good, and so are open connections, as after a crash.
+    Down,
     /// No data is forwarded, and connections stay open.
     Stall,
     /// No data is forwarded from the target to the client.
@@ -56,7 +58,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (impairment, state) = watch::channel(Impairment::None);
-        let task = tokio::spawn(accept(listener, target, state));
+        let task = tokio::spawn(run(listener, target, state));
         Ok(Self {
             address,
             impairment,
@@ -68,6 +70,20 @@
     pub fn set_impairment(&self, impairment: Impairment) {
         self.impairment.send_replace(impairment);
     }
+
+    /// Returns a sender that sets the fault.
+    pub(super) fn switch(&self) -> watch::Sender<Impairment> {
+        self.impairment.clone()
+    }
+}
+
+/// Forwards connections until the port is to be closed for good.
+async fn run(listener: TcpListener, target: SocketAddr, mut state: watch::Receiver<Impairment>) {
+    let accepted = state.clone();
+    tokio::select! {
+        () = accept(listener, target, accepted) => {}
+        _ = state.wait_for(|impairment| *impairment == Impairment::Down) => {}
+    }
 }
 
 async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Receiver<Impairment>) {
@@ -95,7 +111,7 @@
     // An error means that the proxy was dropped, which also closes the connection.
     drop(
         state
-            .wait_for(|impairment| *impairment == Impairment::Reset)
+            .wait_for(|impairment| matches!(impairment, Impairment::Reset | Impairment::Down))
             .await,
     );
 }
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -1,8 +1,8 @@
 //! Tests of the gateway as a separate process between callers and endpoints.
 
 use cicadacrank_bench::deployment::{
-    Answer, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role, config, route,
-    send,
+    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role,
+    config, route, send,
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
@@ -546,3 +546,43 @@
     .await
     .expect("callers are served again");
 }
+
+/// Sends a prompt with the given parts, and a body of its own, to a gateway.
+async fn prompt(deployment: &Deployment, gateway: usize, attempt: &str, parts: &str) -> Answer {
+    let address = deployment.gateways[gateway].caller_address();
+    let request = caller().stream(address, "/draft/x", attempt);
+    let prompt = HeaderValue::from_str(parts).expect("invalid prompt");
+    let headers = [(HeaderName::from_static("x-prompt-prefix"), prompt)];
+    let headers: HeaderMap = headers.into_iter().collect();
+    send(request.headers(headers).body(attempt.to_owned())).await
+}
+
+/// Requests of one kind, no two alike, kept crashing engines, one after the other.
+#[tokio::test]
+async fn part_of_a_prompt_that_crashes_engines_is_refused_by_all_gateways() {
+    const MAX_CRASHES: usize = 5;
+    let deployment = deployment(2, 10).await;
+    set_faults(&deployment, Role::Engine, Fault::CrashOnPart);
+    let crashes = || {
+        let engines = deployment.endpoints_with(Role::Engine);
+        engines.filter(|engine| engine.has_crashed()).count()
+    };
+    let mut last = Vec::new();
+    for number in 0..12 {
+        let gateway = number % 2;
+        let parts = format!("aa:60,{CRASHING_PART}:20,own{number}:20");
+        let answer = prompt(&deployment, gateway, &format!("d{number}"), &parts).await;
+        last.push(answer.status);
+        let parts = format!("aa:60,b{number}:20,own:20");
+        let sound = prompt(&deployment, gateway, &format!("s{number}"), &parts).await;
+        if crashes() <= MAX_CRASHES {
+            assert_eq!(sound.status, Some(200), "{parts}");
+        }
+        time::sleep(Duration::from_millis(400)).await;
+    }
+    assert!(crashes() <= MAX_CRASHES, "{} crashes: {last:?}", crashes());
+    assert_eq!(&last[8..], &[Some(503); 4]);
+    for (number, gateway) in deployment.gateways.iter().enumerate() {
+        assert!(gateway.log_text().contains("kind=crashing"), "{number}");
+    }
+}
