Recognise parts of prompts that crash engines, and refuse requests with them

Callers saw: drafts and the requests beside them broken off or answered with status 502 while engines ended one after the other, as long as the requests came.

Cause: the quarantine knew a request by a digest over its whole content, and these requests have one part of the prompt in common and are otherwise new. Each was the first of its kind: 111 suspects, 111 fingerprints, none refused. Class: an identity that is narrower than the cause. Ruled out: gateways that disagree, since nothing was ever quarantined anywhere; wrong clearance, since the crashing requests never had an event.

What changed: a gateway keeps possible causes of crashes, requests and shared parts. A crash is known by the endpoint's incarnation, so that several requests or gateways that see one crash count once; before, each request counted it again, and two equal lookups in flight at one crash were refused for ten minutes. A response clears its causes; what another part explains as well does not count; parts that always come together are told apart by requests with one of them. Heartbeats spread the list. A crash needs a refused connection, no longer a timeout, which a cut path shows too.

--- a/crates/cicadacrank-core/src/directory/mod.rs
+++ b/crates/cicadacrank-core/src/directory/mod.rs
@@ -31,6 +31,17 @@
     pub born: Option<u64>,
 }
 
+impl Incarnation {
+    /// Returns a digest that is the same in every process.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        use std::hash::Hasher as _;
+        let mut hasher = siphasher::sip::SipHasher13::new_with_keys(0, self.born.unwrap_or(0));
+        hasher.write(self.id.as_bytes());
+        hasher.finish()
+    }
+}
+
 /// The registration of one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -77,6 +77,7 @@
     PeerRegained = 512, Info, "Another gateway responds again.";
     SuspectMarked = 520, Warn, "A request is suspected of crashing endpoints.";
     SuspectUntold = 521, Warn, "Not all entries could be notified of a suspect request in time.";
+    QuarantineChanged = 522, Warn, "Requests with a cause of crashes are refused from now on, or no longer.";
 }
 
 impl Event {
--- a/crates/cicadacrank-core/src/quarantine/mod.rs
+++ b/crates/cicadacrank-core/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! is cleared; one that is in flight at a second crash is refused for a time. A
 //! single request can therefore crash at most [`CRASH_LIMIT`] endpoints.
 
+pub mod cause;
 mod list;
 
 pub use self::list::{List, Status, Suspect};
@@ -14,6 +15,14 @@
 /// Number of crashes after which a request is refused.
 pub const CRASH_LIMIT: usize = 2;
 
+/// Number of crashes in a row after which a request is refused that was sent again
+/// each time.
+pub const REQUEST_CRASH_LIMIT: usize = CRASH_LIMIT;
+
+/// Number of crashes in a row after which all requests with a part are refused. An
+/// innocent part that few requests have may be present at two.
+pub const PART_CRASH_LIMIT: usize = 3;
+
 /// Time for which a suspect is kept and a quarantined request is refused.
 pub const RETENTION: Duration = Duration::from_secs(600);
 
@@ -36,11 +45,21 @@
     /// length-prefixed, so that different parts never produce the same input.
     #[must_use]
     pub fn new(team: &str, pipeline: &str, stage: &str, digest: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
         let names = [team, pipeline, stage].map(str::as_bytes);
-        for part in names.into_iter().chain([digest]) {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+        Self::of(names.into_iter().chain([digest]))
+    }
+
+    /// Creates the fingerprint of a part that requests to a service share.
+    #[must_use]
+    pub fn of_part(service: &str, part: &str) -> Self {
+        Self::of([service.as_bytes(), part.as_bytes()].into_iter())
+    }
+
+    fn of<'a>(values: impl Iterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for value in values {
+            hasher.update(&(value.len() as u64).to_le_bytes());
+            hasher.update(value);
         }
         let mut bytes = [0; Self::BYTES];
         hasher.finalize_xof().fill(&mut bytes);
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -4,14 +4,15 @@
 //! Plain services accept and return JSON.
 
 use super::{Call, Fault, Parts, Port};
+use crate::outbound;
 use bytes::Bytes;
 use cicadacrank_core::{admission::Health, error::Kind, rules::Service};
 use eventsource_stream::Eventsource as _;
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use reqwest::{Response, StatusCode, header, redirect, retry};
 use serde::Deserialize;
-use std::{io, net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, time};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time;
 
 /// Data of the event that ends a stream of completions.
 const END_MARK: &str = "[DONE]";
@@ -129,11 +130,7 @@
     }
 
     fn is_refusing(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
-        let connect = TcpStream::connect(address);
-        let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-        time::timeout(self.connect_timeout, connect)
-            .map(move |result| result.is_ok_and(|made| made.is_err_and(|error| refused(&error))))
-            .boxed()
+        outbound::is_refusing(address, self.connect_timeout).boxed()
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -1,8 +1,9 @@
 //! One attempt at a request, at one endpoint.
 
 use super::{
+    quarantine::Interruption,
     reply,
-    request::{Job, Refusal},
+    request::{Job, QUARANTINE_RETRY_AFTER, Refusal},
     state::{State, lock},
 };
 use crate::{
@@ -19,17 +20,13 @@
     event::Event,
     once::{Sent, Unsent},
     placement::{Key, Report},
-    quarantine::Fingerprint,
+    quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
-/// Delay between a broken connection and the check whether the endpoint crashed.
-/// A crashed endpoint has closed its listener by then.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
-
 /// A request as it is sent to endpoints.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -47,9 +44,9 @@
     pub team: Option<String>,
     /// Time after which the caller no longer needs a response.
     pub deadline: Instant,
-    /// Fingerprint that identifies the request if it crashes endpoints.
-    pub fingerprint: Fingerprint,
-    /// Ids of the parts of the prompt that other requests may share.
+    /// What may be the cause if the request crashes endpoints.
+    pub causes: Vec<Cause>,
+    /// Ids of the parts of the prompt that other requests may share, for logs.
     pub shared_parts: Vec<String>,
 }
 
@@ -61,32 +58,6 @@
     }
 }
 
-/// A request whose connection to an endpoint broke, which may have crashed it.
-#[derive(Debug)]
-pub struct Interruption {
-    /// The endpoint.
-    pub endpoint: Endpoint,
-    /// Id of the caller's attempt.
-    id: String,
-    fingerprint: Fingerprint,
-    shared_parts: Vec<String>,
-    /// Number of events that had arrived.
-    events: u64,
-}
-
-impl Interruption {
-    /// Creates the interruption of a request after `events` events.
-    pub fn new(outgoing: &Outgoing, endpoint: &Endpoint, events: u64) -> Self {
-        Self {
-            endpoint: endpoint.clone(),
-            id: outgoing.id().to_owned(),
-            fingerprint: outgoing.fingerprint,
-            shared_parts: outgoing.shared_parts.clone(),
-            events,
-        }
-    }
-}
-
 /// Parameters that one attempt adds to the request.
 #[derive(Clone, Debug, Default)]
 pub struct Parameters {
@@ -170,9 +141,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if an earlier attempt reached an endpoint and the retry
-    /// budget of the service is exhausted.
+    /// Returns a refusal if the request may crash the endpoint, or if an earlier
+    /// attempt reached an endpoint and the retry budget of the service is exhausted.
     pub fn begin(&mut self, state: &State, job: &Job, key: Key) -> Result<Unsent, Refusal> {
+        if state.quarantine.find(&job.outgoing.causes).is_some() {
+            self.retry_after = QUARANTINE_RETRY_AFTER;
+            return Err(self.refuse(Kind::Crashing));
+        }
         if self.arrivals > 0 && !state.try_take_retry(&job.service) {
             return Err(self.refuse(Kind::Overloaded));
         }
@@ -253,6 +228,8 @@
     pub key: Key,
     /// Directory entry of the endpoint.
     pub endpoint: Endpoint,
+    /// Start of the attempt, since the origin of the clock.
+    pub sent: Duration,
     /// Number of requests that all gateways had in flight at the endpoint when it
     /// was selected.
     in_flight: u32,
@@ -265,6 +242,7 @@
 impl Guard {
     fn begin(state: &Arc<State>, key: Key, parameters: &Parameters) -> Option<Self> {
         let prefill_tokens = parameters.tokens;
+        let sent = state.clock.now();
         let mut fleet = lock(&state.fleet);
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
@@ -272,13 +250,14 @@
         if parameters.granted {
             fleet.begin_granted(key, prefill_tokens);
         } else {
-            fleet.begin(key, prefill_tokens, state.clock.now());
+            fleet.begin(key, prefill_tokens, sent);
         }
         drop(fleet);
         Some(Self {
             state: Arc::clone(state),
             key,
             endpoint,
+            sent,
             in_flight,
             prefill_tokens,
             tokens_until_first_event,
@@ -354,8 +333,7 @@
         Ok(Ok(exchange)) => check_head(outgoing, exchange, guard, sent),
         Ok(Err(error)) => {
             guard.record(Report::Failed);
-            let interruption = Interruption::new(outgoing, &guard.endpoint, 0);
-            tokio::spawn(check_crash(Arc::clone(state), interruption));
+            check_crash(outgoing, &guard);
             Err(Failure::Unknown {
                 sent,
                 kind: Kind::EndpointFailed,
@@ -465,23 +443,17 @@
     Ok(request)
 }
 
-/// Records a crash for an interrupted request if its endpoint no longer accepts
-/// connections.
-pub async fn check_crash(state: Arc<State>, interruption: Interruption) {
-    time::sleep(CRASH_CHECK_DELAY).await;
-    let Interruption {
-        endpoint,
-        id,
-        fingerprint,
-        shared_parts,
-        events,
-    } = interruption;
-    if Connection::open(endpoint.address).await.is_ok() {
-        return;
-    }
-    state.suspects.record_endpoint_crash(fingerprint);
-    Event::SuspectMarked.log(format_args!(
-        "id={id} fingerprint={fingerprint} endpoint={} born={:?} events={events} parts={shared_parts:?}",
-        endpoint.life.id, endpoint.life.born
-    ));
+/// Checks in the background whether the endpoint of a broken connection crashed,
+/// when it had not begun to respond to the request or had only just.
+pub fn check_crash(outgoing: &Outgoing, guard: &Guard) {
+    let state = Arc::clone(&guard.state);
+    let interruption = Interruption {
+        endpoint: guard.endpoint.clone(),
+        id: outgoing.id().to_owned(),
+        causes: outgoing.causes.clone(),
+        shared_parts: outgoing.shared_parts.clone(),
+        sent: guard.sent,
+        at: state.clock.now(),
+    };
+    tokio::spawn(async move { state.quarantine.check_crash(interruption).await });
 }
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod owner;
 mod peers;
 mod plain;
+mod quarantine;
 mod reply;
 mod request;
 mod server;
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -4,9 +4,10 @@
 
 mod codec;
 
+pub use self::codec::milliseconds;
+
 use self::codec::{
     decode_gateway, decode_output, decode_task, encode_gateway, encode_output, encode_task,
-    milliseconds,
 };
 use super::{
     owner::{self, Failure, Task},
@@ -224,7 +225,7 @@
         versions: Some(versions(state)),
         others,
         loads,
-        suspects: state.suspects.all(),
+        suspects: state.quarantine.report(),
     }
 }
 
@@ -273,7 +274,7 @@
         (endpoint, Load { in_flight, unread })
     });
     state.set_peer_loads(&instance, loads.collect());
-    state.suspects.merge(&beat.suspects);
+    state.quarantine.merge(beat.suspects, &instance);
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -100,7 +100,10 @@
     };
     let response = match read {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(failed(sent, Kind::Truncated, error)),
+        Ok(Err(error)) => {
+            attempt::check_crash(&job.outgoing, &guard);
+            return Err(failed(sent, Kind::Truncated, error));
+        }
         Err(_) => {
             return Err(failed(
                 sent,
@@ -119,7 +122,7 @@
         guard.record(Report::Failed);
     } else {
         guard.record_answer(took);
-        state.suspects.clear(job.outgoing.fingerprint);
+        state.quarantine.clear(&job.outgoing.causes, guard.sent);
     }
     Event::RequestServed.log(format_args!(
         "id={} route={} config={} endpoint={} status={} age_ms={} attempt_ms={}",
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::Outgoing,
-    plain,
+    plain, quarantine,
     reply::{self, Body},
     state::State,
     stream,
@@ -15,7 +15,7 @@
     event::Event,
     id,
     once::{ExecutionError, Unsent},
-    quarantine::{Fingerprint, Status},
+    quarantine::Fingerprint,
 };
 use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Limited};
@@ -36,7 +36,7 @@
 
 /// Delay after which a caller may retry a request that is quarantined because it
 /// crashed endpoints.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
+pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -208,11 +208,6 @@
     };
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
     let path = path(&head.uri);
-    let fingerprint = Fingerprint::new(team_name, path.as_str(), "", &id::digest(&body));
-    if state.suspects.status(fingerprint) == Status::Quarantined {
-        let error = unsent.refuse(Kind::Crashing, format!("fingerprint={fingerprint}"));
-        return Err(Refusal::from(error).with_retry_after(QUARANTINE_RETRY_AFTER));
-    }
     let Some(service) = route
         .target(attempt_hash(caller.attempt_text()))
         .map(str::to_owned)
@@ -221,6 +216,12 @@
             .refuse(Kind::NoEndpoint, "the route has no service")
             .into());
     };
+    let fingerprint = Fingerprint::new(team_name, path.as_str(), "", &id::digest(&body));
+    let causes = quarantine::causes(fingerprint, &service, &caller.shared_parts);
+    if let Some(cause) = state.quarantine.find(&causes) {
+        let error = unsent.refuse(Kind::Crashing, format!("cause={cause}"));
+        return Err(Refusal::from(error).with_retry_after(QUARANTINE_RETRY_AFTER));
+    }
     state.earn_retry(&service);
     Ok(Job {
         rank: team
@@ -235,7 +236,7 @@
             body,
             team: team.map(|team| team.name),
             deadline,
-            fingerprint,
+            causes,
             shared_parts: caller.shared_parts.clone(),
         },
         caller,
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, owner::Pools, peers::Links};
-use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Suspects};
+use super::{Settings, owner::Pools, peers::Links, quarantine::Quarantine};
+use crate::{clock::Clock, metrics::gateway::Metrics, platform};
 use cicadacrank_core::{
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker},
@@ -37,7 +37,7 @@
     pub(super) fleet: Mutex<Fleet>,
     pub(super) tracker: Mutex<Tracker>,
     pub(super) roster: Mutex<Roster>,
-    pub(super) suspects: Suspects,
+    pub(super) quarantine: Quarantine,
     pub(super) pools: Pools,
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
@@ -102,14 +102,15 @@
             leaving: false,
             heartbeats: 0,
         });
+        let metrics = Metrics::new();
         let body_bytes = usize::try_from(settings.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(0);
         Self {
             store: platform::Client::new(settings.store, STORE_TIMEOUT),
-            metrics: Metrics::new(),
             fleet: Mutex::default(),
             tracker: Mutex::default(),
             roster: Mutex::new(roster),
-            suspects: Suspects::new(clock),
+            quarantine: Quarantine::new(clock, metrics.quarantined.clone()),
+            metrics,
             pools: Pools::default(),
             links: Links::default(),
             body_bytes: tokio::sync::Semaphore::new(
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -1,9 +1,10 @@
 //! Requests that a model engine answers with a stream of events.
 
 use super::{
-    attempt::{self, Attempts, Guard, Interruption, Parameters, Started},
+    attempt::{self, Attempts, Guard, Parameters, Started},
     peers,
     plain::forward_response,
+    quarantine::RESPONSE_START,
     reply::Body,
     request::{Job, Refusal},
     stages::{self, Outputs},
@@ -112,6 +113,10 @@
     exchange: Exchange,
     guard: Guard,
     sent: Sent,
+    /// Time of its first event, since the origin of the clock.
+    began: Option<Duration>,
+    /// Whether the request was cleared of crashing endpoints.
+    cleared: bool,
 }
 
 impl From<Started> for Upstream {
@@ -120,6 +125,8 @@
             exchange: started.exchange,
             guard: started.guard,
             sent: started.sent,
+            began: None,
+            cleared: false,
         }
     }
 }
@@ -303,10 +310,9 @@
                 }
                 Ok(None) => return self.finish(),
                 Ok(Some(Err(error))) => {
-                    let endpoint = &self.upstream.guard.endpoint;
-                    let interruption = Interruption::new(&self.job.outgoing, endpoint, self.events);
-                    let crash = attempt::check_crash(Arc::clone(&self.state), interruption);
-                    tokio::spawn(crash);
+                    if self.is_response_start() {
+                        attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
+                    }
                     error.to_string()
                 }
                 Err(_) => "timed out waiting for the next event".to_owned(),
@@ -342,6 +348,23 @@
         deadline.min(self.job.outgoing.deadline)
     }
 
+    /// Returns whether the engine has not begun to respond, or only just.
+    fn is_response_start(&self) -> bool {
+        let now = self.state.clock.now();
+        let began = self.upstream.began;
+        began.is_none_or(|began| now < began + RESPONSE_START)
+    }
+
+    /// Clears the request of crashes before its response began.
+    fn clear_causes(&mut self) {
+        if let Some(began) = self.upstream.began
+            && !std::mem::replace(&mut self.upstream.cleared, true)
+        {
+            let causes = &self.job.outgoing.causes;
+            self.state.quarantine.clear(causes, began);
+        }
+    }
+
     fn may_resume(&self) -> bool {
         self.job.route.repeat.is_repeatable() && self.arrivals < self.job.route.attempts
     }
@@ -369,6 +392,12 @@
             ));
         }
         self.events += 1;
+        if !self.is_response_start() {
+            self.clear_causes();
+        }
+        self.upstream
+            .began
+            .get_or_insert_with(|| self.state.clock.now());
         // The engine has fetched the results, and other requests need their room.
         self.outputs = None;
     }
@@ -378,7 +407,7 @@
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.finished = true;
         self.upstream.sent.finish();
-        self.state.suspects.clear(self.job.outgoing.fingerprint);
+        self.clear_causes();
         self.state.metrics.record_served(&self.job.route.name);
         Event::RequestServed.log(format_args!(
             "id={} route={} config={} endpoint={} status={} age_ms={} events={}",
@@ -400,6 +429,10 @@
         if !self.may_resume() || Instant::now() >= self.job.outgoing.deadline {
             return false;
         }
+        let causes = &self.job.outgoing.causes;
+        if self.state.quarantine.find(causes).is_some() {
+            return false;
+        }
         if !self.state.try_take_retry(&self.job.service) {
             return false;
         }
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -34,6 +34,9 @@
     /// Time from the arrival of a request to the first byte of its response, in
     /// seconds, by route.
     pub first_byte: HistogramVec,
+    /// Number of requests and parts of prompts that are refused because they crash
+    /// endpoints.
+    pub quarantined: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -97,6 +100,13 @@
                 "Time to the first byte of an answer",
                 &["route"],
             ),
+            quarantined: register(
+                &registry,
+                IntGauge::new(
+                    "cicadacrank_gateway_quarantined",
+                    "Requests and parts of prompts refused because they crash endpoints",
+                ),
+            ),
             config_version: register(
                 &registry,
                 IntGauge::new(
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -10,7 +10,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -111,6 +111,14 @@
     }
 }
 
+/// Returns whether the port at an address refuses connections, so that no process
+/// listens there.
+pub async fn is_refusing(address: SocketAddr, timeout: Duration) -> bool {
+    let connect = time::timeout(timeout, TcpStream::connect(address)).await;
+    let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    connect.is_ok_and(|result| result.is_err_and(|error| refused(&error)))
+}
+
 /// Connects, sends a request and reads the whole response. `timeout` starts after
 /// connecting.
 ///
@@ -142,7 +150,7 @@
 /// # Errors
 ///
 /// Returns an error if a socket option cannot be set.
-pub fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine.rs
@@ -48,13 +48,6 @@
         Event::SuspectMarked.log(format_args!("request {fingerprint} attempt {attempt}"));
     }
 
-    /// Records that an endpoint crashed with the request in flight.
-    ///
-    /// A random attempt id is recorded, so each call counts as another crash.
-    pub fn record_endpoint_crash(&self, fingerprint: Fingerprint) {
-        self.add_crash(fingerprint, id::Attempt::new(rand::random()));
-    }
-
     /// Returns a receiver for the number of crashes recorded by this process.
     #[must_use]
     pub fn crash_count(&self) -> watch::Receiver<u64> {
