Take no stream for complete that ends inside an event or without one

Callers got a success whose body ended inside an event, or an empty one, as if it were whole; a stream that may be resumed was not resumed.

Cause: a response without a length or chunks ends with its connection, which the HTTP client reports like a stated end. The relay passed on what was left and counted the request as served, and so cleared it of crashes. Class: the end of a connection taken for the end of an answer. Looked for elsewhere: plain answers end so too, and a reset is reported as an error; answers of stages, the store and our own interface's endpoints have a format that a cut does not meet.

Three new tests failed before (streams that end inside an event, without one, and one that may be resumed) and pass now; a stream that ends well with its connection was served before and is now.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -19,7 +19,13 @@
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+    time,
+};
 
 /// Number of events of a complete stream.
 pub const EVENTS: u64 = 6;
@@ -85,10 +91,25 @@
     Endless,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
+    /// It answers without a length or chunks, and ends the answer with the connection.
+    Unframed,
+    /// As [`Fault::Unframed`], but the connection ends inside an event.
+    UnframedPartial,
+    /// As [`Fault::Unframed`], but the connection ends after the head.
+    UnframedEmpty,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
 }
 
+impl Fault {
+    const fn is_unframed(self) -> bool {
+        matches!(
+            self,
+            Self::Unframed | Self::UnframedPartial | Self::UnframedEmpty
+        )
+    }
+}
+
 /// Request that an endpoint ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -238,6 +259,14 @@
 async fn accept(listener: TcpListener, context: Context) {
     while let Ok((stream, _)) = listener.accept().await {
         let context = context.clone();
+        let fault = lock(&context.state).fault;
+        if context.role == Role::Engine && fault.is_unframed() {
+            tokio::spawn(async move {
+                // An error is a client that disconnected.
+                drop(answer_unframed(stream, fault, &context.state).await);
+            });
+            continue;
+        }
         let service = service_fn(move |request| handle(context.clone(), request));
         tokio::spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -400,10 +429,67 @@
         parts.boxed()
     };
     let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
+    let event_stream = http::HeaderValue::from_static("text/event-stream");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, event_stream);
     *response.body_mut() = Either::Right(StreamBody::new(end));
     response
 }
 
+/// Reads the head of one request and answers it with events and no framing. The
+/// body of the request is left unread, as by an engine that does not need it.
+async fn answer_unframed(
+    mut stream: TcpStream,
+    fault: Fault,
+    state: &Mutex<State>,
+) -> io::Result<()> {
+    let mut request = Vec::new();
+    while !request.windows(4).any(|window| window == b"\r\n\r\n") {
+        if stream.read_buf(&mut request).await? == 0 {
+            return Ok(());
+        }
+    }
+    let request = String::from_utf8_lossy(&request).into_owned();
+    let text = |name: &str| {
+        let lines = request.lines().filter_map(|line| line.split_once(": "));
+        let mut lines = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        lines.next().map(|(_, value)| value.to_owned())
+    };
+    let attempt = text("x-attempt-id").unwrap_or_default();
+    let first = text("last-event-id").and_then(|id| id.parse::<u64>().ok());
+    lock(state).runs.push(Run {
+        attempt: attempt.clone(),
+        target: request.lines().next().unwrap_or_default().to_owned(),
+        team: text("x-tenant").unwrap_or_default(),
+        body: Bytes::new(),
+        results: text("x-input-count").unwrap_or_default(),
+        leaked: false,
+    });
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: 3e1b.07\r\n\
+         content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let last = match fault {
+        Fault::UnframedPartial => 3,
+        Fault::UnframedEmpty => 0,
+        _ => EVENTS,
+    };
+    for number in first.unwrap_or(0) + 1..=last {
+        time::sleep(EVENT_GAP).await;
+        let event = format!("id: {number}\ndata: token {number}\n\n");
+        stream.write_all(event.as_bytes()).await?;
+    }
+    if fault == Fault::UnframedPartial {
+        stream.write_all(b"id: 4\ndata: tok").await?;
+    }
+    stream.shutdown().await?;
+    // Reads the rest of the request, so that the connection is not reset.
+    while stream.read_buf(&mut Vec::new()).await? > 0 {}
+    Ok(())
+}
+
 /// Returns a response whose body never sends anything.
 fn silent_response(headers: &HeaderMap) -> Response<Body> {
     let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -53,6 +53,12 @@
         Ok(events.freeze())
     }
 
+    /// Returns whether the data ends inside an event.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Returns the incomplete data left at the end of the stream.
     pub fn rest(&mut self) -> Bytes {
         self.buffer.split().freeze()
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -21,12 +21,15 @@
     stream::{MAX_EVENT_BYTES, Oversized, Splitter},
 };
 use futures_util::stream;
-use http::Response;
+use http::{Response, header};
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Frame;
 use std::{io, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Time from the send of a request to its first event at an idle engine. This part
 /// of the objective is reserved for it.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
@@ -308,7 +311,15 @@
                         Err(Oversized) => format!("an event exceeds {MAX_EVENT_BYTES} bytes"),
                     }
                 }
-                Ok(None) => return self.finish(),
+                Ok(None) => match self.unexpected_end() {
+                    None => return self.finish(),
+                    Some(reason) => {
+                        if self.is_response_start() {
+                            attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
+                        }
+                        reason.to_owned()
+                    }
+                },
                 Ok(Some(Err(error))) => {
                     if self.is_response_start() {
                         attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
@@ -348,6 +359,25 @@
         deadline.min(self.job.outgoing.deadline)
     }
 
+    /// Returns why the end of the body is not the end of the answer. Without a length
+    /// or chunks, a broken connection looks like the end.
+    fn unexpected_end(&self) -> Option<&'static str> {
+        let response = &self.upstream.exchange.response;
+        let content_type = response.headers().get(header::CONTENT_TYPE);
+        let is_event_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+        if !response.status().is_success() || !(is_event_stream || self.events > 0) {
+            return None;
+        }
+        if self.splitter.has_partial() {
+            Some("the stream ended inside an event")
+        } else if self.events == 0 {
+            Some("the stream ended without an event")
+        } else {
+            None
+        }
+    }
+
     /// Returns whether the engine has not begun to respond, or only just.
     fn is_response_start(&self) -> bool {
         let now = self.state.clock.now();
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -586,3 +586,50 @@
         assert!(gateway.log_text().contains("kind=crashing"), "{number}");
     }
 }
+
+#[tokio::test]
+async fn stream_that_ends_with_its_connection_is_served() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Engine, Fault::Unframed);
+    let answer = stream(&deployment, "/draft/x", "s1").await;
+    assert_eq!(answer.status, Some(200));
+    assert!(answer.whole);
+    assert_eq!(answer.body, events(1, EVENTS));
+}
+
+/// A stream whose connection ended inside an event was passed on as complete.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_broken_off() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Engine, Fault::UnframedPartial);
+    let answer = stream(&deployment, "/draft/x", "s1").await;
+    assert_eq!(answer.status, Some(200));
+    assert!(!answer.whole, "{:?}", answer.body);
+    assert_eq!(answer.body, events(1, 3));
+    let log = deployment.gateways[0].log_text();
+    assert!(log.contains("StreamBroken: id=s1"), "{log}");
+}
+
+/// A connection that ended after the head was passed on as an empty, complete answer.
+#[tokio::test]
+async fn stream_without_an_event_is_reported_as_failed() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Engine, Fault::UnframedEmpty);
+    let answer = stream(&deployment, "/draft/x", "s1").await;
+    assert_eq!(answer.status, Some(502));
+}
+
+#[tokio::test]
+async fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, broken) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        broken.set_fault(Fault::UnframedPartial);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+        assert_eq!(answer.body, events(1, EVENTS));
+    }
+}
