Reproduce crashes by a field of requests on our own interface, red

The same cause as with prompts: entries and sidecars know a request by a digest over its whole body. Eight requests with one field in common crash 16 endpoints, two each, and a ninth would crash two more.

--- a/crates/cicadacrankd/tests/crash.rs
+++ b/crates/cicadacrankd/tests/crash.rs
@@ -87,3 +87,38 @@
     let text = answer.text().await.expect("failed to read the body");
     assert_eq!(status, 200, "{text}");
 }
+
+/// Requests with one field in common, no two alike, crashed two endpoints each.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn field_that_crashes_endpoints_is_refused_whatever_else_the_request_holds() {
+    const MAX_CRASHES: u64 = 5;
+    let fleet = start_restarting_fleet().await;
+    for backend in &fleet.backends {
+        backend
+            .engine
+            .set_faults(vec![Fault::CrashOn("poison".to_owned())]);
+    }
+    let crashes = || -> u64 {
+        let backends = fleet.backends.iter();
+        backends
+            .map(|backend| backend.engine.incarnation() - 1)
+            .sum()
+    };
+    let mut refused = 0;
+    for number in 0..8 {
+        let body = format!(r#"{{"query":"order {number}","template":"poison","guests":2}}"#);
+        let (status, text) = ask(&fleet, number % 2, &body).await;
+        assert_ne!(status, 200, "{text}");
+        refused += usize::from(text.contains("quarantined"));
+        // A request with the other field shows that it is sound.
+        let serves = async || {
+            let body = format!(r#"{{"query":"tea {number}","guests":2}}"#);
+            ask(&fleet, number % 2, &body).await.0 == 200
+        };
+        wait_for("other requests served", serves)
+            .await
+            .expect("other requests are served");
+    }
+    assert!(crashes() <= MAX_CRASHES, "{} crashes", crashes());
+    assert!(refused >= 4, "{refused} refused");
+}
