Recognise fields of requests that crash endpoints on our own interface

Callers saw: requests with one field in common, otherwise new, crash two endpoints each, for ever (16 crashes of 8 requests).

Cause: the same as with prompts; the whole body is the identity. Entries and sidecars now keep the list of causes too: an entry names the fields of the body, for each stage, in the job; the sidecar records the crash for all of them and tells the entries; an entry clears the fields of what it served, and both refuse what is quarantined. The list, its exchange and its log lines are shared with the gateways (node/src/quarantine/causes.rs).

--- a/crates/cicadacrank-core/src/quarantine/cause.rs
+++ b/crates/cicadacrank-core/src/quarantine/cause.rs
@@ -12,10 +12,6 @@
 /// Maximum number of crashes kept for one cause.
 const MAX_CRASHES_KEPT: usize = 16;
 
-/// Time for which a changed entry is reported to other processes, which then
-/// report it in turn.
-const REPORT_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time for which the begin of a response clears its causes of crashes that become
 /// known later. Reports arrive well within it.
 const CLEARANCE_TIME: Duration = Duration::from_secs(5);
@@ -24,9 +20,6 @@
 /// cause with as many no longer explains them.
 const TIE_LIMIT_FACTOR: usize = 4;
 
-/// Maximum number of entries in one report.
-const MAX_REPORTED: usize = 256;
-
 /// A possible cause of a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Cause {
@@ -271,16 +264,16 @@
             .collect()
     }
 
-    /// Returns the entries to report to another process: those that are
-    /// quarantined and those that changed lately. Drops expired entries.
-    pub fn report(&mut self, now: Duration) -> Vec<Suspect> {
+    /// Returns the entries to report to another process: those that are quarantined
+    /// and those that changed within `recent`, at most `most`. Drops expired entries.
+    pub fn report(&mut self, now: Duration, recent: Duration, most: usize) -> Vec<Suspect> {
         self.responses
             .retain(|(_, began)| *began + CLEARANCE_TIME > now);
         self.expire(now.saturating_sub(RETENTION));
         let mut rows: Vec<&Row> = self.rows.iter().collect();
-        rows.retain(|row| row.quarantined || row.changed + REPORT_TIME > now);
+        rows.retain(|row| row.quarantined || row.changed + recent > now);
         rows.sort_by_key(|row| (!row.quarantined, std::cmp::Reverse(row.changed)));
-        rows.truncate(MAX_REPORTED);
+        rows.truncate(most);
         rows.into_iter().map(|row| row.suspect.clone()).collect()
     }
 
--- a/crates/cicadacrank-core/tests/cause.rs
+++ b/crates/cicadacrank-core/tests/cause.rs
@@ -20,6 +20,12 @@
 /// Number of requests with the part that may reach engines after that.
 const MAX_LATE_SENDS: usize = 3;
 
+/// Time for which a process reports a change.
+const REPORT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Maximum number of entries in a report.
+const MAX_REPORTED: usize = 256;
+
 const fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
@@ -128,11 +134,11 @@
 fn clear_covers_crashes_that_become_known_later() {
     let mut cleared = List::default();
     cleared.clear(&[part("popular")], at(3_500), at(3_500));
-    for suspect in list(3, &["popular"]).report(at(3_600)) {
+    for suspect in list(3, &["popular"]).report(at(3_600), REPORT_TIME, MAX_REPORTED) {
         cleared.merge(&suspect, at(3_600));
     }
     assert_eq!(cleared.find_quarantined(&[part("popular")]), None);
-    cleared.report(at(20_000));
+    cleared.report(at(20_000), REPORT_TIME, MAX_REPORTED);
     for number in 21..=23 {
         let crash = crash(number, number * 1_000);
         cleared.record_crash(&[part("popular")], crash, at(24_000));
@@ -176,8 +182,12 @@
     let mut list = list(3, &["deadly"]);
     list.take_changes();
     let later = at(3_000) + RETENTION;
-    assert_eq!(list.report(later - at(2_500)).len(), 1);
-    list.report(later + at(1));
+    assert_eq!(
+        list.report(later - at(2_500), REPORT_TIME, MAX_REPORTED)
+            .len(),
+        1
+    );
+    list.report(later + at(1), REPORT_TIME, MAX_REPORTED);
     assert_eq!(list.find_quarantined(&[part("deadly")]), None);
 }
 
@@ -201,11 +211,11 @@
     let mut stale = list(3, &["sound"]);
     let mut cleared = stale.clone();
     cleared.clear(&[part("sound")], at(4_000), at(4_000));
-    for suspect in stale.report(at(4_000)) {
+    for suspect in stale.report(at(4_000), REPORT_TIME, MAX_REPORTED) {
         cleared.merge(&suspect, at(4_000));
     }
     assert_eq!(cleared.find_quarantined(&[part("sound")]), None);
-    for suspect in cleared.report(at(4_100)) {
+    for suspect in cleared.report(at(4_100), REPORT_TIME, MAX_REPORTED) {
         stale.merge(&suspect, at(4_100));
     }
     assert_eq!(stale.find_quarantined(&[part("sound")]), None);
@@ -246,7 +256,10 @@
         for report in reports.iter().rev() {
             shuffled.merge(report, at(9_000));
         }
-        prop_assert_eq!(forward.report(at(9_000)), shuffled.report(at(9_000)));
+        prop_assert_eq!(
+            forward.report(at(9_000), REPORT_TIME, MAX_REPORTED),
+            shuffled.report(at(9_000), REPORT_TIME, MAX_REPORTED)
+        );
         Ok(())
     });
     result.expect("the order of merges matters");
@@ -369,7 +382,9 @@
         if now % 250 == 0 {
             for sender in 0..GATEWAYS {
                 gateways[sender].list.take_changes();
-                let report = gateways[sender].list.report(at(now));
+                let report = gateways[sender]
+                    .list
+                    .report(at(now), REPORT_TIME, MAX_REPORTED);
                 for (receiver, gateway) in gateways.iter_mut().enumerate() {
                     if receiver != sender {
                         let report = report.iter().cloned();
--- a/crates/cicadacrank-node/src/entry/attempt.rs
+++ b/crates/cicadacrank-node/src/entry/attempt.rs
@@ -4,7 +4,7 @@
     execution::Execution,
     service::{Reply, Service},
 };
-use crate::{link, sidecar::heartbeat};
+use crate::{link, quarantine, sidecar::heartbeat};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::NameHash,
@@ -222,6 +222,7 @@
                 Status::Suspect => 1,
                 Status::Quarantined => 2,
             },
+            parts: quarantine::job_parts(&execution.causes(stage)),
         }
     }
 
--- a/crates/cicadacrank-node/src/entry/execution.rs
+++ b/crates/cicadacrank-node/src/entry/execution.rs
@@ -4,7 +4,7 @@
     attempt::{Attempt, AttemptError},
     service::{Reply, Request, Service},
 };
-use crate::{clock, configuration::Configuration};
+use crate::{clock, configuration::Configuration, quarantine};
 use bytes::{Bytes, BytesMut};
 use cicadacrank_core::{
     admission::NameHash,
@@ -12,7 +12,7 @@
     event::Event,
     id,
     pipeline::Context,
-    quarantine::{Fingerprint, Status},
+    quarantine::{Fingerprint, Status, cause::Cause},
     rules::{self, PipelineKey},
 };
 use std::{sync::Arc, time::Duration};
@@ -40,6 +40,8 @@
     pub(super) request: Request,
     pub(super) configuration: Arc<Configuration>,
     pub(super) digest: Vec<u8>,
+    /// Fields of the body, each with its name.
+    fields: Vec<String>,
     sender: mpsc::Sender<Reply>,
     started_at: Instant,
     deadline: Instant,
@@ -124,9 +126,11 @@
             .deadline
             .unwrap_or(Duration::from_millis(default_deadline_ms));
         let digest = id::digest(&request.body).to_vec();
+        let fields = quarantine::fields(&request.body);
         let execution = Self {
             service,
             request,
+            fields,
             configuration,
             digest,
             sender,
@@ -173,8 +177,10 @@
     fn check_quarantine(&self, pipeline: &rules::Pipeline) -> Result<(), Failure> {
         let suspects = self.service.suspects();
         let mut stages = pipeline.stages.iter();
-        let quarantined_stage =
-            stages.find(|stage| suspects.status(self.fingerprint(stage)) == Status::Quarantined);
+        let quarantined_stage = stages.find(|stage| {
+            suspects.status(self.fingerprint(stage)) == Status::Quarantined
+                || suspects.causes().find(&self.causes(stage)).is_some()
+        });
         quarantined_stage.map_or(Ok(()), |stage| Err(quarantined(stage)))
     }
 
@@ -206,11 +212,14 @@
         let mut tried = Vec::new();
         let mut last = None;
         let mut attempts = 0;
+        let causes = self.causes(stage);
         while attempts < MAX_ATTEMPTS && Instant::now() < until {
-            let status = self.service.suspects().status(self.fingerprint(stage));
-            if status == Status::Quarantined {
+            let suspects = self.service.suspects();
+            let status = suspects.status(self.fingerprint(stage));
+            if status == Status::Quarantined || suspects.causes().find(&causes).is_some() {
                 return Err(quarantined(stage));
             }
+            let began = self.service.parts.clock.now();
             let attempt = Attempt::new(self, stage, &tried, until);
             // Once every endpoint has been tried, each may be tried again.
             let Some(attempt) = attempt.or_else(|| Attempt::new(self, stage, &[], until)) else {
@@ -231,7 +240,9 @@
             match attempt.run(self, stage, input, sender).await {
                 Ok(output) => {
                     self.service.budgets().for_pool(pool).record_success();
-                    self.service.suspects().clear(self.fingerprint(stage));
+                    let suspects = self.service.suspects();
+                    suspects.clear(self.fingerprint(stage));
+                    suspects.causes().clear(&causes, began);
                     self.chunks += if streams { output.chunks } else { 0 };
                     delivered.extend_from_slice(&output.data);
                     return Ok(delivered.freeze());
@@ -269,6 +280,16 @@
         Fingerprint::new(&request.team, &request.pipeline, &stage.name, &self.digest)
     }
 
+    /// Returns what other requests share with this one that may crash endpoints in a
+    /// stage.
+    pub(super) fn causes(&self, stage: &rules::Stage) -> Vec<Cause> {
+        let scope = format!("{}/{}", self.request.pipeline, stage.name);
+        let fields = self.fields.iter();
+        fields
+            .map(|field| Cause::Part(Fingerprint::of_part(&scope, field)))
+            .collect()
+    }
+
     fn not_attempted(&self, stage: &rules::Stage, until: Instant) -> Failure {
         let kind = if Instant::now() >= until {
             Kind::Deadline
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a request, at one endpoint.
 
 use super::{
-    quarantine::Interruption,
+    crash::{self, Interruption},
     reply,
     request::{Job, QUARANTINE_RETRY_AFTER, Refusal},
     state::{State, lock},
@@ -144,7 +144,7 @@
     /// Returns a refusal if the request may crash the endpoint, or if an earlier
     /// attempt reached an endpoint and the retry budget of the service is exhausted.
     pub fn begin(&mut self, state: &State, job: &Job, key: Key) -> Result<Unsent, Refusal> {
-        if state.quarantine.find(&job.outgoing.causes).is_some() {
+        if state.causes.find(&job.outgoing.causes).is_some() {
             self.retry_after = QUARANTINE_RETRY_AFTER;
             return Err(self.refuse(Kind::Crashing));
         }
@@ -455,5 +455,5 @@
         sent: guard.sent,
         at: state.clock.now(),
     };
-    tokio::spawn(async move { state.quarantine.check_crash(interruption).await });
+    tokio::spawn(async move { crash::check(&state.causes, interruption).await });
 }
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -15,10 +15,10 @@
 //! that is not in the store. [`State`] is shared by all of these modules.
 
 mod attempt;
+mod crash;
 mod owner;
 mod peers;
 mod plain;
-mod quarantine;
 mod reply;
 mod request;
 mod server;
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -4,10 +4,9 @@
 
 mod codec;
 
-pub use self::codec::milliseconds;
-
 use self::codec::{
     decode_gateway, decode_output, decode_task, encode_gateway, encode_output, encode_task,
+    milliseconds,
 };
 use super::{
     owner::{self, Failure, Task},
@@ -45,6 +44,13 @@
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which heartbeats report a changed cause of crashes. Gateways that learn
+/// of it report it in turn.
+const CAUSES_REPORT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Maximum number of causes of crashes in one heartbeat.
+const MAX_CAUSES: usize = 256;
+
 /// Timeout of a fetch of newer state, and of a release, at another gateway.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -225,7 +231,7 @@
         versions: Some(versions(state)),
         others,
         loads,
-        suspects: state.quarantine.report(),
+        suspects: state.causes.report(CAUSES_REPORT_TIME, MAX_CAUSES),
     }
 }
 
@@ -274,7 +280,7 @@
         (endpoint, Load { in_flight, unread })
     });
     state.set_peer_loads(&instance, loads.collect());
-    state.quarantine.merge(beat.suspects, &instance);
+    state.causes.merge(beat.suspects, &instance);
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -122,7 +122,7 @@
         guard.record(Report::Failed);
     } else {
         guard.record_answer(took);
-        state.quarantine.clear(&job.outgoing.causes, guard.sent);
+        state.causes.clear(&job.outgoing.causes, guard.sent);
     }
     Event::RequestServed.log(format_args!(
         "id={} route={} config={} endpoint={} status={} age_ms={} attempt_ms={}",
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::Outgoing,
-    plain, quarantine,
+    crash, plain,
     reply::{self, Body},
     state::State,
     stream,
@@ -217,8 +217,8 @@
             .into());
     };
     let fingerprint = Fingerprint::new(team_name, path.as_str(), "", &id::digest(&body));
-    let causes = quarantine::causes(fingerprint, &service, &caller.shared_parts);
-    if let Some(cause) = state.quarantine.find(&causes) {
+    let causes = crash::causes(fingerprint, &service, &caller.shared_parts);
+    if let Some(cause) = state.causes.find(&causes) {
         let error = unsent.refuse(Kind::Crashing, format!("cause={cause}"));
         return Err(Refusal::from(error).with_retry_after(QUARANTINE_RETRY_AFTER));
     }
@@ -314,6 +314,8 @@
         (&Method::GET, "/readyz") if state.is_ready() => reply::status(StatusCode::OK),
         (&Method::GET, "/readyz") => reply::status(StatusCode::SERVICE_UNAVAILABLE),
         (&Method::GET, "/metrics") => {
+            let quarantined = state.causes.quarantined_count();
+            state.metrics.record_quarantined(quarantined);
             let text = Bytes::from(state.metrics.text());
             Response::new(http_body_util::Either::Left(http_body_util::Full::new(
                 text,
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,7 +1,8 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, owner::Pools, peers::Links, quarantine::Quarantine};
-use crate::{clock::Clock, metrics::gateway::Metrics, platform};
+use super::{Settings, owner::Pools, peers::Links};
+pub(super) use crate::sync::lock;
+use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Causes};
 use cicadacrank_core::{
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker},
@@ -12,7 +13,7 @@
 };
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -37,7 +38,7 @@
     pub(super) fleet: Mutex<Fleet>,
     pub(super) tracker: Mutex<Tracker>,
     pub(super) roster: Mutex<Roster>,
-    pub(super) quarantine: Quarantine,
+    pub(super) causes: Causes,
     pub(super) pools: Pools,
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
@@ -83,12 +84,6 @@
     repeats: Budget,
 }
 
-/// Locks a mutex. Ignores poisoning, since a panic elsewhere leaves the value
-/// consistent.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl State {
     /// Creates the state of a gateway from its settings, without configuration
     /// and endpoints.
@@ -102,15 +97,14 @@
             leaving: false,
             heartbeats: 0,
         });
-        let metrics = Metrics::new();
         let body_bytes = usize::try_from(settings.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(0);
         Self {
             store: platform::Client::new(settings.store, STORE_TIMEOUT),
             fleet: Mutex::default(),
             tracker: Mutex::default(),
             roster: Mutex::new(roster),
-            quarantine: Quarantine::new(clock, metrics.quarantined.clone()),
-            metrics,
+            causes: Causes::new(clock),
+            metrics: Metrics::new(),
             pools: Pools::default(),
             links: Links::default(),
             body_bytes: tokio::sync::Semaphore::new(
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -2,9 +2,9 @@
 
 use super::{
     attempt::{self, Attempts, Guard, Parameters, Started},
+    crash::RESPONSE_START,
     peers,
     plain::forward_response,
-    quarantine::RESPONSE_START,
     reply::Body,
     request::{Job, Refusal},
     stages::{self, Outputs},
@@ -391,7 +391,7 @@
             && !std::mem::replace(&mut self.upstream.cleared, true)
         {
             let causes = &self.job.outgoing.causes;
-            self.state.quarantine.clear(causes, began);
+            self.state.causes.clear(causes, began);
         }
     }
 
@@ -460,7 +460,7 @@
             return false;
         }
         let causes = &self.job.outgoing.causes;
-        if self.state.quarantine.find(causes).is_some() {
+        if self.state.causes.find(causes).is_some() {
             return false;
         }
         if !self.state.try_take_retry(&self.job.service) {
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod quarantine;
 pub mod settings;
 pub mod sidecar;
+mod sync;
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -124,6 +124,12 @@
         first_byte.observe(took.as_secs_f64());
     }
 
+    /// Sets the number of requests and parts that are refused.
+    pub fn record_quarantined(&self, count: usize) {
+        self.quarantined
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request of a route that was served.
     pub fn record_served(&self, route: &str) {
         self.served.with_label_values(&[route]).inc();
--- a/crates/cicadacrank-node/src/peer/codec.rs
+++ b/crates/cicadacrank-node/src/peer/codec.rs
@@ -61,6 +61,7 @@
         buckets: digest.buckets.to_vec(),
         members: digest.members.iter().map(encode_member).collect(),
         suspects: Vec::new(),
+        crash_suspects: Vec::new(),
     }
 }
 
@@ -85,6 +86,7 @@
         rules,
         members: update.members.iter().map(encode_member).collect(),
         suspects: Vec::new(),
+        crash_suspects: Vec::new(),
     }
 }
 
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -22,6 +22,12 @@
 };
 use tokio::sync::{mpsc, watch};
 
+/// Time for which a changed cause of crashes is reported. It spans some syncs.
+const CAUSES_REPORT_TIME: Duration = Duration::from_secs(5);
+
+/// Maximum number of causes of crashes in one message.
+const MAX_CAUSES: usize = 16;
+
 /// Maximum number of suspected requests in one message.
 const MAX_SUSPECTS: usize = 8;
 
@@ -132,7 +138,7 @@
     #[must_use]
     pub fn handle_sync(&self, mut message: wire::Digest) -> Option<wire::Update> {
         let now = self.parts.clock.now();
-        self.parts.suspects.merge(&mem::take(&mut message.suspects));
+        self.merge_suspects(&message.suspects, mem::take(&mut message.crash_suspects));
         let digest = codec::decode_digest(message)?;
         let (update, pull) = {
             let mut node = self.node();
@@ -143,17 +149,27 @@
         self.publish_members();
         let mut message = codec::encode_update(&update);
         message.suspects = self.sample_suspects();
+        message.crash_suspects = self
+            .parts
+            .suspects
+            .causes()
+            .report(CAUSES_REPORT_TIME, MAX_CAUSES);
         Some(message)
     }
 
     pub(super) fn digest(&self) -> wire::Digest {
         let mut message = codec::encode_digest(&self.node().digest());
         message.suspects = self.sample_suspects();
+        message.crash_suspects = self
+            .parts
+            .suspects
+            .causes()
+            .report(CAUSES_REPORT_TIME, MAX_CAUSES);
         message
     }
 
     pub(super) fn handle_update(&self, mut message: wire::Update) {
-        self.parts.suspects.merge(&mem::take(&mut message.suspects));
+        self.merge_suspects(&message.suspects, mem::take(&mut message.crash_suspects));
         let update = codec::decode_update(message);
         let document = self.node().handle_update(&update, self.parts.clock.now());
         if let Some(document) = document {
@@ -236,6 +252,11 @@
         });
     }
 
+    fn merge_suspects(&self, suspects: &[wire::Suspect], causes: Vec<wire::CrashSuspect>) {
+        self.parts.suspects.merge(suspects);
+        self.parts.suspects.causes().merge(causes, "peer");
+    }
+
     /// Returns the suspects for one message. If there are too many, it starts at a
     /// random one, so that all are sent over time.
     fn sample_suspects(&self) -> Vec<wire::Suspect> {
--- /dev/null
+++ b/crates/cicadacrank-node/src/quarantine/causes.rs
@@ -0,0 +1,157 @@
+//! Possible causes of crashes that a process knows, and their exchange with other
+//! processes.
+
+use crate::{clock::Clock, sync::lock};
+use cicadacrank_core::{
+    event::Event,
+    quarantine::{
+        Fingerprint,
+        cause::{Cause, Crash, List, Suspect},
+    },
+};
+use cicadacrank_wire::wire;
+use std::{sync::Mutex, time::Duration};
+
+/// The possible causes of crashes, shared by the tasks of a process.
+#[derive(Debug)]
+pub struct Causes {
+    clock: Clock,
+    list: Mutex<List>,
+}
+
+impl Causes {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            list: Mutex::default(),
+        }
+    }
+
+    /// Returns the cause for which a request is refused, if any.
+    #[must_use]
+    pub fn find(&self, causes: &[Cause]) -> Option<Cause> {
+        lock(&self.list).find_quarantined(causes)
+    }
+
+    /// Returns the number of causes that are quarantined.
+    #[must_use]
+    pub fn quarantined_count(&self) -> usize {
+        lock(&self.list).quarantined_count()
+    }
+
+    /// Records a crash under a request with these causes.
+    pub fn record_crash(&self, causes: &[Cause], crash: Crash) {
+        let mut list = lock(&self.list);
+        list.record_crash(causes, crash, self.clock.now());
+        log_changes(&mut list, "own");
+    }
+
+    /// Clears causes of all crashes before `began`, because a response to a request
+    /// with these causes began then and went on.
+    pub fn clear(&self, causes: &[Cause], began: Duration) {
+        let mut list = lock(&self.list);
+        list.clear(causes, began, self.clock.now());
+        if !list.is_empty() {
+            log_changes(&mut list, "own");
+        }
+    }
+
+    /// Merges the entries of another process.
+    pub fn merge(&self, suspects: Vec<wire::CrashSuspect>, source: &str) {
+        if suspects.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut list = lock(&self.list);
+        for suspect in suspects {
+            match decode(suspect, now) {
+                Some(suspect) => list.merge(&suspect, now),
+                None => log::warn!("invalid cause of crashes from {source}"),
+            }
+        }
+        log_changes(&mut list, source);
+    }
+
+    /// Returns the entries to report to another process: those that are quarantined
+    /// and those that changed within `recent`, at most `most`.
+    #[must_use]
+    pub fn report(&self, recent: Duration, most: usize) -> Vec<wire::CrashSuspect> {
+        let now = self.clock.now();
+        let mut list = lock(&self.list);
+        let report = list.report(now, recent, most);
+        log_changes(&mut list, "time");
+        report.iter().map(|suspect| encode(suspect, now)).collect()
+    }
+}
+
+fn log_changes(list: &mut List, source: &str) {
+    for change in list.take_changes() {
+        Event::QuarantineChanged.log(format_args!(
+            "cause={} quarantined={} crashes={} source={source}",
+            change.cause, change.quarantined, change.crashes
+        ));
+    }
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn encode(suspect: &Suspect, now: Duration) -> wire::CrashSuspect {
+    let age = |at: Duration| milliseconds(now.saturating_sub(at));
+    let crashes = suspect.crashes.iter().map(|crash| wire::Crash {
+        endpoint: crash.endpoint,
+        sent_age_ms: age(crash.sent),
+        age_ms: age(crash.at),
+        cleared: crash.cleared,
+    });
+    wire::CrashSuspect {
+        cause: Some(encode_cause(suspect.cause)),
+        crashes: crashes.collect(),
+        companions: suspect
+            .companions
+            .iter()
+            .map(|one| encode_cause(*one))
+            .collect(),
+    }
+}
+
+fn encode_cause(cause: Cause) -> wire::CrashCause {
+    let (fingerprint, is_part) = match cause {
+        Cause::Request(fingerprint) => (fingerprint, false),
+        Cause::Part(fingerprint) => (fingerprint, true),
+    };
+    wire::CrashCause {
+        fingerprint: fingerprint.as_bytes().to_vec(),
+        is_part,
+    }
+}
+
+fn decode(suspect: wire::CrashSuspect, now: Duration) -> Option<Suspect> {
+    let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
+    let crashes = suspect.crashes.into_iter().map(|crash| Crash {
+        endpoint: crash.endpoint,
+        sent: at(crash.sent_age_ms),
+        at: at(crash.age_ms),
+        cleared: crash.cleared,
+    });
+    let companions = suspect.companions.iter().map(decode_cause);
+    let mut companions = companions.collect::<Option<Vec<Cause>>>()?;
+    companions.sort_unstable();
+    Some(Suspect {
+        cause: decode_cause(suspect.cause.as_ref()?)?,
+        crashes: crashes.collect(),
+        companions,
+    })
+}
+
+fn decode_cause(cause: &wire::CrashCause) -> Option<Cause> {
+    let fingerprint = Fingerprint::from_bytes(&cause.fingerprint)?;
+    Some(if cause.is_part {
+        Cause::Part(fingerprint)
+    } else {
+        Cause::Request(fingerprint)
+    })
+}
--- a/crates/cicadacrank-node/src/quarantine.rs
+++ b/crates/cicadacrank-node/src/quarantine/mod.rs
@@ -1,23 +1,32 @@
 //! Suspect requests known to this process, and their exchange with its peers.
 
-use crate::clock::Clock;
+mod causes;
+
+pub use self::causes::Causes;
+
+use crate::{clock::Clock, sync::lock};
 use cicadacrank_core::{
     event::Event,
     id,
-    quarantine::{Fingerprint, List, Status, Suspect},
+    quarantine::{Fingerprint, List, Status, Suspect, cause::Cause},
 };
 use cicadacrank_wire::wire;
+use serde_json::Value;
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 use tokio::sync::watch;
 
+/// Maximum number of fields of a request that are possible causes of a crash.
+const MAX_FIELDS: usize = 32;
+
 /// Requests suspected of crashing endpoints, shared by the tasks of a process.
 #[derive(Debug)]
 pub struct Suspects {
     clock: Clock,
     list: Mutex<List>,
+    causes: Causes,
     /// Number of crashes recorded by this process.
     crash_count: watch::Sender<u64>,
     /// Number of these crashes that peers have been informed of.
@@ -31,11 +40,18 @@
         Self {
             clock,
             list: Mutex::default(),
+            causes: Causes::new(clock),
             crash_count: watch::Sender::new(0),
             announced: watch::Sender::new(0),
         }
     }
 
+    /// Returns the possible causes of crashes that requests share.
+    #[must_use]
+    pub const fn causes(&self) -> &Causes {
+        &self.causes
+    }
+
     /// Returns the quarantine status of a request.
     #[must_use]
     pub fn status(&self, fingerprint: Fingerprint) -> Status {
@@ -111,7 +127,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, List> {
-        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.list)
     }
 }
 
@@ -137,3 +153,34 @@
         remaining_ms: u64::try_from(suspect.remaining.as_millis()).unwrap_or(u64::MAX),
     }
 }
+
+/// Returns the fields of a request's body, which other requests may share, each with
+/// its name.
+#[must_use]
+pub fn fields(body: &[u8]) -> Vec<String> {
+    // A body that is no object is refused elsewhere.
+    let Ok(fields) = serde_json::from_slice::<serde_json::Map<String, Value>>(body) else {
+        return Vec::new();
+    };
+    let fields = fields.iter().take(MAX_FIELDS);
+    fields
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect()
+}
+
+/// Returns the fingerprints of the fields of a request, as a job carries them.
+pub fn job_parts(causes: &[Cause]) -> Vec<Vec<u8>> {
+    let parts = causes.iter().filter_map(|cause| match cause {
+        Cause::Part(fingerprint) => Some(fingerprint.as_bytes().to_vec()),
+        Cause::Request(_) => None,
+    });
+    parts.collect()
+}
+
+/// Returns the fields of a job as possible causes of a crash. Ignores fingerprints of
+/// another length.
+pub fn job_causes(job: &wire::Job) -> Vec<Cause> {
+    let parts = job.parts.iter();
+    let parts = parts.filter_map(|part| Fingerprint::from_bytes(part));
+    parts.map(Cause::Part).collect()
+}
--- a/crates/cicadacrank-node/src/sidecar/job.rs
+++ b/crates/cicadacrank-node/src/sidecar/job.rs
@@ -219,6 +219,7 @@
 ) -> Result<(), ExecutionError> {
     let call = new_call(service, job, &admitted, deadline);
     let began = Instant::now();
+    let sent_at = service.parts.clock.now();
     let sent = unsent.send();
     let frames = responder.sender.clone();
     let work = forward_output(service, call, &admitted.slot, responder);
@@ -226,7 +227,7 @@
         result = time::timeout_at(deadline, work) => result,
         () = frames.closed() => return Err(sent.fail(Kind::Cancelled, "streaming to the entry")),
     };
-    responder.crashed = release_slot(service, job, admitted, &result).await;
+    responder.crashed = release_slot(service, job, admitted, sent_at, &result).await;
     match result {
         Ok(Ok(_)) => {
             responder.send_end(false, began.elapsed()).await;
@@ -250,6 +251,7 @@
 ) -> Result<(), ExecutionError> {
     let call = new_call(service, job, &admitted, deadline);
     let began = Instant::now();
+    let sent_at = service.parts.clock.now();
     let mut sent = unsent.send();
     let bound = deadline.max(Instant::now() + service.parts.settings.timeouts.progress());
     let result = time::timeout_at(
@@ -257,7 +259,7 @@
         forward_output(service, call, &admitted.slot, responder),
     )
     .await;
-    responder.crashed = release_slot(service, job, admitted, &result).await;
+    responder.crashed = release_slot(service, job, admitted, sent_at, &result).await;
     match result {
         Ok(Ok(output)) => {
             // The answer is completed before its outcome is recorded, so that a
@@ -306,22 +308,23 @@
 }
 
 /// Frees the slot, records what the result shows about the endpoint and the
-/// job, and returns whether the endpoint crashed.
+/// job, which was sent at `sent`, and returns whether the endpoint crashed.
 async fn release_slot<T>(
     service: &Service,
     job: &wire::Job,
     admitted: Admitted,
+    sent: Duration,
     result: &Result<Result<T, Fault>, Elapsed>,
 ) -> bool {
     let mut crashed = false;
     let completion = match result {
         Ok(Ok(_)) => {
-            service.clear_suspect(job);
+            service.clear_suspect(job, sent);
             Completion::Success
         }
         Ok(Err(fault)) if !fault.connected => Completion::Cold(ColdReason::Refused),
         Ok(Err(fault)) if matches!(fault.kind, Kind::EndpointFailed | Kind::Truncated) => {
-            crashed = service.detect_crash(job, admitted.address).await;
+            crashed = service.detect_crash(job, admitted.address, sent).await;
             if crashed {
                 Completion::Cold(ColdReason::Refused)
             } else {
--- a/crates/cicadacrank-node/src/sidecar/limiter.rs
+++ b/crates/cicadacrank-node/src/sidecar/limiter.rs
@@ -6,9 +6,13 @@
     admission::{
         Admission, ColdReason, Completion, Decision, Demand, Gate, Health, Policy, Ticket,
     },
+    directory::Incarnation,
     error::Kind,
     id,
-    quarantine::Fingerprint,
+    quarantine::{
+        Fingerprint,
+        cause::{Cause, Crash},
+    },
 };
 use cicadacrank_wire::wire;
 use std::{
@@ -48,11 +52,14 @@
 }
 
 /// A job whose connection to the endpoint broke.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub(super) struct Cut {
     pub(super) fingerprint: Fingerprint,
     pub(super) attempt: id::Attempt,
-    at: Duration,
+    /// What other jobs share with this one that may have crashed the endpoint.
+    pub(super) causes: Vec<Cause>,
+    /// The crash, if the endpoint crashed.
+    pub(super) crash: Crash,
 }
 
 struct Waiter {
@@ -230,7 +237,7 @@
                 None
             }
         };
-        state.cuts.retain(|cut| now < cut.at + CUT_TTL);
+        state.cuts.retain(|cut| now < cut.crash.at + CUT_TTL);
         if reason == Some(ColdReason::Incarnation) {
             return std::mem::take(&mut state.cuts);
         }
@@ -266,14 +273,33 @@
     }
 
     /// Records a broken connection, which a later health report may show to be
-    /// the result of a restart.
-    pub(super) fn record_cut(&self, fingerprint: Fingerprint, attempt: id::Attempt) {
-        let at = self.clock.now();
-        self.lock().cuts.push(Cut {
+    /// the result of a restart, for a job that was sent at `sent`.
+    pub(super) fn record_cut(
+        &self,
+        fingerprint: Fingerprint,
+        attempt: id::Attempt,
+        causes: Vec<Cause>,
+        sent: Duration,
+    ) -> Cut {
+        let mut state = self.lock();
+        let endpoint = Incarnation {
+            id: self.name.clone(),
+            born: state.gate.as_ref().and_then(Gate::incarnation),
+        };
+        let crash = Crash {
+            endpoint: endpoint.digest(),
+            sent,
+            at: self.clock.now(),
+            cleared: false,
+        };
+        let cut = Cut {
             fingerprint,
             attempt,
-            at,
-        });
+            causes,
+            crash,
+        };
+        state.cuts.push(cut.clone());
+        cut
     }
 
     /// Marks the endpoint as cold, which restarts its warm-up.
--- a/crates/cicadacrank-node/src/sidecar/service.rs
+++ b/crates/cicadacrank-node/src/sidecar/service.rs
@@ -11,7 +11,7 @@
     endpoint,
     metrics::Metrics,
     operator, platform,
-    quarantine::Suspects,
+    quarantine::{self, Suspects},
     settings::Settings,
 };
 use cicadacrank_core::{
@@ -338,6 +338,10 @@
     /// this process or the entry that sent the job; fails if it is quarantined.
     fn is_suspect(&self, job: &wire::Job) -> Result<bool, Kind> {
         let limit = u32::try_from(CRASH_LIMIT).unwrap_or(u32::MAX);
+        let causes = self.suspects.causes();
+        if causes.find(&quarantine::job_causes(job)).is_some() {
+            return Err(Kind::Quarantined);
+        }
         match self.suspects.status(fingerprint(job)) {
             Status::Quarantined => Err(Kind::Quarantined),
             _ if job.crashes >= limit => Err(Kind::Quarantined),
@@ -346,9 +350,12 @@
         }
     }
 
-    /// Clears a job that its endpoint answered completely.
-    pub(super) fn clear_suspect(&self, job: &wire::Job) {
+    /// Clears a job that its endpoint answered completely, and that was sent to it at
+    /// `sent`.
+    pub(super) fn clear_suspect(&self, job: &wire::Job, sent: Duration) {
         self.suspects.clear(fingerprint(job));
+        let causes = quarantine::job_causes(job);
+        self.suspects.causes().clear(&causes, sent);
     }
 
     /// Records that the connection to the endpoint broke during the job, and
@@ -356,7 +363,12 @@
     ///
     /// The endpoint crashed if it refuses connections or reports a restart. It
     /// is probed again while it does neither and gives no report either.
-    pub(super) async fn detect_crash(&self, job: &wire::Job, address: SocketAddr) -> bool {
+    pub(super) async fn detect_crash(
+        &self,
+        job: &wire::Job,
+        address: SocketAddr,
+        sent: Duration,
+    ) -> bool {
         let Some(attempt) = id::Attempt::parse(&job.attempt) else {
             return false;
         };
@@ -364,11 +376,11 @@
             return false;
         };
         let port = &self.parts.port;
-        limiter.record_cut(fingerprint(job), attempt);
+        let cut = limiter.record_cut(fingerprint(job), attempt, quarantine::job_causes(job), sent);
         for delay_ms in CRASH_PROBE_DELAYS_MS {
             time::sleep(Duration::from_millis(delay_ms)).await;
             if port.is_refusing(address).await {
-                self.suspects.record_crash(fingerprint(job), attempt);
+                updates::record_crash(&cut, &self.suspects);
                 return true;
             }
             let health = port.health(address).await;
--- a/crates/cicadacrank-node/src/sidecar/updates.rs
+++ b/crates/cicadacrank-node/src/sidecar/updates.rs
@@ -1,6 +1,6 @@
 //! Background tasks that apply configurations and health reports to limiters.
 
-use super::limiter::Limiter;
+use super::limiter::{Cut, Limiter};
 use crate::{
     configuration::{Configuration, Newest},
     endpoint::Port,
@@ -63,10 +63,16 @@
 /// connection was broken by a restart of the endpoint.
 pub(super) fn apply_health(limiter: &Limiter, health: Option<Health>, suspects: &Suspects) {
     for cut in limiter.observe(health) {
-        suspects.record_crash(cut.fingerprint, cut.attempt);
+        record_crash(&cut, suspects);
     }
 }
 
+/// Records that the endpoint crashed when a connection was cut.
+pub(super) fn record_crash(cut: &Cut, suspects: &Suspects) {
+    suspects.causes().record_crash(&cut.causes, cut.crash);
+    suspects.record_crash(cut.fingerprint, cut.attempt);
+}
+
 /// Applies the rules of a limiter's endpoint, unless the limiter has already
 /// adopted this generation or a newer one.
 pub(super) fn apply_rules(
