--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -54,6 +54,18 @@
         .collect()
 }
 
+/// Waits until the log of a gateway contains `text`. Lines are written after the
+/// response that they tell of.
+async fn wait_for_log(deployment: &Deployment, gateway: usize, text: &str) {
+    let gateway = &deployment.gateways[gateway];
+    if fleet::wait_for(text, async || gateway.log_text().contains(text))
+        .await
+        .is_err()
+    {
+        panic!("{text} is missing: {}", gateway.log_text());
+    }
+}
+
 fn set_faults(deployment: &Deployment, role: Role, fault: Fault) {
     deployment
         .endpoints_with(role)
@@ -162,7 +174,7 @@
     })
     .await
     .expect("the work is cancelled");
-    assert!(deployment.gateways[0].log_text().contains("CallerLeft"));
+    wait_for_log(&deployment, 0, "CallerLeft").await;
 }
 
 #[tokio::test]
@@ -268,9 +280,8 @@
     set_faults(&deployment, Role::Engine, Fault::Endless);
     let answer = stream(&deployment, "/draft/x", "s1").await;
     assert_eq!(answer.status, Some(502));
-    let log = deployment.gateways[0].log_text();
-    assert!(log.contains("an event exceeds"), "{log}");
-    assert!(log.contains("effect=unknown"), "{log}");
+    wait_for_log(&deployment, 0, "an event exceeds").await;
+    wait_for_log(&deployment, 0, "effect=unknown").await;
 }
 
 #[tokio::test]
@@ -582,8 +593,8 @@
     }
     assert!(crashes() <= MAX_CRASHES, "{} crashes: {last:?}", crashes());
     assert_eq!(&last[8..], &[Some(503); 4]);
-    for (number, gateway) in deployment.gateways.iter().enumerate() {
-        assert!(gateway.log_text().contains("kind=crashing"), "{number}");
+    for gateway in 0..2 {
+        wait_for_log(&deployment, gateway, "kind=crashing").await;
     }
 }
 
@@ -606,8 +617,7 @@
     assert_eq!(answer.status, Some(200));
     assert!(!answer.whole, "{:?}", answer.body);
     assert_eq!(answer.body, events(1, 3));
-    let log = deployment.gateways[0].log_text();
-    assert!(log.contains("StreamBroken: id=s1"), "{log}");
+    wait_for_log(&deployment, 0, "StreamBroken: id=s1").await;
 }
 
 /// A connection that ended after the head was passed on as an empty, complete answer.
