Start no gateway of the tests while ports are searched

One run of eight failed to start a gateway: "binding 127.237.129.7:37157, address already in use", on an address that no other gateway uses. Until it runs its program, a child that another test starts holds a copy of the sockets with which free ports are found. This is reasoned from the code and the one log; 64 further runs without this change, up to eight at once, did not show it again.

--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -7,7 +7,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -36,6 +39,13 @@
     )
 }
 
+/// Excludes that a process is started while ports are held to find free ones. Until
+/// it runs its program, a child holds copies of all open sockets.
+fn lock_spawn() -> MutexGuard<'static, ()> {
+    static LOCK: Mutex<()> = Mutex::new(());
+    LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Settings that the platform would write into the settings file.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -54,6 +64,7 @@
     ///
     /// Returns an error if a port cannot be bound.
     pub fn new(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> io::Result<Self> {
+        let _guard = lock_spawn();
         let address = unique_address();
         let mut listeners = Vec::new();
         for _ in 0..3 {
@@ -220,6 +231,7 @@
 }
 
 fn spawn(program: &Path, file: &Path, log: &Path) -> io::Result<Child> {
+    let _guard = lock_spawn();
     let output = fs::File::options().create(true).append(true).open(log)?;
     Command::new(program)
         .arg("gateway")
