Reproduce more requests than a named limit, red

Three gateways, endpoints that name a limit in their answers: an engine that takes 2 a second gets 19 in four seconds where 17 are allowed, a plain endpoint that takes 1.5 gets 52 where 14 are.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -24,7 +24,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
-    time,
+    time::{self, Instant},
 };
 
 /// Number of events of a complete stream.
@@ -113,6 +113,8 @@
 /// Request that an endpoint ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// Time of arrival.
+    pub at: Instant,
     /// Attempt id of the caller.
     pub attempt: String,
     /// Method, path and query of the request.
@@ -137,6 +139,8 @@
     abandoned: u64,
     crashed: bool,
     fault: Fault,
+    /// Requests a second that its answers name as its limit.
+    limit: Option<f64>,
 }
 
 /// Increments `State::abandoned` when it is dropped, as when the gateway cancels
@@ -209,6 +213,12 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Sets the requests a second that the endpoint names in its answers as the limit
+    /// for all gateways together.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        lock(&self.state).limit = per_second;
+    }
+
     /// Returns the requests that the endpoint ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -319,6 +329,7 @@
     }
     let text = |name: &str| header(&head.headers, name);
     lock(&state).runs.push(Run {
+        at: Instant::now(),
         attempt: text("x-attempt-id"),
         target: format!("{} {}", head.method, head.uri),
         team: text("x-tenant"),
@@ -357,6 +368,10 @@
             }
         }
     };
+    if let Some(limit) = lock(&state).limit {
+        let limit = limit.to_string().parse().map_err(io::Error::other)?;
+        response.headers_mut().insert("server-limit", limit);
+    }
     match fault {
         Fault::Foreign => {
             let other = "ffffffffffffffff".parse().map_err(io::Error::other)?;
@@ -459,6 +474,7 @@
     let attempt = text("x-attempt-id").unwrap_or_default();
     let first = text("last-event-id").and_then(|id| id.parse::<u64>().ok());
     lock(state).runs.push(Run {
+        at: Instant::now(),
         attempt: attempt.clone(),
         target: request.lines().next().unwrap_or_default().to_owned(),
         team: text("x-tenant").unwrap_or_default(),
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -643,3 +643,67 @@
         assert_eq!(answer.body, events(1, EVENTS));
     }
 }
+
+/// Sends requests to three gateways, one each 40 ms, while endpoints name a limit, and
+/// checks that an endpoint gets no more than `allowed` requests in any four seconds
+/// once the limit holds.
+async fn check_limit(role: Role, limit: f64, limited: usize) {
+    const WINDOW: Duration = Duration::from_secs(4);
+    const STABILITY: Duration = Duration::from_secs(3);
+    let allowed = (limit * 1.5).mul_add(WINDOW.as_secs_f64(), 5.0) as usize;
+    let deployment = deployment(3, 3).await;
+    let endpoints: Vec<&Endpoint> = deployment.endpoints_with(role).collect();
+    for endpoint in &endpoints[..limited] {
+        endpoint.set_limit(Some(limit));
+    }
+    let caller = caller();
+    let mut requests = Vec::new();
+    for number in 0..250 {
+        let gateway = deployment.gateways[number % 3].caller_address();
+        let attempt = format!("a{number}");
+        let request = match role {
+            Role::Desk => caller.request(Method::GET, gateway, "/look/1", &attempt),
+            Role::Engine | Role::Worker => caller.stream(gateway, "/draft/x", &attempt),
+        };
+        requests.push(tokio::spawn(send(request)));
+        time::sleep(Duration::from_millis(40)).await;
+    }
+    let mut served = 0;
+    for request in requests {
+        let answer = request.await.expect("the request ends");
+        served += usize::from(answer.status == Some(200));
+    }
+    for endpoint in &endpoints[..limited] {
+        let runs = endpoint.runs();
+        let from = runs.first().expect("the endpoint names its limit").at + STABILITY;
+        let times: Vec<time::Instant> = runs.iter().map(|run| run.at).collect();
+        for (index, start) in times.iter().enumerate().filter(|(_, at)| **at >= from) {
+            let window = times[index..].iter();
+            let count = window.take_while(|at| **at < *start + WINDOW).count();
+            assert!(
+                count <= allowed,
+                "{count} in four seconds, {allowed} allowed"
+            );
+        }
+        assert!(
+            runs.len() >= 8,
+            "the endpoint is still used: {}",
+            runs.len()
+        );
+    }
+    if limited < endpoints.len() {
+        assert!(served >= 240, "{served} of 250 served");
+    }
+}
+
+/// Engines that named a limit got several times as many requests.
+#[tokio::test]
+async fn engine_gets_no_more_requests_than_the_limit_that_it_names() {
+    check_limit(Role::Engine, 2.0, 2).await;
+}
+
+/// Endpoints of plain services that named a limit got several times as many requests.
+#[tokio::test]
+async fn plain_endpoint_gets_no_more_requests_than_the_limit_that_it_names() {
+    check_limit(Role::Desk, 1.5, 2).await;
+}
