Log the limits that endpoints state

The hypotheses on the named limits could not be told apart: nothing read the header. The decoder of answers reads it, and 224 tells of each change with its source. No decision changes.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -56,6 +56,7 @@
     ConfigRejected = 221, Error, "An object from the platform could not be read; the previous version stays in use.";
     DirectoryChanged = 222, Info, "The list of endpoints changed.";
     EvacuationChanged = 223, Info, "The set of evacuated data centres changed.";
+    LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -57,6 +57,17 @@
     throttle: Throttle,
     /// Requests beyond the shares of the processes that this process granted.
     reserve: Throttle,
+    limit: Limit,
+}
+
+/// The limit that an endpoint stated last.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Limit {
+    /// Requests a second that it takes from all processes together, or `None` if it
+    /// stated none.
+    pub per_second: Option<f64>,
+    /// Time of the statement.
+    pub at: Duration,
 }
 
 /// Data centres of a request and its inputs, and the endpoints to avoid.
@@ -266,6 +277,17 @@
         self.record(key, Report::Answered(times), now);
     }
 
+    /// Records the limit that an endpoint states. Ignores it if a newer statement is
+    /// known. Returns whether the limit changed.
+    pub fn record_limit(&mut self, endpoint: &Incarnation, limit: Limit) -> bool {
+        let row = self.find(endpoint).and_then(|key| self.row_mut(key));
+        let Some(row) = row.filter(|row| row.limit.at < limit.at) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut row.limit, limit);
+        before.per_second != limit.per_second
+    }
+
     /// Records the result of an attempt.
     pub fn record(&mut self, key: Key, report: Report, now: Duration) {
         if let Some(row) = self.row_mut(key) {
@@ -342,6 +364,7 @@
             health: Health::new(),
             throttle: Throttle::default(),
             reserve: Throttle::default(),
+            limit: Limit::default(),
         }
     }
 
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Report},
+    placement::{Key, Limit, Report},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
@@ -274,6 +274,14 @@
         lock(&self.state.fleet).record(self.key, report, self.state.clock.now());
     }
 
+    /// Records the limit that the endpoint states.
+    fn record_limit(&self, per_second: Option<f64>) {
+        let at = self.state.clock.now();
+        let limit = Limit { per_second, at };
+        let endpoint = &self.endpoint.life;
+        self.state.record_limit(endpoint, limit, "own");
+    }
+
     /// Records that the endpoint began to respond after `took`.
     pub fn record_answer(&self, took: Duration) {
         let tokens = self.tokens_until_first_event;
@@ -388,6 +396,10 @@
     let answer = Answer::decode(exchange.response.status(), headers);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
     let foreign = answer.attempt.is_some() && answer.attempt != outgoing.attempt;
+    // An answer of another endpoint, or to another request, says nothing here.
+    if answer.attempt.is_some() && !foreign && !answer.misdirected {
+        guard.record_limit(answer.limit);
+    }
     if let (false, Some(declined)) = (foreign, answer.declined) {
         guard.record(if answer.misdirected {
             Report::Unreachable
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -7,7 +7,7 @@
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker},
     event::Event,
-    placement::{Fleet, Load},
+    placement::{Fleet, Limit, Load},
     roster::{Gateway, Roster},
     share::{Budget, Throttle},
 };
@@ -269,6 +269,19 @@
         lock(&self.fleet).set_peer_loads(others.map(|(id, load)| (id.as_str(), *load)));
     }
 
+    /// Records the limit that an endpoint states, according to `source`.
+    pub(super) fn record_limit(&self, endpoint: &Incarnation, limit: Limit, source: &str) {
+        if lock(&self.fleet).record_limit(endpoint, limit) {
+            Event::LimitChanged.log(format_args!(
+                "endpoint={} born={:?} per_second={:?} age_ms={} source={source}",
+                endpoint.id,
+                endpoint.born,
+                limit.per_second,
+                self.clock.now().saturating_sub(limit.at).as_millis(),
+            ));
+        }
+    }
+
     /// Divides the limits among the known gateways.
     pub(super) fn update_shares(&self) {
         let (processes, position) = lock(&self.roster).shares(self.clock.now());
--- a/crates/cicadacrank-node/src/platform/answer.rs
+++ b/crates/cicadacrank-node/src/platform/answer.rs
@@ -5,10 +5,11 @@
 
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 
 /// Status and decoded headers of an endpoint response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
     /// HTTP status of the response.
     pub status: StatusCode,
@@ -21,6 +22,9 @@
     pub declined: Option<Declined>,
     /// Whether the address belongs to another endpoint than the intended one.
     pub misdirected: bool,
+    /// Requests a second that the endpoint takes from all gateways together, while it
+    /// states such a limit.
+    pub limit: Option<f64>,
 }
 
 impl Answer {
@@ -35,6 +39,18 @@
             signed: headers.contains_key(&SIGNATURE),
             declined: (not_run && !status.is_success()).then(Declined::stated),
             misdirected,
+            limit: headers.get(&LIMIT).and_then(parse_limit),
         }
     }
 }
+
+/// Returns the limit, or `None` with a log line if it is not a number of requests.
+fn parse_limit(value: &HeaderValue) -> Option<f64> {
+    let text = value.to_str().unwrap_or_default();
+    let limit = text.trim().parse::<f64>().ok();
+    let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
+    if limit.is_none() {
+        log::warn!("an endpoint states an invalid limit: {value:?}");
+    }
+    limit
+}
