Keep to the limits that endpoints state, all gateways together

Ruled out: a limit that each gateway keeps for itself, and homes of prompts that hold against it; no gateway kept any. Class: a limit for all processes together that reaches only those who happen to see it. Looked for elsewhere: the limit for cold starts is divided already; plain services were not limited at all, and are now; calls with pieces are next.

What changed: a stated limit is divided like the one for cold starts, in a window of four seconds, with a reserve for grants; heartbeats carry statements. A request for which the limits leave no room before its deadline is refused at once, which a count of those that wait decides.

--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -70,8 +70,9 @@
 impl Fleet {
     /// Selects the model engines with the earliest expected first token, and the
     /// engines from which they may fetch the shared parts of the prompt.
+    #[must_use]
     pub fn choose_engine(
-        &mut self,
+        &self,
         config: &Config,
         service: &str,
         prompt: Prompt,
@@ -79,21 +80,13 @@
         now: Duration,
     ) -> Selection {
         let cold_rate = config.service(service).map_or(0.0, |one| one.cold_rate);
-        let (processes, position) = (self.processes, self.position);
+        let share = self.share();
         let blocked: Vec<Key> = self
-            .slots
-            .iter_mut()
-            .enumerate()
-            .filter_map(|(index, slot)| {
-                let row = slot.row.as_mut()?;
-                let key = Key {
-                    index: u32::try_from(index).ok()?,
-                    generation: slot.generation,
-                };
-                let held = row.endpoint.service == service
-                    && !row.may_send(cold_rate, processes, position, now);
-                held.then_some(key)
+            .rows()
+            .filter(|(_, row)| {
+                row.endpoint.service == service && !row.may_send(cold_rate, share, now)
             })
+            .map(|(key, _)| key)
             .collect();
         let within_share = self.choose_unblocked(service, prompt, locality, &blocked, now);
         let best = if blocked.is_empty() {
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -7,7 +7,7 @@
 use super::{Health, Report};
 use crate::{
     directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
-    share::Throttle,
+    share::{Throttle, Window},
 };
 use std::{hash::Hasher as _, time::Duration};
 
@@ -23,6 +23,15 @@
 /// request.
 const REMOTE_WEIGHT: f64 = 0.1;
 
+/// Time after which a limit no longer holds that the endpoint has not stated again.
+const LIMIT_TTL: Duration = Duration::from_secs(10);
+
+/// Number of requests, relative to a stated limit, above which it is broken.
+const LIMIT_OVERRUN: f64 = 1.5;
+
+/// Number of requests added to that.
+const LIMIT_TOLERANCE: f64 = 5.0;
+
 /// Weight of the newest response in the moving average of a service.
 const BASELINE_WEIGHT: f64 = 0.05;
 
@@ -66,7 +75,7 @@
     /// Requests a second that it takes from all processes together, or `None` if it
     /// stated none.
     pub per_second: Option<f64>,
-    /// Time of the statement.
+    /// Time of the statement, or zero if the endpoint never stated a limit.
     pub at: Duration,
 }
 
@@ -182,16 +191,42 @@
         })
     }
 
-    /// Selects the endpoint of a plain service with the earliest expected
-    /// response.
+    /// Selects the endpoint of a plain service with the earliest expected response,
+    /// within the share of this process in its limit.
     #[must_use]
     pub fn choose_plain(
         &self,
         service: &str,
         locality: &Locality<'_>,
         now: Duration,
+    ) -> Option<Key> {
+        let share = self.share();
+        self.choose_plain_if(service, locality, now, |row| row.may_send(0.0, share, now))
+    }
+
+    /// Selects the endpoint of a plain service with the earliest expected response,
+    /// which needs a grant from the reserve of its limit.
+    #[must_use]
+    pub fn choose_plain_beyond_share(
+        &self,
+        service: &str,
+        locality: &Locality<'_>,
+        now: Duration,
+    ) -> Option<Key> {
+        self.choose_plain_if(service, locality, now, |_| true)
+    }
+
+    fn choose_plain_if(
+        &self,
+        service: &str,
+        locality: &Locality<'_>,
+        now: Duration,
+        may_send: impl Fn(&Row) -> bool,
     ) -> Option<Key> {
         self.choose(service, locality, now, |_, row| {
+            if !may_send(row) {
+                return f64::INFINITY;
+            }
             let busy = f64::from(row.in_flight()) / f64::from(row.endpoint.slots.max(1));
             let remote = f64::from(u8::from(row.endpoint.data_centre != locality.own));
             1.0 + busy + remote * REMOTE_WEIGHT
@@ -199,6 +234,40 @@
         .map(|(key, _)| key)
     }
 
+    /// Returns the number of requests that this process may send to the endpoints of a
+    /// service until `until`, those in `tried` left out.
+    #[must_use]
+    pub fn sends_until(
+        &self,
+        service: &str,
+        cold_rate: f64,
+        tried: &[Key],
+        now: Duration,
+        until: Duration,
+    ) -> usize {
+        let share = self.share();
+        let untried = self.usable(service).filter(|(key, _)| !tried.contains(key));
+        let sends = untried.map(|(_, row)| row.sends_until(cold_rate, share, now, until));
+        sends.fold(0, usize::saturating_add)
+    }
+
+    const fn share(&self) -> Share {
+        Share {
+            processes: self.processes,
+            position: self.position,
+        }
+    }
+
+    /// Returns the limits that endpoints stated within `recent`, or that ended since.
+    pub fn stated_limits(
+        &self,
+        now: Duration,
+        recent: Duration,
+    ) -> impl Iterator<Item = (&Incarnation, Limit)> {
+        let rows = self.rows().map(|(_, row)| (&row.endpoint.life, row.limit));
+        rows.filter(move |(_, limit)| !limit.at.is_zero() && now < limit.at + recent)
+    }
+
     /// Returns the service of an endpoint, or `None` if the endpoint is unknown.
     #[must_use]
     pub fn service_of(&self, endpoint: &Incarnation) -> Option<&str> {
@@ -207,14 +276,19 @@
     }
 
     /// Grants one request of any process to an endpoint beyond the shares of the
-    /// processes, from a reserve of `limit` requests a second. The reserve is closed
-    /// while the endpoint is known to be cold.
-    pub fn try_grant(&mut self, endpoint: &Incarnation, limit: usize, now: Duration) -> bool {
+    /// processes. `cold` is the number of requests a second in the reserve of the limit
+    /// for a cold endpoint, which is closed while the endpoint is known to be cold.
+    pub fn try_grant(
+        &mut self,
+        endpoint: &Incarnation,
+        cold: Option<usize>,
+        now: Duration,
+    ) -> bool {
         let usable = self.find(endpoint).and_then(|key| self.row_mut(key));
         let Some(row) = usable.filter(|row| row.cold_until <= now) else {
             return false;
         };
-        let granted = row.reserve.may_send(limit, now);
+        let granted = row.has_reserve(cold, now);
         if granted {
             row.reserve.record_send(now);
         }
@@ -284,8 +358,12 @@
         let Some(row) = row.filter(|row| row.limit.at < limit.at) else {
             return false;
         };
-        let before = std::mem::replace(&mut row.limit, limit);
-        before.per_second != limit.per_second
+        let before = row.limit.per_second;
+        if before.is_none() && limit.per_second.is_none() {
+            return false;
+        }
+        row.limit = limit;
+        before != limit.per_second
     }
 
     /// Records the result of an attempt.
@@ -388,26 +466,75 @@
         self.own_load.unread + self.peer_load.unread
     }
 
-    /// Returns whether one more request is within the limit for a cold
-    /// endpoint.
+    /// Returns whether one more request is within the share of this process in the
+    /// limits of the endpoint.
     ///
-    /// The limit is always enforced, since an endpoint may become cold without
-    /// notice.
-    fn may_send(
-        &mut self,
-        cold_rate: f64,
-        processes: usize,
-        position: usize,
-        now: Duration,
-    ) -> bool {
-        if cold_rate <= 0.0 {
-            return true;
-        }
-        let processes = processes.max(1);
-        let first = rendezvous_weight(0, &self.endpoint.life.id) % processes as u64;
-        let turn = (position as u64 + first) % processes as u64;
-        let grant = Throttle::grant(cold_rate, processes, usize::try_from(turn).unwrap_or(0));
-        self.throttle.may_send(grant, now)
+    /// The limit for a cold endpoint is always enforced, since an endpoint may become
+    /// cold without notice.
+    fn may_send(&self, cold_rate: f64, share: Share, now: Duration) -> bool {
+        let windows = self.windows(cold_rate, now);
+        windows.into_iter().flatten().all(|(window, limit)| {
+            let grant = share.grant(limit, &self.endpoint.life.id);
+            self.throttle.may_send(window, grant, now)
+        })
+    }
+
+    /// Returns the number of requests that this process may send until `until`.
+    fn sends_until(&self, cold_rate: f64, share: Share, now: Duration, until: Duration) -> usize {
+        let windows = self.windows(cold_rate, now).into_iter().flatten();
+        let sends = windows.map(|(window, limit)| {
+            // Without a share, one request may be granted from the reserve.
+            let grant = share.grant(limit, &self.endpoint.life.id).max(1);
+            self.throttle.sends_until(window, grant, until)
+        });
+        sends.min().unwrap_or(usize::MAX)
+    }
+
+    /// Returns the windows in which the endpoint is limited, each with the number of
+    /// requests that it takes from all processes together.
+    fn windows(&self, cold_rate: f64, now: Duration) -> [Option<(Window, f64)>; 2] {
+        let stated = self.stated_limit(now);
+        [
+            (cold_rate > 0.0).then_some((Window::Cold, cold_rate)),
+            stated.map(|limit| (Window::Stated, limit * Window::Stated.seconds())),
+        ]
+    }
+
+    /// Returns the limit that the endpoint states, in requests a second.
+    fn stated_limit(&self, now: Duration) -> Option<f64> {
+        let Limit { per_second, at } = self.limit;
+        per_second.filter(|_| now < at + LIMIT_TTL)
+    }
+
+    /// Returns whether the reserves of all limits allow one more request. `cold` is
+    /// the reserve of the limit for a cold endpoint, or `None` if it has none.
+    fn has_reserve(&self, cold: Option<usize>, now: Duration) -> bool {
+        let stated = self.stated_limit(now).map(|limit| {
+            let limit = limit * Window::Stated.seconds();
+            Throttle::reserve(limit, limit.mul_add(LIMIT_OVERRUN, LIMIT_TOLERANCE))
+        });
+        let reserves = [(Window::Cold, cold), (Window::Stated, stated)];
+        reserves.into_iter().all(|(window, reserve)| {
+            reserve.is_none_or(|reserve| self.reserve.may_send(window, reserve, now))
+        })
+    }
+}
+
+/// The share of one process in the limits of endpoints.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    processes: usize,
+    position: usize,
+}
+
+impl Share {
+    /// Returns the part of a limit of `limit` requests that this process has at an
+    /// endpoint. Processes take turns by endpoint in what does not divide evenly.
+    fn grant(self, limit: f64, endpoint: &str) -> usize {
+        let processes = self.processes.max(1);
+        let first = rendezvous_weight(0, endpoint) % processes as u64;
+        let turn = (self.position as u64 + first) % processes as u64;
+        Throttle::grant(limit, processes, usize::try_from(turn).unwrap_or(0))
     }
 }
 
--- a/crates/cicadacrank-core/src/share/mod.rs
+++ b/crates/cicadacrank-core/src/share/mod.rs
@@ -9,4 +9,7 @@
 mod budget;
 mod throttle;
 
-pub use self::{budget::Budget, throttle::Throttle};
+pub use self::{
+    budget::Budget,
+    throttle::{Throttle, Window},
+};
--- a/crates/cicadacrank-core/src/share/throttle.rs
+++ b/crates/cicadacrank-core/src/share/throttle.rs
@@ -1,12 +1,35 @@
-//! Limits the rate at which one process sends to a cold endpoint.
+//! Limits the rate at which one process sends to an endpoint.
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Length of the sliding window: one second, plus 80 ms for the difference in
-/// transit time between two sends.
-const WINDOW: Duration = Duration::from_millis(1_080);
+/// Allowance for the difference in transit time between two sends.
+const TRANSIT: Duration = Duration::from_millis(80);
 
-/// Sends of one process to one endpoint in the current window.
+/// Span of time in which the sends of all processes to an endpoint are limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Window {
+    /// One second, in which a cold endpoint is limited.
+    Cold,
+    /// Four seconds, in which an endpoint is limited that states a limit.
+    Stated,
+}
+
+impl Window {
+    /// Returns the length of the window, in seconds.
+    #[must_use]
+    pub const fn seconds(self) -> f64 {
+        match self {
+            Self::Cold => 1.0,
+            Self::Stated => 4.0,
+        }
+    }
+
+    fn length(self) -> Duration {
+        Duration::from_secs_f64(self.seconds()) + TRANSIT
+    }
+}
+
+/// Sends of one process to one endpoint in the longest window.
 #[derive(Clone, Debug, Default)]
 pub struct Throttle {
     sends: VecDeque<Duration>,
@@ -15,7 +38,7 @@
 impl Throttle {
     /// Returns the number of sends per window that one process is granted.
     ///
-    /// `limit` is the number of sends per second for all processes together. If
+    /// `limit` is the number of sends per window for all processes together. If
     /// it does not divide evenly, the processes whose `position` is below the
     /// remainder get one more. The order of positions differs by endpoint.
     #[must_use]
@@ -36,16 +59,38 @@
     }
 
     /// Returns whether one more send is within the grant.
-    pub fn may_send(&mut self, grant: usize, now: Duration) -> bool {
-        while self.sends.front().is_some_and(|sent| *sent + WINDOW <= now) {
-            self.sends.pop_front();
-        }
+    #[must_use]
+    pub fn may_send(&self, window: Window, grant: usize, now: Duration) -> bool {
         // In the first window, sends of an earlier run may still count.
-        now >= WINDOW && self.sends.len() < grant
+        now >= window.length() && self.count(window, now) < grant
+    }
+
+    /// Returns the number of sends that the grant allows until `until`.
+    #[must_use]
+    pub fn sends_until(&self, window: Window, grant: usize, until: Duration) -> usize {
+        if until < window.length() {
+            return 0;
+        }
+        grant.saturating_sub(self.count(window, until))
+    }
+
+    fn count(&self, window: Window, now: Duration) -> usize {
+        let sends = self.sends.iter().rev();
+        sends
+            .take_while(|sent| **sent + window.length() > now)
+            .count()
     }
 
     /// Records a send.
     pub fn record_send(&mut self, now: Duration) {
+        let longest = Window::Stated.length();
+        while self
+            .sends
+            .front()
+            .is_some_and(|sent| *sent + longest <= now)
+        {
+            self.sends.pop_front();
+        }
         self.sends.push_back(now);
     }
 }
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -210,7 +210,7 @@
 
 #[test]
 fn heavy_results_draw_requests_to_their_data_centre() {
-    let mut fleet = fleet(&[endpoint("a", "x"), endpoint("b", "y")]);
+    let fleet = fleet(&[endpoint("a", "x"), endpoint("b", "y")]);
     let config = config(0.0);
     let plain = Prompt {
         tokens: 1_000,
@@ -311,9 +311,11 @@
         .endpoint
         .life
         .clone();
-    let granted = (0..20).filter(|_| fleet.try_grant(&life, 4, NOW)).count();
+    let granted = (0..20)
+        .filter(|_| fleet.try_grant(&life, Some(4), NOW))
+        .count();
     assert_eq!(granted, 4);
-    assert!(fleet.try_grant(&life, 4, NOW + Duration::from_secs(2)));
+    assert!(fleet.try_grant(&life, Some(4), NOW + Duration::from_secs(2)));
 }
 
 #[test]
@@ -322,11 +324,11 @@
     cold.cold = Duration::from_secs(3);
     let mut fleet = Fleet::default();
     fleet.update(&Snapshot::new(1, vec![cold.clone()]), NOW);
-    assert!(!fleet.try_grant(&cold.life, 4, NOW));
-    assert!(fleet.try_grant(&cold.life, 4, NOW + Duration::from_secs(3)));
+    assert!(!fleet.try_grant(&cold.life, Some(4), NOW));
+    assert!(fleet.try_grant(&cold.life, Some(4), NOW + Duration::from_secs(3)));
     let restarted = Incarnation {
         born: Some(2),
         ..cold.life
     };
-    assert!(!fleet.try_grant(&restarted, 4, NOW + Duration::from_secs(3)));
+    assert!(!fleet.try_grant(&restarted, Some(4), NOW + Duration::from_secs(3)));
 }
--- a/crates/cicadacrank-core/tests/share.rs
+++ b/crates/cicadacrank-core/tests/share.rs
@@ -1,6 +1,6 @@
 //! Tests for shares of limits that apply to all processes together.
 
-use cicadacrank_core::share::{Budget, Throttle};
+use cicadacrank_core::share::{Budget, Throttle, Window};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::time::Duration;
@@ -45,7 +45,7 @@
             let mut times: Vec<u64> = (0..2_000).map(|_| random.random_range(0..6_000)).collect();
             times.sort_unstable();
             for now in times.into_iter().map(Duration::from_millis) {
-                if throttle.may_send(grant, now) {
+                if throttle.may_send(Window::Cold, grant, now) {
                     throttle.record_send(now);
                     all.push(now);
                 }
@@ -58,9 +58,9 @@
 
 #[test]
 fn may_send_refuses_during_the_first_window() {
-    let mut throttle = Throttle::default();
-    assert!(!throttle.may_send(5, Duration::from_millis(500)));
-    assert!(throttle.may_send(5, Duration::from_millis(1_500)));
+    let throttle = Throttle::default();
+    assert!(!throttle.may_send(Window::Cold, 5, Duration::from_millis(500)));
+    assert!(throttle.may_send(Window::Cold, 5, Duration::from_millis(1_500)));
 }
 
 #[test]
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -207,6 +207,18 @@
         Ok(())
     }
 
+    /// Returns why no endpoint can be selected: all were tried, or those that were not
+    /// have reached a limit.
+    pub fn shortage(&self, state: &State, job: &Job) -> Kind {
+        let fleet = lock(&state.fleet);
+        let mut usable = fleet.usable(&job.service);
+        if usable.any(|(key, _)| !self.tried.contains(&key)) {
+            Kind::Overloaded
+        } else {
+            Kind::NoEndpoint
+        }
+    }
+
     /// Returns the refusal that ends the request. It states that the request did
     /// not run only if no attempt may have run it.
     pub fn refuse(&mut self, kind: Kind) -> Refusal {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -15,11 +15,15 @@
 };
 use crate::daemon;
 use cicadacrank_core::{
-    directory::Incarnation, error::Kind, event::Event, placement::Load, roster::Gateway,
+    directory::Incarnation,
+    error::Kind,
+    event::Event,
+    placement::{Limit, Load},
+    roster::Gateway,
 };
 use cicadacrank_wire::wire::{
-    Beat, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released, Results,
-    Versions,
+    Beat, EndpointLimit, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released,
+    Results, Versions,
     gateway_client::GatewayClient,
     gateway_server::{Gateway as Serve, GatewayServer},
 };
@@ -48,6 +52,10 @@
 /// of it report it in turn.
 const CAUSES_REPORT_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which heartbeats report a limit that an endpoint stated. Gateways that
+/// learn of it report it in turn.
+const LIMITS_REPORT_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum number of causes of crashes in one heartbeat.
 const MAX_CAUSES: usize = 256;
 
@@ -218,7 +226,16 @@
     let local = Some(encode_gateway(roster.local()));
     let others = roster.live(now).map(encode_gateway).collect();
     drop(roster);
-    let loads = lock(&state.fleet)
+    let fleet = lock(&state.fleet);
+    let limits = fleet.stated_limits(now, LIMITS_REPORT_TIME);
+    let limits = limits.map(|(endpoint, limit)| EndpointLimit {
+        endpoint: endpoint.id.clone(),
+        born: endpoint.born,
+        per_second: limit.per_second,
+        age_ms: milliseconds(now.saturating_sub(limit.at)),
+    });
+    let limits = limits.collect();
+    let loads = fleet
         .own_loads()
         .map(|(id, load)| EndpointLoad {
             endpoint: id.to_owned(),
@@ -226,7 +243,9 @@
             unread: load.unread,
         })
         .collect();
+    drop(fleet);
     Beat {
+        limits,
         me: local,
         versions: Some(versions(state)),
         others,
@@ -281,6 +300,17 @@
     });
     state.set_peer_loads(&instance, loads.collect());
     state.causes.merge(beat.suspects, &instance);
+    for limit in beat.limits {
+        let endpoint = Incarnation {
+            id: limit.endpoint,
+            born: limit.born,
+        };
+        let limit = Limit {
+            per_second: limit.per_second.filter(|limit| *limit >= 0.0),
+            at: now.saturating_sub(Duration::from_millis(limit.age_ms)),
+        };
+        state.record_limit(&endpoint, limit, &instance);
+    }
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -2,6 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Failure, Parameters, Started},
+    peers,
     reply::Body,
     request::{Job, Refusal},
     state::{State, lock},
@@ -39,25 +40,47 @@
 pub async fn serve(state: &Arc<State>, job: &Job) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::new(RETRY_AFTER);
     loop {
-        let Some(key) = choose(state, job, &attempts.tried) else {
-            return Err(attempts.refuse(Kind::NoEndpoint));
+        let Some(chosen) = choose(state, job, &attempts.tried).await else {
+            return Err(attempts.refuse(attempts.shortage(state, job)));
         };
-        let unsent = attempts.begin(state, job, key)?;
+        let unsent = attempts.begin(state, job, chosen.key)?;
         let last = attempts.arrivals + 1 >= job.route.attempts;
-        match exchange(state, job, key, last, unsent).await {
+        match exchange(state, job, chosen, last, unsent).await {
             Ok(response) => return Ok(response),
             Err(failure) => attempts.record_failure(job, failure, job.outgoing.deadline)?,
         }
     }
 }
 
-fn choose(state: &State, job: &Job, tried: &[Key]) -> Option<Key> {
+/// An endpoint selected for an attempt.
+#[derive(Clone, Copy)]
+struct Chosen {
+    key: Key,
+    /// Whether the attempt was granted from the reserve of the endpoint's limit.
+    granted: bool,
+}
+
+/// Selects an endpoint that was not tried yet. Returns `None` if there is none, or if
+/// the limits that endpoints state leave no room.
+async fn choose(state: &Arc<State>, job: &Job, tried: &[Key]) -> Option<Chosen> {
     let locality = Locality {
         own: &state.settings.data_centre,
         results: &[],
         tried,
     };
-    lock(&state.fleet).choose_plain(&job.service, &locality, state.clock.now())
+    let now = state.clock.now();
+    let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
+    if let Some(key) = within_share {
+        return Some(Chosen {
+            key,
+            granted: false,
+        });
+    }
+    let beyond_share = lock(&state.fleet).choose_plain_beyond_share(&job.service, &locality, now);
+    let key = beyond_share?;
+    let endpoint = state.incarnation(key)?;
+    let granted = peers::grant(state, &endpoint).await;
+    granted.then_some(Chosen { key, granted })
 }
 
 /// Makes one attempt and reads the complete response. `last` is true if the route
@@ -70,7 +93,7 @@
 async fn exchange(
     state: &Arc<State>,
     job: &Job,
-    key: Key,
+    chosen: Chosen,
     last: bool,
     unsent: Unsent,
 ) -> Result<Response<Body>, Failure> {
@@ -81,8 +104,12 @@
     } else {
         job.outgoing.deadline
     };
-    let parameters = Parameters::default();
-    let started = attempt::start(state, &job.outgoing, key, &parameters, until, unsent).await?;
+    let parameters = Parameters {
+        granted: chosen.granted,
+        ..Parameters::default()
+    };
+    let started =
+        attempt::start(state, &job.outgoing, chosen.key, &parameters, until, unsent).await?;
     let Started {
         exchange,
         answer,
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -7,7 +7,7 @@
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker},
     event::Event,
-    placement::{Fleet, Limit, Load},
+    placement::{Fleet, Key, Limit, Load},
     roster::{Gateway, Roster},
     share::{Budget, Throttle},
 };
@@ -46,7 +46,7 @@
     evacuation: Mutex<Option<Evacuation>>,
     listed: AtomicBool,
     loads: Mutex<Vec<Loads>>,
-    repeats: Mutex<Vec<Service>>,
+    services: Mutex<Vec<Service>>,
     drain: OnceLock<Drain>,
     ready: AtomicBool,
     in_flight: AtomicUsize,
@@ -82,6 +82,8 @@
 struct Service {
     name: String,
     repeats: Budget,
+    /// Number of requests that wait until an endpoint's limit allows one more.
+    waiting: usize,
 }
 
 impl State {
@@ -114,7 +116,7 @@
             evacuation: Mutex::default(),
             listed: AtomicBool::new(false),
             loads: Mutex::default(),
-            repeats: Mutex::default(),
+            services: Mutex::default(),
             drain: OnceLock::new(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -288,42 +290,61 @@
         lock(&self.fleet).set_processes(processes, position);
     }
 
-    /// Grants one request of any gateway to an endpoint, if the reserve of the
-    /// endpoint's limit allows it.
+    /// Returns the incarnation of an endpoint, or `None` if it has left the directory.
+    pub(super) fn incarnation(&self, key: Key) -> Option<Incarnation> {
+        let fleet = lock(&self.fleet);
+        fleet.row(key).map(|row| row.endpoint.life.clone())
+    }
+
+    /// Grants one request of any gateway to an endpoint, if the reserves of the
+    /// endpoint's limits allow it.
     pub(super) fn try_grant(&self, endpoint: &Incarnation) -> bool {
         let Some(config) = self.config() else {
             return false;
         };
         let mut fleet = lock(&self.fleet);
-        let Some(rate) = fleet
-            .service_of(endpoint)
-            .and_then(|service| config.service(service))
-            .map(|service| service.cold_rate)
-        else {
-            return false;
-        };
+        let service = fleet.service_of(endpoint);
+        let service = service.and_then(|service| config.service(service));
         let bounds = &self.settings.bounds;
-        let bound = rate * bounds.cold_ratio + bounds.cold_extra;
-        fleet.try_grant(endpoint, Throttle::reserve(rate, bound), self.clock.now())
+        let cold = service
+            .map(|service| service.cold_rate)
+            .filter(|rate| *rate > 0.0)
+            .map(|rate| {
+                Throttle::reserve(rate, rate.mul_add(bounds.cold_ratio, bounds.cold_extra))
+            });
+        fleet.try_grant(endpoint, cold, self.clock.now())
     }
 
     /// Records a request to a service, which earns a fraction of a retry.
     pub(super) fn earn_retry(&self, service: &str) {
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.record_request(now));
+        self.with_service(service, |service| service.repeats.record_request(now));
     }
 
     /// Takes one retry from the budget of a service. Returns whether one was left.
     pub(super) fn try_take_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
         let (processes, _) = lock(&self.roster).shares(now);
-        self.with_budget(service, |budget| budget.try_take(processes, now))
+        self.with_service(service, |service| service.repeats.try_take(processes, now))
     }
 
-    /// Calls `update` with the retry budget of a service, creating the budget if it
-    /// is missing.
-    fn with_budget<T>(&self, name: &str, update: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut services = lock(&self.repeats);
+    /// Counts a request as waiting for an endpoint of a service until the returned
+    /// value is dropped. Also returns the number of requests that waited before.
+    pub(super) fn begin_waiting(self: &Arc<Self>, service: &str) -> (Waiter, usize) {
+        let ahead = self.with_service(service, |service| {
+            service.waiting += 1;
+            service.waiting - 1
+        });
+        let waiter = Waiter {
+            state: Arc::clone(self),
+            service: service.to_owned(),
+        };
+        (waiter, ahead)
+    }
+
+    /// Calls `update` with the counts of a service, creating them if they are missing.
+    fn with_service<T>(&self, name: &str, update: impl FnOnce(&mut Service) -> T) -> T {
+        let mut services = lock(&self.services);
         let found = services.binary_search_by(|service| service.name.as_str().cmp(name));
         let index = found.unwrap_or_else(|index| {
             let bounds = &self.settings.bounds;
@@ -331,11 +352,12 @@
             let service = Service {
                 name: name.to_owned(),
                 repeats: Budget::new(ratio, extra, bounds.retry_window),
+                waiting: 0,
             };
             services.insert(index, service);
             index
         });
-        update(&mut services[index].repeats)
+        update(&mut services[index])
     }
 
     fn refresh_pools(&self) {
@@ -366,6 +388,20 @@
     }
 }
 
+/// Counts one request as waiting for an endpoint until it is dropped.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    state: Arc<State>,
+    service: String,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let end = |service: &mut Service| service.waiting = service.waiting.saturating_sub(1);
+        self.state.with_service(&self.service, end);
+    }
+}
+
 fn as_i64(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -13,7 +13,6 @@
 use crate::outbound::Exchange;
 use bytes::Bytes;
 use cicadacrank_core::{
-    directory::Incarnation,
     error::Kind,
     event::Event,
     once::{ExecutionError, Sent, Unsent},
@@ -149,7 +148,7 @@
     loop {
         let chosen = choose(state, job, outputs, &attempts.tried, expires).await;
         let Some(chosen) = chosen else {
-            return Err(attempts.refuse(Kind::NoEndpoint));
+            return Err(attempts.refuse(attempts.shortage(state, job)));
         };
         let key = chosen.choice.key;
         let unsent = attempts.begin(state, job, key)?;
@@ -169,8 +168,9 @@
     granted: bool,
 }
 
-/// Selects an engine that was not tried yet. While all of them have reached their
-/// cold-start limit, checks again until shortly before `expires`.
+/// Selects an engine that was not tried yet. While all of them have reached a limit,
+/// checks again until shortly before `expires`, unless the limits leave no request
+/// for this one by then.
 async fn choose(
     state: &Arc<State>,
     job: &Job,
@@ -185,14 +185,15 @@
         tried,
     };
     let select = || {
-        let mut fleet = lock(&state.fleet);
+        let fleet = lock(&state.fleet);
         let prompt = job.caller.prompt;
         let now = state.clock.now();
         fleet.choose_engine(&job.config, &job.service, prompt, &locality, now)
     };
+    let mut waiting = None;
     loop {
         if let Some(choice) = select().beyond_share
-            && let Some(endpoint) = incarnation(state, choice.key)
+            && let Some(endpoint) = state.incarnation(choice.key)
             && peers::grant(state, &endpoint).await
         {
             return Some(Chosen {
@@ -207,20 +208,28 @@
                 granted: false,
             });
         }
-        let has_untried = lock(&state.fleet)
-            .usable(&job.service)
-            .any(|(key, _)| !tried.contains(&key));
-        if !has_untried || Instant::now() + COLD_START_RECHECK >= expires {
+        if Instant::now() + COLD_START_RECHECK >= expires {
             return None;
         }
+        if waiting.is_none() {
+            let (waiter, ahead) = state.begin_waiting(&job.service);
+            waiting = Some(waiter);
+            if sends_until(state, job, tried, expires) <= ahead {
+                return None;
+            }
+        }
         time::sleep(COLD_START_RECHECK).await;
     }
 }
 
-/// Returns the incarnation of an endpoint, or `None` if it has left the directory.
-fn incarnation(state: &State, key: Key) -> Option<Incarnation> {
-    let fleet = lock(&state.fleet);
-    fleet.row(key).map(|row| row.endpoint.life.clone())
+/// Returns the number of requests that this gateway may send to the engines that were
+/// not tried until `expires`.
+fn sends_until(state: &State, job: &Job, tried: &[Key], expires: Instant) -> usize {
+    let service = job.config.service(&job.service);
+    let cold_rate = service.map_or(0.0, |service| service.cold_rate);
+    let now = state.clock.now();
+    let until = now + expires.saturating_duration_since(Instant::now());
+    lock(&state.fleet).sends_until(&job.service, cold_rate, tried, now, until)
 }
 
 fn parameters(
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -261,3 +261,33 @@
         }
     }
 }
+
+#[test]
+fn answer_states_the_limit_of_its_endpoint() {
+    let cases = [
+        ("2.5", Some(2.5)),
+        (" 3 ", Some(3.0)),
+        ("0", Some(0.0)),
+        ("-1", None),
+        ("inf", None),
+        ("many", None),
+    ];
+    for (text, expected) in cases {
+        let answer = Answer::decode(StatusCode::OK, &headers(&[("server-limit", text)]));
+        assert_eq!(answer.limit, expected, "{text}");
+    }
+    let answer = Answer::decode(StatusCode::OK, &headers(&[]));
+    assert_eq!(answer.limit, None);
+}
+
+#[test]
+fn caller_names_the_parts_that_other_requests_may_share() {
+    let decode = |parts: &str| {
+        let headers = headers(&[("x-prompt-prefix", parts)]);
+        Caller::decode(&headers).shared_parts
+    };
+    assert_eq!(decode("aa:60,bb:20,cc:40"), ["aa", "bb"]);
+    assert!(decode("aa:60").is_empty());
+    assert!(decode("").is_empty());
+    assert_eq!(decode("aa:60, bb:1 ,broken,cc:40"), ["aa", "bb"]);
+}
