Keep calls with pieces within the limits that workers state

A worker that stated a limit for its requests got calls as fast as it ended them: 97 in four seconds where 17 are allowed, in the new test on the code before.

Cause: the same as for engines; the answers of calls were not read for a limit. One gateway forms the calls to a service, so it spaces them: the next call to the worker begins no sooner than the limit says after the last one began.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -135,6 +135,8 @@
 struct State {
     runs: Vec<Run>,
     pieces: Vec<(String, u64, u64)>,
+    /// Arrivals of calls with pieces.
+    calls: Vec<Instant>,
     released: u64,
     abandoned: u64,
     crashed: bool,
@@ -232,6 +234,12 @@
         lock(&self.state).pieces.clone()
     }
 
+    /// Returns the times at which calls with pieces arrived.
+    #[must_use]
+    pub fn calls(&self) -> Vec<Instant> {
+        lock(&self.state).calls.clone()
+    }
+
     /// Returns the number of requests that were cancelled during
     /// [`Fault::Hang`].
     #[must_use]
@@ -368,10 +376,7 @@
             }
         }
     };
-    if let Some(limit) = lock(&state).limit {
-        let limit = limit.to_string().parse().map_err(io::Error::other)?;
-        response.headers_mut().insert("server-limit", limit);
-    }
+    state_limit(&state, &mut response)?;
     match fault {
         Fault::Foreign => {
             let other = "ffffffffffffffff".parse().map_err(io::Error::other)?;
@@ -389,6 +394,7 @@
     fault: Fault,
     call: &Value,
 ) -> io::Result<Response<Body>> {
+    lock(state).calls.push(Instant::now());
     let items = call["items"].as_array().cloned().unwrap_or_default();
     time::sleep(Duration::from_millis(20)).await;
     if matches!(fault, Fault::LoseAnswer | Fault::BreakOff) {
@@ -412,7 +418,18 @@
         lock(state).pieces.push(piece);
     }
     let body = Bytes::from(json!({ "items": results }).to_string());
-    Ok(Response::new(Either::Left(Full::new(body))))
+    let mut response = Response::new(Either::Left(Full::new(body)));
+    state_limit(state, &mut response)?;
+    Ok(response)
+}
+
+/// Adds the limit that the endpoint states, if any, to a response.
+fn state_limit(state: &Mutex<State>, response: &mut Response<Body>) -> io::Result<()> {
+    if let Some(limit) = lock(state).limit {
+        let limit = limit.to_string().parse().map_err(io::Error::other)?;
+        response.headers_mut().insert("server-limit", limit);
+    }
+    Ok(())
 }
 
 fn event_stream(headers: &HeaderMap, fault: Fault) -> Response<Body> {
--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -63,6 +63,8 @@
 pub(super) struct Endpoint {
     pub(super) incarnation: Incarnation,
     pub(super) data_centre: DataCentre,
+    /// Start of the last call.
+    began: Duration,
     busy_since: Option<Duration>,
     pub(super) busy_until: Duration,
     backoff_until: Duration,
@@ -80,6 +82,7 @@
         Self {
             incarnation,
             data_centre,
+            began: Duration::ZERO,
             busy_since: None,
             busy_until: Duration::ZERO,
             backoff_until: Duration::ZERO,
@@ -101,8 +104,13 @@
         !self.is_busy() && !self.leaving && !self.in_backoff(now)
     }
 
+    /// Delays the next call until `interval` after the start of the last one.
+    pub(super) fn space_calls(&mut self, interval: Duration) {
+        self.backoff_until = self.backoff_until.max(self.began + interval);
+    }
+
     /// Returns whether the endpoint must not be called yet because of earlier
-    /// failures.
+    /// failures or a limit that it states.
     pub(super) fn in_backoff(&self, now: Duration) -> bool {
         now < self.backoff_until
     }
@@ -150,6 +158,7 @@
     }
 
     pub(super) fn begin(&mut self, expected: Duration, bytes: u64, now: Duration) {
+        self.began = now;
         self.busy_since = Some(now);
         self.busy_until = now + expected;
         self.call_bytes = bytes;
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -298,6 +298,14 @@
         }
     }
 
+    /// Delays the next call to an endpoint until `interval` after the start of the last
+    /// one, because the endpoint states a limit.
+    pub fn space_calls(&mut self, incarnation: &Incarnation, interval: Duration) {
+        if let Ok(index) = self.find(incarnation) {
+            self.endpoints[index].space_calls(interval);
+        }
+    }
+
     /// Records that results at an endpoint were deleted and their memory is
     /// free.
     pub fn release(&mut self, incarnation: &Incarnation, bytes: u64) {
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -386,3 +386,33 @@
     pool.set_owned(true, ms(5_000));
     assert!(!is_immediate(&mut pool, 5_000, 210), "owner again");
 }
+
+/// A worker that stated a limit got calls as fast as it ended them.
+#[test]
+fn space_calls_keeps_to_the_limit_of_an_endpoint_and_uses_others() {
+    let mut pool = pool(&[("a", "x"), ("b", "x")]);
+    for ticket in 0..400 {
+        pool.add(piece(ticket, ticket, 60_000));
+    }
+    let interval = ms(1_000);
+    let mut starts = [Vec::new(), Vec::new()];
+    let mut running: Vec<(u64, Call)> = Vec::new();
+    for now in (0..8_000).step_by(10) {
+        while let Some(call) = pool.next_call(ms(now)) {
+            let limited = call.endpoint == incarnation("a");
+            starts[usize::from(!limited)].push(now);
+            running.push((now + 300, call));
+        }
+        let ended = |one: &(u64, Call)| one.0 <= now;
+        for (_, call) in running.extract_if(.., |one| ended(one)) {
+            if call.endpoint == incarnation("a") {
+                pool.space_calls(&call.endpoint, interval);
+            }
+            pool.end(&call, Outcome::Answered, Results::default(), ms(now));
+        }
+    }
+    let gaps = starts[0].windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.min() >= Some(1_000), "{:?}", starts[0]);
+    assert!(starts[0].len() >= 7, "still used: {:?}", starts[0]);
+    assert!(starts[1].len() > 2 * starts[0].len(), "{:?}", starts[1]);
+}
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -674,9 +674,11 @@
         served += usize::from(answer.status == Some(200));
     }
     for endpoint in &endpoints[..limited] {
-        let runs = endpoint.runs();
-        let from = runs.first().expect("the endpoint names its limit").at + STABILITY;
-        let times: Vec<time::Instant> = runs.iter().map(|run| run.at).collect();
+        let times: Vec<time::Instant> = match role {
+            Role::Worker => endpoint.calls(),
+            Role::Desk | Role::Engine => endpoint.runs().iter().map(|run| run.at).collect(),
+        };
+        let from = *times.first().expect("the endpoint states its limit") + STABILITY;
         for (index, start) in times.iter().enumerate().filter(|(_, at)| **at >= from) {
             let window = times[index..].iter();
             let count = window.take_while(|at| **at < *start + WINDOW).count();
@@ -686,9 +688,9 @@
             );
         }
         assert!(
-            runs.len() >= 8,
+            times.len() >= 8,
             "the endpoint is still used: {}",
-            runs.len()
+            times.len()
         );
     }
     if limited < endpoints.len() {
@@ -702,6 +704,12 @@
     check_limit(Role::Engine, 2.0, 2).await;
 }
 
+/// Workers that named a limit for their calls got them as fast as they ended.
+#[tokio::test]
+async fn worker_gets_no_more_calls_than_the_limit_that_it_names() {
+    check_limit(Role::Worker, 2.0, 2).await;
+}
+
 /// Endpoints of plain services that named a limit got several times as many requests.
 #[tokio::test]
 async fn plain_endpoint_gets_no_more_requests_than_the_limit_that_it_names() {
