--- a/crates/cicadacrank-node/src/clock.rs
+++ b/crates/cicadacrank-node/src/clock.rs
@@ -66,3 +66,8 @@
     let day = u64::from(cicadacrank_core::rules::Window::DAY_MINUTES);
     u16::try_from(minutes % day).unwrap_or(0)
 }
+
+/// Returns a duration in whole milliseconds, as messages carry it.
+pub fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -1,15 +1,13 @@
 //! Conversions between the messages that gateways exchange and their types.
 
-use crate::gateway::{owner::Task, stages::Output};
+use crate::{
+    clock::milliseconds,
+    gateway::{owner::Task, stages::Output},
+};
 use cicadacrank_core::{directory::Incarnation, roster::Gateway};
 use cicadacrank_wire::wire::{self, GatewayState, Production};
 use std::time::Duration;
 
-/// Returns a duration in whole milliseconds, as messages carry it.
-pub fn milliseconds(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Encodes a gateway.
 pub fn encode_gateway(gateway: &Gateway) -> GatewayState {
     GatewayState {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -6,14 +6,13 @@
 
 use self::codec::{
     decode_gateway, decode_output, decode_task, encode_gateway, encode_output, encode_task,
-    milliseconds,
 };
 use super::{
     owner::{self, Failure, Task},
     stages::Output,
     state::{State, lock},
 };
-use crate::daemon;
+use crate::{clock::milliseconds, daemon};
 use cicadacrank_core::{
     directory::Incarnation,
     error::Kind,
--- a/crates/cicadacrank-node/src/quarantine/causes.rs
+++ b/crates/cicadacrank-node/src/quarantine/causes.rs
@@ -1,7 +1,10 @@
 //! Possible causes of crashes that a process knows, and their exchange with other
 //! processes.
 
-use crate::{clock::Clock, sync::lock};
+use crate::{
+    clock::{Clock, milliseconds},
+    sync::lock,
+};
 use cicadacrank_core::{
     event::Event,
     quarantine::{
@@ -95,10 +98,6 @@
     }
 }
 
-fn milliseconds(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn encode(suspect: &Suspect, now: Duration) -> wire::CrashSuspect {
     let age = |at: Duration| milliseconds(now.saturating_sub(at));
     let crashes = suspect.crashes.iter().map(|crash| wire::Crash {
--- a/crates/cicadacrankd/tests/crash.rs
+++ b/crates/cicadacrankd/tests/crash.rs
@@ -38,20 +38,29 @@
     fleet
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn crashing_request_crashes_two_endpoints_across_all_entries() {
+/// Starts a small fleet whose endpoints crash on requests that contain "poison".
+async fn start_crashing_fleet() -> Fleet {
     let fleet = start_restarting_fleet().await;
     for backend in &fleet.backends {
         backend
             .engine
             .set_faults(vec![Fault::CrashOn("poison".to_owned())]);
     }
-    let crashes = || -> u64 {
-        let backends = fleet.backends.iter();
-        backends
-            .map(|backend| backend.engine.incarnation() - 1)
-            .sum()
-    };
+    fleet
+}
+
+/// Returns the number of crashes of all endpoints.
+fn crashes(fleet: &Fleet) -> u64 {
+    let backends = fleet.backends.iter();
+    backends
+        .map(|backend| backend.engine.incarnation() - 1)
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_request_crashes_two_endpoints_across_all_entries() {
+    let fleet = start_crashing_fleet().await;
+    let crashes = || crashes(&fleet);
     let start = Instant::now();
     let (status, text) = ask(&fleet, 0, POISON).await;
     assert!(start.elapsed() < MAX_REFUSAL_TIME, "{:?}", start.elapsed());
@@ -92,18 +101,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn field_that_crashes_endpoints_is_refused_whatever_else_the_request_holds() {
     const MAX_CRASHES: u64 = 5;
-    let fleet = start_restarting_fleet().await;
-    for backend in &fleet.backends {
-        backend
-            .engine
-            .set_faults(vec![Fault::CrashOn("poison".to_owned())]);
-    }
-    let crashes = || -> u64 {
-        let backends = fleet.backends.iter();
-        backends
-            .map(|backend| backend.engine.incarnation() - 1)
-            .sum()
-    };
+    let fleet = start_crashing_fleet().await;
+    let crashes = || crashes(&fleet);
     let mut refused = 0;
     for number in 0..8 {
         let body = format!(r#"{{"query":"order {number}","template":"poison","guests":2}}"#);
