Keep the time from a request to its crash when reports travel

A report that travels for 30 ms makes all times in it look later. The merge kept the latest time of a request, so that each exchange moved it on, and requests that were in flight at simultaneous crashes seemed to have been sent after them: a popular part was quarantined. Found by reading; the new test failed before.

The merge keeps the shortest time from a request to its crash instead, and a crash counts in a row only if its request was sent 50 ms after the crash before, which covers one journey.

--- a/crates/cicadacrank-core/src/quarantine/cause.rs
+++ b/crates/cicadacrank-core/src/quarantine/cause.rs
@@ -16,6 +16,10 @@
 /// known later. Reports arrive well within it.
 const CLEARANCE_TIME: Duration = Duration::from_secs(5);
 
+/// Allowance for the delay of reports, in which crashes at the same time seem to
+/// follow each other.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
+
 /// Number of crashes, as a multiple of the limit of a cause, from which on another
 /// cause with as many no longer explains them.
 const TIE_LIMIT_FACTOR: usize = 4;
@@ -62,6 +66,13 @@
     pub cleared: bool,
 }
 
+impl Crash {
+    /// Returns the time from the request to the crash.
+    const fn lead(&self) -> Duration {
+        self.at.saturating_sub(self.sent)
+    }
+}
+
 /// A cause with its crashes, as processes report it to each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspect {
@@ -118,8 +129,12 @@
             Some(known) => {
                 let changed = crash.cleared != known.cleared;
                 known.cleared |= crash.cleared;
-                known.sent = known.sent.max(crash.sent);
+                // A report that travels for a while makes both times look later, but
+                // leaves the time between them as it is.
+                let lead = known.lead().min(crash.lead());
                 known.at = known.at.min(crash.at);
+                known.sent = known.at.saturating_sub(lead);
+                crashes.sort_by_key(|known| known.at);
                 changed
             }
             None => {
@@ -144,7 +159,7 @@
     let mut count = 0;
     let mut last = None;
     for crash in crashes {
-        if last.is_none_or(|last| crash.sent > last) {
+        if last.is_none_or(|last| crash.sent > last + REPORT_DELAY) {
             count += 1;
             last = Some(crash.at);
         }
--- a/crates/cicadacrank-core/tests/cause.rs
+++ b/crates/cicadacrank-core/tests/cause.rs
@@ -221,6 +221,31 @@
     assert_eq!(stale.find_quarantined(&[part("sound")]), None);
 }
 
+/// Reports that travel for a while made the requests of simultaneous crashes look newer.
+#[test]
+fn merge_keeps_the_time_from_a_request_to_its_crash() {
+    const DELAY: Duration = Duration::from_millis(30);
+    let mut lists = [List::default(), List::default()];
+    for endpoint in 0..6 {
+        let crash = crash(endpoint, 1_000 + endpoint);
+        lists[0].record_crash(&[part("popular")], crash, at(1_100));
+    }
+    for exchange in 0..40 {
+        let (sender, receiver) = (exchange % 2, (exchange + 1) % 2);
+        let now = at(1_100 + 250 * exchange as u64);
+        for mut suspect in lists[sender].report(now, RETENTION, MAX_REPORTED) {
+            for crash in &mut suspect.crashes {
+                crash.at += DELAY;
+                crash.sent += DELAY;
+            }
+            lists[receiver].merge(&suspect, now + DELAY);
+        }
+    }
+    for list in &lists {
+        assert_eq!(list.find_quarantined(&[part("popular")]), None);
+    }
+}
+
 #[test]
 fn merge_does_not_depend_on_order_or_repetition() {
     let suspect = |index: u64, cleared: bool, with: &str| Suspect {
