Let reported limits age while gateways pass them on

A statement of a limit that two gateways report to each other moved on by the time a heartbeat travels at each exchange, so that one that no endpoint repeated stayed in force. Found by reading; the new test failed before: after 30 s of exchanges a limit still held that ends after 10 s. A report now counts as 50 ms older than it says.

--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -26,6 +26,10 @@
 /// Time after which a limit no longer holds that the endpoint has not stated again.
 const LIMIT_TTL: Duration = Duration::from_secs(10);
 
+/// Allowance for the delay of reports, so that a statement does not look newer at
+/// each process that passes it on.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
+
 /// Number of requests, relative to a stated limit, above which it is broken.
 const LIMIT_OVERRUN: f64 = 1.5;
 
@@ -90,6 +94,18 @@
     pub tried: &'a [Key],
 }
 
+impl Limit {
+    /// Creates the limit that another process reports, which the endpoint stated
+    /// `age` before the report was sent.
+    #[must_use]
+    pub const fn reported(per_second: Option<f64>, age: Duration, now: Duration) -> Self {
+        Self {
+            per_second,
+            at: now.saturating_sub(age).saturating_sub(REPORT_DELAY),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Slot {
     generation: u32,
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -72,6 +72,38 @@
     assert_eq!(fleet.stated_limits(at(15), at(2)).count(), 0);
 }
 
+/// A statement that two gateways kept reporting to each other never aged.
+#[test]
+fn reported_statement_never_looks_newer_than_it_is() {
+    const DELAY: Duration = Duration::from_millis(30);
+    let mut fleets = [fleet(1, 2, 0), fleet(1, 2, 1)];
+    let life = incarnation(0);
+    let begin = Duration::from_secs(20);
+    fleets[0].record_limit(&life, limit(Some(0.1), begin));
+    let mut now = begin;
+    for exchange in 0..1_000 {
+        let (sender, receiver) = (exchange % 2, (exchange + 1) % 2);
+        let reports: Vec<Limit> = fleets[sender]
+            .stated_limits(now, Duration::from_secs(2))
+            .map(|(_, limit)| limit)
+            .collect();
+        for report in reports {
+            let age = now - report.at;
+            let received = now + DELAY;
+            let report = Limit::reported(report.per_second, age, received);
+            fleets[receiver].record_limit(&life, report);
+        }
+        now += DELAY;
+    }
+    assert!(
+        now > begin + Duration::from_secs(11),
+        "longer than a limit holds"
+    );
+    for fleet in &fleets {
+        assert!(choose(fleet, now).is_some());
+    }
+}
+
 #[test]
 fn choose_plain_keeps_to_the_share_and_uses_other_endpoints() {
     let mut fleet = fleet(2, 2, 0);
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -304,10 +304,9 @@
             id: limit.endpoint,
             born: limit.born,
         };
-        let limit = Limit {
-            per_second: limit.per_second.filter(|limit| *limit >= 0.0),
-            at: now.saturating_sub(Duration::from_millis(limit.age_ms)),
-        };
+        let per_second = limit.per_second.filter(|limit| *limit >= 0.0);
+        let age = Duration::from_millis(limit.age_ms);
+        let limit = Limit::reported(per_second, age, now);
         state.record_limit(&endpoint, limit, &instance);
     }
     let own = versions(state);
