Bound the work of clearing causes

Each response was added to a sorted vector that holds those of five seconds, and each one looked at all rows for changes. It is a map now, and only a response that clears a crash looks. No decision changes; not measured under load.

--- a/crates/cicadacrank-core/src/quarantine/cause.rs
+++ b/crates/cicadacrank-core/src/quarantine/cause.rs
@@ -7,7 +7,7 @@
 //! a row remain.
 
 use super::{Fingerprint, MAX_SUSPECTS, PART_CRASH_LIMIT, REQUEST_CRASH_LIMIT, RETENTION};
-use std::{fmt, time::Duration};
+use std::{collections::HashMap, fmt, time::Duration};
 
 /// Maximum number of crashes kept for one cause.
 const MAX_CRASHES_KEPT: usize = 16;
@@ -174,8 +174,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct List {
     rows: Vec<Row>,
-    /// Causes of which a response began lately, sorted, with the time of the last.
-    responses: Vec<(Cause, Duration)>,
+    /// Causes of which a response began lately, with the time of the last. Each request
+    /// adds some, so that a sorted vector would have to move many.
+    responses: HashMap<Cause, Duration>,
 }
 
 impl List {
@@ -210,7 +211,7 @@
             Ok(index) => index,
             Err(index) => self.insert(index, suspect, now),
         };
-        let began = self.last_response(suspect.cause);
+        let began = self.responses.get(&suspect.cause).copied();
         let row = &mut self.rows[index];
         let mut changed = false;
         for mut crash in crashes {
@@ -227,16 +228,13 @@
     }
 
     /// Clears causes of the crashes before `began`, because the response to a
-    /// request with these causes began then and went on.
-    pub fn clear(&mut self, causes: &[Cause], began: Duration, now: Duration) {
+    /// request with these causes began then and went on. Returns whether there were
+    /// such crashes.
+    pub fn clear(&mut self, causes: &[Cause], began: Duration, now: Duration) -> bool {
+        let mut changed = false;
         for cause in causes {
-            match self.find_response(*cause) {
-                Ok(index) => {
-                    let last = &mut self.responses[index].1;
-                    *last = began.max(*last);
-                }
-                Err(index) => self.responses.insert(index, (*cause, began)),
-            }
+            let last = self.responses.entry(*cause).or_insert(began);
+            *last = began.max(*last);
             let Ok(index) = self.find(*cause) else {
                 continue;
             };
@@ -245,8 +243,10 @@
             for crash in crashes.filter(|crash| !crash.cleared && crash.at < began) {
                 crash.cleared = true;
                 row.changed = now;
+                changed = true;
             }
         }
+        changed
     }
 
     /// Returns the cause for which a request with these causes is refused.
@@ -283,7 +283,7 @@
     /// and those that changed within `recent`, at most `most`. Drops expired entries.
     pub fn report(&mut self, now: Duration, recent: Duration, most: usize) -> Vec<Suspect> {
         self.responses
-            .retain(|(_, began)| *began + CLEARANCE_TIME > now);
+            .retain(|_, began| *began + CLEARANCE_TIME > now);
         self.expire(now.saturating_sub(RETENTION));
         let mut rows: Vec<&Row> = self.rows.iter().collect();
         rows.retain(|row| row.quarantined || row.changed + recent > now);
@@ -379,15 +379,6 @@
         self.rows.retain(|row| !row.suspect.crashes.is_empty());
     }
 
-    fn last_response(&self, cause: Cause) -> Option<Duration> {
-        let index = self.find_response(cause).ok()?;
-        Some(self.responses[index].1)
-    }
-
-    fn find_response(&self, cause: Cause) -> Result<usize, usize> {
-        self.responses.binary_search_by_key(&cause, |(one, _)| *one)
-    }
-
     fn row(&self, cause: Cause) -> Option<&Row> {
         self.find(cause).ok().map(|index| &self.rows[index])
     }
--- a/crates/cicadacrank-node/src/quarantine/causes.rs
+++ b/crates/cicadacrank-node/src/quarantine/causes.rs
@@ -55,8 +55,7 @@
     /// with these causes began then and went on.
     pub fn clear(&self, causes: &[Cause], began: Duration) {
         let mut list = lock(&self.list);
-        list.clear(causes, began, self.clock.now());
-        if !list.is_empty() {
+        if list.clear(causes, began, self.clock.now()) {
             log_changes(&mut list, "own");
         }
     }
