Count all windows before a deadline, and end a wait when no engine is left

Found by reading. A request that waits for a share of a limit kept waiting until its deadline when all engines left meanwhile; before the limits it was refused at once. And the count of requests that limits leave before a deadline covered one window, so that under a shortage some were refused that a later window could serve: the new check of 16 requests in nine seconds gave 8 before.

--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -501,7 +501,7 @@
         let sends = windows.map(|(window, limit)| {
             // Without a share, one request may be granted from the reserve.
             let grant = share.grant(limit, &self.endpoint.life.id).max(1);
-            self.throttle.sends_until(window, grant, until)
+            self.throttle.sends_until(window, grant, now, until)
         });
         sends.min().unwrap_or(usize::MAX)
     }
--- a/crates/cicadacrank-core/src/share/throttle.rs
+++ b/crates/cicadacrank-core/src/share/throttle.rs
@@ -65,13 +65,23 @@
         now >= window.length() && self.count(window, now) < grant
     }
 
-    /// Returns the number of sends that the grant allows until `until`.
+    /// Returns the number of sends that the grant allows from `now` until `until`, if
+    /// each is made as soon as it may be.
     #[must_use]
-    pub fn sends_until(&self, window: Window, grant: usize, until: Duration) -> usize {
-        if until < window.length() {
+    pub fn sends_until(
+        &self,
+        window: Window,
+        grant: usize,
+        now: Duration,
+        until: Duration,
+    ) -> usize {
+        let start = now.max(window.length());
+        let Some(time) = until.checked_sub(start) else {
             return 0;
-        }
-        grant.saturating_sub(self.count(window, until))
+        };
+        let windows = time.as_nanos() / window.length().as_nanos() + 1;
+        let sends = grant.saturating_mul(usize::try_from(windows).unwrap_or(usize::MAX));
+        sends.saturating_sub(self.count(window, now))
     }
 
     fn count(&self, window: Window, now: Duration) -> usize {
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -149,6 +149,9 @@
     assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, until), 0);
     let later = now + Duration::from_secs(5);
     assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, later), 8);
+    let next = now + Duration::from_secs(9);
+    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, next), 16);
+    assert_eq!(fleet.sends_until("other", 0.0, &[], now, next), 0);
 }
 
 /// Returns the times at which gateways that knew of the limit sent requests to the
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -211,12 +211,15 @@
         if Instant::now() + COLD_START_RECHECK >= expires {
             return None;
         }
-        if waiting.is_none() {
+        let ahead = if waiting.is_none() {
             let (waiter, ahead) = state.begin_waiting(&job.service);
             waiting = Some(waiter);
-            if sends_until(state, job, tried, expires) <= ahead {
-                return None;
-            }
+            ahead
+        } else {
+            0
+        };
+        if sends_until(state, job, tried, expires) <= ahead {
+            return None;
         }
         time::sleep(COLD_START_RECHECK).await;
     }
