Take no resumed stream for complete that brought no event and no stated end

A caller got two of six events as a complete stream.

Cause: a stream that is resumed may have nothing left, so an end without an event counted as complete; without a length or chunks the end of a broken connection looks the same. Such an end counts only if the response states it. The new test failed before and passes.

--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -378,12 +378,15 @@
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let is_event_stream =
             content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+        // The engine that resumes a stream may state that nothing is left.
+        let is_framed = response.headers().contains_key(header::CONTENT_LENGTH)
+            || response.headers().contains_key(header::TRANSFER_ENCODING);
         if !response.status().is_success() || !(is_event_stream || self.events > 0) {
             return None;
         }
         if self.splitter.has_partial() {
             Some("the stream ended inside an event")
-        } else if self.events == 0 {
+        } else if self.events == 0 || (self.upstream.began.is_none() && !is_framed) {
             Some("the stream ended without an event")
         } else {
             None
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -629,6 +629,22 @@
     assert_eq!(answer.status, Some(502));
 }
 
+/// A stream was passed on as complete when the engine that resumed it sent no event.
+#[tokio::test]
+async fn resumed_stream_without_an_event_is_broken_off() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, broken) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::UnframedEmpty);
+        broken.set_fault(Fault::BreakOff);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        let whole = answer.status == Some(200) && answer.whole;
+        assert!(!whole, "{}", deployment.gateways[0].log_text());
+    }
+}
+
 #[tokio::test]
 async fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
