--- a/crates/cicadacrank-core/src/quarantine/cause.rs
+++ b/crates/cicadacrank-core/src/quarantine/cause.rs
@@ -298,18 +298,6 @@
         self.rows.iter().filter(|row| row.quarantined).count()
     }
 
-    /// Returns the number of causes in the list.
-    #[must_use]
-    pub const fn len(&self) -> usize {
-        self.rows.len()
-    }
-
-    /// Returns whether the list has no causes.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
-
     /// Returns whether the crashes that no other cause explains as well reach the
     /// limit of a cause. A cause with more crashes is the better explanation. One with
     /// as many leaves it open, unless it is a companion, which always comes with it.
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -326,16 +326,12 @@
                 Ok(None) => match self.unexpected_end() {
                     None => return self.finish(),
                     Some(reason) => {
-                        if self.is_response_start() {
-                            attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
-                        }
+                        self.check_crash();
                         reason.to_owned()
                     }
                 },
                 Ok(Some(Err(error))) => {
-                    if self.is_response_start() {
-                        attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
-                    }
+                    self.check_crash();
                     error.to_string()
                 }
                 Err(_) => "timed out waiting for the next event".to_owned(),
@@ -400,6 +396,13 @@
         began.is_none_or(|began| now < began + RESPONSE_START)
     }
 
+    /// Checks whether the engine crashed, if it had not begun to respond or only just.
+    fn check_crash(&self) {
+        if self.is_response_start() {
+            attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
+        }
+    }
+
     /// Clears the request of crashes before its response began.
     fn clear_causes(&mut self) {
         if let Some(began) = self.upstream.began
