--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -59,6 +59,8 @@
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
+    RequestArrived = 302, Debug, "The head of a request was read.";
+    ConnectionEnded = 303, Debug, "A connection from a caller ended with an error.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
     FrameDropped = 311, Warn, "A frame that does not match its attempt was dropped.";
     AttemptChosen = 312, Info, "An endpoint was chosen for an attempt.";
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -142,7 +142,11 @@
             state.in_flight()
         ));
     }
-    Event::Stopped.log(format_args!("instance={}", settings.instance));
+    Event::Stopped.log(format_args!(
+        "instance={} connections={}",
+        settings.instance,
+        server.open_connections()
+    ));
     log::logger().flush();
     Ok(())
 }
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -104,6 +104,12 @@
     let arrived = Instant::now();
     let caller = Caller::decode(request.headers());
     let mut disconnect = Disconnect::new(&state, &caller, arrived);
+    Event::RequestArrived.log(format_args!(
+        "id={} path={} body_bytes={:?}",
+        disconnect.id,
+        request.uri().path(),
+        request.body().size_hint().exact(),
+    ));
     let answer = match accept(&state, request, caller, arrived).await {
         Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
         Ok(job) => plain::serve(&state, &job).await,
@@ -129,6 +135,11 @@
     }
 }
 
+/// Returns the id of the caller's attempt, for logs.
+pub fn attempt_id(request: &Request<Incoming>) -> String {
+    Caller::decode(request.headers()).attempt_text().to_owned()
+}
+
 /// Records that the caller disconnected if it is dropped before the response is
 /// ready.
 struct Disconnect {
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -1,17 +1,25 @@
 //! Accepts connections from callers, load balancers and metrics scrapers.
 
 use super::{reply::Body, request, state::State};
-use crate::{daemon, outbound};
+use crate::{daemon, outbound, sync::lock};
+use cicadacrank_core::event::Event;
 use http::{HeaderValue, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use miette::Result;
-use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     time,
 };
+use tokio_util::task::TaskTracker;
 
 /// Delay before accepting again after an error, such as a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -35,6 +43,15 @@
     state: Arc<State>,
     listeners: Vec<(TcpListener, Client)>,
     closing: watch::Sender<bool>,
+    /// Open connections from callers.
+    connections: TaskTracker,
+}
+
+/// The newest request on a connection.
+#[derive(Debug, Default)]
+struct Newest {
+    id: String,
+    answered: bool,
 }
 
 /// Kind of client on a connection.
@@ -65,9 +82,16 @@
             listeners,
             state: Arc::clone(state),
             closing,
+            connections: TaskTracker::new(),
         })
     }
 
+    /// Returns the number of open connections from callers.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Starts to accept connections in background tasks.
     pub fn start(&mut self) {
         for (listener, client) in self.listeners.drain(..) {
@@ -81,6 +105,7 @@
                 client,
                 Arc::new(Semaphore::new(sockets)),
                 self.closing.subscribe(),
+                self.connections.clone(),
             ));
         }
     }
@@ -104,6 +129,7 @@
     client: Client,
     sockets: Arc<Semaphore>,
     closing: watch::Receiver<bool>,
+    connections: TaskTracker,
 ) {
     loop {
         let Ok(permit) = Arc::clone(&sockets).acquire_owned().await else {
@@ -112,10 +138,14 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let serving = serve(Arc::clone(&state), stream, client, closing.clone());
-                tokio::spawn(async move {
+                let serving = async move {
                     serving.await;
                     drop(permit);
-                });
+                };
+                match client {
+                    Client::Caller => drop(connections.spawn(serving)),
+                    Client::Inspector => drop(tokio::spawn(serving)),
+                }
             }
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
@@ -141,7 +171,8 @@
         .unwrap_or_default();
     // A connection that is accepted during the shutdown serves one request only.
     let is_closing = *closing.borrow();
-    let service = service_fn(|request| answer(Arc::clone(&state), request, client));
+    let newest = Mutex::new(Newest::default());
+    let service = service_fn(|request| answer(Arc::clone(&state), request, client, &newest));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(!is_closing)
@@ -156,8 +187,14 @@
             connection.await
         }
     };
-    if let Err(error) = result {
-        log::debug!("connection from {client:?} failed: {error}");
+    if let (Client::Caller, Err(error)) = (client, result) {
+        let newest = lock(&newest);
+        Event::ConnectionEnded.log(format_args!(
+            "newest_id={} answered={} idle_timeout_ms={} error={error}",
+            newest.id,
+            newest.answered,
+            limits.idle.as_millis()
+        ));
     }
 }
 
@@ -171,11 +208,17 @@
     state: Arc<State>,
     request: http::Request<Incoming>,
     client: Client,
+    newest: &Mutex<Newest>,
 ) -> Result<Response<Body>, Infallible> {
     if client == Client::Inspector {
         return Ok(request::inspect(&state, &request));
     }
+    *lock(newest) = Newest {
+        id: request::attempt_id(&request),
+        answered: false,
+    };
     let mut response = request::handle(Arc::clone(&state), request).await;
+    lock(newest).answered = true;
     if state.draining().is_some() {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
