Read the rest of a refused body, so that its connection stays usable

Callers saw: a request on a kept connection got neither an answer nor a refusal, after an earlier one on it had been refused for its route or key, as happens beside a change of the configuration; and a caller that was still sending a refused body lost the refusal to a reset.

Cause: a request that the configuration does not allow is refused after its head. The HTTP library then gives up reading if the body has not arrived yet: it ends the connection after the answer without having said so, and unread bytes reset it. Class: a connection ends by something else than what both sides were told.

Evidence: both tests failed before ('no answer to the next request', 'reset during the body'). That the users' report is this case is suspected, not shown: their log is missing.

Change: the rest of the body is read and discarded, for two seconds and 8 MiB at most; beyond that, or without a stated length, the answer announces the end of the connection. The log line of a refusal tells how much was unread.

--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -17,9 +17,9 @@
     once::{ExecutionError, Unsent},
     quarantine::Fingerprint,
 };
-use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Incoming, SizeHint};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
@@ -38,6 +38,13 @@
 /// crashed endpoints.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Maximum time for which the rest of a refused body is read and discarded. An unread
+/// body would reset the connection and with it the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum size of the rest of a refused body that is read and discarded, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 8 << 20;
+
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -110,7 +117,8 @@
         request.uri().path(),
         request.body().size_hint().exact(),
     ));
-    let answer = match accept(&state, request, caller, arrived).await {
+    let (head, mut body) = request.into_parts();
+    let answer = match accept(&state, head, &mut body, caller, arrived).await {
         Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
         Ok(job) => plain::serve(&state, &job).await,
         Err(refusal) => Err(refusal),
@@ -119,22 +127,47 @@
     match answer {
         Ok(response) => response,
         Err(refusal) => {
+            let unread = (!body.is_end_stream()).then(|| body.size_hint());
             state.metrics.record_failure(&refusal.error);
             let failure = refusal.error.failure();
             Event::RequestRefused.log(format_args!(
-                "id={} age_ms={} kind={} effect={} retry_after_ms={} context={:?}",
+                "id={} age_ms={} kind={} effect={} retry_after_ms={} unread_bytes={:?} \
+                 context={:?}",
                 disconnect.id,
                 arrived.elapsed().as_millis(),
                 failure.kind,
                 failure.effect.as_str(),
                 refusal.retry_after.map_or(0, |delay| delay.as_millis()),
+                unread.as_ref().and_then(SizeHint::exact),
                 failure.context,
             ));
-            reply::failure(&refusal.error, refusal.retry_after)
+            let mut response = reply::failure(&refusal.error, refusal.retry_after);
+            if let Some(unread) = unread {
+                // The connection of a larger body ends inside it.
+                if unread
+                    .upper()
+                    .is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES)
+                {
+                    let headers = response.headers_mut();
+                    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                tokio::spawn(time::timeout(DISCARD_TIMEOUT, discard(body)));
+            }
+            response
         }
     }
 }
 
+/// Reads and discards a body up to its end or [`MAX_DISCARDED_BYTES`].
+async fn discard(mut body: Incoming) {
+    let mut bytes = 0;
+    while bytes <= MAX_DISCARDED_BYTES
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+    }
+}
+
 /// Returns the id of the caller's attempt, for logs.
 pub fn attempt_id(request: &Request<Incoming>) -> String {
     Caller::decode(request.headers()).attempt_text().to_owned()
@@ -171,7 +204,8 @@
 
 async fn accept(
     state: &Arc<State>,
-    request: Request<Incoming>,
+    head: http::request::Parts,
+    body: &mut Incoming,
     caller: Caller,
     arrived: Instant,
 ) -> Result<Job, Refusal> {
@@ -183,7 +217,6 @@
             return Err(Refusal::from(error).with_retry_after(NOT_READY_RETRY_AFTER));
         }
     };
-    let (head, body) = request.into_parts();
     let host = host(&head.headers, &head.uri);
     let admitted = config.admit(&host, head.uri.path(), caller.key.as_deref());
     let (route, team) = match admitted {
@@ -264,7 +297,7 @@
 ///
 /// Returns a refusal if the body exceeds the configured limit, if memory for it
 /// is short, or if reading it fails.
-async fn read_body(state: &State, config: &Config, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_body(state: &State, config: &Config, body: &mut Incoming) -> Result<Bytes, Refusal> {
     let limit = config.limits.body_bytes;
     let declared = body.size_hint().upper();
     if declared == Some(0) {
--- /dev/null
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -0,0 +1,169 @@
+//! Tests of the connections from callers to the gateway, byte by byte.
+
+use cicadacrank_bench::deployment::{Deployment, HOST, KEY, Plan};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time,
+};
+
+/// Maximum time for which a test waits for a part of an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause after which bytes that were sent have surely been read.
+const PAUSE: Duration = Duration::from_millis(200);
+
+async fn deployment(endpoints: usize) -> Deployment {
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
+        gateways: 1,
+        endpoints,
+    };
+    Deployment::start(&plan)
+        .await
+        .expect("failed to start the deployment")
+}
+
+/// An answer as it was received.
+#[derive(Debug)]
+struct Answer {
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn has_status(&self, status: u16) -> bool {
+        self.head.starts_with(&format!("HTTP/1.1 {status} "))
+    }
+
+    fn announces_close(&self) -> bool {
+        self.head.to_ascii_lowercase().contains("connection: close")
+    }
+
+    fn length(&self) -> Option<usize> {
+        let lines = self.head.lines();
+        let length = lines.filter_map(|line| line.split_once(": "));
+        let mut length = length.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+        length.next().and_then(|(_, value)| value.parse().ok())
+    }
+}
+
+/// A connection to a gateway.
+struct Connection(TcpStream);
+
+impl Connection {
+    async fn open(address: SocketAddr) -> Self {
+        Self(
+            TcpStream::connect(address)
+                .await
+                .expect("failed to connect"),
+        )
+    }
+
+    /// Sends bytes. Returns whether the connection took them.
+    async fn send(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).await.is_ok()
+    }
+
+    /// Reads an answer that has a length. Returns `None` if the connection ends before
+    /// the answer does.
+    async fn read(&mut self) -> Option<Answer> {
+        let read = async {
+            let mut answer = Answer {
+                head: String::new(),
+                body: Vec::new(),
+            };
+            while !answer.head.ends_with("\r\n\r\n") {
+                answer.head.push(char::from(self.0.read_u8().await.ok()?));
+            }
+            answer.body = vec![0; answer.length()?];
+            self.0.read_exact(&mut answer.body).await.ok()?;
+            Some(answer)
+        };
+        let read = time::timeout(ANSWER_TIMEOUT, read).await;
+        read.expect("timed out waiting for an answer")
+    }
+
+    /// Waits for the end of the connection. Returns whether it ended without a reset.
+    async fn ends(&mut self) -> bool {
+        let mut rest = Vec::new();
+        let read = time::timeout(ANSWER_TIMEOUT, self.0.read_to_end(&mut rest)).await;
+        read.expect("timed out waiting for the end").is_ok()
+    }
+}
+
+/// Returns the head of a request with the given additional header lines.
+fn head(method: &str, path: &str, attempt: &str, lines: &str) -> Vec<u8> {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
+         x-attempt-id: {attempt}\r\nx-deadline-ms: 2500\r\n{lines}\r\n"
+    )
+    .into_bytes()
+}
+
+/// A refusal before the body was read ended the connection after the answer, without
+/// saying so. The next request on it got neither an answer nor a refusal.
+#[tokio::test]
+async fn connection_with_a_refused_request_serves_the_next_one() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    for (number, lines) in [
+        "content-length: 20000\r\n",
+        "transfer-encoding: chunked\r\n",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut connection = Connection::open(address).await;
+        let chunked = lines.starts_with("transfer");
+        connection.send(&head("POST", "/none/", "r", lines)).await;
+        let first: &[u8] = if chunked { b"64\r\n" } else { b"" };
+        connection.send(&[first, &[b'x'; 100]].concat()).await;
+        let answer = connection.read().await.expect("the refusal is lost");
+        assert!(answer.has_status(404), "{answer:?}");
+        time::sleep(PAUSE).await;
+        let rest = if chunked {
+            b"\r\n0\r\n\r\n".to_vec()
+        } else {
+            vec![b'x'; 19_900]
+        };
+        connection.send(&rest).await;
+        if answer.announces_close() {
+            assert!(connection.ends().await, "{lines}: reset after the refusal");
+            continue;
+        }
+        connection
+            .send(&head("GET", "/look/1", &format!("a{number}"), ""))
+            .await;
+        let answer = connection.read().await;
+        let answer = answer.unwrap_or_else(|| panic!("{lines}: no answer to the next request"));
+        assert!(answer.has_status(200), "{answer:?}");
+    }
+}
+
+/// Bytes of a refused body that nobody read reset the connection, and the caller lost the
+/// refusal.
+#[tokio::test]
+async fn caller_that_sends_a_refused_body_to_its_end_gets_the_refusal() {
+    const BODY_BYTES: usize = 1_000_000;
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    for (path, status) in [("/none/", 404), ("/book/", 413)] {
+        let mut connection = Connection::open(address).await;
+        let lines = format!("content-length: {BODY_BYTES}\r\n");
+        connection.send(&head("POST", path, "r", &lines)).await;
+        for _ in 0..10 {
+            time::sleep(PAUSE / 10).await;
+            let part = [b'x'; BODY_BYTES / 10];
+            assert!(
+                connection.send(&part).await,
+                "{path}: reset during the body"
+            );
+        }
+        let answer = connection.read().await;
+        let answer = answer.unwrap_or_else(|| panic!("{path}: the refusal is lost"));
+        assert!(answer.has_status(status), "{answer:?}");
+        assert!(!answer.announces_close() || connection.ends().await);
+    }
+}
