End a gateway only when the answers on its connections are delivered

Callers saw: an answer ended in its middle when the gateway was told to stop, although the request had been run and answered.

Cause: the process waited until no request was counted, and a request that is not a stream is counted until its answer is handed to the connection, not until it is written. Connections that the operating system had accepted, and the process not yet, were reset. Class: a connection ends by something else than the end of its answer.

Change: the server waits for its connections in place of its requests, then stops accepting, serves what waits to be accepted, and returns. A connection that is accepted during the shutdown has a second to send its head, so that a silent one does not hold the process to the end of its grace period.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -33,6 +33,9 @@
 /// Id of the part of a prompt at which an engine with [`Fault::CrashOnPart`] crashes.
 pub const CRASHING_PART: &str = "dead";
 
+/// Size of the body of an endpoint with [`Fault::LargeAnswer`], more than sockets buffer.
+pub const LARGE_ANSWER_BYTES: usize = 15 << 20;
+
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
@@ -99,6 +102,8 @@
     UnframedEmpty,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
+    /// It answers with [`LARGE_ANSWER_BYTES`] bytes.
+    LargeAnswer,
 }
 
 impl Fault {
@@ -368,7 +373,10 @@
     let mut response = match role {
         Role::Engine => event_stream(&head.headers, fault),
         Role::Desk | Role::Worker => {
-            let body = Bytes::from(format!("answer to {}", text("x-attempt-id")));
+            let body = match fault {
+                Fault::LargeAnswer => Bytes::from(vec![b'x'; LARGE_ANSWER_BYTES]),
+                _ => Bytes::from(format!("answer to {}", text("x-attempt-id"))),
+            };
             if fault == Fault::BreakOff {
                 truncated_response(&head.headers, body)
             } else {
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -3,6 +3,7 @@
 use super::{reply::Body, request, state::State};
 use crate::{daemon, outbound, sync::lock};
 use cicadacrank_core::event::Event;
+use futures_util::FutureExt as _;
 use http::{HeaderValue, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -16,7 +17,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
     time,
 };
 use tokio_util::task::TaskTracker;
@@ -28,6 +29,10 @@
 /// first. The caller measures the timeout from an earlier point in time.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 
+/// Maximum time for which a connection that is accepted during the shutdown may take to
+/// send the head of its request.
+const CLOSING_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum number of connections from load balancers or metrics scrapers at one
 /// address. It is separate from the limit for callers, so that callers cannot use
 /// up these connections.
@@ -42,7 +47,9 @@
 pub struct Server {
     state: Arc<State>,
     listeners: Vec<(TcpListener, Client)>,
-    closing: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+    /// Tasks that accept connections from callers.
+    acceptors: TaskTracker,
     /// Open connections from callers.
     connections: TaskTracker,
 }
@@ -54,6 +61,19 @@
     answered: bool,
 }
 
+/// Phase of the server on its way to the end of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// Connections serve any number of requests.
+    Serving,
+    /// Idle connections are closed, and the others after their current request. New
+    /// ones serve one request.
+    Closing,
+    /// Connections that the operating system has accepted are served, and no further
+    /// ones accepted.
+    Ending,
+}
+
 /// Kind of client on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Client {
@@ -77,11 +97,12 @@
             let address = SocketAddr::new(settings.listen.ip(), port);
             listeners.push((daemon::bind(address)?, Client::Inspector));
         }
-        let (closing, _) = watch::channel(false);
+        let (phase, _) = watch::channel(Phase::Serving);
         Ok(Self {
             listeners,
             state: Arc::clone(state),
-            closing,
+            phase,
+            acceptors: TaskTracker::new(),
             connections: TaskTracker::new(),
         })
     }
@@ -99,58 +120,86 @@
                 Client::Caller => self.state.settings.sockets / 2,
                 Client::Inspector => MAX_INSPECTOR_CONNECTIONS,
             };
-            tokio::spawn(accept(
-                Arc::clone(&self.state),
+            let acceptor = Acceptor {
+                state: Arc::clone(&self.state),
                 listener,
                 client,
-                Arc::new(Semaphore::new(sockets)),
-                self.closing.subscribe(),
-                self.connections.clone(),
-            ));
+                sockets: Arc::new(Semaphore::new(sockets)),
+                phase: self.phase.subscribe(),
+                connections: self.connections.clone(),
+            };
+            match client {
+                Client::Caller => drop(self.acceptors.spawn(acceptor.run())),
+                Client::Inspector => drop(tokio::spawn(acceptor.run())),
+            }
         }
     }
 
-    /// Closes idle connections and waits until no request is in flight.
+    /// Closes idle connections, waits until the answers on all others are delivered, and
+    /// stops accepting connections.
     pub async fn finish(&self) {
-        self.closing.send_replace(true);
-        loop {
-            let drained = self.state.drained.notified();
-            if self.state.in_flight() == 0 {
-                return;
-            }
-            drained.await;
-        }
+        self.phase.send_replace(Phase::Closing);
+        self.connections.close();
+        self.connections.wait().await;
+        self.phase.send_replace(Phase::Ending);
+        self.acceptors.close();
+        self.acceptors.wait().await;
+        self.connections.wait().await;
     }
 }
 
-async fn accept(
+/// Accepts the connections to one address.
+struct Acceptor {
     state: Arc<State>,
     listener: TcpListener,
     client: Client,
     sockets: Arc<Semaphore>,
-    closing: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
     connections: TaskTracker,
-) {
-    loop {
-        let Ok(permit) = Arc::clone(&sockets).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let serving = serve(Arc::clone(&state), stream, client, closing.clone());
-                let serving = async move {
-                    serving.await;
-                    drop(permit);
-                };
-                match client {
-                    Client::Caller => drop(connections.spawn(serving)),
-                    Client::Inspector => drop(tokio::spawn(serving)),
+}
+
+impl Acceptor {
+    /// Accepts connections. Those from callers are accepted until the process ends,
+    /// including those that wait to be accepted then.
+    async fn run(mut self) {
+        loop {
+            let Ok(permit) = Arc::clone(&self.sockets).acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = wait_until(&mut self.phase, Phase::Ending), if self.client == Client::Caller => {
+                    match self.listener.accept().now_or_never() {
+                        Some(accepted) => accepted,
+                        None => return,
+                    }
+                }
+            };
+            match accepted {
+                Ok((stream, _)) => self.spawn(stream, permit),
+                Err(error) => {
+                    log::warn!("failed to accept a connection: {error}");
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
-            Err(error) => {
-                log::warn!("failed to accept a connection: {error}");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+        }
+    }
+
+    /// Serves a connection in the background.
+    fn spawn(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+        let serving = serve(
+            Arc::clone(&self.state),
+            stream,
+            self.client,
+            self.phase.clone(),
+        );
+        let serving = async move {
+            serving.await;
+            drop(permit);
+        };
+        match self.client {
+            Client::Caller => drop(self.connections.spawn(serving)),
+            Client::Inspector => drop(tokio::spawn(serving)),
         }
     }
 }
@@ -159,7 +208,7 @@
     state: Arc<State>,
     stream: TcpStream,
     client: Client,
-    mut closing: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
 ) {
     if let Err(error) = outbound::configure_socket(&stream) {
         log::debug!("failed to set socket options for {client:?}: {error}");
@@ -170,19 +219,24 @@
         .map(|config| config.limits)
         .unwrap_or_default();
     // A connection that is accepted during the shutdown serves one request only.
-    let is_closing = *closing.borrow();
+    let is_closing = *phase.borrow() >= Phase::Closing;
+    let head_timeout = if is_closing {
+        CLOSING_HEAD_TIMEOUT
+    } else {
+        limits.idle + IDLE_TIMEOUT_MARGIN
+    };
     let newest = Mutex::new(Newest::default());
     let service = service_fn(|request| answer(Arc::clone(&state), request, client, &newest));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(!is_closing)
-        .header_read_timeout(limits.idle + IDLE_TIMEOUT_MARGIN)
+        .header_read_timeout(head_timeout)
         .max_buf_size((limits.head_bytes * 2).max(MIN_BUFFER_LIMIT))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = wait_until_closing(&mut closing), if !is_closing => {
+        () = wait_until(&mut phase, Phase::Closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -198,10 +252,10 @@
     }
 }
 
-/// Waits until the server closes idle connections.
-async fn wait_until_closing(closing: &mut watch::Receiver<bool>) {
+/// Waits until the server has reached a phase.
+async fn wait_until(phase: &mut watch::Receiver<Phase>, reached: Phase) {
     // An error means that the server was dropped, which has the same effect.
-    drop(closing.wait_for(|closing| *closing).await);
+    drop(phase.wait_for(|phase| *phase >= reached).await);
 }
 
 async fn answer(
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -18,7 +18,7 @@
     },
     time::Duration,
 };
-use tokio::{sync::Notify, time::Instant};
+use tokio::time::Instant;
 
 /// Timeout of a call to the store, in addition to the time that a watch waits.
 /// The store usually answers within milliseconds.
@@ -50,7 +50,6 @@
     drain: OnceLock<Drain>,
     ready: AtomicBool,
     in_flight: AtomicUsize,
-    pub(super) drained: Notify,
 }
 
 /// Times of a graceful shutdown.
@@ -120,7 +119,6 @@
             drain: OnceLock::new(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
-            drained: Notify::new(),
             clock,
             settings,
         }
@@ -141,10 +139,11 @@
             return;
         }
         Event::ConfigAdopted.log(format_args!(
-            "version={} before={before} source={source} routes={} teams={}",
+            "version={} before={before} source={source} routes={} teams={} idle_timeout_ms={}",
             config.version,
             config.routes.len(),
-            config.teams.len()
+            config.teams.len(),
+            config.limits.idle.as_millis()
         ));
         self.metrics.config_version.set(as_i64(config.version));
         let config = Arc::new(config);
@@ -382,9 +381,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if self.0.in_flight.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.0.drained.notify_waiters();
-        }
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -1,6 +1,9 @@
 //! Tests of the connections from callers to the gateway, byte by byte.
 
-use cicadacrank_bench::deployment::{Deployment, HOST, KEY, Plan};
+use cicadacrank_bench::{
+    deployment::{Deployment, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Plan, Role},
+    fleet,
+};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -25,6 +28,23 @@
         .expect("failed to start the deployment")
 }
 
+fn set_faults(deployment: &Deployment, role: Role, fault: Fault) {
+    deployment
+        .endpoints_with(role)
+        .for_each(|endpoint| endpoint.set_fault(fault));
+}
+
+/// Waits until the log of the gateway contains `text`.
+async fn wait_for_log(deployment: &Deployment, text: &str) {
+    let gateway = &deployment.gateways[0];
+    if fleet::wait_for(text, async || gateway.log_text().contains(text))
+        .await
+        .is_err()
+    {
+        panic!("{text} is missing: {}", gateway.log_text());
+    }
+}
+
 /// An answer as it was received.
 #[derive(Debug)]
 struct Answer {
@@ -167,3 +187,33 @@
         assert!(!answer.announces_close() || connection.ends().await);
     }
 }
+
+/// A gateway that was told to stop exited once an answer was handed to its connection, and
+/// a caller that reads slowly lost the rest.
+#[tokio::test]
+async fn terminated_gateway_delivers_an_answer_to_a_slow_reader() {
+    let mut deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::LargeAnswer);
+    let mut connection = Connection::open(address).await;
+    connection.send(&head("GET", "/look/1", "a1", "")).await;
+    wait_for_log(&deployment, "RequestServed: id=a1").await;
+    deployment.gateways[0]
+        .terminate()
+        .expect("failed to send the signal");
+    // The load balancer has noticed the shutdown by then.
+    let mut first = vec![0; 1 << 20];
+    for part in first.chunks_mut(1 << 17) {
+        time::sleep(PAUSE * 2).await;
+        let read = connection.0.read_exact(part).await;
+        read.expect("the connection ended inside the answer");
+    }
+    let mut rest = Vec::new();
+    let read = connection.0.read_to_end(&mut rest).await;
+    assert!(read.is_ok(), "{read:?}");
+    let received = first.len() + rest.len();
+    assert!(received > LARGE_ANSWER_BYTES, "{received} bytes received");
+    let end = deployment.gateways[0].wait().await;
+    assert!(end.expect("failed to wait for the process").success());
+    wait_for_log(&deployment, "102 Stopped: instance=gateway-0 connections=0").await;
+}
