Leave a silent engine only for one that accepted its stream

Callers saw: a stream that had begun ended without its end, while its engine was sound and had only been silent for 1.2 s.

Cause: a stream that may be resumed was given up after 1.2 s without an event; only then were its stages run again, an engine selected and the request sent. Each of these can fail, for want of a retry, an engine or room, and the answer was lost with it. Class: something that works is given up before its successor is certain.

Evidence: the new test failed before ('StreamBroken ... timed out waiting for the next event', after 1,226 ms of silence, with one engine, and with a second one that declines). That the users' report is this case is suspected, not shown.

Change: the silent engine is kept while its successor is prepared and asked. It is left when that has accepted, or 300 ms after the send, since two engines must not work on one stream for 400 ms; if it goes on before, it stays.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -39,6 +39,9 @@
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Pause of an engine with [`Fault::PauseAfterEvent`].
+const SILENCE: Duration = Duration::from_millis(1_700);
+
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(15);
 
@@ -90,6 +93,8 @@
     HangWithInputs,
     /// It sends the first event of a stream and delays the others for a minute.
     StallAfterEvent,
+    /// It sends the first event of a stream, pauses for [`SILENCE`] and goes on.
+    PauseAfterEvent,
     /// It answers a stream with bytes that form no event, without end.
     Endless,
     /// It rejects requests with status 421, as if it were not the target.
@@ -450,11 +455,15 @@
     }
     let last_seen = header(headers, "last-event-id").parse().unwrap_or(0_u64);
     let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
-    let stalls = fault == Fault::StallAfterEvent;
+    let silence = match fault {
+        Fault::StallAfterEvent => Duration::from_secs(60),
+        Fault::PauseAfterEvent => SILENCE,
+        _ => Duration::ZERO,
+    };
     let parts = stream::iter(last_seen + 1..=last).then(move |number| async move {
         time::sleep(EVENT_GAP).await;
-        if stalls && number > 1 {
-            time::sleep(Duration::from_secs(60)).await;
+        if number == 2 {
+            time::sleep(silence).await;
         }
         let event = format!("id: {number}\ndata: token {number}\n\n");
         Ok(Frame::data(Bytes::from(event)))
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -23,7 +23,7 @@
 use http::{Response, header};
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Frame;
-use std::{io, sync::Arc, time::Duration};
+use std::{io, pin::pin, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// Content type of a stream of events.
@@ -45,9 +45,16 @@
 const EVENT_TIMEOUT_GAPS: u32 = 8;
 
 /// Time without an event after which a stream that may be resumed is resumed at
-/// another engine.
+/// another engine, if one accepts it.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time from the send to another engine until the silent one is abandoned. Two engines
+/// must not work on the same stream for longer than 400 ms.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
+
+/// Failure of an engine that sends no event in time.
+const SILENCE: &str = "timed out waiting for the next event";
+
 /// Time between two checks for an available engine while all engines have reached
 /// their cold-start limit.
 const COLD_START_RECHECK: Duration = Duration::from_millis(40);
@@ -306,10 +313,15 @@
             return None;
         }
         // Parts of an event do not extend the time for it.
-        let mut deadline = self.event_deadline();
+        let (mut patience, mut deadline) = (self.patience(), self.event_deadline());
+        let mut early = None;
         loop {
             let body = self.upstream.exchange.response.body_mut();
-            let failure = match time::timeout_at(deadline, body.frame()).await {
+            let received = match early.take() {
+                Some(received) => Ok(received),
+                None => time::timeout_at(patience.min(deadline), body.frame()).await,
+            };
+            let failure = match received {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else {
                         continue;
@@ -334,35 +346,56 @@
                     self.check_crash();
                     error.to_string()
                 }
-                Err(_) => "timed out waiting for the next event".to_owned(),
+                Err(_) if Instant::now() < deadline => {
+                    match self.resume(SILENCE, true).await {
+                        Resumption::Received(received) => early = Some(received),
+                        Resumption::Waiting => patience = Instant::now() + RESUME_TIMEOUT,
+                        Resumption::Resumed => {
+                            (patience, deadline) = (self.patience(), self.event_deadline());
+                        }
+                        Resumption::Failed => return Some(Err(self.break_off(SILENCE))),
+                    }
+                    continue;
+                }
+                Err(_) => SILENCE.to_owned(),
             };
             self.upstream.guard.record(Report::Failed);
-            if !self.resume(&failure).await {
-                self.finished = true;
-                Event::StreamBroken.log(format_args!(
-                    "id={} age_ms={} endpoint={} events={} context={failure:?}",
-                    self.job.id(),
-                    self.job.age_ms(),
-                    self.upstream.guard.endpoint.life.id,
-                    self.events,
-                ));
-                return Some(Err(io::Error::other(failure)));
+            if !matches!(self.resume(&failure, false).await, Resumption::Resumed) {
+                return Some(Err(self.break_off(&failure)));
             }
-            deadline = self.event_deadline();
+            (patience, deadline) = (self.patience(), self.event_deadline());
+        }
+    }
+
+    /// Ends the stream before it is complete.
+    fn break_off(&mut self, failure: &str) -> io::Error {
+        self.finished = true;
+        Event::StreamBroken.log(format_args!(
+            "id={} age_ms={} endpoint={} events={} context={failure:?}",
+            self.job.id(),
+            self.job.age_ms(),
+            self.upstream.guard.endpoint.life.id,
+            self.events,
+        ));
+        io::Error::other(failure.to_owned())
+    }
+
+    /// Returns the time from which another engine is sought while the current one is
+    /// silent.
+    fn patience(&self) -> Instant {
+        if self.events > 0 && self.may_resume() {
+            Instant::now() + RESUME_TIMEOUT
+        } else {
+            self.event_deadline()
         }
     }
 
     /// Returns the time until which the relay waits for the next event.
     fn event_deadline(&self) -> Instant {
-        let timeout = if self.may_resume() {
-            RESUME_TIMEOUT
-        } else {
-            event_timeout(&self.job)
-        };
         let deadline = if self.events == 0 {
             self.expires
         } else {
-            Instant::now() + timeout
+            Instant::now() + event_timeout(&self.job)
         };
         deadline.min(self.job.outgoing.deadline)
     }
@@ -472,49 +505,45 @@
     }
 
     /// Resumes the stream at another engine after the last complete event. Runs the
-    /// stages again if their results were released. Returns whether that succeeded.
-    async fn resume(&mut self, failure: &str) -> bool {
-        if !self.may_resume() || Instant::now() >= self.job.outgoing.deadline {
-            return false;
-        }
-        let causes = &self.job.outgoing.causes;
-        if self.state.causes.find(causes).is_some() {
-            return false;
-        }
-        if !self.state.try_take_retry(&self.job.service) {
-            return false;
+    /// stages again if their results were released.
+    ///
+    /// If the current engine `may_continue`, it is abandoned only when another one has
+    /// accepted the request, or [`HANDOVER_TIME`] after the request was sent there.
+    async fn resume(&mut self, failure: &str, may_continue: bool) -> Resumption {
+        let outgoing = &self.job.outgoing;
+        if !self.may_resume()
+            || Instant::now() >= outgoing.deadline
+            || self.state.causes.find(&outgoing.causes).is_some()
+            || !self.state.try_take_retry(&self.job.service)
+        {
+            return Resumption::not_resumed(may_continue);
         }
         let until = Instant::now() + event_timeout(&self.job);
-        let until = until.min(self.job.outgoing.deadline);
-        let outputs = match self.outputs.take() {
-            Some(outputs) => outputs,
-            // The results of the stages were released after the first event.
-            None => match stages::repeat(&self.state, &self.job, until).await {
-                Some(outputs) => outputs,
-                None => return false,
-            },
+        let until = until.min(outgoing.deadline);
+        let mut current = Current {
+            exchange: &mut self.upstream.exchange,
+            may_continue,
+        };
+        let held = self.outputs.take();
+        let prepared = prepare(&self.state, &self.job, held, &self.tried, until);
+        let (outputs, chosen) = match current.race(prepared, until).await {
+            Ok(Some(prepared)) => prepared,
+            Ok(None) => return Resumption::not_resumed(current.may_continue),
+            Err(received) => return Resumption::Received(received),
         };
-        let chosen = choose(&self.state, &self.job, &outputs, &self.tried, until).await;
-        let Some(chosen) = chosen else { return false };
         let key = chosen.choice.key;
         self.tried.push(key);
         self.arrivals += 1;
         let last_event = self.splitter.last_id().map(str::to_owned);
         let parameters = parameters(&self.state, &self.job, &outputs, chosen, last_event);
-        let attempt = attempt::start(
-            &self.state,
-            &self.job.outgoing,
-            key,
-            &parameters,
-            self.job.outgoing.deadline,
-            Unsent::begin(),
-        );
-        let Ok(started) = attempt.await else {
-            return false;
+        let unsent = Unsent::begin();
+        let until = outgoing.deadline;
+        let attempt = attempt::start(&self.state, outgoing, key, &parameters, until, unsent);
+        let started = match current.race(attempt, Instant::now() + HANDOVER_TIME).await {
+            Ok(Ok(started)) if started.answer.status.is_success() => started,
+            Ok(_) => return Resumption::not_resumed(current.may_continue),
+            Err(received) => return Resumption::Received(received),
         };
-        if !started.answer.status.is_success() {
-            return false;
-        }
         Event::StreamResumed.log(format_args!(
             "id={} age_ms={} from={} to={} after={:?} context={failure:?}",
             self.job.id(),
@@ -523,13 +552,93 @@
             started.guard.endpoint.life.id,
             parameters.last_event,
         ));
+        if may_continue {
+            // The failure of an engine that ended was recorded before.
+            self.upstream.guard.record(Report::Failed);
+        }
         self.splitter.discard_partial();
         self.upstream = started.into();
         self.outputs = Some(outputs);
-        true
+        Resumption::Resumed
+    }
+}
+
+/// Next part of a response body, or `None` at its end.
+type Received = Option<hyper::Result<Frame<Bytes>>>;
+
+/// The engine of a stream for which another one is sought.
+struct Current<'a> {
+    exchange: &'a mut Exchange,
+    /// Whether the engine may still go on with the stream.
+    may_continue: bool,
+}
+
+impl Current<'_> {
+    /// Waits for `work`, and abandons the engine at `until`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the engine sends before `work` is complete.
+    async fn race<T>(
+        &mut self,
+        work: impl Future<Output = T>,
+        until: Instant,
+    ) -> Result<T, Received> {
+        let mut work = pin!(work);
+        loop {
+            let body = self.exchange.response.body_mut();
+            tokio::select! {
+                biased;
+                received = body.frame(), if self.may_continue => return Err(received),
+                output = &mut work => return Ok(output),
+                () = time::sleep_until(until), if self.may_continue => {
+                    self.exchange.close();
+                    self.may_continue = false;
+                }
+            }
+        }
     }
 }
 
+/// Outcome of an attempt to resume a stream at another engine.
+enum Resumption {
+    /// Another engine goes on with the stream.
+    Resumed,
+    /// The current engine went on before another one had accepted the request.
+    Received(Received),
+    /// No other engine goes on with the stream, but the current one may.
+    Waiting,
+    /// No engine goes on with the stream.
+    Failed,
+}
+
+impl Resumption {
+    const fn not_resumed(may_continue: bool) -> Self {
+        if may_continue {
+            Self::Waiting
+        } else {
+            Self::Failed
+        }
+    }
+}
+
+/// Runs the stages of a stream again, unless their results are still held, and selects
+/// an engine that was not tried.
+async fn prepare(
+    state: &Arc<State>,
+    job: &Job,
+    held: Option<Outputs>,
+    tried: &[Key],
+    until: Instant,
+) -> Option<(Outputs, Chosen)> {
+    let outputs = match held {
+        Some(outputs) => outputs,
+        None => stages::repeat(state, job, until).await?,
+    };
+    let chosen = choose(state, job, &outputs, tried, until).await?;
+    Some((outputs, chosen))
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.finished {
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -94,6 +94,11 @@
 }
 
 impl Exchange {
+    /// Closes the connection, after which no more of the response arrives.
+    pub fn close(&self) {
+        self.driver.abort();
+    }
+
     /// Reads the whole body of the response.
     ///
     /// # Errors
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -660,6 +660,46 @@
     }
 }
 
+/// A stream was given up when its engine was silent for 1.2 s, also if no other engine
+/// could go on with it.
+#[tokio::test]
+async fn stream_of_an_engine_that_pauses_is_completed_without_another_engine() {
+    for declining in 0..=1 {
+        let deployment = deployment(1, 1 + declining).await;
+        // The retry budget refills over time.
+        time::sleep(Duration::from_secs(2)).await;
+        let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+        for (number, pausing) in engines.iter().enumerate() {
+            set_faults(&deployment, Role::Engine, Fault::Decline);
+            pausing.set_fault(Fault::PauseAfterEvent);
+            let attempt = format!("s{number}");
+            // An engine that declines may be asked before the stream begins.
+            let answer = stream(&deployment, "/chat/x", &attempt).await;
+            let log = deployment.gateways[0].log_text();
+            assert_eq!(answer.status, Some(200), "{log}");
+            assert!(answer.whole, "{log}");
+            assert_eq!(answer.body, events(1, EVENTS));
+            assert_eq!(deployment.runs(&attempt).len(), 1);
+        }
+    }
+}
+
+#[tokio::test]
+async fn stream_of_an_engine_that_stalls_continues_on_another_engine() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, stalled) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        stalled.set_fault(Fault::StallAfterEvent);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+        assert_eq!(answer.body, events(1, EVENTS));
+    }
+    wait_for_log(&deployment, 0, "StreamResumed").await;
+}
+
 /// Sends requests to three gateways, one each 40 ms, while endpoints name a limit, and
 /// checks that an endpoint gets no more than `allowed` requests in any four seconds
 /// once the limit holds.
