Forward a stream for as long as its caller waits

Callers saw: a stream was broken off some ten milliseconds before the time that the caller had given, or a moment before the caller would have left a silent one.

Cause: the deadline for the answers of the gateway itself, which leaves time to send them, also ended streams; and the time after which a caller leaves was counted from an event's arrival at the gateway, before the caller had it. Class: a connection ends by something else than the end of its answer.

Evidence: the test failed before (the stream lasted 993 of 1,000 ms).

Change: a stream that has begun lasts 100 ms longer than the caller waits, so that the caller, or the engine, which knows the deadline, ends it.

--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -52,6 +52,10 @@
 /// must not work on the same stream for longer than 400 ms.
 const HANDOVER_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which a stream lasts beyond the time that its caller waits, so that the caller
+/// or the engine ends it.
+const CALLER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Failure of an engine that sends no event in time.
 const SILENCE: &str = "timed out waiting for the next event";
 
@@ -392,12 +396,11 @@
 
     /// Returns the time until which the relay waits for the next event.
     fn event_deadline(&self) -> Instant {
-        let deadline = if self.events == 0 {
-            self.expires
-        } else {
-            Instant::now() + event_timeout(&self.job)
-        };
-        deadline.min(self.job.outgoing.deadline)
+        if self.events == 0 {
+            return self.expires;
+        }
+        let deadline = Instant::now() + event_timeout(&self.job);
+        deadline.min(self.job.outgoing.deadline) + CALLER_MARGIN
     }
 
     /// Returns why the end of the body is not the end of the answer. Without a length
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -1,14 +1,15 @@
 //! Tests of the connections from callers to the gateway, byte by byte.
 
 use cicadacrank_bench::{
-    deployment::{Deployment, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Plan, Role},
+    deployment::{Caller, Deployment, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Plan, Role, send},
     fleet,
 };
+use reqwest::header::{HeaderName, HeaderValue};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
-    time,
+    time::{self, Instant},
 };
 
 /// Maximum time for which a test waits for a part of an answer.
@@ -217,3 +218,28 @@
     assert!(end.expect("failed to wait for the process").success());
     wait_for_log(&deployment, "102 Stopped: instance=gateway-0 connections=0").await;
 }
+
+/// A stream was broken off ten milliseconds before its caller's time was up, and earlier
+/// than a caller leaves a silent stream.
+#[tokio::test]
+async fn stream_lasts_as_long_as_its_caller_waits() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Engine, Fault::StallAfterEvent);
+    // A caller waits for 2.4 s for the next event, eight times the gap of the route.
+    for (timeout_ms, wait) in [(1_000, 1_000), (6_000, 2_400)] {
+        let caller = Caller::new().expect("failed to create the caller");
+        let request = caller.stream(address, "/draft/x", "s1");
+        let deadline = HeaderValue::from_str(&timeout_ms.to_string()).expect("invalid header");
+        let headers = [(HeaderName::from_static("x-deadline-ms"), deadline)];
+        let sent_at = Instant::now();
+        let answer = send(request.headers(headers.into_iter().collect())).await;
+        assert_eq!(answer.status, Some(200));
+        assert!(!answer.whole);
+        let lasted = sent_at.elapsed();
+        assert!(
+            lasted >= Duration::from_millis(wait),
+            "{lasted:?} of {wait} ms"
+        );
+    }
+}
