Wait for a lookup's only endpoint instead of giving it up

Callers saw: status 502 for a lookup whose only endpoint was sound and silent for a moment.

Cause: an attempt that may be repeated was given up after twice the objective of its route, before it was known whether another endpoint, or a retry in the budget, was left. Class as with streams: something that works is given up before its successor is certain.

Change: an attempt without a possible successor has the time of the request.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -39,7 +39,7 @@
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
-/// Pause of an engine with [`Fault::PauseAfterEvent`].
+/// Pause of an endpoint with [`Fault::Pause`] or [`Fault::PauseAfterEvent`].
 const SILENCE: Duration = Duration::from_millis(1_700);
 
 /// Time between two events.
@@ -89,6 +89,8 @@
     Fail,
     /// It delays its answer for a minute.
     Hang,
+    /// It delays its answer for [`SILENCE`].
+    Pause,
     /// It delays its answer for a minute to stage calls that have inputs.
     HangWithInputs,
     /// It sends the first event of a stream and delays the others for a minute.
@@ -361,6 +363,7 @@
             let _guard = HangGuard(Arc::clone(&state));
             time::sleep(Duration::from_secs(60)).await;
         }
+        Fault::Pause => time::sleep(SILENCE).await,
         Fault::Fail => {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(plain_response(status, &head.headers, Bytes::new(), true));
--- a/crates/cicadacrank-core/src/share/budget.rs
+++ b/crates/cicadacrank-core/src/share/budget.rs
@@ -51,13 +51,17 @@
     /// Takes one retry from the budget. Returns whether one was left, given
     /// that `processes` share the limit.
     pub fn try_take(&mut self, processes: usize, now: Duration) -> bool {
-        self.expire(now);
-        let granted = self.granted(processes, now);
-        if (self.retries.len() as f64) + 1.0 > granted {
-            return false;
+        let left = self.has_retry(processes, now);
+        if left {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        left
+    }
+
+    /// Returns whether a retry is left, given that `processes` share the limit.
+    pub fn has_retry(&mut self, processes: usize, now: Duration) -> bool {
+        self.expire(now);
+        (self.retries.len() as f64) + 1.0 <= self.granted(processes, now)
     }
 
     fn granted(&self, processes: usize, now: Duration) -> f64 {
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -207,12 +207,24 @@
         Ok(())
     }
 
+    /// Returns whether the attempt that was begun last may be followed by another one at
+    /// an endpoint that is usable now.
+    pub fn has_successor(&self, state: &State, job: &Job) -> bool {
+        self.arrivals + 1 < job.route.attempts
+            && self.has_untried(state, job)
+            && state.has_retry(&job.service)
+    }
+
+    fn has_untried(&self, state: &State, job: &Job) -> bool {
+        let fleet = lock(&state.fleet);
+        let mut usable = fleet.usable(&job.service);
+        usable.any(|(key, _)| !self.tried.contains(&key))
+    }
+
     /// Returns why no endpoint can be selected: all were tried, or those that were not
     /// have reached a limit.
     pub fn shortage(&self, state: &State, job: &Job) -> Kind {
-        let fleet = lock(&state.fleet);
-        let mut usable = fleet.usable(&job.service);
-        if usable.any(|(key, _)| !self.tried.contains(&key)) {
+        if self.has_untried(state, job) {
             Kind::Overloaded
         } else {
             Kind::NoEndpoint
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -44,7 +44,7 @@
             return Err(attempts.refuse(attempts.shortage(state, job)));
         };
         let unsent = attempts.begin(state, job, chosen.key)?;
-        let last = attempts.arrivals + 1 >= job.route.attempts;
+        let last = !attempts.has_successor(state, job);
         match exchange(state, job, chosen, last, unsent).await {
             Ok(response) => return Ok(response),
             Err(failure) => attempts.record_failure(job, failure, job.outgoing.deadline)?,
@@ -83,8 +83,8 @@
     granted.then_some(Chosen { key, granted })
 }
 
-/// Makes one attempt and reads the complete response. `last` is true if the route
-/// allows no further attempt.
+/// Makes one attempt and reads the complete response. `last` is true if no further
+/// attempt is possible.
 ///
 /// # Errors
 ///
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -327,6 +327,13 @@
         self.with_service(service, |service| service.repeats.try_take(processes, now))
     }
 
+    /// Returns whether a retry is left in the budget of a service.
+    pub(super) fn has_retry(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        let (processes, _) = lock(&self.roster).shares(now);
+        self.with_service(service, |service| service.repeats.has_retry(processes, now))
+    }
+
     /// Counts a request as waiting for an endpoint of a service until the returned
     /// value is dropped. Also returns the number of requests that waited before.
     pub(super) fn begin_waiting(self: &Arc<Self>, service: &str) -> (Waiter, usize) {
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -684,6 +684,21 @@
     }
 }
 
+/// A lookup was given up after twice its objective although no other endpoint was left.
+#[tokio::test]
+async fn lookup_waits_for_the_only_endpoint_that_pauses() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Desk, Fault::Pause);
+    let answer = look(&deployment, "a1").await;
+    assert_eq!(
+        answer.status,
+        Some(200),
+        "{}",
+        deployment.gateways[0].log_text()
+    );
+    assert_eq!(deployment.runs("a1").len(), 1);
+}
+
 #[tokio::test]
 async fn stream_of_an_engine_that_stalls_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
