Decode each object of a list or of changes by itself

What callers saw (report of other operators): another writer left one odd entry among those of the endpoints, and the machines that read the list stopped following it.

Cause: a page of a list and an answer of a watch were parsed in one piece, so that nesting beyond 128 levels, a number out of range or bytes that are not UTF-8 in one entry made the whole answer unreadable. The gateway logged PlatformFailed and asked again, for as long as the entry stayed: leaving endpoints stayed in use, new ones were never used, and a gateway that started was never ready. The same held for rules, instances, claims and accounts. Class: a fault in one part of an input costs the whole input.

One that cannot be read is null, which no decoder accepts; it names no endpoint, and an endpoint whose entry it replaces is dropped.

--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -12,7 +12,7 @@
 use futures_util::{FutureExt as _, StreamExt as _};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
-    http::{Method, StatusCode},
+    http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE},
     writing::Json,
 };
 use serde_json::{Value, json};
@@ -151,7 +151,7 @@
         let mut state = self.lock();
         state.counts.gets += 1;
         match state.get(collection, name) {
-            Some(object) => response.render(Json(resource(&object))),
+            Some(object) => send(response, &state, &resource(&object)),
             None => reject(response, StatusCode::NOT_FOUND),
         }
     }
@@ -161,11 +161,12 @@
         state.counts.lists += 1;
         let listing = state.list(collection);
         let items: Vec<Value> = listing.objects.iter().map(resource).collect();
-        response.render(Json(json!({
+        let page = json!({
             "items": items,
             "hasMore": false,
             "at": listing.version.number(),
-        })));
+        });
+        send(response, &state, &page);
     }
 
     async fn watch(&self, request: &mut Request, response: &mut Response, collection: Collection) {
@@ -180,7 +181,8 @@
         let last = seen.last().map(|step| step.revision);
         let at = last.unwrap_or_else(|| self.lock().revision().max(since));
         let events: Vec<Value> = seen.iter().map(event).collect();
-        response.render(Json(json!({ "events": events, "at": at })));
+        let answer = json!({ "events": events, "at": at });
+        send(response, &self.lock(), &answer);
     }
 
     async fn write(
@@ -268,6 +270,13 @@
     })
 }
 
+/// Sends objects, whose contents may be raw bytes.
+fn send(response: &mut Response, state: &State, answer: &Value) {
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response.body(state.encode(answer));
+}
+
 fn reject(response: &mut Response, status: StatusCode) {
     response.status_code(status);
     response.render(Json(json!({})));
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -113,6 +113,8 @@
     pub faults: Faults,
     /// Numbers of calls so far.
     pub counts: Counts,
+    /// Contents that are sent as bytes, each with the text that stands for it.
+    raw: Vec<(String, Vec<u8>)>,
 }
 
 impl State {
@@ -136,6 +138,7 @@
             second: (Instant::now(), 0),
             faults: Faults::default(),
             counts: Counts::default(),
+            raw: Vec::new(),
         }
     }
 
@@ -257,6 +260,40 @@
         };
     }
 
+    /// Creates or replaces an object whose content is sent as these bytes, which need
+    /// not be JSON that a parser accepts.
+    pub fn put_raw(&mut self, collection: Collection, name: &str, content: Vec<u8>) {
+        let text = format!("raw content {}", self.raw.len());
+        self.raw.push((text.clone(), content));
+        self.put(collection, name, Value::String(text));
+    }
+
+    /// Returns an answer as it is sent, with the raw contents in place.
+    pub(super) fn encode(&self, answer: &Value) -> Vec<u8> {
+        let text = answer.to_string();
+        let mut bytes = Vec::new();
+        let mut rest = text.as_str();
+        // No other object contains these texts.
+        while let Some((raw, start, length)) = self.next_raw(rest) {
+            bytes.extend_from_slice(&rest.as_bytes()[..start]);
+            bytes.extend_from_slice(raw);
+            rest = &rest[start + length..];
+        }
+        bytes.extend_from_slice(rest.as_bytes());
+        bytes
+    }
+
+    /// Returns the first raw content in `text`, with the start and the length of the
+    /// quoted text that stands for it.
+    fn next_raw(&self, text: &str) -> Option<(&[u8], usize, usize)> {
+        let found = self.raw.iter().filter_map(|(name, content)| {
+            let quoted = format!("\"{name}\"");
+            let start = text.find(&quoted)?;
+            Some((content.as_slice(), start, quoted.len()))
+        });
+        found.min_by_key(|(_, start, _)| *start)
+    }
+
     /// Deletes an object, if it exists, regardless of its version.
     pub fn remove(&mut self, collection: Collection, name: &str) {
         if let Some(object) = self.get(collection, name) {
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -36,6 +36,9 @@
 /// Returns a message that describes the invalid field. Such a registration
 /// identifies no endpoint.
 pub fn decode(object: &Object) -> Result<Endpoint, String> {
+    if object.spec.is_null() {
+        return Err("the content is empty or cannot be read".to_owned());
+    }
     let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
     let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
         .map_err(|error| format!("`coldRemainingMs` is {}: {error}", wire.cold_remaining_ms))?;
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod endpoint;
 mod objects;
+mod page;
 pub mod settings;
 pub mod stage;
 
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -4,7 +4,10 @@
 //! connection that has gone silent. The faults distinguish calls that certainly
 //! had no effect from calls that may have had one.
 
-use super::{Change, Changes, Collection, Fault, Listing, Object, Store, Version};
+use super::{
+    Change, Changes, Collection, Fault, Listing, Object, Store, Version,
+    page::{self, Page},
+};
 use crate::outbound::{self, CallError};
 use bytes::Bytes;
 use futures_util::{
@@ -14,7 +17,7 @@
 };
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::Value;
 use std::{net::SocketAddr, time::Duration};
 
@@ -31,55 +34,19 @@
 /// Maximum size of an object, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1 << 20;
 
-#[derive(Deserialize, Serialize)]
-struct WireObject {
-    metadata: Metadata,
-    #[serde(default)]
-    specification: Value,
+#[derive(Serialize)]
+struct WireObject<'a> {
+    metadata: Metadata<'a>,
+    specification: &'a Value,
 }
 
-#[derive(Deserialize, Serialize)]
-struct Metadata {
-    name: String,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+#[derive(Serialize)]
+struct Metadata<'a> {
+    name: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
     revision: Option<u64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WirePage {
-    items: Vec<WireObject>,
-    #[serde(default)]
-    has_more: bool,
-    /// Revision of the store, not of an object.
-    at: u64,
-}
-
-#[derive(Deserialize)]
-struct WireEvent {
-    object: WireObject,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Deserialize)]
-struct WireEvents {
-    events: Vec<WireEvent>,
-    /// Revision of the store, not of an object.
-    at: u64,
-}
-
-impl From<WireObject> for Object {
-    fn from(wire: WireObject) -> Self {
-        let revision = wire.metadata.revision.unwrap_or_default();
-        Self {
-            name: wire.metadata.name,
-            version: Version::from(revision),
-            spec: wire.specification,
-        }
-    }
-}
-
 /// A client of the object store of the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Client {
@@ -115,19 +82,7 @@
         let bytes = self
             .call(Method::GET, &path, None, wait + self.timeout)
             .await?;
-        let events: WireEvents = decode(&bytes)?;
-        let change = |event: WireEvent| {
-            let object = event.object.into();
-            if event.deleted {
-                Change::Deleted(object)
-            } else {
-                Change::Put(object)
-            }
-        };
-        Ok(Changes {
-            changes: events.events.into_iter().map(change).collect(),
-            version: Version::from(events.at),
-        })
+        page::decode_changes(collection, &bytes)
     }
 
     /// Creates an object, or replaces it if it exists.
@@ -148,17 +103,14 @@
         }
     }
 
-    async fn fetch_page(
-        &self,
-        collection: Collection,
-        after: Option<&str>,
-    ) -> Result<WirePage, Fault> {
+    async fn fetch_page(&self, collection: Collection, after: Option<&str>) -> Result<Page, Fault> {
         let kind = collection.as_str();
         let path = after.map_or_else(
             || format!("/objects/{kind}"),
             |name| format!("/objects/{kind}?after={name}"),
         );
-        decode(&self.call(Method::GET, &path, None, self.timeout).await?)
+        let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
+        page::decode_page(collection, &bytes)
     }
 
     async fn write(
@@ -171,10 +123,10 @@
     ) -> Result<Version, Fault> {
         let object = WireObject {
             metadata: Metadata {
-                name: name.to_owned(),
+                name,
                 revision: version.map(Version::number),
             },
-            specification: spec.clone(),
+            specification: spec,
         };
         let body =
             serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
@@ -186,8 +138,7 @@
         };
         let body = Some(Bytes::from(body));
         let bytes = self.call(method, &path, body, self.timeout).await?;
-        let written: WireObject = decode(&bytes)?;
-        Ok(Object::from(written).version)
+        page::decode_object(collection, &bytes).map(|written| written.version)
     }
 
     async fn call(
@@ -228,10 +179,6 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
-    serde_json::from_slice(bytes).map_err(|error| Fault::Lost(format!("invalid JSON: {error}")))
-}
-
 impl Store for Client {
     fn get<'a>(
         &'a self,
@@ -241,7 +188,7 @@
         async move {
             let path = format!("/objects/{}/{name}", collection.as_str());
             let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
-            decode::<WireObject>(&bytes).map(Object::from)
+            page::decode_object(collection, &bytes)
         }
         .boxed()
     }
@@ -299,10 +246,10 @@
             let mut page = self.fetch_page(collection, None).await?;
             // The pages are read one after the other. A watch that starts at the
             // version of the first page reports the changes between the reads.
-            let version = Version::from(page.at);
+            let version = Version::from(page.revision);
             let mut objects: Vec<Object> = Vec::new();
             for _ in 0..MAX_PAGES {
-                objects.extend(page.items.into_iter().map(Object::from));
+                objects.extend(page.objects);
                 match objects.last() {
                     Some(last) if page.has_more => {
                         page = self.fetch_page(collection, Some(&last.name)).await?;
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -536,6 +536,94 @@
     }
 }
 
+/// Returns contents of the store that name no endpoint: nested too deeply, with numbers
+/// or ports out of range, and with bytes that are not text.
+fn odd_contents() -> Vec<Vec<u8>> {
+    let with = |address: &str, field: &str| {
+        let start = r#"{"service":"desk","zone":"one","state":"ready","slots":4"#;
+        format!(r#"{start},"address":"{address}",{field}}}"#).into_bytes()
+    };
+    let mut invalid = with("127.0.0.1:9", r#""sequence":9,"version":"v""#);
+    let version = invalid.iter().rposition(|byte| *byte == b'v');
+    invalid[version.expect("a version")] = 0xff;
+    vec![
+        [b"[".repeat(10_000), b"]".repeat(10_000)].concat(),
+        with("127.0.0.1:9", r#""sequence":1e999"#),
+        with("127.0.0.1:9", r#""sequence":-99999999999999999999999"#),
+        with("127.0.0.1:99999", r#""sequence":9"#),
+        invalid,
+    ]
+}
+
+/// Gateways stopped following the endpoints while the store held one odd entry.
+#[tokio::test]
+async fn odd_entry_takes_out_only_the_endpoint_whose_entry_it_replaces() {
+    let mut deployment = deployment(2, 2).await;
+    let served = async |deployment: &Deployment, name: &str| {
+        for (number, gateway) in deployment.gateways.iter().enumerate() {
+            for copy in 0..4 {
+                let attempt = format!("{name}-{number}-{copy}");
+                let address = gateway.caller_address();
+                let request = caller().request(Method::POST, address, "/book/1", &attempt);
+                let status = send(request.body("x")).await.status;
+                assert_eq!(status, Some(200), "{attempt}: {}", gateway.log_text());
+            }
+        }
+    };
+    let desks = |deployment: &Deployment| -> Vec<usize> {
+        let desks = deployment.endpoints_with(Role::Desk);
+        desks.map(|desk| desk.runs().len()).collect()
+    };
+    let follow = async |deployment: &Deployment, revision: u64| {
+        let text = format!("DirectoryChanged: revision={revision} ");
+        for gateway in 0..deployment.gateways.len() {
+            wait_for_log(deployment, gateway, &text).await;
+        }
+    };
+    for (number, content) in odd_contents().into_iter().enumerate() {
+        let (id, entry) = {
+            let desk = deployment.endpoints_with(Role::Desk).next();
+            let desk = desk.expect("a desk");
+            (desk.id.clone(), desk.entry("ready", 2 + number as u64))
+        };
+        let store = &deployment.store;
+        store.state().put_raw(Collection::Endpoints, &id, content);
+        let revision = store.state().revision();
+        follow(&deployment, revision).await;
+        let before = desks(&deployment);
+        served(&deployment, &format!("odd-{number}")).await;
+        let after = desks(&deployment);
+        assert_eq!(after[0], before[0], "the endpoint is not used any more");
+        assert_eq!(after[1], before[1] + 8);
+        let restored = {
+            let mut state = deployment.store.state();
+            state.put(Collection::Endpoints, &id, entry);
+            state.revision()
+        };
+        follow(&deployment, restored).await;
+        served(&deployment, &format!("restored-{number}")).await;
+        assert!(desks(&deployment)[0] > before[0], "it is used again");
+    }
+    // A gateway that starts lists the odd entries.
+    for (number, content) in odd_contents().into_iter().enumerate() {
+        let name = format!("i-odd-{number}");
+        let mut state = deployment.store.state();
+        state.put_raw(Collection::Endpoints, &name, content.clone());
+        state.put_raw(Collection::Evacuations, &name, content.clone());
+        state.put_raw(Collection::Gateways, &name, content.clone());
+        state.put_raw(Collection::Config, &name, content);
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.kill().expect("the signal is sent");
+        gateway.wait().await.expect("the process ends");
+        gateway.restart().expect("the process starts");
+    }
+    for gateway in &deployment.gateways {
+        gateway.wait_ready().await.expect("the gateway is ready");
+    }
+    served(&deployment, "restarted").await;
+}
+
 #[tokio::test]
 async fn connection_flood_does_not_delay_readiness_responses() {
     let deployment = deployment(1, 1).await;
