Survive an endpoint that states a huge cold time

Cause: `coldRemainingMs` of 1.8e22 is a valid Duration, and adding it to the current time overflows, which panics also in release builds. In the gateway that ended the task that follows the endpoints, so it never learned of a change again; the process went on. Class: arithmetic on a number that another writer chose.

The tests failed before: placement::update_accepts_an_endpoint_that_stays_cold_for_ever: overflow when adding durations entries::list_survives_an_odd_entry_among_others: cold for ages: left: ["a", "b", "c"] gateway::odd_entry_takes_out_only_the_endpoint_whose_entry_it_replaces: it is used again (the sound entry that followed was not seen)

--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -421,7 +421,7 @@
 impl Row {
     fn new(endpoint: Endpoint, now: Duration) -> Self {
         Self {
-            cold_until: now + endpoint.cold,
+            cold_until: now.saturating_add(endpoint.cold),
             endpoint,
             own_load: Load::default(),
             peer_load: Load::default(),
@@ -434,7 +434,7 @@
 
     fn update(&mut self, endpoint: &Endpoint, now: Duration) {
         if self.endpoint != *endpoint {
-            self.cold_until = now + endpoint.cold;
+            self.cold_until = now.saturating_add(endpoint.cold);
             self.endpoint = endpoint.clone();
         }
     }
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -332,3 +332,26 @@
     };
     assert!(!fleet.try_grant(&restarted, Some(4), NOW + Duration::from_secs(3)));
 }
+
+/// A registration with a huge cold time ended the task that follows the endpoints.
+#[test]
+fn update_accepts_an_endpoint_that_stays_cold_for_ever() {
+    let cold = Endpoint {
+        cold: Duration::MAX,
+        ..endpoint("a", "x")
+    };
+    let mut fleet = Fleet::default();
+    for sequence in 1..3 {
+        let cold = Endpoint {
+            sequence,
+            ..cold.clone()
+        };
+        let endpoints = vec![cold, endpoint("b", "x")];
+        fleet.update(&Snapshot::new(sequence, endpoints), NOW);
+    }
+    assert!(
+        fleet
+            .choose_plain("engine", &Locality::default(), NOW)
+            .is_some()
+    );
+}
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
+/// Maximum time for which an endpoint may state that it is cold.
+const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireEndpoint {
@@ -41,7 +44,9 @@
     }
     let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
     let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
-        .map_err(|error| format!("`coldRemainingMs` is {}: {error}", wire.cold_remaining_ms))?;
+        .ok()
+        .filter(|cold| *cold <= MAX_COLD_TIME)
+        .ok_or_else(|| format!("`coldRemainingMs` is {}", wire.cold_remaining_ms))?;
     Ok(Endpoint {
         life: Incarnation {
             id: object.name.clone(),
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -97,6 +97,10 @@
         ("negative", registration_with(r#""sequence":-1"#)),
         ("fraction", registration_with(r#""born":1.5"#)),
         ("too many slots", registration_with(r#""slots":4294967296"#)),
+        (
+            "cold for ages",
+            registration_with(r#""coldRemainingMs":1.8e22"#),
+        ),
         (
             "port out of range",
             br#"{"service":"llm","address":"10.1.0.9:70000","zone":"a","state":"ready"}"#.to_vec(),
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -551,6 +551,10 @@
         with("127.0.0.1:9", r#""sequence":1e999"#),
         with("127.0.0.1:9", r#""sequence":-99999999999999999999999"#),
         with("127.0.0.1:99999", r#""sequence":9"#),
+        with(
+            "127.0.0.1:9",
+            r#""sequence":9,"born":1000,"coldRemainingMs":1.8e22"#,
+        ),
         invalid,
     ]
 }
