Bound the times in a configuration

Found while looking for the class of the huge cold time elsewhere; no caller has seen it here, and the store is to accept only valid configurations. A `timeoutMs`, `targetLatencyMs` or the like of 1.8e22 was accepted, and sums with the current time or multiples of it overflow, which panics: each request of the route would end with its connection closed and no answer. Times over a year now count as a year, which leaves all sums and multiples representable and takes no valid configuration out of force.

--- a/crates/cicadacrank-node/src/platform/config.rs
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -13,6 +13,9 @@
 /// Number of bytes in a megabyte, by the definition of the platform.
 const MEGABYTE: f64 = 1_000_000.0;
 
+/// Maximum time in a configuration.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 #[derive(Deserialize)]
 struct WireConfig {
     version: u64,
@@ -240,7 +243,9 @@
     })
 }
 
+/// Converts a time. Longer times than [`MAX_TIME`] have the same effect.
 fn milliseconds(value: f64, name: &str) -> Result<Duration, String> {
-    Duration::try_from_secs_f64(value / 1_000.0)
+    let bounded = value.min(MAX_TIME.as_secs_f64() * 1_000.0);
+    Duration::try_from_secs_f64(bounded / 1_000.0)
         .map_err(|error| format!("`{name}` is {value}: {error}"))
 }
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -107,6 +107,33 @@
     }
 }
 
+/// Times that no sum with the current time can represent ended requests and tasks.
+#[test]
+fn config_bounds_times() {
+    const YEAR: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+    for pointer in [
+        "/routes/0/timeoutMs",
+        "/routes/0/targetLatencyMs",
+        "/routes/0/maxGapMs",
+        "/services/0/segments/callTimeMs",
+        "/services/0/segments/itemTimeMs",
+        "/services/0/segments/handleTtlS",
+        "/limits/idleTimeoutMs",
+    ] {
+        for huge in [1e12, 1.8e19, 1.8e22, 1e300] {
+            let mut content = configuration();
+            *content.pointer_mut(pointer).expect("existing field") = json!(huge);
+            let config = config::decode(&content).expect("valid configuration");
+            let (route, worker) = (&config.routes[0], config.services[0].worker);
+            let worker = worker.expect("a worker");
+            let mut times = vec![route.timeout, route.objective, config.limits.idle];
+            times.extend([worker.call_time, worker.piece_time, worker.result_life]);
+            times.extend(route.event_gap);
+            assert!(times.iter().all(|time| *time <= YEAR), "{pointer} {huge}");
+        }
+    }
+}
+
 #[test]
 fn caller_decodes_headers() {
     let caller = Caller::decode(&headers(&[
