Take no registration with port zero for an endpoint

Ports run from 1 to 65535; 70000 was rejected before, 0 was not. No connection to port 0 can be opened, so each choice of such an endpoint cost an attempt and its back-off, but nothing ran. Such an entry now names no endpoint.

The test failed before: entries::list_survives_an_odd_entry_among_others: port zero: left: ["a", "b", "c"]

--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -43,6 +43,9 @@
         return Err("the content is empty or cannot be read".to_owned());
     }
     let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
+    if wire.address.port() == 0 {
+        return Err("the port of `address` is 0".to_owned());
+    }
     let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
         .ok()
         .filter(|cold| *cold <= MAX_COLD_TIME)
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -105,6 +105,7 @@
             "port out of range",
             br#"{"service":"llm","address":"10.1.0.9:70000","zone":"a","state":"ready"}"#.to_vec(),
         ),
+        ("port zero", registration(0)),
         ("invalid UTF-8", invalid),
         ("lone surrogate", registration_with(r#""more":"\ud800""#)),
         ("large", large.into_bytes()),
