Bound the description of an invalid registration

The line that says why an entry names no endpoint repeated what its fields contain, which may be most of a megabyte, for each write of the entry.

--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -5,6 +5,10 @@
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
+/// Maximum length of the description of an invalid entry, in characters. It repeats
+/// what the entry contains.
+const MAX_DESCRIPTION_CHARACTERS: usize = 200;
+
 /// Maximum time for which an endpoint may state that it is cold.
 const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -42,7 +46,7 @@
     if object.spec.is_null() {
         return Err("the content is empty or cannot be read".to_owned());
     }
-    let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
+    let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| describe(&error))?;
     if wire.address.port() == 0 {
         return Err("the port of `address` is 0".to_owned());
     }
@@ -67,3 +71,11 @@
         sequence: wire.sequence,
     })
 }
+
+fn describe(error: &serde_json::Error) -> String {
+    let description = error.to_string();
+    description
+        .chars()
+        .take(MAX_DESCRIPTION_CHARACTERS)
+        .collect()
+}
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -25,6 +25,9 @@
 /// Size of an entry that is larger than any registration, in bytes.
 const LARGE_ENTRY_BYTES: usize = 900_000;
 
+/// Size of the largest registration that is read, in bytes.
+const MAX_REGISTRATION_BYTES: usize = 64 << 10;
+
 /// Number of generated cases of a test.
 const CASES: u32 = 64;
 
@@ -245,6 +248,23 @@
     assert_eq!(names(&listing.objects), ["b"]);
 }
 
+/// A log line repeated the whole content of an odd entry.
+#[test]
+fn decode_describes_an_odd_entry_briefly() {
+    let mut spec: serde_json::Value =
+        serde_json::from_slice(&registration(80)).expect("a registration");
+    for field in ["state", "slots", "address"] {
+        spec[field] = "x".repeat(MAX_REGISTRATION_BYTES / 4).into();
+        let object = Object {
+            name: "i-1".to_owned(),
+            version: Version::from(7),
+            spec: spec.clone(),
+        };
+        let error = endpoint::decode(&object).expect_err("an invalid field");
+        assert!(error.len() < 1_000, "{field}: {} bytes", error.len());
+    }
+}
+
 /// Returns JSON values of any shape, with numbers and strings that a parser may reject.
 fn any_json() -> impl Strategy<Value = Vec<u8>> {
     let leaf = prop_oneof![
