Give each call to an endpoint a connection of its own

What callers saw (report of other operators): a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told that a request was refused which the engine had run or was running.

Here this concerned repeatable stages behind a sidecar: their calls shared a pool of connections, and an answer carries nothing that tells to which request it belongs. The refusal (422) of one request was taken for the answer to the next, whose caller got `endpoint-refused`, a final answer, while the engine ran it; an earlier answer would have been taken for its result in the same way. Work that may not be repeated never used the pool. Class: an answer is believed because of where it arrives.

The endpoint's protocol has no id to check, so a connection now serves one call, as at the gateway, and health requests too. The price is a new connection a call to an endpoint beside the sidecar; it was not measured here.

The test failed before (with the pool, as repeatable stages used it): endpoint::call_ignores_an_earlier_refusal_on_the_same_connection: Late 0: left: "endpoint-refused connected=true refused=true", right: "[b\"{}\"]" A refusal that is written again before the next request (Early) was dropped by the HTTP client already.

--- a/crates/cicadacrank-bench/tests/endpoint.rs
+++ b/crates/cicadacrank-bench/tests/endpoint.rs
@@ -48,15 +48,23 @@
 
 async fn call(address: SocketAddr, service: Service) -> Result<Vec<Bytes>, Fault> {
     let client = Client::new(PROGRESS_TIMEOUT).expect("the client is created");
+    send(&client, address, service, "{}").await
+}
+
+async fn send(
+    client: &Client,
+    address: SocketAddr,
+    service: Service,
+    input: &'static str,
+) -> Result<Vec<Bytes>, Fault> {
     let call = Call {
         address,
         service,
         path: "/bookings".to_owned(),
         attempt: "1".to_owned(),
         key: "key".to_owned(),
-        input: Bytes::from_static(b"{}"),
+        input: Bytes::from_static(input.as_bytes()),
         output_limit: MAX_OUTPUT_BYTES,
-        reuse_connection: false,
         progress_timeout: PROGRESS_TIMEOUT,
     };
     client.call(call).await?.try_collect().await
@@ -241,6 +249,69 @@
     }
 }
 
+/// When an endpoint writes its last refusal of a connection once more.
+#[derive(Clone, Copy, Debug)]
+enum Repetition {
+    /// Right after the refusal.
+    Early,
+    /// When the next request arrives on the same connection.
+    Late,
+}
+
+/// Answer that the endpoint below refuses with.
+const REFUSAL: &[u8] = b"HTTP/1.1 422 No\r\ncontent-length: 2\r\n\r\nno";
+
+/// Answer of the endpoint below to a request that it runs.
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+/// Starts an endpoint that keeps connections open, refuses requests that contain
+/// `invalid`, and writes each refusal once more on its connection. It runs all other
+/// requests.
+async fn repeating_endpoint(repetition: Repetition) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut refused = false;
+                let mut request = [0; 4_096];
+                while let Ok(size @ 1..) = stream.read(&mut request).await {
+                    let request = String::from_utf8_lossy(&request[..size]);
+                    let answer = match repetition {
+                        Repetition::Late if refused => [REFUSAL, ANSWER].concat(),
+                        Repetition::Early if request.contains("invalid") => REFUSAL.repeat(2),
+                        _ if request.contains("invalid") => REFUSAL.to_vec(),
+                        _ => ANSWER.to_vec(),
+                    };
+                    refused = request.contains("invalid");
+                    // An error is a client that disconnected.
+                    drop(stream.write_all(&answer).await);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The refusal of an earlier request was taken for the answer to a request that ran.
+#[tokio::test]
+async fn call_ignores_an_earlier_refusal_on_the_same_connection() {
+    for repetition in [Repetition::Early, Repetition::Late] {
+        let address = repeating_endpoint(repetition).await;
+        let client = Client::new(PROGRESS_TIMEOUT).expect("the client is created");
+        for number in 0..20 {
+            let context = format!("{repetition:?} {number}");
+            let refused = send(&client, address, Service::Plain, "invalid").await;
+            let expected = "endpoint-refused connected=true refused=true";
+            assert_eq!(label(refused), expected, "{context}");
+            let answered = send(&client, address, Service::Plain, "{}").await;
+            assert_eq!(label(answered), "[b\"{}\"]", "{context}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn call_reports_a_refused_connection_as_not_connected() {
     let listener = TcpListener::bind("127.0.0.1:0")
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -45,8 +45,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     connect_timeout: Duration,
-    pooled: reqwest::Client,
-    unpooled: reqwest::Client,
+    http: reqwest::Client,
 }
 
 impl Client {
@@ -57,29 +56,26 @@
     ///
     /// Returns a fault if the HTTP client cannot be built.
     pub fn new(connect_timeout: Duration) -> Result<Self, Fault> {
-        let builder = || {
-            reqwest::Client::builder()
-                .no_proxy()
-                .redirect(redirect::Policy::none())
-                .retry(retry::never())
-                .connect_timeout(connect_timeout)
-        };
-        let setup = |error: reqwest::Error| Fault::new(Kind::Internal, error.to_string());
+        // Each call has a connection of its own. An answer to an earlier call that
+        // arrives late on a kept connection cannot be told from the answer to this one.
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .connect_timeout(connect_timeout)
+            .pool_max_idle_per_host(0)
+            .build()
+            .map_err(|error| Fault::new(Kind::Internal, error.to_string()))?;
         Ok(Self {
             connect_timeout,
-            pooled: builder().build().map_err(setup)?,
-            unpooled: builder().pool_max_idle_per_host(0).build().map_err(setup)?,
+            http,
         })
     }
 
     async fn send(&self, call: Call) -> Result<Parts, Fault> {
-        let http = if call.reuse_connection {
-            &self.pooled
-        } else {
-            &self.unpooled
-        };
         let url = format!("http://{}{}", call.address, path(&call));
-        let mut request = http
+        let mut request = self
+            .http
             .post(url)
             .header(header::CONTENT_TYPE, "application/json")
             .header("x-attempt-id", &call.attempt)
@@ -117,7 +113,7 @@
     }
 
     fn health(&self, address: SocketAddr) -> BoxFuture<'_, Option<Health>> {
-        let request = self.pooled.get(format!("http://{address}{LOAD_PATH}"));
+        let request = self.http.get(format!("http://{address}{LOAD_PATH}"));
         async move {
             let response = request.timeout(self.connect_timeout).send().await.ok()?;
             let report: Report = response.json().await.ok()?;
--- a/crates/cicadacrank-node/src/endpoint/mod.rs
+++ b/crates/cicadacrank-node/src/endpoint/mod.rs
@@ -26,8 +26,6 @@
     pub input: Bytes,
     /// Largest output that is accepted, in bytes.
     pub output_limit: u64,
-    /// Whether the call may reuse a pooled connection.
-    pub reuse_connection: bool,
     /// Longest wait for the next part of the response.
     pub progress_timeout: Duration,
 }
--- a/crates/cicadacrank-node/src/sidecar/job.rs
+++ b/crates/cicadacrank-node/src/sidecar/job.rs
@@ -202,7 +202,6 @@
         key: job.key.clone(),
         input: Bytes::from(job.input.clone()),
         output_limit: admitted.stage.output_limit_bytes,
-        reuse_connection: admitted.stage.repeatable,
         progress_timeout: progress_timeout(service, admitted, deadline),
     }
 }
