Check that a resumed stream continues after its last event

What callers saw (report of other operators): a stream had begun and broke off; the next engine answered with an error, and clients found its text in the middle of their stream, or the stream ended as if it were complete.

Cause: the gateway took any signed answer with a status of 2xx for the rest of the stream. JSON with a blank line or an event that describes an error was passed on as an event, an empty answer of another type was taken for the end, and an engine that started again at the first event, or sent the last one once more, had its events sent to the caller twice. Statuses 3xx to 5xx, 204 and JSON without a blank line ended the stream visibly before already, and so did a refusal. Class: an answer is believed without a look at what was asked for.

After the first event, an answer continues a stream only if it has the status and the content type of the answer before, and if each of its first events has an id greater than the one before. What does not is not passed on; the stream is resumed elsewhere, if an attempt is left, or broken off. An engine that skips ids is not noticed, since one event may hold several tokens.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -99,6 +99,48 @@
     UnframedEmpty,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
+    /// It sends events without ids and closes the connection in the middle.
+    BreakOffWithoutIds,
+    /// It answers a request to resume a stream in this way instead of resuming it.
+    Resumption(Resumption),
+}
+
+/// Answer to a request to resume a stream that does not continue the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// Status 500 with a text.
+    Error,
+    /// Status 302.
+    Redirect,
+    /// Status 204.
+    NoContent,
+    /// Status 200 with JSON that describes an error.
+    Json,
+    /// Status 200 with JSON and a blank line, as at the end of an event.
+    JsonEvent,
+    /// Status 200 with a length of zero and no content type.
+    Empty,
+    /// An event that describes an error and has no id.
+    ErrorEvent,
+    /// The stream from its start.
+    Restart,
+    /// The stream from the last event that was received.
+    Repeat,
+}
+
+impl Resumption {
+    /// All such answers.
+    pub const ALL: [Self; 9] = [
+        Self::Error,
+        Self::Redirect,
+        Self::NoContent,
+        Self::Json,
+        Self::JsonEvent,
+        Self::Empty,
+        Self::ErrorEvent,
+        Self::Restart,
+        Self::Repeat,
+    ];
 }
 
 impl Fault {
@@ -440,18 +482,31 @@
         *response.body_mut() = Either::Right(StreamBody::new(parts));
         return response;
     }
-    let last_seen = header(headers, "last-event-id").parse().unwrap_or(0_u64);
-    let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
+    let resumed = header(headers, "last-event-id").parse::<u64>().ok();
+    let first = match (fault, resumed) {
+        (Fault::Resumption(Resumption::Restart), _) | (_, None) => 1,
+        (Fault::Resumption(Resumption::Repeat), Some(last)) => last,
+        (Fault::Resumption(resumption), Some(_)) => return not_resumed(headers, resumption),
+        (_, Some(last)) => last + 1,
+    };
+    let breaks = matches!(fault, Fault::BreakOff | Fault::BreakOffWithoutIds);
+    let last = if breaks { 3 } else { EVENTS };
+    let has_ids = fault != Fault::BreakOffWithoutIds;
     let stalls = fault == Fault::StallAfterEvent;
-    let parts = stream::iter(last_seen + 1..=last).then(move |number| async move {
+    let parts = stream::iter(first..=last).then(move |number| async move {
         time::sleep(EVENT_GAP).await;
         if stalls && number > 1 {
             time::sleep(Duration::from_secs(60)).await;
         }
-        let event = format!("id: {number}\ndata: token {number}\n\n");
+        let id = if has_ids {
+            format!("id: {number}\n")
+        } else {
+            String::new()
+        };
+        let event = format!("{id}data: token {number}\n\n");
         Ok(Frame::data(Bytes::from(event)))
     });
-    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if fault == Fault::BreakOff {
+    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if breaks {
         parts
             .chain(stream::iter([Err(io::Error::other(
                 "injected fault: answer broken off",
@@ -469,6 +524,29 @@
     response
 }
 
+/// Returns an answer that does not resume a stream.
+fn not_resumed(headers: &HeaderMap, resumption: Resumption) -> Response<Body> {
+    let (status, content_type, body) = match resumption {
+        Resumption::Error => (500, "text/plain", "out of memory\n\n"),
+        Resumption::Redirect => (302, "text/html", "<p>moved</p>\n\n"),
+        Resumption::NoContent => (204, "", ""),
+        Resumption::Json => (200, "application/json", r#"{"error":"out of memory"}"#),
+        Resumption::JsonEvent => (200, "application/json", "{\"error\":\"memory\"}\n\n"),
+        Resumption::Empty => (200, "", ""),
+        Resumption::ErrorEvent | Resumption::Restart | Resumption::Repeat => {
+            (200, "text/event-stream", "event: error\ndata: memory\n\n")
+        }
+    };
+    let status = StatusCode::from_u16(status).unwrap_or_default();
+    let mut response = plain_response(status, headers, Bytes::from_static(body.as_bytes()), true);
+    if !content_type.is_empty() {
+        let content_type = http::HeaderValue::from_static(content_type);
+        let headers = response.headers_mut();
+        headers.insert(http::header::CONTENT_TYPE, content_type);
+    }
+    response
+}
+
 /// Reads the head of one request and answers it with events and no framing. The
 /// body of the request is left unread, as by an engine that does not need it.
 async fn answer_unframed(
--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     caller::{Answer, Caller, send},
-    endpoint::{CRASHING_PART, EVENTS, Endpoint, Fault, Role, Run},
+    endpoint::{CRASHING_PART, EVENTS, Endpoint, Fault, Resumption, Role, Run},
     gateway::Gateway,
     proxy::{Impairment, Proxy},
 };
--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -8,13 +8,23 @@
 /// Prefix of the line that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Prefix of a line that is a comment.
+const COMMENT: &[u8] = b":";
+
 /// Maximum size of an event in bytes. Bytes without end that form no event would
 /// otherwise fill the memory.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// An event that is larger than [`MAX_EVENT_BYTES`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Oversized;
+/// Reason why data is not part of the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// An event is larger than [`MAX_EVENT_BYTES`].
+    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+    Oversized,
+    /// The first events of a resumed stream do not follow the last event before.
+    #[error("the stream does not continue after its last event")]
+    Discontinuous,
+}
 
 /// Buffers the incomplete event at the end of a stream and keeps the id of the
 /// last complete one that had an id.
@@ -22,6 +32,8 @@
 pub struct Splitter {
     buffer: BytesMut,
     last_id: Option<String>,
+    /// Whether the next events must follow the last one.
+    resumed: bool,
 }
 
 impl Splitter {
@@ -29,8 +41,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the incomplete event at the end is too large.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Oversized> {
+    /// Returns an error if the incomplete event at the end is too large, or if the
+    /// first events of a resumed stream do not follow the last event before.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
         // The terminator may be split across two chunks.
         let search_start = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
         self.buffer.extend_from_slice(bytes);
@@ -39,7 +52,7 @@
             .rposition(|window| window == EVENT_END);
         let Some(position) = found else {
             return if self.buffer.len() > MAX_EVENT_BYTES {
-                Err(Oversized)
+                Err(Fault::Oversized)
             } else {
                 Ok(Bytes::new())
             };
@@ -47,7 +60,11 @@
         let events = self
             .buffer
             .split_to(search_start + position + EVENT_END.len());
+        if self.resumed && !self.is_continued_by(&events) {
+            return Err(Fault::Discontinuous);
+        }
         if let Some(id) = last_id(&events) {
+            self.resumed = false;
             self.last_id = Some(id);
         }
         Ok(events.freeze())
@@ -64,9 +81,11 @@
         self.buffer.split().freeze()
     }
 
-    /// Discards an incomplete event that will not be completed.
-    pub fn discard_partial(&mut self) {
+    /// Prepares for data from another source that continues after the last complete
+    /// event. Discards an incomplete event.
+    pub fn resume(&mut self) {
         self.buffer.clear();
+        self.resumed = self.last_id.is_some();
     }
 
     /// Returns the id of the last complete event that has one.
@@ -76,6 +95,53 @@
     }
 }
 
+impl Splitter {
+    /// Returns whether each of the events has a greater id than the one before, from
+    /// the last event on. Comments have no id.
+    fn is_continued_by(&self, events: &[u8]) -> bool {
+        let mut last = self.last_id.clone();
+        for event in split_events(events).filter(|event| !is_comment(event)) {
+            let id = last_id(event);
+            let follows = match (&last, &id) {
+                (Some(last), Some(id)) => is_greater(id, last),
+                (None, Some(_)) => true,
+                (_, None) => false,
+            };
+            if !follows {
+                return false;
+            }
+            last = id;
+        }
+        true
+    }
+}
+
+fn split_events(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = events;
+    std::iter::from_fn(move || {
+        let found = rest
+            .windows(EVENT_END.len())
+            .position(|window| window == EVENT_END);
+        let (event, after) = rest.split_at(found? + EVENT_END.len());
+        rest = after;
+        Some(event)
+    })
+}
+
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line.starts_with(COMMENT))
+}
+
+/// Returns whether an id is greater than another. Ids that are not numbers only have
+/// to differ.
+fn is_greater(id: &str, other: &str) -> bool {
+    match (id.parse::<u64>(), other.parse::<u64>()) {
+        (Ok(id), Ok(other)) => id > other,
+        _ => id != other,
+    }
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
     let line = events
         .split(|byte| *byte == b'\n')
--- a/crates/cicadacrank-core/tests/stream.rs
+++ b/crates/cicadacrank-core/tests/stream.rs
@@ -1,6 +1,6 @@
 //! Splitting of event streams.
 
-use cicadacrank_core::stream::{MAX_EVENT_BYTES, Oversized, Splitter};
+use cicadacrank_core::stream::{Fault, MAX_EVENT_BYTES, Splitter};
 use proptest::prelude::*;
 
 #[test]
@@ -10,7 +10,7 @@
     assert!(push(b"id: 1\ndata: a\n").is_empty());
     assert_eq!(&push(b"\nid: 2\nda")[..], b"id: 1\ndata: a\n\n");
     assert_eq!(splitter.last_id(), Some("1"));
-    splitter.discard_partial();
+    splitter.resume();
     let events = splitter.push(b"id:3\n\n").expect("the event is small");
     assert_eq!(&events[..], b"id:3\n\n");
     assert_eq!(splitter.last_id(), Some("3"));
@@ -23,11 +23,54 @@
     let part = [b'x'; 1_000];
     let taken = (0..).take_while(|_| splitter.push(&part).is_ok()).count();
     assert_eq!(taken, MAX_EVENT_BYTES / part.len());
-    assert_eq!(splitter.push(&part), Err(Oversized));
-    splitter.discard_partial();
+    assert_eq!(splitter.push(&part), Err(Fault::Oversized));
+    splitter.resume();
     assert!(splitter.push(&part).is_ok());
 }
 
+/// The text of an error and events that were sent before were passed on after a stream
+/// was resumed.
+#[test]
+fn push_accepts_only_events_that_continue_a_resumed_stream() {
+    let cases: [(&[u8], bool); 10] = [
+        (b"id: 4\ndata: d\n\n", true),
+        (b"id: 7\ndata: d\n\nid: 9\n\n", true),
+        (b"x-weight-versions: 2\nid: 4\ndata: d\n\n", true),
+        (b": ping\n\n", true),
+        (b"id: 3\ndata: c\n\n", false),
+        (b"id: 1\ndata: a\n\nid: 4\n\n", false),
+        (b"id: 4\n\nid: 4\n\n", false),
+        (b"event: error\ndata: x\n\n", false),
+        (b"HTTP/1.1 500 No\ncontent-length: 0\n\n", false),
+        (b"\n\n", true),
+    ];
+    for (events, accepted) in cases {
+        let mut splitter = Splitter::default();
+        let start = splitter.push(b"id: 2\n\nid: 3\ndata: c\n\nid: 4\nda");
+        start.expect("the first source is not checked");
+        splitter.resume();
+        let pushed = splitter.push(events);
+        let context = String::from_utf8_lossy(events);
+        if accepted {
+            assert_eq!(pushed.as_deref(), Ok(events), "{context}");
+        } else {
+            assert_eq!(pushed, Err(Fault::Discontinuous), "{context}");
+            assert_eq!(splitter.last_id(), Some("3"), "{context}");
+        }
+    }
+}
+
+/// An event after a comment was not checked.
+#[test]
+fn push_checks_the_first_event_of_a_resumed_stream_after_a_comment() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 3\n\n").expect("the event is small");
+    splitter.resume();
+    splitter.push(b": ping\n\n").expect("a comment");
+    let pushed = splitter.push(b"data: x\n\n");
+    assert_eq!(pushed, Err(Fault::Discontinuous));
+}
+
 proptest! {
     #[test]
     fn push_loses_and_adds_no_byte(parts in prop::collection::vec("[a\n:id0-9 ]{0,12}", 0..20)) {
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -17,7 +17,7 @@
     event::Event,
     once::{ExecutionError, Sent, Unsent},
     placement::{Choice, Key, Locality, Report},
-    stream::{MAX_EVENT_BYTES, Oversized, Splitter},
+    stream::Splitter,
 };
 use futures_util::stream;
 use http::{Response, header};
@@ -320,7 +320,7 @@
                             self.record_events(&events);
                             return Some(Ok(events));
                         }
-                        Err(Oversized) => format!("an event exceeds {MAX_EVENT_BYTES} bytes"),
+                        Err(fault) => fault.to_string(),
                     }
                 }
                 Ok(None) => match self.unexpected_end() {
@@ -471,6 +471,16 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Returns whether a response may continue the stream. After the first event it
+    /// must have the status and content type of the response that it continues.
+    fn is_continued_by(&self, started: &Started) -> bool {
+        let (before, after) = (&self.upstream.exchange.response, &started.exchange.response);
+        if self.events == 0 {
+            return after.status().is_success();
+        }
+        after.status() == before.status() && media_type(after) == media_type(before)
+    }
+
     /// Resumes the stream at another engine after the last complete event. Runs the
     /// stages again if their results were released. Returns whether that succeeded.
     async fn resume(&mut self, failure: &str) -> bool {
@@ -512,7 +522,14 @@
         let Ok(started) = attempt.await else {
             return false;
         };
-        if !started.answer.status.is_success() {
+        if !self.is_continued_by(&started) {
+            Event::AttemptFailed.log(format_args!(
+                "id={} age_ms={} endpoint={} status={} context=\"not a continuation of the stream\"",
+                self.job.id(),
+                self.job.age_ms(),
+                started.guard.endpoint.life.id,
+                started.answer.status.as_u16(),
+            ));
             return false;
         }
         Event::StreamResumed.log(format_args!(
@@ -523,7 +540,7 @@
             started.guard.endpoint.life.id,
             parameters.last_event,
         ));
-        self.splitter.discard_partial();
+        self.splitter.resume();
         self.upstream = started.into();
         self.outputs = Some(outputs);
         true
@@ -540,6 +557,13 @@
     }
 }
 
+/// Returns the content type of a response without its parameters.
+fn media_type<T>(response: &Response<T>) -> Option<&[u8]> {
+    let value = response.headers().get(header::CONTENT_TYPE)?.as_bytes();
+    let media_type = value.split(|byte| *byte == b';').next();
+    media_type.map(<[u8]>::trim_ascii)
+}
+
 /// Returns the error for a stream that broke before its first event.
 fn broken_stream_error(context: String) -> ExecutionError {
     Unsent::begin().send().fail(Kind::EndpointFailed, context)
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -1,8 +1,8 @@
 //! Tests of the gateway as a separate process between callers and endpoints.
 
 use cicadacrank_bench::deployment::{
-    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role,
-    config, route, send,
+    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan,
+    Resumption, Role, config, route, send,
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
@@ -764,6 +764,33 @@
     }
 }
 
+/// A stream contained what the engine that should have resumed it answered instead, or
+/// ended there as if it were complete.
+#[tokio::test]
+async fn stream_is_broken_off_if_the_next_engine_does_not_continue_it() {
+    let deployment = deployment(1, 2).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    let mut failures = Vec::new();
+    for resumption in Resumption::ALL {
+        // The retry budget refills over time.
+        time::sleep(Duration::from_secs(2)).await;
+        for (number, broken) in engines.iter().enumerate() {
+            set_faults(&deployment, Role::Engine, Fault::Resumption(resumption));
+            broken.set_fault(Fault::BreakOff);
+            let attempt = format!("{resumption:?}-{number}");
+            let answer = stream(&deployment, "/chat/x", &attempt).await;
+            let starts_broken = deployment.runs(&attempt).len() == 2;
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            let complete = answer.whole && body == events(1, EVENTS);
+            let cut = !answer.whole && events(1, EVENTS).starts_with(&body);
+            if !(complete || cut) || (starts_broken && answer.whole) {
+                failures.push(format!("{attempt}: whole={} {body:?}", answer.whole));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 #[tokio::test]
 async fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
