Do not resume a stream whose events have no ids

Found while looking at streams that are resumed. If an engine sent events without ids and broke off, the gateway had no id to continue after; it sent the request to the next engine as new and passed its events on after those that the caller had. Two runs were joined in one answer that ended as complete. Such a stream is now broken off after its first event, as on routes without resumption; before it, the next engine may still start the answer.

--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -487,6 +487,10 @@
         if !self.may_resume() || Instant::now() >= self.job.outgoing.deadline {
             return false;
         }
+        // Without the id of the last event, another engine would start again.
+        if self.events > 0 && self.splitter.last_id().is_none() {
+            return false;
+        }
         let causes = &self.job.outgoing.causes;
         if self.state.causes.find(causes).is_some() {
             return false;
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -791,6 +791,27 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// The events of two runs were joined when the first had no ids.
+#[tokio::test]
+async fn stream_without_event_ids_is_not_resumed() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, broken) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        broken.set_fault(Fault::BreakOffWithoutIds);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        let complete = answer.whole && body == events(1, EVENTS);
+        assert!(complete || !answer.whole, "{body:?}");
+        assert!(
+            !(body.starts_with("data") && body.contains("id: ")),
+            "{body:?}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
