Test that no answer of the next endpoint ends a stream that broke off

The report of a stream that was continued by an error, tried on our own interface: a stream breaks off after some text, and the next endpoint breaks its protocol, refuses the work or the connection, loses the connection before or after the run, or restarts. It can't happen: an entry forwards chunks alone, and only the frame that states the end and its count completes an answer. The caller got the text of the first endpoint and a failure in each of the six cases; the test passed on the code as it was.

--- a/crates/cicadacrank-bench/tests/policy.rs
+++ b/crates/cicadacrank-bench/tests/policy.rs
@@ -339,6 +339,34 @@
     assert_eq!(outcome.kind(), Some(Kind::Truncated), "{outcome:?}");
 }
 
+/// What the next endpoint answers instead of the rest of a stream must not end it.
+#[tokio::test(start_paused = true)]
+async fn stream_that_the_next_endpoint_does_not_continue_is_reported_as_failed() {
+    for next in [
+        Behaviour::Rubbish,
+        Behaviour::RefuseWork,
+        Behaviour::RefuseConnection,
+        Behaviour::CutBefore,
+        Behaviour::CutAfter,
+        Behaviour::Restart,
+    ] {
+        let bench = Bench::new(next);
+        for _ in 0..2 {
+            bench.port.push(Behaviour::Answer(Duration::ZERO));
+        }
+        bench.port.push(Behaviour::Truncate);
+        let outcome = bench.send(0, "tell", "story").await;
+        assert!(outcome.kind().is_some(), "{next:?}: {outcome:?}");
+        let runs = bench.port.runs();
+        let truncated = str::from_utf8(&runs[2].output).expect("the output is UTF-8");
+        assert!(!outcome.text.is_empty(), "{next:?}");
+        assert!(
+            truncated.starts_with(&outcome.text),
+            "{next:?}: {outcome:?}"
+        );
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn disconnected_caller_cancels_running_and_queued_work() {
     let bench = Bench::new(Behaviour::Answer(Duration::from_secs(5)));
