Take an event that reports an error for a failed call

An engine behind a sidecar that reported an error in an event with an empty list of choices, and then stated the end of its stream, was taken to have answered completely: with nothing, or, when it should have resumed a stream, with the end of it, so that the caller's stream ended as if it were complete. An error without choices, and JSON of another type, failed already.

A completion with an `error` that is not null now fails the call, and the entry may try another endpoint.

The test failed before: endpoint::call_maps_streams_to_results: error beside choices: left: "[]", right: "endpoint-failed connected=true refused=false"

--- a/crates/cicadacrank-bench/tests/endpoint.rs
+++ b/crates/cicadacrank-bench/tests/endpoint.rs
@@ -197,6 +197,30 @@
         Close,
         "endpoint-protocol connected=true refused=false",
     ),
+    (
+        "error",
+        "data: {\"error\":{\"message\":\"x\"}}\n\ndata: [DONE]\n\n",
+        Close,
+        "endpoint-protocol connected=true refused=false",
+    ),
+    (
+        "error beside choices",
+        "data: {\"error\":{\"message\":\"x\"},\"choices\":[]}\n\ndata: [DONE]\n\n",
+        Close,
+        "endpoint-failed connected=true refused=false",
+    ),
+    (
+        "no error beside choices",
+        "data: {\"error\":null,\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n",
+        Close,
+        "[b\"a\"]",
+    ),
+    (
+        "error of another type",
+        "{\"error\":{\"message\":\"x\"}}\n\n",
+        Close,
+        "truncated connected=true refused=false",
+    ),
     (
         "data after the end mark",
         "data: [DONE]\n\ndata: {\"choices\":[]}\n\n",
--- a/crates/cicadacrank-node/src/endpoint/http.rs
+++ b/crates/cicadacrank-node/src/endpoint/http.rs
@@ -10,7 +10,7 @@
 use eventsource_stream::Eventsource as _;
 use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream};
 use reqwest::{Response, StatusCode, header, redirect, retry};
-use serde::Deserialize;
+use serde::{Deserialize, de::IgnoredAny};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time;
 
@@ -33,6 +33,7 @@
 #[derive(Deserialize)]
 struct Completion {
     choices: Vec<Choice>,
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -245,6 +246,12 @@
     let completion: Completion = serde_json::from_str(data).map_err(|error| {
         Fault::new(Kind::EndpointProtocol, format!("reading an event: {error}"))
     })?;
+    if completion.error.is_some() {
+        return Err(Fault::new(
+            Kind::EndpointFailed,
+            "an event of the stream reports an error",
+        ));
+    }
     Ok(completion
         .choices
         .into_iter()
