Believe only a refusal that names the request

But a refusal without an attempt id was believed, also one that an endpoint wrote before it had read the request, so that the gateway said `not-run` for a booking that the endpoint then ran. Refusals that name another request were not believed before either. Class: an answer is believed because of where it arrives.

A refusal must now carry the id of the attempt, as an answer must. Without it the outcome counts as unknown: 502 for a booking, another endpoint for a request that may be repeated.

The test failed before: gateway::refusal_that_does_not_name_the_request_is_not_believed: EarlyRefusal-0: Answer { status: Some(503), .. body: b"overloaded (not-run): The endpoint bears no more work now.\n" }

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -89,6 +89,11 @@
     StallAfterEvent,
     /// It answers a stream with bytes that form no event, without end.
     Endless,
+    /// It writes a refusal that names no request on each connection before it reads the
+    /// request, which it then runs and answers.
+    EarlyRefusal,
+    /// As [`Fault::EarlyRefusal`], but the refusal names another request.
+    EarlyForeignRefusal,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
     /// It answers without a length or chunks, and ends the answer with the connection.
@@ -329,6 +334,11 @@
         }
         let service = service_fn(move |request| handle(context.clone(), request));
         tokio::spawn(async move {
+            let mut stream = stream;
+            if let Some(refusal) = early_refusal(fault) {
+                // An error is a client that disconnected.
+                drop(stream.write_all(refusal.as_bytes()).await);
+            }
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // An error is an injected fault or a client that disconnected.
             drop(connection.await);
@@ -336,6 +346,17 @@
     }
 }
 
+/// Returns the refusal that an endpoint writes before it reads a request.
+fn early_refusal(fault: Fault) -> Option<String> {
+    let name = match fault {
+        Fault::EarlyRefusal => "",
+        Fault::EarlyForeignRefusal => "x-attempt-id: ffffffffffffffff\r\n",
+        _ => return None,
+    };
+    let head = "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n";
+    Some(format!("{head}{name}\r\n"))
+}
+
 async fn handle(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let Context {
         role,
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -407,8 +407,8 @@
     let headers = exchange.response.headers();
     let answer = Answer::decode(exchange.response.status(), headers);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
-    let foreign = answer.attempt.is_some() && answer.attempt != outgoing.attempt;
     // An answer of another endpoint, or to another request, says nothing here.
+    let foreign = answer.attempt != outgoing.attempt;
     if answer.attempt.is_some() && !foreign && !answer.misdirected {
         guard.record_limit(answer.limit);
     }
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -137,6 +137,23 @@
     }
 }
 
+/// A caller was told that a booking had not run, on the word of a refusal that its
+/// endpoint had written before it read the booking.
+#[tokio::test]
+async fn refusal_that_does_not_name_the_request_is_not_believed() {
+    let deployment = deployment(1, 2).await;
+    for fault in [Fault::EarlyRefusal, Fault::EarlyForeignRefusal] {
+        set_faults(&deployment, Role::Desk, fault);
+        for number in 0..20 {
+            let attempt = format!("{fault:?}-{number}");
+            let answer = book(&deployment, &attempt).await;
+            let statuses = [Some(200), Some(502)];
+            assert!(statuses.contains(&answer.status), "{attempt}: {answer:?}");
+            assert!(deployment.runs(&attempt).len() <= 1, "{attempt}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn lookup_goes_to_another_endpoint_after_a_fault() {
     let deployment = deployment(1, 2).await;
