--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -99,6 +99,11 @@
     PauseAfterEvent,
     /// It answers a stream with bytes that form no event, without end.
     Endless,
+    /// It writes a refusal that names no request on each connection before it reads the
+    /// request, which it then runs and answers.
+    EarlyRefusal,
+    /// As [`Fault::EarlyRefusal`], but the refusal names another request.
+    EarlyForeignRefusal,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
     /// It answers without a length or chunks, and ends the answer with the connection.
@@ -111,6 +116,48 @@
     CrashOnPart,
     /// It answers with [`LARGE_ANSWER_BYTES`] bytes.
     LargeAnswer,
+    /// It sends events without ids and closes the connection in the middle.
+    BreakOffWithoutIds,
+    /// It answers a request to resume a stream in this way instead of resuming it.
+    Resumption(Resumption),
+}
+
+/// Answer to a request to resume a stream that does not continue the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// Status 500 with a text.
+    Error,
+    /// Status 302.
+    Redirect,
+    /// Status 204.
+    NoContent,
+    /// Status 200 with JSON that describes an error.
+    Json,
+    /// Status 200 with JSON and a blank line, as at the end of an event.
+    JsonEvent,
+    /// Status 200 with a length of zero and no content type.
+    Empty,
+    /// An event that describes an error and has no id.
+    ErrorEvent,
+    /// The stream from its start.
+    Restart,
+    /// The stream from the last event that was received.
+    Repeat,
+}
+
+impl Resumption {
+    /// All such answers.
+    pub const ALL: [Self; 9] = [
+        Self::Error,
+        Self::Redirect,
+        Self::NoContent,
+        Self::Json,
+        Self::JsonEvent,
+        Self::Empty,
+        Self::ErrorEvent,
+        Self::Restart,
+        Self::Repeat,
+    ];
 }
 
 impl Fault {
@@ -299,6 +346,11 @@
         }
         let service = service_fn(move |request| handle(context.clone(), request));
         tokio::spawn(async move {
+            let mut stream = stream;
+            if let Some(refusal) = early_refusal(fault) {
+                // An error is a client that disconnected.
+                drop(stream.write_all(refusal.as_bytes()).await);
+            }
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // An error is an injected fault or a client that disconnected.
             drop(connection.await);
@@ -306,6 +358,17 @@
     }
 }
 
+/// Returns the refusal that an endpoint writes before it reads a request.
+fn early_refusal(fault: Fault) -> Option<String> {
+    let name = match fault {
+        Fault::EarlyRefusal => "",
+        Fault::EarlyForeignRefusal => "x-attempt-id: ffffffffffffffff\r\n",
+        _ => return None,
+    };
+    let head = "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n";
+    Some(format!("{head}{name}\r\n"))
+}
+
 async fn handle(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let Context {
         role,
@@ -456,22 +519,35 @@
         *response.body_mut() = Either::Right(StreamBody::new(parts));
         return response;
     }
-    let last_seen = header(headers, "last-event-id").parse().unwrap_or(0_u64);
-    let last = if fault == Fault::BreakOff { 3 } else { EVENTS };
     let silence = match fault {
         Fault::StallAfterEvent => Duration::from_secs(60),
         Fault::PauseAfterEvent => SILENCE,
         _ => Duration::ZERO,
     };
-    let parts = stream::iter(last_seen + 1..=last).then(move |number| async move {
+    let resumed = header(headers, "last-event-id").parse::<u64>().ok();
+    let first = match (fault, resumed) {
+        (Fault::Resumption(Resumption::Restart), _) | (_, None) => 1,
+        (Fault::Resumption(Resumption::Repeat), Some(last)) => last,
+        (Fault::Resumption(resumption), Some(_)) => return not_resumed(headers, resumption),
+        (_, Some(last)) => last + 1,
+    };
+    let breaks = matches!(fault, Fault::BreakOff | Fault::BreakOffWithoutIds);
+    let last = if breaks { 3 } else { EVENTS };
+    let has_ids = fault != Fault::BreakOffWithoutIds;
+    let parts = stream::iter(first..=last).then(move |number| async move {
         time::sleep(EVENT_GAP).await;
         if number == 2 {
             time::sleep(silence).await;
         }
-        let event = format!("id: {number}\ndata: token {number}\n\n");
+        let id = if has_ids {
+            format!("id: {number}\n")
+        } else {
+            String::new()
+        };
+        let event = format!("{id}data: token {number}\n\n");
         Ok(Frame::data(Bytes::from(event)))
     });
-    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if fault == Fault::BreakOff {
+    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if breaks {
         parts
             .chain(stream::iter([Err(io::Error::other(
                 "injected fault: answer broken off",
@@ -489,6 +565,29 @@
     response
 }
 
+/// Returns an answer that does not resume a stream.
+fn not_resumed(headers: &HeaderMap, resumption: Resumption) -> Response<Body> {
+    let (status, content_type, body) = match resumption {
+        Resumption::Error => (500, "text/plain", "out of memory\n\n"),
+        Resumption::Redirect => (302, "text/html", "<p>moved</p>\n\n"),
+        Resumption::NoContent => (204, "", ""),
+        Resumption::Json => (200, "application/json", r#"{"error":"out of memory"}"#),
+        Resumption::JsonEvent => (200, "application/json", "{\"error\":\"memory\"}\n\n"),
+        Resumption::Empty => (200, "", ""),
+        Resumption::ErrorEvent | Resumption::Restart | Resumption::Repeat => {
+            (200, "text/event-stream", "event: error\ndata: memory\n\n")
+        }
+    };
+    let status = StatusCode::from_u16(status).unwrap_or_default();
+    let mut response = plain_response(status, headers, Bytes::from_static(body.as_bytes()), true);
+    if !content_type.is_empty() {
+        let content_type = http::HeaderValue::from_static(content_type);
+        let headers = response.headers_mut();
+        headers.insert(http::header::CONTENT_TYPE, content_type);
+    }
+    response
+}
+
 /// Reads the head of one request and answers it with events and no framing. The
 /// body of the request is left unread, as by an engine that does not need it.
 async fn answer_unframed(
--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     caller::{Answer, Caller, send},
-    endpoint::{CRASHING_PART, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Role, Run},
+    endpoint::{CRASHING_PART, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption, Role, Run},
     gateway::Gateway,
     proxy::{Impairment, Proxy},
 };
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -17,7 +17,7 @@
     event::Event,
     once::{ExecutionError, Sent, Unsent},
     placement::{Choice, Key, Locality, Report},
-    stream::{MAX_EVENT_BYTES, Oversized, Splitter},
+    stream::Splitter,
 };
 use futures_util::stream;
 use http::{Response, header};
@@ -336,7 +336,7 @@
                             self.record_events(&events);
                             return Some(Ok(events));
                         }
-                        Err(Oversized) => format!("an event exceeds {MAX_EVENT_BYTES} bytes"),
+                        Err(fault) => fault.to_string(),
                     }
                 }
                 Ok(None) => match self.unexpected_end() {
@@ -507,6 +507,16 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Returns whether a response may continue the stream. After the first event it
+    /// must have the status and content type of the response that it continues.
+    fn is_continued_by(&self, started: &Started) -> bool {
+        let (before, after) = (&self.upstream.exchange.response, &started.exchange.response);
+        if self.events == 0 {
+            return after.status().is_success();
+        }
+        after.status() == before.status() && media_type(after) == media_type(before)
+    }
+
     /// Resumes the stream at another engine after the last complete event. Runs the
     /// stages again if their results were released.
     ///
@@ -514,7 +524,10 @@
     /// accepted the request, or [`HANDOVER_TIME`] after the request was sent there.
     async fn resume(&mut self, failure: &str, may_continue: bool) -> Resumption {
         let outgoing = &self.job.outgoing;
-        if !self.may_resume()
+        // Without the id of the last event, another engine would start again.
+        let is_resumable = self.events == 0 || self.splitter.last_id().is_some();
+        if !is_resumable
+            || !self.may_resume()
             || Instant::now() >= outgoing.deadline
             || self.state.causes.find(&outgoing.causes).is_some()
             || !self.state.try_take_retry(&self.job.service)
@@ -543,10 +556,21 @@
         let until = outgoing.deadline;
         let attempt = attempt::start(&self.state, outgoing, key, &parameters, until, unsent);
         let started = match current.race(attempt, Instant::now() + HANDOVER_TIME).await {
-            Ok(Ok(started)) if started.answer.status.is_success() => started,
-            Ok(_) => return Resumption::not_resumed(current.may_continue),
+            Ok(Ok(started)) => started,
+            Ok(Err(_)) => return Resumption::not_resumed(current.may_continue),
             Err(received) => return Resumption::Received(received),
         };
+        let may_go_on = current.may_continue;
+        if !self.is_continued_by(&started) {
+            Event::AttemptFailed.log(format_args!(
+                "id={} age_ms={} endpoint={} status={} context=\"not a continuation of the stream\"",
+                self.job.id(),
+                self.job.age_ms(),
+                started.guard.endpoint.life.id,
+                started.answer.status.as_u16(),
+            ));
+            return Resumption::not_resumed(may_go_on);
+        }
         Event::StreamResumed.log(format_args!(
             "id={} age_ms={} from={} to={} after={:?} context={failure:?}",
             self.job.id(),
@@ -559,7 +583,7 @@
             // The failure of an engine that ended was recorded before.
             self.upstream.guard.record(Report::Failed);
         }
-        self.splitter.discard_partial();
+        self.splitter.resume();
         self.upstream = started.into();
         self.outputs = Some(outputs);
         Resumption::Resumed
@@ -652,6 +676,13 @@
     }
 }
 
+/// Returns the content type of a response without its parameters.
+fn media_type<T>(response: &Response<T>) -> Option<&[u8]> {
+    let value = response.headers().get(header::CONTENT_TYPE)?.as_bytes();
+    let media_type = value.split(|byte| *byte == b';').next();
+    media_type.map(<[u8]>::trim_ascii)
+}
+
 /// Returns the error for a stream that broke before its first event.
 fn broken_stream_error(context: String) -> ExecutionError {
     Unsent::begin().send().fail(Kind::EndpointFailed, context)
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -5,6 +5,13 @@
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
+/// Maximum length of the description of an invalid entry, in characters. It repeats
+/// what the entry contains.
+const MAX_DESCRIPTION_CHARACTERS: usize = 200;
+
+/// Maximum time for which an endpoint may state that it is cold.
+const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireEndpoint {
@@ -36,9 +43,17 @@
 /// Returns a message that describes the invalid field. Such a registration
 /// identifies no endpoint.
 pub fn decode(object: &Object) -> Result<Endpoint, String> {
-    let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| error.to_string())?;
+    if object.spec.is_null() {
+        return Err("the content is empty or cannot be read".to_owned());
+    }
+    let wire = WireEndpoint::deserialize(&object.spec).map_err(|error| describe(&error))?;
+    if wire.address.port() == 0 {
+        return Err("the port of `address` is 0".to_owned());
+    }
     let cold = Duration::try_from_secs_f64(wire.cold_remaining_ms / 1_000.0)
-        .map_err(|error| format!("`coldRemainingMs` is {}: {error}", wire.cold_remaining_ms))?;
+        .ok()
+        .filter(|cold| *cold <= MAX_COLD_TIME)
+        .ok_or_else(|| format!("`coldRemainingMs` is {}", wire.cold_remaining_ms))?;
     Ok(Endpoint {
         life: Incarnation {
             id: object.name.clone(),
@@ -56,3 +71,11 @@
         sequence: wire.sequence,
     })
 }
+
+fn describe(error: &serde_json::Error) -> String {
+    let description = error.to_string();
+    description
+        .chars()
+        .take(MAX_DESCRIPTION_CHARACTERS)
+        .collect()
+}
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -1,8 +1,8 @@
 //! Tests of the gateway as a separate process between callers and endpoints.
 
 use cicadacrank_bench::deployment::{
-    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan, Role,
-    config, route, send,
+    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan,
+    Resumption, Role, config, route, send,
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
@@ -137,6 +137,23 @@
     }
 }
 
+/// A caller was told that a booking had not run, on the word of a refusal that its
+/// endpoint had written before it read the booking.
+#[tokio::test]
+async fn refusal_that_does_not_name_the_request_is_not_believed() {
+    let deployment = deployment(1, 2).await;
+    for fault in [Fault::EarlyRefusal, Fault::EarlyForeignRefusal] {
+        set_faults(&deployment, Role::Desk, fault);
+        for number in 0..20 {
+            let attempt = format!("{fault:?}-{number}");
+            let answer = book(&deployment, &attempt).await;
+            let statuses = [Some(200), Some(502)];
+            assert!(statuses.contains(&answer.status), "{attempt}: {answer:?}");
+            assert!(deployment.runs(&attempt).len() <= 1, "{attempt}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn lookup_goes_to_another_endpoint_after_a_fault() {
     let deployment = deployment(1, 2).await;
@@ -536,6 +553,125 @@
     }
 }
 
+/// Returns contents of the store that name no endpoint: nested too deeply, with numbers
+/// or ports out of range, and with bytes that are not text.
+fn odd_contents() -> Vec<Vec<u8>> {
+    let with = |address: &str, field: &str| {
+        let start = r#"{"service":"desk","zone":"one","state":"ready","slots":4"#;
+        format!(r#"{start},"address":"{address}",{field}}}"#).into_bytes()
+    };
+    let mut invalid = with("127.0.0.1:9", r#""sequence":9,"version":"v""#);
+    let version = invalid.iter().rposition(|byte| *byte == b'v');
+    invalid[version.expect("a version")] = 0xff;
+    vec![
+        [b"[".repeat(10_000), b"]".repeat(10_000)].concat(),
+        with("127.0.0.1:9", r#""sequence":1e999"#),
+        with("127.0.0.1:9", r#""sequence":-99999999999999999999999"#),
+        with("127.0.0.1:99999", r#""sequence":9"#),
+        with(
+            "127.0.0.1:9",
+            r#""sequence":9,"born":1000,"coldRemainingMs":1.8e22"#,
+        ),
+        invalid,
+    ]
+}
+
+/// Gateways stopped following the endpoints while the store held one odd entry.
+#[tokio::test]
+async fn odd_entry_takes_out_only_the_endpoint_whose_entry_it_replaces() {
+    let mut deployment = deployment(2, 2).await;
+    let served = async |deployment: &Deployment, name: &str| {
+        for (number, gateway) in deployment.gateways.iter().enumerate() {
+            for copy in 0..4 {
+                let attempt = format!("{name}-{number}-{copy}");
+                let address = gateway.caller_address();
+                let request = caller().request(Method::POST, address, "/book/1", &attempt);
+                let status = send(request.body("x")).await.status;
+                assert_eq!(status, Some(200), "{attempt}: {}", gateway.log_text());
+            }
+        }
+    };
+    let desks = |deployment: &Deployment| -> Vec<usize> {
+        let desks = deployment.endpoints_with(Role::Desk);
+        desks.map(|desk| desk.runs().len()).collect()
+    };
+    let follow = async |deployment: &Deployment, revision: u64| {
+        let text = format!("DirectoryChanged: revision={revision} ");
+        for gateway in 0..deployment.gateways.len() {
+            wait_for_log(deployment, gateway, &text).await;
+        }
+    };
+    for (number, content) in odd_contents().into_iter().enumerate() {
+        let (id, entry) = {
+            let desk = deployment.endpoints_with(Role::Desk).next();
+            let desk = desk.expect("a desk");
+            (desk.id.clone(), desk.entry("ready", 2 + number as u64))
+        };
+        let store = &deployment.store;
+        store.state().put_raw(Collection::Endpoints, &id, content);
+        let revision = store.state().revision();
+        follow(&deployment, revision).await;
+        let before = desks(&deployment);
+        served(&deployment, &format!("odd-{number}")).await;
+        let after = desks(&deployment);
+        assert_eq!(after[0], before[0], "the endpoint is not used any more");
+        assert_eq!(after[1], before[1] + 8);
+        let restored = {
+            let mut state = deployment.store.state();
+            state.put(Collection::Endpoints, &id, entry);
+            state.revision()
+        };
+        follow(&deployment, restored).await;
+        served(&deployment, &format!("restored-{number}")).await;
+        assert!(desks(&deployment)[0] > before[0], "it is used again");
+    }
+    // A gateway that starts lists the odd entries.
+    for (number, content) in odd_contents().into_iter().enumerate() {
+        let name = format!("i-odd-{number}");
+        let mut state = deployment.store.state();
+        state.put_raw(Collection::Endpoints, &name, content.clone());
+        state.put_raw(Collection::Evacuations, &name, content.clone());
+        state.put_raw(Collection::Gateways, &name, content.clone());
+        state.put_raw(Collection::Config, &name, content);
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.kill().expect("the signal is sent");
+        gateway.wait().await.expect("the process ends");
+        gateway.restart().expect("the process starts");
+    }
+    for gateway in &deployment.gateways {
+        gateway.wait_ready().await.expect("the gateway is ready");
+    }
+    served(&deployment, "restarted").await;
+}
+
+/// After an outage of the store, an endpoint whose entry had been overwritten was used for
+/// two more seconds.
+#[tokio::test]
+async fn odd_entry_written_during_an_outage_takes_out_its_endpoint_at_once() {
+    let deployment = deployment(1, 2).await;
+    deployment.store_proxy.set_impairment(Impairment::Reset);
+    wait_for_log(&deployment, 0, "PlatformFailed: collection=Endpoints").await;
+    // Long enough for entries to expire.
+    time::sleep(Duration::from_millis(1_200)).await;
+    let desk = deployment.endpoints_with(Role::Desk).next();
+    let desk = desk.expect("a desk");
+    let content = odd_contents().swap_remove(0);
+    let revision = {
+        let mut state = deployment.store.state();
+        state.put_raw(Collection::Endpoints, &desk.id, content);
+        state.revision()
+    };
+    deployment.store_proxy.set_impairment(Impairment::None);
+    let text = format!("DirectoryChanged: revision={revision} ");
+    wait_for_log(&deployment, 0, &text).await;
+    for number in 0..8 {
+        let answer = book(&deployment, &format!("a{number}")).await;
+        assert_eq!(answer.status, Some(200));
+    }
+    assert_eq!(desk.runs().len(), 0);
+}
+
 #[tokio::test]
 async fn connection_flood_does_not_delay_readiness_responses() {
     let deployment = deployment(1, 1).await;
@@ -645,6 +781,54 @@
     }
 }
 
+/// A stream contained what the engine that should have resumed it answered instead, or
+/// ended there as if it were complete.
+#[tokio::test]
+async fn stream_is_broken_off_if_the_next_engine_does_not_continue_it() {
+    let deployment = deployment(1, 2).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    let mut failures = Vec::new();
+    for resumption in Resumption::ALL {
+        // The retry budget refills over time.
+        time::sleep(Duration::from_secs(2)).await;
+        for (number, broken) in engines.iter().enumerate() {
+            set_faults(&deployment, Role::Engine, Fault::Resumption(resumption));
+            broken.set_fault(Fault::BreakOff);
+            let attempt = format!("{resumption:?}-{number}");
+            let answer = stream(&deployment, "/chat/x", &attempt).await;
+            let starts_broken = deployment.runs(&attempt).len() == 2;
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            let complete = answer.whole && body == events(1, EVENTS);
+            let cut = !answer.whole && events(1, EVENTS).starts_with(&body);
+            if !(complete || cut) || (starts_broken && answer.whole) {
+                failures.push(format!("{attempt}: whole={} {body:?}", answer.whole));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// The events of two runs were joined when the first had no ids.
+#[tokio::test]
+async fn stream_without_event_ids_is_not_resumed() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, broken) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        broken.set_fault(Fault::BreakOffWithoutIds);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        let complete = answer.whole && body == events(1, EVENTS);
+        assert!(complete || !answer.whole, "{body:?}");
+        assert!(
+            !(body.starts_with("data") && body.contains("id: ")),
+            "{body:?}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
