Continue no error that broke off with the events of another engine

Callers saw: an answer with status 500 and the signature of one engine, and the complete stream of another engine as its body.

Cause: a stream that may be resumed was resumed whenever its body broke off before the first event, also where the engine had answered with an error, whose status and headers the caller already had. Class: an answer is put together from two.

Evidence: the test failed before (status 500 with six events, whole).

Change: only an answer with success is resumed. The emulator's truncated answers now send their first part before they break, so that the gateway sees their head.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -87,6 +87,9 @@
     BreakOff,
     /// It runs the request and answers with status 500.
     Fail,
+    /// It runs the request, answers with status 500 and closes the connection in the middle
+    /// of the answer.
+    FailAndBreakOff,
     /// It delays its answer for a minute.
     Hang,
     /// It delays its answer for [`SILENCE`].
@@ -431,6 +434,11 @@
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(plain_response(status, &head.headers, Bytes::new(), true));
         }
+        Fault::FailAndBreakOff => {
+            let mut response = truncated_response(&head.headers, Bytes::from("out of memory"));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            return Ok(response);
+        }
         Fault::CrashOnPart if text("x-prompt-prefix").contains(CRASHING_PART) => {
             lock(&state).crashed = true;
             tokio::spawn(async move {
@@ -654,6 +662,11 @@
         Ok(Frame::data(body.slice(..5))),
         Err(io::Error::other("injected fault: answer broken off")),
     ]);
+    // The head and the first part are sent before the connection breaks.
+    let parts = parts.then(|part| async {
+        time::sleep(EVENT_GAP).await;
+        part
+    });
     let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
     *response.body_mut() = Either::Right(StreamBody::new(parts.boxed()));
     response
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -524,8 +524,10 @@
     /// accepted the request, or [`HANDOVER_TIME`] after the request was sent there.
     async fn resume(&mut self, failure: &str, may_continue: bool) -> Resumption {
         let outgoing = &self.job.outgoing;
-        // Without the id of the last event, another engine would start again.
-        let is_resumable = self.events == 0 || self.splitter.last_id().is_some();
+        // The caller already has the head of an error. Without the id of the last event,
+        // another engine would start again.
+        let is_resumable = self.upstream.exchange.response.status().is_success()
+            && (self.events == 0 || self.splitter.last_id().is_some());
         if !is_resumable
             || !self.may_resume()
             || Instant::now() >= outgoing.deadline
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -868,6 +868,25 @@
     }
 }
 
+/// The events of another engine followed the status and the headers of an engine that had
+/// answered with an error and broken off.
+#[tokio::test]
+async fn error_that_breaks_off_is_not_continued_by_another_engine() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, failing) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        failing.set_fault(Fault::FailAndBreakOff);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        let is_error = answer.status != Some(200);
+        let has_events = answer.body.windows(3).any(|part| part == b"id:");
+        assert!(!is_error || !has_events, "{answer:?}");
+        assert!(!is_error || !answer.whole, "{answer:?}");
+    }
+}
+
 /// A lookup was given up after twice its objective although no other endpoint was left.
 #[tokio::test]
 async fn lookup_waits_for_the_only_endpoint_that_pauses() {
