Keep the methods of the stream splitter together

No change of behaviour: a second block of methods goes into the first. The tests of the package's streams and of the gateway pass as before.

--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -93,9 +93,7 @@
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
-}
 
-impl Splitter {
     /// Returns whether each of the events has a greater id than the one before, from
     /// the last event on. Comments have no id.
     fn is_continued_by(&self, events: &[u8]) -> bool {
