Send nothing more to an endpoint whose answers state that it leaves

A gateway kept sending until the store listed the endpoint as draining or dropped it.

Change: from the first answer of any status, also to calls with pieces and to releases, an incarnation is taken out of every choice, until another incarnation registers. Heartbeats name the leaving endpoints that are still listed as ready. An answer with a foreign id, a 421 and any other value say nothing. A streaming request of a service without endpoints is refused before its stages run.

Event 225 EndpointLeaving, counter cicadacrank_gateway_departures_total.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -143,6 +143,8 @@
     fault: Fault,
     /// Requests a second that its answers name as its limit.
     limit: Option<f64>,
+    /// Whether its answers state that it leaves.
+    leaving: bool,
 }
 
 /// Increments `State::abandoned` when it is dropped, as when the gateway cancels
@@ -221,6 +223,11 @@
         lock(&self.state).limit = per_second;
     }
 
+    /// Sets whether all answers of the endpoint state that it leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        lock(&self.state).leaving = leaving;
+    }
+
     /// Returns the requests that the endpoint ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -294,7 +301,18 @@
     }
 }
 
+/// Answers a request, with what the endpoint states in all its answers.
 async fn handle(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let state = Arc::clone(&context.state);
+    let mut response = answer(context, request).await?;
+    if lock(&state).leaving {
+        let one = http::HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", one);
+    }
+    Ok(response)
+}
+
+async fn answer(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let Context {
         role,
         address,
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -57,6 +57,7 @@
     DirectoryChanged = 222, Info, "The list of endpoints changed.";
     EvacuationChanged = 223, Info, "The set of evacuated data centres changed.";
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
+    EndpointLeaving = 225, Info, "An endpoint states that it leaves; it gets no more work.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -2,16 +2,20 @@
 
 mod engine;
 mod limit;
+mod statement;
 
 pub use self::{
     engine::{Choice, Prompt, Selection},
     limit::Limit,
 };
 
-use self::limit::Share;
+use self::{
+    limit::Share,
+    statement::{Statement, Statements},
+};
 use super::{Health, Report};
 use crate::{
-    directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
+    directory::{Endpoint, Evacuation, Incarnation, Snapshot},
     share::Throttle,
 };
 use std::{hash::Hasher as _, time::Duration};
@@ -63,6 +67,7 @@
     /// Requests beyond the shares of the processes that this process granted.
     reserve: Throttle,
     limit: Limit,
+    statement: Statement,
 }
 
 /// Data centres of a request and its inputs, and the endpoints to avoid.
@@ -86,6 +91,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     slots: Vec<Slot>,
+    statements: Statements,
     evacuation: Evacuation,
     processes: usize,
     position: usize,
@@ -121,7 +127,8 @@
         }
         for endpoint in &snapshot.endpoints {
             if self.find(&endpoint.life).is_none() {
-                self.insert(Row::new(endpoint.clone(), now));
+                let statement = self.statements.of(&endpoint.life);
+                self.insert(Row::new(endpoint.clone(), statement, now));
             }
         }
     }
@@ -172,7 +179,7 @@
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Row)> {
         self.rows().filter(move |(_, row)| {
             row.endpoint.service == service
-                && row.endpoint.state == State::Ready
+                && row.is_ready()
                 && !self.evacuation.covers(&row.endpoint.data_centre)
         })
     }
@@ -271,7 +278,7 @@
         now: Duration,
     ) -> bool {
         let usable = self.find(endpoint).and_then(|key| self.row_mut(key));
-        let Some(row) = usable.filter(|row| row.cold_until <= now) else {
+        let Some(row) = usable.filter(|row| row.is_ready() && row.cold_until <= now) else {
             return false;
         };
         let granted = row.has_reserve(cold, now);
@@ -419,7 +426,7 @@
 }
 
 impl Row {
-    fn new(endpoint: Endpoint, now: Duration) -> Self {
+    fn new(endpoint: Endpoint, statement: Statement, now: Duration) -> Self {
         Self {
             cold_until: now + endpoint.cold,
             endpoint,
@@ -429,6 +436,7 @@
             throttle: Throttle::default(),
             reserve: Throttle::default(),
             limit: Limit::default(),
+            statement,
         }
     }
 
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Limit, Report},
+    placement::{Key, Report},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
@@ -207,6 +207,18 @@
         Ok(())
     }
 
+    /// Checks before the first attempt that the service has endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if it has none.
+    pub fn check_endpoints(&mut self, state: &State, job: &Job) -> Result<(), Refusal> {
+        match self.shortage(state, job) {
+            Kind::NoEndpoint => Err(self.refuse(Kind::NoEndpoint)),
+            _ => Ok(()),
+        }
+    }
+
     /// Returns why no endpoint can be selected: all were tried, or those that were not
     /// have reached a limit.
     pub fn shortage(&self, state: &State, job: &Job) -> Kind {
@@ -286,12 +298,9 @@
         lock(&self.state.fleet).record(self.key, report, self.state.clock.now());
     }
 
-    /// Records the limit that the endpoint states.
-    fn record_limit(&self, per_second: Option<f64>) {
-        let at = self.state.clock.now();
-        let limit = Limit { per_second, at };
-        let endpoint = &self.endpoint.life;
-        self.state.record_limit(endpoint, limit, "own");
+    /// Records what the endpoint states about itself in its answer.
+    fn record_statements(&self, answer: &Answer) {
+        self.state.record_statements(&self.endpoint.life, answer);
     }
 
     /// Records that the endpoint began to respond after `took`.
@@ -410,7 +419,7 @@
     let foreign = answer.attempt.is_some() && answer.attempt != outgoing.attempt;
     // An answer of another endpoint, or to another request, says nothing here.
     if answer.attempt.is_some() && !foreign && !answer.misdirected {
-        guard.record_limit(answer.limit);
+        guard.record_statements(&answer);
     }
     if let (false, Some(declined)) = (foreign, answer.declined) {
         guard.record(if answer.misdirected {
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -20,7 +20,6 @@
     directory::Incarnation,
     error::Kind,
     event::Event,
-    placement::Limit,
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -55,7 +54,7 @@
     let (outcome, made, note) = match &address {
         Some((address, _)) => {
             // Released results free memory for this call.
-            send_releases(&batcher, &call.endpoint).await;
+            send_releases(&state, &batcher, &call.endpoint).await;
             call_and_release_inputs(&state, &batcher, *address, &call, &mut pieces).await
         }
         None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
@@ -193,7 +192,8 @@
         Ok(answer) => {
             let head = Answer::decode(answer.status(), answer.headers());
             if !head.misdirected {
-                keep_to_limit(state, batcher, call, head.limit);
+                state.record_statements(&call.endpoint, &head);
+                space_calls(batcher, call, head.limit);
             }
             if head.declined.is_some() {
                 let outcome = if head.misdirected {
@@ -214,10 +214,8 @@
     }
 }
 
-/// Records the limit that an endpoint states, and delays the next call to it.
-fn keep_to_limit(state: &State, batcher: &Batcher, call: &Call, per_second: Option<f64>) {
-    let at = state.clock.now();
-    state.record_limit(&call.endpoint, Limit { per_second, at }, "own");
+/// Delays the next call to an endpoint that states a limit.
+fn space_calls(batcher: &Batcher, call: &Call, per_second: Option<f64>) {
     if let Some(limit) = per_second {
         let interval = Duration::try_from_secs_f64(1.0 / limit).unwrap_or(MAX_CALL_INTERVAL);
         let interval = interval.min(MAX_CALL_INTERVAL);
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -108,7 +108,7 @@
                 let running = std::mem::replace(&mut lock(&batcher.inner).running, true);
                 if !running {
                     tokio::spawn(run(Arc::clone(&state), Arc::clone(batcher)));
-                    tokio::spawn(run_releases(Arc::clone(batcher)));
+                    tokio::spawn(run_releases(Arc::clone(&state), Arc::clone(batcher)));
                 }
             }
             state.pools.changed.notified().await;
--- a/crates/cicadacrank-node/src/gateway/owner/release.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/release.rs
@@ -4,10 +4,10 @@
 use crate::{
     gateway::{
         stages::{self, Output},
-        state::{State, lock},
+        state::{OWN, State, lock},
     },
     outbound,
-    platform::stage,
+    platform::{answer::Answer, stage},
 };
 use cicadacrank_core::directory::Incarnation;
 use std::{sync::Arc, time::Duration};
@@ -74,7 +74,7 @@
 }
 
 /// Periodically sends the queued releases of one service, grouped by endpoint.
-pub(super) async fn run_releases(batcher: Arc<Batcher>) {
+pub(super) async fn run_releases(state: Arc<State>, batcher: Arc<Batcher>) {
     loop {
         time::sleep(RELEASE_INTERVAL).await;
         let incarnations: Vec<Incarnation> = {
@@ -84,14 +84,14 @@
             groups.map(|group| group[0].0.clone()).collect()
         };
         for incarnation in incarnations {
-            let batcher = Arc::clone(&batcher);
-            tokio::spawn(async move { send_releases(&batcher, &incarnation).await });
+            let (state, batcher) = (Arc::clone(&state), Arc::clone(&batcher));
+            tokio::spawn(async move { send_releases(&state, &batcher, &incarnation).await });
         }
     }
 }
 
 /// Sends the queued releases of one endpoint.
-pub(super) async fn send_releases(batcher: &Batcher, incarnation: &Incarnation) {
+pub(super) async fn send_releases(state: &State, batcher: &Batcher, incarnation: &Incarnation) {
     let (address, handles) = {
         let mut inner = lock(&batcher.inner);
         let released = inner.released.extract_if(.., |one| one.0 == *incarnation);
@@ -110,10 +110,16 @@
             );
         }
     };
-    if let Err(broken) = outbound::call(address, request, RELEASE_TIMEOUT, MAX_ANSWER_BYTES).await {
-        log::debug!(
+    match outbound::call(address, request, RELEASE_TIMEOUT, MAX_ANSWER_BYTES).await {
+        Ok(answer) => {
+            let answer = Answer::decode(answer.status(), answer.headers());
+            if answer.leaving && !answer.misdirected {
+                state.record_leaving(incarnation, OWN);
+            }
+        }
+        Err(broken) => log::debug!(
             "failed to release results at {}, which expire by themselves: {broken:?}",
             incarnation.id
-        );
+        ),
     }
 }
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -5,7 +5,7 @@
     gateway::{owner::Task, stages::Output},
 };
 use cicadacrank_core::{directory::Incarnation, roster::Gateway};
-use cicadacrank_wire::wire::{self, GatewayState, Production};
+use cicadacrank_wire::wire::{self, EndpointLife, GatewayState, Production};
 use std::time::Duration;
 
 /// Encodes a gateway.
@@ -30,6 +30,22 @@
     }
 }
 
+/// Encodes an incarnation of an endpoint.
+pub fn encode_life(endpoint: &Incarnation) -> EndpointLife {
+    EndpointLife {
+        endpoint: endpoint.id.clone(),
+        born: endpoint.born,
+    }
+}
+
+/// Decodes an incarnation of an endpoint.
+pub fn decode_life(wire: EndpointLife) -> Incarnation {
+    Incarnation {
+        id: wire.endpoint,
+        born: wire.born,
+    }
+}
+
 /// Encodes a task.
 pub fn encode_task(task: &Task) -> Production {
     Production {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -5,7 +5,8 @@
 mod codec;
 
 use self::codec::{
-    decode_gateway, decode_output, decode_task, encode_gateway, encode_output, encode_task,
+    decode_gateway, decode_life, decode_output, decode_task, encode_gateway, encode_life,
+    encode_output, encode_task,
 };
 use super::{
     owner::{self, Failure, Task},
@@ -58,6 +59,9 @@
 /// Maximum number of causes of crashes in one heartbeat.
 const MAX_CAUSES: usize = 256;
 
+/// Maximum number of leaving endpoints in one heartbeat.
+const MAX_DEPARTURES: usize = 256;
+
 /// Timeout of a fetch of newer state, and of a release, at another gateway.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -234,6 +238,8 @@
         age_ms: milliseconds(now.saturating_sub(limit.at)),
     });
     let limits = limits.collect();
+    let leaving = fleet.leaving().take(MAX_DEPARTURES);
+    let leaving = leaving.map(encode_life).collect();
     let loads = fleet
         .own_loads()
         .map(|(id, load)| EndpointLoad {
@@ -245,6 +251,7 @@
     drop(fleet);
     Beat {
         limits,
+        leaving,
         me: local,
         versions: Some(versions(state)),
         others,
@@ -309,6 +316,9 @@
         let limit = Limit::reported(per_second, age, now);
         state.record_limit(&endpoint, limit, &instance);
     }
+    for endpoint in beat.leaving.into_iter().take(MAX_DEPARTURES) {
+        state.record_leaving(&decode_life(endpoint), &instance);
+    }
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -2,7 +2,12 @@
 
 use super::{Settings, owner::Pools, peers::Links};
 pub(super) use crate::sync::lock;
-use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Causes};
+use crate::{
+    clock::Clock,
+    metrics::gateway::Metrics,
+    platform::{self, answer::Answer},
+    quarantine::Causes,
+};
 use cicadacrank_core::{
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker},
@@ -28,6 +33,9 @@
 /// bodies may use.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// Source of statements that this gateway has read itself, for logs.
+pub(super) const OWN: &str = "own";
+
 /// State and counters of one gateway.
 #[derive(Debug)]
 pub struct State {
@@ -271,6 +279,17 @@
         lock(&self.fleet).set_peer_loads(others.map(|(id, load)| (id.as_str(), *load)));
     }
 
+    /// Records what an endpoint states about itself in its own answer, which has just
+    /// arrived.
+    pub(super) fn record_statements(&self, endpoint: &Incarnation, answer: &Answer) {
+        let at = self.clock.now();
+        let per_second = answer.limit;
+        self.record_limit(endpoint, Limit { per_second, at }, OWN);
+        if answer.leaving {
+            self.record_leaving(endpoint, OWN);
+        }
+    }
+
     /// Records the limit that an endpoint states, according to `source`.
     pub(super) fn record_limit(&self, endpoint: &Incarnation, limit: Limit, source: &str) {
         if lock(&self.fleet).record_limit(endpoint, limit) {
@@ -284,6 +303,18 @@
         }
     }
 
+    /// Records that an endpoint states that it leaves, according to `source`.
+    pub(super) fn record_leaving(&self, endpoint: &Incarnation, source: &str) {
+        if lock(&self.fleet).record_leaving(endpoint, self.clock.now()) {
+            self.metrics.departures.inc();
+            Event::EndpointLeaving.log(format_args!(
+                "endpoint={} born={:?} source={source}",
+                endpoint.id, endpoint.born,
+            ));
+            self.refresh_pools();
+        }
+    }
+
     /// Divides the limits among the known gateways.
     pub(super) fn update_shares(&self) {
         let (processes, position) = lock(&self.roster).shares(self.clock.now());
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -68,8 +68,9 @@
 ) -> Result<Response<Body>, Refusal> {
     let expires = job.outgoing.deadline.min(job.arrived + event_timeout(&job));
     let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT_TIME);
-    let outputs = stages::run(state, &job, due, expires - FIRST_EVENT_TIME).await?;
     let mut attempts = Attempts::new(RETRY_AFTER);
+    attempts.check_endpoints(state, &job)?;
+    let outputs = stages::run(state, &job, due, expires - FIRST_EVENT_TIME).await?;
     let sent_at = Instant::now();
     let upstream = start_attempt(state, &job, &outputs, &mut attempts, expires).await?;
     let mut relay = Relay {
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -26,6 +26,8 @@
     pub stage_calls: IntCounterVec,
     /// Requests for a grant beyond the share of this gateway, by outcome.
     pub grants: IntCounterVec,
+    /// Endpoints that stated that they leave.
+    pub departures: IntCounter,
     /// Number of pieces per call.
     pub batch: Histogram,
     /// Time from requesting the pieces of a stage until all are complete, in
@@ -89,6 +91,10 @@
                 "Requests for a grant beyond the share in a limit for cold starts",
                 &["outcome"],
             ),
+            departures: counter(
+                "cicadacrank_gateway_departures_total",
+                "Endpoints that stated that they leave",
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
--- a/crates/cicadacrank-node/src/platform/answer.rs
+++ b/crates/cicadacrank-node/src/platform/answer.rs
@@ -6,6 +6,7 @@
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 
 /// Status and decoded headers of an endpoint response.
@@ -25,6 +26,8 @@
     /// Requests a second that the endpoint takes from all gateways together, while it
     /// states such a limit.
     pub limit: Option<f64>,
+    /// Whether the endpoint states that it leaves.
+    pub leaving: bool,
 }
 
 impl Answer {
@@ -40,10 +43,21 @@
             declined: (not_run && !status.is_success()).then(Declined::stated),
             misdirected,
             limit: headers.get(&LIMIT).and_then(parse_limit),
+            leaving: headers.get(&LEAVING).is_some_and(parse_leaving),
         }
     }
 }
 
+/// Returns whether the value says that the endpoint leaves. Any other value is logged
+/// and says nothing.
+fn parse_leaving(value: &HeaderValue) -> bool {
+    let leaving = value.as_bytes().trim_ascii() == b"1";
+    if !leaving {
+        log::warn!("an endpoint states invalidly whether it leaves: {value:?}");
+    }
+    leaving
+}
+
 /// Returns the limit, or `None` with a log line if it is not a number of requests.
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let text = value.to_str().unwrap_or_default();
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -280,6 +280,18 @@
     assert_eq!(answer.limit, None);
 }
 
+#[test]
+fn answer_states_whether_its_endpoint_leaves() {
+    let cases = [("1", true), (" 1 ", true), ("0", false), ("yes", false)];
+    for (text, expected) in cases {
+        for status in [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE] {
+            let answer = Answer::decode(status, &headers(&[("server-leaving", text)]));
+            assert_eq!(answer.leaving, expected, "{text}");
+        }
+    }
+    assert!(!Answer::decode(StatusCode::OK, &headers(&[])).leaving);
+}
+
 #[test]
 fn caller_names_the_parts_that_other_requests_may_share() {
     let decode = |parts: &str| {
