Send nothing to an endpoint for the time that its 503 states

Nothing read the header of endpoints; a full plain endpoint was merely less likely to be chosen, a worker was called again after 60 ms.

Change: the endpoint is paused for this gateway from the arrival of its own answer, in every choice, for calls with pieces and for releases; kept by incarnation, the statement that ends last counts, 10 minutes at most. Invalid values and dates are logged and ignored. When all endpoints of a service are paused past the caller's deadline, a request is refused at once, before its stages; a refused caller is told when the first is free, if that is before its deadline. While an endpoint of a service is paused, and for 2 s after, the others get no more than twice their slots, so that they are not overloaded in turn. Estimates of a pool leave paused workers out.

Other gateways are not told: the statement is for one. Event 226 EndpointPaused, counter cicadacrank_gateway_pauses_total.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -89,6 +89,8 @@
     StallAfterEvent,
     /// It answers a stream with bytes that form no event, without end.
     Endless,
+    /// As [`Fault::Decline`], but it does not state that it did not run them.
+    Refuse,
     /// It rejects requests with status 421, as if it were not the target.
     Misdirected,
     /// It answers without a length or chunks, and ends the answer with the connection.
@@ -145,6 +147,10 @@
     limit: Option<f64>,
     /// Whether its answers state that it leaves.
     leaving: bool,
+    /// Seconds for which it wants no requests when it turns one away.
+    retry_after: Option<f64>,
+    /// Arrivals of all requests and calls, releases left out.
+    arrivals: Vec<Instant>,
 }
 
 /// Increments `State::abandoned` when it is dropped, as when the gateway cancels
@@ -228,6 +234,19 @@
         lock(&self.state).leaving = leaving;
     }
 
+    /// Sets the seconds for which the endpoint wants no requests when it turns one away
+    /// with status 503.
+    pub fn set_retry_after(&self, seconds: Option<f64>) {
+        lock(&self.state).retry_after = seconds;
+    }
+
+    /// Returns the times at which requests and calls arrived, also those that the
+    /// endpoint did not run.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state).arrivals.clone()
+    }
+
     /// Returns the requests that the endpoint ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -309,6 +328,11 @@
         let one = http::HeaderValue::from_static("1");
         response.headers_mut().insert("server-leaving", one);
     }
+    let retry_after = lock(&state).retry_after;
+    if let (StatusCode::SERVICE_UNAVAILABLE, Some(seconds)) = (response.status(), retry_after) {
+        let seconds = seconds.to_string().parse().map_err(io::Error::other)?;
+        response.headers_mut().insert("retry-after", seconds);
+    }
     Ok(response)
 }
 
@@ -334,8 +358,13 @@
             false,
         ));
     }
+    lock(&state).arrivals.push(Instant::now());
     let fault = lock(&state).fault;
     match fault {
+        Fault::Refuse => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(plain_response(status, &head.headers, Bytes::new(), true));
+        }
         Fault::Decline => {
             return Ok(not_executed_response(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -68,6 +68,8 @@
     busy_since: Option<Duration>,
     pub(super) busy_until: Duration,
     backoff_until: Duration,
+    /// Time until which the endpoint wants no calls from this process.
+    paused_until: Duration,
     failures: u32,
     slowness: f64,
     slowness_at: Duration,
@@ -86,6 +88,7 @@
             busy_since: None,
             busy_until: Duration::ZERO,
             backoff_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
             failures: 0,
             slowness: 1.0,
             slowness_at: Duration::ZERO,
@@ -109,15 +112,25 @@
         self.backoff_until = self.backoff_until.max(self.began + interval);
     }
 
+    /// Sets the time until which the endpoint wants no calls from this process.
+    pub(super) const fn pause(&mut self, until: Duration) {
+        self.paused_until = until;
+    }
+
+    pub(super) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
     /// Returns whether the endpoint must not be called yet because of earlier
-    /// failures or a limit that it states.
+    /// failures or what it states about itself.
     pub(super) fn in_backoff(&self, now: Duration) -> bool {
-        now < self.backoff_until
+        now < self.backoff_until || self.is_paused(now)
     }
 
     /// Returns the estimated time at which the endpoint can accept a call.
     pub(super) fn free_at(&self, now: Duration) -> Duration {
-        self.busy_until.max(self.backoff_until).max(now)
+        let backoff_until = self.backoff_until.max(self.paused_until);
+        self.busy_until.max(backoff_until).max(now)
     }
 
     /// Returns whether the next call is expected to start without queueing,
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -149,15 +149,10 @@
     /// behind all others, or `None` without a usable endpoint.
     #[must_use]
     pub fn estimate(&self, pieces: usize, now: Duration) -> Option<Duration> {
-        let mut free: Vec<Duration> = self
-            .usable()
-            .map(|endpoint| endpoint.free_at(now))
-            .collect();
-        free.sort();
-        let first = *free.first()?;
+        let (first, count) = self.first_free(now)?;
         let full = self.full_call_time();
         let ahead = self.waiting.len() + pieces;
-        let rounds = ahead.div_ceil(self.worker.batch.max(1) * free.len()).max(1);
+        let rounds = ahead.div_ceil(self.worker.batch.max(1) * count).max(1);
         let before = full * u32::try_from(rounds - 1).unwrap_or(u32::MAX);
         let alone = self.call_time(pieces.min(self.worker.batch));
         Some(first + before + alone)
@@ -166,11 +161,10 @@
     /// Removes and returns the pieces that cannot be completed before they
     /// expire.
     pub fn expire(&mut self, now: Duration) -> Vec<Expired> {
-        let Some(first) = self.usable().map(|endpoint| endpoint.free_at(now)).min() else {
+        let Some((first, count)) = self.first_free(now) else {
             let alone = self.call_time(1);
             return self.expire_after(|_| now + alone);
         };
-        let count = self.usable().count();
         self.sort(now, None);
         let (full, batch) = (self.full_call_time(), self.worker.batch.max(1));
         let alone = self.call_time(self.waiting.len().min(batch));
@@ -306,6 +300,20 @@
         }
     }
 
+    /// Pauses an endpoint until `until`, because it wants no calls from this process.
+    pub fn pause(&mut self, incarnation: &Incarnation, until: Duration) {
+        if let Ok(index) = self.find(incarnation) {
+            self.endpoints[index].pause(until);
+        }
+    }
+
+    /// Returns whether an endpoint wants nothing from this process.
+    #[must_use]
+    pub fn is_paused(&self, incarnation: &Incarnation, now: Duration) -> bool {
+        let found = self.find(incarnation);
+        found.is_ok_and(|index| self.endpoints[index].is_paused(now))
+    }
+
     /// Records that results at an endpoint were deleted and their memory is
     /// free.
     pub fn release(&mut self, incarnation: &Incarnation, bytes: u64) {
@@ -331,6 +339,18 @@
             .min()
     }
 
+    /// Returns when the first usable endpoint can accept a call, and the number of those
+    /// that share the work: all that are not paused, or all if each of them is.
+    fn first_free(&self, now: Duration) -> Option<(Duration, usize)> {
+        let first = self.usable().map(|endpoint| endpoint.free_at(now)).min()?;
+        let awake = self.usable().filter(|endpoint| !endpoint.is_paused(now));
+        let count = match awake.count() {
+            0 => self.usable().count(),
+            count => count,
+        };
+        Some((first, count))
+    }
+
     fn usable(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.iter().filter(|endpoint| !endpoint.leaving)
     }
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -58,6 +58,7 @@
     EvacuationChanged = 223, Info, "The set of evacuated data centres changed.";
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
     EndpointLeaving = 225, Info, "An endpoint states that it leaves; it gets no more work.";
+    EndpointPaused = 226, Info, "An endpoint states that it wants no requests from this process for some time.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -62,6 +62,10 @@
         now: Duration,
         until: Duration,
     ) -> usize {
+        let now = now.max(self.paused_until());
+        if now > until {
+            return 0;
+        }
         let windows = self.windows(cold_rate, now).into_iter().flatten();
         let sends = windows.map(|(window, limit)| {
             // Without a share, one request may be granted from the reserve.
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -374,8 +374,10 @@
         work: impl Fn(Key, &Row) -> f64,
     ) -> Option<(Key, f64)> {
         let mut best: Option<(bool, f64, Key)> = None;
+        let strained = self.is_strained(service, now);
         for (key, row) in self.usable(service) {
-            if locality.tried.contains(&key) {
+            let refuses = row.is_paused(now) || (strained && row.is_full());
+            if refuses || locality.tried.contains(&key) {
                 continue;
             }
             let health = &row.health;
--- a/crates/cicadacrank-core/src/placement/fleet/statement.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/statement.rs
@@ -7,11 +7,23 @@
 /// Maximum number of endpoints whose statements are kept.
 const MAX_STATEMENTS: usize = 1_024;
 
+/// Maximum time for which an endpoint gets no requests at its own word.
+const MAX_PAUSE: Duration = Duration::from_mins(10);
+
+/// Time after the end of a pause during which its service is still under strain.
+const STRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Number of requests in flight at an endpoint, relative to its slots, from which on it
+/// gets no more while its service is under strain.
+const MAX_FILL: u32 = 2;
+
 /// What one incarnation of an endpoint stated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Statement {
     /// Whether the endpoint leaves and gets no more work.
     pub(super) leaving: bool,
+    /// Time until which the endpoint wants no requests from this process.
+    pub(super) paused_until: Duration,
     /// Time at which the newest statement became known.
     at: Duration,
 }
@@ -62,6 +74,30 @@
     pub(super) fn is_ready(&self) -> bool {
         self.endpoint.state == State::Ready && !self.statement.leaving
     }
+
+    /// Returns the time until which the endpoint wants no requests from this process, or
+    /// zero if it never said so.
+    #[must_use]
+    pub const fn paused_until(&self) -> Duration {
+        self.statement.paused_until
+    }
+
+    pub(super) fn is_paused(&self, now: Duration) -> bool {
+        now < self.statement.paused_until
+    }
+
+    /// Returns whether the endpoint is paused, or was until lately.
+    fn shows_strain(&self, now: Duration) -> bool {
+        let until = self.statement.paused_until;
+        !until.is_zero() && now < until + STRAIN_TIME
+    }
+
+    /// Returns whether the endpoint has as many requests as it may get while its service
+    /// is under strain.
+    pub(super) const fn is_full(&self) -> bool {
+        let slots = self.endpoint.slots;
+        slots > 0 && self.in_flight() >= slots.saturating_mul(MAX_FILL)
+    }
 }
 
 impl Fleet {
@@ -69,16 +105,52 @@
     /// whatever the directory says. Returns whether that was unknown.
     pub fn record_leaving(&mut self, endpoint: &Incarnation, now: Duration) -> bool {
         let before = self.statements.of(endpoint);
-        self.set_statement(
-            endpoint,
-            Statement {
-                leaving: true,
-                at: now,
-            },
-        );
+        let statement = Statement {
+            leaving: true,
+            at: now,
+            ..before
+        };
+        self.set_statement(endpoint, statement);
         !before.leaving
     }
 
+    /// Records that an endpoint wants no requests from this process for `pause`. An
+    /// earlier statement that asks for longer stays in force. Returns the time until which
+    /// the endpoint is paused, or `None` if that does not change.
+    pub fn record_pause(
+        &mut self,
+        endpoint: &Incarnation,
+        pause: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
+        let before = self.statements.of(endpoint);
+        let until = now + pause.min(MAX_PAUSE);
+        if until <= before.paused_until.max(now) {
+            return None;
+        }
+        let statement = Statement {
+            paused_until: until,
+            at: now,
+            ..before
+        };
+        self.set_statement(endpoint, statement);
+        Some(until)
+    }
+
+    /// Returns when the first endpoint of a service wants requests again, or `None` if one
+    /// of them is not paused, or if there is none.
+    #[must_use]
+    pub fn paused_until(&self, service: &str, now: Duration) -> Option<Duration> {
+        let usable = self.usable(service).map(|(_, row)| row.paused_until());
+        usable.min().filter(|until| now < *until)
+    }
+
+    /// Returns whether a service is under strain: while endpoints are paused, the others
+    /// get their requests too, and afterwards those that waited come at once.
+    pub(super) fn is_strained(&self, service: &str, now: Duration) -> bool {
+        self.usable(service).any(|(_, row)| row.shows_strain(now))
+    }
+
     /// Returns the endpoints that state that they leave while the directory lists them as
     /// ready.
     pub fn leaving(&self) -> impl Iterator<Item = &Incarnation> {
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -416,3 +416,47 @@
     assert!(starts[0].len() >= 7, "still used: {:?}", starts[0]);
     assert!(starts[1].len() > 2 * starts[0].len(), "{:?}", starts[1]);
 }
+
+/// A worker that wanted no calls for some time was called 60 ms after it was full.
+#[test]
+fn pause_keeps_calls_from_an_endpoint_until_its_end() {
+    let mut pool = pool(&[("a", "x")]);
+    pool.add(piece(1, 1, 60_000));
+    let call = pool.next_call(ms(0)).expect("the endpoint is free");
+    pool.pause(&call.endpoint, ms(2_000));
+    end(
+        &mut pool,
+        &call,
+        (Outcome::Full, Results::default()),
+        ms(10),
+    );
+    pool.add(piece(2, 2, 60_000));
+    assert_eq!(pool.next_call(ms(1_999)), None);
+    assert!(pool.is_paused(&incarnation("a"), ms(1_999)));
+    assert!(!pool.is_paused(&incarnation("a"), ms(2_000)));
+    assert_eq!(pool.wake_at(ms(100)), Some(ms(2_000)));
+    assert!(pool.next_call(ms(2_000)).is_some());
+}
+
+/// Pieces were queued for endpoints that were paused, and refused when it was too late.
+#[test]
+fn estimate_counts_only_endpoints_that_are_not_paused() {
+    let mut pool = pool(&[("a", "x"), ("b", "x"), ("c", "x")]);
+    let free = pool.estimate(30, ms(0)).expect("usable endpoints");
+    for id in ["a", "b"] {
+        pool.pause(&incarnation(id), ms(50_000));
+    }
+    let paused = pool.estimate(30, ms(0)).expect("usable endpoints");
+    assert!(paused >= free + ms(600), "{paused:?} after {free:?}");
+    pool.pause(&incarnation("c"), ms(40_000));
+    let all_paused = pool.estimate(30, ms(0)).expect("usable endpoints");
+    assert!(all_paused >= ms(40_000), "{all_paused:?}");
+}
+
+#[test]
+fn expire_drops_pieces_for_which_all_endpoints_are_paused_too_long() {
+    let mut pool = pool(&[("a", "x")]);
+    pool.add(piece(1, 1, 1_000));
+    pool.pause(&incarnation("a"), ms(5_000));
+    assert_eq!(pool.expire(ms(0)), [Expired(Ticket(1))]);
+}
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -156,3 +156,122 @@
     list(&mut fleet, &[life("a", 1), life("b", 1)]);
     assert_eq!(engines(&fleet), ["a"], "the oldest is forgotten");
 }
+
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// An endpoint that wanted no requests for some time was chosen all the same.
+#[test]
+fn record_pause_takes_an_endpoint_out_of_every_choice_until_its_end() {
+    let mut fleet = fleet(&["a", "b"]);
+    let end = NOW + PAUSE;
+    assert_eq!(fleet.record_pause(&life("a", 1), PAUSE, NOW), Some(end));
+    assert_eq!(id(&fleet, choose(&fleet, NOW)), Some("b"));
+    let locality = Locality::default();
+    let beyond_share = fleet.choose_plain_beyond_share(SERVICE, &locality, NOW);
+    assert_eq!(id(&fleet, beyond_share), Some("b"));
+    assert_eq!(fleet.paused_until(SERVICE, NOW), None, "one is not paused");
+    fleet.record_pause(&life("b", 1), PAUSE * 2, NOW);
+    assert_eq!(choose(&fleet, NOW), None);
+    assert_eq!(engines(&fleet), Vec::<String>::new());
+    assert_eq!(fleet.paused_until(SERVICE, NOW), Some(end));
+    assert_eq!(fleet.paused_until("other", NOW), None);
+    assert_eq!(choose(&fleet, end - Duration::from_millis(1)), None);
+    assert_eq!(id(&fleet, choose(&fleet, end)), Some("a"));
+    assert_eq!(fleet.paused_until(SERVICE, end), None);
+}
+
+/// A pause is for one process alone: others may be granted requests meanwhile.
+#[test]
+fn paused_endpoint_is_granted_to_other_processes() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    assert!(fleet.try_grant(&life("a", 1), None, NOW));
+}
+
+#[test]
+fn sends_until_counts_from_the_end_of_a_pause() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    let sends = |until| fleet.sends_until(SERVICE, 1.0, &[], NOW, until);
+    assert_eq!(sends(NOW + PAUSE - Duration::from_millis(1)), 0);
+    assert_eq!(sends(NOW + PAUSE), 1);
+    assert_eq!(sends(NOW + PAUSE + Duration::from_millis(1_100)), 2);
+}
+
+/// A later answer that asked for less ended a pause.
+#[test]
+fn record_pause_keeps_the_longest_statement() {
+    let mut fleet = fleet(&["a"]);
+    let end = NOW + PAUSE;
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    assert_eq!(fleet.record_pause(&life("a", 1), PAUSE / 2, NOW), None);
+    assert_eq!(fleet.paused_until(SERVICE, NOW), Some(end));
+    let zero = Duration::ZERO;
+    assert_eq!(fleet.record_pause(&life("a", 1), zero, end), None);
+}
+
+#[test]
+fn record_pause_bounds_the_time() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_pause(&life("a", 1), Duration::MAX, NOW);
+    let until = fleet.paused_until(SERVICE, NOW).expect("paused");
+    assert!(until <= NOW + Duration::from_mins(10), "{until:?}");
+    assert!(until >= NOW + Duration::from_mins(1), "{until:?}");
+}
+
+/// An endpoint that was dropped from the directory and listed again was not paused.
+#[test]
+fn record_pause_holds_for_its_incarnation_alone() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    list(&mut fleet, &[]);
+    list(&mut fleet, &[life("a", 1)]);
+    assert_eq!(choose(&fleet, NOW), None, "listed again");
+    list(&mut fleet, &[life("a", 2)]);
+    assert_eq!(id(&fleet, choose(&fleet, NOW)), Some("a"), "started again");
+}
+
+#[test]
+fn statements_about_leaving_and_pauses_hold_beside_each_other() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_leaving(&life("a", 1), NOW);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    assert_eq!(choose(&fleet, NOW + PAUSE), None, "still leaving");
+    fleet.record_pause(&life("b", 1), PAUSE, NOW);
+    assert!(fleet.record_leaving(&life("b", 1), NOW));
+}
+
+/// The last endpoint that was not paused got all requests, many more than its slots.
+#[test]
+fn endpoint_in_place_of_paused_ones_gets_no_more_than_it_can_queue() {
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    let mut keys = Vec::new();
+    while let Some(key) = choose(&fleet, NOW) {
+        fleet.begin(key, 0, NOW);
+        keys.push(key);
+        assert!(keys.len() <= 100, "no bound");
+    }
+    assert_eq!(keys.len(), 8, "twice its slots");
+    fleet.end(keys[0]);
+    assert_eq!(choose(&fleet, NOW), Some(keys[0]));
+    fleet.begin(keys[0], 0, NOW);
+    let after = choose(&fleet, NOW + PAUSE);
+    assert_eq!(id(&fleet, after), Some("a"));
+}
+
+/// All requests that had waited for the end of a pause were sent at that moment.
+#[test]
+fn endpoint_whose_pause_has_ended_gets_no_more_than_it_can_queue() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_pause(&life("a", 1), PAUSE, NOW);
+    let end = NOW + PAUSE;
+    let mut count = 0;
+    while let Some(key) = choose(&fleet, end) {
+        fleet.begin(key, 0, end);
+        count += 1;
+        assert!(count <= 100, "no bound");
+    }
+    assert_eq!(count, 8, "twice its slots");
+    assert!(choose(&fleet, end + PAUSE).is_some(), "no strain any more");
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -146,10 +146,10 @@
     pub fn begin(&mut self, state: &State, job: &Job, key: Key) -> Result<Unsent, Refusal> {
         if state.causes.find(&job.outgoing.causes).is_some() {
             self.retry_after = QUARANTINE_RETRY_AFTER;
-            return Err(self.refuse(Kind::Crashing));
+            return Err(self.refuse(state, job, Kind::Crashing));
         }
         if self.arrivals > 0 && !state.try_take_retry(&job.service) {
-            return Err(self.refuse(Kind::Overloaded));
+            return Err(self.refuse(state, job, Kind::Overloaded));
         }
         self.tried.push(key);
         Ok(self.unsent.take().unwrap_or(Unsent::begin()))
@@ -164,6 +164,7 @@
     /// repeated.
     pub fn record_failure(
         &mut self,
+        state: &State,
         job: &Job,
         failure: Failure,
         until: Instant,
@@ -190,7 +191,7 @@
         let exhausted = self.arrivals >= job.route.attempts || Instant::now() >= until;
         let Some((sent, context)) = failed else {
             return if exhausted {
-                Err(self.refuse(kind))
+                Err(self.refuse(state, job, kind))
             } else {
                 Ok(())
             };
@@ -211,12 +212,20 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if it has none.
-    pub fn check_endpoints(&mut self, state: &State, job: &Job) -> Result<(), Refusal> {
-        match self.shortage(state, job) {
-            Kind::NoEndpoint => Err(self.refuse(Kind::NoEndpoint)),
-            _ => Ok(()),
+    /// Returns a refusal if it has none, or if all of them want no requests until
+    /// `expires`.
+    pub fn check_endpoints(
+        &mut self,
+        state: &State,
+        job: &Job,
+        expires: Instant,
+    ) -> Result<(), Refusal> {
+        let kind = self.shortage(state, job);
+        let paused = pause(state, job).is_some_and(|pause| Instant::now() + pause >= expires);
+        if kind == Kind::NoEndpoint || paused {
+            return Err(self.refuse(state, job, kind));
         }
+        Ok(())
     }
 
     /// Returns why no endpoint can be selected: all were tried, or those that were not
@@ -233,17 +242,33 @@
 
     /// Returns the refusal that ends the request. It states that the request did
     /// not run only if no attempt may have run it.
-    pub fn refuse(&mut self, kind: Kind) -> Refusal {
+    ///
+    /// The caller is told to retry when the first endpoint wants requests again, if that
+    /// is before its deadline.
+    pub fn refuse(&mut self, state: &State, job: &Job, kind: Kind) -> Refusal {
         let context = format!("tried={} arrivals={}", self.tried.len(), self.arrivals);
         let unsent = self.unsent.take().unwrap_or(Unsent::begin());
         if self.may_have_run {
             return unsent.refuse_unknown(kind, context).into();
         }
         let refusal = Refusal::from(unsent.refuse(kind, context));
-        refusal.with_retry_after(reply::jitter(self.retry_after))
+        let useful = |pause: &Duration| Instant::now() + *pause < job.outgoing.deadline;
+        let pause = match kind {
+            Kind::Crashing => None,
+            _ => pause(state, job).filter(useful),
+        };
+        refusal.with_retry_after(pause.unwrap_or_default() + reply::jitter(self.retry_after))
     }
 }
 
+/// Returns the time until the first endpoint of a request's service wants requests
+/// again, or `None` if one of them is not paused.
+fn pause(state: &State, job: &Job) -> Option<Duration> {
+    let now = state.clock.now();
+    let until = lock(&state.fleet).paused_until(&job.service, now)?;
+    Some(until.saturating_sub(now))
+}
+
 /// Counts an attempt at its endpoint until it is dropped.
 #[derive(Debug)]
 pub struct Guard {
--- a/crates/cicadacrank-node/src/gateway/owner/pools.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -81,7 +81,8 @@
         self.changed.notify_one();
     }
 
-    /// Replaces the endpoints of each service by those that are usable.
+    /// Replaces the endpoints of each service by those that are usable, and pauses those
+    /// that want no calls.
     pub fn set_endpoints(&self, fleet: &Fleet) {
         for batcher in lock(&self.batchers).iter() {
             let mut inner = lock(&batcher.inner);
@@ -92,6 +93,9 @@
             } = &mut *inner;
             let usable = endpoints.iter();
             pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
+            for (_, row) in fleet.usable(&batcher.service) {
+                pool.pause(&row.endpoint.life, row.paused_until());
+            }
             drop(inner);
             batcher.wake.notify_one();
         }
--- a/crates/cicadacrank-node/src/gateway/owner/release.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/release.rs
@@ -90,10 +90,13 @@
     }
 }
 
-/// Sends the queued releases of one endpoint.
+/// Sends the queued releases of one endpoint, unless it wants nothing for some time.
 pub(super) async fn send_releases(state: &State, batcher: &Batcher, incarnation: &Incarnation) {
     let (address, handles) = {
         let mut inner = lock(&batcher.inner);
+        if inner.pool.is_paused(incarnation, state.clock.now()) {
+            return;
+        }
         let released = inner.released.extract_if(.., |one| one.0 == *incarnation);
         let handles: Vec<String> = released.map(|one| one.1).collect();
         (inner.address(incarnation), handles)
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -41,13 +41,14 @@
     let mut attempts = Attempts::new(RETRY_AFTER);
     loop {
         let Some(chosen) = choose(state, job, &attempts.tried).await else {
-            return Err(attempts.refuse(attempts.shortage(state, job)));
+            let kind = attempts.shortage(state, job);
+            return Err(attempts.refuse(state, job, kind));
         };
         let unsent = attempts.begin(state, job, chosen.key)?;
         let last = attempts.arrivals + 1 >= job.route.attempts;
         match exchange(state, job, chosen, last, unsent).await {
             Ok(response) => return Ok(response),
-            Err(failure) => attempts.record_failure(job, failure, job.outgoing.deadline)?,
+            Err(failure) => attempts.record_failure(state, job, failure, job.outgoing.deadline)?,
         }
     }
 }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -288,6 +288,26 @@
         if answer.leaving {
             self.record_leaving(endpoint, OWN);
         }
+        if let Some(pause) = answer.pause {
+            self.record_pause(endpoint, pause);
+        }
+    }
+
+    /// Records that an endpoint wants no requests from this gateway for `pause`.
+    fn record_pause(&self, endpoint: &Incarnation, pause: Duration) {
+        let now = self.clock.now();
+        let Some(until) = lock(&self.fleet).record_pause(endpoint, pause, now) else {
+            return;
+        };
+        self.metrics.pauses.inc();
+        Event::EndpointPaused.log(format_args!(
+            "endpoint={} born={:?} for_ms={} until_ms={} source={OWN}",
+            endpoint.id,
+            endpoint.born,
+            until.saturating_sub(now).as_millis(),
+            u128::from(self.clock.unix_ms()) + until.saturating_sub(now).as_millis(),
+        ));
+        self.refresh_pools();
     }
 
     /// Records the limit that an endpoint states, according to `source`.
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -69,7 +69,7 @@
     let expires = job.outgoing.deadline.min(job.arrived + event_timeout(&job));
     let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT_TIME);
     let mut attempts = Attempts::new(RETRY_AFTER);
-    attempts.check_endpoints(state, &job)?;
+    attempts.check_endpoints(state, &job, expires)?;
     let outputs = stages::run(state, &job, due, expires - FIRST_EVENT_TIME).await?;
     let sent_at = Instant::now();
     let upstream = start_attempt(state, &job, &outputs, &mut attempts, expires).await?;
@@ -149,14 +149,15 @@
     loop {
         let chosen = choose(state, job, outputs, &attempts.tried, expires).await;
         let Some(chosen) = chosen else {
-            return Err(attempts.refuse(attempts.shortage(state, job)));
+            let kind = attempts.shortage(state, job);
+            return Err(attempts.refuse(state, job, kind));
         };
         let key = chosen.choice.key;
         let unsent = attempts.begin(state, job, key)?;
         let parameters = parameters(state, job, outputs, chosen, None);
         match attempt::start(state, &job.outgoing, key, &parameters, expires, unsent).await {
             Ok(started) => return Ok(started.into()),
-            Err(failure) => attempts.record_failure(job, failure, expires)?,
+            Err(failure) => attempts.record_failure(state, job, failure, expires)?,
         }
     }
 }
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -28,6 +28,8 @@
     pub grants: IntCounterVec,
     /// Endpoints that stated that they leave.
     pub departures: IntCounter,
+    /// Answers in which endpoints stated that they want no requests for some time.
+    pub pauses: IntCounter,
     /// Number of pieces per call.
     pub batch: Histogram,
     /// Time from requesting the pieces of a stage until all are complete, in
@@ -95,6 +97,10 @@
                 "cicadacrank_gateway_departures_total",
                 "Endpoints that stated that they leave",
             ),
+            pauses: counter(
+                "cicadacrank_gateway_pauses_total",
+                "Statements of endpoints that they want no requests for some time",
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
--- a/crates/cicadacrank-node/src/platform/answer.rs
+++ b/crates/cicadacrank-node/src/platform/answer.rs
@@ -1,7 +1,8 @@
 //! Decodes the status and headers of endpoint responses.
 
 use cicadacrank_core::once::Declined;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use std::time::Duration;
 
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
@@ -28,6 +29,9 @@
     pub limit: Option<f64>,
     /// Whether the endpoint states that it leaves.
     pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this gateway, if it turned the
+    /// request away and states one.
+    pub pause: Option<Duration>,
 }
 
 impl Answer {
@@ -35,6 +39,8 @@
     #[must_use]
     pub fn decode(status: StatusCode, headers: &HeaderMap) -> Self {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = headers.get(header::RETRY_AFTER).filter(|_| unavailable);
         let not_run = headers.contains_key(&NOT_RUN) || misdirected;
         Self {
             status,
@@ -44,6 +50,7 @@
             misdirected,
             limit: headers.get(&LIMIT).and_then(parse_limit),
             leaving: headers.get(&LEAVING).is_some_and(parse_leaving),
+            pause: retry_after.and_then(parse_pause),
         }
     }
 }
@@ -58,6 +65,18 @@
     leaving
 }
 
+/// Returns the time, or `None` with a log line if it is not a number of seconds. Dates
+/// are not used on this interface.
+fn parse_pause(value: &HeaderValue) -> Option<Duration> {
+    let text = value.to_str().unwrap_or_default();
+    let seconds = text.trim().parse::<f64>().ok();
+    let seconds = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+    if seconds.is_none() {
+        log::warn!("an endpoint wants no requests for an invalid time: {value:?}");
+    }
+    seconds.map(|seconds| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Returns the limit, or `None` with a log line if it is not a number of requests.
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let text = value.to_str().unwrap_or_default();
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -292,6 +292,31 @@
     assert!(!Answer::decode(StatusCode::OK, &headers(&[])).leaving);
 }
 
+#[test]
+fn answer_states_for_how_long_its_endpoint_wants_no_requests() {
+    let cases = [
+        ("2", Some(Duration::from_secs(2))),
+        (" 0.25 ", Some(Duration::from_millis(250))),
+        ("0", Some(Duration::ZERO)),
+        ("1e300", Some(Duration::MAX)),
+        ("-1", None),
+        ("inf", None),
+        ("NaN", None),
+        ("soon", None),
+        ("Fri, 31 Dec 1999 23:59:59 GMT", None),
+    ];
+    for (text, expected) in cases {
+        let headers = headers(&[("retry-after", text)]);
+        let answer = Answer::decode(StatusCode::SERVICE_UNAVAILABLE, &headers);
+        assert_eq!(answer.pause, expected, "{text}");
+        for status in [StatusCode::OK, StatusCode::MISDIRECTED_REQUEST] {
+            assert_eq!(Answer::decode(status, &headers).pause, None, "{text}");
+        }
+    }
+    let answer = Answer::decode(StatusCode::SERVICE_UNAVAILABLE, &headers(&[]));
+    assert_eq!(answer.pause, None);
+}
+
 #[test]
 fn caller_names_the_parts_that_other_requests_may_share() {
     let decode = |parts: &str| {
--- a/crates/cicadacrankd/tests/statements.rs
+++ b/crates/cicadacrankd/tests/statements.rs
@@ -5,10 +5,10 @@
     fleet,
 };
 use cicadacrank_node::platform::Collection;
-use reqwest::Method;
+use reqwest::{Method, RequestBuilder};
 use serde_json::json;
-use std::time::{Duration, Instant};
-use tokio::time;
+use std::time::Duration;
+use tokio::time::{self, Instant};
 
 /// Number of requests of which some would reach each of two endpoints.
 const REQUESTS: usize = 12;
@@ -24,15 +24,24 @@
         .expect("failed to start the deployment")
 }
 
-/// Sends a request on the route of the given kind of endpoint.
-async fn ask(deployment: &Deployment, gateway: usize, role: Role, attempt: &str) -> Answer {
-    let caller = Caller::new().expect("failed to create the caller");
+/// Returns a request on the route of the given kind of endpoint.
+fn request(
+    deployment: &Deployment,
+    caller: &Caller,
+    gateway: usize,
+    role: Role,
+    attempt: &str,
+) -> RequestBuilder {
     let gateway = deployment.gateways[gateway].caller_address();
-    send(match role {
+    match role {
         Role::Desk => caller.request(Method::GET, gateway, "/look/1", attempt),
         Role::Engine | Role::Worker => caller.stream(gateway, "/chat/x", attempt),
-    })
-    .await
+    }
+}
+
+async fn ask(deployment: &Deployment, gateway: usize, role: Role, attempt: &str) -> Answer {
+    let caller = Caller::new().expect("failed to create the caller");
+    send(request(deployment, &caller, gateway, role, attempt)).await
 }
 
 /// Returns the number of requests or calls that an endpoint got.
@@ -183,3 +192,185 @@
         assert_eq!(arrivals(worker), calls, "stages of a refused request");
     }
 }
+
+/// Time after an answer with status 503 from which on its endpoint gets nothing.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Number of requests that may reach an endpoint all the same while it wants none.
+const TOLERATED: usize = 2;
+
+/// Checks that an endpoint that turns a request away for some time gets nothing until
+/// then, although it would serve requests, and is used afterwards.
+async fn check_pause(role: Role, fault: Fault) {
+    const PAUSE: Duration = Duration::from_millis(2_500);
+    let deployment = deployment(1, 2).await;
+    let endpoint = deployment.endpoints_with(role).next().expect("an endpoint");
+    endpoint.set_fault(fault);
+    endpoint.set_retry_after(Some(PAUSE.as_secs_f64()));
+    ask_until(&deployment, role, "a", || !endpoint.arrivals().is_empty()).await;
+    endpoint.set_fault(Fault::None);
+    let refused_at = endpoint.arrivals()[0];
+    let mut requests = Vec::new();
+    while refused_at.elapsed() < PAUSE {
+        let caller = Caller::new().expect("failed to create the caller");
+        let attempt = format!("b{}", requests.len());
+        let request = request(&deployment, &caller, 0, role, &attempt);
+        requests.push(tokio::spawn(send(request)));
+        time::sleep(Duration::from_millis(40)).await;
+    }
+    let arrivals = endpoint.arrivals();
+    let paused = refused_at + NOTICE..refused_at + PAUSE;
+    let early = arrivals.iter().filter(|at| paused.contains(at)).count();
+    assert!(early <= TOLERATED, "{early} requests while it wants none");
+    for request in requests {
+        let answer = request.await.expect("the request ends");
+        assert_eq!(answer.status, Some(200));
+    }
+    let before = endpoint.arrivals().len();
+    ask_until(&deployment, role, "c", || {
+        endpoint.arrivals().len() > before
+    })
+    .await;
+    wait_for_log(&deployment, 0, "EndpointPaused").await;
+}
+
+/// An endpoint that wanted no requests for some time got them as before.
+#[tokio::test]
+async fn plain_endpoint_gets_no_requests_for_the_time_that_it_states() {
+    check_pause(Role::Desk, Fault::Decline).await;
+}
+
+/// As above, when the answer does not state that the request did not run.
+#[tokio::test]
+async fn plain_endpoint_that_may_have_run_a_request_is_paused_too() {
+    check_pause(Role::Desk, Fault::Refuse).await;
+}
+
+/// An engine that wanted no requests for some time got them as before.
+#[tokio::test]
+async fn engine_gets_no_requests_for_the_time_that_it_states() {
+    check_pause(Role::Engine, Fault::Decline).await;
+}
+
+/// A worker that wanted no calls for some time was called again after 60 ms.
+#[tokio::test]
+async fn worker_gets_no_calls_for_the_time_that_it_states() {
+    check_pause(Role::Worker, Fault::Decline).await;
+}
+
+/// Starts a deployment whose only endpoint of a role has just turned a request away for
+/// `seconds`, and would now serve requests.
+async fn paused_deployment(role: Role, seconds: f64) -> Deployment {
+    let deployment = deployment(1, 1).await;
+    let endpoint = deployment.endpoints_with(role).next().expect("an endpoint");
+    endpoint.set_fault(Fault::Decline);
+    endpoint.set_retry_after(Some(seconds));
+    assert_eq!(ask(&deployment, 0, role, "a").await.status, Some(503));
+    assert_eq!(endpoint.arrivals().len(), 1, "one request is turned away");
+    endpoint.set_fault(Fault::None);
+    deployment
+}
+
+/// A request for which all endpoints are paused too long was sent all the same, or its
+/// stages were run before it was refused.
+#[tokio::test]
+async fn request_is_refused_at_once_when_all_endpoints_are_paused_past_its_deadline() {
+    for role in Role::ALL {
+        let deployment = paused_deployment(role, 20.0).await;
+        let arrivals = || -> usize {
+            let endpoints = deployment.endpoints.iter();
+            endpoints.map(|endpoint| endpoint.arrivals().len()).sum()
+        };
+        let before = arrivals();
+        let asked_at = Instant::now();
+        let answer = ask(&deployment, 0, role, "b").await;
+        assert_eq!(answer.status, Some(503), "{role:?}");
+        assert!(asked_at.elapsed() < Duration::from_millis(500), "{role:?}");
+        assert_eq!(arrivals(), before, "{role:?}");
+    }
+}
+
+/// A caller was told to come back while the only endpoint still wanted no requests.
+#[tokio::test]
+async fn refused_caller_is_told_when_the_first_endpoint_is_free_again() {
+    let deployment = paused_deployment(Role::Desk, 1.8).await;
+    let asked_at = Instant::now();
+    let answer = ask(&deployment, 0, Role::Desk, "b").await;
+    assert_eq!(answer.status, Some(503));
+    let retry_after = answer.retry_after.expect("a time to come back");
+    assert!((1.0..2.0).contains(&retry_after), "{retry_after}");
+    time::sleep_until(asked_at + Duration::from_secs_f64(retry_after)).await;
+    let answer = ask(&deployment, 0, Role::Desk, "c").await;
+    assert_eq!(answer.status, Some(200));
+}
+
+/// A request was sent to a paused engine that was free again before its deadline.
+#[tokio::test]
+async fn request_waits_for_an_engine_that_is_free_before_its_deadline() {
+    let deployment = paused_deployment(Role::Engine, 1.2).await;
+    let answer = ask(&deployment, 0, Role::Engine, "b").await;
+    assert_eq!(answer.status, Some(200));
+    let engine = deployment.endpoints_with(Role::Engine).next();
+    let arrivals = engine.expect("an engine").arrivals();
+    let pause = arrivals[1] - arrivals[0];
+    assert!(pause >= Duration::from_millis(1_200), "{pause:?}");
+}
+
+/// An endpoint that started again was paused for what its last incarnation stated.
+#[tokio::test]
+async fn endpoint_that_starts_again_is_not_paused() {
+    let deployment = paused_deployment(Role::Desk, 20.0).await;
+    let desk = deployment.endpoints_with(Role::Desk).next();
+    let desk = desk.expect("an endpoint");
+    let mut entry = desk.entry("ready", 1);
+    entry["born"] = json!(2_000);
+    deployment
+        .store
+        .state()
+        .put(Collection::Endpoints, &desk.id, entry);
+    ask_until(&deployment, Role::Desk, "b", || desk.arrivals().len() > 1).await;
+}
+
+/// Results were released at a worker that wanted nothing for some time.
+#[tokio::test]
+async fn results_at_a_paused_worker_are_released_after_the_pause() {
+    const PAUSE: Duration = Duration::from_millis(1_500);
+    let deployment = deployment(1, 1).await;
+    let mut workers = deployment.endpoints_with(Role::Worker);
+    let worker = workers.next().expect("a worker");
+    let mut engines = deployment.endpoints_with(Role::Engine);
+    let engine = engines.next().expect("an engine");
+    let caller = Caller::new().expect("failed to create the caller");
+    let start = |attempt: &str| {
+        let request = request(&deployment, &caller, 0, Role::Engine, attempt);
+        tokio::spawn(send(request))
+    };
+    engine.set_fault(Fault::Hang);
+    let holder = start("a");
+    // The results of the first stage are released, those of the second are held.
+    fleet::wait_for("held results", async || {
+        !engine.runs().is_empty() && worker.released() == 2
+    })
+    .await
+    .expect("the first request holds results");
+    let calls = worker.arrivals().len();
+    worker.set_fault(Fault::Decline);
+    worker.set_retry_after(Some(PAUSE.as_secs_f64()));
+    let declined = start("b");
+    fleet::wait_for("a declined call", async || worker.arrivals().len() > calls)
+        .await
+        .expect("the worker declines a call");
+    let declined_at = worker.arrivals()[calls];
+    worker.set_fault(Fault::None);
+    wait_for_log(&deployment, 0, "EndpointPaused").await;
+    holder.abort();
+    fleet::wait_for("released results", async || worker.released() > 2)
+        .await
+        .expect("the results are released");
+    assert!(
+        declined_at.elapsed() >= PAUSE,
+        "{:?}",
+        declined_at.elapsed()
+    );
+    drop(declined.await);
+}
