--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Limit, Report},
+    placement::{Key, Report},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
@@ -146,10 +146,10 @@
     pub fn begin(&mut self, state: &State, job: &Job, key: Key) -> Result<Unsent, Refusal> {
         if state.causes.find(&job.outgoing.causes).is_some() {
             self.retry_after = QUARANTINE_RETRY_AFTER;
-            return Err(self.refuse(Kind::Crashing));
+            return Err(self.refuse(state, job, Kind::Crashing));
         }
         if self.arrivals > 0 && !state.try_take_retry(&job.service) {
-            return Err(self.refuse(Kind::Overloaded));
+            return Err(self.refuse(state, job, Kind::Overloaded));
         }
         self.tried.push(key);
         Ok(self.unsent.take().unwrap_or(Unsent::begin()))
@@ -164,6 +164,7 @@
     /// repeated.
     pub fn record_failure(
         &mut self,
+        state: &State,
         job: &Job,
         failure: Failure,
         until: Instant,
@@ -190,7 +191,7 @@
         let exhausted = self.arrivals >= job.route.attempts || Instant::now() >= until;
         let Some((sent, context)) = failed else {
             return if exhausted {
-                Err(self.refuse(kind))
+                Err(self.refuse(state, job, kind))
             } else {
                 Ok(())
             };
@@ -221,6 +222,26 @@
         usable.any(|(key, _)| !self.tried.contains(&key))
     }
 
+    /// Checks before the first attempt that the service has endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if it has none, or if all of them want no requests until
+    /// `expires`.
+    pub fn check_endpoints(
+        &mut self,
+        state: &State,
+        job: &Job,
+        expires: Instant,
+    ) -> Result<(), Refusal> {
+        let kind = self.shortage(state, job);
+        let paused = pause(state, job).is_some_and(|pause| Instant::now() + pause >= expires);
+        if kind == Kind::NoEndpoint || paused {
+            return Err(self.refuse(state, job, kind));
+        }
+        Ok(())
+    }
+
     /// Returns why no endpoint can be selected: all were tried, or those that were not
     /// have reached a limit.
     pub fn shortage(&self, state: &State, job: &Job) -> Kind {
@@ -233,17 +254,33 @@
 
     /// Returns the refusal that ends the request. It states that the request did
     /// not run only if no attempt may have run it.
-    pub fn refuse(&mut self, kind: Kind) -> Refusal {
+    ///
+    /// The caller is told to retry when the first endpoint wants requests again, if that
+    /// is before its deadline.
+    pub fn refuse(&mut self, state: &State, job: &Job, kind: Kind) -> Refusal {
         let context = format!("tried={} arrivals={}", self.tried.len(), self.arrivals);
         let unsent = self.unsent.take().unwrap_or(Unsent::begin());
         if self.may_have_run {
             return unsent.refuse_unknown(kind, context).into();
         }
         let refusal = Refusal::from(unsent.refuse(kind, context));
-        refusal.with_retry_after(reply::jitter(self.retry_after))
+        let useful = |pause: &Duration| Instant::now() + *pause < job.outgoing.deadline;
+        let pause = match kind {
+            Kind::Crashing => None,
+            _ => pause(state, job).filter(useful),
+        };
+        refusal.with_retry_after(pause.unwrap_or_default() + reply::jitter(self.retry_after))
     }
 }
 
+/// Returns the time until the first endpoint of a request's service wants requests
+/// again, or `None` if one of them is not paused.
+fn pause(state: &State, job: &Job) -> Option<Duration> {
+    let now = state.clock.now();
+    let until = lock(&state.fleet).paused_until(&job.service, now)?;
+    Some(until.saturating_sub(now))
+}
+
 /// Counts an attempt at its endpoint until it is dropped.
 #[derive(Debug)]
 pub struct Guard {
@@ -298,12 +335,9 @@
         lock(&self.state.fleet).record(self.key, report, self.state.clock.now());
     }
 
-    /// Records the limit that the endpoint states.
-    fn record_limit(&self, per_second: Option<f64>) {
-        let at = self.state.clock.now();
-        let limit = Limit { per_second, at };
-        let endpoint = &self.endpoint.life;
-        self.state.record_limit(endpoint, limit, "own");
+    /// Records what the endpoint states about itself in its answer.
+    fn record_statements(&self, answer: &Answer) {
+        self.state.record_statements(&self.endpoint.life, answer);
     }
 
     /// Records that the endpoint began to respond after `took`.
@@ -422,7 +456,7 @@
     // An answer of another endpoint, or to another request, says nothing here.
     let foreign = answer.attempt != outgoing.attempt;
     if answer.attempt.is_some() && !foreign && !answer.misdirected {
-        guard.record_limit(answer.limit);
+        guard.record_statements(&answer);
     }
     if let (false, Some(declined)) = (foreign, answer.declined) {
         guard.record(if answer.misdirected {
--- a/crates/cicadacrank-node/src/platform/answer.rs
+++ b/crates/cicadacrank-node/src/platform/answer.rs
@@ -1,11 +1,13 @@
 //! Decodes the status and headers of endpoint responses.
 
 use cicadacrank_core::once::Declined;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use std::time::Duration;
 
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 
 /// Status and decoded headers of an endpoint response.
@@ -25,6 +27,11 @@
     /// Requests a second that the endpoint takes from all gateways together, while it
     /// states such a limit.
     pub limit: Option<f64>,
+    /// Whether the endpoint states that it leaves.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this gateway, if it turned the
+    /// request away and states one.
+    pub pause: Option<Duration>,
 }
 
 impl Answer {
@@ -32,6 +39,8 @@
     #[must_use]
     pub fn decode(status: StatusCode, headers: &HeaderMap) -> Self {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = headers.get(header::RETRY_AFTER).filter(|_| unavailable);
         let not_run = headers.contains_key(&NOT_RUN) || misdirected;
         Self {
             status,
@@ -40,10 +49,34 @@
             declined: (not_run && !status.is_success()).then(Declined::stated),
             misdirected,
             limit: headers.get(&LIMIT).and_then(parse_limit),
+            leaving: headers.get(&LEAVING).is_some_and(parse_leaving),
+            pause: retry_after.and_then(parse_pause),
         }
     }
 }
 
+/// Returns whether the value says that the endpoint leaves. Any other value is logged
+/// and says nothing.
+fn parse_leaving(value: &HeaderValue) -> bool {
+    let leaving = value.as_bytes().trim_ascii() == b"1";
+    if !leaving {
+        log::warn!("an endpoint states invalidly whether it leaves: {value:?}");
+    }
+    leaving
+}
+
+/// Returns the time, or `None` with a log line if it is not a number of seconds. Dates
+/// are not used on this interface.
+fn parse_pause(value: &HeaderValue) -> Option<Duration> {
+    let text = value.to_str().unwrap_or_default();
+    let seconds = text.trim().parse::<f64>().ok();
+    let seconds = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+    if seconds.is_none() {
+        log::warn!("an endpoint wants no requests for an invalid time: {value:?}");
+    }
+    seconds.map(|seconds| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Returns the limit, or `None` with a log line if it is not a number of requests.
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let text = value.to_str().unwrap_or_default();
