Keep the successor of a silent engine unless the stream goes on

Callers saw: a resumable stream that ended in its middle although another engine was about to go on with it.

Cause: while the successor of a silent engine is asked, anything that the silent one sent counted as going on, and cancelled the successor: also the end of its connection, after which the route allowed no further attempt; and also a part of an event, which made the gateway begin anew at once, so that an engine that sends byte by byte took a retry from the budget of its service for each byte, and could not be left. Class: something that works is given up before its successor is certain.

Evidence: both tests failed before ('StreamBroken: id=s1 age_ms=1337 ... error reading a body from connection' while the second engine ran the request; the dribbling engine's stream ended at the caller's deadline).

Change: the parts of the response are split into events where they are received. Only complete events, and a regular end, keep the silent engine; if it breaks off, its successor is awaited.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -42,6 +42,9 @@
 /// Pause of an endpoint with [`Fault::Pause`] or [`Fault::PauseAfterEvent`].
 const SILENCE: Duration = Duration::from_millis(1_700);
 
+/// Time between two bytes of an engine with [`Fault::DribbleAfterEvent`].
+const BYTE_GAP: Duration = Duration::from_millis(2);
+
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(15);
 
@@ -97,6 +100,8 @@
     StallAfterEvent,
     /// It sends the first event of a stream, pauses for [`SILENCE`] and goes on.
     PauseAfterEvent,
+    /// It sends the first event of a stream, and then the second one byte by byte.
+    DribbleAfterEvent,
     /// It answers a stream with bytes that form no event, without end.
     Endless,
     /// It rejects requests with status 421, as if it were not the target.
@@ -471,14 +476,21 @@
         let event = format!("id: {number}\ndata: token {number}\n\n");
         Ok(Frame::data(Bytes::from(event)))
     });
-    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = if fault == Fault::BreakOff {
-        parts
+    let end: BoxStream<'static, io::Result<Frame<Bytes>>> = match fault {
+        Fault::BreakOff => parts
             .chain(stream::iter([Err(io::Error::other(
                 "injected fault: answer broken off",
             ))]))
-            .boxed()
-    } else {
-        parts.boxed()
+            .boxed(),
+        Fault::DribbleAfterEvent => {
+            let bytes = stream::repeat_with(|| Bytes::from_static(b"x"));
+            let bytes = bytes.then(async |byte| {
+                time::sleep(BYTE_GAP).await;
+                Ok(Frame::data(byte))
+            });
+            parts.take(1).chain(bytes).boxed()
+        }
+        _ => parts.boxed(),
     };
     let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
     let event_stream = http::HeaderValue::from_static("text/event-stream");
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -1,7 +1,7 @@
 //! Requests that a model engine answers with a stream of events.
 
 use super::{
-    attempt::{self, Attempts, Guard, Parameters, Started},
+    attempt::{self, Attempts, Guard, Outgoing, Parameters, Started},
     crash::RESPONSE_START,
     peers,
     plain::forward_response,
@@ -144,6 +144,29 @@
     }
 }
 
+impl Upstream {
+    /// Returns whether the stream may end here, outside an event. The engine that resumes
+    /// a stream may state that nothing is left.
+    fn may_end(&self) -> bool {
+        let headers = self.exchange.response.headers();
+        self.began.is_some()
+            || headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    /// Returns whether the engine has not begun to respond, or only just.
+    fn is_response_start(&self, now: Duration) -> bool {
+        self.began.is_none_or(|began| now < began + RESPONSE_START)
+    }
+
+    /// Checks whether the engine crashed, if it had not begun to respond or only just.
+    fn check_crash(&self, outgoing: &Outgoing, now: Duration) {
+        if self.is_response_start(now) {
+            attempt::check_crash(outgoing, &self.guard);
+        }
+    }
+}
+
 /// Makes attempts until an engine accepts the request.
 ///
 /// # Errors
@@ -318,13 +341,9 @@
         }
         // Parts of an event do not extend the time for it.
         let (mut patience, mut deadline) = (self.patience(), self.event_deadline());
-        let mut early = None;
         loop {
             let body = self.upstream.exchange.response.body_mut();
-            let received = match early.take() {
-                Some(received) => Ok(received),
-                None => time::timeout_at(patience.min(deadline), body.frame()).await,
-            };
+            let received = time::timeout_at(patience.min(deadline), body.frame()).await;
             let failure = match received {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else {
@@ -352,7 +371,11 @@
                 }
                 Err(_) if Instant::now() < deadline => {
                     match self.resume(SILENCE, true).await {
-                        Resumption::Received(received) => early = Some(received),
+                        Resumption::Progress(Progress::Events(events)) => {
+                            self.record_events(&events);
+                            return Some(Ok(events));
+                        }
+                        Resumption::Progress(Progress::End) => return self.finish(),
                         Resumption::Waiting => patience = Instant::now() + RESUME_TIMEOUT,
                         Resumption::Resumed => {
                             (patience, deadline) = (self.patience(), self.event_deadline());
@@ -410,33 +433,22 @@
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let is_event_stream =
             content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
-        // The engine that resumes a stream may state that nothing is left.
-        let is_framed = response.headers().contains_key(header::CONTENT_LENGTH)
-            || response.headers().contains_key(header::TRANSFER_ENCODING);
         if !response.status().is_success() || !(is_event_stream || self.events > 0) {
             return None;
         }
         if self.splitter.has_partial() {
             Some("the stream ended inside an event")
-        } else if self.events == 0 || (self.upstream.began.is_none() && !is_framed) {
+        } else if self.events == 0 || !self.upstream.may_end() {
             Some("the stream ended without an event")
         } else {
             None
         }
     }
 
-    /// Returns whether the engine has not begun to respond, or only just.
-    fn is_response_start(&self) -> bool {
-        let now = self.state.clock.now();
-        let began = self.upstream.began;
-        began.is_none_or(|began| now < began + RESPONSE_START)
-    }
-
     /// Checks whether the engine crashed, if it had not begun to respond or only just.
     fn check_crash(&self) {
-        if self.is_response_start() {
-            attempt::check_crash(&self.job.outgoing, &self.upstream.guard);
-        }
+        self.upstream
+            .check_crash(&self.job.outgoing, self.state.clock.now());
     }
 
     /// Clears the request of crashes before its response began.
@@ -476,7 +488,7 @@
             ));
         }
         self.events += 1;
-        if !self.is_response_start() {
+        if !self.upstream.is_response_start(self.state.clock.now()) {
             self.clear_causes();
         }
         self.upstream
@@ -511,7 +523,8 @@
     /// stages again if their results were released.
     ///
     /// If the current engine `may_continue`, it is abandoned only when another one has
-    /// accepted the request, or [`HANDOVER_TIME`] after the request was sent there.
+    /// accepted the request, or [`HANDOVER_TIME`] after the request was sent there, or
+    /// when it breaks off. Parts of an event do not keep it.
     async fn resume(&mut self, failure: &str, may_continue: bool) -> Resumption {
         let outgoing = &self.job.outgoing;
         if !self.may_resume()
@@ -524,7 +537,10 @@
         let until = Instant::now() + event_timeout(&self.job);
         let until = until.min(outgoing.deadline);
         let mut current = Current {
-            exchange: &mut self.upstream.exchange,
+            state: &self.state,
+            outgoing,
+            upstream: &mut self.upstream,
+            splitter: &mut self.splitter,
             may_continue,
         };
         let held = self.outputs.take();
@@ -532,12 +548,12 @@
         let (outputs, chosen) = match current.race(prepared, until).await {
             Ok(Some(prepared)) => prepared,
             Ok(None) => return Resumption::not_resumed(current.may_continue),
-            Err(received) => return Resumption::Received(received),
+            Err(progress) => return Resumption::Progress(progress),
         };
         let key = chosen.choice.key;
         self.tried.push(key);
         self.arrivals += 1;
-        let last_event = self.splitter.last_id().map(str::to_owned);
+        let last_event = current.splitter.last_id().map(str::to_owned);
         let parameters = parameters(&self.state, &self.job, &outputs, chosen, last_event);
         let unsent = Unsent::begin();
         let until = outgoing.deadline;
@@ -545,7 +561,7 @@
         let started = match current.race(attempt, Instant::now() + HANDOVER_TIME).await {
             Ok(Ok(started)) if started.answer.status.is_success() => started,
             Ok(_) => return Resumption::not_resumed(current.may_continue),
-            Err(received) => return Resumption::Received(received),
+            Err(progress) => return Resumption::Progress(progress),
         };
         Event::StreamResumed.log(format_args!(
             "id={} age_ms={} from={} to={} after={:?} context={failure:?}",
@@ -566,41 +582,75 @@
     }
 }
 
-/// Next part of a response body, or `None` at its end.
-type Received = Option<hyper::Result<Frame<Bytes>>>;
+/// How an engine that was silent goes on with its stream.
+enum Progress {
+    /// It sent complete events.
+    Events(Bytes),
+    /// It ended the stream.
+    End,
+}
 
 /// The engine of a stream for which another one is sought.
 struct Current<'a> {
-    exchange: &'a mut Exchange,
+    state: &'a State,
+    outgoing: &'a Outgoing,
+    upstream: &'a mut Upstream,
+    splitter: &'a mut Splitter,
     /// Whether the engine may still go on with the stream.
     may_continue: bool,
 }
 
 impl Current<'_> {
-    /// Waits for `work`, and abandons the engine at `until`.
+    /// Waits for `work`, and abandons the engine at `until` or when it breaks off.
     ///
     /// # Errors
     ///
-    /// Returns what the engine sends before `work` is complete.
+    /// Returns how the engine goes on with the stream before `work` is complete.
     async fn race<T>(
         &mut self,
         work: impl Future<Output = T>,
         until: Instant,
-    ) -> Result<T, Received> {
+    ) -> Result<T, Progress> {
         let mut work = pin!(work);
         loop {
-            let body = self.exchange.response.body_mut();
+            let body = self.upstream.exchange.response.body_mut();
             tokio::select! {
                 biased;
-                received = body.frame(), if self.may_continue => return Err(received),
+                received = body.frame(), if self.may_continue => {
+                    if let Some(progress) = self.receive(received) {
+                        return Err(progress);
+                    }
+                }
                 output = &mut work => return Ok(output),
-                () = time::sleep_until(until), if self.may_continue => {
-                    self.exchange.close();
-                    self.may_continue = false;
+                () = time::sleep_until(until), if self.may_continue => self.abandon(),
+            }
+        }
+    }
+
+    /// Takes the next part of the response. Abandons the engine if it broke off.
+    fn receive(&mut self, received: Option<hyper::Result<Frame<Bytes>>>) -> Option<Progress> {
+        match received {
+            Some(Ok(frame)) => match self.splitter.push(&frame.into_data().ok()?) {
+                Ok(events) => (!events.is_empty()).then_some(Progress::Events(events)),
+                Err(Oversized) => {
+                    self.abandon();
+                    None
                 }
+            },
+            None if self.upstream.may_end() && !self.splitter.has_partial() => Some(Progress::End),
+            None | Some(Err(_)) => {
+                let now = self.state.clock.now();
+                self.upstream.check_crash(self.outgoing, now);
+                self.abandon();
+                None
             }
         }
     }
+
+    fn abandon(&mut self) {
+        self.upstream.exchange.close();
+        self.may_continue = false;
+    }
 }
 
 /// Outcome of an attempt to resume a stream at another engine.
@@ -608,7 +658,7 @@
     /// Another engine goes on with the stream.
     Resumed,
     /// The current engine went on before another one had accepted the request.
-    Received(Received),
+    Progress(Progress),
     /// No other engine goes on with the stream, but the current one may.
     Waiting,
     /// No engine goes on with the stream.
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -699,6 +699,56 @@
     assert_eq!(deployment.runs("a1").len(), 1);
 }
 
+/// The engine that was asked to go on with a stream was given up when the silent one broke
+/// off meanwhile, and no further one was allowed.
+#[tokio::test]
+async fn stream_of_an_engine_that_breaks_off_continues_where_it_was_resumed() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    set_faults(&deployment, Role::Engine, Fault::StallAfterEvent);
+    let gateway = deployment.gateways[0].caller_address();
+    let deadline = HeaderName::from_static("x-deadline-ms");
+    let headers = [(deadline, HeaderValue::from_static("6000"))];
+    let request = caller().stream(gateway, "/chat/x", "s1");
+    let answer = send(request.headers(headers.into_iter().collect()));
+    let break_off = async {
+        wait_for_log(&deployment, 0, "StreamBegan: id=s1").await;
+        let mut engines = deployment.endpoints_with(Role::Engine);
+        let silent = engines.find(|engine| !engine.runs().is_empty());
+        let silent = silent.expect("no engine runs the stream");
+        let others = deployment.endpoints_with(Role::Engine);
+        others
+            .filter(|engine| engine.id != silent.id)
+            .for_each(|engine| engine.set_fault(Fault::Pause));
+        fleet::wait_for("a second run", async || deployment.runs("s1").len() == 2)
+            .await
+            .expect("the stream is not resumed");
+        silent.proxy.set_impairment(Impairment::Reset);
+    };
+    let (answer, ()) = tokio::join!(answer, break_off);
+    assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+    assert_eq!(answer.body, events(1, EVENTS));
+}
+
+/// Each part of an event cancelled the attempt to resume the stream elsewhere, and took a
+/// retry from the budget of the service.
+#[tokio::test]
+async fn stream_of_an_engine_that_never_ends_its_event_continues_on_another_engine() {
+    let deployment = deployment(1, 2).await;
+    // The retry budget refills over time.
+    time::sleep(Duration::from_secs(2)).await;
+    let engines: Vec<&Endpoint> = deployment.endpoints_with(Role::Engine).collect();
+    for (number, dribbling) in engines.iter().enumerate() {
+        set_faults(&deployment, Role::Engine, Fault::None);
+        dribbling.set_fault(Fault::DribbleAfterEvent);
+        let answer = stream(&deployment, "/chat/x", &format!("s{number}")).await;
+        assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+        assert_eq!(answer.body, events(1, EVENTS));
+    }
+    wait_for_log(&deployment, 0, "StreamResumed").await;
+}
+
 #[tokio::test]
 async fn stream_of_an_engine_that_stalls_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
