Keep the connection of a caller that takes nothing for some seconds

Callers saw: a connection that was reset inside its answer, or while its request was still being served, after the caller or the network to it had paused for 3 s.

Cause: the connections of callers had the same TCP user timeout as those to endpoints. It resets a connection whose peer acknowledges nothing, keepalive probes included, or whose receive window stays closed. A request to a silent endpoint can be repeated elsewhere; an answer can't be delivered by another connection. Class: a connection ends by something else than the end of its answer.

Evidence: the test failed before ('the connection ended inside the answer').

Change: connections from callers and load balancers have 60 s, the longest time that a caller waits if it states none.

--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -33,6 +33,10 @@
 /// send the head of its request.
 const CLOSING_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which a connection is closed whose client acknowledges nothing or takes no
+/// data. No other gateway can deliver the answer in its place.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Maximum number of connections from load balancers or metrics scrapers at one
 /// address. It is separate from the limit for callers, so that callers cannot use
 /// up these connections.
@@ -210,7 +214,7 @@
     client: Client,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Err(error) = outbound::configure_socket(&stream) {
+    if let Err(error) = outbound::configure_socket(&stream, CALLER_TIMEOUT) {
         log::debug!("failed to set socket options for {client:?}: {error}");
         return;
     }
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -21,7 +21,8 @@
 /// Idle time before the first TCP keepalive probe, and the time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after which a connection with unacknowledged data is closed.
+/// Time after which a connection to an endpoint, gateway or store with unacknowledged
+/// data is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Reason why a call has no response.
@@ -59,7 +60,7 @@
             .await
             .map_err(|_| "connect timed out".to_owned())?
             .map_err(|error| error.to_string())?;
-        configure_socket(&stream).map_err(|error| error.to_string())?;
+        configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|error| error.to_string())?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
@@ -149,18 +150,18 @@
     }
 }
 
-/// Configures a socket to send small writes without delay and to detect an
-/// unresponsive peer.
+/// Configures a socket to send small writes without delay, and to close the connection
+/// when the peer acknowledges nothing, or takes no data, for `timeout`.
 ///
 /// # Errors
 ///
 /// Returns an error if a socket option cannot be set.
-pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+pub fn configure_socket(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(timeout))
 }
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -189,6 +189,21 @@
     }
 }
 
+/// A connection was reset when its caller, or the network to it, took nothing for 3 s.
+#[tokio::test]
+async fn caller_that_pauses_while_it_reads_gets_the_whole_answer() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::LargeAnswer);
+    let mut connection = Connection::open(address).await;
+    connection.send(&head("GET", "/look/1", "a1", "")).await;
+    wait_for_log(&deployment, "RequestServed: id=a1").await;
+    time::sleep(Duration::from_secs(6)).await;
+    let answer = connection.read().await;
+    let answer = answer.expect("the connection ended inside the answer");
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+}
+
 /// A gateway that was told to stop exited once an answer was handed to its connection, and
 /// a caller that reads slowly lost the rest.
 #[tokio::test]
