Announce the end of a connection only where its next bytes are unclear

Callers saw: a refusal of a request in chunks that had been read completely ended the connection, as if its body were unread; and a caller that had sent 'Expect: 100-continue' and got a refusal in place of the consent did not learn what becomes of the connection: if it leaves its body out, its next request is read as that body and gets no answer.

Cause: the HTTP library tells the end of a body in chunks only when its next frame is asked for; and after an expectation, only the server can say whether the body is still due. Class: a connection ends by something else than what both sides were told.

Evidence: the test failed before, for each of the two (status 503 with 'connection: close', status 404 without).

Change: the next frame is asked for before a body counts as unread, and a refusal in place of a consent announces the end of the connection.

--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -17,6 +17,7 @@
     once::{ExecutionError, Unsent},
     quarantine::Fingerprint,
 };
+use futures_util::FutureExt as _;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming, SizeHint};
@@ -118,6 +119,7 @@
         request.body().size_hint().exact(),
     ));
     let (head, mut body) = request.into_parts();
+    let is_awaiting_consent = head.headers.contains_key(header::EXPECT);
     let answer = match accept(&state, head, &mut body, caller, arrived).await {
         Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
         Ok(job) => plain::serve(&state, &job).await,
@@ -127,7 +129,7 @@
     match answer {
         Ok(response) => response,
         Err(refusal) => {
-            let unread = (!body.is_end_stream()).then(|| body.size_hint());
+            let unread = (!is_read(&mut body)).then(|| body.size_hint());
             state.metrics.record_failure(&refusal.error);
             let failure = refusal.error.failure();
             Event::RequestRefused.log(format_args!(
@@ -143,10 +145,12 @@
             ));
             let mut response = reply::failure(&refusal.error, refusal.retry_after);
             if let Some(unread) = unread {
-                // The connection of a larger body ends inside it.
-                if unread
-                    .upper()
-                    .is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES)
+                // The connection of a larger body ends inside it, and a caller that waits to
+                // be asked for its body may leave it out.
+                if is_awaiting_consent
+                    || unread
+                        .upper()
+                        .is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES)
                 {
                     let headers = response.headers_mut();
                     headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -158,6 +162,12 @@
     }
 }
 
+/// Returns whether a body was read to its end. Only its next frame tells that of a body in
+/// chunks.
+fn is_read(body: &mut Incoming) -> bool {
+    body.is_end_stream() || matches!(body.frame().now_or_never(), Some(None))
+}
+
 /// Reads and discards a body up to its end or [`MAX_DISCARDED_BYTES`].
 async fn discard(mut body: Incoming) {
     let mut bytes = 0;
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -189,6 +189,27 @@
     }
 }
 
+/// A refusal of a body in chunks that was read announced the end of the connection, and one
+/// of a body that the caller sends only on request did not.
+#[tokio::test]
+async fn refusal_announces_the_end_of_a_connection_whose_next_bytes_are_unclear() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Decline);
+    let chunked = ("/book/", "transfer-encoding: chunked\r\n", 503, false);
+    let expecting = "content-length: 20\r\nexpect: 100-continue\r\n";
+    for (path, lines, status, closes) in [chunked, ("/none/", expecting, 404, true)] {
+        let mut connection = Connection::open(address).await;
+        connection.send(&head("POST", path, "r", lines)).await;
+        if !closes {
+            connection.send(b"2\r\nxx\r\n0\r\n\r\n").await;
+        }
+        let answer = connection.read().await.expect("the refusal is lost");
+        assert!(answer.has_status(status), "{answer:?}");
+        assert_eq!(answer.announces_close(), closes, "{answer:?}");
+    }
+}
+
 /// A connection was reset when its caller, or the network to it, took nothing for 3 s.
 #[tokio::test]
 async fn caller_that_pauses_while_it_reads_gets_the_whole_answer() {
