Refuse what a gateway still holds at the end of its grace period

Callers saw: a request that had been read got neither an answer nor a refusal when its gateway was stopped: the connection was closed when the grace period was over.

Cause: the process exited with open connections, whatever their requests waited for: a silent endpoint, a stage, or room at an engine. Class: a connection ends by something else than the end of its answer.

Change: at the end of the time for open requests, those without an answer are refused with an unknown effect, and the gateway waits up to 300 ms more until the refusals are delivered. The exit stays 600 ms before the end of the grace period.

--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -43,9 +43,12 @@
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Time before the end of the grace period at which the process stops waiting for
-/// open requests and exits.
+/// open requests, refuses those without an answer, and exits.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(900);
 
+/// Time after that in which requests without an answer are refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -141,6 +144,8 @@
             settings.instance,
             state.in_flight()
         ));
+        state.expired.cancel();
+        drop(time::timeout(REFUSAL_TIME, server.finish()).await);
     }
     Event::Stopped.log(format_args!(
         "instance={} connections={}",
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -120,10 +120,19 @@
     ));
     let (head, mut body) = request.into_parts();
     let is_awaiting_consent = head.headers.contains_key(header::EXPECT);
-    let answer = match accept(&state, head, &mut body, caller, arrived).await {
-        Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
-        Ok(job) => plain::serve(&state, &job).await,
-        Err(refusal) => Err(refusal),
+    let serving = async {
+        match accept(&state, head, &mut body, caller, arrived).await {
+            Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
+            Ok(job) => plain::serve(&state, &job).await,
+            Err(refusal) => Err(refusal),
+        }
+    };
+    let answer = tokio::select! {
+        answer = serving => answer,
+        () = state.expired.cancelled() => {
+            let unsent = Unsent::begin();
+            Err(unsent.refuse_unknown(Kind::Leaving, "the process ends").into())
+        }
     };
     disconnect.answered = true;
     match answer {
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -19,6 +19,7 @@
     time::Duration,
 };
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Timeout of a call to the store, in addition to the time that a watch waits.
 /// The store usually answers within milliseconds.
@@ -48,6 +49,8 @@
     loads: Mutex<Vec<Loads>>,
     services: Mutex<Vec<Service>>,
     drain: OnceLock<Drain>,
+    /// Cancelled when the time for open requests is over.
+    pub(super) expired: CancellationToken,
     ready: AtomicBool,
     in_flight: AtomicUsize,
 }
@@ -117,6 +120,7 @@
             loads: Mutex::default(),
             services: Mutex::default(),
             drain: OnceLock::new(),
+            expired: CancellationToken::new(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             clock,
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -225,6 +225,28 @@
     assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
 }
 
+/// A request that was still unanswered at the end of the grace period got neither an answer
+/// nor a refusal.
+#[tokio::test]
+async fn terminated_gateway_answers_what_it_still_holds_at_the_end() {
+    let mut deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Hang);
+    let mut connection = Connection::open(address).await;
+    let request = head("POST", "/book/1", "a1", "content-length: 0\r\n");
+    let request = String::from_utf8_lossy(&request).replace("2500", "9500");
+    deployment.gateways[0]
+        .terminate()
+        .expect("failed to send the signal");
+    time::sleep(PAUSE).await;
+    connection.send(request.as_bytes()).await;
+    let answer = connection.read().await;
+    let answer = answer.expect("the request got no answer");
+    assert!(answer.has_status(502), "{answer:?}");
+    let end = deployment.gateways[0].wait().await;
+    assert!(end.expect("failed to wait for the process").success());
+}
+
 /// A gateway that was told to stop exited once an answer was handed to its connection, and
 /// a caller that reads slowly lost the rest.
 #[tokio::test]
