--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -52,7 +52,7 @@
 
 impl Outgoing {
     /// Returns the id of the caller's attempt, for logs.
-    fn id(&self) -> &str {
+    pub fn id(&self) -> &str {
         let id = self.attempt.as_ref().and_then(|id| id.to_str().ok());
         id.unwrap_or("-")
     }
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -29,6 +29,10 @@
 /// send the head of its request.
 const CLOSING_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which a connection is closed whose client acknowledges nothing or takes no
+/// data. No other gateway can deliver the answer in its place.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Maximum number of connections from load balancers or metrics scrapers at one
 /// address. It is separate from the limit for callers, so that callers cannot use
 /// up these connections.
@@ -206,7 +210,7 @@
     client: Client,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Err(error) = outbound::configure_socket(&stream) {
+    if let Err(error) = outbound::configure_socket(&stream, CALLER_TIMEOUT) {
         log::debug!("failed to set socket options for {client:?}: {error}");
         return;
     }
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -193,6 +193,64 @@
     }
 }
 
+/// A refusal of a body in chunks that was read announced the end of the connection, and one
+/// of a body that the caller sends only on request did not.
+#[tokio::test]
+async fn refusal_announces_the_end_of_a_connection_whose_next_bytes_are_unclear() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Decline);
+    let chunked = ("/book/", "transfer-encoding: chunked\r\n", 503, false);
+    let expecting = "content-length: 20\r\nexpect: 100-continue\r\n";
+    for (path, lines, status, closes) in [chunked, ("/none/", expecting, 404, true)] {
+        let mut connection = Connection::open(address).await;
+        connection.send(&head("POST", path, "r", lines)).await;
+        if !closes {
+            connection.send(b"2\r\nxx\r\n0\r\n\r\n").await;
+        }
+        let answer = connection.read().await.expect("the refusal is lost");
+        assert!(answer.has_status(status), "{answer:?}");
+        assert_eq!(answer.announces_close(), closes, "{answer:?}");
+    }
+}
+
+/// A connection was reset when its caller, or the network to it, took nothing for 3 s.
+#[tokio::test]
+async fn caller_that_pauses_while_it_reads_gets_the_whole_answer() {
+    let deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::LargeAnswer);
+    let mut connection = Connection::open(address).await;
+    connection.send(&head("GET", "/look/1", "a1", "")).await;
+    wait_for_log(&deployment, "RequestServed: id=a1").await;
+    time::sleep(Duration::from_secs(6)).await;
+    let answer = connection.read().await;
+    let answer = answer.expect("the connection ended inside the answer");
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+}
+
+/// A request that was still unanswered at the end of the grace period got neither an answer
+/// nor a refusal.
+#[tokio::test]
+async fn terminated_gateway_answers_what_it_still_holds_at_the_end() {
+    let mut deployment = deployment(1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Hang);
+    let mut connection = Connection::open(address).await;
+    let request = head("POST", "/book/1", "a1", "content-length: 0\r\n");
+    let request = String::from_utf8_lossy(&request).replace("2500", "9500");
+    deployment.gateways[0]
+        .terminate()
+        .expect("failed to send the signal");
+    time::sleep(PAUSE).await;
+    connection.send(request.as_bytes()).await;
+    let answer = connection.read().await;
+    let answer = answer.expect("the request got no answer");
+    assert!(answer.has_status(502), "{answer:?}");
+    let end = deployment.gateways[0].wait().await;
+    assert!(end.expect("failed to wait for the process").success());
+}
+
 /// A gateway that was told to stop exited once an answer was handed to its connection, and
 /// a caller that reads slowly lost the rest.
 #[tokio::test]
