Know the era of the store

Callers saw nothing of this yet: the client reads the era, and the gateway does not compare by it.

The store may come back from a copy. Its revisions go back and are given out again, and the header Store-Era, in all its answers, rises by one. Nothing read it, so that a watch could go on in another history, a list could be made of pages of two histories, and a conditional write with a revision read before could replace another state than the one that was read.

- core: Version is an era and a revision, in this order.
- The client takes the era from each answer, errors too; without the header it is 0.
A watch answer of another era than the version, a page of another era than the first, and a list of an era before the newest seen are Expired.
A watch that waits ends as soon as any call of the client sees a newer era.
A conditional write of an era before the newest seen is a Conflict and is not sent; one that is answered in another era is Lost, because it may have replaced another state.
- The stand-in states its era in all answers, saves a copy and comes back from it, ends the running watches then, and answers 410 to a watch from a revision that it does not have.

--- a/crates/cicadacrank-bench/src/memory/store.rs
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -150,9 +150,13 @@
     ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
         async move {
             self.apply_faults().await?;
-            let revision = version.0.parse().unwrap_or_default();
-            let steps = platform::steps(&self.state, collection, revision);
-            let changes = steps.map(|step| Ok(step.change));
+            let steps = if version.era == self.state().era() {
+                platform::steps(&self.state, collection, *version)
+            } else {
+                None
+            };
+            let changes = stream::iter(steps).flatten();
+            let changes = changes.map(|step| Ok(step.change));
             Ok(changes
                 .chain(stream::once(async { Err(Fault::Expired) }))
                 .boxed())
--- a/crates/cicadacrank-bench/src/platform/mod.rs
+++ b/crates/cicadacrank-bench/src/platform/mod.rs
@@ -9,6 +9,6 @@
 
 pub use self::{
     server::Server,
-    state::{Counts, Faults, Rejection, State, Step},
+    state::{Copy, Counts, Faults, Rejection, State, Step},
     watch::steps,
 };
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -12,7 +12,7 @@
 use futures_util::{FutureExt as _, StreamExt as _};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
-    http::{Method, StatusCode},
+    http::{HeaderValue, Method, StatusCode},
     writing::Json,
 };
 use serde_json::{Value, json};
@@ -27,6 +27,9 @@
 /// Path under which the collections are served.
 const BASE_PATH: &str = "objects";
 
+/// Header that states the era of the store.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Largest request body that is accepted, in bytes.
 const MAX_BODY_BYTES: usize = (1 << 20) + (64 << 10);
 
@@ -116,6 +119,7 @@
     ) {
         let faults = self.lock().faults.clone();
         time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        self.stamp(response);
         if faults.down {
             return reject(response, StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -147,9 +151,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds the era of the store to an answer.
+    fn stamp(&self, response: &mut Response) {
+        set_era(response, self.lock().era());
+    }
+
     fn get(&self, response: &mut Response, collection: Collection, name: &str) {
         let mut state = self.lock();
         state.counts.gets += 1;
+        set_era(response, state.era());
         match state.get(collection, name) {
             Some(object) => response.render(Json(resource(&object))),
             None => reject(response, StatusCode::NOT_FOUND),
@@ -159,26 +169,41 @@
     fn list(&self, response: &mut Response, collection: Collection) {
         let mut state = self.lock();
         state.counts.lists += 1;
+        set_era(response, state.era());
         let listing = state.list(collection);
         let items: Vec<Value> = listing.objects.iter().map(resource).collect();
         response.render(Json(json!({
             "items": items,
             "hasMore": false,
-            "at": listing.version.number(),
+            "at": listing.version.revision,
         })));
     }
 
     async fn watch(&self, request: &mut Request, response: &mut Response, collection: Collection) {
         let since = request.query::<u64>("watch").unwrap_or_default();
         let wait = request.query::<u64>("waitMs").unwrap_or_default();
-        let mut steps = watch::steps(&self.state, collection, since);
+        let start = {
+            let state = self.lock();
+            set_era(response, state.era());
+            Version::new(state.era(), since)
+        };
+        let Some(mut steps) = watch::steps(&self.state, collection, start) else {
+            return reject(response, StatusCode::GONE);
+        };
         let first = time::timeout(Duration::from_millis(wait), steps.next()).await;
+        // Changes up to this version have been sent to the watch.
+        let reached = self.lock().version();
+        if matches!(first, Ok(None)) || reached.era != start.era {
+            // The watch ended, because it lagged or the store came back from a copy.
+            self.stamp(response);
+            return reject(response, StatusCode::SERVICE_UNAVAILABLE);
+        }
         let mut seen: Vec<Step> = first.ok().flatten().into_iter().collect();
         while let Some(Some(step)) = steps.next().now_or_never() {
             seen.push(step);
         }
-        let last = seen.last().map(|step| step.revision);
-        let at = last.unwrap_or_else(|| self.lock().revision().max(since));
+        let last = seen.last().map_or(since, |step| step.revision);
+        let at = last.max(reached.revision);
         let events: Vec<Value> = seen.iter().map(event).collect();
         response.render(Json(json!({ "events": events, "at": at })));
     }
@@ -209,6 +234,8 @@
         }
         let (result, lost) = {
             let mut state = self.lock();
+            set_era(response, state.era());
+            let version = version.map(|revision| Version::new(state.era(), revision));
             let result = match (method, name) {
                 (Method::POST, None) => {
                     let name = body["metadata"]["name"].as_str().unwrap_or_default();
@@ -218,13 +245,13 @@
                 }
                 (Method::PUT, Some(name)) => {
                     let current = state.get(collection, &name).map(|object| object.version);
-                    let version = version.map(Version::from).or(current).unwrap_or_default();
+                    let version = version.or(current).unwrap_or_default();
                     state
                         .update(collection, &name, &version, spec)
                         .map(|object| resource(&object))
                 }
                 (Method::DELETE, Some(name)) => {
-                    let version = version.map(Version::from).unwrap_or_default();
+                    let version = version.unwrap_or_default();
                     state
                         .delete(collection, &name, &version)
                         .map(|()| json!({}))
@@ -248,6 +275,11 @@
     }
 }
 
+fn set_era(response: &mut Response, era: u64) {
+    let value = HeaderValue::from(era);
+    response.headers_mut().insert(ERA_HEADER, value);
+}
+
 fn event(step: &Step) -> Value {
     let (Change::Put(object) | Change::Deleted(object)) = &step.change;
     let deleted = matches!(step.change, Change::Deleted(_));
@@ -258,8 +290,8 @@
     json!({
         "metadata": {
             "name": object.name,
-            "revision": object.version.number(),
-            "created": object.version.number(),
+            "revision": object.version.revision,
+            "created": object.version.revision,
             "finalizers": [],
             "deletionPending": false,
         },
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -83,6 +83,19 @@
     pub change: Change,
 }
 
+impl Step {
+    /// Returns the change as a later era of the store shows it.
+    fn in_era(&self, era: u64) -> Self {
+        Self {
+            change: match &self.change {
+                Change::Put(object) => Change::Put(in_era(object, era)),
+                Change::Deleted(object) => Change::Deleted(in_era(object, era)),
+            },
+            ..self.clone()
+        }
+    }
+}
+
 /// Contents of a collection from an instant until the next snapshot.
 #[derive(Debug)]
 struct Snapshot {
@@ -99,9 +112,18 @@
     history: VecDeque<Snapshot>,
 }
 
+/// Copy of what the store holds, from which it can come back.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    shelves: Vec<Vec<Arc<Object>>>,
+    steps: VecDeque<Step>,
+}
+
 /// State of the mock platform.
 #[derive(Debug)]
 pub struct State {
+    era: u64,
     revision: u64,
     /// One table for each collection, in the order of [`Collection::ALL`].
     shelves: Vec<Table>,
@@ -129,6 +151,7 @@
             }]),
         };
         Self {
+            era: 0,
             revision: FIRST_REVISION,
             shelves: Collection::ALL.into_iter().map(table).collect(),
             steps: VecDeque::new(),
@@ -145,6 +168,59 @@
         self.revision
     }
 
+    /// Returns the number of times that the store has come back from a copy.
+    #[must_use]
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Returns the current version of the store.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        Version::new(self.era, self.revision)
+    }
+
+    /// Returns whether the store has reached a version. It has not, after coming back
+    /// from a copy, until it has given out the revision again.
+    #[must_use]
+    pub const fn has(&self, version: Version) -> bool {
+        version.era <= self.era && version.revision <= self.revision
+    }
+
+    /// Returns a copy of the objects, the revision and the past changes.
+    #[must_use]
+    pub fn save(&self) -> Copy {
+        Copy {
+            revision: self.revision,
+            shelves: self
+                .shelves
+                .iter()
+                .map(|table| table.objects.clone())
+                .collect(),
+            steps: self.steps.clone(),
+        }
+    }
+
+    /// Comes back from a copy. The objects, the revision and the past changes are
+    /// those of the copy, the era rises, and the running watches end.
+    pub fn restore(&mut self, copy: &Copy) {
+        self.era += 1;
+        let era = self.era;
+        self.revision = copy.revision;
+        self.steps = copy.steps.iter().map(|step| step.in_era(era)).collect();
+        let now = Instant::now();
+        for (table, objects) in self.shelves.iter_mut().zip(&copy.shelves) {
+            let objects = objects.iter().map(|object| Arc::new(in_era(object, era)));
+            table.objects = objects.collect();
+            table.history = VecDeque::from([Snapshot {
+                since: now,
+                revision: copy.revision,
+                objects: table.objects.clone(),
+            }]);
+        }
+        self.sender = broadcast::Sender::new(WATCH_BUFFER);
+    }
+
     /// Returns an object, or `None` if no object has the name.
     #[must_use]
     pub fn get(&self, collection: Collection, name: &str) -> Option<Object> {
@@ -168,8 +244,8 @@
             .find(|snapshot| now.duration_since(snapshot.since) >= lag);
         let old = old.or_else(|| history.front());
         old.map_or_else(
-            || listing(0, &[]),
-            |snapshot| listing(snapshot.revision, &snapshot.objects),
+            || listing(Version::new(self.era, 0), &[]),
+            |snapshot| listing(Version::new(self.era, snapshot.revision), &snapshot.objects),
         )
     }
 
@@ -316,7 +392,7 @@
         self.revision += 1;
         Object {
             name: name.to_owned(),
-            version: Version(self.revision.to_string()),
+            version: self.version(),
             spec,
         }
     }
@@ -369,10 +445,18 @@
     }
 }
 
-fn listing(revision: u64, objects: &[Arc<Object>]) -> Listing {
+/// Returns an object as a later era of the store shows it.
+fn in_era(object: &Object, era: u64) -> Object {
+    Object {
+        version: Version::new(era, object.version.revision),
+        ..object.clone()
+    }
+}
+
+fn listing(version: Version, objects: &[Arc<Object>]) -> Listing {
     Listing {
         objects: objects.iter().map(|one| Object::clone(one)).collect(),
-        version: Version(revision.to_string()),
+        version,
     }
 }
 
--- a/crates/cicadacrank-bench/src/platform/watch.rs
+++ b/crates/cicadacrank-bench/src/platform/watch.rs
@@ -1,7 +1,7 @@
 //! Watches on the mock platform.
 
 use super::state::{State, Step};
-use cicadacrank_node::platform::Collection;
+use cicadacrank_node::platform::{Collection, Version};
 use futures_util::{
     StreamExt as _,
     stream::{self, BoxStream},
@@ -9,23 +9,28 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::broadcast::{Receiver, error::RecvError};
 
-/// Watches the changes of a collection after a revision.
+/// Watches the changes of a collection after a version. Returns `None` if the store
+/// has not reached that version.
 ///
 /// The faults that are set when a change is delivered apply to that change.
-/// The stream ends if it lags too far behind the changes.
+/// The stream ends if it lags too far behind the changes, and when the store comes
+/// back from a copy.
 #[must_use]
 pub fn steps(
     state: &Arc<Mutex<State>>,
     collection: Collection,
-    revision: u64,
-) -> BoxStream<'static, Step> {
+    version: Version,
+) -> Option<BoxStream<'static, Step>> {
     let (past, receiver) = {
         let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
         state.counts.watches += 1;
-        state.watch(collection, revision)
+        if !state.has(version) {
+            return None;
+        }
+        state.watch(collection, version.revision)
     };
     let state = Arc::clone(state);
-    stream::iter(past)
+    let steps = stream::iter(past)
         .chain(stream::unfold(receiver, move |receiver| {
             next_step(receiver, collection)
         }))
@@ -34,7 +39,8 @@
             let deliver = state.deliver_event();
             async move { deliver }
         })
-        .boxed()
+        .boxed();
+    Some(steps)
 }
 
 /// Returns the next change of the collection, or `None` if the receiver lags or
--- a/crates/cicadacrank-bench/tests/platform.rs
+++ b/crates/cicadacrank-bench/tests/platform.rs
@@ -52,7 +52,7 @@
 /// Makes each kind of call and returns the names of the results. An object `old`
 /// exists and `none` does not.
 async fn call_each(client: &Client, old: &Version) -> Vec<&'static str> {
-    let stale = Version("1000000".to_owned());
+    let stale = Version::new(0, 1_000_000);
     let claims = Collection::Claims;
     vec![
         label(&client.get(claims, "old").await),
@@ -192,7 +192,7 @@
         let server = Server::start().await.expect("the stand-in starts");
         let client = client(server.address);
         let claims = Collection::Claims;
-        let start = Version("0".to_owned());
+        let start = Version::default();
         let mut watch = client
             .watch(claims, &start)
             .await
@@ -289,3 +289,234 @@
     let found = client(address).get(Collection::Claims, "one").await;
     assert_eq!(label(&found), "unreachable");
 }
+
+/// Returns the version at which a watch of the claims continues.
+async fn claims_version(client: &Client) -> Version {
+    let listing = client.list(Collection::Claims).await;
+    listing.expect("the claims are listed").version
+}
+
+#[tokio::test]
+async fn answers_state_the_era_of_the_store() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let client = client(server.address);
+    let claims = Collection::Claims;
+    let created = client.create(claims, "one", json!(0)).await;
+    assert_eq!(created.expect("the object is created").era, 0);
+    let copy = server.state().save();
+    for era in 1..=2 {
+        server.state().restore(&copy);
+        let object = client.get(claims, "one").await.expect("the object exists");
+        assert_eq!((object.version.era, client.era()), (era, era));
+        let listing = client.list(claims).await.expect("the claims are listed");
+        assert_eq!(listing.version.era, era);
+        assert_eq!(listing.objects, [object]);
+    }
+    // An answer with an error states it too.
+    server.state().restore(&copy);
+    server.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert_eq!(label(&client.get(claims, "one").await), "throttled");
+    assert_eq!(client.era(), 3);
+}
+
+/// A watch that goes on in the history of a copy would miss what the copy undid.
+#[tokio::test]
+async fn watch_of_an_earlier_era_expires() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let claims = Collection::Claims;
+    let copy = server.state().save();
+    for name in ["a", "b"] {
+        server.state().put(claims, name, json!(0));
+    }
+    // After the return, the store has given out fewer, as many and more revisions.
+    for written in 0..4 {
+        let client = client(server.address);
+        let version = claims_version(&client).await;
+        server.state().restore(&copy);
+        for number in 0..written {
+            let name = format!("new-{number}");
+            server.state().put(claims, &name, json!(0));
+        }
+        let changes = client.changes(claims, &version, SHORT_TIMEOUT).await;
+        assert_eq!(label(&changes), "expired", "{written} writes");
+        let version = claims_version(&client).await;
+        server.state().put(claims, "next", json!(0));
+        let changes = client.changes(claims, &version, WAIT_TIMEOUT).await;
+        let changes = changes.expect("the watch continues in its era").changes;
+        assert_eq!(changes.len(), 1, "{written} writes");
+    }
+}
+
+/// A watch that waits for a rare change would learn of the return only with it.
+#[tokio::test]
+async fn waiting_watch_expires_when_another_call_sees_a_newer_era() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let client = client(server.address);
+    let copy = server.state().save();
+    let version = claims_version(&client).await;
+    server.state().restore(&copy);
+    // This client has not seen the new era yet, so that the store accepts its watch.
+    let watch = {
+        let client = client.clone();
+        tokio::spawn(async move {
+            client
+                .changes(Collection::Claims, &version, WAIT_TIMEOUT)
+                .await
+        })
+    };
+    while server.counts().watches == 0 {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    let listing = client.list(Collection::Config).await;
+    assert_eq!(listing.expect("the list is complete").version.era, 1);
+    let changes = time::timeout(TIMEOUT, watch).await;
+    let changes = changes.expect("the watch ends at once").expect("no panic");
+    assert_eq!(label(&changes), "expired");
+}
+
+#[tokio::test]
+async fn running_watch_ends_when_the_store_comes_back_from_a_copy() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let client = client(server.address);
+    let copy = server.state().save();
+    server.state().put(Collection::Claims, "undone", json!(0));
+    let version = claims_version(&client).await;
+    let mut watch = client
+        .watch(Collection::Claims, &version)
+        .await
+        .expect("the watch starts");
+    let next = tokio::spawn(async move { watch.next().await });
+    while server.counts().watches == 0 {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    server.state().restore(&copy);
+    let end = time::timeout(TIMEOUT, next).await;
+    let end = end.expect("the watch ends at once").expect("no panic");
+    assert!(matches!(end, Some(Err(_))), "{end:?}");
+    assert_eq!(client.era(), 1);
+}
+
+/// The revision that a caller has read may have been given out again, for another state.
+#[tokio::test]
+async fn conditional_write_of_an_earlier_era_conflicts_without_being_sent() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let client = client(server.address);
+    let claims = Collection::Claims;
+    let copy = server.state().save();
+    let version = client.create(claims, "one", json!("mine")).await;
+    let version = version.expect("the object is created");
+    server.state().restore(&copy);
+    server.state().put(claims, "one", json!("another's"));
+    let object = client.get(claims, "one").await.expect("the object exists");
+    assert_eq!(object.version.revision, version.revision);
+    let writes = server.counts().writes;
+    let update = client.update(claims, "one", &version, json!("mine")).await;
+    assert_eq!(label(&update), "conflict");
+    let delete = client.delete(claims, "one", &version).await;
+    assert_eq!(label(&delete), "conflict");
+    assert_eq!(server.counts().writes, writes);
+    assert_eq!(client.get(claims, "one").await, Ok(object));
+}
+
+/// The client sees the new era only in the answer, when the write has taken effect.
+#[tokio::test]
+async fn conditional_write_that_is_answered_in_a_later_era_is_lost() {
+    let server = Server::start().await.expect("the stand-in starts");
+    let client = client(server.address);
+    let claims = Collection::Claims;
+    let copy = server.state().save();
+    let version = client.create(claims, "one", json!("mine")).await;
+    let version = version.expect("the object is created");
+    server.state().restore(&copy);
+    server.state().put(claims, "one", json!("another's"));
+    let update = client.update(claims, "one", &version, json!("mine")).await;
+    assert!(
+        update
+            .expect_err("the write is of another era")
+            .may_have_effect()
+    );
+}
+
+#[tokio::test]
+async fn in_memory_store_comes_back_from_a_copy() {
+    let store = Store::new();
+    let claims = Collection::Claims;
+    let copy = store.state().save();
+    let version = store.create(claims, "one", json!("mine")).await;
+    let version = version.expect("the object is created");
+    let mut watch = store
+        .watch(claims, &version)
+        .await
+        .expect("the watch starts");
+    store.state().restore(&copy);
+    assert_eq!(watch.next().await, Some(Err(Fault::Expired)));
+    assert_eq!(label(&store.get(claims, "one").await), "missing");
+    let created = store.create(claims, "one", json!("another's")).await;
+    let created = created.expect("the object is created");
+    assert_eq!(created, Version::new(1, version.revision));
+    let update = store.update(claims, "one", &version, json!("mine")).await;
+    assert_eq!(label(&update), "conflict");
+    let mut watch = store
+        .watch(claims, &version)
+        .await
+        .expect("the watch starts");
+    assert_eq!(watch.next().await, Some(Err(Fault::Expired)));
+}
+
+/// Starts a server that sends raw answers, one for each connection; returns its
+/// address.
+async fn serve_each(responses: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        for response in responses {
+            let (mut stream, _) = listener.accept().await.expect("the client connects");
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(response.as_bytes()).await;
+        }
+    });
+    address
+}
+
+fn page(era: &str, name: &str, has_more: bool) -> String {
+    let body = json!({
+        "items": [{ "metadata": { "name": name, "revision": 2 } }],
+        "hasMore": has_more,
+        "at": 3,
+    });
+    let body = body.to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\n{era}content-length: {length}\r\n\r\n{body}")
+}
+
+/// Pages of two eras would make up a list that the store never held.
+#[tokio::test]
+async fn list_across_eras_expires() {
+    let cases = [
+        ("", "", "ok"),
+        ("store-era: 4\r\n", "store-era: 4\r\n", "ok"),
+        ("store-era: 4\r\n", "store-era: 5\r\n", "expired"),
+        ("store-era: 4\r\n", "", "expired"),
+        ("store-era: many\r\n", "", "lost"),
+    ];
+    for (first, second, expected) in cases {
+        let pages = vec![page(first, "a", true), page(second, "b", false)];
+        let client = client(serve_each(pages).await);
+        let listing = client.list(Collection::Claims).await;
+        assert_eq!(label(&listing), expected, "{first:?} {second:?}");
+    }
+    // A delayed answer of an era before the newest that the client has seen.
+    let pages = vec![
+        page("store-era: 5\r\n", "a", false),
+        page("store-era: 4\r\n", "a", false),
+    ];
+    let client = client(serve_each(pages).await);
+    assert_eq!(label(&client.list(Collection::Claims).await), "ok");
+    assert_eq!(label(&client.list(Collection::Claims).await), "expired");
+}
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -54,3 +54,4 @@
 pub mod rules;
 pub mod share;
 pub mod stream;
+pub mod version;
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -167,7 +167,7 @@
         Resource::Endpoints => {
             let endpoints = listing.objects.iter().filter_map(decode_endpoint).collect();
             lock(&state.tracker).replace_all(
-                listing.version.number(),
+                listing.version.revision,
                 endpoints,
                 state.clock.now(),
             );
@@ -175,7 +175,7 @@
         }
         Resource::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
-            let evacuation = Evacuation::new(listing.version.number(), names.clone());
+            let evacuation = Evacuation::new(listing.version.revision, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
     }
@@ -199,7 +199,7 @@
                     names.push(object.name.clone());
                 }
             }
-            let evacuation = Evacuation::new(changes.version.number(), names.clone());
+            let evacuation = Evacuation::new(changes.version.revision, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
     }
@@ -207,7 +207,7 @@
 
 fn apply_endpoint_changes(state: &State, changes: &Changes) {
     let now = state.clock.now();
-    let revision = changes.version.number();
+    let revision = changes.version.revision;
     let mut tracker = lock(&state.tracker);
     // A newer list may already have been fetched from another gateway.
     if revision <= tracker.revision() {
@@ -235,8 +235,7 @@
         Ok(config) => state.adopt_config(config, "store"),
         Err(error) => Event::ConfigRejected.log(format_args!(
             "object={} revision={} error={error}",
-            object.name,
-            object.version.number()
+            object.name, object.version.revision
         )),
     }
 }
@@ -246,8 +245,7 @@
         .inspect_err(|error| {
             Event::ConfigRejected.log(format_args!(
                 "object={} revision={} error={error}",
-                object.name,
-                object.version.number()
+                object.name, object.version.revision
             ));
         })
         .ok()
--- a/crates/cicadacrank-node/src/peer/watch.rs
+++ b/crates/cicadacrank-node/src/peer/watch.rs
@@ -52,15 +52,15 @@
 
 async fn watch_once(service: &Service, version: &mut Option<Version>) -> Result<(), Fault> {
     let (store, calls) = (&service.parts.store, &service.parts.metrics.platform_calls);
-    let start = if let Some(version) = version {
-        version.clone()
+    let start = if let Some(version) = *version {
+        version
     } else {
         calls.inc();
         let object = store.get(Collection::Rulesets, RULESET_NAME).await?;
         adopt(service, object.spec);
         object.version
     };
-    *version = Some(start.clone());
+    *version = Some(start);
     calls.inc();
     let mut changes = store.watch(Collection::Rulesets, &start).await?;
     while let Some(change) = changes.next().await {
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -14,6 +14,7 @@
 pub mod stage;
 
 pub use self::objects::{Client, MAX_OBJECT_BYTES};
+pub use cicadacrank_core::version::Version;
 
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
@@ -72,25 +73,6 @@
     }
 }
 
-/// Opaque version of an object or a collection.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Version(pub String);
-
-impl Version {
-    /// Returns the platform's revision number, or zero if the version is not a
-    /// number.
-    #[must_use]
-    pub fn number(&self) -> u64 {
-        self.0.parse().unwrap_or_default()
-    }
-}
-
-impl From<u64> for Version {
-    fn from(revision: u64) -> Self {
-        Self(revision.to_string())
-    }
-}
-
 /// An object of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Object {
@@ -150,8 +132,9 @@
     /// No valid response arrived; the call may have taken effect.
     #[error("no valid response from the platform: {0}")]
     Lost(String),
-    /// The version of the watch is too old, so the collection must be listed again.
-    #[error("the version of the watch has expired")]
+    /// The version is too old or of another era of the store, so the collection must
+    /// be listed again.
+    #[error("the version has expired")]
     Expired,
     /// The call is invalid, or the platform rejected it.
     #[error("invalid call to the platform: {0}")]
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -3,6 +3,11 @@
 //! Each call has a timeout and its own connection, so that no call waits on a
 //! connection that has gone silent. The faults distinguish calls that certainly
 //! had no effect from calls that may have had one.
+//!
+//! Each answer names the era of the store. What an answer of one era begins, no answer
+//! of another era continues: see [`Client::changes`] and [`Client::list`]. No call is
+//! sent with a version of an era before the newest that the client has seen, because
+//! the store may have given out the same revision again for another state.
 
 use super::{Change, Changes, Collection, Fault, Listing, Object, Store, Version};
 use crate::outbound::{self, CallError};
@@ -12,11 +17,12 @@
     future::BoxFuture,
     stream::{self, BoxStream},
 };
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::sync::watch;
 
 /// Maximum number of pages of a list, which is about half a million objects.
 const MAX_PAGES: usize = 1_000;
@@ -28,6 +34,9 @@
 /// maximum that the platform allows.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Number of times that the store has come back from a copy, in all its answers.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Maximum size of an object, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1 << 20;
 
@@ -69,37 +78,65 @@
     at: u64,
 }
 
-impl From<WireObject> for Object {
-    fn from(wire: WireObject) -> Self {
-        let revision = wire.metadata.revision.unwrap_or_default();
-        Self {
-            name: wire.metadata.name,
-            version: Version::from(revision),
-            spec: wire.specification,
+impl WireObject {
+    fn into_object(self, era: u64) -> Object {
+        let revision = self.metadata.revision.unwrap_or_default();
+        Object {
+            name: self.metadata.name,
+            version: Version::new(era, revision),
+            spec: self.specification,
         }
     }
 }
 
-/// A client of the object store of the platform.
-#[derive(Clone, Copy, Debug)]
+/// An answer with success, and the era that it names.
+struct Answer {
+    era: u64,
+    bytes: Bytes,
+}
+
+impl Answer {
+    fn decode<T: serde::de::DeserializeOwned>(&self) -> Result<T, Fault> {
+        serde_json::from_slice(&self.bytes)
+            .map_err(|error| Fault::Lost(format!("invalid JSON: {error}")))
+    }
+}
+
+/// A client of the object store of the platform. Clones share the era that they have
+/// seen.
+#[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    /// Newest era that an answer has named.
+    era: Arc<watch::Sender<u64>>,
 }
 
 impl Client {
     /// Creates a client whose calls time out after `timeout`.
     #[must_use]
-    pub const fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout }
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            address,
+            timeout,
+            era: Arc::default(),
+        }
+    }
+
+    /// Returns the newest era of the store that an answer has named.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        *self.era.borrow()
     }
 
-    /// Waits for changes to a collection after a version, for at most `wait`.
+    /// Waits for changes to a collection after a version, for at most `wait`. The wait
+    /// ends when any call of the client sees a newer era than that of the version.
     ///
     /// # Errors
     ///
     /// Returns a fault if the call failed. After [`Fault::Expired`] the collection
-    /// must be listed again.
+    /// must be listed again; so it must after an answer of another era than that of
+    /// the version.
     pub async fn changes(
         &self,
         collection: Collection,
@@ -109,15 +146,22 @@
         let path = format!(
             "/objects/{}?watch={}&waitMs={}",
             collection.as_str(),
-            after.number(),
+            after.revision,
             wait.as_millis()
         );
-        let bytes = self
-            .call(Method::GET, &path, None, wait + self.timeout)
-            .await?;
-        let events: WireEvents = decode(&bytes)?;
+        let mut era = self.era.subscribe();
+        let answer = tokio::select! {
+            biased;
+            // The sender exists as long as the client.
+            _ = era.wait_for(|era| *era > after.era) => return Err(Fault::Expired),
+            answer = self.call(Method::GET, &path, None, wait + self.timeout) => answer?,
+        };
+        if answer.era != after.era {
+            return Err(Fault::Expired);
+        }
+        let events: WireEvents = answer.decode()?;
         let change = |event: WireEvent| {
-            let object = event.object.into();
+            let object = event.object.into_object(answer.era);
             if event.deleted {
                 Change::Deleted(object)
             } else {
@@ -126,7 +170,7 @@
         };
         Ok(Changes {
             changes: events.events.into_iter().map(change).collect(),
-            version: Version::from(events.at),
+            version: Version::new(answer.era, events.at),
         })
     }
 
@@ -152,13 +196,34 @@
         &self,
         collection: Collection,
         after: Option<&str>,
-    ) -> Result<WirePage, Fault> {
+    ) -> Result<(u64, WirePage), Fault> {
         let kind = collection.as_str();
         let path = after.map_or_else(
             || format!("/objects/{kind}"),
             |name| format!("/objects/{kind}?after={name}"),
         );
-        decode(&self.call(Method::GET, &path, None, self.timeout).await?)
+        let answer = self.call(Method::GET, &path, None, self.timeout).await?;
+        Ok((answer.era, answer.decode()?))
+    }
+
+    /// Fails if the version is of an era before the newest seen.
+    fn check_era(&self, version: &Version) -> Result<(), Fault> {
+        if version.era < self.era() {
+            return Err(Fault::Conflict);
+        }
+        Ok(())
+    }
+
+    /// Fails if a conditional call was answered in another era than that of its
+    /// version. The revision may then have been that of another state.
+    fn check_answer(version: &Version, answer: &Answer) -> Result<(), Fault> {
+        if version.era != answer.era {
+            return Err(Fault::Lost(format!(
+                "the answer is of era {} instead of {}",
+                answer.era, version.era
+            )));
+        }
+        Ok(())
     }
 
     async fn write(
@@ -172,7 +237,7 @@
         let object = WireObject {
             metadata: Metadata {
                 name: name.to_owned(),
-                revision: version.map(Version::number),
+                revision: version.map(|version| version.revision),
             },
             specification: spec.clone(),
         };
@@ -184,10 +249,16 @@
         } else {
             format!("/objects/{kind}/{name}")
         };
+        if let Some(version) = version {
+            self.check_era(version)?;
+        }
         let body = Some(Bytes::from(body));
-        let bytes = self.call(method, &path, body, self.timeout).await?;
-        let written: WireObject = decode(&bytes)?;
-        Ok(Object::from(written).version)
+        let answer = self.call(method, &path, body, self.timeout).await?;
+        if let Some(version) = version {
+            Self::check_answer(version, &answer)?;
+        }
+        let written: WireObject = answer.decode()?;
+        Ok(written.into_object(answer.era).version)
     }
 
     async fn call(
@@ -196,7 +267,7 @@
         path: &str,
         body: Option<Bytes>,
         timeout: Duration,
-    ) -> Result<Bytes, Fault> {
+    ) -> Result<Answer, Fault> {
         let has_body = body.is_some();
         let mut request = Request::builder()
             .method(method)
@@ -213,8 +284,17 @@
             CallError::Unconnected(reason) => Fault::Unreachable(reason),
             CallError::Lost(reason) => Fault::Lost(reason),
         })?;
+        let era = parse_era(answer.headers())?;
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
         match answer.status() {
-            status if status.is_success() => Ok(answer.into_body()),
+            status if status.is_success() => Ok(Answer {
+                era,
+                bytes: answer.into_body(),
+            }),
             StatusCode::GONE => Err(Fault::Expired),
             StatusCode::CONFLICT => Err(Fault::Conflict),
             StatusCode::NOT_FOUND => Err(Fault::Missing),
@@ -228,8 +308,16 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
-    serde_json::from_slice(bytes).map_err(|error| Fault::Lost(format!("invalid JSON: {error}")))
+/// Returns the era that an answer names, or zero if it names none.
+fn parse_era(headers: &HeaderMap) -> Result<u64, Fault> {
+    let Some(value) = headers.get(&ERA) else {
+        return Ok(0);
+    };
+    let era = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    era.ok_or_else(|| Fault::Lost(format!("invalid era {value:?}")))
 }
 
 impl Store for Client {
@@ -240,8 +328,9 @@
     ) -> BoxFuture<'a, Result<Object, Fault>> {
         async move {
             let path = format!("/objects/{}/{name}", collection.as_str());
-            let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
-            decode::<WireObject>(&bytes).map(Object::from)
+            let answer = self.call(Method::GET, &path, None, self.timeout).await?;
+            let object: WireObject = answer.decode()?;
+            Ok(object.into_object(answer.era))
         }
         .boxed()
     }
@@ -286,26 +375,37 @@
             let path = format!(
                 "/objects/{}/{name}?revision={}",
                 collection.as_str(),
-                version.number()
+                version.revision
             );
+            self.check_era(version)?;
             let deleted = self.call(Method::DELETE, &path, None, self.timeout);
-            deleted.await.map(drop)
+            Self::check_answer(version, &deleted.await?)
         }
         .boxed()
     }
 
     fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing, Fault>> {
         async move {
-            let mut page = self.fetch_page(collection, None).await?;
+            let (era, mut page) = self.fetch_page(collection, None).await?;
             // The pages are read one after the other. A watch that starts at the
             // version of the first page reports the changes between the reads.
-            let version = Version::from(page.at);
+            let version = Version::new(era, page.at);
             let mut objects: Vec<Object> = Vec::new();
             for _ in 0..MAX_PAGES {
-                objects.extend(page.items.into_iter().map(Object::from));
+                // The answer may have been delayed until the store had come back.
+                if era < self.era() {
+                    return Err(Fault::Expired);
+                }
+                let items = page.items.into_iter();
+                objects.extend(items.map(|item| item.into_object(era)));
                 match objects.last() {
                     Some(last) if page.has_more => {
-                        page = self.fetch_page(collection, Some(&last.name)).await?;
+                        let (next, following) =
+                            self.fetch_page(collection, Some(&last.name)).await?;
+                        if next != era {
+                            return Err(Fault::Expired);
+                        }
+                        page = following;
                     }
                     _ => return Ok(Listing { objects, version }),
                 }
@@ -323,9 +423,9 @@
         version: &'a Version,
     ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
         let watch = Watch {
-            client: *self,
+            client: self.clone(),
             collection,
-            version: version.clone(),
+            version: *version,
             pending: Vec::new().into_iter(),
             failed: false,
         };
--- a/crates/cicadacrank-node/tests/names.rs
+++ b/crates/cicadacrank-node/tests/names.rs
@@ -4,7 +4,7 @@
 
 /// Names that only the platform uses. Common words such as `name` are left out,
 /// because the system uses them too.
-const NAMES: [&str; 28] = [
+const NAMES: [&str; 29] = [
     "routeKind",
     "pathPrefix",
     "timeoutMs",
@@ -33,6 +33,7 @@
     "x-segment",
     "x-expected-instance",
     "x-not-executed",
+    "store-era",
 ];
 
 fn scan(folder: &Path, found: &mut Vec<String>) {
--- a/crates/cicadacrank-node/tests/peer.rs
+++ b/crates/cicadacrank-node/tests/peer.rs
@@ -91,7 +91,7 @@
         let generation = *self.simulation.generation.lock().expect("poisoned lock");
         let object = self.check().map(|()| Object {
             name: name.to_owned(),
-            version: Version(generation.to_string()),
+            version: Version::new(0, generation),
             spec: json!({ "generation": generation, "rules": RULES }),
         });
         std::future::ready(object).boxed()
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -16,7 +16,7 @@
 fn object(spec: Value) -> Object {
     Object {
         name: "i-1".to_owned(),
-        version: Version::from(7),
+        version: Version::new(0, 7),
         spec,
     }
 }
