Log the return of the store, and lists that are not applied

The log could not tell whether nothing is read after the return of the store or whether what is read is dropped: a list that is older than what a gateway holds had no line. Event 225 names its era and revision and the revision held, event 212 the era of a store that came back. The client lets its users wait for a newer era. No logic changes.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -52,11 +52,13 @@
     GenerationRejected = 201, Error, "A newer configuration could not be read; the previous one stays in force.";
     PlatformFailed = 210, Warn, "A call to the platform failed.";
     PlatformRegained = 211, Info, "A call to the platform succeeded after failures.";
+    PlatformRestored = 212, Warn, "The platform's store came back from a copy.";
     ConfigAdopted = 220, Info, "A newer configuration from the platform is in force.";
     ConfigRejected = 221, Error, "An object from the platform could not be read; the previous version stays in use.";
     DirectoryChanged = 222, Info, "The list of endpoints changed.";
     EvacuationChanged = 223, Info, "The set of evacuated data centres changed.";
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
+    ListIgnored = 225, Warn, "A list from the platform was not applied, because a newer one is in use.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -166,21 +166,34 @@
         }
         Resource::Endpoints => {
             let endpoints = listing.objects.iter().filter_map(decode_endpoint).collect();
-            lock(&state.tracker).replace_all(
-                listing.version.revision,
-                endpoints,
-                state.clock.now(),
-            );
+            let mut tracker = lock(&state.tracker);
+            report_ignored(resource, listing, tracker.revision());
+            tracker.replace_all(listing.version.revision, endpoints, state.clock.now());
+            drop(tracker);
             state.adopt_endpoints("store");
         }
         Resource::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
+            let (_, held) = state.revisions();
+            report_ignored(resource, listing, held);
             let evacuation = Evacuation::new(listing.version.revision, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
     }
 }
 
+/// Logs a list that is older than what the gateway holds.
+fn report_ignored(resource: Resource, listing: &Listing, held: u64) {
+    if listing.version.revision < held {
+        Event::ListIgnored.log(format_args!(
+            "collection={:?} era={} revision={} held_revision={held}",
+            resource.collection(),
+            listing.version.era,
+            listing.version.revision,
+        ));
+    }
+}
+
 fn apply_changes(state: &State, resource: Resource, changes: &Changes, names: &mut Vec<String>) {
     match resource {
         Resource::Config => {
@@ -278,11 +291,17 @@
             Ok(listing) => {
                 failures.record_success(&state);
                 record_gateways(&state, &listing);
-                return;
+                break;
             }
             Err(fault) => failures.back_off(&state, &fault).await,
         }
     }
+    let mut before = state.store.era();
+    loop {
+        let era = state.store.newer_era(before).await;
+        Event::PlatformRestored.log(format_args!("era={era} before={before}"));
+        before = era;
+    }
 }
 
 fn record_gateways(state: &State, listing: &Listing) {
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -129,6 +129,14 @@
         *self.era.borrow()
     }
 
+    /// Waits until an answer has named a newer era than `era`, and returns it.
+    pub async fn newer_era(&self, era: u64) -> u64 {
+        let mut newest = self.era.subscribe();
+        // The sender exists as long as the client.
+        drop(newest.wait_for(|newest| *newest > era).await);
+        self.era()
+    }
+
     /// Waits for changes to a collection after a version, for at most `wait`. The wait
     /// ends when any call of the client sees a newer era than that of the version.
     ///
@@ -149,11 +157,9 @@
             after.revision,
             wait.as_millis()
         );
-        let mut era = self.era.subscribe();
         let answer = tokio::select! {
             biased;
-            // The sender exists as long as the client.
-            _ = era.wait_for(|era| *era > after.era) => return Err(Fault::Expired),
+            _ = self.newer_era(after.era) => return Err(Fault::Expired),
             answer = self.call(Method::GET, &path, None, wait + self.timeout) => answer?,
         };
         if answer.era != after.era {
