Order lists of endpoints by the era of the store, then by revision

Cause: Tracker and apply_endpoint_changes compared revisions across two histories of the store, and dropped each list and change as older.

Change: lists, changes and what gateways pass on carry a Version, the era first. A list of a later era is merged entry by entry: an older registration never replaces a newer one; entries that the copy lacks have the grace of two seconds that they have after an outage; an endpoint that had left is remembered for a minute, and the entry of a copy doesn't bring it back unless its registration is later, or the minute is over and the store still lists it. The list of another gateway goes through the same merge; it replaced everything before.

--- a/crates/cicadacrank-core/src/directory/mod.rs
+++ b/crates/cicadacrank-core/src/directory/mod.rs
@@ -1,7 +1,7 @@
 //! The endpoints of a deployment, as listed in the store.
 //!
-//! A [`Snapshot`] is the complete list at one revision of the store. The newest
-//! revision replaces older ones, whatever its source. Endpoints are identified
+//! A [`Snapshot`] is the complete list at one version of the store. The newest
+//! version is applied, whatever its source. Endpoints are identified
 //! by their [`Incarnation`], because an endpoint that restarts under the same
 //! id has lost its earlier state.
 
@@ -9,6 +9,7 @@
 
 pub use self::tracker::Tracker;
 
+use crate::version::Version;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
@@ -63,11 +64,12 @@
     pub sequence: u64,
 }
 
-/// All endpoints, at one revision of the store.
+/// All endpoints, at one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// Revision of the store that the list is taken from.
-    pub revision: u64,
+    /// Version of the store that the list is taken from.
+    #[serde(flatten)]
+    pub version: Version,
     /// Endpoints, sorted by incarnation.
     pub endpoints: Vec<Endpoint>,
 }
@@ -84,12 +86,9 @@
 impl Snapshot {
     /// Creates a snapshot from endpoints in any order.
     #[must_use]
-    pub fn new(revision: u64, mut endpoints: Vec<Endpoint>) -> Self {
+    pub fn new(version: Version, mut endpoints: Vec<Endpoint>) -> Self {
         endpoints.sort_by(|one, other| one.life.cmp(&other.life));
-        Self {
-            revision,
-            endpoints,
-        }
+        Self { version, endpoints }
     }
 }
 
--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -1,6 +1,7 @@
-//! Tracks the store's list of endpoints across outages of the store.
+//! Tracks the store's list of endpoints across outages and returns of the store.
 
 use super::{Endpoint, Snapshot, State};
+use crate::version::Version;
 use std::time::Duration;
 
 /// Length of a store outage from which entries may have expired although their
@@ -8,9 +9,18 @@
 /// interval in use.
 const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(1);
 
-/// Time that an endpoint has to register again if its entry expired during an
-/// outage.
-const RECOVERY_GRACE: Duration = Duration::from_secs(2);
+/// Time that endpoints have to register again if their entries expired during an
+/// outage, or if the store came back from a copy that lacks them. Operators write
+/// again within the same time.
+pub(super) const RECOVERY_GRACE: Duration = Duration::from_secs(2);
+
+/// Time for which an endpoint that has left is remembered. It covers the age of a
+/// copy and the time after which the store removes the entry of an endpoint that
+/// does not renew it.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
+
+/// Maximum number of endpoints that have left and are remembered.
+const MAX_DEPARTURES: usize = 1_024;
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -18,16 +28,33 @@
     missing: bool,
 }
 
+/// The last registration of an endpoint that has left.
+#[derive(Clone, Debug)]
+struct Departure {
+    endpoint: Endpoint,
+    /// Era of the store in which the endpoint was removed last.
+    era: u64,
+    at: Duration,
+    /// Registration in a later era that is not newer than the last one. It is either
+    /// that of a copy or that of an endpoint whose count of registrations went on
+    /// elsewhere; the store removes the former.
+    withheld: Option<Endpoint>,
+}
+
 /// The endpoints as known to one process.
 ///
 /// An entry that the store removes is dropped immediately, except for a short
-/// time after an outage. Entries that expired while the store was unavailable
-/// are kept until their endpoints have had time to register again. An older
-/// registration of an endpoint never replaces a newer one.
+/// time after an outage and after the store has come back from a copy. Entries that
+/// are missing then are kept until their endpoints have had time to register again.
+/// An older registration of an endpoint never replaces a newer one, and the entry of
+/// a copy does not bring back an endpoint that had left.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
-    revision: u64,
+    version: Version,
+    /// Sorted by id.
     entries: Vec<Entry>,
+    /// In the order in which the endpoints left.
+    departures: Vec<Departure>,
     unavailable_since: Option<Duration>,
     grace_until: Option<Duration>,
 }
@@ -49,52 +76,65 @@
         }
     }
 
-    /// Applies a complete list. Ignores it if its revision is older than the
-    /// current one.
-    pub fn replace_all(&mut self, revision: u64, endpoints: Vec<Endpoint>, now: Duration) {
-        if revision < self.revision {
-            return;
+    /// Applies a complete list. Ignores it if its version is older than the
+    /// current one. A list of a later era starts the grace period. Returns whether
+    /// the list was applied.
+    pub fn replace_all(
+        &mut self,
+        version: Version,
+        endpoints: Vec<Endpoint>,
+        now: Duration,
+    ) -> bool {
+        if version < self.version {
+            return false;
         }
-        self.revision = revision;
+        let is_first = self.version == Version::default();
+        if !is_first && version.era > self.version.era {
+            self.grace_until = Some(now + RECOVERY_GRACE);
+        }
+        self.version = version;
         let listed: Vec<String> = {
             let mut ids: Vec<_> = endpoints.iter().map(|one| one.life.id.clone()).collect();
             ids.sort();
             ids
         };
-        let gone: Vec<String> = self
-            .entries
-            .iter()
-            .map(|entry| entry.endpoint.life.id.clone())
-            .filter(|id| listed.binary_search(id).is_err())
-            .collect();
+        let is_gone = |id: &String| listed.binary_search(id).is_err();
+        let ids = self.entries.iter().map(|entry| &entry.endpoint.life.id);
+        let gone: Vec<String> = ids.filter(|id| is_gone(id)).cloned().collect();
         for id in gone {
             self.drop_entry(&id, now);
         }
+        for departure in &mut self.departures {
+            if is_gone(&departure.endpoint.life.id) {
+                departure.withheld = None;
+            }
+        }
         for endpoint in endpoints {
             self.store(endpoint);
         }
+        true
     }
 
     /// Applies the write of one entry.
-    pub fn put(&mut self, revision: u64, endpoint: Endpoint) {
-        self.revision = self.revision.max(revision);
+    pub fn put(&mut self, version: Version, endpoint: Endpoint) {
+        self.version = self.version.max(version);
         self.store(endpoint);
     }
 
     /// Applies the removal of one entry.
-    pub fn remove(&mut self, revision: u64, id: &str, now: Duration) {
-        self.revision = self.revision.max(revision);
+    pub fn remove(&mut self, version: Version, id: &str, now: Duration) {
+        self.version = self.version.max(version);
         self.drop_entry(id, now);
     }
 
-    /// Returns the store revision of the current list.
+    /// Returns the store version of the current list.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    pub const fn version(&self) -> Version {
+        self.version
     }
 
-    /// Returns the current endpoints and their revision for other processes, or
-    /// `None` while entries that the store has removed are kept for the grace
+    /// Returns the current endpoints and their version for other processes, or
+    /// `None` while entries that the store does not have are kept for the grace
     /// period. Another process could not tell them from current ones.
     #[must_use]
     pub fn shareable(&self) -> Option<Snapshot> {
@@ -102,39 +142,48 @@
         complete.then(|| self.snapshot())
     }
 
-    /// Replaces the list with the snapshot of another process if that is newer.
-    /// Returns whether it was.
-    pub fn adopt(&mut self, snapshot: &Snapshot) -> bool {
-        if snapshot.revision <= self.revision {
-            return false;
-        }
-        self.revision = snapshot.revision;
-        let entry = |endpoint: &Endpoint| Entry {
-            endpoint: endpoint.clone(),
-            missing: false,
-        };
-        self.entries = snapshot.endpoints.iter().map(entry).collect();
-        self.entries.sort_by(by_id);
-        true
+    /// Applies the snapshot of another process if that is newer, like a list of the
+    /// store. Returns whether it was.
+    pub fn adopt(&mut self, snapshot: Snapshot, now: Duration) -> bool {
+        snapshot.version > self.version
+            && self.replace_all(snapshot.version, snapshot.endpoints, now)
     }
 
-    /// Drops the entries that are still missing at the end of the grace period.
-    /// Returns whether any was dropped.
+    /// Drops the entries that are still missing at the end of the grace period, and
+    /// takes the entries of endpoints that left too long ago to be remembered.
+    /// Returns whether the list changed.
     pub fn expire(&mut self, now: Duration) -> bool {
-        if self.grace_until.is_none_or(|until| now < until) {
-            return false;
+        let before = self.entries.len();
+        if self.grace_until.is_some_and(|until| now >= until) {
+            self.grace_until = None;
+            let missing: Vec<String> = self
+                .entries
+                .iter()
+                .filter(|entry| entry.missing)
+                .map(|entry| entry.endpoint.life.id.clone())
+                .collect();
+            for id in missing {
+                self.drop_entry(&id, now);
+            }
         }
-        self.grace_until = None;
+        let dropped = self.entries.len() < before;
+        let forgotten = self.departures.iter();
+        let forgotten = forgotten
+            .take_while(|one| now.saturating_sub(one.at) >= DEPARTURE_MEMORY)
+            .count();
+        let forgotten: Vec<Departure> = self.departures.drain(..forgotten).collect();
         let before = self.entries.len();
-        self.entries.retain(|entry| !entry.missing);
-        self.entries.len() < before
+        for endpoint in forgotten.into_iter().filter_map(|one| one.withheld) {
+            self.store(endpoint);
+        }
+        dropped || self.entries.len() > before
     }
 
-    /// Returns the current endpoints and their revision.
+    /// Returns the current endpoints and their version.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
         let endpoints = self.entries.iter().map(|entry| entry.endpoint.clone());
-        Snapshot::new(self.revision, endpoints.collect())
+        Snapshot::new(self.version, endpoints.collect())
     }
 
     fn store(&mut self, endpoint: Endpoint) {
@@ -146,24 +195,53 @@
                     entry.endpoint = endpoint;
                 }
             }
-            Err(index) => self.entries.insert(
-                index,
-                Entry {
+            Err(index) => {
+                let mut departures = self.departures.iter_mut();
+                let departure = departures.find(|one| one.endpoint.life.id == endpoint.life.id);
+                if let Some(departure) = departure
+                    && departure.era < self.version.era
+                    && !is_later(&endpoint, &departure.endpoint)
+                {
+                    departure.withheld = Some(endpoint);
+                    return;
+                }
+                let entry = Entry {
                     endpoint,
                     missing: false,
-                },
-            ),
+                };
+                let id = entry.endpoint.life.id.clone();
+                self.departures.retain(|one| one.endpoint.life.id != id);
+                self.entries.insert(index, entry);
+            }
         }
     }
 
     fn drop_entry(&mut self, id: &str, now: Duration) {
-        let Ok(index) = self.find(id) else { return };
+        let Ok(index) = self.find(id) else {
+            let mut departures = self.departures.iter_mut();
+            if let Some(departure) = departures.find(|one| one.endpoint.life.id == id) {
+                departure.era = self.version.era;
+                departure.withheld = None;
+            }
+            return;
+        };
         let kept = self.grace_until.is_some_and(|until| now < until)
             && self.entries[index].endpoint.state == State::Ready;
         if kept {
             self.entries[index].missing = true;
-        } else {
-            self.entries.remove(index);
+            return;
+        }
+        let endpoint = self.entries.remove(index).endpoint;
+        self.departures.push(Departure {
+            endpoint,
+            era: self.version.era,
+            at: now,
+            withheld: None,
+        });
+        if self.departures.len() > MAX_DEPARTURES
+            && let Some(endpoint) = self.departures.remove(0).withheld
+        {
+            self.store(endpoint);
         }
     }
 
@@ -173,10 +251,6 @@
     }
 }
 
-fn by_id(one: &Entry, other: &Entry) -> std::cmp::Ordering {
-    one.endpoint.life.id.cmp(&other.endpoint.life.id)
-}
-
 /// Returns whether the registration `one` may replace `other`, which has the
 /// same id.
 fn is_newer(one: &Endpoint, other: &Endpoint) -> bool {
@@ -186,3 +260,10 @@
         _ => true,
     }
 }
+
+/// Returns whether the registration `one` was made after `other`, which has the same
+/// id.
+fn is_later(one: &Endpoint, other: &Endpoint) -> bool {
+    let key = |endpoint: &Endpoint| (endpoint.life.born, endpoint.sequence);
+    key(one) > key(other)
+}
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -1,12 +1,24 @@
 //! Tests for tracking the list of endpoints across outages of the store.
 
-use cicadacrank_core::directory::{Endpoint, Evacuation, Incarnation, Snapshot, State, Tracker};
+use cicadacrank_core::{
+    directory::{Endpoint, Evacuation, Incarnation, Snapshot, State, Tracker},
+    version::Version,
+};
 use std::time::Duration;
 
 const fn at(seconds: f64) -> Duration {
     Duration::from_millis((seconds * 1_000.0) as u64)
 }
 
+const fn version(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
+/// A version of the era after that of [`version`].
+const fn later(revision: u64) -> Version {
+    Version::new(1, revision)
+}
+
 fn endpoint(id: &str) -> Endpoint {
     Endpoint {
         life: Incarnation {
@@ -30,16 +42,16 @@
 
 fn tracker() -> Tracker {
     let mut tracker = Tracker::default();
-    tracker.replace_all(5, vec![endpoint("a"), endpoint("b")], at(0.0));
+    tracker.replace_all(version(5), vec![endpoint("a"), endpoint("b")], at(0.0));
     tracker
 }
 
 #[test]
 fn remove_takes_effect_at_once_while_the_store_is_available() {
     let mut tracker = tracker();
-    tracker.remove(6, "a", at(1.0));
+    tracker.remove(version(6), "a", at(1.0));
     assert_eq!(ids(&tracker), ["b"]);
-    assert_eq!(tracker.revision(), 6);
+    assert_eq!(tracker.version(), version(6));
 }
 
 #[test]
@@ -47,7 +59,7 @@
     let mut tracker = tracker();
     tracker.mark_unavailable(at(1.0));
     tracker.mark_available(at(5.0));
-    tracker.replace_all(9, vec![endpoint("b")], at(5.0));
+    tracker.replace_all(version(9), vec![endpoint("b")], at(5.0));
     assert_eq!(ids(&tracker), ["a", "b"]);
     assert!(!tracker.expire(at(6.9)));
     assert!(tracker.expire(at(7.0)));
@@ -59,8 +71,8 @@
     let mut tracker = tracker();
     tracker.mark_unavailable(at(1.0));
     tracker.mark_available(at(5.0));
-    tracker.replace_all(9, Vec::new(), at(5.0));
-    tracker.put(10, endpoint("a"));
+    tracker.replace_all(version(9), Vec::new(), at(5.0));
+    tracker.put(version(10), endpoint("a"));
     assert!(tracker.expire(at(7.5)));
     assert_eq!(ids(&tracker), ["a"]);
 }
@@ -70,7 +82,7 @@
     let mut tracker = tracker();
     tracker.mark_unavailable(at(1.0));
     tracker.mark_available(at(1.5));
-    tracker.replace_all(9, vec![endpoint("b")], at(1.5));
+    tracker.replace_all(version(9), vec![endpoint("b")], at(1.5));
     assert_eq!(ids(&tracker), ["b"]);
 }
 
@@ -78,7 +90,7 @@
 fn expired_draining_endpoint_is_removed() {
     let mut tracker = tracker();
     tracker.put(
-        6,
+        version(6),
         Endpoint {
             state: State::Draining,
             sequence: 2,
@@ -87,7 +99,7 @@
     );
     tracker.mark_unavailable(at(1.0));
     tracker.mark_available(at(5.0));
-    tracker.replace_all(9, vec![endpoint("b")], at(5.0));
+    tracker.replace_all(version(9), vec![endpoint("b")], at(5.0));
     assert_eq!(ids(&tracker), ["b"]);
 }
 
@@ -99,9 +111,9 @@
         sequence: 4,
         ..endpoint("a")
     };
-    tracker.put(6, draining);
+    tracker.put(version(6), draining);
     tracker.put(
-        7,
+        version(7),
         Endpoint {
             sequence: 3,
             ..endpoint("a")
@@ -110,7 +122,7 @@
     assert_eq!(tracker.snapshot().endpoints[0].state, State::Draining);
     let mut restarted = endpoint("a");
     restarted.life.born = Some(20);
-    tracker.put(8, restarted);
+    tracker.put(version(8), restarted);
     assert_eq!(tracker.snapshot().endpoints[0].state, State::Ready);
     assert_eq!(tracker.snapshot().endpoints[0].life.born, Some(20));
 }
@@ -118,11 +130,11 @@
 #[test]
 fn adopt_takes_newer_lists_only() {
     let mut tracker = tracker();
-    let newer = Snapshot::new(8, vec![endpoint("c")]);
-    assert!(!tracker.adopt(&Snapshot::new(5, Vec::new())));
-    assert!(tracker.adopt(&newer));
+    let newer = Snapshot::new(version(8), vec![endpoint("c")]);
+    assert!(!tracker.adopt(Snapshot::new(version(5), Vec::new()), at(1.0)));
+    assert!(tracker.adopt(newer, at(1.0)));
     assert_eq!(ids(&tracker), ["c"]);
-    tracker.replace_all(7, vec![endpoint("a")], at(1.0));
+    tracker.replace_all(version(7), vec![endpoint("a")], at(1.0));
     assert_eq!(ids(&tracker), ["c"]);
 }
 
@@ -142,9 +154,156 @@
     assert_eq!(tracker.shareable(), Some(tracker.snapshot()));
     tracker.mark_unavailable(at(1.0));
     tracker.mark_available(at(5.0));
-    tracker.remove(9, "a", at(5.5));
+    tracker.remove(version(9), "a", at(5.5));
     assert_eq!(ids(&tracker), ["a", "b"]);
     assert_eq!(tracker.shareable(), None);
     assert!(tracker.expire(at(7.0)));
     assert_eq!(tracker.shareable(), Some(tracker.snapshot()));
 }
+
+fn registration(id: &str, state: State, sequence: u64) -> Endpoint {
+    Endpoint {
+        state,
+        sequence,
+        ..endpoint(id)
+    }
+}
+
+/// Lists of a store that counted below what the process held were ignored.
+#[test]
+fn list_of_a_later_era_replaces_one_of_a_higher_revision() {
+    let mut tracker = tracker();
+    let copied = vec![registration("a", State::Draining, 2), endpoint("c")];
+    assert!(tracker.replace_all(later(3), copied.clone(), at(1.0)));
+    assert_eq!(tracker.version(), later(3));
+    assert_eq!(ids(&tracker), ["a", "b", "c"]);
+    assert_eq!(tracker.snapshot().endpoints[0].state, State::Draining);
+    assert!(!tracker.replace_all(version(9), Vec::new(), at(1.0)));
+    assert!(tracker.expire(at(3.0)));
+    assert_eq!(ids(&tracker), ["a", "c"]);
+}
+
+/// Endpoints that registered after the copy was made were dropped at once.
+#[test]
+fn entries_that_a_copy_lacks_have_a_grace_period() {
+    for written_again in [false, true] {
+        let mut tracker = tracker();
+        tracker.replace_all(later(3), vec![endpoint("b")], at(10.0));
+        assert_eq!(tracker.shareable(), None);
+        assert!(!tracker.expire(at(11.9)));
+        assert_eq!(ids(&tracker), ["a", "b"]);
+        if written_again {
+            tracker.put(later(4), endpoint("a"));
+        }
+        tracker.expire(at(12.0));
+        assert_eq!(ids(&tracker).contains(&"a".to_owned()), written_again);
+        assert!(tracker.shareable().is_some());
+    }
+}
+
+/// The entry of a copy shows an endpoint as it was before it began to leave.
+#[test]
+fn entry_of_a_copy_never_replaces_a_newer_registration() {
+    let mut tracker = tracker();
+    tracker.put(version(6), registration("a", State::Draining, 4));
+    let mut restarted = endpoint("b");
+    restarted.life.born = Some(20);
+    tracker.put(version(7), restarted);
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(1.0));
+    let endpoints = tracker.snapshot().endpoints;
+    assert_eq!(endpoints[0].state, State::Draining);
+    assert_eq!(endpoints[1].life.born, Some(20));
+}
+
+/// The entry of a copy would bring an endpoint back that had left.
+#[test]
+fn endpoint_that_left_before_the_return_is_not_brought_back() {
+    let cases = [
+        (
+            "the entry of the copy",
+            registration("a", State::Ready, 1),
+            false,
+        ),
+        (
+            "a later registration",
+            registration("a", State::Ready, 5),
+            true,
+        ),
+        ("a later start", restarted("a"), true),
+    ];
+    for (name, entry, is_back) in cases {
+        let mut tracker = tracker();
+        tracker.put(version(6), registration("a", State::Draining, 4));
+        tracker.remove(version(7), "a", at(1.0));
+        tracker.replace_all(later(3), vec![endpoint("b"), entry], at(2.0));
+        assert_eq!(ids(&tracker).len(), 1 + usize::from(is_back), "{name}");
+        assert!(tracker.shareable().is_some());
+    }
+}
+
+fn restarted(id: &str) -> Endpoint {
+    let mut endpoint = endpoint(id);
+    endpoint.life.born = Some(20);
+    endpoint
+}
+
+#[test]
+fn endpoint_that_left_is_taken_when_it_is_written_after_its_removal() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "a", at(1.0));
+    tracker.put(version(7), endpoint("a"));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+    tracker.remove(version(8), "a", at(1.5));
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(2.0));
+    assert_eq!(ids(&tracker), ["b"]);
+    // The store removes the entry of the copy, and the endpoint registers again.
+    tracker.remove(later(4), "a", at(3.0));
+    tracker.put(later(5), endpoint("a"));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+}
+
+/// An endpoint of which the store holds only the entry of the copy would never be used.
+#[test]
+fn withheld_entry_is_taken_after_a_minute_unless_the_store_removes_it() {
+    for removed in [false, true] {
+        let mut tracker = tracker();
+        tracker.remove(version(6), "a", at(1.0));
+        tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(2.0));
+        if removed {
+            tracker.replace_all(later(4), vec![endpoint("b")], at(3.0));
+        }
+        tracker.expire(at(60.9));
+        assert_eq!(ids(&tracker), ["b"]);
+        assert_eq!(tracker.expire(at(61.0)), !removed);
+        assert_eq!(ids(&tracker).len(), 2 - usize::from(removed));
+    }
+}
+
+/// A process that cannot read the store replaced its list by that of another process,
+/// which may have started after the endpoint left.
+#[test]
+fn list_of_another_process_is_merged_like_one_of_the_store() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "b", at(1.0));
+    tracker.put(version(7), registration("a", State::Draining, 4));
+    tracker.put(version(8), endpoint("c"));
+    let copied = Snapshot::new(later(3), vec![endpoint("a"), endpoint("b")]);
+    assert!(tracker.adopt(copied, at(2.0)));
+    assert_eq!(ids(&tracker), ["a", "c"]);
+    assert_eq!(tracker.snapshot().endpoints[0].state, State::Draining);
+    assert!(tracker.expire(at(4.0)));
+    assert_eq!(ids(&tracker), ["a"]);
+}
+
+/// Gateways from before the era was known send none.
+#[test]
+fn list_without_an_era_is_of_the_first() {
+    let list: Snapshot =
+        serde_json::from_str(r#"{"revision":7,"endpoints":[]}"#).expect("the list is valid");
+    assert_eq!(list.version, version(7));
+    let text = serde_json::to_string(&Snapshot::new(later(3), Vec::new()));
+    assert_eq!(
+        text.expect("the list is encoded"),
+        r#"{"era":1,"revision":3,"endpoints":[]}"#
+    );
+}
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -3,6 +3,7 @@
 use cicadacrank_core::{
     directory::{Endpoint, Incarnation, Snapshot, State},
     placement::{Fleet, Key, Limit, Locality},
+    version::Version,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -42,7 +43,7 @@
 fn fleet(endpoints: usize, processes: usize, position: usize) -> Fleet {
     let mut fleet = Fleet::default();
     let snapshot = Snapshot {
-        revision: 1,
+        version: Version::new(0, 1),
         endpoints: (0..endpoints).map(endpoint).collect(),
     };
     fleet.update(&snapshot, Duration::ZERO);
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -4,6 +4,7 @@
     config::{Config, Service},
     directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
     placement::{Choice, Fleet, Key, Load, Locality, Prompt, Report},
+    version::Version,
 };
 use std::time::Duration;
 
@@ -41,7 +42,10 @@
 
 fn fleet(endpoints: &[Endpoint]) -> Fleet {
     let mut fleet = Fleet::default();
-    fleet.update(&Snapshot::new(1, endpoints.to_vec()), Duration::ZERO);
+    fleet.update(
+        &Snapshot::new(Version::new(0, 1), endpoints.to_vec()),
+        Duration::ZERO,
+    );
     fleet.set_processes(1, 0);
     fleet
 }
@@ -201,7 +205,7 @@
         .expect("an endpoint is available");
     let mut restarted = endpoint("a", "x");
     restarted.life.born = Some(2);
-    fleet.update(&Snapshot::new(2, vec![restarted]), NOW);
+    fleet.update(&Snapshot::new(Version::new(0, 2), vec![restarted]), NOW);
     assert!(fleet.row(key).is_none());
     // A request that ends late at the previous incarnation has no effect.
     fleet.end(key);
@@ -323,7 +327,7 @@
     let mut cold = endpoint("a", "x");
     cold.cold = Duration::from_secs(3);
     let mut fleet = Fleet::default();
-    fleet.update(&Snapshot::new(1, vec![cold.clone()]), NOW);
+    fleet.update(&Snapshot::new(Version::new(0, 1), vec![cold.clone()]), NOW);
     assert!(!fleet.try_grant(&cold.life, Some(4), NOW));
     assert!(fleet.try_grant(&cold.life, Some(4), NOW + Duration::from_secs(3)));
     let restarted = Incarnation {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -19,6 +19,7 @@
     event::Event,
     placement::{Limit, Load},
     roster::Gateway,
+    version::Version,
 };
 use cicadacrank_wire::wire::{
     Beat, EndpointLimit, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released,
@@ -254,14 +255,20 @@
 }
 
 fn versions(state: &State) -> Versions {
-    let (endpoints, evacuation) = state.revisions();
+    let (endpoints, evacuation) = state.versions();
     Versions {
         config: state.config().map_or(0, |config| config.version),
-        endpoints,
+        endpoints: endpoints.revision,
         evacuation,
+        endpoints_era: endpoints.era,
     }
 }
 
+/// Returns the version of the list of endpoints.
+const fn endpoints_version(versions: &Versions) -> Version {
+    Version::new(versions.endpoints_era, versions.endpoints)
+}
+
 /// Processes a heartbeat. If its sender has newer state, fetches that from
 /// `address` or, if `address` is empty, from the address that the sender names.
 fn handle_heartbeat(state: &Arc<State>, beat: Beat, address: &str) {
@@ -312,7 +319,7 @@
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
-            || theirs.endpoints > own.endpoints
+            || endpoints_version(&theirs) > endpoints_version(&own)
             || theirs.evacuation > own.evacuation)
     {
         tokio::spawn(fetch(Arc::clone(state), source, own));
@@ -335,7 +342,7 @@
         state.adopt_config(config, &address);
     }
     if let Some(snapshot) = parse_json(&endpoints, &address)
-        && lock(&state.tracker).adopt(&snapshot)
+        && lock(&state.tracker).adopt(snapshot, state.clock.now())
     {
         state.adopt_endpoints(&address);
     }
@@ -460,7 +467,7 @@
             knowledge.config = to_json(&*config)?;
         }
         if let Some(snapshot) = snapshot
-            && snapshot.revision > theirs.endpoints
+            && snapshot.version > endpoints_version(&theirs)
         {
             knowledge.endpoints = to_json(&snapshot)?;
         }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -10,6 +10,7 @@
     placement::{Fleet, Key, Limit, Load},
     roster::{Gateway, Roster},
     share::{Budget, Throttle},
+    version::Version,
 };
 use std::{
     sync::{
@@ -159,8 +160,9 @@
     pub fn adopt_endpoints(&self, source: &str) {
         let snapshot = lock(&self.tracker).snapshot();
         Event::DirectoryChanged.log(format_args!(
-            "revision={} endpoints={} source={source}",
-            snapshot.revision,
+            "era={} revision={} endpoints={} source={source}",
+            snapshot.version.era,
+            snapshot.version.revision,
             snapshot.endpoints.len()
         ));
         lock(&self.fleet).update(&snapshot, self.clock.now());
@@ -201,13 +203,13 @@
         (snapshot, lock(&self.evacuation).clone())
     }
 
-    /// Returns the revisions of the list of endpoints and of the list of evacuated
-    /// data centres. The revision of an unknown list is zero.
+    /// Returns the version of the list of endpoints and the revision of the list of
+    /// evacuated data centres, which are zero if unknown.
     #[must_use]
-    pub fn revisions(&self) -> (u64, u64) {
+    pub fn versions(&self) -> (Version, u64) {
         let evacuation = lock(&self.evacuation);
         let evacuation = evacuation.as_ref().map_or(0, |one| one.revision);
-        (lock(&self.tracker).revision(), evacuation)
+        (lock(&self.tracker).version(), evacuation)
     }
 
     /// Returns whether the load balancer may send callers to this gateway.
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -7,6 +7,7 @@
     event::Event,
     retry,
     roster::Gateway,
+    version::Version,
 };
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
@@ -167,15 +168,21 @@
         Resource::Endpoints => {
             let endpoints = listing.objects.iter().filter_map(decode_endpoint).collect();
             let mut tracker = lock(&state.tracker);
-            report_ignored(resource, listing, tracker.revision());
-            tracker.replace_all(listing.version.revision, endpoints, state.clock.now());
+            let held = tracker.version();
+            let applied = tracker.replace_all(listing.version, endpoints, state.clock.now());
             drop(tracker);
-            state.adopt_endpoints("store");
+            if applied {
+                state.adopt_endpoints("store");
+            } else {
+                report_ignored(resource, listing, held);
+            }
         }
         Resource::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
-            let (_, held) = state.revisions();
-            report_ignored(resource, listing, held);
+            let (_, held) = state.versions();
+            if listing.version.revision < held {
+                report_ignored(resource, listing, Version::new(0, held));
+            }
             let evacuation = Evacuation::new(listing.version.revision, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
@@ -183,15 +190,15 @@
 }
 
 /// Logs a list that is older than what the gateway holds.
-fn report_ignored(resource: Resource, listing: &Listing, held: u64) {
-    if listing.version.revision < held {
-        Event::ListIgnored.log(format_args!(
-            "collection={:?} era={} revision={} held_revision={held}",
-            resource.collection(),
-            listing.version.era,
-            listing.version.revision,
-        ));
-    }
+fn report_ignored(resource: Resource, listing: &Listing, held: Version) {
+    Event::ListIgnored.log(format_args!(
+        "collection={:?} era={} revision={} held_era={} held_revision={}",
+        resource.collection(),
+        listing.version.era,
+        listing.version.revision,
+        held.era,
+        held.revision,
+    ));
 }
 
 fn apply_changes(state: &State, resource: Resource, changes: &Changes, names: &mut Vec<String>) {
@@ -220,18 +227,19 @@
 
 fn apply_endpoint_changes(state: &State, changes: &Changes) {
     let now = state.clock.now();
-    let revision = changes.version.revision;
+    let version = changes.version;
     let mut tracker = lock(&state.tracker);
-    // A newer list may already have been fetched from another gateway.
-    if revision <= tracker.revision() {
+    // A newer list may already have been fetched from another gateway. Changes of a
+    // later era follow a list of that era.
+    if version <= tracker.version() || version.era != tracker.version().era {
         return;
     }
     for change in &changes.changes {
         let (Change::Put(object) | Change::Deleted(object)) = change;
         let written = matches!(change, Change::Put(_));
         match written.then(|| decode_endpoint(object)).flatten() {
-            Some(endpoint) => tracker.put(revision, endpoint),
-            None => tracker.remove(revision, &object.name, now),
+            Some(endpoint) => tracker.put(version, endpoint),
+            None => tracker.remove(version, &object.name, now),
         }
     }
     drop(tracker);
