Order evacuations by the era of the store, and hold them while they are written again

Gateways sent callers' requests to a data centre that the operator had evacuated, for as long as the store counted below what they had read before it came back from a copy. Had they taken what the copy holds, they would have sent there until the operator had written the evacuation again.

Cause: adopt_evacuation compared revisions across two histories of the store.

Change: the list carries a Version, the era first, also between gateways. What was evacuated before a later era stays so for two seconds, unless the store names it and takes it back within that era; then the store's word counts. Gateways pass on the store's word, and each holds what it knew itself.

--- a/crates/cicadacrank-core/src/directory/mod.rs
+++ b/crates/cicadacrank-core/src/directory/mod.rs
@@ -5,6 +5,7 @@
 //! by their [`Incarnation`], because an endpoint that restarts under the same
 //! id has lost its earlier state.
 
+pub mod evacuation;
 mod tracker;
 
 pub use self::tracker::Tracker;
@@ -74,11 +75,12 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-/// Data centres that get no new work, at one revision of the store.
+/// Data centres that get no new work, at one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuation {
-    /// Revision of the store that the list is taken from.
-    pub revision: u64,
+    /// Version of the store that the list is taken from.
+    #[serde(flatten)]
+    pub version: Version,
     /// Names of the data centres, sorted.
     pub data_centres: Vec<String>,
 }
@@ -95,10 +97,10 @@
 impl Evacuation {
     /// Creates the list from names in any order.
     #[must_use]
-    pub fn new(revision: u64, mut data_centres: Vec<String>) -> Self {
+    pub fn new(version: Version, mut data_centres: Vec<String>) -> Self {
         data_centres.sort();
         Self {
-            revision,
+            version,
             data_centres,
         }
     }
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -1,7 +1,7 @@
 //! Tests for tracking the list of endpoints across outages of the store.
 
 use cicadacrank_core::{
-    directory::{Endpoint, Evacuation, Incarnation, Snapshot, State, Tracker},
+    directory::{Endpoint, Evacuation, Incarnation, Snapshot, State, Tracker, evacuation},
     version::Version,
 };
 use std::time::Duration;
@@ -140,7 +140,7 @@
 
 #[test]
 fn evacuation_covers_named_data_centres() {
-    let evacuation = Evacuation::new(3, vec!["y".to_owned(), "x".to_owned()]);
+    let evacuation = Evacuation::new(version(3), vec!["y".to_owned(), "x".to_owned()]);
     assert!(evacuation.covers("x"));
     assert!(!evacuation.covers("z"));
 }
@@ -307,3 +307,68 @@
         r#"{"era":1,"revision":3,"endpoints":[]}"#
     );
 }
+
+fn evacuated(tracker: &evacuation::Tracker) -> Vec<String> {
+    let in_force = tracker.in_force();
+    in_force.expect("a list is known").data_centres
+}
+
+fn evacuations(version: Version, names: &[&str]) -> Evacuation {
+    Evacuation::new(version, names.iter().map(|&name| name.to_owned()).collect())
+}
+
+/// An evacuation of a store that counted below what the process held was ignored.
+#[test]
+fn evacuation_of_a_later_era_is_taken_whatever_its_revision() {
+    let mut tracker = evacuation::Tracker::default();
+    assert!(tracker.in_force().is_none());
+    assert!(tracker.adopt(evacuations(version(9), &[]), at(0.0)));
+    assert!(tracker.adopt(evacuations(later(3), &["x"]), at(1.0)));
+    assert!(!tracker.adopt(evacuations(version(12), &[]), at(1.0)));
+    assert!(!tracker.adopt(evacuations(later(3), &[]), at(1.0)));
+    assert_eq!(evacuated(&tracker), ["x"]);
+    assert!(tracker.adopt(evacuations(later(4), &[]), at(1.0)));
+    assert!(evacuated(&tracker).is_empty());
+}
+
+/// Work went to an evacuated data centre until the operator had named it again.
+#[test]
+fn evacuation_that_a_copy_lacks_is_held_for_the_grace_period() {
+    for written_again in [false, true] {
+        let mut tracker = evacuation::Tracker::default();
+        tracker.adopt(evacuations(version(9), &["x", "y"]), at(0.0));
+        tracker.adopt(evacuations(later(3), &["y"]), at(1.0));
+        assert_eq!(evacuated(&tracker), ["x", "y"]);
+        let current = tracker.current().expect("a list is known");
+        assert_eq!(current.data_centres, ["y"]);
+        if written_again {
+            tracker.adopt(evacuations(later(4), &["x", "y"]), at(2.0));
+        }
+        assert!(!tracker.expire(at(2.9)));
+        assert_eq!(evacuated(&tracker), ["x", "y"]);
+        assert_eq!(tracker.expire(at(3.0)), !written_again);
+        assert_eq!(evacuated(&tracker).len(), 1 + usize::from(written_again));
+    }
+}
+
+#[test]
+fn evacuation_that_is_taken_back_in_the_grace_period_ends_at_once() {
+    let mut tracker = evacuation::Tracker::default();
+    tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+    tracker.adopt(evacuations(later(3), &["x"]), at(1.0));
+    tracker.adopt(evacuations(later(4), &[]), at(1.5));
+    assert!(evacuated(&tracker).is_empty());
+}
+
+/// The second copy may lack what was held after the first return.
+#[test]
+fn evacuation_is_held_across_two_returns() {
+    let mut tracker = evacuation::Tracker::default();
+    tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+    tracker.adopt(evacuations(later(3), &[]), at(1.0));
+    tracker.adopt(evacuations(Version::new(2, 3), &[]), at(2.5));
+    tracker.expire(at(3.5));
+    assert_eq!(evacuated(&tracker), ["x"]);
+    assert!(tracker.expire(at(4.5)));
+    assert!(evacuated(&tracker).is_empty());
+}
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -190,7 +190,7 @@
             .choose_plain("engine", &Locality::default(), NOW)
             .is_some()
     );
-    fleet.set_evacuation(Evacuation::new(2, vec!["x".to_owned()]));
+    fleet.set_evacuation(Evacuation::new(Version::new(0, 2), vec!["x".to_owned()]));
     assert_eq!(
         fleet.choose_plain("engine", &Locality::default(), NOW),
         None
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -259,8 +259,9 @@
     Versions {
         config: state.config().map_or(0, |config| config.version),
         endpoints: endpoints.revision,
-        evacuation,
+        evacuation: evacuation.revision,
         endpoints_era: endpoints.era,
+        evacuation_era: evacuation.era,
     }
 }
 
@@ -269,6 +270,11 @@
     Version::new(versions.endpoints_era, versions.endpoints)
 }
 
+/// Returns the version of the list of evacuated data centres.
+const fn evacuation_version(versions: &Versions) -> Version {
+    Version::new(versions.evacuation_era, versions.evacuation)
+}
+
 /// Processes a heartbeat. If its sender has newer state, fetches that from
 /// `address` or, if `address` is empty, from the address that the sender names.
 fn handle_heartbeat(state: &Arc<State>, beat: Beat, address: &str) {
@@ -320,7 +326,7 @@
     if let Some(theirs) = beat.versions
         && (theirs.config > own.config
             || endpoints_version(&theirs) > endpoints_version(&own)
-            || theirs.evacuation > own.evacuation)
+            || evacuation_version(&theirs) > evacuation_version(&own))
     {
         tokio::spawn(fetch(Arc::clone(state), source, own));
     }
@@ -472,7 +478,7 @@
             knowledge.endpoints = to_json(&snapshot)?;
         }
         if let Some(evacuation) = evacuation
-            && evacuation.revision > theirs.evacuation
+            && evacuation.version > evacuation_version(&theirs)
         {
             knowledge.evacuation = to_json(&evacuation)?;
         }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use crate::{clock::Clock, metrics::gateway::Metrics, platform, quarantine::Causes};
 use cicadacrank_core::{
     config::Config,
-    directory::{Evacuation, Incarnation, Snapshot, Tracker},
+    directory::{Evacuation, Incarnation, Snapshot, Tracker, evacuation},
     event::Event,
     placement::{Fleet, Key, Limit, Load},
     roster::{Gateway, Roster},
@@ -44,7 +44,7 @@
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
     config: Mutex<Option<Arc<Config>>>,
-    evacuation: Mutex<Option<Evacuation>>,
+    evacuation: Mutex<evacuation::Tracker>,
     listed: AtomicBool,
     loads: Mutex<Vec<Loads>>,
     services: Mutex<Vec<Service>>,
@@ -172,27 +172,44 @@
     }
 
     /// Applies a list of evacuated data centres. Ignores it if it is not newer
-    /// than the current one.
-    pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) {
-        let mut current = lock(&self.evacuation);
-        if current
-            .as_ref()
-            .is_some_and(|current| evacuation.revision <= current.revision)
-        {
-            return;
-        }
-        let before = current.as_ref().map(|current| current.data_centres.clone());
-        if before.as_ref() != Some(&evacuation.data_centres) {
+    /// than the current one. Returns whether it was applied.
+    pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) -> bool {
+        let now = self.clock.now();
+        self.update_evacuation(source, |tracker| tracker.adopt(evacuation, now))
+    }
+
+    /// Ends the evacuations that have not been written again since the store came
+    /// back from a copy.
+    pub(super) fn expire_evacuation(&self) {
+        let now = self.clock.now();
+        self.update_evacuation("expiry", |tracker| tracker.expire(now));
+    }
+
+    /// Updates the evacuated data centres, and logs and applies a change. Returns the
+    /// result of the update, which states whether there may be a change.
+    fn update_evacuation(
+        &self,
+        source: &str,
+        update: impl FnOnce(&mut evacuation::Tracker) -> bool,
+    ) -> bool {
+        let mut tracker = lock(&self.evacuation);
+        let before = tracker.in_force();
+        let updated = update(&mut tracker);
+        let in_force = tracker.in_force();
+        drop(tracker);
+        let Some(in_force) = in_force.filter(|_| updated) else {
+            return updated;
+        };
+        if before.map(|before| before.data_centres).as_ref() != Some(&in_force.data_centres) {
             Event::EvacuationChanged.log(format_args!(
-                "revision={} data_centres={:?} source={source}",
-                evacuation.revision, evacuation.data_centres
+                "era={} revision={} data_centres={:?} source={source}",
+                in_force.version.era, in_force.version.revision, in_force.data_centres
             ));
         }
-        *current = Some(evacuation.clone());
-        drop(current);
-        lock(&self.fleet).set_evacuation(evacuation);
+        lock(&self.fleet).set_evacuation(in_force);
         self.refresh_pools();
         self.check_ready();
+        true
     }
 
     /// Returns the list of endpoints, if it may be passed on, and, if known, the
@@ -200,15 +217,16 @@
     #[must_use]
     pub fn directory(&self) -> (Option<Snapshot>, Option<Evacuation>) {
         let snapshot = lock(&self.tracker).shareable();
-        (snapshot, lock(&self.evacuation).clone())
+        (snapshot, lock(&self.evacuation).current().cloned())
     }
 
-    /// Returns the version of the list of endpoints and the revision of the list of
-    /// evacuated data centres, which are zero if unknown.
+    /// Returns the versions of the list of endpoints and of the list of evacuated
+    /// data centres, which are zero if unknown.
     #[must_use]
-    pub fn versions(&self) -> (Version, u64) {
+    pub fn versions(&self) -> (Version, Version) {
         let evacuation = lock(&self.evacuation);
-        let evacuation = evacuation.as_ref().map_or(0, |one| one.revision);
+        let evacuation = evacuation.current().map(|one| one.version);
+        let evacuation = evacuation.unwrap_or_default();
         (lock(&self.tracker).version(), evacuation)
     }
 
@@ -370,7 +388,7 @@
     /// Updates whether the gateway is initialized, and logs a change.
     fn check_ready(&self) {
         let ready = lock(&self.config).is_some()
-            && lock(&self.evacuation).is_some()
+            && lock(&self.evacuation).current().is_some()
             && self.listed.load(Ordering::Relaxed);
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             Event::ReadyChanged.log(format_args!("ready={ready}"));
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -180,11 +180,10 @@
         Resource::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
             let (_, held) = state.versions();
-            if listing.version.revision < held {
-                report_ignored(resource, listing, Version::new(0, held));
+            let evacuation = Evacuation::new(listing.version, names.clone());
+            if !state.adopt_evacuation(evacuation, "store") && listing.version < held {
+                report_ignored(resource, listing, held);
             }
-            let evacuation = Evacuation::new(listing.version.revision, names.clone());
-            state.adopt_evacuation(evacuation, "store");
         }
     }
 }
@@ -219,7 +218,7 @@
                     names.push(object.name.clone());
                 }
             }
-            let evacuation = Evacuation::new(changes.version.revision, names.clone());
+            let evacuation = Evacuation::new(changes.version, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
     }
@@ -345,5 +344,6 @@
         if expired {
             state.adopt_endpoints("expiry");
         }
+        state.expire_evacuation();
     }
 }
