Take the same version of the configuration from a later era of the store

What callers could see: after the store has come back from a copy, the operator may write a version again whose content differs from what was lost; gateways kept the lost content until the next version.

Cause: a configuration was compared by its version alone.

Change: a gateway remembers the era of the store that held its configuration last. The same version with another content in a later era is taken, also from another gateway. A lower version is never taken, in any era: operators number the versions, and the copy holds an older one for a moment only. It is logged now (226), with the version in force; 220 logs the era.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -59,6 +59,7 @@
     EvacuationChanged = 223, Info, "The set of evacuated data centres changed.";
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
     ListIgnored = 225, Warn, "A list from the platform was not applied, because a newer one is in use.";
+    OlderConfigHeld = 226, Warn, "An older configuration than the one in force was read; the one in force stays.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -262,9 +262,16 @@
         evacuation: evacuation.revision,
         endpoints_era: endpoints.era,
         evacuation_era: evacuation.era,
+        config_era: state.config_era(),
     }
 }
 
+/// Returns the version of the configuration, which operators number, and the era of
+/// the store that held it last.
+const fn config_version(versions: &Versions) -> (u64, u64) {
+    (versions.config, versions.config_era)
+}
+
 /// Returns the version of the list of endpoints.
 const fn endpoints_version(versions: &Versions) -> Version {
     Version::new(versions.endpoints_era, versions.endpoints)
@@ -324,7 +331,7 @@
     }
     let own = versions(state);
     if let Some(theirs) = beat.versions
-        && (theirs.config > own.config
+        && (config_version(&theirs) > config_version(&own)
             || endpoints_version(&theirs) > endpoints_version(&own)
             || evacuation_version(&theirs) > evacuation_version(&own))
     {
@@ -343,9 +350,10 @@
         config,
         endpoints,
         evacuation,
+        config_era,
     } = knowledge.into_inner();
     if let Some(config) = parse_json(&config, &address) {
-        state.adopt_config(config, &address);
+        state.adopt_config(config, config_era, &address);
     }
     if let Some(snapshot) = parse_json(&endpoints, &address)
         && lock(&state.tracker).adopt(snapshot, state.clock.now())
@@ -467,10 +475,12 @@
         let theirs = request.into_inner();
         let (snapshot, evacuation) = self.0.directory();
         let mut knowledge = Knowledge::default();
+        let config_era = self.0.config_era();
         if let Some(config) = self.0.config()
-            && config.version > theirs.config
+            && (config.version, config_era) > config_version(&theirs)
         {
             knowledge.config = to_json(&*config)?;
+            knowledge.config_era = config_era;
         }
         if let Some(snapshot) = snapshot
             && snapshot.version > endpoints_version(&theirs)
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -13,6 +13,7 @@
     version::Version,
 };
 use std::{
+    cmp,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -43,7 +44,7 @@
     pub(super) pools: Pools,
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
-    config: Mutex<Option<Arc<Config>>>,
+    config: Mutex<Option<Adopted>>,
     evacuation: Mutex<evacuation::Tracker>,
     listed: AtomicBool,
     loads: Mutex<Vec<Loads>>,
@@ -73,6 +74,14 @@
     }
 }
 
+/// The configuration in force.
+#[derive(Debug)]
+struct Adopted {
+    config: Arc<Config>,
+    /// Era of the store that held it last.
+    era: u64,
+}
+
 #[derive(Debug)]
 struct Loads {
     instance: String,
@@ -130,26 +139,52 @@
     /// Returns the current configuration, if any.
     #[must_use]
     pub fn config(&self) -> Option<Arc<Config>> {
-        lock(&self.config).clone()
+        let current = lock(&self.config);
+        current.as_ref().map(|current| Arc::clone(&current.config))
     }
 
-    /// Applies a configuration. Ignores it if it is not newer than the current
-    /// one.
-    pub fn adopt_config(&self, config: Config, source: &str) {
+    /// Returns the era of the store that held the current configuration last.
+    pub(super) fn config_era(&self) -> u64 {
+        lock(&self.config).as_ref().map_or(0, |current| current.era)
+    }
+
+    /// Applies a configuration that the store held in an era. Ignores it if its
+    /// version is lower than that of the current one, because operators number the
+    /// versions themselves. The same version is applied if it is of a later era and
+    /// has another content.
+    pub fn adopt_config(&self, config: Config, era: u64, source: &str) {
         let mut current = lock(&self.config);
-        let before = current.as_ref().map_or(0, |config| config.version);
-        if current.is_some() && config.version <= before {
-            return;
+        let mut before = 0;
+        if let Some(current) = &mut *current {
+            before = current.config.version;
+            match config.version.cmp(&before) {
+                cmp::Ordering::Less => {
+                    Event::OlderConfigHeld.log(format_args!(
+                        "version={} held_version={before} era={era} source={source}",
+                        config.version
+                    ));
+                    return;
+                }
+                cmp::Ordering::Equal if era <= current.era => return,
+                cmp::Ordering::Equal if config == *current.config => {
+                    current.era = era;
+                    return;
+                }
+                cmp::Ordering::Equal | cmp::Ordering::Greater => {}
+            }
         }
         Event::ConfigAdopted.log(format_args!(
-            "version={} before={before} source={source} routes={} teams={}",
+            "version={} before={before} era={era} source={source} routes={} teams={}",
             config.version,
             config.routes.len(),
             config.teams.len()
         ));
         self.metrics.config_version.set(as_i64(config.version));
         let config = Arc::new(config);
-        *current = Some(Arc::clone(&config));
+        *current = Some(Adopted {
+            config: Arc::clone(&config),
+            era,
+        });
         drop(current);
         self.pools.set_config(&config);
         self.refresh_pools();
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -252,7 +252,7 @@
         return;
     }
     match platform::config::decode(&object.spec) {
-        Ok(config) => state.adopt_config(config, "store"),
+        Ok(config) => state.adopt_config(config, object.version.era, "store"),
         Err(error) => Event::ConfigRejected.log(format_args!(
             "object={} revision={} error={error}",
             object.name, object.version.revision
