Register a gateway again after the store has come back from a copy

A gateway that registered after the copy was made was missing in the store from then on. Gateways that start without seeds, or whose seeds are gone, didn't find it; nothing was seen of it by callers.

Cause: the registration was written once, at the start.

Evidence: gateway_registers_again_after_the_return_of_the_store failed before and passes; all seven tests of restored.rs pass.

--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -271,44 +271,51 @@
         .ok()
 }
 
-/// Registers this gateway in the store, then adds the gateways registered there to
-/// the roster.
+/// Keeps this gateway registered in the store: at the start, and again whenever the
+/// store has come back from a copy, which may lack the registration.
 async fn register(state: Arc<State>) {
+    let mut failures = Failures::new(Collection::Gateways);
+    let mut era = register_once(&state, &mut failures).await;
+    loop {
+        let before = era;
+        era = state.store.newer_era(before).await;
+        Event::PlatformRestored.log(format_args!("era={era} before={before}"));
+        era = register_once(&state, &mut failures).await;
+    }
+}
+
+/// Registers this gateway in the store, then adds the gateways registered there to
+/// the roster. Returns an era of the store that holds the registration.
+async fn register_once(state: &State, failures: &mut Failures) -> u64 {
     let local = lock(&state.roster).local().clone();
     let content = json!({
         "address": local.address,
         "incarnation": local.incarnation,
     });
-    let mut failures = Failures::new(Collection::Gateways);
-    loop {
-        state.metrics.store_calls.inc();
-        let put = state
+    let put = || {
+        // One call to create the object, and one to replace it if it exists.
+        state.metrics.store_calls.inc_by(2);
+        state
             .store
             .put(Collection::Gateways, &local.instance, content.clone())
-            .await;
-        state.metrics.store_calls.inc();
-        match put {
-            Ok(()) => break,
-            Err(fault) => failures.back_off(&state, &fault).await,
+    };
+    let era = loop {
+        match put().await {
+            Ok(version) => break version.era,
+            Err(fault) => failures.back_off(state, &fault).await,
         }
-    }
+    };
     loop {
         state.metrics.store_calls.inc();
         match state.store.list(Collection::Gateways).await {
             Ok(listing) => {
-                failures.record_success(&state);
-                record_gateways(&state, &listing);
-                break;
+                failures.record_success(state);
+                record_gateways(state, &listing);
+                return era;
             }
-            Err(fault) => failures.back_off(&state, &fault).await,
+            Err(fault) => failures.back_off(state, &fault).await,
         }
     }
-    let mut before = state.store.era();
-    loop {
-        let era = state.store.newer_era(before).await;
-        Event::PlatformRestored.log(format_args!("era={era} before={before}"));
-        before = era;
-    }
 }
 
 fn record_gateways(state: &State, listing: &Listing) {
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -180,21 +180,26 @@
         })
     }
 
-    /// Creates an object, or replaces it if it exists.
+    /// Creates an object, or replaces it if it exists. Returns its version.
     ///
     /// # Errors
     ///
     /// Returns a fault if the object may not have been written.
-    pub async fn put(&self, collection: Collection, name: &str, spec: Value) -> Result<(), Fault> {
+    pub async fn put(
+        &self,
+        collection: Collection,
+        name: &str,
+        spec: Value,
+    ) -> Result<Version, Fault> {
         match self
             .write(Method::POST, collection, name, None, &spec)
             .await
         {
             Err(Fault::Conflict) => {
                 let put = self.write(Method::PUT, collection, name, None, &spec);
-                put.await.map(drop)
+                put.await
             }
-            other => other.map(drop),
+            other => other,
         }
     }
 
