Test that gateways learn of the store's return from each other

A gateway that cannot reach the store gets lists of the new era, with lower revisions than it holds, from the others. The test starts a third gateway that reaches the store through a proxy of its own.

--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -20,7 +20,11 @@
 use crate::platform::Server;
 use cicadacrank_node::platform::Collection;
 use serde_json::{Value, json};
-use std::{io, path::PathBuf};
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 use tempfile::TempDir;
 
 /// Host of all routes.
@@ -98,6 +102,22 @@
         })
     }
 
+    /// Starts a further gateway, which reaches the store at the given address, and waits
+    /// until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the gateway does not start or is not ready in time.
+    pub async fn add_gateway(&mut self, program: &Path, store: SocketAddr) -> io::Result<()> {
+        let seeds = self.gateways.iter().map(Gateway::peer_address).collect();
+        let name = format!("gateway-{}", self.gateways.len());
+        let settings = gateway::Settings::new(&name, store, seeds)?;
+        let gateway = Gateway::start(program, self.folder.path(), settings)?;
+        gateway.wait_ready().await?;
+        self.gateways.push(gateway);
+        Ok(())
+    }
+
     /// Returns the endpoints that have the given role.
     pub fn endpoints_with(&self, role: Role) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.iter().filter(move |one| one.role == role)
--- a/crates/cicadacrankd/tests/restored.rs
+++ b/crates/cicadacrankd/tests/restored.rs
@@ -1,7 +1,7 @@
 //! Tests of gateways whose store comes back from a copy.
 
 use cicadacrank_bench::{
-    deployment::{Caller, Deployment, Gateway, Plan, Role, config, route, send},
+    deployment::{Caller, Deployment, Gateway, Impairment, Plan, Proxy, Role, config, route, send},
     fleet,
     platform::Copy,
 };
@@ -253,6 +253,34 @@
     wait_for_status(&deployment, "/other/", 200).await;
 }
 
+/// A gateway that cannot read the store took no list of a lower revision from another.
+#[tokio::test]
+async fn gateway_without_the_store_learns_of_its_return_from_others() {
+    let mut deployment = deployment().await;
+    let proxy = Proxy::start(deployment.store.address).await;
+    let proxy = proxy.expect("failed to start the proxy");
+    let program = env!("CARGO_BIN_EXE_cicadacrankd");
+    deployment
+        .add_gateway(program.as_ref(), proxy.address)
+        .await
+        .expect("failed to start a third gateway");
+    let copy = deployment.store.state().save();
+    write_lost_changes(&deployment).await;
+    proxy.set_impairment(Impairment::Reset);
+    deployment.store.state().restore(&copy);
+    evacuate(&deployment);
+    wait_for_status(&deployment, "/look/1", 503).await;
+    deployment
+        .store
+        .state()
+        .remove(Collection::Evacuations, DATA_CENTRE);
+    wait_for_status(&deployment, "/look/1", 200).await;
+    register_desks(&deployment, "draining", 2);
+    wait_for_status(&deployment, "/look/1", 503).await;
+    let log = deployment.gateways[2].log_text();
+    assert!(!log.contains("PlatformRestored"), "{log}");
+}
+
 /// A gateway registered only once, so that gateways that started later did not find it.
 #[tokio::test]
 async fn gateway_registers_again_after_the_return_of_the_store() {
