--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -52,6 +52,7 @@
     GenerationRejected = 201, Error, "A newer configuration could not be read; the previous one stays in force.";
     PlatformFailed = 210, Warn, "A call to the platform failed.";
     PlatformRegained = 211, Info, "A call to the platform succeeded after failures.";
+    PlatformRestored = 212, Warn, "The platform's store came back from a copy.";
     ConfigAdopted = 220, Info, "A newer configuration from the platform is in force.";
     ConfigRejected = 221, Error, "An object from the platform could not be read; the previous version stays in use.";
     DirectoryChanged = 222, Info, "The list of endpoints changed.";
@@ -59,6 +60,8 @@
     LimitChanged = 224, Info, "An endpoint states another limit for its requests, or none.";
     EndpointLeaving = 225, Info, "An endpoint states that it leaves; it gets no more work.";
     EndpointPaused = 226, Info, "An endpoint states that it wants no requests from this process for some time.";
+    ListIgnored = 227, Warn, "A list from the platform was not applied, because a newer one is in use.";
+    OlderConfigHeld = 228, Warn, "An older configuration than the one in force was read; the one in force stays.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -4,6 +4,7 @@
     config::Config,
     directory::{Endpoint, Incarnation, Snapshot, State},
     placement::{Fleet, Key, Locality, Prompt},
+    version::Version,
 };
 use std::time::Duration;
 
@@ -36,7 +37,7 @@
 
 fn list(fleet: &mut Fleet, lives: &[Incarnation]) {
     let endpoints = lives.iter().cloned().map(endpoint).collect();
-    fleet.update(&Snapshot::new(1, endpoints), NOW);
+    fleet.update(&Snapshot::new(Version::new(0, 1), endpoints), NOW);
 }
 
 fn fleet(ids: &[&str]) -> Fleet {
@@ -139,7 +140,7 @@
     assert_eq!(leaving, [&life("a", 1)]);
     let mut draining = endpoint(life("a", 1));
     draining.state = State::Draining;
-    fleet.update(&Snapshot::new(2, vec![draining]), NOW);
+    fleet.update(&Snapshot::new(Version::new(0, 2), vec![draining]), NOW);
     assert_eq!(fleet.leaving().count(), 0);
 }
 
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -20,6 +20,7 @@
     event::Event,
     placement::{Limit, Load},
     roster::Gateway,
+    version::Version,
 };
 use cicadacrank_wire::wire::{
     Beat, EndpointLimit, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released,
@@ -261,14 +262,33 @@
 }
 
 fn versions(state: &State) -> Versions {
-    let (endpoints, evacuation) = state.revisions();
+    let (endpoints, evacuation) = state.versions();
     Versions {
         config: state.config().map_or(0, |config| config.version),
-        endpoints,
-        evacuation,
+        endpoints: endpoints.revision,
+        evacuation: evacuation.revision,
+        endpoints_era: endpoints.era,
+        evacuation_era: evacuation.era,
+        config_era: state.config_era(),
     }
 }
 
+/// Returns the version of the configuration, which operators number, and the era of
+/// the store that held it last.
+const fn config_version(versions: &Versions) -> (u64, u64) {
+    (versions.config, versions.config_era)
+}
+
+/// Returns the version of the list of endpoints.
+const fn endpoints_version(versions: &Versions) -> Version {
+    Version::new(versions.endpoints_era, versions.endpoints)
+}
+
+/// Returns the version of the list of evacuated data centres.
+const fn evacuation_version(versions: &Versions) -> Version {
+    Version::new(versions.evacuation_era, versions.evacuation)
+}
+
 /// Processes a heartbeat. If its sender has newer state, fetches that from
 /// `address` or, if `address` is empty, from the address that the sender names.
 fn handle_heartbeat(state: &Arc<State>, beat: Beat, address: &str) {
@@ -321,9 +341,9 @@
     }
     let own = versions(state);
     if let Some(theirs) = beat.versions
-        && (theirs.config > own.config
-            || theirs.endpoints > own.endpoints
-            || theirs.evacuation > own.evacuation)
+        && (config_version(&theirs) > config_version(&own)
+            || endpoints_version(&theirs) > endpoints_version(&own)
+            || evacuation_version(&theirs) > evacuation_version(&own))
     {
         tokio::spawn(fetch(Arc::clone(state), source, own));
     }
@@ -340,12 +360,13 @@
         config,
         endpoints,
         evacuation,
+        config_era,
     } = knowledge.into_inner();
     if let Some(config) = parse_json(&config, &address) {
-        state.adopt_config(config, &address);
+        state.adopt_config(config, config_era, &address);
     }
     if let Some(snapshot) = parse_json(&endpoints, &address)
-        && lock(&state.tracker).adopt(&snapshot)
+        && lock(&state.tracker).adopt(snapshot, state.clock.now())
     {
         state.adopt_endpoints(&address);
     }
@@ -464,18 +485,20 @@
         let theirs = request.into_inner();
         let (snapshot, evacuation) = self.0.directory();
         let mut knowledge = Knowledge::default();
+        let config_era = self.0.config_era();
         if let Some(config) = self.0.config()
-            && config.version > theirs.config
+            && (config.version, config_era) > config_version(&theirs)
         {
             knowledge.config = to_json(&*config)?;
+            knowledge.config_era = config_era;
         }
         if let Some(snapshot) = snapshot
-            && snapshot.revision > theirs.endpoints
+            && snapshot.version > endpoints_version(&theirs)
         {
             knowledge.endpoints = to_json(&snapshot)?;
         }
         if let Some(evacuation) = evacuation
-            && evacuation.revision > theirs.evacuation
+            && evacuation.version > evacuation_version(&theirs)
         {
             knowledge.evacuation = to_json(&evacuation)?;
         }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -10,13 +10,15 @@
 };
 use cicadacrank_core::{
     config::Config,
-    directory::{Evacuation, Incarnation, Snapshot, Tracker},
+    directory::{Evacuation, Incarnation, Snapshot, Tracker, evacuation},
     event::Event,
     placement::{Fleet, Key, Limit, Load},
     roster::{Gateway, Roster},
     share::{Budget, Throttle},
+    version::Version,
 };
 use std::{
+    cmp,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -51,8 +53,8 @@
     pub(super) pools: Pools,
     pub(super) links: Links,
     pub(super) body_bytes: tokio::sync::Semaphore,
-    config: Mutex<Option<Arc<Config>>>,
-    evacuation: Mutex<Option<Evacuation>>,
+    config: Mutex<Option<Adopted>>,
+    evacuation: Mutex<evacuation::Tracker>,
     listed: AtomicBool,
     loads: Mutex<Vec<Loads>>,
     services: Mutex<Vec<Service>>,
@@ -82,6 +84,14 @@
     }
 }
 
+/// The configuration in force.
+#[derive(Debug)]
+struct Adopted {
+    config: Arc<Config>,
+    /// Era of the store that held it last.
+    era: u64,
+}
+
 #[derive(Debug)]
 struct Loads {
     instance: String,
@@ -139,19 +149,43 @@
     /// Returns the current configuration, if any.
     #[must_use]
     pub fn config(&self) -> Option<Arc<Config>> {
-        lock(&self.config).clone()
+        let current = lock(&self.config);
+        current.as_ref().map(|current| Arc::clone(&current.config))
+    }
+
+    /// Returns the era of the store that held the current configuration last.
+    pub(super) fn config_era(&self) -> u64 {
+        lock(&self.config).as_ref().map_or(0, |current| current.era)
     }
 
-    /// Applies a configuration. Ignores it if it is not newer than the current
-    /// one.
-    pub fn adopt_config(&self, config: Config, source: &str) {
+    /// Applies a configuration that the store held in an era. Ignores it if its
+    /// version is lower than that of the current one, because operators number the
+    /// versions themselves. The same version is applied if it is of a later era and
+    /// has another content.
+    pub fn adopt_config(&self, config: Config, era: u64, source: &str) {
         let mut current = lock(&self.config);
-        let before = current.as_ref().map_or(0, |config| config.version);
-        if current.is_some() && config.version <= before {
-            return;
+        let mut before = 0;
+        if let Some(current) = &mut *current {
+            before = current.config.version;
+            match config.version.cmp(&before) {
+                cmp::Ordering::Less => {
+                    Event::OlderConfigHeld.log(format_args!(
+                        "version={} held_version={before} era={era} source={source}",
+                        config.version
+                    ));
+                    return;
+                }
+                cmp::Ordering::Equal if era <= current.era => return,
+                cmp::Ordering::Equal if config == *current.config => {
+                    current.era = era;
+                    return;
+                }
+                cmp::Ordering::Equal | cmp::Ordering::Greater => {}
+            }
         }
         Event::ConfigAdopted.log(format_args!(
-            "version={} before={before} source={source} routes={} teams={} idle_timeout_ms={}",
+            "version={} before={before} era={era} source={source} routes={} teams={} \
+             idle_timeout_ms={}",
             config.version,
             config.routes.len(),
             config.teams.len(),
@@ -159,7 +193,10 @@
         ));
         self.metrics.config_version.set(as_i64(config.version));
         let config = Arc::new(config);
-        *current = Some(Arc::clone(&config));
+        *current = Some(Adopted {
+            config: Arc::clone(&config),
+            era,
+        });
         drop(current);
         self.pools.set_config(&config);
         self.refresh_pools();
@@ -170,8 +207,9 @@
     pub fn adopt_endpoints(&self, source: &str) {
         let snapshot = lock(&self.tracker).snapshot();
         Event::DirectoryChanged.log(format_args!(
-            "revision={} endpoints={} source={source}",
-            snapshot.revision,
+            "era={} revision={} endpoints={} source={source}",
+            snapshot.version.era,
+            snapshot.version.revision,
             snapshot.endpoints.len()
         ));
         lock(&self.fleet).update(&snapshot, self.clock.now());
@@ -181,27 +219,44 @@
     }
 
     /// Applies a list of evacuated data centres. Ignores it if it is not newer
-    /// than the current one.
-    pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) {
-        let mut current = lock(&self.evacuation);
-        if current
-            .as_ref()
-            .is_some_and(|current| evacuation.revision <= current.revision)
-        {
-            return;
-        }
-        let before = current.as_ref().map(|current| current.data_centres.clone());
-        if before.as_ref() != Some(&evacuation.data_centres) {
+    /// than the current one. Returns whether it was applied.
+    pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) -> bool {
+        let now = self.clock.now();
+        self.update_evacuation(source, |tracker| tracker.adopt(evacuation, now))
+    }
+
+    /// Ends the evacuations that have not been written again since the store came
+    /// back from a copy.
+    pub(super) fn expire_evacuation(&self) {
+        let now = self.clock.now();
+        self.update_evacuation("expiry", |tracker| tracker.expire(now));
+    }
+
+    /// Updates the evacuated data centres, and logs and applies a change. Returns the
+    /// result of the update, which states whether there may be a change.
+    fn update_evacuation(
+        &self,
+        source: &str,
+        update: impl FnOnce(&mut evacuation::Tracker) -> bool,
+    ) -> bool {
+        let mut tracker = lock(&self.evacuation);
+        let before = tracker.in_force();
+        let updated = update(&mut tracker);
+        let in_force = tracker.in_force();
+        drop(tracker);
+        let Some(in_force) = in_force.filter(|_| updated) else {
+            return updated;
+        };
+        if before.map(|before| before.data_centres).as_ref() != Some(&in_force.data_centres) {
             Event::EvacuationChanged.log(format_args!(
-                "revision={} data_centres={:?} source={source}",
-                evacuation.revision, evacuation.data_centres
+                "era={} revision={} data_centres={:?} source={source}",
+                in_force.version.era, in_force.version.revision, in_force.data_centres
             ));
         }
-        *current = Some(evacuation.clone());
-        drop(current);
-        lock(&self.fleet).set_evacuation(evacuation);
+        lock(&self.fleet).set_evacuation(in_force);
         self.refresh_pools();
         self.check_ready();
+        true
     }
 
     /// Returns the list of endpoints, if it may be passed on, and, if known, the
@@ -209,16 +264,17 @@
     #[must_use]
     pub fn directory(&self) -> (Option<Snapshot>, Option<Evacuation>) {
         let snapshot = lock(&self.tracker).shareable();
-        (snapshot, lock(&self.evacuation).clone())
+        (snapshot, lock(&self.evacuation).current().cloned())
     }
 
-    /// Returns the revisions of the list of endpoints and of the list of evacuated
-    /// data centres. The revision of an unknown list is zero.
+    /// Returns the versions of the list of endpoints and of the list of evacuated
+    /// data centres, which are zero if unknown.
     #[must_use]
-    pub fn revisions(&self) -> (u64, u64) {
+    pub fn versions(&self) -> (Version, Version) {
         let evacuation = lock(&self.evacuation);
-        let evacuation = evacuation.as_ref().map_or(0, |one| one.revision);
-        (lock(&self.tracker).revision(), evacuation)
+        let evacuation = evacuation.current().map(|one| one.version);
+        let evacuation = evacuation.unwrap_or_default();
+        (lock(&self.tracker).version(), evacuation)
     }
 
     /// Returns whether the load balancer may send callers to this gateway.
@@ -429,7 +485,7 @@
     /// Updates whether the gateway is initialized, and logs a change.
     fn check_ready(&self) {
         let ready = lock(&self.config).is_some()
-            && lock(&self.evacuation).is_some()
+            && lock(&self.evacuation).current().is_some()
             && self.listed.load(Ordering::Relaxed);
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             Event::ReadyChanged.log(format_args!("ready={ready}"));
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -7,6 +7,7 @@
     event::Event,
     retry,
     roster::Gateway,
+    version::Version,
 };
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
@@ -173,23 +174,43 @@
                     None => invalid.push(object.name.as_str()),
                 }
             }
+            let version = listing.version;
             let mut tracker = lock(&state.tracker);
-            let revision = listing.version.number();
-            tracker.replace_all(revision, endpoints, state.clock.now());
+            let held = tracker.version();
+            let applied = tracker.replace_all(version, endpoints, state.clock.now());
             for name in invalid {
-                tracker.discard(revision, name);
+                tracker.discard(version, name);
             }
             drop(tracker);
-            state.adopt_endpoints("store");
+            if applied {
+                state.adopt_endpoints("store");
+            } else {
+                report_ignored(resource, listing, held);
+            }
         }
         Resource::Evacuation => {
             *names = listing.objects.iter().map(|one| one.name.clone()).collect();
-            let evacuation = Evacuation::new(listing.version.number(), names.clone());
-            state.adopt_evacuation(evacuation, "store");
+            let (_, held) = state.versions();
+            let evacuation = Evacuation::new(listing.version, names.clone());
+            if !state.adopt_evacuation(evacuation, "store") && listing.version < held {
+                report_ignored(resource, listing, held);
+            }
         }
     }
 }
 
+/// Logs a list that is older than what the gateway holds.
+fn report_ignored(resource: Resource, listing: &Listing, held: Version) {
+    Event::ListIgnored.log(format_args!(
+        "collection={:?} era={} revision={} held_era={} held_revision={}",
+        resource.collection(),
+        listing.version.era,
+        listing.version.revision,
+        held.era,
+        held.revision,
+    ));
+}
+
 fn apply_changes(state: &State, resource: Resource, changes: &Changes, names: &mut Vec<String>) {
     match resource {
         Resource::Config => {
@@ -208,7 +229,7 @@
                     names.push(object.name.clone());
                 }
             }
-            let evacuation = Evacuation::new(changes.version.number(), names.clone());
+            let evacuation = Evacuation::new(changes.version, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
     }
@@ -216,20 +237,21 @@
 
 fn apply_endpoint_changes(state: &State, changes: &Changes) {
     let now = state.clock.now();
-    let revision = changes.version.number();
+    let version = changes.version;
     let mut tracker = lock(&state.tracker);
-    // A newer list may already have been fetched from another gateway.
-    if revision <= tracker.revision() {
+    // A newer list may already have been fetched from another gateway. Changes of a
+    // later era follow a list of that era.
+    if version <= tracker.version() || version.era != tracker.version().era {
         return;
     }
     for change in &changes.changes {
         let (Change::Put(object) | Change::Deleted(object)) = change;
         match change {
             Change::Put(_) => match decode_endpoint(object) {
-                Some(endpoint) => tracker.put(revision, endpoint),
-                None => tracker.discard(revision, &object.name),
+                Some(endpoint) => tracker.put(version, endpoint),
+                None => tracker.discard(version, &object.name),
             },
-            Change::Deleted(_) => tracker.remove(revision, &object.name, now),
+            Change::Deleted(_) => tracker.remove(version, &object.name, now),
         }
     }
     drop(tracker);
@@ -243,11 +265,10 @@
         return;
     }
     match platform::config::decode(&object.spec) {
-        Ok(config) => state.adopt_config(config, "store"),
+        Ok(config) => state.adopt_config(config, object.version.era, "store"),
         Err(error) => Event::ConfigRejected.log(format_args!(
             "object={} revision={} error={error}",
-            object.name,
-            object.version.number()
+            object.name, object.version.revision
         )),
     }
 }
@@ -257,43 +278,55 @@
         .inspect_err(|error| {
             Event::ConfigRejected.log(format_args!(
                 "object={} revision={} error={error}",
-                object.name,
-                object.version.number()
+                object.name, object.version.revision
             ));
         })
         .ok()
 }
 
-/// Registers this gateway in the store, then adds the gateways registered there to
-/// the roster.
+/// Keeps this gateway registered in the store: at the start, and again whenever the
+/// store has come back from a copy, which may lack the registration.
 async fn register(state: Arc<State>) {
+    let mut failures = Failures::new(Collection::Gateways);
+    let mut era = register_once(&state, &mut failures).await;
+    loop {
+        let before = era;
+        era = state.store.newer_era(before).await;
+        Event::PlatformRestored.log(format_args!("era={era} before={before}"));
+        era = register_once(&state, &mut failures).await;
+    }
+}
+
+/// Registers this gateway in the store, then adds the gateways registered there to
+/// the roster. Returns an era of the store that holds the registration.
+async fn register_once(state: &State, failures: &mut Failures) -> u64 {
     let local = lock(&state.roster).local().clone();
     let content = json!({
         "address": local.address,
         "incarnation": local.incarnation,
     });
-    let mut failures = Failures::new(Collection::Gateways);
-    loop {
-        state.metrics.store_calls.inc();
-        let put = state
+    let put = || {
+        // One call to create the object, and one to replace it if it exists.
+        state.metrics.store_calls.inc_by(2);
+        state
             .store
             .put(Collection::Gateways, &local.instance, content.clone())
-            .await;
-        state.metrics.store_calls.inc();
-        match put {
-            Ok(()) => break,
-            Err(fault) => failures.back_off(&state, &fault).await,
+    };
+    let era = loop {
+        match put().await {
+            Ok(version) => break version.era,
+            Err(fault) => failures.back_off(state, &fault).await,
         }
-    }
+    };
     loop {
         state.metrics.store_calls.inc();
         match state.store.list(Collection::Gateways).await {
             Ok(listing) => {
-                failures.record_success(&state);
-                record_gateways(&state, &listing);
-                return;
+                failures.record_success(state);
+                record_gateways(state, &listing);
+                return era;
             }
-            Err(fault) => failures.back_off(&state, &fault).await,
+            Err(fault) => failures.back_off(state, &fault).await,
         }
     }
 }
@@ -331,5 +364,6 @@
         if expired {
             state.adopt_endpoints("expiry");
         }
+        state.expire_evacuation();
     }
 }
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -3,6 +3,11 @@
 //! Each call has a timeout and its own connection, so that no call waits on a
 //! connection that has gone silent. The faults distinguish calls that certainly
 //! had no effect from calls that may have had one.
+//!
+//! Each answer names the era of the store. What an answer of one era begins, no answer
+//! of another era continues: see [`Client::changes`] and [`Client::list`]. No call is
+//! sent with a version of an era before the newest that the client has seen, because
+//! the store may have given out the same revision again for another state.
 
 use super::{
     Change, Changes, Collection, Fault, Listing, Object, Store, Version,
@@ -15,11 +20,12 @@
     future::BoxFuture,
     stream::{self, BoxStream},
 };
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::Serialize;
 use serde_json::Value;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::sync::watch;
 
 /// Maximum number of pages of a list, which is about half a million objects.
 const MAX_PAGES: usize = 1_000;
@@ -31,6 +37,9 @@
 /// maximum that the platform allows.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Number of times that the store has come back from a copy, in all its answers.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Maximum size of an object, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1 << 20;
 
@@ -47,26 +56,55 @@
     revision: Option<u64>,
 }
 
-/// A client of the object store of the platform.
-#[derive(Clone, Copy, Debug)]
+/// An answer with success, and the era that it names.
+struct Answer {
+    era: u64,
+    bytes: Bytes,
+}
+
+/// A client of the object store of the platform. Clones share the era that they have
+/// seen.
+#[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    /// Newest era that an answer has named.
+    era: Arc<watch::Sender<u64>>,
 }
 
 impl Client {
     /// Creates a client whose calls time out after `timeout`.
     #[must_use]
-    pub const fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout }
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            address,
+            timeout,
+            era: Arc::default(),
+        }
+    }
+
+    /// Returns the newest era of the store that an answer has named.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        *self.era.borrow()
     }
 
-    /// Waits for changes to a collection after a version, for at most `wait`.
+    /// Waits until an answer has named a newer era than `era`, and returns it.
+    pub async fn newer_era(&self, era: u64) -> u64 {
+        let mut newest = self.era.subscribe();
+        // The sender exists as long as the client.
+        drop(newest.wait_for(|newest| *newest > era).await);
+        self.era()
+    }
+
+    /// Waits for changes to a collection after a version, for at most `wait`. The wait
+    /// ends when any call of the client sees a newer era than that of the version.
     ///
     /// # Errors
     ///
     /// Returns a fault if the call failed. After [`Fault::Expired`] the collection
-    /// must be listed again.
+    /// must be listed again; so it must after an answer of another era than that of
+    /// the version.
     pub async fn changes(
         &self,
         collection: Collection,
@@ -76,41 +114,76 @@
         let path = format!(
             "/objects/{}?watch={}&waitMs={}",
             collection.as_str(),
-            after.number(),
+            after.revision,
             wait.as_millis()
         );
-        let bytes = self
-            .call(Method::GET, &path, None, wait + self.timeout)
-            .await?;
-        page::decode_changes(collection, &bytes)
+        let answer = tokio::select! {
+            biased;
+            _ = self.newer_era(after.era) => return Err(Fault::Expired),
+            answer = self.call(Method::GET, &path, None, wait + self.timeout) => answer?,
+        };
+        if answer.era != after.era {
+            return Err(Fault::Expired);
+        }
+        page::decode_changes(collection, answer.era, &answer.bytes)
     }
 
-    /// Creates an object, or replaces it if it exists.
+    /// Creates an object, or replaces it if it exists. Returns its version.
     ///
     /// # Errors
     ///
     /// Returns a fault if the object may not have been written.
-    pub async fn put(&self, collection: Collection, name: &str, spec: Value) -> Result<(), Fault> {
+    pub async fn put(
+        &self,
+        collection: Collection,
+        name: &str,
+        spec: Value,
+    ) -> Result<Version, Fault> {
         match self
             .write(Method::POST, collection, name, None, &spec)
             .await
         {
             Err(Fault::Conflict) => {
                 let put = self.write(Method::PUT, collection, name, None, &spec);
-                put.await.map(drop)
+                put.await
             }
-            other => other.map(drop),
+            other => other,
         }
     }
 
-    async fn fetch_page(&self, collection: Collection, after: Option<&str>) -> Result<Page, Fault> {
+    async fn fetch_page(
+        &self,
+        collection: Collection,
+        after: Option<&str>,
+    ) -> Result<(u64, Page), Fault> {
         let kind = collection.as_str();
         let path = after.map_or_else(
             || format!("/objects/{kind}"),
             |name| format!("/objects/{kind}?after={name}"),
         );
-        let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
-        page::decode_page(collection, &bytes)
+        let answer = self.call(Method::GET, &path, None, self.timeout).await?;
+        let page = page::decode_page(collection, answer.era, &answer.bytes)?;
+        Ok((answer.era, page))
+    }
+
+    /// Fails if the version is of an era before the newest seen.
+    fn check_era(&self, version: &Version) -> Result<(), Fault> {
+        if version.era < self.era() {
+            return Err(Fault::Conflict);
+        }
+        Ok(())
+    }
+
+    /// Fails if a conditional call was answered in another era than that of its
+    /// version. The revision may then have been that of another state.
+    fn check_answer(version: &Version, answer: &Answer) -> Result<(), Fault> {
+        if version.era != answer.era {
+            return Err(Fault::Lost(format!(
+                "the answer is of era {} instead of {}",
+                answer.era, version.era
+            )));
+        }
+        Ok(())
     }
 
     async fn write(
@@ -124,7 +197,7 @@
         let object = WireObject {
             metadata: Metadata {
                 name,
-                revision: version.map(Version::number),
+                revision: version.map(|version| version.revision),
             },
             specification: spec,
         };
@@ -136,9 +209,16 @@
         } else {
             format!("/objects/{kind}/{name}")
         };
+        if let Some(version) = version {
+            self.check_era(version)?;
+        }
         let body = Some(Bytes::from(body));
-        let bytes = self.call(method, &path, body, self.timeout).await?;
-        page::decode_object(collection, &bytes).map(|written| written.version)
+        let answer = self.call(method, &path, body, self.timeout).await?;
+        if let Some(version) = version {
+            Self::check_answer(version, &answer)?;
+        }
+        let written = page::decode_object(collection, answer.era, &answer.bytes)?;
+        Ok(written.version)
     }
 
     async fn call(
@@ -147,7 +227,7 @@
         path: &str,
         body: Option<Bytes>,
         timeout: Duration,
-    ) -> Result<Bytes, Fault> {
+    ) -> Result<Answer, Fault> {
         let has_body = body.is_some();
         let mut request = Request::builder()
             .method(method)
@@ -164,8 +244,17 @@
             CallError::Unconnected(reason) => Fault::Unreachable(reason),
             CallError::Lost(reason) => Fault::Lost(reason),
         })?;
+        let era = parse_era(answer.headers())?;
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
         match answer.status() {
-            status if status.is_success() => Ok(answer.into_body()),
+            status if status.is_success() => Ok(Answer {
+                era,
+                bytes: answer.into_body(),
+            }),
             StatusCode::GONE => Err(Fault::Expired),
             StatusCode::CONFLICT => Err(Fault::Conflict),
             StatusCode::NOT_FOUND => Err(Fault::Missing),
@@ -179,6 +268,18 @@
     }
 }
 
+/// Returns the era that an answer names, or zero if it names none.
+fn parse_era(headers: &HeaderMap) -> Result<u64, Fault> {
+    let Some(value) = headers.get(&ERA) else {
+        return Ok(0);
+    };
+    let era = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    era.ok_or_else(|| Fault::Lost(format!("invalid era {value:?}")))
+}
+
 impl Store for Client {
     fn get<'a>(
         &'a self,
@@ -187,8 +288,8 @@
     ) -> BoxFuture<'a, Result<Object, Fault>> {
         async move {
             let path = format!("/objects/{}/{name}", collection.as_str());
-            let bytes = self.call(Method::GET, &path, None, self.timeout).await?;
-            page::decode_object(collection, &bytes)
+            let answer = self.call(Method::GET, &path, None, self.timeout).await?;
+            page::decode_object(collection, answer.era, &answer.bytes)
         }
         .boxed()
     }
@@ -233,26 +334,36 @@
             let path = format!(
                 "/objects/{}/{name}?revision={}",
                 collection.as_str(),
-                version.number()
+                version.revision
             );
+            self.check_era(version)?;
             let deleted = self.call(Method::DELETE, &path, None, self.timeout);
-            deleted.await.map(drop)
+            Self::check_answer(version, &deleted.await?)
         }
         .boxed()
     }
 
     fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing, Fault>> {
         async move {
-            let mut page = self.fetch_page(collection, None).await?;
+            let (era, mut page) = self.fetch_page(collection, None).await?;
             // The pages are read one after the other. A watch that starts at the
             // version of the first page reports the changes between the reads.
-            let version = Version::from(page.revision);
+            let version = Version::new(era, page.revision);
             let mut objects: Vec<Object> = Vec::new();
             for _ in 0..MAX_PAGES {
+                // The answer may have been delayed until the store had come back.
+                if era < self.era() {
+                    return Err(Fault::Expired);
+                }
                 objects.extend(page.objects);
                 match objects.last() {
                     Some(last) if page.has_more => {
-                        page = self.fetch_page(collection, Some(&last.name)).await?;
+                        let (next, following) =
+                            self.fetch_page(collection, Some(&last.name)).await?;
+                        if next != era {
+                            return Err(Fault::Expired);
+                        }
+                        page = following;
                     }
                     _ => return Ok(Listing { objects, version }),
                 }
@@ -270,9 +381,9 @@
         version: &'a Version,
     ) -> BoxFuture<'a, Result<BoxStream<'static, Result<Change, Fault>>, Fault>> {
         let watch = Watch {
-            client: *self,
+            client: self.clone(),
             collection,
-            version: version.clone(),
+            version: *version,
             pending: Vec::new().into_iter(),
             failed: false,
         };
--- a/crates/cicadacrank-node/src/platform/page.rs
+++ b/crates/cicadacrank-node/src/platform/page.rs
@@ -75,8 +75,8 @@
 /// # Errors
 ///
 /// Returns a fault if the page itself cannot be read, whatever its objects contain.
-pub(super) fn decode_page(collection: Collection, bytes: &[u8]) -> Result<Page, Fault> {
-    let body = Body::new(collection, bytes);
+pub(super) fn decode_page(collection: Collection, era: u64, bytes: &[u8]) -> Result<Page, Fault> {
+    let body = Body::new(collection, era, bytes);
     let page: WirePage<'_> = body.parse()?;
     let objects = page.items.iter().filter_map(|raw| body.object(raw));
     Ok(Page {
@@ -91,8 +91,12 @@
 /// # Errors
 ///
 /// Returns a fault if the answer itself cannot be read, whatever its objects contain.
-pub(super) fn decode_changes(collection: Collection, bytes: &[u8]) -> Result<Changes, Fault> {
-    let body = Body::new(collection, bytes);
+pub(super) fn decode_changes(
+    collection: Collection,
+    era: u64,
+    bytes: &[u8],
+) -> Result<Changes, Fault> {
+    let body = Body::new(collection, era, bytes);
     let events: WireEvents<'_> = body.parse()?;
     let change = |event: &WireEvent<'_>| {
         let object = body.object(event.object)?;
@@ -104,7 +108,7 @@
     };
     Ok(Changes {
         changes: events.events.iter().filter_map(change).collect(),
-        version: Version::from(events.at),
+        version: Version::new(era, events.at),
     })
 }
 
@@ -113,8 +117,12 @@
 /// # Errors
 ///
 /// Returns a fault if the object has no readable name.
-pub(super) fn decode_object(collection: Collection, bytes: &[u8]) -> Result<Object, Fault> {
-    let body = Body::new(collection, bytes);
+pub(super) fn decode_object(
+    collection: Collection,
+    era: u64,
+    bytes: &[u8],
+) -> Result<Object, Fault> {
+    let body = Body::new(collection, era, bytes);
     let raw: &RawValue = body.parse()?;
     let unnamed = || Fault::Lost("the object has no readable name".to_owned());
     body.object(raw).ok_or_else(unnamed)
@@ -123,16 +131,19 @@
 /// Body of an answer.
 struct Body<'a> {
     collection: Collection,
+    /// Era that the answer names.
+    era: u64,
     bytes: &'a [u8],
     /// The same bytes as text, with [`REPLACEMENT`] for what is not UTF-8.
     text: Cow<'a, str>,
 }
 
 impl<'a> Body<'a> {
-    fn new(collection: Collection, bytes: &'a [u8]) -> Self {
+    fn new(collection: Collection, era: u64, bytes: &'a [u8]) -> Self {
         let text = str::from_utf8(bytes).map_or_else(|_| replace_invalid(bytes), Cow::Borrowed);
         Self {
             collection,
+            era,
             bytes,
             text,
         }
@@ -163,7 +174,7 @@
         });
         Some(Object {
             name,
-            version: Version::from(revision),
+            version: Version::new(self.era, revision),
             spec,
         })
     }
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -152,7 +152,7 @@
 }
 
 async fn changes(client: Client, collection: Collection) -> Result<Vec<Object>, Fault> {
-    let version = Version::from(1);
+    let version = Version::new(0, 1);
     let changes = client.changes(collection, &version, TIMEOUT).await?;
     let objects = changes.changes.into_iter().map(|change| match change {
         Change::Put(object) | Change::Deleted(object) => object,
@@ -219,7 +219,7 @@
         let client = store(object("main", &odd)).await;
         let object = client.get(Collection::Config, "main").await;
         let object = object.unwrap_or_else(|fault| panic!("{label}: {fault}"));
-        assert_eq!(object.version, Version::from(7), "{label}");
+        assert_eq!(object.version, Version::new(0, 7), "{label}");
         assert!(config::decode(&object.spec).is_err(), "{label}");
     }
 }
@@ -257,7 +257,7 @@
         spec[field] = "x".repeat(MAX_REGISTRATION_BYTES / 4).into();
         let object = Object {
             name: "i-1".to_owned(),
-            version: Version::from(7),
+            version: Version::new(0, 7),
             spec: spec.clone(),
         };
         let error = endpoint::decode(&object).expect_err("an invalid field");
--- a/crates/cicadacrank-node/tests/names.rs
+++ b/crates/cicadacrank-node/tests/names.rs
@@ -4,7 +4,7 @@
 
 /// Names that only the platform uses. Common words such as `name` are left out,
 /// because the system uses them too.
-const NAMES: [&str; 30] = [
+const NAMES: [&str; 31] = [
     "routeKind",
     "pathPrefix",
     "timeoutMs",
@@ -35,6 +35,7 @@
     "x-not-executed",
     "server-limit",
     "server-leaving",
+    "store-era",
 ];
 
 fn scan(folder: &Path, found: &mut Vec<String>) {
