Skip generations for the first change after the store came back from a copy

What operators saw: after the store had come back without the generations 2 and 3, the client reported that generation 2 was in force. No process adopted it: all held 3, and ignored the change after it too. A text that was equal to what the store had come back with was refused as in force already. A change whose write got no answer before the restore waited for the lost generation until its deadline.

Cause: the number that orders rulesets was counted from content of the store, which may go back. Class: an order that trusts a counter which its source may give out again.

Change: the ruleset object names the era of the store in which it was written. The first change in a newer era adds 1,000 for each era in between, so that each generation of an era is above all of an earlier one, and none names two contents. No comparison in the processes and no message changes. A write in doubt across a restore is reported as of unknown outcome.

--- a/crates/cicadacrank-core/src/generation/mod.rs
+++ b/crates/cicadacrank-core/src/generation/mod.rs
@@ -6,6 +6,10 @@
 //! other. A [`Proposal`] decides each step of a change, including when answers
 //! are lost or another operator's change comes first. A [`Latest`] keeps the
 //! newest generation that a process has seen and ignores older ones.
+//!
+//! The store may come back from a copy without its last changes, and says so by a
+//! higher era. The first change in a newer era skips generations, so that none names
+//! two contents and later changes stay higher.
 
 mod audit;
 mod codec;
@@ -26,7 +30,8 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Version number of the rules, which increases by one with each change.
+/// Version number of the rules, which increases with each change: by one, but for the
+/// first change after the store came back from a copy.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/crates/cicadacrank-core/src/generation/object.rs
+++ b/crates/cicadacrank-core/src/generation/object.rs
@@ -16,6 +16,10 @@
 /// Version of the document layout; a client refuses documents of a later one.
 const LAYOUT: u32 = 1;
 
+/// Number of generations that the first change in a newer era of the store skips for
+/// each era since the last change. Fewer changes than that may be lost at once.
+const ERA_GENERATIONS: u64 = 1_000;
+
 /// The rules in force and the newest entries of their audit trail.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object {
@@ -32,6 +36,12 @@
     /// Number of pages, which hold the older entries.
     #[serde(default)]
     pub pages: u64,
+    /// Era of the store in which the object was written. Zero from older clients.
+    #[serde(default)]
+    pub era: u64,
+    /// Era of the store in which the object was read.
+    #[serde(skip)]
+    read_era: u64,
 }
 
 /// A change that an operator requests.
@@ -107,16 +117,40 @@
             rules: String::new(),
             audit: Vec::new(),
             pages: 0,
+            era: 0,
+            read_era: 0,
         }
     }
 
+    /// Sets the era of the store in which the object was read, or found missing. It is
+    /// that of the object's last change by default.
+    #[must_use]
+    pub const fn with_read_era(mut self, era: u64) -> Self {
+        self.read_era = era;
+        self
+    }
+
+    /// Returns the era of the store in which the object was read.
+    #[must_use]
+    pub const fn read_era(&self) -> u64 {
+        self.read_era
+    }
+
+    /// Returns whether the store has come back from a copy since the last change, so
+    /// that newer changes may have been lost.
+    #[must_use]
+    pub const fn may_be_behind(&self) -> bool {
+        self.era < self.read_era
+    }
+
     /// Decodes a stored object.
     ///
     /// # Errors
     ///
     /// Returns an error if the value is not a rule object or has a later layout.
     pub fn decode(value: Value) -> Result<Self, CodecError> {
-        let object: Self = codec::decode(value)?;
+        let mut object: Self = codec::decode(value)?;
+        object.read_era = object.era;
         if object.layout > LAYOUT {
             let layout = object.layout;
             let reason = format!("layout {layout} is newer than the supported layout {LAYOUT}");
@@ -153,13 +187,15 @@
         }
         rules::parse(rules)?;
         let difference = Difference::new(&self.rules, rules);
-        if difference.is_empty() {
+        // Newer rules may be in force elsewhere if the store has lost changes.
+        if difference.is_empty() && !self.may_be_behind() {
             return Err(Refusal::Unchanged(self.generation));
         }
         let mut object = Self {
             layout: LAYOUT,
-            generation: self.generation.next(),
+            generation: self.next_generation(),
             rules: rules.to_owned(),
+            era: self.era.max(self.read_era),
             ..self.clone()
         };
         let mut attachments = Vec::new();
@@ -173,6 +209,16 @@
         })
     }
 
+    /// Returns the generation of the next change. Generations of a newer era are above
+    /// all of an earlier one, including those that the store has lost.
+    const fn next_generation(&self) -> Generation {
+        let eras = self.read_era.saturating_sub(self.era);
+        if eras == 0 {
+            return self.generation.next();
+        }
+        Generation(self.generation.0 + eras * ERA_GENERATIONS)
+    }
+
     /// Adds the audit entry of a change, and returns the detail if the entry
     /// cannot hold all lines.
     fn add_entry(
--- a/crates/cicadacrank-core/src/generation/proposal.rs
+++ b/crates/cicadacrank-core/src/generation/proposal.rs
@@ -5,7 +5,7 @@
 //! a write without an answer can take effect only while that version is current.
 //! The proposal therefore repeats the same write until it either reads its
 //! change id in the audit trail or sees another version without it. Both are
-//! final.
+//! final, unless the store has come back from a copy in between.
 
 use super::{
     Generation,
@@ -59,7 +59,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event<V> {
     /// The rule object does not exist.
-    Absent,
+    Absent {
+        /// Era of the store.
+        era: u64,
+    },
     /// The rule object was read.
     Found {
         /// Version of the rule object.
@@ -196,7 +199,7 @@
     /// Handles the result of the action.
     pub fn handle(&mut self, event: Event<V>) {
         match event {
-            Event::Absent => self.on_read(None, Object::new()),
+            Event::Absent { era } => self.on_read(None, Object::new().with_read_era(era)),
             Event::Found { version, object } => self.on_read(Some(version), object),
             Event::Attached => self.on_attached(),
             Event::AttachmentExists { content } => self.on_existing(&content),
@@ -229,6 +232,16 @@
             let entry = entry.clone();
             return self.finish(Outcome::Applied(entry));
         }
+        if let Some(draft) = &self.draft
+            && draft.base.read_era() < object.read_era()
+        {
+            if self.in_doubt {
+                // The change may be lost, may be written back by a process that has it
+                // in force, or may still take effect on the same revision.
+                return self.finish(Outcome::Unknown);
+            }
+            self.draft = None;
+        }
         if let Some(draft) = &self.draft {
             if draft.version == version {
                 self.state = State::Writing;
--- a/crates/cicadacrank-core/tests/generation.rs
+++ b/crates/cicadacrank-core/tests/generation.rs
@@ -88,6 +88,40 @@
     }
 }
 
+// Guards against a generation that names two contents after the store came back from a
+// copy, and against one that is not above those of the lost changes.
+#[test]
+fn object_skips_generations_in_a_newer_era() {
+    let next = |object: &Object, era: u64, note: &str| {
+        let rules = format!("{SHORT}# {note}\n");
+        let read = object.clone().with_read_era(era);
+        read.replace(&rules, &change(7)).unwrap().object
+    };
+    let kept = next(&first(), 1, "kept");
+    let lost = next(&next(&kept, 1, "lost"), 1, "lost too");
+    assert_eq!(lost.generation.0, kept.generation.0 + 2);
+    let second = next(&kept, 2, "second era");
+    let third = next(&kept, 3, "third era");
+    let generations = [&kept, &lost, &second, &next(&second, 2, "more"), &third];
+    let generations = generations.map(|object| object.generation);
+    assert!(
+        generations.is_sorted_by(|one, other| one < other),
+        "{generations:?}"
+    );
+    let read = Object::decode(serde_json::to_value(&second).unwrap()).unwrap();
+    assert_eq!(read, second);
+}
+
+// Guards against rules that an operator cannot put in force again, because the store
+// came back with them while newer ones are in force.
+#[test]
+fn object_accepts_the_same_rules_in_a_newer_era() {
+    let object = first();
+    let again = object.clone().with_read_era(1);
+    assert!(object.replace(RULES, &change(1)).is_err());
+    assert!(again.replace(RULES, &change(1)).is_ok());
+}
+
 #[test]
 fn object_refuses_change() {
     let object = first();
@@ -253,6 +287,30 @@
     assert_eq!(entry.generation, Generation(3));
 }
 
+// Guards against a change that is reported as not in force, while a process that has
+// adopted it writes it back to the store, and against a wait until the deadline for a
+// generation that the store has lost.
+#[test]
+fn proposal_tells_the_outcome_across_a_restore() {
+    let base = first();
+    let restored = base.clone().with_read_era(1);
+    let taken_out = |events| outcome(take_out("vest-a"), events);
+    let in_doubt = vec![found(5, &base), Event::NoAnswer, found(1, &restored)];
+    assert_eq!(taken_out(in_doubt), Outcome::Unknown);
+    let newer = format!("{RULES}# note\n");
+    let newer = base.replace(&newer, &change(8)).unwrap().object;
+    let refused_write = vec![
+        found(5, &newer),
+        Event::VersionMoved,
+        found(1, &restored),
+        Event::Written,
+    ];
+    let Outcome::Applied(entry) = taken_out(refused_write) else {
+        panic!("the edit should be applied to the rules that came back");
+    };
+    assert!(entry.generation > newer.generation);
+}
+
 /// Simulated platform store that loses or delays requests and answers.
 struct Store {
     history: Vec<Value>,
@@ -280,7 +338,7 @@
                 version,
                 object: Object::decode(content.clone()).unwrap(),
             },
-            None => Event::Absent,
+            None => Event::Absent { era: 0 },
         }
     }
 
--- a/crates/cicadacrank/src/ruleset.rs
+++ b/crates/cicadacrank/src/ruleset.rs
@@ -134,11 +134,13 @@
             Ok(object) => match Object::decode(object.spec) {
                 Ok(decoded) => Event::Found {
                     version: object.version,
-                    object: decoded,
+                    object: decoded.with_read_era(object.version.era),
                 },
                 Err(error) => Event::Rejected(format!("the rule object: {error}")),
             },
-            Err(Fault::Missing) => Event::Absent,
+            Err(Fault::Missing) => Event::Absent {
+                era: self.store.era(),
+            },
             Err(fault) => failure_event(fault),
         }
     }
