Write rules back to a store that came back from a copy without them

What operators saw: after the store had come back without the changes 2 and 3, it stayed without them. Processes went on with them, but once all had been replaced, the older rules were in force. A take-out was based on the older rules and undid the lost changes everywhere. No line in the log said that the store was behind.

Cause: processes only read the store, and ignored that it held less than what was in force. Class: an acknowledgement is taken for durable, and nobody who has a copy gives it back.

Change: a process that reads an older generation of an earlier era writes its rules back, after a random delay and syncs with peers, by an update that is conditional on the version that it read. An operator's change that comes first stays in force. An edit by the operators' client waits up to 6 s for the write-back. New log events 202 and 203.

--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -94,6 +94,10 @@
 }
 
 impl Store for Proxy<dyn Store> {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.inner.eras()
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-bench/src/memory/store.rs
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -14,7 +14,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::time;
+use tokio::{sync::watch, time};
 
 /// Time after which a call whose answer is lost fails.
 const LOST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     state: Arc<Mutex<State>>,
+    /// Newest era that a call has seen.
+    era: Arc<watch::Sender<u64>>,
 }
 
 impl Store {
@@ -44,6 +46,7 @@
         if !delay.is_zero() {
             time::sleep(delay).await;
         }
+        self.record_era();
         let faults = &self.state().faults;
         if faults.down {
             return Err(Fault::Lost("status 503".to_owned()));
@@ -54,6 +57,16 @@
         Ok(())
     }
 
+    /// Records the era of the store, as an answer names it.
+    fn record_era(&self) {
+        let era = self.state().era();
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
     /// Performs a write, subject to the faults that are set.
     async fn write<T>(
         &self,
@@ -82,6 +95,10 @@
 }
 
 impl Interface for Store {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -50,6 +50,8 @@
     ReadyChanged = 106, Info, "The process became ready for callers, or is no longer ready.";
     GenerationAdopted = 200, Info, "A newer configuration is in force.";
     GenerationRejected = 201, Error, "A newer configuration could not be read; the previous one stays in force.";
+    RulesWrittenBack = 202, Info, "The configuration in force was written back to the platform, which had come back from a copy without it.";
+    GenerationLost = 203, Warn, "A newer configuration lacks changes that were in force, because the platform had come back from a copy.";
     PlatformFailed = 210, Warn, "A call to the platform failed.";
     PlatformRegained = 211, Info, "A call to the platform succeeded after failures.";
     ConfigAdopted = 220, Info, "A newer configuration from the platform is in force.";
--- a/crates/cicadacrank-core/src/generation/object.rs
+++ b/crates/cicadacrank-core/src/generation/object.rs
@@ -209,6 +209,28 @@
         })
     }
 
+    /// Returns the step that writes the rules of a newer generation back to a store
+    /// that came back from a copy without them. `entries` are those of the lost
+    /// changes, as far as they are known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the rules are not valid or are too large to store.
+    pub fn write_back(
+        &self,
+        generation: Generation,
+        rules: &str,
+        entries: &[Entry],
+        change: &Change,
+    ) -> Result<Step, Refusal> {
+        let mut base = self.clone();
+        let lost = entries.iter();
+        let lost = lost.filter(|entry| entry.generation > self.generation);
+        base.audit.extend(lost.cloned());
+        base.generation = self.generation.max(generation);
+        base.replace(rules, change)
+    }
+
     /// Returns the generation of the next change. Generations of a newer era are above
     /// all of an earlier one, including those that the store has lost.
     const fn next_generation(&self) -> Generation {
--- a/crates/cicadacrank-core/tests/generation.rs
+++ b/crates/cicadacrank-core/tests/generation.rs
@@ -122,6 +122,22 @@
     assert!(again.replace(RULES, &change(1)).is_ok());
 }
 
+#[test]
+fn object_write_back_keeps_entries_of_lost_changes() {
+    let kept = first();
+    let lost = kept.replace(SHORT, &change(1)).unwrap().object;
+    let came_back = kept.with_read_era(1);
+    let written = came_back.write_back(lost.generation, &lost.rules, &lost.audit, &change(2));
+    let object = written.unwrap().object;
+    assert_eq!(object.rules, lost.rules);
+    assert!(object.generation > lost.generation);
+    let changes: Vec<_> = object.audit.iter().map(|entry| &entry.change).collect();
+    assert_eq!(
+        changes,
+        [&ChangeId::new(0), &ChangeId::new(1), &ChangeId::new(2)]
+    );
+}
+
 #[test]
 fn object_refuses_change() {
     let object = first();
--- a/crates/cicadacrank-node/src/configuration/mod.rs
+++ b/crates/cicadacrank-node/src/configuration/mod.rs
@@ -5,12 +5,10 @@
 
 use cicadacrank_core::{
     event::Event,
-    generation::{self, CodecError, Generation},
-    gossip::Document,
+    generation::{self, Generation},
     rules::{self, Definitions},
 };
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::{
     sync::{
         Arc,
@@ -32,20 +30,6 @@
     pub rules: String,
 }
 
-/// Decodes the generation and the rules of the platform's ruleset object.
-///
-/// # Errors
-///
-/// Returns [`CodecError::Damaged`] if the value is not a ruleset object or has a
-/// later layout.
-pub fn document(spec: Value) -> Result<Document, CodecError> {
-    let object = generation::Object::decode(spec)?;
-    Ok(Document {
-        generation: object.generation.0,
-        text: object.rules.into(),
-    })
-}
-
 /// A configuration that can be put in force.
 #[derive(Debug)]
 pub struct Configuration {
--- a/crates/cicadacrank-node/src/peer/mod.rs
+++ b/crates/cicadacrank-node/src/peer/mod.rs
@@ -8,6 +8,7 @@
 
 mod codec;
 pub mod grpc;
+mod restore;
 mod run;
 mod service;
 mod watch;
--- a/crates/cicadacrank-node/src/peer/run.rs
+++ b/crates/cicadacrank-node/src/peer/run.rs
@@ -1,16 +1,12 @@
 //! Main loop of the gossip service.
 
-use super::{Service, watch};
+use super::{Service, restore, watch};
 use crate::{
-    configuration::{RULESET_NAME, document},
+    configuration::RULESET_NAME,
     membership::Instance,
     platform::{Collection, Fault},
 };
-use cicadacrank_core::{
-    event::Event,
-    gossip::{Action, Payload},
-    membership::Role,
-};
+use cicadacrank_core::{event::Event, gossip::Action, membership::Role};
 use std::{
     net::SocketAddr,
     sync::{Arc, PoisonError},
@@ -38,6 +34,7 @@
     let mut queue = queue.expect("`run` must be called only once per service");
     let mut tasks = JoinSet::new();
     tasks.spawn(watch::run(Arc::clone(&service)));
+    tasks.spawn(restore::run(Arc::clone(&service)));
     let mut hints = service.parts.holder.hints();
     let mut crashes = service.parts.suspects.crash_count();
     let mut ticks = time::interval(TICK_INTERVAL);
@@ -99,18 +96,8 @@
     service.parts.metrics.platform_calls.inc();
     let store = &service.parts.store;
     match store.get(Collection::Rulesets, RULESET_NAME).await {
-        Ok(object) => {
-            service
-                .node()
-                .record_platform_contact(service.parts.clock.now());
-            match document(object.spec) {
-                Ok(document) => service.adopt(document, Payload::Empty),
-                Err(error) => Event::GenerationRejected.log(format_args!("{error}")),
-            }
-        }
-        Err(Fault::Missing) => service
-            .node()
-            .record_platform_contact(service.parts.clock.now()),
+        Ok(object) => service.receive(object),
+        Err(Fault::Missing) => service.receive_missing(),
         Err(fault) => Event::PlatformFailed.log(format_args!("reading the rules: {fault}")),
     }
 }
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -5,11 +5,12 @@
     clock::Clock,
     configuration::{Holder, Ruleset},
     metrics::Metrics,
-    platform::Store,
+    platform::{self, Store},
     quarantine::Suspects,
 };
 use cicadacrank_core::{
     event::Event,
+    generation::{self, Entry},
     gossip::{Action, Connectivity, Document, Node, Payload},
     membership::Member,
 };
@@ -20,7 +21,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// Time for which a changed cause of crashes is reported. It spans some syncs.
 const CAUSES_REPORT_TIME: Duration = Duration::from_secs(5);
@@ -72,6 +73,17 @@
     pub(super) watches: watch::Sender<bool>,
     actions: mpsc::UnboundedSender<Action>,
     pub(super) queue: Mutex<Option<mpsc::UnboundedReceiver<Action>>>,
+    /// Notified when the platform holds older rules than this process, after coming
+    /// back from a copy.
+    pub(super) behind: Notify,
+    trail: Mutex<Trail>,
+}
+
+/// Audit entries that the platform held beside the rules in force.
+#[derive(Default)]
+struct Trail {
+    generation: u64,
+    entries: Vec<Entry>,
 }
 
 impl Service {
@@ -92,6 +104,8 @@
             watches: watch::Sender::new(false),
             actions,
             queue: Mutex::new(Some(queue)),
+            behind: Notify::new(),
+            trail: Mutex::default(),
         }
     }
 
@@ -178,6 +192,93 @@
         self.publish_members();
     }
 
+    /// Handles the ruleset object that was read from the platform.
+    pub(super) fn receive(&self, object: platform::Object) {
+        self.node().record_platform_contact(self.parts.clock.now());
+        match generation::Object::decode(object.spec) {
+            Ok(ruleset) => self.receive_ruleset(&ruleset.with_read_era(object.version.era)),
+            Err(error) => Event::GenerationRejected.log(format_args!("{error}")),
+        }
+    }
+
+    /// Handles that the platform holds no ruleset object.
+    pub(super) fn receive_missing(&self) {
+        self.node().record_platform_contact(self.parts.clock.now());
+        let era = *self.parts.store.eras().borrow();
+        self.receive_ruleset(&generation::Object::new().with_read_era(era));
+    }
+
+    fn receive_ruleset(&self, ruleset: &generation::Object) {
+        self.log_lost_changes(ruleset);
+        self.adopt_ruleset(ruleset);
+        if self.is_newer_than(ruleset) {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Returns whether the platform has come back from a copy that lacks the rules in
+    /// force.
+    pub(super) fn is_newer_than(&self, ruleset: &generation::Object) -> bool {
+        ruleset.may_be_behind() && ruleset.generation.0 < self.parts.holder.generation()
+    }
+
+    /// Applies the rules of a ruleset object if they are newer, and keeps its audit
+    /// entries if its rules are in force.
+    pub(super) fn adopt_ruleset(&self, ruleset: &generation::Object) {
+        let document = Document {
+            generation: ruleset.generation.0,
+            text: ruleset.rules.as_str().into(),
+        };
+        if document.generation > 0 {
+            self.adopt(document, Payload::Empty);
+        }
+        if ruleset.generation.0 == self.parts.holder.generation() {
+            *self.trail() = Trail {
+                generation: ruleset.generation.0,
+                entries: ruleset.audit.clone(),
+            };
+        }
+    }
+
+    /// Returns the audit entries of the rules in force, or none if another process
+    /// passed the rules on.
+    pub(super) fn entries(&self) -> Vec<Entry> {
+        let trail = self.trail();
+        if trail.generation == self.parts.holder.generation() {
+            trail.entries.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Logs that newer rules are not based on those in force, because the platform
+    /// has lost changes.
+    fn log_lost_changes(&self, ruleset: &generation::Object) {
+        let Some(current) = self.parts.holder.newest() else {
+            return;
+        };
+        let in_force = current.generation;
+        let entries = &ruleset.audit;
+        let is_covered = entries
+            .first()
+            .is_some_and(|oldest| oldest.generation.0 < in_force);
+        let is_based_on = |entry: &Entry| entry.generation.0 == in_force;
+        if ruleset.generation.0 > in_force
+            && is_covered
+            && ruleset.rules != current.ruleset.rules
+            && !entries.iter().any(is_based_on)
+        {
+            Event::GenerationLost.log(format_args!(
+                "generation {} is not based on generation {in_force}, which was in force",
+                ruleset.generation
+            ));
+        }
+    }
+
+    fn trail(&self) -> MutexGuard<'_, Trail> {
+        self.trail.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a document if it is newer and its rules can be parsed.
     pub(super) fn adopt(&self, document: Document, payload: Payload) {
         let ruleset = Ruleset {
--- a/crates/cicadacrank-node/src/peer/watch.rs
+++ b/crates/cicadacrank-node/src/peer/watch.rs
@@ -2,10 +2,10 @@
 
 use super::Service;
 use crate::{
-    configuration::{RULESET_NAME, document},
+    configuration::RULESET_NAME,
     platform::{Change, Collection, Fault, Version},
 };
-use cicadacrank_core::{event::Event, gossip::Payload};
+use cicadacrank_core::event::Event;
 use futures_util::StreamExt as _;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
@@ -17,6 +17,10 @@
 /// Upper bound of the random part of that delay, in milliseconds.
 const MAX_JITTER_MS: u64 = 2_000;
 
+/// Upper bound of the delay before the rules are read again because the version of the
+/// watch has expired, in milliseconds.
+const MAX_EXPIRED_JITTER_MS: u64 = 500;
+
 pub(super) async fn run(service: Arc<Service>) {
     let mut selected = service.watches.subscribe();
     loop {
@@ -41,15 +45,24 @@
     loop {
         if let Err(fault) = watch_once(service, &mut version).await {
             Event::PlatformFailed.log(format_args!("watching the rules: {fault}"));
-            if fault == Fault::Expired {
+            let delay = if fault == Fault::Expired || is_of_earlier_era(service, version) {
                 version = None;
-            }
-            let jitter = rand::random::<u64>() % MAX_JITTER_MS;
-            time::sleep(RETRY_INTERVAL / 2 + Duration::from_millis(jitter)).await;
+                Duration::from_millis(rand::random_range(0..MAX_EXPIRED_JITTER_MS))
+            } else {
+                let jitter_ms = rand::random_range(0..MAX_JITTER_MS);
+                RETRY_INTERVAL / 2 + Duration::from_millis(jitter_ms)
+            };
+            time::sleep(delay).await;
         }
     }
 }
 
+/// Returns whether the platform has come back from a copy since it gave out a version.
+fn is_of_earlier_era(service: &Service, version: Option<Version>) -> bool {
+    let era = *service.parts.store.eras().borrow();
+    version.is_some_and(|version| version.era < era)
+}
+
 async fn watch_once(service: &Service, version: &mut Option<Version>) -> Result<(), Fault> {
     let (store, calls) = (&service.parts.store, &service.parts.metrics.platform_calls);
     let start = if let Some(version) = *version {
@@ -57,8 +70,9 @@
     } else {
         calls.inc();
         let object = store.get(Collection::Rulesets, RULESET_NAME).await?;
-        adopt(service, object.spec);
-        object.version
+        let version = object.version;
+        service.receive(object);
+        version
     };
     *version = Some(start);
     calls.inc();
@@ -68,7 +82,7 @@
             Change::Put(object) => {
                 *version = Some(object.version);
                 if object.name == RULESET_NAME {
-                    adopt(service, object.spec);
+                    service.receive(object);
                 }
             }
             Change::Deleted(object) => *version = Some(object.version),
@@ -76,13 +90,3 @@
     }
     Ok(())
 }
-
-fn adopt(service: &Service, spec: serde_json::Value) {
-    service
-        .node()
-        .record_platform_contact(service.parts.clock.now());
-    match document(spec) {
-        Ok(document) => service.adopt(document, Payload::Empty),
-        Err(error) => Event::GenerationRejected.log(format_args!("{error}")),
-    }
-}
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -18,6 +18,7 @@
 
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
+use tokio::sync::watch;
 
 /// A collection of objects of one kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -151,6 +152,9 @@
 
 /// The object API of the platform.
 pub trait Store: Send + Sync + 'static {
+    /// Returns a receiver of the newest era of the store that an answer has named.
+    fn eras(&self) -> watch::Receiver<u64>;
+
     /// Returns an object.
     fn get<'a>(
         &'a self,
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -321,6 +321,10 @@
 }
 
 impl Store for Client {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-node/tests/peer.rs
+++ b/crates/cicadacrank-node/tests/peer.rs
@@ -23,6 +23,7 @@
     time::Duration,
 };
 use tokio::{
+    sync::watch,
     task::JoinSet,
     time::{self, Instant},
 };
@@ -87,6 +88,10 @@
 }
 
 impl Store for Process {
+    fn eras(&self) -> watch::Receiver<u64> {
+        watch::Sender::new(0).subscribe()
+    }
+
     fn get<'a>(&'a self, _: Collection, name: &'a str) -> BoxFuture<'a, Result<Object, Fault>> {
         let generation = *self.simulation.generation.lock().expect("poisoned lock");
         let object = self.check().map(|()| Object {
--- a/crates/cicadacrank/src/ruleset.rs
+++ b/crates/cicadacrank/src/ruleset.rs
@@ -25,6 +25,11 @@
 /// Upper bound of the backoff, which doubles with each failed call.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Maximum wait for the rules to be written back to a store that came back from a copy.
+const WRITE_BACK_WAIT: Duration = Duration::from_secs(6);
+/// Time between two reads of the rule object during that wait.
+const WRITE_BACK_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Access to the rule object and its audit trail until a deadline.
 #[derive(Debug)]
 pub struct Session {
@@ -87,7 +92,13 @@
     /// passes after a write without an answer, and `NotRun` otherwise.
     pub async fn propose(&self, edit: Edit, change: Change) -> Result<Entry, Error> {
         let id = change.id.clone();
-        match self.drive(Proposal::new(edit, change)).await {
+        // A replacement needs no rules that the store may have lost.
+        let write_back_wait = match edit {
+            Edit::Replace { .. } => Duration::ZERO,
+            Edit::TakeOut(_) | Edit::BringBack(_) => WRITE_BACK_WAIT,
+        };
+        let proposal = Proposal::new(edit, change);
+        match self.drive(proposal, write_back_wait).await {
             Outcome::Applied(entry) => Ok(entry),
             Outcome::Conflict(conflict) => Err(Error::Conflict(conflict)),
             Outcome::Refused(refusal) => Err(refusal_error(refusal)),
@@ -109,12 +120,13 @@
     }
 
     /// Executes the actions of a proposal until it finishes or the deadline passes.
-    async fn drive(&self, mut proposal: Proposal<Version>) -> Outcome {
+    async fn drive(&self, mut proposal: Proposal<Version>, write_back_wait: Duration) -> Outcome {
         let mut backoff = MIN_BACKOFF;
+        let written_back_by = self.deadline.min(Instant::now() + write_back_wait);
         while Instant::now() < self.deadline {
             let event = match proposal.action() {
                 Action::Finish(outcome) => return outcome.clone(),
-                Action::Read => self.read_object().await,
+                Action::Read => self.read_written_back(written_back_by).await,
                 Action::Attach(attachment) => self.attach(attachment).await,
                 Action::Write { content, version } => self.write(content, version).await,
             };
@@ -128,6 +140,23 @@
         proposal.give_up()
     }
 
+    /// Reads the rule object. If the store may have lost changes, waits until `deadline`
+    /// for an instance to write the rules back.
+    async fn read_written_back(&self, deadline: Instant) -> Event<Version> {
+        loop {
+            let event = self.read_object().await;
+            let may_be_behind = match &event {
+                Event::Found { object, .. } => object.may_be_behind(),
+                Event::Absent { era } => *era > 0,
+                _ => false,
+            };
+            if !may_be_behind || Instant::now() >= deadline {
+                return event;
+            }
+            time::sleep(WRITE_BACK_POLL_INTERVAL).await;
+        }
+    }
+
     /// Reads the rule object.
     async fn read_object(&self) -> Event<Version> {
         match self.store.get(Collection::Rulesets, RULESET_NAME).await {
--- a/crates/cicadacrank/tests/restore.rs
+++ b/crates/cicadacrank/tests/restore.rs
@@ -232,6 +232,12 @@
             .get(Collection::Rulesets, RULESET_NAME);
         Object::decode(object.unwrap().spec).unwrap()
     }
+
+    /// Returns the changes in the audit trail that the platform holds.
+    fn changes(&self) -> Vec<String> {
+        let audit = self.object().audit.into_iter();
+        audit.map(|entry| entry.change.to_string()).collect()
+    }
 }
 
 // Guards against a change that was accepted after a restore of the platform and that
@@ -257,6 +263,54 @@
     fixture.wait_until_served("fifth").await;
 }
 
+// Guards against accepted rules that the platform lost with a restore, and that are
+// gone once the processes that have them in force have been replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_that_a_restore_lost_are_written_back() {
+    let mut fixture = Fixture::new().await;
+    let copy = fixture.change_twice().await;
+    fixture.restore(&copy);
+    let written_back = wait_for("rules written back", async || {
+        fixture.object().rules.ends_with("# third\n")
+    });
+    time::timeout(PROPAGATION_TIMEOUT, written_back)
+        .await
+        .expect("the rules are written back in time")
+        .unwrap();
+    let changes = fixture.changes();
+    assert_eq!(changes[..3], ["first", "second", "third"], "{changes:?}");
+    assert_eq!(
+        changes.len(),
+        4,
+        "one process writes them back: {changes:?}"
+    );
+    for _ in 0..ENTRIES {
+        fixture.kill(0);
+    }
+    for number in 0..ENTRIES {
+        fixture.start(number);
+    }
+    time::sleep(Duration::from_secs(2)).await;
+    fixture.wait_until_served("third").await;
+    assert_eq!(fixture.changes().len(), 4, "nothing is written once more");
+}
+
+// Guards against an edit that is based on rules from before a restore, which reverts
+// the accepted changes that the platform lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_out_after_a_restore_keeps_lost_changes() {
+    let fixture = Fixture::new().await;
+    let copy = fixture.change_twice().await;
+    fixture.restore(&copy);
+    let taken_out = fixture
+        .run("take-out --data-centre=vest-a --who=Bo --why=kettles")
+        .await;
+    assert_eq!(taken_out.code, 0, "{}", taken_out.err);
+    let rules = fixture.object().rules;
+    assert!(rules.contains("# third\n"), "{rules}");
+    assert!(rules.contains("take-out"), "{rules}");
+}
+
 // Guards against the same after two restores in a row.
 #[tokio::test(flavor = "multi_thread")]
 async fn apply_after_two_restores_is_in_force_at_all_entries() {
@@ -270,3 +324,22 @@
     fixture.wait_until_served("fifth").await;
     fixture.check_served("fifth").await;
 }
+
+// Guards against a process that is behind and writes back older rules than others have
+// in force, or that writes over an operator's change.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_during_a_write_back_stay_in_force() {
+    let fixture = Fixture::new().await;
+    let copy = fixture.change_twice().await;
+    fixture.restore(&copy);
+    for wait_ms in [0, 700, 700, 700] {
+        time::sleep(Duration::from_millis(wait_ms)).await;
+        let note = format!("change-{wait_ms}-{}", fixture.changes().len());
+        fixture.apply(&note).await;
+        fixture.wait_until_served(&note).await;
+        assert!(fixture.object().rules.ends_with(&format!("# {note}\n")));
+    }
+    let changes = fixture.changes();
+    time::sleep(PROPAGATION_TIMEOUT).await;
+    assert_eq!(fixture.changes(), changes, "nothing is written back later");
+}
