Write claims again to a store that came back from a copy without them

What callers saw: work that may not be repeated ran a second time when its key was sent again to another sidecar after the store had come back from a copy, both for recorded work and for work that still ran. The holder found no claim to record its outcome in.

Cause: a sidecar trusted that a claim that the store does not show was never made. Class: an exclusion that trusts a source which may lose what it has acknowledged.

Evidence, with the tests on the code before: 'after 0 claims: Ok(Held(...))' and 'the work runs at its holder: Held(...)'. With either half of the change broken on purpose, the new search over interleavings fails ('key first ran 2 times', 'key second ran 2 times').

Change: a writer remembers its claims of the last minute and writes them again in a newer era of the store. No sidecar makes a claim that the store does not show, until the store has answered for 5 s in that era. Syncs carry the era, so that idle sidecars learn of it.

Found by the search and mended: a shard that was created in a newer era than the one in which it was found missing. Not covered: a holder that cannot write for 5 s while others can.

--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -98,6 +98,10 @@
         self.inner.eras()
     }
 
+    fn record_era(&self, era: u64) {
+        self.inner.record_era(era);
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-bench/src/memory/store.rs
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -46,7 +46,8 @@
         if !delay.is_zero() {
             time::sleep(delay).await;
         }
-        self.record_era();
+        let era = self.state().era();
+        self.record_era(era);
         let faults = &self.state().faults;
         if faults.down {
             return Err(Fault::Lost("status 503".to_owned()));
@@ -57,16 +58,6 @@
         Ok(())
     }
 
-    /// Records the era of the store, as an answer names it.
-    fn record_era(&self) {
-        let era = self.state().era();
-        self.era.send_if_modified(|newest| {
-            let is_newer = era > *newest;
-            *newest = era.max(*newest);
-            is_newer
-        });
-    }
-
     /// Performs a write, subject to the faults that are set.
     async fn write<T>(
         &self,
@@ -99,6 +90,14 @@
         self.era.subscribe()
     }
 
+    fn record_era(&self, era: u64) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-bench/tests/claims.rs
+++ b/crates/cicadacrank-bench/tests/claims.rs
@@ -2,13 +2,14 @@
 
 use cicadacrank_bench::memory::Store;
 use cicadacrank_core::{
+    error::Kind,
     id,
     once::{Name, Outcome, SHARD_BYTES, SHARDS},
 };
 use cicadacrank_node::{
     clock::Clock,
     platform::Collection,
-    sidecar::{Acquisition, Claims},
+    sidecar::{Acquisition, Claims, Handle},
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -110,3 +111,90 @@
         "largest object: {largest:?} bytes"
     );
 }
+
+/// Acquires a claim, and returns the error kind if that fails.
+async fn try_acquire(claims: &Claims, number: u64, attempt: u64) -> Result<Acquisition, Kind> {
+    let attempt = id::Attempt::new(attempt.into()).to_string();
+    let (attempt, unsent) = claims.begin(&attempt).expect("the attempt is new");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let acquisition = claims.acquire(name(number), attempt, "digest", deadline, unsent);
+    let acquisition = acquisition.await.map_err(|error| error.kind())?;
+    Ok(acquisition.0)
+}
+
+async fn hold(claims: &Claims, number: u64, attempt: u64) -> Handle {
+    match try_acquire(claims, number, attempt).await {
+        Ok(Acquisition::Held(handle)) => handle,
+        other => panic!("claim {number} is not free: {other:?}"),
+    }
+}
+
+async fn record(claims: &Claims, handle: Handle) {
+    let output = "kept".to_owned();
+    claims.record(handle, Outcome::Answer { output }).await;
+}
+
+fn is_replay(acquisition: &Result<Acquisition, Kind>) -> bool {
+    matches!(
+        acquisition,
+        Ok(Acquisition::Replay(Outcome::Answer { output })) if output == "kept"
+    )
+}
+
+// Guards against work that runs twice, because the claim of its recorded run was lost
+// when the platform came back from a copy.
+#[tokio::test(start_paused = true)]
+async fn acquire_replays_an_outcome_that_a_restore_lost() {
+    for earlier in [0, CLAIMS] {
+        let store = Store::new();
+        let (holder, other) = (claims(&store), claims(&store));
+        assert_eq!(record_claims(&holder, earlier, 200).await, earlier);
+        let copy = store.state().save();
+        let handle = hold(&holder, CLAIMS, CLAIMS).await;
+        record(&holder, handle).await;
+        store.state().restore(&copy);
+        let again = try_acquire(&other, CLAIMS, CLAIMS + 1).await;
+        assert!(is_replay(&again), "after {earlier} claims: {again:?}");
+    }
+}
+
+// Guards against the same for work that still runs, or whose claim the copy holds as
+// not sent by an earlier attempt.
+#[tokio::test(start_paused = true)]
+async fn acquire_waits_for_a_holder_whose_claim_a_restore_lost() {
+    for was_released in [false, true] {
+        let store = Store::new();
+        let (holder, other) = (claims(&store), claims(&store));
+        if was_released {
+            let handle = hold(&other, 0, 0).await;
+            let (_, unsent) = other
+                .begin(&id::Attempt::new(1).to_string())
+                .expect("the attempt is new");
+            other.release(handle, &unsent).await;
+        }
+        let copy = store.state().save();
+        let handle = hold(&holder, 0, 2).await;
+        store.state().restore(&copy);
+        let again = try_acquire(&other, 0, 3).await;
+        let kind = again.expect_err("the work runs at its holder");
+        assert_eq!(kind, Kind::OutcomeUnknown, "released: {was_released}");
+        record(&holder, handle).await;
+        let again = try_acquire(&other, 0, 4).await;
+        assert!(is_replay(&again), "released: {was_released}: {again:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_goes_on_after_a_restore() {
+    let store = Store::new();
+    let (one, other) = (claims(&store), claims(&store));
+    record_claims(&one, CLAIMS, 200).await;
+    let copy = store.state().save();
+    store.state().restore(&copy);
+    for (claims, number) in [(&one, CLAIMS), (&other, CLAIMS + 1)] {
+        let handle = hold(claims, number, number).await;
+        record(claims, handle).await;
+    }
+    let again = try_acquire(&other, CLAIMS, 2 * CLAIMS).await;
+    assert!(is_replay(&again), "{again:?}");
+}
--- a/crates/cicadacrank-bench/tests/interleaving.rs
+++ b/crates/cicadacrank-bench/tests/interleaving.rs
@@ -42,6 +42,10 @@
     Network(Disruption),
     Pause(usize),
     Resume(usize),
+    /// Copy what the platform holds.
+    Copy,
+    /// Let the platform come back from the newest copy.
+    Restore,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +82,29 @@
     ]
 }
 
+/// Generates actions of a platform that comes back from copies, and that loses calls or
+/// their answers if `loses_calls` is set. Sidecars are not paused: one that is paused
+/// during a recovery cannot write its claims again in time.
+fn action_with_restores(loses_calls: bool) -> impl Strategy<Value = Action> {
+    let faults = faults().prop_map(move |faults| {
+        let lost = u32::from(loses_calls);
+        Action::Platform(Faults {
+            lose_answers: faults.lose_answers * lost,
+            lose_calls: faults.lose_calls * lost,
+            ..faults
+        })
+    });
+    prop_oneof![
+        10 => request().prop_map(Action::Send),
+        2 => faults,
+        3 => Just(Action::Platform(Faults::default())),
+        2 => behaviour().prop_map(Action::Endpoint),
+        1 => disruption().prop_map(Action::Network),
+        2 => Just(Action::Copy),
+        2 => Just(Action::Restore),
+    ]
+}
+
 fn request() -> impl Strategy<Value = Request> {
     let remaining = prop_oneof![Just(100), Just(1_000), Just(4_000)];
     let body = prop_oneof![9 => Just(1), 1 => Just(2)];
@@ -179,6 +206,7 @@
     /// the runs at the endpoints.
     async fn run_actions(&self, actions: Vec<(u64, Action)>) -> (Vec<Call>, Vec<Run>) {
         let mut tasks = Vec::new();
+        let mut copy = self.store.state().save();
         for ((delay, action), attempt) in actions.into_iter().zip(1..) {
             time::sleep(Duration::from_millis(delay)).await;
             match action {
@@ -188,6 +216,8 @@
                 Action::Network(disruption) => self.link.push(disruption),
                 Action::Pause(number) => self.sidecars[number].process.pause(),
                 Action::Resume(number) => self.sidecars[number].process.resume(),
+                Action::Copy => copy = self.store.state().save(),
+                Action::Restore => self.store.state().restore(&copy),
             }
         }
         self.store.state().faults = Faults::default();
@@ -265,9 +295,9 @@
     }
 }
 
-#[test]
-fn run_keeps_its_guarantees_in_any_interleaving() {
-    let actions = collection::vec((delay(), action()), 4..40);
+/// Runs many interleavings of the actions, and panics if one violates a guarantee.
+fn search(action: impl Strategy<Value = Action>) {
+    let actions = collection::vec((delay(), action), 4..40);
     let complete_answers = Cell::new(0);
     let result = TestRunner::new(config()).run(&actions, |actions| {
         let runtime = runtime::Builder::new_current_thread()
@@ -293,3 +323,21 @@
         complete_answers.get()
     );
 }
+
+#[test]
+fn run_keeps_its_guarantees_in_any_interleaving() {
+    search(action());
+}
+
+// Guards against work that runs twice, because its claim was lost when the platform came
+// back from a copy.
+#[test]
+fn run_keeps_its_guarantees_while_the_platform_comes_back_from_copies() {
+    search(action_with_restores(false));
+}
+
+// Guards against the same where holders cannot write their claims again at once.
+#[test]
+fn run_keeps_its_guarantees_while_the_platform_comes_back_and_loses_calls() {
+    search(action_with_restores(true));
+}
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -54,6 +54,7 @@
     GenerationLost = 203, Warn, "A newer configuration lacks changes that were in force, because the platform had come back from a copy.";
     PlatformFailed = 210, Warn, "A call to the platform failed.";
     PlatformRegained = 211, Info, "A call to the platform succeeded after failures.";
+    PlatformRestored = 212, Warn, "The platform's store came back from a copy.";
     ConfigAdopted = 220, Info, "A newer configuration from the platform is in force.";
     ConfigRejected = 221, Error, "An object from the platform could not be read; the previous version stays in use.";
     DirectoryChanged = 222, Info, "The list of endpoints changed.";
@@ -74,6 +75,7 @@
     ClaimMade = 400, Debug, "A claim for non-idempotent work was created.";
     ClaimRecorded = 401, Debug, "The outcome of claimed work was recorded.";
     ClaimOpen = 402, Warn, "A claim stays open because the outcome is unknown.";
+    ClaimsRestored = 403, Info, "Claims were written again to a platform that came back from a copy.";
     PhaseChanged = 500, Info, "An endpoint changed phase between cold, warming, warm and leaving.";
     MemberChanged = 510, Info, "An instance became alive, suspect, dead or leaving.";
     PeerLost = 511, Warn, "Another gateway does not respond.";
--- a/crates/cicadacrank-core/src/once/shard.rs
+++ b/crates/cicadacrank-core/src/once/shard.rs
@@ -170,6 +170,42 @@
         true
     }
 
+    /// Adds a claim that the store has lost, or the newer state of one that it shows.
+    /// Returns whether the shard changed.
+    ///
+    /// The caller must first search the pages that may hold the name.
+    pub fn restore(&mut self, entry: &Entry) -> bool {
+        let mut entry = entry.clone();
+        if self.size + entry.bytes() > SHARD_BYTES {
+            entry.drop_output();
+        }
+        match self.find(entry.name) {
+            Ok(index) => {
+                let found = &self.entries[index].claim;
+                let is_same_holder = found.holder == entry.claim.holder;
+                let is_older = match (&found.state, &entry.claim.state) {
+                    (State::Done { .. }, _) | (State::Unsent, State::Unsent) => false,
+                    // A holder is followed by another only after it released the claim,
+                    // which it then remembers.
+                    (State::Open, State::Open) => !is_same_holder,
+                    (State::Open, State::Unsent) => is_same_holder,
+                    (State::Open | State::Unsent, _) => true,
+                };
+                if is_older {
+                    self.size -= self.entries[index].bytes();
+                    self.size += entry.bytes();
+                    self.entries[index] = entry;
+                }
+                is_older
+            }
+            Err(index) => {
+                self.size += entry.bytes();
+                self.entries.insert(index, entry);
+                true
+            }
+        }
+    }
+
     /// Removes expired claims and pages, and returns the pages removed.
     pub fn sweep(&mut self, now_unix_ms: u64) -> Vec<Page> {
         self.entries
--- a/crates/cicadacrank-node/src/peer/codec.rs
+++ b/crates/cicadacrank-node/src/peer/codec.rs
@@ -62,6 +62,7 @@
         members: digest.members.iter().map(encode_member).collect(),
         suspects: Vec::new(),
         crash_suspects: Vec::new(),
+        era: 0,
     }
 }
 
@@ -87,6 +88,7 @@
         members: update.members.iter().map(encode_member).collect(),
         suspects: Vec::new(),
         crash_suspects: Vec::new(),
+        era: 0,
     }
 }
 
--- a/crates/cicadacrank-node/src/peer/run.rs
+++ b/crates/cicadacrank-node/src/peer/run.rs
@@ -35,6 +35,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(watch::run(Arc::clone(&service)));
     tasks.spawn(restore::run(Arc::clone(&service)));
+    let mut eras = service.parts.store.eras();
     let mut hints = service.parts.holder.hints();
     let mut crashes = service.parts.suspects.crash_count();
     let mut ticks = time::interval(TICK_INTERVAL);
@@ -46,6 +47,12 @@
                 let actions = service.node().sync_with_random_peers(rand::random);
                 service.enqueue(actions);
             }
+            Ok(()) = eras.changed() => {
+                let era = *eras.borrow_and_update();
+                Event::PlatformRestored.log(format_args!("era {era}"));
+                let actions = service.node().sync_with_random_peers(rand::random);
+                service.enqueue(actions);
+            }
             Ok(()) = crashes.changed() => {
                 tasks.spawn(notify_entries(Arc::clone(&service), *crashes.borrow_and_update()));
             }
--- a/crates/cicadacrank-node/src/peer/service.rs
+++ b/crates/cicadacrank-node/src/peer/service.rs
@@ -153,6 +153,7 @@
     pub fn handle_sync(&self, mut message: wire::Digest) -> Option<wire::Update> {
         let now = self.parts.clock.now();
         self.merge_suspects(&message.suspects, mem::take(&mut message.crash_suspects));
+        self.parts.store.record_era(message.era);
         let digest = codec::decode_digest(message)?;
         let (update, pull) = {
             let mut node = self.node();
@@ -162,6 +163,7 @@
         self.enqueue(pull.into_iter().collect());
         self.publish_members();
         let mut message = codec::encode_update(&update);
+        message.era = *self.parts.store.eras().borrow();
         message.suspects = self.sample_suspects();
         message.crash_suspects = self
             .parts
@@ -173,6 +175,7 @@
 
     pub(super) fn digest(&self) -> wire::Digest {
         let mut message = codec::encode_digest(&self.node().digest());
+        message.era = *self.parts.store.eras().borrow();
         message.suspects = self.sample_suspects();
         message.crash_suspects = self
             .parts
@@ -184,6 +187,7 @@
 
     pub(super) fn handle_update(&self, mut message: wire::Update) {
         self.merge_suspects(&message.suspects, mem::take(&mut message.crash_suspects));
+        self.parts.store.record_era(message.era);
         let update = codec::decode_update(message);
         let document = self.node().handle_update(&update, self.parts.clock.now());
         if let Some(document) = document {
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -152,9 +152,12 @@
 
 /// The object API of the platform.
 pub trait Store: Send + Sync + 'static {
-    /// Returns a receiver of the newest era of the store that an answer has named.
+    /// Returns a receiver of the newest known era of the store.
     fn eras(&self) -> watch::Receiver<u64>;
 
+    /// Records an era that another process has seen.
+    fn record_era(&self, era: u64);
+
     /// Returns an object.
     fn get<'a>(
         &'a self,
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -285,11 +285,7 @@
             CallError::Lost(reason) => Fault::Lost(reason),
         })?;
         let era = parse_era(answer.headers())?;
-        self.era.send_if_modified(|newest| {
-            let is_newer = era > *newest;
-            *newest = era.max(*newest);
-            is_newer
-        });
+        self.record_era(era);
         match answer.status() {
             status if status.is_success() => Ok(Answer {
                 era,
@@ -325,6 +321,14 @@
         self.era.subscribe()
     }
 
+    fn record_era(&self, era: u64) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-node/src/sidecar/claims/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims/mod.rs
@@ -11,13 +11,13 @@
 use self::writer::{Operation, Reply, Request, Writer};
 use crate::{
     clock::Clock,
-    platform::{Fault, Store},
+    platform::{Collection, Fault, Store},
 };
 use cicadacrank_core::{
     error::Kind,
     event::Event,
     id,
-    once::{Claim, Deduplicator, ExecutionError, Name, Outcome, State, Unsent, Verdict},
+    once::{Claim, Deduplicator, ExecutionError, Name, Outcome, Recovery, State, Unsent, Verdict},
 };
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -38,6 +38,12 @@
 /// minute at [`MAX_BACKOFF`].
 const MAX_SETTLE_TRIES: u32 = 60;
 
+/// Time between two reads during a recovery of the platform.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Name of an object that does not exist, which is read during a recovery.
+const PROBE_NAME: &str = "recovery";
+
 /// Maximum size of an output stored with a claim, in bytes.
 pub const MAX_OUTPUT_BYTES: usize = 64 << 10;
 
@@ -48,6 +54,7 @@
     clock: Clock,
     ttl: Duration,
     deduplicator: Arc<Mutex<Deduplicator>>,
+    recovery: Arc<Mutex<Recovery>>,
     writers: Arc<Mutex<Vec<Queue>>>,
 }
 
@@ -76,13 +83,20 @@
 impl Claims {
     /// Creates a client for claims in `store`; a claim expires `ttl` after its
     /// last change.
+    ///
+    /// Must be called inside a Tokio runtime, because it spawns a task that observes
+    /// the era of the store.
     #[must_use]
     pub fn new(store: Arc<dyn Store>, clock: Clock, ttl: Duration) -> Self {
+        let recovery = Arc::new(Mutex::new(Recovery::new()));
+        let observer = observe_recoveries(Arc::clone(&store), Arc::clone(&recovery), clock);
+        tokio::spawn(observer);
         Self {
             store,
             clock,
             ttl,
             deduplicator: Arc::default(),
+            recovery,
             writers: Arc::default(),
         }
     }
@@ -254,7 +268,12 @@
             Ok(index) => queues[index].sender.clone(),
             Err(index) => {
                 let (sender, receiver) = mpsc::unbounded_channel();
-                let writer = Writer::new(Arc::clone(&self.store), self.clock, object.clone());
+                let writer = Writer::new(
+                    Arc::clone(&self.store),
+                    self.clock,
+                    Arc::clone(&self.recovery),
+                    object.clone(),
+                );
                 tokio::spawn(writer.run(receiver));
                 let queue = Queue {
                     object,
@@ -271,6 +290,29 @@
     }
 }
 
+/// Records the era of the store and returns whether a recovery is active.
+fn observe_era(recovery: &Mutex<Recovery>, era: u64, clock: Clock) -> bool {
+    let mut recovery = recovery.lock().unwrap_or_else(PoisonError::into_inner);
+    recovery.observe(era);
+    recovery.is_active(clock.now())
+}
+
+/// Follows the era of the store, and reads from the store during a recovery to find out
+/// whether it answers. Never returns.
+async fn observe_recoveries(store: Arc<dyn Store>, recovery: Arc<Mutex<Recovery>>, clock: Clock) {
+    let mut eras = store.eras();
+    while eras.changed().await.is_ok() {
+        let observe = || observe_era(&recovery, *store.eras().borrow(), clock);
+        while observe() {
+            time::sleep(PROBE_INTERVAL).await;
+            let answer = store.get(Collection::Claims, PROBE_NAME).await;
+            let has_answered = matches!(answer, Ok(_) | Err(Fault::Missing));
+            let mut recovery = recovery.lock().unwrap_or_else(PoisonError::into_inner);
+            recovery.record_call(has_answered, clock.now());
+        }
+    }
+}
+
 /// State of a claim according to the replies so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Observation {
--- a/crates/cicadacrank-node/src/sidecar/claims/pages.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims/pages.rs
@@ -3,7 +3,7 @@
 use crate::platform::{Collection, Fault, Store};
 use cicadacrank_core::{
     id,
-    once::{Claim, Entry, Name, Page},
+    once::{Claim, Entry, Name, Page, Shard},
 };
 use std::{collections::VecDeque, sync::Arc};
 
@@ -34,7 +34,7 @@
     ///
     /// A page is deleted only after the shard has dropped its reference, so
     /// [`Fault::Missing`] means that the shard has changed.
-    pub(super) async fn find(&mut self, page: &Page, name: Name) -> Result<Option<Claim>, Fault> {
+    async fn find(&mut self, page: &Page, name: Name) -> Result<Option<Claim>, Fault> {
         let index = match self.cache.iter().position(|one| one.object == page.object) {
             Some(index) => index,
             None => self.load(page).await?,
@@ -44,6 +44,22 @@
         Ok(found.ok().map(|index| entries[index].claim.clone()))
     }
 
+    /// Returns the claim with this name in a page of the shard, unless it has expired.
+    pub(super) async fn find_in(
+        &mut self,
+        shard: &Shard,
+        name: Name,
+        now_unix_ms: u64,
+    ) -> Result<Option<Claim>, Fault> {
+        for page in shard.pages_for(name) {
+            let found = self.find(page, name).await?;
+            if let Some(claim) = found.filter(|claim| !claim.is_ended(now_unix_ms)) {
+                return Ok(Some(claim));
+            }
+        }
+        Ok(None)
+    }
+
     async fn load(&mut self, page: &Page) -> Result<usize, Fault> {
         let object = self.store.get(Collection::Claims, &page.object).await?;
         let entries = serde_json::from_value(object.spec["entries"].clone())
--- a/crates/cicadacrank-node/src/sidecar/claims/writer.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims/writer.rs
@@ -1,6 +1,6 @@
 //! Batches changes to the claims of one shard into conditional updates.
 
-use super::pages::Pages;
+use super::{observe_era, pages::Pages};
 use crate::{
     clock::Clock,
     platform::{Collection, Fault, Store, Version},
@@ -8,9 +8,12 @@
 use cicadacrank_core::{
     event::Event,
     id,
-    once::{Claim, Entry, Name, Outcome, Page, Shard, State, Verdict},
+    once::{Claim, Entry, Name, Outcome, Page, Recent, Recovery, Shard, State, Verdict},
+};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
 };
-use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
@@ -36,6 +39,10 @@
 /// further conflict adds as much.
 const CONFLICT_BACKOFF_MS: u64 = 10;
 
+/// Upper bound of the random delay before lost claims are written again, in
+/// milliseconds.
+const MAX_RESTORE_JITTER_MS: u64 = 500;
+
 /// Change to one claim.
 #[derive(Clone, Debug)]
 pub(super) enum Operation {
@@ -58,6 +65,9 @@
     Settled(bool),
     /// The shard has no room for another claim.
     Full,
+    /// The platform has come back from a copy, and other holders may still write lost
+    /// claims again.
+    Recovering,
 }
 
 /// Operation on a claim, with the channel for its reply.
@@ -93,6 +103,15 @@
     shard: Shard,
 }
 
+/// A shard with the claims that the store has lost.
+struct Restored {
+    shard: Shard,
+    /// Number of claims that were added or changed.
+    count: usize,
+    /// Era of the store in which the shard was read.
+    era: u64,
+}
+
 /// Task that writes one shard; each process has at most one for a shard.
 pub(super) struct Writer {
     store: Arc<dyn Store>,
@@ -101,6 +120,8 @@
     snapshot: Option<Snapshot>,
     pages: Pages,
     interval: Duration,
+    recovery: Arc<Mutex<Recovery>>,
+    recent: Recent,
 }
 
 /// Prepared commit that is not written yet.
@@ -114,7 +135,12 @@
 
 impl Writer {
     /// Creates the writer of the shard stored in `object`.
-    pub(super) fn new(store: Arc<dyn Store>, clock: Clock, object: String) -> Self {
+    pub(super) fn new(
+        store: Arc<dyn Store>,
+        clock: Clock,
+        recovery: Arc<Mutex<Recovery>>,
+        object: String,
+    ) -> Self {
         Self {
             pages: Pages::new(Arc::clone(&store)),
             store,
@@ -122,14 +148,30 @@
             object,
             snapshot: None,
             interval: MIN_COMMIT_INTERVAL,
+            recovery,
+            recent: Recent::new(),
         }
     }
 
     /// Commits requests in batches until all senders are dropped.
     pub(super) async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Request>) {
-        while let Some(first) = receiver.recv().await {
-            let mut bytes = first.bytes();
-            let mut requests = vec![first];
+        let mut eras = self.store.eras();
+        loop {
+            let era = *eras.borrow_and_update();
+            let has_lost = self.recent.lost(era).next().is_some();
+            let jitter_ms = rand::random_range(0..MAX_RESTORE_JITTER_MS);
+            let mut requests = Vec::new();
+            tokio::select! {
+                first = receiver.recv() => match first {
+                    Some(first) => requests.push(first),
+                    None => return,
+                },
+                () = time::sleep(Duration::from_millis(jitter_ms)), if has_lost => {
+                    self.snapshot = None;
+                }
+                Ok(()) = eras.changed() => continue,
+            }
+            let mut bytes = requests.iter().map(Request::bytes).sum::<usize>();
             while requests.len() < MAX_BATCH_REQUESTS
                 && bytes < MAX_BATCH_BYTES
                 && let Ok(request) = receiver.try_recv()
@@ -183,15 +225,18 @@
     /// date.
     async fn try_commit(&mut self, requests: &[Request]) -> Result<Vec<Reply>, Fault> {
         let snapshot = self.load().await?;
-        let mut draft = self.draft(&snapshot.shard, requests).await?;
+        let restored = self.restore(&snapshot).await?;
+        let mut draft = self.draft(&snapshot, &restored, requests).await?;
+        let written = own_claims(&draft.shard, requests);
         if !draft.changed {
+            self.remember(written, restored.era);
             self.snapshot = Some(snapshot);
             return Ok(draft.replies);
         }
         self.spill(&mut draft).await;
         let spec = serde_json::to_value(&draft.shard)
             .map_err(|error| Fault::Invalid(error.to_string()))?;
-        let written = match &snapshot.version {
+        let committed = match &snapshot.version {
             None => {
                 let create = self.store.create(Collection::Claims, &self.object, spec);
                 create.await
@@ -203,8 +248,19 @@
                 update.await
             }
         };
-        match written {
+        match committed {
+            // A creation is not conditional on a version. The store may have come back
+            // from a copy since the shard was read.
+            Ok(version) if version.era != restored.era => Err(Fault::Lost(format!(
+                "the shard was created in era {} instead of {}",
+                version.era, restored.era
+            ))),
             Ok(version) => {
+                self.remember(written, version.era);
+                if restored.count > 0 {
+                    let (object, count) = (&self.object, restored.count);
+                    Event::ClaimsRestored.log(format_args!("{object}: {count} claims"));
+                }
                 self.snapshot = Some(Snapshot {
                     version: Some(version),
                     shard: draft.shard,
@@ -243,16 +299,63 @@
         }
     }
 
-    async fn draft(&mut self, current: &Shard, requests: &[Request]) -> Result<Draft, Fault> {
+    /// Returns the shard with the recent claims that the store has lost.
+    async fn restore(&mut self, snapshot: &Snapshot) -> Result<Restored, Fault> {
+        let era = match &snapshot.version {
+            Some(version) => version.era,
+            None => *self.store.eras().borrow(),
+        };
+        let mut shard = snapshot.shard.clone();
+        let mut count = 0;
         let now = self.clock.unix_ms();
-        let mut base = current.clone();
-        let expired_pages = base.sweep(now);
-        let mut shard = base.clone();
+        for entry in self.recent.lost(era) {
+            if entry.claim.is_ended(now) {
+                continue;
+            }
+            let is_paged = shard.get(entry.name).is_none()
+                && self.pages.find_in(&shard, entry.name, now).await?.is_some();
+            if !is_paged && shard.restore(entry) {
+                count += 1;
+            }
+        }
+        Ok(Restored { shard, count, era })
+    }
+
+    /// Remembers claims that are in the store in this era, beside all earlier ones.
+    fn remember(&mut self, written: Vec<Entry>, era: u64) {
+        let now = self.clock.now();
+        self.recent.forget_old(now);
+        for entry in written {
+            self.recent.record(entry, now);
+        }
+        self.recent.confirm(era);
+    }
+
+    async fn draft(
+        &mut self,
+        current: &Snapshot,
+        restored: &Restored,
+        requests: &[Request],
+    ) -> Result<Draft, Fault> {
+        let now = self.clock.unix_ms();
+        let era = *self.store.eras().borrow();
+        let is_recovering = observe_era(&self.recovery, era, self.clock);
+        let mut base = current.shard.clone();
+        base.sweep(now);
+        let mut shard = restored.shard.clone();
+        let expired_pages = shard.sweep(now);
         let mut replies = Vec::with_capacity(requests.len());
         for request in requests {
             let reply = match &request.operation {
                 Operation::Claim(wanted) => {
-                    self.claim(&mut shard, request.name, wanted, now).await?
+                    let name = request.name;
+                    match self.find_in_pages(&shard, name, now).await? {
+                        Some(claim) => Reply::Verdict(claim.verdict(wanted)),
+                        None if is_recovering && may_run(&shard, name, wanted) => Reply::Recovering,
+                        None => shard
+                            .claim(name, wanted)
+                            .map_or(Reply::Full, Reply::Verdict),
+                    }
                 }
                 Operation::Settle {
                     holder,
@@ -272,24 +375,17 @@
         })
     }
 
-    async fn claim(
+    /// Returns the claim with this name if a page holds it.
+    async fn find_in_pages(
         &mut self,
-        shard: &mut Shard,
+        shard: &Shard,
         name: Name,
-        wanted: &Claim,
         now_unix_ms: u64,
-    ) -> Result<Reply, Fault> {
-        if shard.get(name).is_none() {
-            for page in shard.pages_for(name) {
-                let found = self.pages.find(page, name).await?;
-                if let Some(claim) = found.filter(|claim| !claim.is_ended(now_unix_ms)) {
-                    return Ok(Reply::Verdict(claim.verdict(wanted)));
-                }
-            }
+    ) -> Result<Option<Claim>, Fault> {
+        if shard.get(name).is_some() {
+            return Ok(None);
         }
-        Ok(shard
-            .claim(name, wanted)
-            .map_or(Reply::Full, Reply::Verdict))
+        self.pages.find_in(shard, name, now_unix_ms).await
     }
 
     /// Moves completed claims to a new page if the shard is large. If the page
@@ -305,3 +401,28 @@
         }
     }
 }
+
+/// Returns the claims in the shard that the holders of the requests have.
+fn own_claims(shard: &Shard, requests: &[Request]) -> Vec<Entry> {
+    let own = requests.iter().filter_map(|request| {
+        let holder = match &request.operation {
+            Operation::Claim(wanted) => wanted.holder,
+            Operation::Settle { holder, .. } => *holder,
+        };
+        let claim = shard.get(request.name)?;
+        let name = request.name;
+        (claim.holder == holder).then(|| Entry {
+            name,
+            claim: claim.clone(),
+        })
+    });
+    own.collect()
+}
+
+/// Returns whether the shard would let the prospective holder run the work.
+fn may_run(shard: &Shard, name: Name, wanted: &Claim) -> bool {
+    shard.get(name).is_none_or(|claim| {
+        let verdict = claim.verdict(wanted);
+        matches!(verdict, Verdict::Run | Verdict::TakeOver)
+    })
+}
--- a/crates/cicadacrank-node/tests/peer.rs
+++ b/crates/cicadacrank-node/tests/peer.rs
@@ -92,6 +92,8 @@
         watch::Sender::new(0).subscribe()
     }
 
+    fn record_era(&self, _: u64) {}
+
     fn get<'a>(&'a self, _: Collection, name: &'a str) -> BoxFuture<'a, Result<Object, Fault>> {
         let generation = *self.simulation.generation.lock().expect("poisoned lock");
         let object = self.check().map(|()| Object {
