--- a/crates/cicadacrank-bench/src/memory/process.rs
+++ b/crates/cicadacrank-bench/src/memory/process.rs
@@ -94,6 +94,14 @@
 }
 
 impl Store for Proxy<dyn Store> {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.inner.eras()
+    }
+
+    fn record_era(&self, era: u64) {
+        self.inner.record_era(era);
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-bench/src/memory/store.rs
+++ b/crates/cicadacrank-bench/src/memory/store.rs
@@ -14,7 +14,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::time;
+use tokio::{sync::watch, time};
 
 /// Time after which a call whose answer is lost fails.
 const LOST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     state: Arc<Mutex<State>>,
+    /// Newest era that a call has seen.
+    era: Arc<watch::Sender<u64>>,
 }
 
 impl Store {
@@ -44,6 +46,8 @@
         if !delay.is_zero() {
             time::sleep(delay).await;
         }
+        let era = self.state().era();
+        self.record_era(era);
         let faults = &self.state().faults;
         if faults.down {
             return Err(Fault::Lost("status 503".to_owned()));
@@ -82,6 +86,18 @@
 }
 
 impl Interface for Store {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
+    fn record_era(&self, era: u64) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -50,6 +50,8 @@
     ReadyChanged = 106, Info, "The process became ready for callers, or is no longer ready.";
     GenerationAdopted = 200, Info, "A newer configuration is in force.";
     GenerationRejected = 201, Error, "A newer configuration could not be read; the previous one stays in force.";
+    RulesWrittenBack = 202, Info, "The configuration in force was written back to the platform, which had come back from a copy without it.";
+    GenerationLost = 203, Warn, "A newer configuration lacks changes that were in force, because the platform had come back from a copy.";
     PlatformFailed = 210, Warn, "A call to the platform failed.";
     PlatformRegained = 211, Info, "A call to the platform succeeded after failures.";
     PlatformRestored = 212, Warn, "The platform's store came back from a copy.";
@@ -79,6 +81,7 @@
     ClaimMade = 400, Debug, "A claim for non-idempotent work was created.";
     ClaimRecorded = 401, Debug, "The outcome of claimed work was recorded.";
     ClaimOpen = 402, Warn, "A claim stays open because the outcome is unknown.";
+    ClaimsRestored = 403, Info, "Claims were written again to a platform that came back from a copy.";
     PhaseChanged = 500, Info, "An endpoint changed phase between cold, warming, warm and leaving.";
     MemberChanged = 510, Info, "An instance became alive, suspect, dead or leaving.";
     PeerLost = 511, Warn, "Another gateway does not respond.";
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -19,6 +19,7 @@
 
 use futures_util::{future::BoxFuture, stream::BoxStream};
 use serde_json::Value;
+use tokio::sync::watch;
 
 /// A collection of objects of one kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -152,6 +153,12 @@
 
 /// The object API of the platform.
 pub trait Store: Send + Sync + 'static {
+    /// Returns a receiver of the newest known era of the store.
+    fn eras(&self) -> watch::Receiver<u64>;
+
+    /// Records an era that another process has seen.
+    fn record_era(&self, era: u64);
+
     /// Returns an object.
     fn get<'a>(
         &'a self,
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -245,11 +245,7 @@
             CallError::Lost(reason) => Fault::Lost(reason),
         })?;
         let era = parse_era(answer.headers())?;
-        self.era.send_if_modified(|newest| {
-            let is_newer = era > *newest;
-            *newest = era.max(*newest);
-            is_newer
-        });
+        self.record_era(era);
         match answer.status() {
             status if status.is_success() => Ok(Answer {
                 era,
@@ -281,6 +277,18 @@
 }
 
 impl Store for Client {
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
+    fn record_era(&self, era: u64) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
     fn get<'a>(
         &'a self,
         collection: Collection,
