Soak the return of the store, pausing engines and odd refusals

The soak draws restores from copies of the store, engines that pause or stall in a stream, refusals that name no request and Retry-After.

A constant of the emulator that its documentation names is public, so that the documentation builds.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -40,7 +40,7 @@
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// Pause of an endpoint with [`Fault::Pause`] or [`Fault::PauseAfterEvent`].
-const SILENCE: Duration = Duration::from_millis(1_700);
+pub const SILENCE: Duration = Duration::from_millis(1_700);
 
 /// Time between two bytes of an engine with [`Fault::DribbleAfterEvent`].
 const BYTE_GAP: Duration = Duration::from_millis(2);
--- a/crates/cicadacrank-bench/src/deployment/soak.rs
+++ b/crates/cicadacrank-bench/src/deployment/soak.rs
@@ -5,7 +5,7 @@
 //! against what the endpoints ran.
 
 use super::{Answer, Caller, Deployment, EVENTS, Fault, Impairment, Plan, route, send};
-use crate::platform::Faults;
+use crate::platform::{Copy, Faults};
 use cicadacrank_node::platform::Collection;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -161,12 +161,13 @@
 ) -> io::Result<()> {
     let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut version = 1;
+    let mut copy = deployment.store.state().save();
     let mut stopped: Vec<(Instant, usize)> = Vec::new();
     while Instant::now() < deadline {
         restart_due(deployment, &mut stopped).await?;
         let endpoint = random.random_range(0..deployment.endpoints.len());
         let gateway = random.random_range(0..deployment.gateways.len());
-        match random.random_range(0..9) {
+        match random.random_range(0..12) {
             0 => deployment
                 .store_proxy
                 .set_impairment(random_impairment(&mut random)),
@@ -188,6 +189,14 @@
                 delay_ms: random.random_range(0..200),
                 ..Faults::default()
             }),
+            8 => copy = deployment.store.state().save(),
+            9 => {
+                version += 1;
+                restore_store(deployment, &copy, version, &mut random).await;
+            }
+            10 => {
+                deployment.endpoints[endpoint].set_retry_after(Some(random.random_range(0.1..1.0)))
+            }
             _ => clear_faults(deployment),
         }
         time::sleep(Duration::from_millis(random.random_range(100..700))).await;
@@ -198,6 +207,19 @@
     restart_due(deployment, &mut stopped).await
 }
 
+/// Lets the store come back from a copy. Operators and endpoints write again soon after.
+async fn restore_store(
+    deployment: &Deployment,
+    copy: &Copy,
+    version: u64,
+    random: &mut Xoshiro256PlusPlus,
+) {
+    deployment.store.state().restore(copy);
+    time::sleep(Duration::from_millis(random.random_range(0..1_500))).await;
+    deployment.configure(version, &json!([]));
+    register_endpoints(deployment, version);
+}
+
 fn random_impairment(random: &mut Xoshiro256PlusPlus) -> Impairment {
     match random.random_range(0..4) {
         0 => Impairment::Delay(random.random_range(10..400)),
@@ -215,7 +237,14 @@
         Fault::Unsigned,
         Fault::BreakOff,
         Fault::Fail,
+        Fault::FailAndBreakOff,
         Fault::Misdirected,
+        Fault::Pause,
+        Fault::PauseAfterEvent,
+        Fault::StallAfterEvent,
+        Fault::EarlyRefusal,
+        Fault::EarlyForeignRefusal,
+        Fault::Refuse,
     ];
     *faults.choose(random).unwrap_or(&Fault::None)
 }
@@ -300,16 +329,22 @@
     for endpoint in &deployment.endpoints {
         endpoint.proxy.set_impairment(Impairment::None);
         endpoint.set_fault(Fault::None);
+        endpoint.set_retry_after(None);
     }
 }
 
-async fn recover(deployment: &mut Deployment) -> io::Result<()> {
-    clear_faults(deployment);
+/// Writes an entry for each endpoint, with the given sequence number.
+fn register_endpoints(deployment: &Deployment, sequence: u64) {
+    let mut store = deployment.store.state();
     for endpoint in &deployment.endpoints {
-        let entry = endpoint.entry("ready", 1_000_000);
-        let mut store = deployment.store.state();
+        let entry = endpoint.entry("ready", sequence);
         store.put(Collection::Endpoints, &endpoint.id, entry);
     }
+}
+
+async fn recover(deployment: &mut Deployment) -> io::Result<()> {
+    clear_faults(deployment);
+    register_endpoints(deployment, 1_000_000);
     for gateway in &deployment.gateways {
         gateway.wait_ready().await?;
     }
