Read the rest of a body that an entry has refused, too

Callers saw: on our own interface, a caller that was still sending its body lost the refusal to a reset, and the next request on the connection got no answer.

Cause: a header that can't be read, an unknown path and a body over the limit are refused before the body is read, and the HTTP library then ends the connection without having said so, as at the gateway. Class: a connection ends by something else than what both sides were told.

Change: what the gateway does with an unread body moves to a module of its own, and a handler around the router of the entry uses it for all its answers.

--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -40,7 +40,7 @@
     tokio::spawn(peer_server);
     let server = Server::new(acceptor);
     let handle = server.handle();
-    let server = tokio::spawn(server.serve(entry::http::router(Arc::clone(&service))));
+    let server = tokio::spawn(server.serve(entry::http::api(Arc::clone(&service))));
     print_addresses(&Addresses {
         listen,
         caller_listen,
--- a/crates/cicadacrank-node/src/entry/http.rs
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -6,12 +6,14 @@
 //! and the event `error` an incomplete one.
 
 use super::service::{Reply, Request, Service};
+use crate::inbound;
 use bytes::Bytes;
 use cicadacrank_core::{
     error::{Failure, Kind},
     id,
 };
 use futures_util::{Stream, StreamExt as _, stream};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use salvo::{
     Depot, FlowCtrl, Handler, Response, Router, async_trait,
     http::{HeaderMap, StatusCode},
@@ -35,10 +37,31 @@
     service: Arc<Service>,
 }
 
-/// Returns the router of the HTTP API for callers.
+/// Discards bodies of requests that were answered before they were read.
+struct Discard;
+
+/// Returns the HTTP API for callers.
 #[must_use]
-pub fn router(service: Arc<Service>) -> Router {
-    Router::with_path("v1/pipelines/{name}").post(Pipelines { service })
+pub fn api(service: Arc<Service>) -> salvo::Service {
+    let router = Router::with_path("v1/pipelines/{name}").post(Pipelines { service });
+    salvo::Service::new(router).hoop(Discard)
+}
+
+#[async_trait]
+impl Handler for Discard {
+    async fn handle(
+        &self,
+        request: &mut salvo::Request,
+        depot: &mut Depot,
+        response: &mut Response,
+        control: &mut FlowCtrl,
+    ) {
+        control.call_next(request, depot, response).await;
+        let mut body = request.take_body();
+        if let Some(rest) = inbound::unread(&mut body) {
+            inbound::discard(body, &rest, request.headers(), response.headers_mut());
+        }
+    }
 }
 
 #[async_trait]
@@ -82,11 +105,15 @@
         })?)),
     };
     let pipeline = request.param::<String>("name").unwrap_or_default();
-    let body = request
-        .payload_with_max_size(MAX_BODY_BYTES)
-        .await
-        .map_err(|error| Failure::not_run(Kind::TooLarge, format!("reading the body: {error}")))?;
-    let body = Bytes::copy_from_slice(body);
+    let body = Limited::new(request.body_mut(), MAX_BODY_BYTES);
+    let body = body.collect().await.map_err(|error| {
+        let error = match error.downcast::<LengthLimitError>() {
+            Ok(_) => "payload too large".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        Failure::not_run(Kind::TooLarge, format!("reading the body: {error}"))
+    })?;
+    let body = body.to_bytes();
     Ok(Request {
         id,
         team,
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -7,7 +7,7 @@
     state::State,
     stream,
 };
-use crate::platform::caller::Caller;
+use crate::{inbound, platform::caller::Caller};
 use bytes::Bytes;
 use cicadacrank_core::{
     config::{Config, Rejection, Route},
@@ -17,8 +17,7 @@
     once::{ExecutionError, Unsent},
     quarantine::Fingerprint,
 };
-use futures_util::FutureExt as _;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming, SizeHint};
 use std::{sync::Arc, time::Duration};
@@ -39,13 +38,6 @@
 /// crashed endpoints.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
-/// Maximum time for which the rest of a refused body is read and discarded. An unread
-/// body would reset the connection and with it the refusal.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Maximum size of the rest of a refused body that is read and discarded, in bytes.
-const MAX_DISCARDED_BYTES: u64 = 8 << 20;
-
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -119,7 +111,7 @@
         request.body().size_hint().exact(),
     ));
     let (head, mut body) = request.into_parts();
-    let is_awaiting_consent = head.headers.contains_key(header::EXPECT);
+    let headers = head.headers.clone();
     let serving = async {
         match accept(&state, head, &mut body, caller, arrived).await {
             Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
@@ -138,7 +130,7 @@
     match answer {
         Ok(response) => response,
         Err(refusal) => {
-            let unread = (!is_read(&mut body)).then(|| body.size_hint());
+            let unread = inbound::unread(&mut body);
             state.metrics.record_failure(&refusal.error);
             let failure = refusal.error.failure();
             Event::RequestRefused.log(format_args!(
@@ -154,39 +146,13 @@
             ));
             let mut response = reply::failure(&refusal.error, refusal.retry_after);
             if let Some(unread) = unread {
-                // The connection of a larger body ends inside it, and a caller that waits to
-                // be asked for its body may leave it out.
-                if is_awaiting_consent
-                    || unread
-                        .upper()
-                        .is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES)
-                {
-                    let headers = response.headers_mut();
-                    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-                }
-                tokio::spawn(time::timeout(DISCARD_TIMEOUT, discard(body)));
+                inbound::discard(body, &unread, &headers, response.headers_mut());
             }
             response
         }
     }
 }
 
-/// Returns whether a body was read to its end. Only its next frame tells that of a body in
-/// chunks.
-fn is_read(body: &mut Incoming) -> bool {
-    body.is_end_stream() || matches!(body.frame().now_or_never(), Some(None))
-}
-
-/// Reads and discards a body up to its end or [`MAX_DISCARDED_BYTES`].
-async fn discard(mut body: Incoming) {
-    let mut bytes = 0;
-    while bytes <= MAX_DISCARDED_BYTES
-        && let Some(Ok(frame)) = body.frame().await
-    {
-        bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-    }
-}
-
 /// Returns the id of the caller's attempt, for logs.
 pub fn attempt_id(request: &Request<Incoming>) -> String {
     Caller::decode(request.headers()).attempt_text().to_owned()
--- /dev/null
+++ b/crates/cicadacrank-node/src/inbound.rs
@@ -0,0 +1,50 @@
+//! Bodies of requests that are answered before they are read.
+//!
+//! The HTTP library ends a connection after an answer, without having announced it, if the
+//! body of the request is still unread. What arrives of it then resets the connection.
+
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use http::{HeaderMap, HeaderValue, header};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body, SizeHint};
+use std::time::Duration;
+use tokio::time;
+
+/// Maximum time for which the rest of a body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum size of the rest of a body that is read and discarded, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 8 << 20;
+
+/// Returns the size of the rest of a body, or `None` if it was read to its end. Only the
+/// next frame tells the end of a body in chunks.
+pub fn unread<B: Body + Unpin>(body: &mut B) -> Option<SizeHint> {
+    let is_read = body.is_end_stream() || matches!(body.frame().now_or_never(), Some(None));
+    (!is_read).then(|| body.size_hint())
+}
+
+/// Reads and discards the rest of a body in the background, so that its connection stays
+/// usable. If that is not certain, the headers of the response announce its end.
+pub fn discard<B>(body: B, rest: &SizeHint, request: &HeaderMap, response: &mut HeaderMap)
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+{
+    // The connection of a larger body ends inside it, and a caller that waits to be asked
+    // for its body may leave it out.
+    let is_large = rest.upper().is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES);
+    if is_large || request.contains_key(header::EXPECT) {
+        response.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    tokio::spawn(time::timeout(DISCARD_TIMEOUT, read(body)));
+}
+
+/// Reads a body up to its end or [`MAX_DISCARDED_BYTES`].
+async fn read<B: Body<Data = Bytes> + Unpin>(mut body: B) {
+    let mut bytes = 0;
+    while bytes <= MAX_DISCARDED_BYTES
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+    }
+}
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod gateway;
+mod inbound;
 pub mod link;
 pub mod logging;
 pub mod membership;
