Ask the next engine when one declines to go on with a stream

Callers saw: a resumable stream that ended in its middle, although an engine was left and the route allowed a further attempt.

Cause: after an engine had failed, one other engine was asked to go on; if that one declined, as when it was full or leaving, the stream was broken off. Class: something that works is given up before its successor is certain.

Evidence: the test failed before ('StreamBroken: id=s1 age_ms=22 ... error reading a body from connection', with three attempts allowed and a third engine idle).

Change: engines are asked until one accepts, none is left, or the attempts of the route or the retries of the service are used up. The results of the stages are kept for the next one.

--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -382,20 +382,40 @@
                         Resumption::Resumed => {
                             (patience, deadline) = (self.patience(), self.event_deadline());
                         }
-                        Resumption::Failed => return Some(Err(self.break_off(SILENCE))),
+                        Resumption::Failed => {
+                            if !self.resume_after(SILENCE).await {
+                                return Some(Err(self.break_off(SILENCE)));
+                            }
+                            (patience, deadline) = (self.patience(), self.event_deadline());
+                        }
                     }
                     continue;
                 }
                 Err(_) => SILENCE.to_owned(),
             };
-            self.upstream.guard.record(Report::Failed);
-            if !matches!(self.resume(&failure, false).await, Resumption::Resumed) {
+            if !self.resume_after(&failure).await {
                 return Some(Err(self.break_off(&failure)));
             }
             (patience, deadline) = (self.patience(), self.event_deadline());
         }
     }
 
+    /// Resumes the stream after its engine has failed, at the first engine that accepts it.
+    /// Returns whether one did.
+    async fn resume_after(&mut self, failure: &str) -> bool {
+        self.upstream.guard.record(Report::Failed);
+        loop {
+            let arrivals = self.arrivals;
+            if matches!(self.resume(failure, false).await, Resumption::Resumed) {
+                return true;
+            }
+            // No engine was asked, so none is left, or no further attempt is allowed.
+            if self.arrivals == arrivals {
+                return false;
+            }
+        }
+    }
+
     /// Ends the stream before it is complete.
     fn break_off(&mut self, failure: &str) -> io::Error {
         self.finished = true;
@@ -563,8 +583,11 @@
         let held = self.outputs.take();
         let prepared = prepare(&self.state, &self.job, held, &self.tried, until);
         let (outputs, chosen) = match current.race(prepared, until).await {
-            Ok(Some(prepared)) => prepared,
-            Ok(None) => return Resumption::not_resumed(current.may_continue),
+            Ok(Some((outputs, Some(chosen)))) => (outputs, chosen),
+            Ok(prepared) => {
+                self.outputs = prepared.map(|(outputs, _)| outputs);
+                return Resumption::not_resumed(current.may_continue);
+            }
             Err(progress) => return Resumption::Progress(progress),
         };
         let key = chosen.choice.key;
@@ -577,7 +600,10 @@
         let attempt = attempt::start(&self.state, outgoing, key, &parameters, until, unsent);
         let started = match current.race(attempt, Instant::now() + HANDOVER_TIME).await {
             Ok(Ok(started)) => started,
-            Ok(Err(_)) => return Resumption::not_resumed(current.may_continue),
+            Ok(Err(_)) => {
+                self.outputs = Some(outputs);
+                return Resumption::not_resumed(current.may_continue);
+            }
             Err(progress) => return Resumption::Progress(progress),
         };
         let may_go_on = current.may_continue;
@@ -589,6 +615,7 @@
                 started.guard.endpoint.life.id,
                 started.answer.status.as_u16(),
             ));
+            self.outputs = Some(outputs);
             return Resumption::not_resumed(may_go_on);
         }
         Event::StreamResumed.log(format_args!(
@@ -709,19 +736,19 @@
 }
 
 /// Runs the stages of a stream again, unless their results are still held, and selects
-/// an engine that was not tried.
+/// an engine that was not tried, if there is one. Returns `None` if a stage fails.
 async fn prepare(
     state: &Arc<State>,
     job: &Job,
     held: Option<Outputs>,
     tried: &[Key],
     until: Instant,
-) -> Option<(Outputs, Chosen)> {
+) -> Option<(Outputs, Option<Chosen>)> {
     let outputs = match held {
         Some(outputs) => outputs,
         None => stages::repeat(state, job, until).await?,
     };
-    let chosen = choose(state, job, &outputs, tried, until).await?;
+    let chosen = choose(state, job, &outputs, tried, until).await;
     Some((outputs, chosen))
 }
 
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -952,6 +952,43 @@
     wait_for_log(&deployment, 0, "StreamResumed").await;
 }
 
+/// A stream was broken off when the first engine that was asked to go on with it declined,
+/// although the route allowed a further one.
+#[tokio::test]
+async fn broken_stream_continues_on_the_next_engine_when_one_declines() {
+    for declining in 0..2 {
+        let deployment = deployment(1, 3).await;
+        let mut talk = route("/talk/", "streaming", "llm", 3);
+        talk["streamResumption"] = json!(true);
+        talk["maxGapMs"] = json!(300);
+        deployment.configure(2, &json!([talk]));
+        wait_for_log(&deployment, 0, "ConfigAdopted: version=2").await;
+        // The retry budget refills over time.
+        time::sleep(Duration::from_secs(2)).await;
+        set_faults(&deployment, Role::Engine, Fault::StallAfterEvent);
+        let answer = stream(&deployment, "/talk/x", "s1");
+        let break_off = async {
+            wait_for_log(&deployment, 0, "StreamBegan: id=s1").await;
+            let engines = || deployment.endpoints_with(Role::Engine);
+            let broken = engines().find(|engine| !engine.runs().is_empty());
+            let broken = broken.expect("no engine runs the stream");
+            let others = engines().filter(|engine| engine.id != broken.id);
+            for (number, engine) in others.enumerate() {
+                let declines = number == declining;
+                engine.set_fault(if declines {
+                    Fault::Decline
+                } else {
+                    Fault::None
+                });
+            }
+            broken.proxy.set_impairment(Impairment::Reset);
+        };
+        let (answer, ()) = tokio::join!(answer, break_off);
+        assert!(answer.whole, "{}", deployment.gateways[0].log_text());
+        assert_eq!(answer.body, events(1, EVENTS));
+    }
+}
+
 #[tokio::test]
 async fn stream_of_an_engine_that_stalls_continues_on_another_engine() {
     let deployment = deployment(1, 2).await;
