--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -12,7 +12,9 @@
 
 pub use self::{
     caller::{Answer, Caller, send},
-    endpoint::{CRASHING_PART, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption, Role, Run},
+    endpoint::{
+        CRASHING_PART, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption, Role, Run, SILENCE,
+    },
     gateway::Gateway,
     proxy::{Impairment, Proxy},
 };
