--- a/crates/cicadacrank-bench/src/deployment/soak.rs
+++ b/crates/cicadacrank-bench/src/deployment/soak.rs
@@ -195,7 +195,8 @@
                 restore_store(deployment, &copy, version, &mut random).await;
             }
             10 => {
-                deployment.endpoints[endpoint].set_retry_after(Some(random.random_range(0.1..1.0)))
+                let seconds = random.random_range(0.1..1.0);
+                deployment.endpoints[endpoint].set_retry_after(Some(seconds));
             }
             _ => clear_faults(deployment),
         }
