Read what has arrived before an idle connection is closed

Found by the review, by reading: when the shutdown closed idle connections, the choice between reading and closing was random, so that a request that had arrived could be reset. Reading now goes first. No test: which of two ready branches is taken is not observable from outside with certainty.

--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -234,6 +234,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
+        // Reads a request that has arrived before the connection is closed as idle.
+        biased;
         result = connection.as_mut() => result,
         () = wait_until(&mut phase, Phase::Closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
