--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -596,7 +596,7 @@
         desks.map(|desk| desk.runs().len()).collect()
     };
     let follow = async |deployment: &Deployment, revision: u64| {
-        let text = format!("DirectoryChanged: revision={revision} ");
+        let text = format!("DirectoryChanged: era=0 revision={revision} ");
         for gateway in 0..deployment.gateways.len() {
             wait_for_log(deployment, gateway, &text).await;
         }
@@ -663,7 +663,7 @@
         state.revision()
     };
     deployment.store_proxy.set_impairment(Impairment::None);
-    let text = format!("DirectoryChanged: revision={revision} ");
+    let text = format!("DirectoryChanged: era=0 revision={revision} ");
     wait_for_log(&deployment, 0, &text).await;
     for number in 0..8 {
         let answer = book(&deployment, &format!("a{number}")).await;
