Skip no generations twice when rules are written back

What operators would see: rules are lost and written back in two eras of the store in a row, from the same copy.

Cause: the write-back skipped 1,000 numbers for each era since the copy's last change, counted from the generation in force, which had skipped them already. It so ran ahead of what a change on the copy gets in the next era. Class: an order that trusts a number to say its era.

Evidence: the new test failed before, with generations 3002 in force and 3001 acknowledged.

Change: the write-back takes the number that any change on the copy gets, or the next one after that in force if that is higher, which it is only if 1,000 changes were lost at once.

--- a/crates/cicadacrank-core/src/generation/object.rs
+++ b/crates/cicadacrank-core/src/generation/object.rs
@@ -182,6 +182,16 @@
     /// Returns an error if the rules are not valid, are in force already or are
     /// too large to store, or if the change gives no person or no reason.
     pub fn replace(&self, rules: &str, change: &Change) -> Result<Step, Refusal> {
+        self.replace_as(self.next_generation(), rules, change)
+    }
+
+    /// Returns the step that replaces the rules by those of a generation.
+    fn replace_as(
+        &self,
+        generation: Generation,
+        rules: &str,
+        change: &Change,
+    ) -> Result<Step, Refusal> {
         if !change.request.is_valid() {
             return Err(edit::Error::InvalidRequest.into());
         }
@@ -193,7 +203,7 @@
         }
         let mut object = Self {
             layout: LAYOUT,
-            generation: self.next_generation(),
+            generation,
             rules: rules.to_owned(),
             era: self.era.max(self.read_era),
             ..self.clone()
@@ -227,8 +237,10 @@
         let lost = entries.iter();
         let lost = lost.filter(|entry| entry.generation > self.generation);
         base.audit.extend(lost.cloned());
-        base.generation = self.generation.max(generation);
-        base.replace(rules, change)
+        // The newer generation may have skipped numbers itself. Skipping again from there
+        // would pass the first change of the next era.
+        let next = self.next_generation().max(generation.next());
+        base.replace_as(next, rules, change)
     }
 
     /// Returns the generation of the next change. Generations of a newer era are above
--- a/crates/cicadacrank-core/tests/generation.rs
+++ b/crates/cicadacrank-core/tests/generation.rs
@@ -138,6 +138,25 @@
     );
 }
 
+// Guards against an acknowledged change that no process adopts, because the rules that
+// were written back after two returns of the store have a higher generation.
+#[test]
+fn object_written_back_twice_is_below_a_change_of_the_next_era() {
+    let kept = first();
+    let mut newest = kept.replace(SHORT, &change(1)).unwrap().object;
+    for era in 1..=2 {
+        let came_back = kept.clone().with_read_era(era);
+        let written = came_back.write_back(newest.generation, &newest.rules, &[], &change(2));
+        let object = written.unwrap().object;
+        assert!(object.generation > newest.generation);
+        newest = object;
+    }
+    let came_back = kept.with_read_era(3);
+    let changed = came_back.replace(SHORT, &change(3)).unwrap().object;
+    let generations = [newest.generation, changed.generation];
+    assert!(generations[0] < generations[1], "{generations:?}");
+}
+
 #[test]
 fn object_refuses_change() {
     let object = first();
