Follow an era of the store that was known before claims were

What callers would see: a sidecar refuses all new work that may not be repeated with platform-down, until the store returns from a copy once more.

Cause: the task that ends a recovery waited for the next change of the era. If another call had seen an era above zero before the task first ran, it did not wake, while the writers of claims had begun the recovery themselves. A sidecar starts the task before its first call to the store, so that only a race at the start could cause this; nothing else ensured the order.

Change: the task looks at the era once when it starts.

--- a/crates/cicadacrank-bench/tests/claims.rs
+++ b/crates/cicadacrank-bench/tests/claims.rs
@@ -198,3 +198,17 @@
     let again = try_acquire(&other, CLAIMS, 2 * CLAIMS).await;
     assert!(is_replay(&again), "{again:?}");
 }
+
+// Guards against a process that makes no claim for good, because the era of the platform
+// was known before it began to follow it.
+#[tokio::test(start_paused = true)]
+async fn acquire_goes_on_in_a_process_that_starts_after_a_restore() {
+    let store = Store::new();
+    let copy = store.state().save();
+    store.state().restore(&copy);
+    for number in 0..2 {
+        let started = claims(&store);
+        let handle = hold(&started, number, number).await;
+        record(&started, handle).await;
+    }
+}
--- a/crates/cicadacrank-node/src/sidecar/claims/mod.rs
+++ b/crates/cicadacrank-node/src/sidecar/claims/mod.rs
@@ -301,6 +301,8 @@
 /// whether it answers. Never returns.
 async fn observe_recoveries(store: Arc<dyn Store>, recovery: Arc<Mutex<Recovery>>, clock: Clock) {
     let mut eras = store.eras();
+    // Another call may have seen a later era already.
+    eras.mark_changed();
     while eras.changed().await.is_ok() {
         let observe = || observe_era(&recovery, *store.eras().borrow(), clock);
         while observe() {
