Drop the withheld entry of an endpoint when it is discarded

What callers would see: an endpoint that had left before the store came back from a copy gets requests a minute later, although another writer has overwritten its entry since with one that names no endpoint.

Cause: odd entries and withheld entries were added on two branches. The removal of an entry drops what is withheld; that of an odd entry did not.

Evidence: the new test failed before (the list changed at the end of the minute).

Change: both do the same. What is written later in the same era is taken.

--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -137,6 +137,8 @@
         self.version = version;
         if let Ok(index) = self.find(id) {
             self.entries.remove(index);
+        } else {
+            self.drop_withheld(id);
         }
     }
 
@@ -231,11 +233,7 @@
 
     fn drop_entry(&mut self, id: &str, now: Duration) {
         let Ok(index) = self.find(id) else {
-            let mut departures = self.departures.iter_mut();
-            if let Some(departure) = departures.find(|one| one.endpoint.life.id == id) {
-                departure.era = self.version.era;
-                departure.withheld = None;
-            }
+            self.drop_withheld(id);
             return;
         };
         let kept = self.grace_until.is_some_and(|until| now < until)
@@ -258,6 +256,16 @@
         }
     }
 
+    /// Drops the withheld entry of an endpoint that has left. What is written from now on
+    /// in this era is newer.
+    fn drop_withheld(&mut self, id: &str) {
+        let mut departures = self.departures.iter_mut();
+        if let Some(departure) = departures.find(|one| one.endpoint.life.id == id) {
+            departure.era = self.version.era;
+            departure.withheld = None;
+        }
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.endpoint.life.id.as_str().cmp(id))
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -295,6 +295,18 @@
     }
 }
 
+/// The withheld entry of a copy was used after it had been overwritten with one that
+/// names no endpoint.
+#[test]
+fn withheld_entry_that_is_discarded_is_not_taken() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "a", at(1.0));
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(2.0));
+    tracker.discard(later(4), "a");
+    assert!(!tracker.expire(at(61.0)));
+    assert_eq!(ids(&tracker), ["b"]);
+}
+
 /// A process that cannot read the store replaced its list by that of another process,
 /// which may have started after the endpoint left.
 #[test]
