Remember who left for as long as the store is away

What callers would see: an endpoint leaves, and the store is gone some seconds later, for a minute or more. It comes back from a copy in which the endpoint is still registered, and the endpoint gets requests until the operator or the store removes its entry again.

Cause: what left is remembered for a minute, to cover the age of a copy, but the age was counted from now and not from the beginning of the outage. Class: something forgotten by the clock while the other side stands still.

Change: outages of the store do not count towards the minute. What a later era shows as withheld is taken after the minute in any case, so that a gateway that reaches only other gateways does not withhold it for longer.

--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -14,9 +14,9 @@
 /// again within the same time.
 pub(super) const RECOVERY_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which an endpoint that has left is remembered. It covers the age of a
-/// copy and the time after which the store removes the entry of an endpoint that
-/// does not renew it.
+/// Time for which an endpoint that has left is remembered, beside outages of the
+/// store. It covers the age of a copy and the time after which the store removes the
+/// entry of an endpoint that does not renew it.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
 
 /// Maximum number of endpoints that have left and are remembered.
@@ -71,6 +71,10 @@
         let Some(since) = self.unavailable_since.take() else {
             return;
         };
+        // A copy is older than the outage.
+        for departure in &mut self.departures {
+            departure.at += now.saturating_sub(since.max(departure.at));
+        }
         if now.saturating_sub(since) >= MIN_EXPIRY_OUTAGE {
             self.grace_until = Some(now + RECOVERY_GRACE);
         }
@@ -182,11 +186,13 @@
             }
         }
         let dropped = self.entries.len() < before;
-        let forgotten = self.departures.iter();
-        let forgotten = forgotten
-            .take_while(|one| now.saturating_sub(one.at) >= DEPARTURE_MEMORY)
-            .count();
-        let forgotten: Vec<Departure> = self.departures.drain(..forgotten).collect();
+        let is_available = self.unavailable_since.is_none();
+        let is_forgotten = |one: &mut Departure| {
+            let is_old = now.saturating_sub(one.at) >= DEPARTURE_MEMORY;
+            is_old && (is_available || one.withheld.is_some())
+        };
+        let forgotten = self.departures.extract_if(.., is_forgotten);
+        let forgotten: Vec<Departure> = forgotten.collect();
         let before = self.entries.len();
         for endpoint in forgotten.into_iter().filter_map(|one| one.withheld) {
             self.store(endpoint);
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -295,6 +295,21 @@
     }
 }
 
+/// An endpoint that had left got requests again after the store was away for a minute.
+#[test]
+fn endpoint_that_left_is_remembered_while_the_store_is_away() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "a", at(1.0));
+    tracker.mark_unavailable(at(3.0));
+    assert!(!tracker.expire(at(90.0)));
+    tracker.mark_available(at(90.0));
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(90.0));
+    assert_eq!(ids(&tracker), ["b"]);
+    assert!(!tracker.expire(at(147.9)));
+    assert!(tracker.expire(at(148.0)));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+}
+
 /// The withheld entry of a copy was used after it had been overwritten with one that
 /// names no endpoint.
 #[test]
