End no grace period while the store is away again

What callers would see: the store comes back from a copy that lacks endpoints, and is away again within two seconds, before they have registered again. All these endpoints get no requests for the rest of the outage. If the store then comes back from a copy that has them, they get none for a minute, although they run.

Cause: the grace period ended by the clock while endpoints could not register. What was still missing counted as having left, and the entry of the next copy was withheld as that of an endpoint that had left. Class: silence of the store taken for its word.

Of the new tests, grace_period_does_not_end_while_the_store_is_away_again and grace_period_goes_on_after_another_outage failed before. So did the third test at first, which guards against a grace period that never ends.

Change: a grace period is paused while the store is away, unless a list of another process arrives, which knows who has registered again.

--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -68,15 +68,19 @@
     /// Records that the store responded. Starts the grace period if the outage
     /// was long enough for entries to expire.
     pub fn mark_available(&mut self, now: Duration) {
+        let is_paused = self.is_grace_paused();
         let Some(since) = self.unavailable_since.take() else {
             return;
         };
+        let outage = now.saturating_sub(since);
         // A copy is older than the outage.
         for departure in &mut self.departures {
             departure.at += now.saturating_sub(since.max(departure.at));
         }
-        if now.saturating_sub(since) >= MIN_EXPIRY_OUTAGE {
+        if outage >= MIN_EXPIRY_OUTAGE {
             self.grace_until = Some(now + RECOVERY_GRACE);
+        } else if is_paused {
+            self.grace_until = self.grace_until.map(|until| until + outage);
         }
     }
 
@@ -164,8 +168,14 @@
     /// Applies the snapshot of another process if that is newer, like a list of the
     /// store. Returns whether it was.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Duration) -> bool {
-        snapshot.version > self.version
-            && self.replace_all(snapshot.version, snapshot.endpoints, now)
+        if snapshot.version <= self.version {
+            return false;
+        }
+        if self.is_grace_paused() {
+            // The other process knows which endpoints have registered again.
+            self.grace_until = Some(now + RECOVERY_GRACE);
+        }
+        self.replace_all(snapshot.version, snapshot.endpoints, now)
     }
 
     /// Drops the entries that are still missing at the end of the grace period, and
@@ -173,7 +183,7 @@
     /// Returns whether the list changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.entries.len();
-        if self.grace_until.is_some_and(|until| now >= until) {
+        if self.grace_until.is_some_and(|until| now >= until) && !self.is_grace_paused() {
             self.grace_until = None;
             let missing: Vec<String> = self
                 .entries
@@ -242,7 +252,8 @@
             self.drop_withheld(id);
             return;
         };
-        let kept = self.grace_until.is_some_and(|until| now < until)
+        let is_grace = self.grace_until.is_some_and(|until| now < until);
+        let kept = (is_grace || self.is_grace_paused())
             && self.entries[index].endpoint.state == State::Ready;
         if kept {
             self.entries[index].missing = true;
@@ -262,6 +273,15 @@
         }
     }
 
+    /// Returns whether the store has been away since a grace period began. Endpoints
+    /// cannot register again meanwhile.
+    fn is_grace_paused(&self) -> bool {
+        let Some((since, until)) = self.unavailable_since.zip(self.grace_until) else {
+            return false;
+        };
+        until <= since + RECOVERY_GRACE
+    }
+
     /// Drops the withheld entry of an endpoint that has left. What is written from now on
     /// in this era is newer.
     fn drop_withheld(&mut self, id: &str) {
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -310,6 +310,53 @@
     assert_eq!(ids(&tracker), ["a", "b"]);
 }
 
+/// An endpoint that was running got no requests for a minute, because its grace period
+/// ended while the store was away again.
+#[test]
+fn grace_period_does_not_end_while_the_store_is_away_again() {
+    for outage in [0.5, 5.0] {
+        let mut tracker = tracker();
+        tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        assert!(!tracker.expire(at(2.8 + outage)));
+        tracker.mark_available(at(2.8 + outage));
+        let copied = vec![endpoint("a"), endpoint("b")];
+        tracker.replace_all(Version::new(2, 3), copied, at(2.8 + outage));
+        assert_eq!(ids(&tracker), ["a", "b"]);
+        assert!(tracker.shareable().is_some());
+    }
+}
+
+#[test]
+fn grace_period_goes_on_after_another_outage() {
+    for (outage, end) in [(0.5, 3.5), (5.0, 9.8)] {
+        let mut tracker = tracker();
+        tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        tracker.mark_available(at(2.8 + outage));
+        assert!(!tracker.expire(at(end - 0.1)));
+        assert!(tracker.expire(at(end)));
+        assert_eq!(ids(&tracker), ["b"]);
+    }
+}
+
+/// A process that cannot read the store would use endpoints that have left until it can.
+#[test]
+fn grace_period_of_a_list_of_another_process_ends_without_the_store() {
+    for knew_era in [false, true] {
+        let mut tracker = tracker();
+        if knew_era {
+            tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        }
+        tracker.mark_unavailable(at(2.0));
+        assert!(!tracker.expire(at(9.9)));
+        assert!(tracker.adopt(Snapshot::new(later(4), vec![endpoint("b")]), at(10.0)));
+        assert!(!tracker.expire(at(11.9)));
+        assert!(tracker.expire(at(12.0)));
+        assert_eq!(ids(&tracker), ["b"]);
+    }
+}
+
 /// The withheld entry of a copy was used after it had been overwritten with one that
 /// names no endpoint.
 #[test]
