Hold evacuations while the store is away again

What callers would see: the store comes back from a copy that lacks an evacuation, and is away again before the operator has written it once more. Two seconds after the first return work goes to the evacuated data centre, until the operator has written after the second one.

Cause: the same as for endpoints: the grace period ended by the clock while nobody could write.

Evidence: the code before has no call to tell it that the store is away, so that the new test does not compile there. With the pause broken on purpose, evacuation_is_held_while_the_store_is_away_again fails (tests/directory.rs:475).

Change: the tracker of evacuations learns of outages from the watch of endpoints, which notices them soonest, and pauses its grace period like that of endpoints.

--- a/crates/cicadacrank-core/src/directory/evacuation.rs
+++ b/crates/cicadacrank-core/src/directory/evacuation.rs
@@ -12,6 +12,7 @@
 pub struct Tracker {
     current: Option<Evacuation>,
     held: Option<Hold>,
+    unavailable_since: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -21,13 +22,26 @@
 }
 
 impl Tracker {
+    /// Records that the store did not respond.
+    pub fn mark_unavailable(&mut self, now: Duration) {
+        self.unavailable_since.get_or_insert(now);
+    }
+
+    /// Records that the store responded. A grace period that was paused begins again.
+    pub fn mark_available(&mut self, now: Duration) {
+        self.resume_hold(now);
+        self.unavailable_since = None;
+    }
+
     /// Applies a list. Ignores it if it is not newer than the current one. Returns
     /// whether it was applied.
     pub fn adopt(&mut self, evacuation: Evacuation, now: Duration) -> bool {
+        let is_known = |current: &Evacuation| evacuation.version <= current.version;
+        if self.current.as_ref().is_some_and(is_known) {
+            return false;
+        }
+        self.resume_hold(now);
         if let Some(current) = &self.current {
-            if evacuation.version <= current.version {
-                return false;
-            }
             if evacuation.version.era > current.version.era {
                 self.held = self.in_force().map(|in_force| Hold {
                     data_centres: in_force.data_centres,
@@ -46,6 +60,9 @@
     /// Ends the evacuations that the store does not name at the end of the grace
     /// period. Returns whether there were any.
     pub fn expire(&mut self, now: Duration) -> bool {
+        if self.is_hold_paused() {
+            return false;
+        }
         let expired = self.held.take_if(|held| now >= held.until);
         let (Some(held), Some(current)) = (expired, &self.current) else {
             return false;
@@ -71,4 +88,21 @@
         data_centres.dedup();
         Some(Evacuation::new(current.version, data_centres))
     }
+
+    fn resume_hold(&mut self, now: Duration) {
+        if self.is_hold_paused()
+            && let Some(held) = &mut self.held
+        {
+            held.until = now + RECOVERY_GRACE;
+        }
+    }
+
+    /// Returns whether the store has been away since a grace period began. Operators
+    /// cannot write again meanwhile.
+    fn is_hold_paused(&self) -> bool {
+        let (Some(held), Some(since)) = (&self.held, self.unavailable_since) else {
+            return false;
+        };
+        held.until <= since + RECOVERY_GRACE
+    }
 }
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -462,3 +462,35 @@
     assert!(tracker.expire(at(4.5)));
     assert!(evacuated(&tracker).is_empty());
 }
+
+/// Work went to an evacuated data centre that the operator could not name again, because
+/// the store was away once more.
+#[test]
+fn evacuation_is_held_while_the_store_is_away_again() {
+    for returns in [false, true] {
+        let mut tracker = evacuation::Tracker::default();
+        tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+        tracker.adopt(evacuations(later(3), &[]), at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        assert!(!tracker.expire(at(9.0)));
+        tracker.mark_available(at(9.0));
+        if returns {
+            tracker.adopt(evacuations(Version::new(2, 3), &[]), at(9.0));
+        }
+        assert!(!tracker.expire(at(10.9)));
+        assert_eq!(evacuated(&tracker), ["x"]);
+        assert!(tracker.expire(at(11.0)));
+        assert!(evacuated(&tracker).is_empty());
+    }
+}
+
+/// A process that cannot read the store would hold an evacuation until it can.
+#[test]
+fn evacuation_held_by_a_list_of_another_process_ends_without_the_store() {
+    let mut tracker = evacuation::Tracker::default();
+    tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+    tracker.mark_unavailable(at(1.0));
+    tracker.adopt(evacuations(later(3), &[]), at(10.0));
+    assert!(!tracker.expire(at(11.9)));
+    assert!(tracker.expire(at(12.0)));
+}
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -218,6 +218,18 @@
         self.check_ready();
     }
 
+    /// Records whether the store responded.
+    pub(super) fn record_store(&self, has_responded: bool) {
+        let now = self.clock.now();
+        if has_responded {
+            lock(&self.tracker).mark_available(now);
+            lock(&self.evacuation).mark_available(now);
+        } else {
+            lock(&self.tracker).mark_unavailable(now);
+            lock(&self.evacuation).mark_unavailable(now);
+        }
+    }
+
     /// Applies a list of evacuated data centres. Ignores it if it is not newer
     /// than the current one. Returns whether it was applied.
     pub fn adopt_evacuation(&self, evacuation: Evacuation, source: &str) -> bool {
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -136,7 +136,7 @@
             ));
         }
         if self.collection == Collection::Endpoints {
-            lock(&state.tracker).mark_unavailable(state.clock.now());
+            state.record_store(false);
         }
         let pause = retry::backoff(INITIAL_BACKOFF, MAX_BACKOFF, self.count);
         self.count += 1;
@@ -153,7 +153,7 @@
             self.count = 0;
         }
         if self.collection == Collection::Endpoints {
-            lock(&state.tracker).mark_available(state.clock.now());
+            state.record_store(true);
         }
     }
 }
