--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -14,9 +14,9 @@
 /// again within the same time.
 pub(super) const RECOVERY_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which an endpoint that has left is remembered. It covers the age of a
-/// copy and the time after which the store removes the entry of an endpoint that
-/// does not renew it.
+/// Time for which an endpoint that has left is remembered, beside outages of the
+/// store. It covers the age of a copy and the time after which the store removes the
+/// entry of an endpoint that does not renew it.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
 
 /// Maximum number of endpoints that have left and are remembered.
@@ -68,11 +68,19 @@
     /// Records that the store responded. Starts the grace period if the outage
     /// was long enough for entries to expire.
     pub fn mark_available(&mut self, now: Duration) {
+        let is_paused = self.is_grace_paused();
         let Some(since) = self.unavailable_since.take() else {
             return;
         };
-        if now.saturating_sub(since) >= MIN_EXPIRY_OUTAGE {
+        let outage = now.saturating_sub(since);
+        // A copy is older than the outage.
+        for departure in &mut self.departures {
+            departure.at += now.saturating_sub(since.max(departure.at));
+        }
+        if outage >= MIN_EXPIRY_OUTAGE {
             self.grace_until = Some(now + RECOVERY_GRACE);
+        } else if is_paused {
+            self.grace_until = self.grace_until.map(|until| until + outage);
         }
     }
 
@@ -137,6 +145,8 @@
         self.version = version;
         if let Ok(index) = self.find(id) {
             self.entries.remove(index);
+        } else {
+            self.drop_withheld(id);
         }
     }
 
@@ -158,8 +168,14 @@
     /// Applies the snapshot of another process if that is newer, like a list of the
     /// store. Returns whether it was.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Duration) -> bool {
-        snapshot.version > self.version
-            && self.replace_all(snapshot.version, snapshot.endpoints, now)
+        if snapshot.version <= self.version {
+            return false;
+        }
+        if self.is_grace_paused() {
+            // The other process knows which endpoints have registered again.
+            self.grace_until = Some(now + RECOVERY_GRACE);
+        }
+        self.replace_all(snapshot.version, snapshot.endpoints, now)
     }
 
     /// Drops the entries that are still missing at the end of the grace period, and
@@ -167,7 +183,7 @@
     /// Returns whether the list changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.entries.len();
-        if self.grace_until.is_some_and(|until| now >= until) {
+        if self.grace_until.is_some_and(|until| now >= until) && !self.is_grace_paused() {
             self.grace_until = None;
             let missing: Vec<String> = self
                 .entries
@@ -180,11 +196,13 @@
             }
         }
         let dropped = self.entries.len() < before;
-        let forgotten = self.departures.iter();
-        let forgotten = forgotten
-            .take_while(|one| now.saturating_sub(one.at) >= DEPARTURE_MEMORY)
-            .count();
-        let forgotten: Vec<Departure> = self.departures.drain(..forgotten).collect();
+        let is_available = self.unavailable_since.is_none();
+        let is_forgotten = |one: &mut Departure| {
+            let is_old = now.saturating_sub(one.at) >= DEPARTURE_MEMORY;
+            is_old && (is_available || one.withheld.is_some())
+        };
+        let forgotten = self.departures.extract_if(.., is_forgotten);
+        let forgotten: Vec<Departure> = forgotten.collect();
         let before = self.entries.len();
         for endpoint in forgotten.into_iter().filter_map(|one| one.withheld) {
             self.store(endpoint);
@@ -231,14 +249,11 @@
 
     fn drop_entry(&mut self, id: &str, now: Duration) {
         let Ok(index) = self.find(id) else {
-            let mut departures = self.departures.iter_mut();
-            if let Some(departure) = departures.find(|one| one.endpoint.life.id == id) {
-                departure.era = self.version.era;
-                departure.withheld = None;
-            }
+            self.drop_withheld(id);
             return;
         };
-        let kept = self.grace_until.is_some_and(|until| now < until)
+        let is_grace = self.grace_until.is_some_and(|until| now < until);
+        let kept = (is_grace || self.is_grace_paused())
             && self.entries[index].endpoint.state == State::Ready;
         if kept {
             self.entries[index].missing = true;
@@ -258,6 +273,25 @@
         }
     }
 
+    /// Returns whether the store has been away since a grace period began. Endpoints
+    /// cannot register again meanwhile.
+    fn is_grace_paused(&self) -> bool {
+        let Some((since, until)) = self.unavailable_since.zip(self.grace_until) else {
+            return false;
+        };
+        until <= since + RECOVERY_GRACE
+    }
+
+    /// Drops the withheld entry of an endpoint that has left. What is written from now on
+    /// in this era is newer.
+    fn drop_withheld(&mut self, id: &str) {
+        let mut departures = self.departures.iter_mut();
+        if let Some(departure) = departures.find(|one| one.endpoint.life.id == id) {
+            departure.era = self.version.era;
+            departure.withheld = None;
+        }
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.endpoint.life.id.as_str().cmp(id))
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -295,6 +295,80 @@
     }
 }
 
+/// An endpoint that had left got requests again after the store was away for a minute.
+#[test]
+fn endpoint_that_left_is_remembered_while_the_store_is_away() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "a", at(1.0));
+    tracker.mark_unavailable(at(3.0));
+    assert!(!tracker.expire(at(90.0)));
+    tracker.mark_available(at(90.0));
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(90.0));
+    assert_eq!(ids(&tracker), ["b"]);
+    assert!(!tracker.expire(at(147.9)));
+    assert!(tracker.expire(at(148.0)));
+    assert_eq!(ids(&tracker), ["a", "b"]);
+}
+
+/// An endpoint that was running got no requests for a minute, because its grace period
+/// ended while the store was away again.
+#[test]
+fn grace_period_does_not_end_while_the_store_is_away_again() {
+    for outage in [0.5, 5.0] {
+        let mut tracker = tracker();
+        tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        assert!(!tracker.expire(at(2.8 + outage)));
+        tracker.mark_available(at(2.8 + outage));
+        let copied = vec![endpoint("a"), endpoint("b")];
+        tracker.replace_all(Version::new(2, 3), copied, at(2.8 + outage));
+        assert_eq!(ids(&tracker), ["a", "b"]);
+        assert!(tracker.shareable().is_some());
+    }
+}
+
+#[test]
+fn grace_period_goes_on_after_another_outage() {
+    for (outage, end) in [(0.5, 3.5), (5.0, 9.8)] {
+        let mut tracker = tracker();
+        tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        tracker.mark_available(at(2.8 + outage));
+        assert!(!tracker.expire(at(end - 0.1)));
+        assert!(tracker.expire(at(end)));
+        assert_eq!(ids(&tracker), ["b"]);
+    }
+}
+
+/// A process that cannot read the store would use endpoints that have left until it can.
+#[test]
+fn grace_period_of_a_list_of_another_process_ends_without_the_store() {
+    for knew_era in [false, true] {
+        let mut tracker = tracker();
+        if knew_era {
+            tracker.replace_all(later(3), vec![endpoint("b")], at(1.0));
+        }
+        tracker.mark_unavailable(at(2.0));
+        assert!(!tracker.expire(at(9.9)));
+        assert!(tracker.adopt(Snapshot::new(later(4), vec![endpoint("b")]), at(10.0)));
+        assert!(!tracker.expire(at(11.9)));
+        assert!(tracker.expire(at(12.0)));
+        assert_eq!(ids(&tracker), ["b"]);
+    }
+}
+
+/// The withheld entry of a copy was used after it had been overwritten with one that
+/// names no endpoint.
+#[test]
+fn withheld_entry_that_is_discarded_is_not_taken() {
+    let mut tracker = tracker();
+    tracker.remove(version(6), "a", at(1.0));
+    tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(2.0));
+    tracker.discard(later(4), "a");
+    assert!(!tracker.expire(at(61.0)));
+    assert_eq!(ids(&tracker), ["b"]);
+}
+
 /// A process that cannot read the store replaced its list by that of another process,
 /// which may have started after the endpoint left.
 #[test]
@@ -388,3 +462,35 @@
     assert!(tracker.expire(at(4.5)));
     assert!(evacuated(&tracker).is_empty());
 }
+
+/// Work went to an evacuated data centre that the operator could not name again, because
+/// the store was away once more.
+#[test]
+fn evacuation_is_held_while_the_store_is_away_again() {
+    for returns in [false, true] {
+        let mut tracker = evacuation::Tracker::default();
+        tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+        tracker.adopt(evacuations(later(3), &[]), at(1.0));
+        tracker.mark_unavailable(at(2.8));
+        assert!(!tracker.expire(at(9.0)));
+        tracker.mark_available(at(9.0));
+        if returns {
+            tracker.adopt(evacuations(Version::new(2, 3), &[]), at(9.0));
+        }
+        assert!(!tracker.expire(at(10.9)));
+        assert_eq!(evacuated(&tracker), ["x"]);
+        assert!(tracker.expire(at(11.0)));
+        assert!(evacuated(&tracker).is_empty());
+    }
+}
+
+/// A process that cannot read the store would hold an evacuation until it can.
+#[test]
+fn evacuation_held_by_a_list_of_another_process_ends_without_the_store() {
+    let mut tracker = evacuation::Tracker::default();
+    tracker.adopt(evacuations(version(9), &["x"]), at(0.0));
+    tracker.mark_unavailable(at(1.0));
+    tracker.adopt(evacuations(later(3), &[]), at(10.0));
+    assert!(!tracker.expire(at(11.9)));
+    assert!(tracker.expire(at(12.0)));
+}
