--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod stages;
 mod state;
 mod stream;
+mod upstream;
 mod watch;
 
 pub use self::state::{Drain, State};
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/upstream.rs
@@ -0,0 +1,144 @@
+//! The engine whose events a stream forwards, and the wait for one that is silent.
+
+use super::{
+    attempt::{self, Guard, Outgoing, Started},
+    crash::RESPONSE_START,
+    state::State,
+};
+use crate::outbound::Exchange;
+use bytes::Bytes;
+use cicadacrank_core::{event::Event, once::Sent, stream::Splitter};
+use http::header;
+use http_body_util::BodyExt as _;
+use hyper::body::Frame;
+use std::{pin::pin, time::Duration};
+use tokio::time::{self, Instant};
+
+/// The attempt whose events are forwarded to the caller.
+pub struct Upstream {
+    /// The response, whose body is forwarded.
+    pub exchange: Exchange,
+    /// Counts the attempt at its engine.
+    pub guard: Guard,
+    /// State of the request after it was sent.
+    pub sent: Sent,
+    /// Time of its first event, since the origin of the clock.
+    pub began: Option<Duration>,
+    /// Whether the request was cleared of crashing endpoints.
+    pub cleared: bool,
+}
+
+impl From<Started> for Upstream {
+    fn from(started: Started) -> Self {
+        Self {
+            exchange: started.exchange,
+            guard: started.guard,
+            sent: started.sent,
+            began: None,
+            cleared: false,
+        }
+    }
+}
+
+impl Upstream {
+    /// Returns whether the stream may end here, outside an event. The engine that resumes
+    /// a stream may state that nothing is left.
+    pub fn may_end(&self) -> bool {
+        let headers = self.exchange.response.headers();
+        self.began.is_some()
+            || headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    /// Returns whether the engine has not begun to respond, or only just.
+    pub fn is_response_start(&self, now: Duration) -> bool {
+        self.began.is_none_or(|began| now < began + RESPONSE_START)
+    }
+
+    /// Checks whether the engine crashed, if it had not begun to respond or only just.
+    pub fn check_crash(&self, outgoing: &Outgoing, now: Duration) {
+        if self.is_response_start(now) {
+            attempt::check_crash(outgoing, &self.guard);
+        }
+    }
+}
+
+/// How an engine that was silent goes on with its stream.
+pub enum Progress {
+    /// It sent complete events.
+    Events(Bytes),
+    /// It ended the stream.
+    End,
+}
+
+/// The engine of a stream for which another one is sought.
+pub struct Current<'a> {
+    /// State of the gateway.
+    pub state: &'a State,
+    /// Request that the engine runs.
+    pub outgoing: &'a Outgoing,
+    /// Attempt at the engine.
+    pub upstream: &'a mut Upstream,
+    /// Splits the events of the stream.
+    pub splitter: &'a mut Splitter,
+    /// Whether the engine may still go on with the stream.
+    pub may_continue: bool,
+}
+
+impl Current<'_> {
+    /// Waits for `work`, and abandons the engine at `until` or when it breaks off.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the engine goes on with the stream before `work` is complete.
+    pub async fn race<T>(
+        &mut self,
+        work: impl Future<Output = T>,
+        until: Instant,
+    ) -> Result<T, Progress> {
+        let mut work = pin!(work);
+        loop {
+            let body = self.upstream.exchange.response.body_mut();
+            tokio::select! {
+                biased;
+                received = body.frame(), if self.may_continue => {
+                    if let Some(progress) = self.receive(received) {
+                        return Err(progress);
+                    }
+                }
+                output = &mut work => return Ok(output),
+                () = time::sleep_until(until), if self.may_continue => self.abandon(),
+            }
+        }
+    }
+
+    /// Takes the next part of the response. Abandons the engine if it broke off.
+    fn receive(&mut self, received: Option<hyper::Result<Frame<Bytes>>>) -> Option<Progress> {
+        match received {
+            Some(Ok(frame)) => match self.splitter.push(&frame.into_data().ok()?) {
+                Ok(events) => (!events.is_empty()).then_some(Progress::Events(events)),
+                Err(fault) => {
+                    let endpoint = &self.upstream.guard.endpoint.life.id;
+                    Event::AttemptFailed.log(format_args!(
+                        "id={} endpoint={endpoint} context=\"{fault}\"",
+                        self.outgoing.id(),
+                    ));
+                    self.abandon();
+                    None
+                }
+            },
+            None if self.upstream.may_end() && !self.splitter.has_partial() => Some(Progress::End),
+            None | Some(Err(_)) => {
+                let now = self.state.clock.now();
+                self.upstream.check_crash(self.outgoing, now);
+                self.abandon();
+                None
+            }
+        }
+    }
+
+    fn abandon(&mut self) {
+        self.upstream.exchange.close();
+        self.may_continue = false;
+    }
+}
