Pass withheld entries on to other processes

What callers would see: an endpoint that had left, and runs on without a newer registration, gets no requests after a return of the store: not for a minute, as intended, but until the store's list is read again as a whole.

Cause: a list that is passed on lacked the withheld entries, although the store has them. The receiver took that for their removal, and forgot what it withheld itself. No change tells it of the entry again, since its watch has passed it.

Change: the list that is passed on is that of the store, as the design says. A process that knows that an endpoint has left withholds its entry itself. One that does not believes the copy, as it does when it reads the store.

--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -156,13 +156,22 @@
         self.version
     }
 
-    /// Returns the current endpoints and their version for other processes, or
+    /// Returns the endpoints of the store and their version for other processes, or
     /// `None` while entries that the store does not have are kept for the grace
     /// period. Another process could not tell them from current ones.
     #[must_use]
     pub fn shareable(&self) -> Option<Snapshot> {
-        let complete = self.entries.iter().all(|entry| !entry.missing);
-        complete.then(|| self.snapshot())
+        if self.entries.iter().any(|entry| entry.missing) {
+            return None;
+        }
+        let current = self.entries.iter().map(|entry| &entry.endpoint);
+        // Other processes withhold them themselves if they know that the endpoints left.
+        let withheld = self
+            .departures
+            .iter()
+            .filter_map(|one| one.withheld.as_ref());
+        let listed = current.chain(withheld).cloned().collect();
+        Some(Snapshot::new(self.version, listed))
     }
 
     /// Applies the snapshot of another process if that is newer, like a list of the
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -357,6 +357,26 @@
     }
 }
 
+/// A withheld entry was forgotten for good when the list of another process arrived that
+/// withheld it too.
+#[test]
+fn withheld_entry_is_passed_on_to_other_processes() {
+    let mut trackers = [tracker(), tracker()];
+    for tracker in &mut trackers {
+        tracker.remove(version(6), "a", at(1.0));
+        tracker.replace_all(later(3), vec![endpoint("a"), endpoint("b")], at(2.0));
+    }
+    let [mut one, mut other] = trackers;
+    one.put(later(4), endpoint("c"));
+    let list = one.shareable().expect("the list is complete");
+    assert!(other.adopt(list, at(3.0)));
+    for tracker in [&mut one, &mut other] {
+        assert_eq!(ids(tracker), ["b", "c"]);
+        assert!(tracker.expire(at(61.0)));
+        assert_eq!(ids(tracker), ["a", "b", "c"]);
+    }
+}
+
 /// The withheld entry of a copy was used after it had been overwritten with one that
 /// names no endpoint.
 #[test]
