--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -1,10 +1,10 @@
 //! Tests of the connections from callers to the gateway, byte by byte.
 
-use cicadacrank_bench::{
-    deployment::{
-        Caller, Deployment, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Plan, Role, config, send,
-    },
-    fleet,
+mod gateways;
+
+use self::gateways::{deployment, set_faults, wait_for_log};
+use cicadacrank_bench::deployment::{
+    Caller, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Role, config, send,
 };
 use cicadacrank_node::platform::Collection;
 use reqwest::header::{HeaderName, HeaderValue};
@@ -19,37 +19,9 @@
 /// Maximum time for which a test waits for a part of an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Pause after which bytes that were sent have surely been read.
+/// Pause after which bytes that were sent have been read.
 const PAUSE: Duration = Duration::from_millis(200);
 
-async fn deployment(endpoints: usize) -> Deployment {
-    let plan = Plan {
-        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
-        gateways: 1,
-        endpoints,
-    };
-    Deployment::start(&plan)
-        .await
-        .expect("failed to start the deployment")
-}
-
-fn set_faults(deployment: &Deployment, role: Role, fault: Fault) {
-    deployment
-        .endpoints_with(role)
-        .for_each(|endpoint| endpoint.set_fault(fault));
-}
-
-/// Waits until the log of the gateway contains `text`.
-async fn wait_for_log(deployment: &Deployment, text: &str) {
-    let gateway = &deployment.gateways[0];
-    if fleet::wait_for(text, async || gateway.log_text().contains(text))
-        .await
-        .is_err()
-    {
-        panic!("{text} is missing: {}", gateway.log_text());
-    }
-}
-
 /// An answer as it was received.
 #[derive(Debug)]
 struct Answer {
@@ -131,7 +103,7 @@
 /// saying so. The next request on it got neither an answer nor a refusal.
 #[tokio::test]
 async fn connection_with_a_refused_request_serves_the_next_one() {
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     for (number, lines) in [
         "content-length: 20000\r\n",
@@ -172,7 +144,7 @@
 #[tokio::test]
 async fn caller_that_sends_a_refused_body_to_its_end_gets_the_refusal() {
     const BODY_BYTES: usize = 1_000_000;
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     for (path, status) in [("/none/", 404), ("/book/", 413)] {
         let mut connection = Connection::open(address).await;
@@ -197,7 +169,7 @@
 /// of a body that the caller sends only on request did not.
 #[tokio::test]
 async fn refusal_announces_the_end_of_a_connection_whose_next_bytes_are_unclear() {
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     set_faults(&deployment, Role::Desk, Fault::Decline);
     let chunked = ("/book/", "transfer-encoding: chunked\r\n", 503, false);
@@ -217,12 +189,12 @@
 /// A connection was reset when its caller, or the network to it, took nothing for 3 s.
 #[tokio::test]
 async fn caller_that_pauses_while_it_reads_gets_the_whole_answer() {
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     set_faults(&deployment, Role::Desk, Fault::LargeAnswer);
     let mut connection = Connection::open(address).await;
     connection.send(&head("GET", "/look/1", "a1", "")).await;
-    wait_for_log(&deployment, "RequestServed: id=a1").await;
+    wait_for_log(&deployment, 0, "RequestServed: id=a1").await;
     time::sleep(Duration::from_secs(6)).await;
     let answer = connection.read().await;
     let answer = answer.expect("the connection ended inside the answer");
@@ -233,7 +205,7 @@
 /// nor a refusal.
 #[tokio::test]
 async fn terminated_gateway_answers_what_it_still_holds_at_the_end() {
-    let mut deployment = deployment(1).await;
+    let mut deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     set_faults(&deployment, Role::Desk, Fault::Hang);
     let mut connection = Connection::open(address).await;
@@ -255,12 +227,12 @@
 /// a caller that reads slowly lost the rest.
 #[tokio::test]
 async fn terminated_gateway_delivers_an_answer_to_a_slow_reader() {
-    let mut deployment = deployment(1).await;
+    let mut deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     set_faults(&deployment, Role::Desk, Fault::LargeAnswer);
     let mut connection = Connection::open(address).await;
     connection.send(&head("GET", "/look/1", "a1", "")).await;
-    wait_for_log(&deployment, "RequestServed: id=a1").await;
+    wait_for_log(&deployment, 0, "RequestServed: id=a1").await;
     deployment.gateways[0]
         .terminate()
         .expect("failed to send the signal");
@@ -278,14 +250,19 @@
     assert!(received > LARGE_ANSWER_BYTES, "{received} bytes received");
     let end = deployment.gateways[0].wait().await;
     assert!(end.expect("failed to wait for the process").success());
-    wait_for_log(&deployment, "102 Stopped: instance=gateway-0 connections=0").await;
+    wait_for_log(
+        &deployment,
+        0,
+        "102 Stopped: instance=gateway-0 connections=0",
+    )
+    .await;
 }
 
 /// A stream was broken off ten milliseconds before its caller's time was up, and earlier
 /// than a caller leaves a silent stream.
 #[tokio::test]
 async fn stream_lasts_as_long_as_its_caller_waits() {
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     set_faults(&deployment, Role::Engine, Fault::StallAfterEvent);
     // A caller waits for 2.4 s for the next event, eight times the gap of the route.
@@ -310,7 +287,7 @@
 /// accepted, while callers still used it by a newer one.
 #[tokio::test]
 async fn idle_connection_lasts_as_long_as_the_newest_configuration_allows() {
-    let deployment = deployment(1).await;
+    let deployment = deployment(1, 1).await;
     let address = deployment.gateways[0].caller_address();
     let configure = |version: u64, idle_ms: u64| {
         let mut config = config(version, &json!([]));
@@ -319,7 +296,7 @@
         store.put(Collection::Config, "main", config);
     };
     configure(2, 500);
-    wait_for_log(&deployment, "ConfigAdopted: version=2").await;
+    wait_for_log(&deployment, 0, "ConfigAdopted: version=2").await;
     let mut connection = Connection::open(address).await;
     for (number, pause) in [0, 2_500].into_iter().enumerate() {
         time::sleep(Duration::from_millis(pause)).await;
@@ -330,10 +307,10 @@
         let answer = answer.expect("no answer on the idle connection");
         assert!(answer.has_status(200), "{answer:?}");
         configure(3, 15_000);
-        wait_for_log(&deployment, "ConfigAdopted: version=3").await;
+        wait_for_log(&deployment, 0, "ConfigAdopted: version=3").await;
     }
     // A shorter timeout ends the next one.
     configure(4, 500);
-    wait_for_log(&deployment, "ConfigAdopted: version=4").await;
+    wait_for_log(&deployment, 0, "ConfigAdopted: version=4").await;
     assert!(Connection::open(address).await.ends().await);
 }
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -1,8 +1,11 @@
 //! Tests of the gateway as a separate process between callers and endpoints.
 
+mod gateways;
+
+use self::gateways::{deployment, set_faults, wait_for_log};
 use cicadacrank_bench::deployment::{
-    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Plan,
-    Resumption, Role, config, route, send,
+    Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Resumption,
+    Role, config, route, send,
 };
 use cicadacrank_bench::fleet;
 use cicadacrank_node::platform::Collection;
@@ -17,17 +20,6 @@
 /// Number of readiness requests during which a gateway accepts all connections of a flood.
 const READINESS_REQUESTS: usize = 100;
 
-async fn deployment(gateways: usize, endpoints: usize) -> Deployment {
-    let plan = Plan {
-        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
-        gateways,
-        endpoints,
-    };
-    Deployment::start(&plan)
-        .await
-        .expect("failed to start the deployment")
-}
-
 fn caller() -> Caller {
     Caller::new().expect("failed to create the caller")
 }
@@ -54,24 +46,6 @@
         .collect()
 }
 
-/// Waits until the log of a gateway contains `text`. Lines are written after the
-/// response that they tell of.
-async fn wait_for_log(deployment: &Deployment, gateway: usize, text: &str) {
-    let gateway = &deployment.gateways[gateway];
-    if fleet::wait_for(text, async || gateway.log_text().contains(text))
-        .await
-        .is_err()
-    {
-        panic!("{text} is missing: {}", gateway.log_text());
-    }
-}
-
-fn set_faults(deployment: &Deployment, role: Role, fault: Fault) {
-    deployment
-        .endpoints_with(role)
-        .for_each(|endpoint| endpoint.set_fault(fault));
-}
-
 #[tokio::test]
 async fn request_reaches_its_endpoint_unchanged() {
     let deployment = deployment(1, 1).await;
--- a/crates/cicadacrankd/tests/restored.rs
+++ b/crates/cicadacrankd/tests/restored.rs
@@ -1,7 +1,10 @@
 //! Tests of gateways whose store comes back from a copy.
 
+mod gateways;
+
+use self::gateways::deployment;
 use cicadacrank_bench::{
-    deployment::{Caller, Deployment, Gateway, Impairment, Plan, Proxy, Role, config, route, send},
+    deployment::{Caller, Deployment, Gateway, Impairment, Proxy, Role, config, route, send},
     fleet,
     platform::Copy,
 };
@@ -24,17 +27,6 @@
 /// Time after which everything must be written again.
 const GRACE: Duration = Duration::from_secs(3);
 
-async fn deployment() -> Deployment {
-    let plan = Plan {
-        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
-        gateways: 2,
-        endpoints: 2,
-    };
-    Deployment::start(&plan)
-        .await
-        .expect("failed to start the deployment")
-}
-
 fn logs(deployment: &Deployment) -> String {
     let logs = deployment.gateways.iter().map(Gateway::log_text);
     logs.collect::<Vec<_>>().join("\n")
@@ -137,7 +129,7 @@
 /// Gateways ignored all lists of a store that counted below what they held.
 #[tokio::test]
 async fn endpoints_that_leave_after_the_return_of_the_store_get_no_request() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     let copy = deployment.store.state().save();
     write_lost_changes(&deployment).await;
     restore(&deployment, &copy).await;
@@ -149,7 +141,7 @@
 /// Gateways ignored all evacuations of a store that counted below what they held.
 #[tokio::test]
 async fn evacuation_after_the_return_of_the_store_takes_effect() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     let copy = deployment.store.state().save();
     write_lost_changes(&deployment).await;
     restore(&deployment, &copy).await;
@@ -161,7 +153,7 @@
 /// Gateways would send to an evacuated data centre until the operator names it again.
 #[tokio::test]
 async fn evacuation_that_the_copy_lacks_stays_until_it_is_written_again() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     let copy = deployment.store.state().save();
     write_lost_changes(&deployment).await;
     evacuate(&deployment);
@@ -180,7 +172,7 @@
 #[tokio::test]
 async fn endpoints_that_left_before_the_return_of_the_store_stay_away() {
     for state in ["draining", "removed"] {
-        let deployment = deployment().await;
+        let deployment = deployment(2, 2).await;
         let copy = deployment.store.state().save();
         if state == "removed" {
             remove_desks(&deployment);
@@ -206,7 +198,7 @@
 /// Gateways would drop endpoints that registered after the copy was made.
 #[tokio::test]
 async fn endpoints_that_the_copy_lacks_have_time_to_register_again() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     remove_desks(&deployment);
     let copy = deployment.store.state().save();
     wait_for_status(&deployment, "/look/1", 503).await;
@@ -226,7 +218,7 @@
 /// The store holds an older version for a moment, then the operator's newest again.
 #[tokio::test]
 async fn configuration_never_goes_back_when_the_store_does() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     let copy = deployment.store.state().save();
     write_lost_changes(&deployment).await;
     let added = json!([route("/new/", "idempotent", "desk", 2)]);
@@ -253,7 +245,7 @@
 /// A gateway that cannot read the store took no list of a lower revision from another.
 #[tokio::test]
 async fn gateway_without_the_store_learns_of_its_return_from_others() {
-    let mut deployment = deployment().await;
+    let mut deployment = deployment(2, 2).await;
     let proxy = Proxy::start(deployment.store.address).await;
     let proxy = proxy.expect("failed to start the proxy");
     let program = env!("CARGO_BIN_EXE_cicadacrankd");
@@ -281,7 +273,7 @@
 /// A gateway registered only once, so that gateways that started later did not find it.
 #[tokio::test]
 async fn gateway_registers_again_after_the_return_of_the_store() {
-    let deployment = deployment().await;
+    let deployment = deployment(2, 2).await;
     let registered = || {
         let listing = deployment.store.state().list(Collection::Gateways);
         listing.objects.len()
--- a/crates/cicadacrankd/tests/statements.rs
+++ b/crates/cicadacrankd/tests/statements.rs
@@ -1,7 +1,10 @@
 //! Tests of what endpoints state about themselves in their answers.
 
+mod gateways;
+
+use self::gateways::{deployment, wait_for_log};
 use cicadacrank_bench::{
-    deployment::{Answer, Caller, Deployment, Endpoint, Fault, Plan, Role, send},
+    deployment::{Answer, Caller, Deployment, Endpoint, Fault, Role, send},
     fleet,
 };
 use cicadacrank_node::platform::Collection;
@@ -13,17 +16,6 @@
 /// Number of requests of which some would reach each of two endpoints.
 const REQUESTS: usize = 12;
 
-async fn deployment(gateways: usize, endpoints: usize) -> Deployment {
-    let plan = Plan {
-        program: env!("CARGO_BIN_EXE_cicadacrankd").into(),
-        gateways,
-        endpoints,
-    };
-    Deployment::start(&plan)
-        .await
-        .expect("failed to start the deployment")
-}
-
 /// Returns a request on the route of the given kind of endpoint.
 fn request(
     deployment: &Deployment,
@@ -77,14 +69,6 @@
     }
 }
 
-/// Waits until the log of a gateway contains `text`. Lines are written after the
-/// response that they tell of.
-async fn wait_for_log(deployment: &Deployment, gateway: usize, text: &str) {
-    let gateway = &deployment.gateways[gateway];
-    let waited = fleet::wait_for(text, async || gateway.log_text().contains(text)).await;
-    assert!(waited.is_ok(), "{text} is missing: {}", gateway.log_text());
-}
-
 /// Checks that an endpoint whose answers state that it leaves gets nothing after the
 /// first of them, although the store lists it as ready, until it has started again.
 async fn check_leaving(role: Role) {
