Decode the headers of a request once, and copy none of them

Found by reading the change: with the log lines of connections each request had its headers decoded twice, prompt parts included, and all of them copied to know later whether the caller waits to be asked for its body. The connection now decodes them and hands them on, and only that answer is kept. Behaviour stays.

Checked: formatter, linter, documentation of the package, and the tests connection, caller and gateway (53 passed).

--- a/crates/cicadacrank-node/src/entry/http.rs
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -59,7 +59,8 @@
         control.call_next(request, depot, response).await;
         let mut body = request.take_body();
         if let Some(rest) = inbound::unread(&mut body) {
-            inbound::discard(body, &rest, request.headers(), response.headers_mut());
+            let awaits_consent = inbound::awaits_consent(request.headers());
+            inbound::discard(body, &rest, awaits_consent, response.headers_mut());
         }
     }
 }
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -98,11 +98,14 @@
     }
 }
 
-/// Handles the request of a caller and returns the response.
-pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+/// Handles the request of a caller, whose headers are decoded, and returns the response.
+pub async fn handle(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    caller: Caller,
+) -> Response<Body> {
     let in_flight = state.track_request();
     let arrived = Instant::now();
-    let caller = Caller::decode(request.headers());
     let mut disconnect = Disconnect::new(&state, &caller, arrived);
     Event::RequestArrived.log(format_args!(
         "id={} path={} body_bytes={:?}",
@@ -111,7 +114,7 @@
         request.body().size_hint().exact(),
     ));
     let (head, mut body) = request.into_parts();
-    let headers = head.headers.clone();
+    let awaits_consent = inbound::awaits_consent(&head.headers);
     let serving = async {
         match accept(&state, head, &mut body, caller, arrived).await {
             Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
@@ -146,18 +149,13 @@
             ));
             let mut response = reply::failure(&refusal.error, refusal.retry_after);
             if let Some(unread) = unread {
-                inbound::discard(body, &unread, &headers, response.headers_mut());
+                inbound::discard(body, &unread, awaits_consent, response.headers_mut());
             }
             response
         }
     }
 }
 
-/// Returns the id of the caller's attempt, for logs.
-pub fn attempt_id(request: &Request<Incoming>) -> String {
-    Caller::decode(request.headers()).attempt_text().to_owned()
-}
-
 /// Records that the caller disconnected if it is dropped before the response is
 /// ready.
 struct Disconnect {
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -1,7 +1,7 @@
 //! Accepts connections from callers, load balancers and metrics scrapers.
 
 use super::{idle::HeadTimer, reply::Body, request, state::State};
-use crate::{daemon, outbound, sync::lock};
+use crate::{daemon, outbound, platform::caller::Caller, sync::lock};
 use cicadacrank_core::event::Event;
 use futures_util::FutureExt as _;
 use http::{HeaderValue, Response, header};
@@ -268,11 +268,12 @@
     if client == Client::Inspector {
         return Ok(request::inspect(&state, &request));
     }
+    let caller = Caller::decode(request.headers());
     *lock(newest) = Newest {
-        id: request::attempt_id(&request),
+        id: caller.attempt_text().to_owned(),
         answered: false,
     };
-    let mut response = request::handle(Arc::clone(&state), request).await;
+    let mut response = request::handle(Arc::clone(&state), request, caller).await;
     lock(newest).answered = true;
     if state.draining().is_some() {
         let headers = response.headers_mut();
--- a/crates/cicadacrank-node/src/inbound.rs
+++ b/crates/cicadacrank-node/src/inbound.rs
@@ -24,16 +24,22 @@
     (!is_read).then(|| body.size_hint())
 }
 
+/// Returns whether a caller waits to be asked for the body of its request.
+#[must_use]
+pub fn awaits_consent(request: &HeaderMap) -> bool {
+    request.contains_key(header::EXPECT)
+}
+
 /// Reads and discards the rest of a body in the background, so that its connection stays
 /// usable. If that is not certain, the headers of the response announce its end.
-pub fn discard<B>(body: B, rest: &SizeHint, request: &HeaderMap, response: &mut HeaderMap)
+pub fn discard<B>(body: B, rest: &SizeHint, awaits_consent: bool, response: &mut HeaderMap)
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     // The connection of a larger body ends inside it, and a caller that waits to be asked
     // for its body may leave it out.
     let is_large = rest.upper().is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES);
-    if is_large || request.contains_key(header::EXPECT) {
+    if is_large || awaits_consent {
         response.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     tokio::spawn(time::timeout(DISCARD_TIMEOUT, read(body)));
