Log who grants requests beyond the shares in a limit, and the limit of each attempt

Of a broken limit the log showed only that an attempt was granted. Whether one gateway granted too much, or several in turn, and whether a gateway still knew of the limit, could not be told apart.

229 GrantDecided tells of each grant at the gateway that decides it, with the asker and the grants in the window. 312 AttemptChosen names the limit in force and the sends that count towards the share. GrantRequest carries the name of the asker; older gateways leave it empty.

No change of behaviour.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -64,6 +64,7 @@
     EndpointPaused = 226, Info, "An endpoint states that it wants no requests from this process for some time.";
     ListIgnored = 227, Warn, "A list from the platform was not applied, because a newer one is in use.";
     OlderConfigHeld = 228, Warn, "An older configuration than the one in force was read; the one in force stays.";
+    GrantDecided = 229, Info, "A request beyond the shares of the gateways in an endpoint's limit was granted or refused.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -85,12 +85,28 @@
         ]
     }
 
-    /// Returns the limit that the endpoint states, in requests a second.
-    fn stated_limit(&self, now: Duration) -> Option<f64> {
+    /// Returns the limit that the endpoint states and that is enforced, in requests a
+    /// second.
+    #[must_use]
+    pub fn stated_limit(&self, now: Duration) -> Option<f64> {
         let Limit { per_second, at } = self.limit;
         per_second.filter(|_| now < at + LIMIT_TTL)
     }
 
+    /// Returns the number of sends that count towards this process's share in a stated
+    /// limit.
+    #[must_use]
+    pub fn recent_sends(&self, now: Duration) -> usize {
+        self.throttle.count(Window::Stated, now)
+    }
+
+    /// Returns the number of sends that this process granted and that count towards the
+    /// reserve of a stated limit.
+    #[must_use]
+    pub fn recent_grants(&self, now: Duration) -> usize {
+        self.reserve.count(Window::Stated, now)
+    }
+
     /// Returns whether the reserves of all limits allow one more request. `cold` is
     /// the reserve of the limit for a cold endpoint, or `None` if it has none.
     pub(super) fn has_reserve(&self, cold: Option<usize>, now: Duration) -> bool {
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -261,11 +261,10 @@
         rows.filter(move |(_, limit)| !limit.at.is_zero() && now < limit.at + recent)
     }
 
-    /// Returns the service of an endpoint, or `None` if the endpoint is unknown.
+    /// Returns the row of an endpoint, or `None` if the endpoint is unknown.
     #[must_use]
-    pub fn service_of(&self, endpoint: &Incarnation) -> Option<&str> {
-        let row = self.row(self.find(endpoint)?)?;
-        Some(row.endpoint.service.as_str())
+    pub fn row_of(&self, endpoint: &Incarnation) -> Option<&Row> {
+        self.row(self.find(endpoint)?)
     }
 
     /// Grants one request of any process to an endpoint beyond the shares of the
--- a/crates/cicadacrank-core/src/share/throttle.rs
+++ b/crates/cicadacrank-core/src/share/throttle.rs
@@ -84,7 +84,9 @@
         sends.saturating_sub(self.count(window, now))
     }
 
-    fn count(&self, window: Window, now: Duration) -> usize {
+    /// Returns the number of sends in the window that ends now.
+    #[must_use]
+    pub fn count(&self, window: Window, now: Duration) -> usize {
         let sends = self.sends.iter().rev();
         sends
             .take_while(|sent| **sent + window.length() > now)
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -294,6 +294,10 @@
     /// Number of requests that all gateways had in flight at the endpoint when it
     /// was selected.
     in_flight: u32,
+    /// Limit that the endpoint states, in requests a second.
+    limit: Option<f64>,
+    /// Number of sends that count towards the share of this gateway in that limit.
+    recent_sends: usize,
     prefill_tokens: u64,
     /// Number of prompt tokens that the endpoint has to process before its first
     /// event, those of earlier requests included.
@@ -307,6 +311,7 @@
         let mut fleet = lock(&state.fleet);
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
+        let (limit, recent_sends) = (row.stated_limit(sent), row.recent_sends(sent));
         let tokens_until_first_event = row.unread() + prefill_tokens;
         if parameters.granted {
             fleet.begin_granted(key, prefill_tokens);
@@ -320,6 +325,8 @@
             endpoint,
             sent,
             in_flight,
+            limit,
+            recent_sends,
             prefill_tokens,
             tokens_until_first_event,
         })
@@ -422,7 +429,7 @@
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
         "id={} service={} endpoint={} born={:?} sequence={} in_flight={} tokens={} results={} \
-         fetch_from={:?} granted={} after={:?} parts={:?} remaining_ms={}",
+         fetch_from={:?} limit={:?} sends={} granted={} after={:?} parts={:?} remaining_ms={}",
         outgoing.id(),
         guard.endpoint.service,
         guard.endpoint.life.id,
@@ -432,6 +439,8 @@
         parameters.tokens,
         parameters.results.len(),
         parameters.fetch_from,
+        guard.limit,
+        guard.recent_sends,
         parameters.granted,
         parameters.last_event,
         outgoing.shared_parts,
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -423,7 +423,7 @@
         .map(|gateway| gateway.address.clone());
     let answer = match grantor {
         Some(address) => request_grant(state, &address, endpoint).await,
-        None => Some(state.try_grant(endpoint)),
+        None => Some(state.try_grant(endpoint, &state.settings.instance)),
     };
     let outcome = match answer {
         Some(true) => "granted",
@@ -442,6 +442,7 @@
     let request = GrantRequest {
         endpoint: endpoint.id.clone(),
         born: endpoint.born,
+        instance: state.settings.instance.clone(),
     };
     let answer = time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
     // A process that was paused finds the answer although its time has passed.
@@ -528,7 +529,7 @@
             id: request.endpoint,
             born: request.born,
         };
-        let granted = self.0.try_grant(&endpoint);
+        let granted = self.0.try_grant(&endpoint, &request.instance);
         Ok(Response::new(GrantAnswer { granted }))
     }
 
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -418,14 +418,15 @@
         fleet.row(key).map(|row| row.endpoint.life.clone())
     }
 
-    /// Grants one request of any gateway to an endpoint, if the reserves of the
+    /// Grants one request of the gateway `asker` to an endpoint, if the reserves of the
     /// endpoint's limits allow it.
-    pub(super) fn try_grant(&self, endpoint: &Incarnation) -> bool {
+    pub(super) fn try_grant(&self, endpoint: &Incarnation, asker: &str) -> bool {
         let Some(config) = self.config() else {
             return false;
         };
+        let now = self.clock.now();
         let mut fleet = lock(&self.fleet);
-        let service = fleet.service_of(endpoint);
+        let service = fleet.row_of(endpoint).map(|row| &row.endpoint.service);
         let service = service.and_then(|service| config.service(service));
         let bounds = &self.settings.bounds;
         let cold = service
@@ -434,7 +435,16 @@
             .map(|rate| {
                 Throttle::reserve(rate, rate.mul_add(bounds.cold_ratio, bounds.cold_extra))
             });
-        fleet.try_grant(endpoint, cold, self.clock.now())
+        let granted = fleet.try_grant(endpoint, cold, now);
+        let row = fleet.row_of(endpoint);
+        Event::GrantDecided.log(format_args!(
+            "endpoint={} born={:?} asker={asker} granted={granted} grants={:?} limit={:?}",
+            endpoint.id,
+            endpoint.born,
+            row.map(|row| row.recent_grants(now)),
+            row.and_then(|row| row.stated_limit(now)),
+        ));
+        granted
     }
 
     /// Records a request to a service, which earns a fraction of a retry.
