Grant nothing until the reserve of a limit was held for a whole window

Cause: one live gateway grants requests beyond the shares and counts only its own grants. Each gateway that leaves or returns moves the reserve on, and the next one starts with an empty count. Two reserves and all shares fit the bound; with restarts 1.5 s apart there were three in four seconds. The class of fault: a count that is lost with the process that keeps it, while what it counts still matters to others.

Change: a gateway grants when it has kept the reserve for as long as a window, counted from the time until which any gateway that goes before it may have kept it. One that leaves refuses. The limit for cold starts is kept in the same way and gains the same.

--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -107,16 +107,20 @@
         self.reserve.count(Window::Stated, now)
     }
 
-    /// Returns whether the reserves of all limits allow one more request. `cold` is
-    /// the reserve of the limit for a cold endpoint, or `None` if it has none.
-    pub(super) fn has_reserve(&self, cold: Option<usize>, now: Duration) -> bool {
+    /// Returns whether the reserves of all limits, which this process has kept for `held`,
+    /// allow one more request. `cold` is the reserve of the limit for a cold endpoint, or
+    /// `None` if it has none.
+    pub(super) fn has_reserve(&self, cold: Option<usize>, held: Duration, now: Duration) -> bool {
         let stated = self.stated_limit(now).map(|limit| {
             let limit = limit * Window::Stated.seconds();
             Throttle::reserve(limit, limit.mul_add(LIMIT_OVERRUN, LIMIT_TOLERANCE))
         });
         let reserves = [(Window::Cold, cold), (Window::Stated, stated)];
         reserves.into_iter().all(|(window, reserve)| {
-            reserve.is_none_or(|reserve| self.reserve.may_send(window, reserve, now))
+            reserve.is_none_or(|reserve| {
+                // Another process may have granted the whole reserve before.
+                held >= window.length() && self.reserve.may_send(window, reserve, now)
+            })
         })
     }
 }
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -269,18 +269,20 @@
 
     /// Grants one request of any process to an endpoint beyond the shares of the
     /// processes. `cold` is the number of requests a second in the reserve of the limit
-    /// for a cold endpoint, which is closed while the endpoint is known to be cold.
+    /// for a cold endpoint, which is closed while the endpoint is known to be cold. `held`
+    /// is the time for which this process has kept the reserves.
     pub fn try_grant(
         &mut self,
         endpoint: &Incarnation,
         cold: Option<usize>,
+        held: Duration,
         now: Duration,
     ) -> bool {
         let usable = self.find(endpoint).and_then(|key| self.row_mut(key));
         let Some(row) = usable.filter(|row| row.is_ready() && row.cold_until <= now) else {
             return false;
         };
-        let granted = row.has_reserve(cold, now);
+        let granted = row.has_reserve(cold, held, now);
         if granted {
             row.reserve.record_send(now);
         }
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -37,6 +37,8 @@
     gateway: Gateway,
     last_heard: Option<Duration>,
     last_known: Duration,
+    /// Time until which the gateway may have kept reserves of limits.
+    grants_until: Duration,
     /// Whether the gateway was last reported as live to the caller.
     reported_live: bool,
 }
@@ -44,9 +46,12 @@
 impl Row {
     /// Records a sign of life. Returns whether the gateway was reported as lost
     /// before.
-    const fn record_life(&mut self, now: Duration) -> bool {
+    fn record_life(&mut self, now: Duration) -> bool {
         self.last_heard = Some(now);
         self.last_known = now;
+        if !self.gateway.leaving {
+            self.grants_until = now + LIVE_TIMEOUT;
+        }
         !std::mem::replace(&mut self.reported_live, true)
     }
 }
@@ -111,12 +116,13 @@
 
     /// Records that a gateway did not answer, so that it does not count as live
     /// until its next heartbeat. Returns whether it was live before.
-    pub fn record_failure(&mut self, instance: &str) -> bool {
+    pub fn record_failure(&mut self, instance: &str, now: Duration) -> bool {
         let Ok(index) = self.find(instance) else {
             return false;
         };
         let row = &mut self.rows[index];
         row.last_heard = None;
+        row.grants_until = row.grants_until.min(now);
         std::mem::take(&mut row.reported_live)
     }
 
@@ -189,6 +195,24 @@
         (grantor.instance != self.local.instance).then_some(grantor)
     }
 
+    /// Returns how long the local gateway has kept the reserve of an endpoint's limit, or
+    /// `None` if it does not keep it. `now` is the time since the start of its process.
+    ///
+    /// What the gateway before granted is not known here.
+    #[must_use]
+    pub fn reserve_held(&self, endpoint: &str, now: Duration) -> Option<Duration> {
+        if self.local.leaving {
+            return None;
+        }
+        let own = rendezvous_weight(&self.local.instance, endpoint);
+        let before = self
+            .rows
+            .iter()
+            .filter(|row| rendezvous_weight(&row.gateway.instance, endpoint) > own);
+        let since = before.map(|row| row.grants_until).max();
+        now.checked_sub(since.unwrap_or_default())
+    }
+
     fn upsert(&mut self, gateway: Gateway, now: Duration) -> usize {
         match self.find(&gateway.instance) {
             Ok(index) => {
@@ -211,6 +235,9 @@
                         heartbeats,
                         ..gateway
                     };
+                    if leaving {
+                        row.grants_until = row.grants_until.min(now);
+                    }
                 }
                 index
             }
@@ -219,6 +246,7 @@
                     gateway,
                     last_heard: None,
                     last_known: now,
+                    grants_until: Duration::ZERO,
                     reported_live: false,
                 };
                 self.rows.insert(index, row);
--- a/crates/cicadacrank-core/src/share/throttle.rs
+++ b/crates/cicadacrank-core/src/share/throttle.rs
@@ -24,7 +24,8 @@
         }
     }
 
-    fn length(self) -> Duration {
+    /// Returns the length of the window with an allowance for different transit times.
+    pub(crate) fn length(self) -> Duration {
         Duration::from_secs_f64(self.seconds()) + TRANSIT
     }
 }
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -206,7 +206,7 @@
                     let number: usize = life.id[2..].parse().expect("numbered");
                     // One gateway keeps the reserve of each endpoint.
                     let grantor = number % gateways;
-                    if !fleets[grantor].try_grant(&life, None, now) {
+                    if !fleets[grantor].try_grant(&life, None, now, now) {
                         continue;
                     }
                     (key, true)
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -10,6 +10,9 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
+/// Time for which a reserve has been kept.
+const HELD: Duration = Duration::from_secs(100);
+
 fn endpoint(id: &str, data_centre: &str) -> Endpoint {
     Endpoint {
         life: Incarnation {
@@ -316,10 +319,10 @@
         .life
         .clone();
     let granted = (0..20)
-        .filter(|_| fleet.try_grant(&life, Some(4), NOW))
+        .filter(|_| fleet.try_grant(&life, Some(4), HELD, NOW))
         .count();
     assert_eq!(granted, 4);
-    assert!(fleet.try_grant(&life, Some(4), NOW + Duration::from_secs(2)));
+    assert!(fleet.try_grant(&life, Some(4), HELD, NOW + Duration::from_secs(2)));
 }
 
 #[test]
@@ -328,13 +331,13 @@
     cold.cold = Duration::from_secs(3);
     let mut fleet = Fleet::default();
     fleet.update(&Snapshot::new(Version::new(0, 1), vec![cold.clone()]), NOW);
-    assert!(!fleet.try_grant(&cold.life, Some(4), NOW));
-    assert!(fleet.try_grant(&cold.life, Some(4), NOW + Duration::from_secs(3)));
+    assert!(!fleet.try_grant(&cold.life, Some(4), HELD, NOW));
+    assert!(fleet.try_grant(&cold.life, Some(4), HELD, NOW + Duration::from_secs(3)));
     let restarted = Incarnation {
         born: Some(2),
         ..cold.life
     };
-    assert!(!fleet.try_grant(&restarted, Some(4), NOW + Duration::from_secs(3)));
+    assert!(!fleet.try_grant(&restarted, Some(4), HELD, NOW + Duration::from_secs(3)));
 }
 
 /// A registration with a huge cold time ended the task that follows the endpoints.
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -87,8 +87,8 @@
 #[test]
 fn record_failure_reports_a_loss_once() {
     let mut roster = roster("b", &["a"]);
-    assert!(roster.record_failure("a"));
-    assert!(!roster.record_failure("a"));
+    assert!(roster.record_failure("a", Duration::ZERO));
+    assert!(!roster.record_failure("a", Duration::ZERO));
     assert!(roster.record_contact(gateway("a"), Duration::ZERO));
 }
 
@@ -231,3 +231,72 @@
     grantors.dedup();
     assert_eq!(grantors, names);
 }
+
+fn is_heavier(heavy: &str, light: &str, endpoint: &str) -> bool {
+    roster(light, &[heavy])
+        .grantor(endpoint, Duration::ZERO)
+        .is_some()
+}
+
+/// Returns an endpoint whose reserve `heavy` keeps, and `light` after it.
+fn endpoint_of(heavy: &str, light: &str) -> String {
+    let mut endpoints = (0..).map(|number| format!("i-{number}"));
+    let found = endpoints.find(|endpoint| is_heavier(heavy, light, endpoint));
+    found.expect("an endpoint")
+}
+
+/// A gateway granted the whole reserve of a limit right after another one had.
+#[test]
+fn reserve_held_counts_from_the_loss_of_the_gateway_before() {
+    let at = Duration::from_millis;
+    let endpoint = endpoint_of("a", "b");
+    let mut roster = roster("b", &["a"]);
+    roster.record_contact(gateway("a"), at(10_000));
+    assert_eq!(roster.reserve_held(&endpoint, at(10_100)), None);
+    let lost = at(10_000) + LIVE_TIMEOUT;
+    assert_eq!(roster.reserve_held(&endpoint, lost), Some(Duration::ZERO));
+    assert_eq!(roster.reserve_held(&endpoint, lost + at(5)), Some(at(5)));
+    roster.record_contact(gateway("a"), at(20_000));
+    assert_eq!(roster.reserve_held(&endpoint, at(20_000)), None, "regained");
+    roster.record_failure("a", at(20_100));
+    assert_eq!(roster.reserve_held(&endpoint, at(20_300)), Some(at(200)));
+    roster.learn(
+        Gateway {
+            heartbeats: 9,
+            ..gateway("a")
+        },
+        at(20_400),
+    );
+    assert_eq!(
+        roster.reserve_held(&endpoint, at(20_500)),
+        None,
+        "heard of again"
+    );
+}
+
+#[test]
+fn reserve_held_counts_from_the_word_of_a_leaving_gateway() {
+    let at = Duration::from_millis;
+    let endpoint = endpoint_of("a", "b");
+    let mut roster = roster("b", &["a"]);
+    roster.record_contact(gateway("a"), at(10_000));
+    let leaving = Gateway {
+        leaving: true,
+        ..gateway("a")
+    };
+    roster.record_contact(leaving.clone(), at(10_200));
+    roster.record_contact(leaving, at(11_000));
+    assert_eq!(roster.reserve_held(&endpoint, at(11_100)), Some(at(900)));
+    roster.leave();
+    assert_eq!(roster.reserve_held(&endpoint, at(11_100)), None);
+}
+
+#[test]
+fn reserve_held_counts_from_the_start_without_a_gateway_before() {
+    let at = Duration::from_millis;
+    let endpoint = endpoint_of("a", "b");
+    assert_eq!(
+        roster("a", &["b"]).reserve_held(&endpoint, at(700)),
+        Some(at(700))
+    );
+}
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -89,7 +89,7 @@
     let beyond_share = fleet.choose_plain_beyond_share(SERVICE, &locality, NOW);
     assert_eq!(id(&fleet, beyond_share), Some("b"));
     assert_eq!(id(&fleet, choose(&fleet, NOW + HOUR)), Some("b"));
-    assert!(!fleet.try_grant(&life("a", 1), None, NOW));
+    assert!(!fleet.try_grant(&life("a", 1), None, HOUR, NOW));
     assert_eq!(fleet.usable(SERVICE).count(), 1);
     assert!(fleet.record_leaving(&life("b", 1), NOW));
     assert_eq!(choose(&fleet, NOW), None);
@@ -186,7 +186,7 @@
 fn paused_endpoint_is_granted_to_other_processes() {
     let mut fleet = fleet(&["a"]);
     fleet.record_pause(&life("a", 1), PAUSE, NOW);
-    assert!(fleet.try_grant(&life("a", 1), None, NOW));
+    assert!(fleet.try_grant(&life("a", 1), None, HOUR, NOW));
 }
 
 #[test]
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -216,7 +216,8 @@
         Ok(Err(_)) | Err(_) => {
             state.links.drop_link(&address);
             let Some(instance) = instance else { return };
-            if lock(&state.roster).record_failure(&instance) {
+            let now = state.clock.now();
+            if lock(&state.roster).record_failure(&instance, now) {
                 Event::PeerLost.log(format_args!("instance={instance} fault=\"no answer\""));
                 state.set_peer_loads(&instance, Vec::new());
             }
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -286,7 +286,7 @@
         Some(gateway) => match peers::produce(state, &gateway.address, &task).await {
             Ok(made) => made,
             Err(fault) => {
-                let lost = lock(&state.roster).record_failure(&gateway.instance);
+                let lost = lock(&state.roster).record_failure(&gateway.instance, state.clock.now());
                 if lost {
                     Event::PeerLost
                         .log(format_args!("instance={} fault={fault}", gateway.instance));
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -418,13 +418,14 @@
         fleet.row(key).map(|row| row.endpoint.life.clone())
     }
 
-    /// Grants one request of the gateway `asker` to an endpoint, if the reserves of the
-    /// endpoint's limits allow it.
+    /// Grants one request of the gateway `asker` to an endpoint, if this gateway keeps the
+    /// reserves of the endpoint's limits and they allow it.
     pub(super) fn try_grant(&self, endpoint: &Incarnation, asker: &str) -> bool {
         let Some(config) = self.config() else {
             return false;
         };
         let now = self.clock.now();
+        let held = lock(&self.roster).reserve_held(&endpoint.id, now);
         let mut fleet = lock(&self.fleet);
         let service = fleet.row_of(endpoint).map(|row| &row.endpoint.service);
         let service = service.and_then(|service| config.service(service));
@@ -435,14 +436,16 @@
             .map(|rate| {
                 Throttle::reserve(rate, rate.mul_add(bounds.cold_ratio, bounds.cold_extra))
             });
-        let granted = fleet.try_grant(endpoint, cold, now);
+        let granted = held.is_some_and(|held| fleet.try_grant(endpoint, cold, held, now));
         let row = fleet.row_of(endpoint);
         Event::GrantDecided.log(format_args!(
-            "endpoint={} born={:?} asker={asker} granted={granted} grants={:?} limit={:?}",
+            "endpoint={} born={:?} asker={asker} granted={granted} grants={:?} limit={:?} \
+             held_ms={:?}",
             endpoint.id,
             endpoint.born,
             row.map(|row| row.recent_grants(now)),
             row.and_then(|row| row.stated_limit(now)),
+            held.map(|held| held.as_millis()),
         ));
         granted
     }
