Keep reports of limits that are older than the process

A gateway that had just started dropped what others told it of an endpoint's limit, if the statement was older than its own process, and sent to the endpoint as if it had none.

Cause: the time of a report is counted back from the start of the process and ends at zero, and zero also stood for an endpoint that never stated a limit. Now a missing statement is one of its own.

--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -24,7 +24,7 @@
     /// Requests a second that it takes from all processes together, or `None` if it
     /// stated none.
     pub per_second: Option<f64>,
-    /// Time of the statement, or zero if the endpoint never stated a limit.
+    /// Time of the statement. Zero may be any time before the start of the process.
     pub at: Duration,
 }
 
@@ -89,7 +89,7 @@
     /// second.
     #[must_use]
     pub fn stated_limit(&self, now: Duration) -> Option<f64> {
-        let Limit { per_second, at } = self.limit;
+        let Limit { per_second, at } = self.limit?;
         per_second.filter(|_| now < at + LIMIT_TTL)
     }
 
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -66,7 +66,8 @@
     throttle: Throttle,
     /// Requests beyond the shares of the processes that this process granted.
     reserve: Throttle,
-    limit: Limit,
+    /// The limit that the endpoint stated last, if it ever did.
+    limit: Option<Limit>,
     statement: Statement,
 }
 
@@ -257,8 +258,9 @@
         now: Duration,
         recent: Duration,
     ) -> impl Iterator<Item = (&Incarnation, Limit)> {
-        let rows = self.rows().map(|(_, row)| (&row.endpoint.life, row.limit));
-        rows.filter(move |(_, limit)| !limit.at.is_zero() && now < limit.at + recent)
+        let rows = self.rows();
+        let limits = rows.filter_map(|(_, row)| Some((&row.endpoint.life, row.limit?)));
+        limits.filter(move |(_, limit)| now < limit.at + recent)
     }
 
     /// Returns the row of an endpoint, or `None` if the endpoint is unknown.
@@ -349,14 +351,15 @@
     /// known. Returns whether the limit changed.
     pub fn record_limit(&mut self, endpoint: &Incarnation, limit: Limit) -> bool {
         let row = self.find(endpoint).and_then(|key| self.row_mut(key));
-        let Some(row) = row.filter(|row| row.limit.at < limit.at) else {
+        let is_newer = |row: &&mut Row| row.limit.is_none_or(|known| known.at < limit.at);
+        let Some(row) = row.filter(is_newer) else {
             return false;
         };
-        let before = row.limit.per_second;
+        let before = row.limit.and_then(|known| known.per_second);
         if before.is_none() && limit.per_second.is_none() {
             return false;
         }
-        row.limit = limit;
+        row.limit = Some(limit);
         before != limit.per_second
     }
 
@@ -438,7 +441,7 @@
             health: Health::new(),
             throttle: Throttle::default(),
             reserve: Throttle::default(),
-            limit: Limit::default(),
+            limit: None,
             statement,
         }
     }
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -105,6 +105,21 @@
     }
 }
 
+/// A gateway that had just started dropped a report of a limit that was older than itself.
+#[test]
+fn reported_statement_from_before_the_start_of_the_process_counts() {
+    let mut fleet = fleet(1, 1, 0);
+    let now = Duration::from_millis(40);
+    let report = Limit::reported(Some(1.0), Duration::from_secs(1), now);
+    assert!(fleet.record_limit(&incarnation(0), report));
+    let newer = Limit::reported(None, Duration::ZERO, now + Duration::from_millis(100));
+    assert!(fleet.record_limit(&incarnation(0), newer));
+    assert!(
+        !fleet.record_limit(&incarnation(0), report),
+        "older than the last"
+    );
+}
+
 #[test]
 fn choose_plain_keeps_to_the_share_and_uses_other_endpoints() {
     let mut fleet = fleet(2, 2, 0);
