Tell a gateway that is asked for a grant what limit the endpoint stated

An endpoint that had stated 1 request a second got 40 in one burst: as many as were asked for.

Cause: a gateway that has just started may be the one that keeps the reserve of a limit, before it has heard of that limit: heartbeats carry statements of the last two seconds only. Without a limit there is nothing to keep, so it granted each request. The class of fault: a decision by the process that knows less than the one that asks.

Change: the question carries the limit that the asker knows, with its age, and the gateway that is asked records it like a report before it decides. Older gateways leave the field out and ignore it.

Evidence: limits::gateway_that_has_just_started_grants_no_more_than_a_limit_ allows had 40 in four seconds where 11 are allowed, and passes.

--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -85,6 +85,12 @@
         ]
     }
 
+    /// Returns the limit that the endpoint stated last, or `None` if it never stated one.
+    #[must_use]
+    pub const fn last_limit(&self) -> Option<Limit> {
+        self.limit
+    }
+
     /// Returns the limit that the endpoint states and that is enforced, in requests a
     /// second.
     #[must_use]
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -4,8 +4,8 @@
     clock::milliseconds,
     gateway::{owner::Task, stages::Output},
 };
-use cicadacrank_core::{directory::Incarnation, roster::Gateway};
-use cicadacrank_wire::wire::{self, EndpointLife, GatewayState, Production};
+use cicadacrank_core::{directory::Incarnation, placement::Limit, roster::Gateway};
+use cicadacrank_wire::wire::{self, EndpointLife, EndpointLimit, GatewayState, Production};
 use std::time::Duration;
 
 /// Encodes a gateway.
@@ -30,6 +30,27 @@
     }
 }
 
+/// Encodes the limit that an endpoint stated.
+pub fn encode_limit(endpoint: &Incarnation, limit: Limit, now: Duration) -> EndpointLimit {
+    EndpointLimit {
+        endpoint: endpoint.id.clone(),
+        born: endpoint.born,
+        per_second: limit.per_second,
+        age_ms: milliseconds(now.saturating_sub(limit.at)),
+    }
+}
+
+/// Decodes the limit that an endpoint stated, from a message that arrived at `now`.
+pub fn decode_limit(limit: EndpointLimit, now: Duration) -> (Incarnation, Limit) {
+    let endpoint = Incarnation {
+        id: limit.endpoint,
+        born: limit.born,
+    };
+    let per_second = limit.per_second.filter(|limit| *limit >= 0.0);
+    let age = Duration::from_millis(limit.age_ms);
+    (endpoint, Limit::reported(per_second, age, now))
+}
+
 /// Encodes an incarnation of an endpoint.
 pub fn encode_life(endpoint: &Incarnation) -> EndpointLife {
     EndpointLife {
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -5,8 +5,8 @@
 mod codec;
 
 use self::codec::{
-    decode_gateway, decode_life, decode_output, decode_task, encode_gateway, encode_life,
-    encode_output, encode_task,
+    decode_gateway, decode_life, decode_limit, decode_output, decode_task, encode_gateway,
+    encode_life, encode_limit, encode_output, encode_task,
 };
 use super::{
     owner::{self, Failure, Task},
@@ -18,13 +18,13 @@
     directory::Incarnation,
     error::Kind,
     event::Event,
-    placement::{Limit, Load},
+    placement::{Load, Row},
     roster::Gateway,
     version::Version,
 };
 use cicadacrank_wire::wire::{
-    Beat, EndpointLimit, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released,
-    Results, Versions,
+    Beat, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released, Results,
+    Versions,
     gateway_client::GatewayClient,
     gateway_server::{Gateway as Serve, GatewayServer},
 };
@@ -233,12 +233,7 @@
     drop(roster);
     let fleet = lock(&state.fleet);
     let limits = fleet.stated_limits(now, LIMITS_REPORT_TIME);
-    let limits = limits.map(|(endpoint, limit)| EndpointLimit {
-        endpoint: endpoint.id.clone(),
-        born: endpoint.born,
-        per_second: limit.per_second,
-        age_ms: milliseconds(now.saturating_sub(limit.at)),
-    });
+    let limits = limits.map(|(endpoint, limit)| encode_limit(endpoint, limit, now));
     let limits = limits.collect();
     let leaving = fleet.leaving().take(MAX_DEPARTURES);
     let leaving = leaving.map(encode_life).collect();
@@ -328,13 +323,7 @@
     state.set_peer_loads(&instance, loads.collect());
     state.causes.merge(beat.suspects, &instance);
     for limit in beat.limits {
-        let endpoint = Incarnation {
-            id: limit.endpoint,
-            born: limit.born,
-        };
-        let per_second = limit.per_second.filter(|limit| *limit >= 0.0);
-        let age = Duration::from_millis(limit.age_ms);
-        let limit = Limit::reported(per_second, age, now);
+        let (endpoint, limit) = decode_limit(limit, now);
         state.record_limit(&endpoint, limit, &instance);
     }
     for endpoint in beat.leaving.into_iter().take(MAX_DEPARTURES) {
@@ -440,10 +429,15 @@
 async fn request_grant(state: &State, address: &str, endpoint: &Incarnation) -> Option<bool> {
     let mut client = state.links.client(address).ok()?;
     let asked_at = Instant::now();
+    let now = state.clock.now();
+    let limit = lock(&state.fleet)
+        .row_of(endpoint)
+        .and_then(Row::last_limit);
     let request = GrantRequest {
         endpoint: endpoint.id.clone(),
         born: endpoint.born,
         instance: state.settings.instance.clone(),
+        limit: limit.map(|limit| encode_limit(endpoint, limit, now)),
     };
     let answer = time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
     // A process that was paused finds the answer although its time has passed.
@@ -530,6 +524,11 @@
             id: request.endpoint,
             born: request.born,
         };
+        // This gateway may have started after the endpoint stated its limit.
+        if let Some(limit) = request.limit {
+            let (endpoint, limit) = decode_limit(limit, self.0.clock.now());
+            self.0.record_limit(&endpoint, limit, &request.instance);
+        }
         let granted = self.0.try_grant(&endpoint, &request.instance);
         Ok(Response::new(GrantAnswer { granted }))
     }
--- a/crates/cicadacrankd/tests/limits.rs
+++ b/crates/cicadacrankd/tests/limits.rs
@@ -3,7 +3,10 @@
 mod gateways;
 
 use self::gateways::{deployment, wait_for_log};
-use cicadacrank_bench::deployment::{Caller, Deployment, Role, send};
+use cicadacrank_bench::{
+    deployment::{Caller, Deployment, Role, send},
+    fleet,
+};
 use cicadacrank_core::roster::{Gateway, Roster};
 use reqwest::Method;
 use std::time::Duration;
@@ -56,6 +59,56 @@
     order
 }
 
+/// Number of requests that are sent at once.
+const BURST: usize = 40;
+
+/// A gateway that had started after an endpoint stated its limit granted without any bound.
+#[tokio::test]
+async fn gateway_that_has_just_started_grants_no_more_than_a_limit_allows() {
+    let mut deployment = deployment(3, 1).await;
+    time::sleep(WINDOW + STABILITY).await;
+    let desk = deployment.endpoints_with(Role::Desk).next();
+    let desk = desk.expect("an endpoint");
+    desk.set_limit(Some(LIMIT));
+    let id = desk.id.clone();
+    let order = grantors(&deployment, &id);
+    let caller = Caller::new().expect("failed to create the caller");
+    let address = deployment.gateways[order[1]].caller_address();
+    let ask = |name: String| send(caller.request(Method::GET, address, "/look/1", &name));
+    assert_eq!(ask("first".to_owned()).await.status, Some(200));
+    // Heartbeats no longer report the statement.
+    time::sleep(STABILITY).await;
+    let grantor = &mut deployment.gateways[order[0]];
+    grantor.kill().expect("failed to send the signal");
+    grantor.wait().await.expect("failed to wait");
+    wait_for_log(&deployment, order[1], "PeerLost").await;
+    let grantor = &mut deployment.gateways[order[0]];
+    grantor.restart().expect("failed to restart the process");
+    grantor.wait_ready().await.expect("ready");
+    let is_back = || {
+        let log = deployment.gateways[order[1]].log_text();
+        log.rfind("PeerRegained") > log.rfind("PeerLost")
+    };
+    fleet::wait_for("the gateway is known to be back", async || is_back())
+        .await
+        .expect("a heartbeat arrives");
+    let requests = (0..BURST).map(|number| tokio::spawn(ask(format!("a{number}"))));
+    let requests: Vec<_> = requests.collect();
+    for request in requests {
+        request.await.expect("the request ends");
+    }
+    let desk = deployment.endpoints_with(Role::Desk).next();
+    let times: Vec<Instant> = desk
+        .expect("an endpoint")
+        .runs()
+        .iter()
+        .map(|run| run.at)
+        .collect();
+    let allowed = (LIMIT * 1.5).mul_add(WINDOW.as_secs_f64(), 5.0) as usize;
+    let most = most_in_a_window(&times, times[0] + STABILITY);
+    assert!(most <= allowed, "{most} in four seconds, {allowed} allowed");
+}
+
 /// Each gateway that kept the reserve of a limit granted the whole of it, although the one
 /// before had done so within the same four seconds.
 #[tokio::test]
