Keep a stated limit until an answer states none

An endpoint got all requests of a moment at once when its data centre came back after an evacuation, though it still stated a limit.

Cause: a limit expired 10 s after the last statement. An endpoint that gets no requests has no answer to state it in. The class of fault: silence taken for the end of a state that only an answer can end.

Change: the limit holds until an answer without one. Shares and the reserve always allow a request that brings such an answer.

Tests: limit::choose_plain_keeps_to_a_limit_until_an_answer_states_none failed before (20 sends where the share is 2). choose_plain_ignores_a_limit_that_ ended_or_was_not_repeated asked for the fault: its half about a limit that was not repeated is replaced by the test above, which asks for the opposite. The end of reported_statement_never_looks_newer_than_it_is relied on the expiry; it now checks the time of the statement itself and that it is reported no more.

--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -5,9 +5,6 @@
 use crate::share::{Throttle, Window};
 use std::time::Duration;
 
-/// Time after which a limit no longer holds that the endpoint has not stated again.
-const LIMIT_TTL: Duration = Duration::from_secs(10);
-
 /// Allowance for the delay of reports, so that a statement does not look newer at
 /// each process that passes it on.
 const REPORT_DELAY: Duration = Duration::from_millis(50);
@@ -47,7 +44,7 @@
     /// The limit for a cold endpoint is always enforced, since an endpoint may become
     /// cold without notice.
     pub(super) fn may_send(&self, cold_rate: f64, share: Share, now: Duration) -> bool {
-        let windows = self.windows(cold_rate, now);
+        let windows = self.windows(cold_rate);
         windows.into_iter().flatten().all(|(window, limit)| {
             let grant = share.grant(limit, &self.endpoint.life.id);
             self.throttle.may_send(window, grant, now)
@@ -66,7 +63,7 @@
         if now > until {
             return 0;
         }
-        let windows = self.windows(cold_rate, now).into_iter().flatten();
+        let windows = self.windows(cold_rate).into_iter().flatten();
         let sends = windows.map(|(window, limit)| {
             // Without a share, one request may be granted from the reserve.
             let grant = share.grant(limit, &self.endpoint.life.id).max(1);
@@ -77,8 +74,8 @@
 
     /// Returns the windows in which the endpoint is limited, each with the number of
     /// requests that it takes from all processes together.
-    fn windows(&self, cold_rate: f64, now: Duration) -> [Option<(Window, f64)>; 2] {
-        let stated = self.stated_limit(now);
+    fn windows(&self, cold_rate: f64) -> [Option<(Window, f64)>; 2] {
+        let stated = self.stated_limit();
         [
             (cold_rate > 0.0).then_some((Window::Cold, cold_rate)),
             stated.map(|limit| (Window::Stated, limit * Window::Stated.seconds())),
@@ -91,12 +88,11 @@
         self.limit
     }
 
-    /// Returns the limit that the endpoint states and that is enforced, in requests a
-    /// second.
+    /// Returns the limit that the endpoint states, in requests a second. It holds until an
+    /// answer states none, since an endpoint that gets no requests can't state anything.
     #[must_use]
-    pub fn stated_limit(&self, now: Duration) -> Option<f64> {
-        let Limit { per_second, at } = self.limit?;
-        per_second.filter(|_| now < at + LIMIT_TTL)
+    pub fn stated_limit(&self) -> Option<f64> {
+        self.limit?.per_second
     }
 
     /// Returns the number of sends that count towards this process's share in a stated
@@ -117,7 +113,7 @@
     /// allow one more request. `cold` is the reserve of the limit for a cold endpoint, or
     /// `None` if it has none.
     pub(super) fn has_reserve(&self, cold: Option<usize>, held: Duration, now: Duration) -> bool {
-        let stated = self.stated_limit(now).map(|limit| {
+        let stated = self.stated_limit().map(|limit| {
             let limit = limit * Window::Stated.seconds();
             Throttle::reserve(limit, limit.mul_add(LIMIT_OVERRUN, LIMIT_TOLERANCE))
         });
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -311,7 +311,7 @@
         let mut fleet = lock(&state.fleet);
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
-        let (limit, recent_sends) = (row.stated_limit(sent), row.recent_sends(sent));
+        let (limit, recent_sends) = (row.stated_limit(), row.recent_sends(sent));
         let tokens_until_first_event = row.unread() + prefill_tokens;
         if parameters.granted {
             fleet.begin_granted(key, prefill_tokens);
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -12,7 +12,7 @@
     config::Config,
     directory::{Evacuation, Incarnation, Snapshot, Tracker, evacuation},
     event::Event,
-    placement::{Fleet, Key, Limit, Load},
+    placement::{Fleet, Key, Limit, Load, Row},
     roster::{Gateway, Roster},
     share::{Budget, Throttle},
     version::Version,
@@ -444,7 +444,7 @@
             endpoint.id,
             endpoint.born,
             row.map(|row| row.recent_grants(now)),
-            row.and_then(|row| row.stated_limit(now)),
+            row.and_then(Row::stated_limit),
             held.map(|held| held.as_millis()),
         ));
         granted
