Keep the limit of an endpoint and the sends towards it by its id

A gateway sent to an endpoint as if it had never stated a limit after the endpoint's registration had lapsed and come back, or had named another incarnation.

Cause: the limit, the sends within the share and the grants lived in the row of the directory's entry and went with it. A statement about an endpoint that was not listed yet was dropped too. The class of fault: what endpoints say and what they got, stored with what the store says of them.

Change: they make up an account by the id of the endpoint, which a row borrows while the endpoint is listed. The limit for cold starts counts the same sends.

Tests in core limit that failed before: limit_and_sends_outlast_a_registration_ that_lapses (20 sends after the share was used up), grants_outlast_a_ registration_that_lapses (9 after the reserve), limit_holds_for_the_next_ incarnation_until_it_answers_without_one, limit_that_is_reported_before_its_ endpoint_is_listed_holds.

--- a/crates/cicadacrank-core/src/placement/fleet/limit.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/limit.rs
@@ -47,7 +47,7 @@
         let windows = self.windows(cold_rate);
         windows.into_iter().flatten().all(|(window, limit)| {
             let grant = share.grant(limit, &self.endpoint.life.id);
-            self.throttle.may_send(window, grant, now)
+            self.account.sends.may_send(window, grant, now)
         })
     }
 
@@ -67,7 +67,7 @@
         let sends = windows.map(|(window, limit)| {
             // Without a share, one request may be granted from the reserve.
             let grant = share.grant(limit, &self.endpoint.life.id).max(1);
-            self.throttle.sends_until(window, grant, now, until)
+            self.account.sends.sends_until(window, grant, now, until)
         });
         sends.min().unwrap_or(usize::MAX)
     }
@@ -85,28 +85,28 @@
     /// Returns the limit that the endpoint stated last, or `None` if it never stated one.
     #[must_use]
     pub const fn last_limit(&self) -> Option<Limit> {
-        self.limit
+        self.account.limit
     }
 
     /// Returns the limit that the endpoint states, in requests a second. It holds until an
     /// answer states none, since an endpoint that gets no requests can't state anything.
     #[must_use]
     pub fn stated_limit(&self) -> Option<f64> {
-        self.limit?.per_second
+        self.account.limit?.per_second
     }
 
     /// Returns the number of sends that count towards this process's share in a stated
     /// limit.
     #[must_use]
     pub fn recent_sends(&self, now: Duration) -> usize {
-        self.throttle.count(Window::Stated, now)
+        self.account.sends.count(Window::Stated, now)
     }
 
     /// Returns the number of sends that this process granted and that count towards the
     /// reserve of a stated limit.
     #[must_use]
     pub fn recent_grants(&self, now: Duration) -> usize {
-        self.reserve.count(Window::Stated, now)
+        self.account.grants.count(Window::Stated, now)
     }
 
     /// Returns whether the reserves of all limits, which this process has kept for `held`,
@@ -121,7 +121,7 @@
         reserves.into_iter().all(|(window, reserve)| {
             reserve.is_none_or(|reserve| {
                 // Another process may have granted the whole reserve before.
-                held >= window.length() && self.reserve.may_send(window, reserve, now)
+                held >= window.length() && self.account.grants.may_send(window, reserve, now)
             })
         })
     }
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The endpoints of all services, and the selection among them.
 
+mod account;
 mod engine;
 mod limit;
 mod statement;
@@ -10,14 +11,12 @@
 };
 
 use self::{
+    account::{Account, Accounts},
     limit::Share,
     statement::{Statement, Statements},
 };
 use super::{Health, Report};
-use crate::{
-    directory::{Endpoint, Evacuation, Incarnation, Snapshot},
-    share::Throttle,
-};
+use crate::directory::{Endpoint, Evacuation, Incarnation, Snapshot};
 use std::{hash::Hasher as _, time::Duration};
 
 /// Fixed cost of starting a request, in prompt tokens, added to the length of
@@ -63,11 +62,7 @@
     own_load: Load,
     peer_load: Load,
     health: Health,
-    throttle: Throttle,
-    /// Requests beyond the shares of the processes that this process granted.
-    reserve: Throttle,
-    /// The limit that the endpoint stated last, if it ever did.
-    limit: Option<Limit>,
+    account: Account,
     statement: Statement,
 }
 
@@ -93,6 +88,7 @@
 pub struct Fleet {
     slots: Vec<Slot>,
     statements: Statements,
+    accounts: Accounts,
     evacuation: Evacuation,
     processes: usize,
     position: usize,
@@ -121,7 +117,9 @@
             match listed(&row.endpoint.life) {
                 Some(endpoint) => row.update(endpoint, now),
                 None => {
-                    slot.row = None;
+                    if let Some(row) = slot.row.take() {
+                        self.accounts.keep(&row.endpoint.life.id, row.account, now);
+                    }
                     slot.generation += 1;
                 }
             }
@@ -129,7 +127,8 @@
         for endpoint in &snapshot.endpoints {
             if self.find(&endpoint.life).is_none() {
                 let statement = self.statements.of(&endpoint.life);
-                self.insert(Row::new(endpoint.clone(), statement, now));
+                let account = self.accounts.take(&endpoint.life.id);
+                self.insert(Row::new(endpoint.clone(), statement, account, now));
             }
         }
     }
@@ -259,7 +258,7 @@
         recent: Duration,
     ) -> impl Iterator<Item = (&Incarnation, Limit)> {
         let rows = self.rows();
-        let limits = rows.filter_map(|(_, row)| Some((&row.endpoint.life, row.limit?)));
+        let limits = rows.filter_map(|(_, row)| Some((&row.endpoint.life, row.account.limit?)));
         limits.filter(move |(_, limit)| now < limit.at + recent)
     }
 
@@ -286,7 +285,7 @@
         };
         let granted = row.has_reserve(cold, held, now);
         if granted {
-            row.reserve.record_send(now);
+            row.account.grants.record_send(now);
         }
         granted
     }
@@ -296,7 +295,7 @@
     pub fn begin(&mut self, key: Key, unread: u64, now: Duration) {
         self.begin_granted(key, unread);
         if let Some(row) = self.row_mut(key) {
-            row.throttle.record_send(now);
+            row.account.sends.record_send(now);
         }
     }
 
@@ -349,18 +348,17 @@
 
     /// Records the limit that an endpoint states. Ignores it if a newer statement is
     /// known. Returns whether the limit changed.
+    ///
+    /// The limit holds for the id of the endpoint, also while the directory lists another
+    /// incarnation or none.
     pub fn record_limit(&mut self, endpoint: &Incarnation, limit: Limit) -> bool {
-        let row = self.find(endpoint).and_then(|key| self.row_mut(key));
-        let is_newer = |row: &&mut Row| row.limit.is_none_or(|known| known.at < limit.at);
-        let Some(row) = row.filter(is_newer) else {
-            return false;
-        };
-        let before = row.limit.and_then(|known| known.per_second);
-        if before.is_none() && limit.per_second.is_none() {
-            return false;
+        let mut rows = self.slots.iter_mut().filter_map(|slot| slot.row.as_mut());
+        let row = rows.find(|row| row.endpoint.life.id == endpoint.id);
+        match (row, limit.per_second) {
+            (Some(row), _) => row.account.record_limit(limit),
+            (None, Some(_)) => self.accounts.entry(&endpoint.id).record_limit(limit),
+            (None, None) => self.accounts.end_limit(&endpoint.id, limit),
         }
-        row.limit = Some(limit);
-        before != limit.per_second
     }
 
     /// Records the result of an attempt.
@@ -432,16 +430,14 @@
 }
 
 impl Row {
-    fn new(endpoint: Endpoint, statement: Statement, now: Duration) -> Self {
+    fn new(endpoint: Endpoint, statement: Statement, account: Account, now: Duration) -> Self {
         Self {
             cold_until: now.saturating_add(endpoint.cold),
             endpoint,
             own_load: Load::default(),
             peer_load: Load::default(),
             health: Health::new(),
-            throttle: Throttle::default(),
-            reserve: Throttle::default(),
-            limit: None,
+            account,
             statement,
         }
     }
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -190,6 +190,92 @@
     assert_eq!(fleet.sends_until("other", 0.0, &[], now, next), 0);
 }
 
+fn list(fleet: &mut Fleet, endpoints: Vec<Endpoint>, now: Duration) {
+    let snapshot = Snapshot::new(Version::new(0, 2), endpoints);
+    fleet.update(&snapshot, now);
+}
+
+/// Sends as many requests as the share allows, and returns their number.
+fn send_all(fleet: &mut Fleet, now: Duration) -> usize {
+    let sends = (0..20).filter(|_| {
+        let key = choose(fleet, now);
+        key.inspect(|key| fleet.begin(*key, 0, now)).is_some()
+    });
+    sends.count()
+}
+
+/// An endpoint whose registration lapsed while the store was away was listed again without
+/// its limit, and without the requests that it had just got.
+#[test]
+fn limit_and_sends_outlast_a_registration_that_lapses() {
+    let mut fleet = fleet(1, 2, 0);
+    let now = Duration::from_secs(20);
+    fleet.record_limit(&incarnation(0), limit(Some(1.0), now));
+    assert_eq!(send_all(&mut fleet, now), 2);
+    list(&mut fleet, Vec::new(), now);
+    list(&mut fleet, vec![endpoint(0)], now);
+    assert_eq!(send_all(&mut fleet, now), 0, "the share is used up");
+    assert_eq!(send_all(&mut fleet, now + WINDOW * 2), 2);
+}
+
+/// Grants were given twice within a window when a registration lapsed between them.
+#[test]
+fn grants_outlast_a_registration_that_lapses() {
+    let mut fleet = fleet(1, 2, 0);
+    let (now, life) = (Duration::from_secs(20), incarnation(0));
+    fleet.record_limit(&life, limit(Some(1.0), now));
+    let grant = |fleet: &mut Fleet| {
+        let grants = (0..9).filter(|_| fleet.try_grant(&life, None, now, now));
+        grants.count()
+    };
+    assert_eq!(grant(&mut fleet), 3);
+    list(&mut fleet, Vec::new(), now);
+    list(&mut fleet, vec![endpoint(0)], now);
+    assert_eq!(grant(&mut fleet), 0, "the reserve is used up");
+}
+
+/// The directory may name the incarnation that an endpoint had seconds before, so that a
+/// limit is learnt under another one than it is listed with next.
+#[test]
+fn limit_holds_for_the_next_incarnation_until_it_answers_without_one() {
+    let mut fleet = fleet(1, 2, 0);
+    let now = Duration::from_secs(20);
+    fleet.record_limit(&incarnation(0), limit(Some(1.0), now));
+    assert_eq!(send_all(&mut fleet, now), 2);
+    let mut restarted = endpoint(0);
+    restarted.life.born = Some(2);
+    list(&mut fleet, vec![restarted.clone()], now);
+    assert_eq!(send_all(&mut fleet, now), 0, "the share is used up");
+    let later = now + Duration::from_millis(1);
+    fleet.record_limit(&restarted.life, limit(None, later));
+    assert!(send_all(&mut fleet, later) > 2);
+}
+
+#[test]
+fn limit_that_is_reported_before_its_endpoint_is_listed_holds() {
+    let mut fleet = fleet(0, 2, 0);
+    let now = Duration::from_secs(20);
+    fleet.record_limit(&incarnation(0), limit(Some(1.0), now));
+    list(&mut fleet, vec![endpoint(0)], now);
+    assert_eq!(send_all(&mut fleet, now), 2);
+}
+
+#[test]
+fn limits_of_unlisted_endpoints_are_bounded_and_the_newest_are_kept() {
+    let mut fleet = fleet(0, 2, 0);
+    let now = Duration::from_secs(20);
+    for number in 0..2_000 {
+        let at = now + Duration::from_millis(number);
+        let number = usize::try_from(number).expect("few");
+        fleet.record_limit(&incarnation(number), limit(Some(1.0), at));
+    }
+    let later = now + Duration::from_secs(2);
+    list(&mut fleet, vec![endpoint(0)], later);
+    assert_eq!(send_all(&mut fleet, later), 20, "the oldest is forgotten");
+    list(&mut fleet, vec![endpoint(1_999)], later);
+    assert_eq!(send_all(&mut fleet, later), 2, "the newest is kept");
+}
+
 /// Returns the times at which gateways that knew of the limit sent requests to the
 /// endpoints that state one.
 fn simulate(seed: u64, gateways: usize, per_second: f64) -> Vec<Vec<Duration>> {
