Space the calls to workers by the limit that any gateway knows

A worker that stated a limit got a call at once from a gateway that took its service over, after a failed call, and after its registration had lapsed.

Cause: the spacing was set by each answer that stated the limit, as one delay of the next call, and lived with the gateway and the registration that had the answer.

Change: the pool is told the limit of the endpoint's account, its own and the one that other gateways report, and spaces all calls by it; a gateway that takes over waits an interval first.

Tests: core batch::space_calls_holds_after_a_call_that_failed, space_calls_holds_for_a_process_that_takes_over, space_calls_holds_for_an_ endpoint_that_is_listed_again; they ask for what the code before did not have. space_calls_keeps_to_the_limit_of_an_endpoint_and_uses_others passes the interval as an option now.

--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -63,8 +63,10 @@
 pub(super) struct Endpoint {
     pub(super) incarnation: Incarnation,
     pub(super) data_centre: DataCentre,
-    /// Start of the last call.
+    /// Start of the last call, or time until which another process may have called.
     began: Duration,
+    /// Time from the start of one call to the next, while the endpoint states a limit.
+    interval: Option<Duration>,
     busy_since: Option<Duration>,
     pub(super) busy_until: Duration,
     backoff_until: Duration,
@@ -85,6 +87,7 @@
             incarnation,
             data_centre,
             began: Duration::ZERO,
+            interval: None,
             busy_since: None,
             busy_until: Duration::ZERO,
             backoff_until: Duration::ZERO,
@@ -107,9 +110,23 @@
         !self.is_busy() && !self.leaving && !self.in_backoff(now)
     }
 
-    /// Delays the next call until `interval` after the start of the last one.
-    pub(super) fn space_calls(&mut self, interval: Duration) {
-        self.backoff_until = self.backoff_until.max(self.began + interval);
+    /// Sets the time from the start of one call to the next.
+    pub(super) fn space_calls(&mut self, interval: Option<Duration>, now: Duration) {
+        if self.interval.is_none() && self.began.is_zero() {
+            self.began = now;
+        }
+        self.interval = interval;
+    }
+
+    /// Records that another process may have called the endpoint until now.
+    pub(super) fn record_handover(&mut self, now: Duration) {
+        self.began = self.began.max(now);
+    }
+
+    /// Returns the time from which the limit that the endpoint states allows a call.
+    fn spaced_until(&self) -> Duration {
+        let interval = self.interval;
+        interval.map_or(Duration::ZERO, |interval| self.began + interval)
     }
 
     /// Sets the time until which the endpoint wants no calls from this process.
@@ -124,12 +141,13 @@
     /// Returns whether the endpoint must not be called yet because of earlier
     /// failures or what it states about itself.
     pub(super) fn in_backoff(&self, now: Duration) -> bool {
-        now < self.backoff_until || self.is_paused(now)
+        now < self.backoff_until || now < self.spaced_until() || self.is_paused(now)
     }
 
     /// Returns the estimated time at which the endpoint can accept a call.
     pub(super) fn free_at(&self, now: Duration) -> Duration {
         let backoff_until = self.backoff_until.max(self.paused_until);
+        let backoff_until = backoff_until.max(self.spaced_until());
         self.busy_until.max(backoff_until).max(now)
     }
 
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -70,6 +70,10 @@
     /// Sets whether this process forms the calls of the service. A process that
     /// does not may still form calls from pieces that it has queued.
     pub fn set_owned(&mut self, owned: bool, now: Duration) {
+        if owned && self.owned_since.is_none() {
+            let endpoints = self.endpoints.iter_mut();
+            endpoints.for_each(|endpoint| endpoint.record_handover(now));
+        }
         self.owned_since = owned.then(|| self.owned_since.unwrap_or(now));
     }
 
@@ -292,11 +296,17 @@
         }
     }
 
-    /// Delays the next call to an endpoint until `interval` after the start of the last
-    /// one, because the endpoint states a limit.
-    pub fn space_calls(&mut self, incarnation: &Incarnation, interval: Duration) {
+    /// Sets the time from the start of one call to an endpoint to the next, while the
+    /// endpoint states a limit. The first call waits too, since another process may have
+    /// made the one before.
+    pub fn space_calls(
+        &mut self,
+        incarnation: &Incarnation,
+        interval: Option<Duration>,
+        now: Duration,
+    ) {
         if let Ok(index) = self.find(incarnation) {
-            self.endpoints[index].space_calls(interval);
+            self.endpoints[index].space_calls(interval, now);
         }
     }
 
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -406,7 +406,7 @@
         let ended = |one: &(u64, Call)| one.0 <= now;
         for (_, call) in running.extract_if(.., |one| ended(one)) {
             if call.endpoint == incarnation("a") {
-                pool.space_calls(&call.endpoint, interval);
+                pool.space_calls(&call.endpoint, Some(interval), ms(now));
             }
             pool.end(&call, Outcome::Answered, Results::default(), ms(now));
         }
@@ -417,6 +417,48 @@
     assert!(starts[1].len() > 2 * starts[0].len(), "{:?}", starts[1]);
 }
 
+/// A worker that stated a limit and then failed got its next call after the backoff alone.
+#[test]
+fn space_calls_holds_after_a_call_that_failed() {
+    let mut pool = pool(&[("a", "x")]);
+    pool.space_calls(&incarnation("a"), Some(ms(2_000)), ms(0));
+    pool.add(piece(1, 1, 60_000));
+    pool.add(piece(2, 2, 60_000));
+    let call = pool.next_call(ms(2_000)).expect("the endpoint is free");
+    pool.end(&call, Outcome::Failed, Results::default(), ms(2_100));
+    pool.add(piece(3, 3, 60_000));
+    assert_eq!(pool.next_call(ms(3_999)), None);
+    assert_eq!(pool.wake_at(ms(3_000)), Some(ms(4_000)));
+    assert!(pool.next_call(ms(4_000)).is_some());
+}
+
+/// A gateway that took over a service called its workers at once, whatever the one before
+/// had just sent them.
+#[test]
+fn space_calls_holds_for_a_process_that_takes_over() {
+    let mut pool = pool(&[("a", "x")]);
+    pool.space_calls(&incarnation("a"), Some(ms(1_000)), ms(1));
+    pool.set_owned(false, ms(5_000));
+    pool.set_owned(true, ms(9_000));
+    pool.add(piece(1, 1, 60_000));
+    assert_eq!(pool.next_call(ms(9_999)), None);
+    assert!(pool.next_call(ms(10_000)).is_some());
+}
+
+/// A worker whose registration lapsed was called as if it had never stated a limit.
+#[test]
+fn space_calls_holds_for_an_endpoint_that_is_listed_again() {
+    let mut pool = pool(&[]);
+    let listed = incarnation("a");
+    pool.set_endpoints([(&listed, "x")].into_iter());
+    pool.space_calls(&listed, Some(ms(1_000)), ms(7_000));
+    pool.add(piece(1, 1, 60_000));
+    assert_eq!(pool.next_call(ms(7_999)), None);
+    assert!(pool.next_call(ms(8_000)).is_some());
+    pool.space_calls(&listed, None, ms(8_100));
+    assert_eq!(pool.wake_at(ms(8_100)), None, "the limit ended");
+}
+
 /// A worker that wanted no calls for some time was called 60 ms after it was full.
 #[test]
 fn pause_keeps_calls_from_an_endpoint_until_its_end() {
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -35,9 +35,6 @@
 /// long before that.
 const INPUT_FETCH_DIVISOR: u32 = 2;
 
-/// Maximum time between two calls to an endpoint that states a limit.
-const MAX_CALL_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Maximum number of calls that one piece is part of.
 const MAX_ATTEMPTS: u32 = 2;
 
@@ -55,7 +52,7 @@
         Some((address, _)) => {
             // Released results free memory for this call.
             send_releases(&state, &batcher, &call.endpoint).await;
-            call_and_release_inputs(&state, &batcher, *address, &call, &mut pieces).await
+            call_and_release_inputs(&state, *address, &call, &mut pieces).await
         }
         None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
     };
@@ -106,7 +103,6 @@
 /// a retry may need them.
 async fn call_and_release_inputs(
     state: &State,
-    batcher: &Batcher,
     address: SocketAddr,
     call: &Call,
     pieces: &mut [Waiting],
@@ -118,7 +114,7 @@
         call_timeout(call)
     };
     let result = {
-        let exchange = send_call(state, batcher, address, call, pieces);
+        let exchange = send_call(state, address, call, pieces);
         tokio::pin!(exchange);
         match time::timeout(fetched, &mut exchange).await {
             Ok(result) => result,
@@ -168,7 +164,6 @@
 /// piece and a note for the log.
 async fn send_call(
     state: &State,
-    batcher: &Batcher,
     address: SocketAddr,
     call: &Call,
     pieces: &[Waiting],
@@ -193,7 +188,6 @@
             let head = Answer::decode(answer.status(), answer.headers());
             if !head.misdirected {
                 state.record_statements(&call.endpoint, &head);
-                space_calls(batcher, call, head.limit);
             }
             if head.declined.is_some() {
                 let outcome = if head.misdirected {
@@ -214,17 +208,6 @@
     }
 }
 
-/// Delays the next call to an endpoint that states a limit.
-fn space_calls(batcher: &Batcher, call: &Call, per_second: Option<f64>) {
-    if let Some(limit) = per_second {
-        let interval = Duration::try_from_secs_f64(1.0 / limit).unwrap_or(MAX_CALL_INTERVAL);
-        let interval = interval.min(MAX_CALL_INTERVAL);
-        lock(&batcher.inner)
-            .pool
-            .space_calls(&call.endpoint, interval);
-    }
-}
-
 /// Delivers the result or failure of a piece, or retries the piece. Releases the
 /// result if no caller waits for it any more.
 fn deliver(
--- a/crates/cicadacrank-node/src/gateway/owner/pools.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -12,9 +12,13 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 use tokio::sync::{Notify, mpsc};
 
+/// Maximum time between two calls to an endpoint that states a limit.
+const MAX_CALL_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The pools of all services that process stages, sorted by service name.
 #[derive(Debug, Default)]
 pub struct Pools {
@@ -81,9 +85,9 @@
         self.changed.notify_one();
     }
 
-    /// Replaces the endpoints of each service by those that are usable, and pauses those
-    /// that want no calls.
-    pub fn set_endpoints(&self, fleet: &Fleet) {
+    /// Replaces the endpoints of each service by those that are usable, spaces the calls to
+    /// those that state a limit, and pauses those that want no calls.
+    pub fn set_endpoints(&self, fleet: &Fleet, now: Duration) {
         for batcher in lock(&self.batchers).iter() {
             let mut inner = lock(&batcher.inner);
             let usable = fleet.usable(&batcher.service);
@@ -94,6 +98,8 @@
             let usable = endpoints.iter();
             pool.set_endpoints(usable.map(|one| (&one.life, one.data_centre.as_str())));
             for (_, row) in fleet.usable(&batcher.service) {
+                let interval = row.stated_limit().map(call_interval);
+                pool.space_calls(&row.endpoint.life, interval, now);
                 pool.pause(&row.endpoint.life, row.paused_until());
             }
             drop(inner);
@@ -113,6 +119,14 @@
     }
 }
 
+/// Returns the time between two calls to an endpoint that takes so many a second.
+fn call_interval(per_second: f64) -> Duration {
+    let interval = Duration::try_from_secs_f64(1.0 / per_second);
+    interval.map_or(MAX_CALL_INTERVAL, |interval| {
+        interval.min(MAX_CALL_INTERVAL)
+    })
+}
+
 fn index(batchers: &[Arc<Batcher>], service: &str) -> Option<usize> {
     batchers
         .binary_search_by(|batcher| batcher.service.as_str().cmp(service))
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -391,6 +391,7 @@
                 limit.per_second,
                 self.clock.now().saturating_sub(limit.at).as_millis(),
             ));
+            self.refresh_pools();
         }
     }
 
@@ -504,7 +505,7 @@
 
     fn refresh_pools(&self) {
         let fleet = lock(&self.fleet);
-        self.pools.set_endpoints(&fleet);
+        self.pools.set_endpoints(&fleet, self.clock.now());
     }
 
     /// Updates whether the gateway is initialized, and logs a change.
