Log the software version of engines and the attempt that a request resumes

No line named the version of an engine, nor the attempt of the caller that a request takes up. The version of an entry and the caller's Resumes and Last-Event-Id are decoded; 302, 312, 314 and 316 name them. No change of what is decided: an entry without a version has an empty one; one whose version is not text names no endpoint, as with all other fields.

--- a/crates/cicadacrank-core/src/directory/mod.rs
+++ b/crates/cicadacrank-core/src/directory/mod.rs
@@ -55,6 +55,9 @@
     pub address: SocketAddr,
     /// Data centre of the endpoint.
     pub data_centre: String,
+    /// Version of the endpoint's software.
+    #[serde(default)]
+    pub version: String,
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
     /// Whether the endpoint accepts new work.
--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -28,6 +28,7 @@
         service: "engine".to_owned(),
         address: "127.0.0.1:1".parse().expect("the address is valid"),
         data_centre: "x".to_owned(),
+        version: "v1".to_owned(),
         slots: 1,
         state: State::Ready,
         cold: Duration::ZERO,
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -26,6 +26,7 @@
         service: SERVICE.to_owned(),
         address: "127.0.0.1:1".parse().expect("valid address"),
         data_centre: "one".to_owned(),
+        version: "v1".to_owned(),
         slots: 16,
         state: State::Ready,
         cold: Duration::ZERO,
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -22,6 +22,7 @@
         service: "engine".to_owned(),
         address: "127.0.0.1:1".parse().expect("the address is valid"),
         data_centre: data_centre.to_owned(),
+        version: "v1".to_owned(),
         slots: 8,
         state: State::Ready,
         cold: Duration::ZERO,
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -28,6 +28,7 @@
         service: SERVICE.to_owned(),
         address: "127.0.0.1:1".parse().expect("valid address"),
         data_centre: "one".to_owned(),
+        version: "v1".to_owned(),
         slots: 4,
         state: State::Ready,
         cold: Duration::ZERO,
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -428,12 +428,13 @@
 fn log_choice(outgoing: &Outgoing, guard: &Guard, parameters: &Parameters) {
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
-        "id={} service={} endpoint={} born={:?} sequence={} in_flight={} tokens={} results={} \
+        "id={} service={} endpoint={} born={:?} version={} sequence={} in_flight={} tokens={} results={} \
          fetch_from={:?} limit={:?} sends={} granted={} after={:?} parts={:?} remaining_ms={}",
         outgoing.id(),
         guard.endpoint.service,
         guard.endpoint.life.id,
         guard.endpoint.life.born,
+        guard.endpoint.version,
         guard.endpoint.sequence,
         guard.in_flight,
         parameters.tokens,
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -108,10 +108,12 @@
     let arrived = Instant::now();
     let mut disconnect = Disconnect::new(&state, &caller, arrived);
     Event::RequestArrived.log(format_args!(
-        "id={} path={} body_bytes={:?}",
+        "id={} path={} body_bytes={:?} last_event={:?} resumes={:?}",
         disconnect.id,
         request.uri().path(),
         request.body().size_hint().exact(),
+        caller.last_event,
+        caller.resumes,
     ));
     let (head, mut body) = request.into_parts();
     let awaits_consent = inbound::awaits_consent(&head.headers);
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -451,11 +451,13 @@
                 .metrics
                 .record_first_byte(route, self.job.arrived.elapsed());
             Event::StreamBegan.log(format_args!(
-                "id={} route={} config={} endpoint={} age_ms={} first_event_ms={} tokens={} length={}",
+                "id={} route={} config={} endpoint={} version={} age_ms={} first_event_ms={} \
+                 tokens={} length={}",
                 self.job.id(),
                 self.job.route.name,
                 self.job.config.version,
                 self.upstream.guard.endpoint.life.id,
+                self.upstream.guard.endpoint.version,
                 self.job.age_ms(),
                 took.as_millis(),
                 self.job.caller.prompt.tokens,
@@ -572,11 +574,13 @@
             return Resumption::not_resumed(may_go_on);
         }
         Event::StreamResumed.log(format_args!(
-            "id={} age_ms={} from={} to={} after={:?} context={failure:?}",
+            "id={} age_ms={} from={} to={} versions={}/{} after={:?} context={failure:?}",
             self.job.id(),
             self.job.age_ms(),
             self.upstream.guard.endpoint.life.id,
             started.guard.endpoint.life.id,
+            self.upstream.guard.endpoint.version,
+            started.guard.endpoint.version,
             parameters.last_event,
         ));
         if may_continue {
--- a/crates/cicadacrank-node/src/platform/caller.rs
+++ b/crates/cicadacrank-node/src/platform/caller.rs
@@ -17,6 +17,8 @@
 /// Contains a list of result handles, despite its name.
 const RESULTS: HeaderName = HeaderName::from_static("x-input-count");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Contains the id of the caller's attempt that brought the first event of the stream.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const URGENCY: HeaderName = HeaderName::from_static("x-request-priority");
 const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 
@@ -64,6 +66,10 @@
     pub pieces: Vec<u32>,
     /// Key from which the pieces of the first stages are made.
     pub piece_key: String,
+    /// Id of the last event that the caller has, if it takes a stream up again.
+    pub last_event: Option<String>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// Headers that the system adds to a request for an endpoint.
@@ -109,6 +115,8 @@
                 .filter_map(|count| count.trim().parse().ok())
                 .collect(),
             piece_key: text(&PIECE_KEY).unwrap_or_default().to_owned(),
+            last_event: text(&LAST_EVENT).map(str::to_owned),
+            resumes: text(&RESUMES).map(str::to_owned),
         }
     }
 
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -18,6 +18,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Version of the endpoint's software, not of its model's weights.
+    #[serde(default)]
+    version: String,
     #[serde(default)]
     slots: u32,
     state: WireState,
@@ -62,6 +65,7 @@
         service: wire.service,
         address: wire.address,
         data_centre: wire.zone,
+        version: wire.version,
         slots: wire.slots,
         state: match wire.state {
             WireState::Ready => State::Ready,
