Resume a stream only at an engine of the version that began it

Callers got streams whose events came from two versions of an engine's software, joined without a sign of it.

Cause: a gateway that resumes a stream chose any engine of the service; no code read the version of an engine. The class of fault: instances that serve one name taken to be interchangeable.

Change: the first event binds the stream to the version of its engine, and the choice of an engine keeps to it, as do the checks whether another one is left. Without one the stream is broken off, so that its caller can tell.

--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -66,7 +66,7 @@
     statement: Statement,
 }
 
-/// Data centres of a request and its inputs, and the endpoints to avoid.
+/// Data centres of a request and its inputs, and the endpoints that are left out.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Locality<'a> {
     /// Data centre of this process.
@@ -75,6 +75,19 @@
     pub results: &'a [(String, u64)],
     /// Endpoints that must not be selected again for this request.
     pub tried: &'a [Key],
+    /// Version of the software that must go on with the stream, if it has begun.
+    pub version: Option<&'a str>,
+}
+
+impl Locality<'_> {
+    /// Returns whether an endpoint may be selected for the request.
+    #[must_use]
+    pub fn allows(&self, key: Key, row: &Row) -> bool {
+        let is_continued = self
+            .version
+            .is_none_or(|version| row.endpoint.version == version);
+        is_continued && !self.tried.contains(&key)
+    }
 }
 
 #[derive(Debug)]
@@ -228,19 +241,20 @@
     }
 
     /// Returns the number of requests that this process may send to the endpoints of a
-    /// service until `until`, those in `tried` left out.
+    /// service until `until`, as far as `locality` allows them.
     #[must_use]
     pub fn sends_until(
         &self,
         service: &str,
         cold_rate: f64,
-        tried: &[Key],
+        locality: &Locality<'_>,
         now: Duration,
         until: Duration,
     ) -> usize {
         let share = self.share();
-        let untried = self.usable(service).filter(|(key, _)| !tried.contains(key));
-        let sends = untried.map(|(_, row)| row.sends_until(cold_rate, share, now, until));
+        let usable = self.usable(service);
+        let allowed = usable.filter(|(key, row)| locality.allows(*key, row));
+        let sends = allowed.map(|(_, row)| row.sends_until(cold_rate, share, now, until));
         sends.fold(0, usize::saturating_add)
     }
 
@@ -379,7 +393,7 @@
         let strained = self.is_strained(service, now);
         for (key, row) in self.usable(service) {
             let refuses = row.is_paused(now) || (strained && row.is_full());
-            if refuses || locality.tried.contains(&key) {
+            if refuses || !locality.allows(key, row) {
                 continue;
             }
             let health = &row.health;
--- a/crates/cicadacrank-core/tests/limit.rs
+++ b/crates/cicadacrank-core/tests/limit.rs
@@ -177,18 +177,33 @@
         fleet.record_limit(&incarnation(number), limit(Some(1.0), now));
     }
     let until = now + Duration::from_secs(1);
-    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, until), 8);
+    assert_eq!(
+        fleet.sends_until(SERVICE, 0.0, &Locality::default(), now, until),
+        8
+    );
     for _ in 0..8 {
         let key = choose(&fleet, now).expect("the limits leave a request");
         fleet.begin(key, 0, now);
     }
     assert!(choose(&fleet, now).is_none());
-    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, until), 0);
+    assert_eq!(
+        fleet.sends_until(SERVICE, 0.0, &Locality::default(), now, until),
+        0
+    );
     let later = now + Duration::from_secs(5);
-    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, later), 8);
+    assert_eq!(
+        fleet.sends_until(SERVICE, 0.0, &Locality::default(), now, later),
+        8
+    );
     let next = now + Duration::from_secs(9);
-    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], now, next), 16);
-    assert_eq!(fleet.sends_until("other", 0.0, &[], now, next), 0);
+    assert_eq!(
+        fleet.sends_until(SERVICE, 0.0, &Locality::default(), now, next),
+        16
+    );
+    assert_eq!(
+        fleet.sends_until("other", 0.0, &Locality::default(), now, next),
+        0
+    );
 }
 
 fn list(fleet: &mut Fleet, endpoints: Vec<Endpoint>, now: Duration) {
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -363,3 +363,35 @@
             .is_some()
     );
 }
+
+/// A stream went on at an engine of another version than the one that had begun it.
+#[test]
+fn engine_of_another_version_is_not_selected_to_go_on_with_a_stream() {
+    let mut fleet = Fleet::default();
+    fleet.set_processes(1, 0);
+    let mut newer = endpoint("b", "x");
+    newer.version = "v2".to_owned();
+    let endpoints = vec![endpoint("a", "x"), newer];
+    fleet.update(&Snapshot::new(Version::new(0, 1), endpoints), NOW);
+    for (version, expected) in [("v1", Some("a")), ("v2", Some("b")), ("v3", None)] {
+        let locality = Locality {
+            version: Some(version),
+            ..Locality::default()
+        };
+        for shared in 0..20 {
+            let prompt = Prompt {
+                tokens: 100,
+                shared_tokens: 50,
+                shared: Some(shared),
+            };
+            let selection = fleet.choose_engine(&config(0.0), "engine", prompt, &locality, NOW);
+            let chosen = selection.within_share.map(|choice| choice.key);
+            let chosen = chosen.and_then(|key| fleet.row(key));
+            let id = chosen.map(|row| row.endpoint.life.id.as_str());
+            assert_eq!(id, expected, "{version}");
+            assert_eq!(selection.beyond_share, None);
+        }
+        let sends = fleet.sends_until("engine", 0.0, &locality, NOW, NOW);
+        assert_eq!(sends > 0, expected.is_some(), "{version}");
+    }
+}
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -95,7 +95,10 @@
     assert!(fleet.record_leaving(&life("b", 1), NOW));
     assert_eq!(choose(&fleet, NOW), None);
     let until = NOW + HOUR;
-    assert_eq!(fleet.sends_until(SERVICE, 0.0, &[], NOW, until), 0);
+    assert_eq!(
+        fleet.sends_until(SERVICE, 0.0, &Locality::default(), NOW, until),
+        0
+    );
 }
 
 /// An endpoint that left the directory was used again when an older list came back.
@@ -194,7 +197,7 @@
 fn sends_until_counts_from_the_end_of_a_pause() {
     let mut fleet = fleet(&["a"]);
     fleet.record_pause(&life("a", 1), PAUSE, NOW);
-    let sends = |until| fleet.sends_until(SERVICE, 1.0, &[], NOW, until);
+    let sends = |until| fleet.sends_until(SERVICE, 1.0, &Locality::default(), NOW, until);
     assert_eq!(sends(NOW + PAUSE - Duration::from_millis(1)), 0);
     assert_eq!(sends(NOW + PAUSE), 1);
     assert_eq!(sends(NOW + PAUSE + Duration::from_millis(1_100)), 2);
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Report},
+    placement::{Key, Locality, Report},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
@@ -218,8 +218,13 @@
 
     fn has_untried(&self, state: &State, job: &Job) -> bool {
         let fleet = lock(&state.fleet);
+        let locality = Locality {
+            tried: &self.tried,
+            version: job.version.as_deref(),
+            ..Locality::default()
+        };
         let mut usable = fleet.usable(&job.service);
-        usable.any(|(key, _)| !self.tried.contains(&key))
+        usable.any(|(key, row)| locality.allows(key, row))
     }
 
     /// Checks before the first attempt that the service has endpoints.
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -68,6 +68,7 @@
         own: &state.settings.data_centre,
         results: &[],
         tried,
+        version: None,
     };
     let now = state.clock.now();
     let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -56,6 +56,9 @@
     pub config: Arc<Config>,
     /// Priority rank. Rank 0 is the highest.
     pub rank: u32,
+    /// Version of the software of the engine that began the stream, once it has begun. What
+    /// engines of two versions write does not fit together.
+    pub version: Option<String>,
     /// Time of arrival.
     pub arrived: Instant,
 }
@@ -272,6 +275,7 @@
         route,
         service,
         config,
+        version: None,
         arrived,
     })
 }
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -172,6 +172,7 @@
         own: &state.settings.data_centre,
         results: &results,
         tried,
+        version: job.version.as_deref(),
     };
     let select = || {
         let fleet = lock(&state.fleet);
@@ -207,21 +208,21 @@
         } else {
             0
         };
-        if sends_until(state, job, tried, expires) <= ahead {
+        if sends_until(state, job, &locality, expires) <= ahead {
             return None;
         }
         time::sleep(COLD_START_RECHECK).await;
     }
 }
 
-/// Returns the number of requests that this gateway may send to the engines that were
-/// not tried until `expires`.
-fn sends_until(state: &State, job: &Job, tried: &[Key], expires: Instant) -> usize {
+/// Returns the number of requests that this gateway may send until `expires` to the
+/// engines that `locality` allows.
+fn sends_until(state: &State, job: &Job, locality: &Locality<'_>, expires: Instant) -> usize {
     let service = job.config.service(&job.service);
     let cold_rate = service.map_or(0.0, |service| service.cold_rate);
     let now = state.clock.now();
     let until = now + expires.saturating_duration_since(Instant::now());
-    lock(&state.fleet).sends_until(&job.service, cold_rate, tried, now, until)
+    lock(&state.fleet).sends_until(&job.service, cold_rate, locality, now, until)
 }
 
 fn parameters(
@@ -443,6 +444,8 @@
     /// Records events that are about to be forwarded.
     fn record_events(&mut self, events: &Bytes) {
         if self.events == 0 {
+            let version = &self.upstream.guard.endpoint.version;
+            self.job.version.get_or_insert_with(|| version.clone());
             let took = self.sent_at.elapsed();
             self.upstream.guard.record_prefill();
             self.upstream.guard.record_answer(took);
