Bind streams that callers take up to the version that began them

Callers that took a stream up after it had broken off got the first part of the text from one version of an engine's software and the rest from another, with status 200.

Cause: a request with Last-Event-Id was served like a new one, at any engine; no code read Resumes, and no gateway knew what another had begun. The class of fault: a request that goes on with earlier work, treated as one of its own.

Change: each gateway remembers the version that began each stream, by the attempt that brought the first event. While a service has several versions, three others are told, at the first event and, when a second version appears, of the streams that began before. A request that takes a stream up is bound to that version: from memory; or because the service has had only one for as long as streams last; or by asking others. Unknown, it is refused at once as not run, and so is one whose version has no engine left, before its stages. 230 VersionsChanged and 317 OriginFound tell of it.

Tests that failed before: versions::stream_that_its_caller_takes_up_..., stream_whose_gateway_is_gone_..., stream_that_began_before_a_release_..., stream_of_a_version_that_has_left_is_refused_at_once, stream_of_unknown_ version_is_refused_after_all_gateways_were_killed (each went on at another version, the last two with status 200). Core: origin.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -65,6 +65,7 @@
     ListIgnored = 227, Warn, "A list from the platform was not applied, because a newer one is in use.";
     OlderConfigHeld = 228, Warn, "An older configuration than the one in force was read; the one in force stays.";
     GrantDecided = 229, Info, "A request beyond the shares of the gateways in an endpoint's limit was granted or refused.";
+    VersionsChanged = 230, Info, "Other versions of the software of a service's engines serve.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
@@ -76,6 +77,7 @@
     StreamResumed = 314, Info, "A stream resumed from another endpoint.";
     StreamBroken = 315, Warn, "A stream ended before it was complete.";
     StreamBegan = 316, Info, "The first events of a stream were forwarded to the caller.";
+    OriginFound = 317, Info, "The version that must go on with a stream which its caller takes up is known, or is not.";
     PiecesFailed = 320, Info, "Pieces of a stage could not be produced.";
     CallEnded = 321, Info, "A call to an endpoint for pieces of a stage ended.";
     LinesDropped = 330, Warn, "Log lines were dropped under load.";
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -7,7 +7,7 @@
 //! send. Each service with stages has one live gateway that forms its calls.
 
 use siphasher::sip::SipHasher13;
-use std::{hash::Hasher as _, time::Duration};
+use std::{cmp, hash::Hasher as _, time::Duration};
 
 /// Time without a new heartbeat after which a gateway no longer counts as live. A
 /// heartbeat reaches all gateways within a few intervals.
@@ -195,6 +195,17 @@
         (grantor.instance != self.local.instance).then_some(grantor)
     }
 
+    /// Returns the live gateways other than the local one that are first to remember what
+    /// belongs to `key`, at most `count`. They are about the same for all gateways.
+    #[must_use]
+    pub fn keepers(&self, key: &str, count: usize, now: Duration) -> Vec<&Gateway> {
+        let live = self.live(now).filter(|gateway| !gateway.leaving);
+        let mut live: Vec<&Gateway> = live.collect();
+        live.sort_by_cached_key(|one| cmp::Reverse(rendezvous_weight(&one.instance, key)));
+        live.truncate(count);
+        live
+    }
+
     /// Returns how long the local gateway has kept the reserve of an endpoint's limit, or
     /// `None` if it does not keep it. `now` is the time since the start of its process.
     ///
--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -1,5 +1,7 @@
 //! Splitting of a stream of server-sent events into complete events.
 
+pub mod origin;
+
 use bytes::{Bytes, BytesMut};
 
 /// Terminator of an event.
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod attempt;
 mod crash;
 mod idle;
+mod origin;
 mod owner;
 mod peers;
 mod plain;
@@ -113,6 +114,7 @@
     server.start();
     peers::start(&state)?;
     watch::start(&state);
+    origin::start(&state);
     owner::start(&state);
     Event::Started.log(format_args!(
         "instance={} version={} caller_listen={} listen={} store={}",
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -0,0 +1,263 @@
+//! Binds streams that callers take up again to the version that began them.
+//!
+//! Each gateway remembers the streams that it began. While engines of several versions
+//! serve, it tells others too, since the stream may be taken up because it is gone.
+
+use super::{
+    reply::jitter,
+    request::{Job, Refusal},
+    state::{State, lock},
+};
+use crate::clock::milliseconds;
+use cicadacrank_core::{
+    directory::Snapshot,
+    error::Kind,
+    event::Event,
+    once::Unsent,
+    stream::origin::{Origin, Origins, Release, Releases},
+};
+use cicadacrank_wire::wire::{StreamOrigin, StreamOrigins, StreamQuestion};
+use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use std::{
+    sync::{Arc, Mutex, OnceLock},
+    time::Duration,
+};
+use tokio::time;
+
+/// Number of other gateways that remember a stream while several versions serve.
+const KEEPERS: usize = 3;
+
+/// Maximum number of gateways that are asked for the origin of a stream. It exceeds
+/// [`KEEPERS`], since gateways may disagree on which of them are live.
+const MAX_ASKED: usize = 8;
+
+/// Timeout of a question for the origin of a stream.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Timeout of a message with the origins of streams.
+const REMEMBER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time within which a stream is taken up after it began, as a multiple of the timeout of
+/// its route.
+const STREAM_TIMEOUTS: u32 = 2;
+
+/// Interval of the checks for services with several versions.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Delay after which a caller may retry if the origin of its stream is unknown.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What a gateway knows of the origins of streams.
+#[derive(Debug, Default)]
+pub struct Memory {
+    origins: Mutex<Origins>,
+    releases: Mutex<Releases>,
+    /// Time from which this gateway knows which versions serve.
+    followed_since: OnceLock<Duration>,
+}
+
+impl Memory {
+    /// Follows the versions of the engines that a new list holds.
+    pub(super) fn follow(&self, snapshot: &Snapshot, now: Duration) {
+        let mut releases = lock(&self.releases);
+        for release in releases.update(snapshot, now) {
+            Event::VersionsChanged.log(format_args!(
+                "service={} versions={:?}",
+                release.service, release.versions
+            ));
+        }
+        self.followed_since.get_or_init(|| now);
+    }
+
+    /// Remembers streams that another gateway began.
+    pub(super) fn remember(&self, origins: StreamOrigins, now: Duration) {
+        let mut known = lock(&self.origins);
+        for origin in origins.origins {
+            let origin = Origin {
+                attempt: origin.attempt,
+                service: origin.service,
+                version: origin.version,
+                at: now.saturating_sub(Duration::from_millis(origin.age_ms)),
+            };
+            known.record(origin, now);
+        }
+    }
+
+    /// Returns the version that began a stream, if this gateway remembers it.
+    pub(super) fn recall(&self, attempt: &str, service: &str) -> Option<String> {
+        let origins = lock(&self.origins);
+        origins.find(attempt, service).map(str::to_owned)
+    }
+
+    /// Returns the version that began all streams of a service within `recent`, or `None` if
+    /// there may have been several.
+    fn only_version(&self, service: &str, recent: Duration, state: &State) -> Option<String> {
+        let now = state.clock.now();
+        let releases = lock(&self.releases);
+        let release = releases.find(service)?;
+        if release.was_mixed(recent, now) {
+            return None;
+        }
+        let followed = now.saturating_sub(*self.followed_since.get()?);
+        let is_certain = followed >= recent;
+        is_certain.then(|| release.versions.first().cloned())?
+    }
+
+    fn is_mixed(&self, service: &str) -> bool {
+        let releases = lock(&self.releases);
+        releases.find(service).is_some_and(Release::is_mixed)
+    }
+}
+
+/// Remembers that a stream began, as far as its caller may take it up again.
+pub fn record(state: &Arc<State>, job: &Job, version: &str) {
+    if !job.route.repeat.is_repeatable() {
+        return;
+    }
+    let now = state.clock.now();
+    let attempt = job.caller.resumes.as_deref().unwrap_or(job.id());
+    let origin = Origin {
+        attempt: attempt.to_owned(),
+        service: job.service.clone(),
+        version: version.to_owned(),
+        at: now,
+    };
+    lock(&state.streams.origins).record(origin.clone(), now);
+    if state.streams.is_mixed(&job.service) {
+        tell(state, &[origin]);
+    }
+}
+
+/// Tells the gateways that keep them of the origins of streams.
+fn tell(state: &Arc<State>, origins: &[Origin]) {
+    let now = state.clock.now();
+    let mut messages: Vec<(String, StreamOrigins)> = Vec::new();
+    let roster = lock(&state.roster);
+    for origin in origins {
+        let message = StreamOrigin {
+            attempt: origin.attempt.clone(),
+            service: origin.service.clone(),
+            version: origin.version.clone(),
+            age_ms: milliseconds(now.saturating_sub(origin.at)),
+        };
+        for keeper in roster.keepers(&origin.attempt, KEEPERS, now) {
+            match messages.iter_mut().find(|one| one.0 == keeper.address) {
+                Some((_, origins)) => origins.origins.push(message.clone()),
+                None => {
+                    let origins = vec![message.clone()];
+                    messages.push((keeper.address.clone(), StreamOrigins { origins }));
+                }
+            }
+        }
+    }
+    drop(roster);
+    for (address, origins) in messages {
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            let Ok(mut client) = state.links.client(&address) else {
+                return;
+            };
+            let sent = time::timeout(REMEMBER_TIMEOUT, client.remember(origins)).await;
+            if !matches!(sent, Ok(Ok(_))) {
+                log::debug!("the origins of streams did not reach {address}");
+            }
+        });
+    }
+}
+
+/// Binds a request that takes a stream up to the version that began the stream.
+///
+/// # Errors
+///
+/// Returns a refusal if that version is unknown: an engine of another one would go on with
+/// a text that does not fit, without a sign of it.
+pub async fn bind(state: &Arc<State>, job: &mut Job) -> Result<(), Refusal> {
+    if job.caller.last_event.is_none() || !job.route.repeat.is_repeatable() {
+        return Ok(());
+    }
+    let (version, source) = find(state, job).await;
+    Event::OriginFound.log(format_args!(
+        "id={} resumes={:?} service={} version={version:?} source={source}",
+        job.id(),
+        job.caller.resumes,
+        job.service,
+    ));
+    if version.is_none() {
+        let context = "the version that began the stream is unknown";
+        let refusal = Refusal::from(Unsent::begin().refuse(Kind::NoEndpoint, context));
+        return Err(refusal.with_retry_after(jitter(RETRY_AFTER)));
+    }
+    job.version = version;
+    Ok(())
+}
+
+/// Returns the version that began the stream that a request takes up, and how it is known.
+async fn find(state: &Arc<State>, job: &Job) -> (Option<String>, &'static str) {
+    let resumes = job.caller.resumes.as_deref();
+    let known = resumes.and_then(|attempt| state.streams.recall(attempt, &job.service));
+    if known.is_some() {
+        return (known, "memory");
+    }
+    let recent = job.route.timeout * STREAM_TIMEOUTS;
+    let only = state.streams.only_version(&job.service, recent, state);
+    match (only, resumes) {
+        (Some(only), _) => (Some(only), "single"),
+        (None, Some(attempt)) => (recall(state, attempt, &job.service).await, "peers"),
+        (None, None) => (None, "unnamed"),
+    }
+}
+
+/// Asks other gateways which version began a stream.
+async fn recall(state: &Arc<State>, attempt: &str, service: &str) -> Option<String> {
+    let addresses: Vec<String> = {
+        let roster = lock(&state.roster);
+        let keepers = roster.keepers(attempt, MAX_ASKED, state.clock.now());
+        keepers.into_iter().map(|one| one.address.clone()).collect()
+    };
+    let mut questions: FuturesUnordered<_> = addresses
+        .iter()
+        .map(|address| async {
+            let mut client = state.links.client(address).ok()?;
+            let question = StreamQuestion {
+                attempt: attempt.to_owned(),
+                service: service.to_owned(),
+            };
+            let answer = time::timeout(RECALL_TIMEOUT, client.recall(question)).await;
+            answer.ok()?.ok()?.into_inner().version
+        })
+        .collect();
+    while let Some(version) = questions.next().await {
+        if version.is_some() {
+            return version;
+        }
+    }
+    None
+}
+
+/// Starts telling other gateways of streams when a second
+/// version of a service begins to serve.
+pub fn start(state: &Arc<State>) {
+    tokio::spawn(run(Arc::clone(state)));
+}
+
+async fn run(state: Arc<State>) {
+    let mut period = time::interval(CHECK_INTERVAL);
+    period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut told: Vec<String> = Vec::new();
+    loop {
+        period.tick().await;
+        let now = state.clock.now();
+        lock(&state.streams.origins).drop_old(now);
+        let mixed: Vec<String> = {
+            let releases = lock(&state.streams.releases);
+            releases.mixed().map(|one| one.service.clone()).collect()
+        };
+        for service in mixed.iter().filter(|service| !told.contains(service)) {
+            let origins = lock(&state.streams.origins);
+            let recent: Vec<Origin> = origins.recent(service, now).cloned().collect();
+            drop(origins);
+            tell(&state, &recent);
+        }
+        told = mixed;
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -23,8 +23,8 @@
     version::Version,
 };
 use cicadacrank_wire::wire::{
-    Beat, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released, Results,
-    Versions,
+    Beat, EndpointLoad, GrantAnswer, GrantRequest, Knowledge, Production, Released, Remembered,
+    Results, StreamAnswer, StreamOrigins, StreamQuestion, Versions,
     gateway_client::GatewayClient,
     gateway_server::{Gateway as Serve, GatewayServer},
 };
@@ -104,7 +104,7 @@
     /// # Errors
     ///
     /// Returns an error if the address is invalid.
-    fn client(&self, address: &str) -> Result<GatewayClient<Channel>, String> {
+    pub(super) fn client(&self, address: &str) -> Result<GatewayClient<Channel>, String> {
         let mut links = lock(&self.channels);
         let found = links.binary_search_by(|link| link.address.as_str().cmp(address));
         let channel = match found {
@@ -533,6 +533,24 @@
         Ok(Response::new(GrantAnswer { granted }))
     }
 
+    async fn remember(
+        &self,
+        request: Request<StreamOrigins>,
+    ) -> Result<Response<Remembered>, Status> {
+        let now = self.0.clock.now();
+        self.0.streams.remember(request.into_inner(), now);
+        Ok(Response::new(Remembered {}))
+    }
+
+    async fn recall(
+        &self,
+        request: Request<StreamQuestion>,
+    ) -> Result<Response<StreamAnswer>, Status> {
+        let StreamQuestion { attempt, service } = request.into_inner();
+        let version = self.0.streams.recall(&attempt, &service);
+        Ok(Response::new(StreamAnswer { version }))
+    }
+
     async fn release(&self, request: Request<Results>) -> Result<Response<Released>, Status> {
         let results = request.into_inner().results;
         let outputs: Vec<Output> = results.into_iter().map(decode_output).collect();
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, owner::Pools, peers::Links};
+use super::{Settings, origin, owner::Pools, peers::Links};
 pub(super) use crate::sync::lock;
 use crate::{
     clock::Clock,
@@ -52,6 +52,8 @@
     pub(super) causes: Causes,
     pub(super) pools: Pools,
     pub(super) links: Links,
+    /// Origins of streams that callers may take up again.
+    pub(super) streams: origin::Memory,
     pub(super) body_bytes: tokio::sync::Semaphore,
     config: Mutex<Option<Adopted>>,
     evacuation: Mutex<evacuation::Tracker>,
@@ -129,6 +131,7 @@
             metrics: Metrics::new(),
             pools: Pools::default(),
             links: Links::default(),
+            streams: origin::Memory::default(),
             body_bytes: tokio::sync::Semaphore::new(
                 body_bytes.min(tokio::sync::Semaphore::MAX_PERMITS),
             ),
@@ -212,7 +215,9 @@
             snapshot.version.revision,
             snapshot.endpoints.len()
         ));
-        lock(&self.fleet).update(&snapshot, self.clock.now());
+        let now = self.clock.now();
+        lock(&self.fleet).update(&snapshot, now);
+        self.streams.follow(&snapshot, now);
         self.listed.store(true, Ordering::Relaxed);
         self.refresh_pools();
         self.check_ready();
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Parameters, Started},
-    peers,
+    origin, peers,
     plain::forward_response,
     reply::Body,
     request::{Job, Refusal},
@@ -73,9 +73,10 @@
 /// stream breaks before its first event and cannot be resumed.
 pub async fn serve(
     state: &Arc<State>,
-    job: Job,
+    mut job: Job,
     in_flight: InFlight,
 ) -> Result<Response<Body>, Refusal> {
+    origin::bind(state, &mut job).await?;
     let expires = job.outgoing.deadline.min(job.arrived + event_timeout(&job));
     let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT_TIME);
     let mut attempts = Attempts::new(RETRY_AFTER);
@@ -446,6 +447,7 @@
         if self.events == 0 {
             let version = &self.upstream.guard.endpoint.version;
             self.job.version.get_or_insert_with(|| version.clone());
+            origin::record(&self.state, &self.job, version);
             let took = self.sent_at.elapsed();
             self.upstream.guard.record_prefill();
             self.upstream.guard.record_answer(took);
--- a/crates/cicadacrankd/tests/versions.rs
+++ b/crates/cicadacrankd/tests/versions.rs
@@ -6,7 +6,7 @@
 use cicadacrank_bench::deployment::{Answer, Caller, Deployment, Endpoint, Fault, Role, send};
 use cicadacrank_node::platform::Collection;
 use serde_json::json;
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 use tokio::time;
 
 /// Time in which the retry budget of a gateway that has just started fills.
@@ -14,6 +14,9 @@
 
 const NEW: &str = "v2";
 
+/// Number of streams of which some begin at engines of each version.
+const STREAMS: usize = 12;
+
 fn engines(deployment: &Deployment) -> Vec<&Endpoint> {
     deployment.endpoints_with(Role::Engine).collect()
 }
@@ -29,7 +32,11 @@
 /// Registers the engines from `first` on with the new version, and waits until all
 /// gateways know.
 async fn release(deployment: &Deployment, first: usize) {
-    for engine in &engines(deployment)[first..] {
+    release_range(deployment, first..engines(deployment).len()).await;
+}
+
+async fn release_range(deployment: &Deployment, range: Range<usize>) {
+    for engine in &engines(deployment)[range] {
         register(deployment, engine, NEW, 2);
     }
     let listing = deployment.store.state().list(Collection::Endpoints);
@@ -58,6 +65,169 @@
     send(caller().stream(address, "/chat/x", attempt)).await
 }
 
+/// Takes up the stream that the attempt `began` had begun, after its third event.
+async fn take_up(deployment: &Deployment, gateway: usize, attempt: &str, began: &str) -> Answer {
+    let address = deployment.gateways[gateway].caller_address();
+    let request = caller().stream(address, "/chat/x", attempt);
+    let request = request
+        .header("last-event-id", "3")
+        .header("resumes", began);
+    send(request).await
+}
+
+/// Begins streams at gateway 0, and returns their attempts. They break off after the third
+/// event, and no engine goes on with them.
+async fn begin_streams(deployment: &Deployment) -> Vec<String> {
+    set_faults(deployment, Role::Engine, Fault::BreakOff);
+    let mut attempts = Vec::new();
+    for number in 0..STREAMS {
+        let attempt = format!("s{number}");
+        let answer = begin(deployment, 0, &attempt).await;
+        assert!(!answer.whole, "{attempt}");
+        attempts.push(attempt);
+    }
+    set_faults(deployment, Role::Engine, Fault::None);
+    attempts
+}
+
+/// Returns whether engines of the new version ran an attempt, and checks that none of
+/// another version did.
+fn is_new(deployment: &Deployment, attempt: &str) -> bool {
+    let ran = engines_of(deployment, attempt);
+    let first = *ran.first().expect("the attempt ran");
+    let is_new = |engine: usize| engine >= deployment.endpoints_with(Role::Engine).count() / 2;
+    assert!(
+        ran.iter().all(|engine| is_new(*engine) == is_new(first)),
+        "{attempt} ran at {ran:?}"
+    );
+    is_new(first)
+}
+
+/// Takes all streams up at a gateway, and checks that they go on at the version that began
+/// them.
+async fn check_take_ups(deployment: &Deployment, gateway: usize, began: &[String]) {
+    let mut counts = [0, 0];
+    for began in began {
+        let attempt = format!("{began}-{gateway}");
+        let answer = take_up(deployment, gateway, &attempt, began).await;
+        let log = deployment.gateways[gateway].log_text();
+        assert_eq!(answer.status, Some(200), "{attempt}: {log}");
+        assert!(answer.whole, "{attempt}: {log}");
+        let new = is_new(deployment, began);
+        assert_eq!(is_new(deployment, &attempt), new, "{attempt}");
+        counts[usize::from(new)] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| *count > 0),
+        "both versions: {counts:?}"
+    );
+}
+
+/// A stream that its caller took up at another gateway went on at another version.
+#[tokio::test]
+async fn stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it() {
+    let deployment = deployment(3, 4).await;
+    release(&deployment, 2).await;
+    let began = begin_streams(&deployment).await;
+    for gateway in [0, 1] {
+        check_take_ups(&deployment, gateway, &began).await;
+    }
+}
+
+/// The gateway that had begun the streams was gone, and nobody else knew their versions.
+#[tokio::test]
+async fn stream_whose_gateway_is_gone_goes_on_at_the_version_that_began_it() {
+    let deployment = deployment(3, 4).await;
+    release(&deployment, 2).await;
+    let began = begin_streams(&deployment).await;
+    time::sleep(Duration::from_millis(500)).await;
+    deployment.gateways[0].kill().expect("failed to kill");
+    check_take_ups(&deployment, 1, &began).await;
+}
+
+/// Streams that had begun before the second version served were unknown to other gateways.
+#[tokio::test]
+async fn stream_that_began_before_a_release_goes_on_at_the_version_that_began_it() {
+    let deployment = deployment(2, 4).await;
+    let began = begin_streams(&deployment).await;
+    let runs: Vec<usize> = engines(&deployment)
+        .iter()
+        .map(|engine| engine.runs().len())
+        .collect();
+    // The engines that would be chosen if the version did not matter.
+    let is_first_half = runs[0] + runs[1] > runs[2] + runs[3];
+    let released = if is_first_half { 0..2 } else { 2..4 };
+    release_range(&deployment, released.clone()).await;
+    time::sleep(BUDGET_TIME).await;
+    deployment.gateways[0].kill().expect("failed to kill");
+    for began in began {
+        let attempt = format!("{began}-1");
+        let answer = take_up(&deployment, 1, &attempt, &began).await;
+        assert_eq!(answer.status, Some(200), "{attempt}");
+        assert!(answer.whole, "{attempt}");
+        let ran = engines_of(&deployment, &attempt);
+        let is_new = ran.iter().any(|engine| released.contains(engine));
+        assert!(!is_new, "{attempt}: {ran:?}");
+    }
+}
+
+/// Kills all gateways and starts them again.
+async fn restart_all(deployment: &mut Deployment) {
+    for gateway in &deployment.gateways {
+        gateway.kill().expect("failed to kill");
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.wait().await.expect("failed to wait");
+        gateway.restart().expect("failed to restart the process");
+    }
+    for gateway in &deployment.gateways {
+        gateway.wait_ready().await.expect("ready");
+    }
+}
+
+/// After all gateways had been killed, streams went on at any version, also when the engines
+/// of the one that had begun them had left.
+#[tokio::test]
+async fn stream_of_unknown_version_is_refused_after_all_gateways_were_killed() {
+    for old_has_left in [false, true] {
+        let mut deployment = deployment(2, 4).await;
+        release(&deployment, 2).await;
+        let began = begin_streams(&deployment).await;
+        if old_has_left {
+            for engine in &engines(&deployment)[..2] {
+                let mut store = deployment.store.state();
+                store.remove(Collection::Endpoints, &engine.id);
+            }
+        }
+        restart_all(&mut deployment).await;
+        for began in &began {
+            let attempt = format!("{began}-1");
+            let answer = take_up(&deployment, 1, &attempt, began).await;
+            assert_eq!(answer.status, Some(503), "{attempt}");
+            assert!(answer.retry_after.is_some(), "{attempt}");
+            assert_eq!(engines_of(&deployment, &attempt), Vec::<usize>::new());
+        }
+        let answer = begin(&deployment, 1, "new").await;
+        assert!(answer.whole, "new streams are served");
+    }
+}
+
+/// A stream of a version without engines ran its stages, or went on at another version.
+#[tokio::test]
+async fn stream_of_a_version_that_has_left_is_refused_at_once() {
+    let deployment = deployment(1, 4).await;
+    let began = begin_streams(&deployment).await;
+    release(&deployment, 0).await;
+    let worker = deployment.endpoints_with(Role::Worker).next();
+    let calls = worker.expect("a worker").calls().len();
+    for began in &began {
+        let attempt = format!("{began}-0");
+        let answer = take_up(&deployment, 0, &attempt, began).await;
+        assert_eq!(answer.status, Some(503), "{attempt}");
+    }
+    assert_eq!(worker.expect("a worker").calls().len(), calls);
+}
+
 /// A stream that broke off went on at an engine of another version.
 #[tokio::test]
 async fn stream_goes_on_only_at_an_engine_of_the_version_that_began_it() {
