Go on with streams of a single version after all gateways were killed

After all gateways had been killed at once, callers that took their streams up were refused for as long as streams last, also at services that never had a second version.

Cause: a gateway that has just started can't know which versions served before it. The class of fault: knowledge that must outlast all processes, kept in them.

Change: while several versions of a service serve, one gateway marks the service in the store every 5 s (cicadacrank-releases). A gateway reads the marks when it starts: without a recent one, the version that serves began all streams. A mark that cannot be read counts as made now, and before the marks are known, streams of unknown origin are refused.

Test: versions::stream_of_the_only_version_goes_on_after_all_gateways_were_ killed failed before (503). versions::stream_of_unknown_version_is_refused_ after_all_gateways_were_killed holds with the mark, also when the old version has left.

--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -1,14 +1,19 @@
 //! Binds streams that callers take up again to the version that began them.
 //!
 //! Each gateway remembers the streams that it began. While engines of several versions
-//! serve, it tells others too, since the stream may be taken up because it is gone.
+//! serve, it tells others too, since the stream may be taken up because it is gone. A mark in
+//! the store tells gateways that have just started whether several versions served lately;
+//! if not, the single one began all streams.
 
 use super::{
     reply::jitter,
     request::{Job, Refusal},
     state::{State, lock},
 };
-use crate::clock::milliseconds;
+use crate::{
+    clock::milliseconds,
+    platform::{Collection, Listing, Store as _},
+};
 use cicadacrank_core::{
     directory::Snapshot,
     error::Kind,
@@ -18,6 +23,7 @@
 };
 use cicadacrank_wire::wire::{StreamOrigin, StreamOrigins, StreamQuestion};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use serde_json::json;
 use std::{
     sync::{Arc, Mutex, OnceLock},
     time::Duration,
@@ -44,6 +50,12 @@
 /// Interval of the checks for services with several versions.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which a service with several versions is marked in the store.
+const MARK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Allowance for the age of a mark and for clocks that differ.
+const MARK_MARGIN: Duration = Duration::from_secs(10);
+
 /// Delay after which a caller may retry if the origin of its stream is unknown.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -54,6 +66,9 @@
     releases: Mutex<Releases>,
     /// Time from which this gateway knows which versions serve.
     followed_since: OnceLock<Duration>,
+    /// Services that the store marked before this gateway started, each with the Unix time of
+    /// the mark in milliseconds, or `None` if they are not known yet.
+    marks: Mutex<Option<Vec<(String, u64)>>>,
 }
 
 impl Memory {
@@ -99,7 +114,14 @@
             return None;
         }
         let followed = now.saturating_sub(*self.followed_since.get()?);
-        let is_certain = followed >= recent;
+        let is_certain = followed >= recent || {
+            let unix_now = Duration::from_millis(state.clock.unix_ms());
+            let marks = lock(&self.marks);
+            let mut marks = marks.as_ref()?.iter();
+            marks.find(|mark| mark.0 == service).is_none_or(|mark| {
+                unix_now.saturating_sub(Duration::from_millis(mark.1)) > recent + MARK_MARGIN
+            })
+        };
         is_certain.then(|| release.versions.first().cloned())?
     }
 
@@ -234,16 +256,50 @@
     None
 }
 
-/// Starts telling other gateways of streams when a second
+/// Starts reading and writing marks, and telling other gateways of streams when a second
 /// version of a service begins to serve.
 pub fn start(state: &Arc<State>) {
+    tokio::spawn(read_marks(Arc::clone(state)));
     tokio::spawn(run(Arc::clone(state)));
 }
 
+async fn read_marks(state: Arc<State>) {
+    loop {
+        state.metrics.store_calls.inc();
+        match state.store.list(Collection::Releases).await {
+            Ok(listing) => {
+                *lock(&state.streams.marks) = Some(decode_marks(&listing));
+                return;
+            }
+            Err(fault) => {
+                log::debug!("failed to read when several versions served: {fault}");
+                time::sleep(CHECK_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Returns the services with the time of their marks. An object that cannot be read counts
+/// as a mark that has just been made.
+fn decode_marks(listing: &Listing) -> Vec<(String, u64)> {
+    let marks = listing.objects.iter().map(|object| {
+        let at = object.spec["at"].as_u64().unwrap_or_else(|| {
+            Event::ConfigRejected.log(format_args!(
+                "object={} lacks the time at which several versions served",
+                object.name
+            ));
+            u64::MAX
+        });
+        (object.name.clone(), at)
+    });
+    marks.collect()
+}
+
 async fn run(state: Arc<State>) {
     let mut period = time::interval(CHECK_INTERVAL);
     period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut told: Vec<String> = Vec::new();
+    let mut marked: Vec<(String, Duration)> = Vec::new();
     loop {
         period.tick().await;
         let now = state.clock.now();
@@ -258,6 +314,34 @@
             drop(origins);
             tell(&state, &recent);
         }
+        marked.retain(|(service, at)| now < *at + MARK_INTERVAL && mixed.contains(service));
+        for service in &mixed {
+            let is_marked = marked.iter().any(|one| one.0 == *service);
+            if !is_marked && marks_service(&state, service, now) && mark(&state, service).await {
+                marked.push((service.clone(), now));
+            }
+        }
         told = mixed;
     }
 }
+
+/// Returns whether this gateway marks a service in the store.
+fn marks_service(state: &State, service: &str, now: Duration) -> bool {
+    lock(&state.roster).reserve_held(service, now).is_some()
+}
+
+/// Marks in the store that several versions of a service serve now. Returns whether it was
+/// written.
+async fn mark(state: &State, service: &str) -> bool {
+    // One call to create the object, and one to replace it if it exists.
+    state.metrics.store_calls.inc_by(2);
+    let content = json!({ "at": state.clock.unix_ms() });
+    let written = state
+        .store
+        .put(Collection::Releases, service, content)
+        .await;
+    if let Err(fault) = &written {
+        log::warn!("failed to mark that several versions of {service} serve: {fault}");
+    }
+    written.is_ok()
+}
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -42,11 +42,13 @@
     Evacuations,
     /// Gateways of the system.
     Gateways,
+    /// When services last had engines of several software versions.
+    Releases,
 }
 
 impl Collection {
     /// All collections.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Rulesets,
         Self::Audits,
         Self::Claims,
@@ -56,6 +58,7 @@
         Self::Endpoints,
         Self::Evacuations,
         Self::Gateways,
+        Self::Releases,
     ];
 
     /// Returns the name of the collection in request paths.
@@ -71,6 +74,7 @@
             Self::Endpoints => "servers",
             Self::Evacuations => "evacuations",
             Self::Gateways => "cicadacrank-gateways",
+            Self::Releases => "cicadacrank-releases",
         }
     }
 }
--- a/crates/cicadacrank-node/src/platform/page.rs
+++ b/crates/cicadacrank-node/src/platform/page.rs
@@ -216,7 +216,8 @@
         Collection::Endpoints
         | Collection::Evacuations
         | Collection::Gateways
-        | Collection::Instances => Some(MAX_REGISTRATION_BYTES),
+        | Collection::Instances
+        | Collection::Releases => Some(MAX_REGISTRATION_BYTES),
         Collection::Rulesets
         | Collection::Audits
         | Collection::Claims
--- a/crates/cicadacrankd/tests/versions.rs
+++ b/crates/cicadacrankd/tests/versions.rs
@@ -193,6 +193,8 @@
         let mut deployment = deployment(2, 4).await;
         release(&deployment, 2).await;
         let began = begin_streams(&deployment).await;
+        // The mark in the store is written within this time.
+        time::sleep(BUDGET_TIME).await;
         if old_has_left {
             for engine in &engines(&deployment)[..2] {
                 let mut store = deployment.store.state();
@@ -212,6 +214,20 @@
     }
 }
 
+/// Without a release, nothing has to be known of a stream.
+#[tokio::test]
+async fn stream_of_the_only_version_goes_on_after_all_gateways_were_killed() {
+    let mut deployment = deployment(2, 2).await;
+    let began = begin_streams(&deployment).await;
+    restart_all(&mut deployment).await;
+    for began in &began {
+        let attempt = format!("{began}-1");
+        let answer = take_up(&deployment, 1, &attempt, began).await;
+        assert_eq!(answer.status, Some(200), "{attempt}");
+        assert!(answer.whole, "{attempt}");
+    }
+}
+
 /// A stream of a version without engines ran its stages, or went on at another version.
 #[tokio::test]
 async fn stream_of_a_version_that_has_left_is_refused_at_once() {
