Test answers that end in their head, and requests that come late in a stop

Neither happens here; no logic is changed.

- An engine that stops in the head of its answer: connection::answer_that_ends_ inside_its_head_or_body_is_never_passed_on_as_whole cuts a plain answer and a stream after each third byte.
None is passed on as a whole answer with status 200: the HTTP library fails the head, and a body is checked against its length or, for a stream, for an event.
- A planned stop that cuts requests which came late: connection::terminated_ gateway_answers_each_request_that_it_passes_on sends a booking each 50 ms through the whole grace period, to an endpoint that never answers.
Each that reached the endpoint gets an answer, since late requests are only accepted if their deadline is before the end.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -33,6 +33,10 @@
 /// Id of the part of a prompt at which an engine with [`Fault::CrashOnPart`] crashes.
 pub const CRASHING_PART: &str = "dead";
 
+/// Size of the head of an answer of an endpoint with [`Fault::CutHead`] to an attempt whose
+/// id has four characters.
+pub const CUT_HEAD_BYTES: usize = 103;
+
 /// Size of the body of an endpoint with [`Fault::LargeAnswer`], more than sockets buffer.
 pub const LARGE_ANSWER_BYTES: usize = 15 << 20;
 
@@ -126,6 +130,9 @@
     CrashOnPart,
     /// It answers with [`LARGE_ANSWER_BYTES`] bytes.
     LargeAnswer,
+    /// It closes the connection after so many bytes of its answer, which has a head of
+    /// [`CUT_HEAD_BYTES`] bytes. The answer has a length if it is no stream.
+    CutHead(usize),
     /// It sends events without ids and closes the connection in the middle.
     BreakOffWithoutIds,
     /// It answers a request to resume a stream in this way instead of resuming it.
@@ -378,6 +385,15 @@
             });
             continue;
         }
+        if let Fault::CutHead(length) = fault
+            && context.role != Role::Worker
+        {
+            tokio::spawn(async move {
+                // An error is a client that disconnected.
+                drop(answer_cut(stream, length, &context).await);
+            });
+            continue;
+        }
         let service = service_fn(move |request| handle(context.clone(), request));
         tokio::spawn(async move {
             let mut stream = stream;
@@ -655,6 +671,42 @@
     response
 }
 
+/// Reads the head of a request, or returns `None` if the client disconnects before its end.
+async fn read_head(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let mut request = Vec::new();
+    while !request.windows(4).any(|window| window == b"\r\n\r\n") {
+        if stream.read_buf(&mut request).await? == 0 {
+            return Ok(None);
+        }
+    }
+    Ok(Some(String::from_utf8_lossy(&request).into_owned()))
+}
+
+/// Answers one request with the first bytes of a whole answer, and closes the connection.
+async fn answer_cut(mut stream: TcpStream, length: usize, context: &Context) -> io::Result<()> {
+    let Some(request) = read_head(&mut stream).await? else {
+        return Ok(());
+    };
+    let lines = request.lines().filter_map(|line| line.split_once(": "));
+    let mut attempts = lines.filter(|(key, _)| key.eq_ignore_ascii_case("x-attempt-id"));
+    let attempt = attempts.next().map_or("", |(_, value)| value);
+    let framing = match context.role {
+        Role::Engine => "content-type: text/event-stream",
+        Role::Desk | Role::Worker => "content-length: 000000000000006",
+    };
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: 3e1b.07\r\n\
+         {framing}\r\n\r\nanswer"
+    );
+    stream
+        .write_all(&answer.as_bytes()[..length.min(answer.len())])
+        .await?;
+    stream.shutdown().await?;
+    // Reads the rest of the request, so that the connection is not reset.
+    while stream.read_buf(&mut Vec::new()).await? > 0 {}
+    Ok(())
+}
+
 /// Reads the head of one request and answers it with events and no framing. The
 /// body of the request is left unread, as by an engine that does not need it.
 async fn answer_unframed(
@@ -662,13 +714,9 @@
     fault: Fault,
     state: &Mutex<State>,
 ) -> io::Result<()> {
-    let mut request = Vec::new();
-    while !request.windows(4).any(|window| window == b"\r\n\r\n") {
-        if stream.read_buf(&mut request).await? == 0 {
-            return Ok(());
-        }
-    }
-    let request = String::from_utf8_lossy(&request).into_owned();
+    let Some(request) = read_head(&mut stream).await? else {
+        return Ok(());
+    };
     let text = |name: &str| {
         let lines = request.lines().filter_map(|line| line.split_once(": "));
         let mut lines = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -13,7 +13,8 @@
 pub use self::{
     caller::{Answer, Caller, send},
     endpoint::{
-        CRASHING_PART, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption, Role, Run, SILENCE,
+        CRASHING_PART, CUT_HEAD_BYTES, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption,
+        Role, Run, SILENCE,
     },
     gateway::Gateway,
     proxy::{Impairment, Proxy},
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -4,10 +4,13 @@
 
 use self::gateways::{deployment, set_faults, wait_for_log};
 use cicadacrank_bench::deployment::{
-    Caller, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Role, config, send,
+    CUT_HEAD_BYTES, Caller, Fault, HOST, KEY, LARGE_ANSWER_BYTES, Role, config, send,
 };
 use cicadacrank_node::platform::Collection;
-use reqwest::header::{HeaderName, HeaderValue};
+use reqwest::{
+    Method,
+    header::{HeaderName, HeaderValue},
+};
 use serde_json::json;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -314,3 +317,58 @@
     wait_for_log(&deployment, 0, "ConfigAdopted: version=4").await;
     assert!(Connection::open(address).await.ends().await);
 }
+
+/// In a planned stop, requests that came late were passed on and cut at the end of the grace
+/// period without an answer, among them some that must not be repeated.
+#[tokio::test]
+async fn terminated_gateway_answers_each_request_that_it_passes_on() {
+    let mut deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    set_faults(&deployment, Role::Desk, Fault::Hang);
+    let gateway = &mut deployment.gateways[0];
+    gateway.terminate().expect("failed to send the signal");
+    let mut requests = Vec::new();
+    let interval = Duration::from_millis(50);
+    let mut number = 0;
+    while time::timeout(interval, gateway.wait()).await.is_err() {
+        let caller = Caller::new().expect("failed to create the caller");
+        let attempt = format!("a{number}");
+        let request = caller.request(Method::POST, address, "/book/1", &attempt);
+        requests.push((attempt, tokio::spawn(send(request.body("x")))));
+        number += 1;
+    }
+    let mut passed_on = 0;
+    for (attempt, request) in requests {
+        let answer = request.await.expect("the request ends");
+        if !deployment.runs(&attempt).is_empty() {
+            passed_on += 1;
+            assert!(answer.status.is_some(), "{attempt} of {number}");
+            assert!(answer.whole, "{attempt} of {number}");
+        }
+    }
+    assert!(passed_on > 20, "{passed_on} of {number} were passed on");
+}
+
+/// An engine stopped in the head of its answer, and the caller got a whole answer with
+/// status 200 and an empty or short body.
+#[tokio::test]
+async fn answer_that_ends_inside_its_head_or_body_is_never_passed_on_as_whole() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    let caller = Caller::new().expect("failed to create the caller");
+    for length in (0..CUT_HEAD_BYTES + 6).step_by(3).chain([CUT_HEAD_BYTES]) {
+        for role in [Role::Desk, Role::Engine] {
+            set_faults(&deployment, role, Fault::CutHead(length));
+            let attempt = format!("{}{length:03}", if role == Role::Desk { 'd' } else { 'e' });
+            let request = match role {
+                Role::Desk => caller.request(Method::GET, address, "/look/1", &attempt),
+                Role::Engine | Role::Worker => caller.stream(address, "/draft/x", &attempt),
+            };
+            let answer = send(request).await;
+            assert!(
+                answer.status != Some(200) || !answer.whole,
+                "{attempt}: {answer:?}"
+            );
+        }
+    }
+}
