Tell a gateway that has just started all limits that endpoints stated

An endpoint that had stated a limit got as many requests as came from a gateway that had just started, until that gateway had its first answer.

Cause: heartbeats carry the statements of the last two seconds, which an endpoint that was asked less often is not among, and a gateway without a limit for an endpoint keeps to none. The class of fault: a process that starts takes what it has not heard for what is not so.

Change: the answer to one of the first eight heartbeats of a process carries all limits.

--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -273,7 +273,7 @@
     ) -> impl Iterator<Item = (&Incarnation, Limit)> {
         let rows = self.rows();
         let limits = rows.filter_map(|(_, row)| Some((&row.endpoint.life, row.account.limit?)));
-        limits.filter(move |(_, limit)| now < limit.at + recent)
+        limits.filter(move |(_, limit)| now < limit.at.saturating_add(recent))
     }
 
     /// Returns the row of an endpoint, or `None` if the endpoint is unknown.
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -57,6 +57,10 @@
 /// learn of it report it in turn.
 const LIMITS_REPORT_TIME: Duration = Duration::from_secs(2);
 
+/// Number of heartbeats of a process that has just started. It is told all limits that
+/// endpoints stated, since it has no answers yet.
+const FIRST_HEARTBEATS: u64 = 8;
+
 /// Maximum number of causes of crashes in one heartbeat.
 const MAX_CAUSES: usize = 256;
 
@@ -203,7 +207,7 @@
 
 async fn send_heartbeat(state: Arc<State>, address: String, instance: Option<String>) {
     let client = state.links.client(&address);
-    let beat = heartbeat(&state);
+    let beat = heartbeat(&state, LIMITS_REPORT_TIME);
     let answer = match client {
         Ok(mut client) => time::timeout(HEARTBEAT_TIMEOUT, client.exchange(beat)).await,
         Err(error) => {
@@ -225,14 +229,16 @@
     }
 }
 
-fn heartbeat(state: &State) -> Beat {
+/// Returns a heartbeat, which reports the limits that endpoints stated within
+/// `limits_time`.
+fn heartbeat(state: &State, limits_time: Duration) -> Beat {
     let now = state.clock.now();
     let roster = lock(&state.roster);
     let local = Some(encode_gateway(roster.local()));
     let others = roster.live(now).map(encode_gateway).collect();
     drop(roster);
     let fleet = lock(&state.fleet);
-    let limits = fleet.stated_limits(now, LIMITS_REPORT_TIME);
+    let limits = fleet.stated_limits(now, limits_time);
     let limits = limits.map(|(endpoint, limit)| encode_limit(endpoint, limit, now));
     let limits = limits.collect();
     let leaving = fleet.leaving().take(MAX_DEPARTURES);
@@ -473,8 +479,14 @@
 #[async_trait]
 impl Serve for Handler {
     async fn exchange(&self, request: Request<Beat>) -> Result<Response<Beat>, Status> {
-        handle_heartbeat(&self.0, request.into_inner(), "");
-        Ok(Response::new(heartbeat(&self.0)))
+        let beat = request.into_inner();
+        let sender = beat.me.as_ref();
+        let limits_time = match sender.map(|sender| sender.heartbeats) {
+            Some(1..=FIRST_HEARTBEATS) => Duration::MAX,
+            _ => LIMITS_REPORT_TIME,
+        };
+        handle_heartbeat(&self.0, beat, "");
+        Ok(Response::new(heartbeat(&self.0, limits_time)))
     }
 
     async fn fetch(&self, request: Request<Versions>) -> Result<Response<Knowledge>, Status> {
--- a/crates/cicadacrankd/tests/limits.rs
+++ b/crates/cicadacrankd/tests/limits.rs
@@ -109,6 +109,32 @@
     assert!(most <= allowed, "{most} in four seconds, {allowed} allowed");
 }
 
+/// A gateway that had started after an endpoint stated its limit sent to it without any bound
+/// until the first answer.
+#[tokio::test]
+async fn gateway_that_has_just_started_learns_the_limits_that_others_know() {
+    let mut deployment = deployment(2, 1).await;
+    let desk = deployment.endpoints_with(Role::Desk).next();
+    desk.expect("an endpoint").set_limit(Some(LIMIT));
+    let caller = Caller::new().expect("failed to create the caller");
+    let address = deployment.gateways[0].caller_address();
+    let request = caller.request(Method::GET, address, "/look/1", "first");
+    assert_eq!(send(request).await.status, Some(200));
+    // Heartbeats no longer report the statement.
+    time::sleep(STABILITY).await;
+    let gateway = &mut deployment.gateways[1];
+    gateway.kill().expect("failed to send the signal");
+    gateway.wait().await.expect("failed to wait");
+    let before = gateway.log_text().matches("LimitChanged").count();
+    gateway.restart().expect("failed to restart the process");
+    let gateway = &deployment.gateways[1];
+    fleet::wait_for("the limit in the log", async || {
+        gateway.log_text().matches("LimitChanged").count() > before
+    })
+    .await
+    .expect("the limit is known without a request");
+}
+
 /// Each gateway that kept the reserve of a limit granted the whole of it, although the one
 /// before had done so within the same four seconds.
 #[tokio::test]
