--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -325,7 +325,8 @@
     }
 }
 
-/// Returns whether this gateway marks a service in the store.
+/// Returns whether this gateway marks a service in the store. It is chosen like the one that
+/// keeps the reserve of an endpoint's limit.
 fn marks_service(state: &State, service: &str, now: Duration) -> bool {
     lock(&state.roster).reserve_held(service, now).is_some()
 }
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -90,7 +90,7 @@
             ),
             grants: counters(
                 "cicadacrank_gateway_grants_total",
-                "Requests for a grant beyond the share in a limit for cold starts",
+                "Requests for a grant beyond the share in a limit of an endpoint",
                 &["outcome"],
             ),
             departures: counter(
