--- a/review/stand.rs
+++ b/review/stand.rs
@@ -628,12 +628,9 @@
 
     /// Sends a signal by its name, such as TERM, STOP or CONT.
     pub fn signal(&self, signal: &str) {
-        let pid = self.pid().to_string();
-        let status = Command::new("kill").args(["-s", signal, &pid]).status();
-        assert!(
-            status.is_ok_and(|status| status.success()),
-            "kill -s {signal} {pid}"
-        );
+        let command = format!("kill -s {signal} {}", self.pid());
+        let status = Command::new("sh").args(["-c", &command]).status();
+        assert!(status.is_ok_and(|status| status.success()), "{command}");
     }
 
     /// Kills the process and waits for its end.
@@ -829,7 +826,16 @@
 
 impl Port {
     pub fn open(handle: impl Fn(TcpStream) + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::open_at(None, handle)
+    }
+
+    /// Opens the port at an address, or a free one.
+    pub fn open_at(
+        address: Option<SocketAddr>,
+        handle: impl Fn(TcpStream) + Send + Sync + 'static,
+    ) -> Self {
+        let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = TcpListener::bind(address).expect("a free port");
         listener.set_nonblocking(true).expect("a mode of the port");
         let address = listener.local_addr().expect("the address");
         let crashed = Arc::new(AtomicBool::new(false));
