Log the lifetime and framing of streams, and what take-ups were decided on

The logs could not tell the hypotheses of docs/incidents/order.md apart: which process of an endpoint a stream was at (born), whether its answer ended with its connection (framing), which event was the last (after), and how new the list of endpoints and how many gateways were in touch when the version of a taken-up stream was decided (directory, live_gateways). No logic has changed.

--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -198,11 +198,17 @@
         return Ok(());
     }
     let (version, source) = find(state, job).await;
+    let (directory, _) = state.versions();
+    let live = lock(&state.roster).live(state.clock.now()).count();
     Event::OriginFound.log(format_args!(
-        "id={} resumes={:?} service={} version={version:?} source={source}",
+        "id={} resumes={:?} after={:?} service={} version={version:?} source={source} \
+         directory={}/{} live_gateways={live}",
         job.id(),
         job.caller.resumes,
+        job.caller.last_event,
         job.service,
+        directory.era,
+        directory.revision,
     ));
     if version.is_none() {
         let context = "the version that began the stream is unknown";
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -118,6 +118,7 @@
         guard,
         mut sent,
     } = started;
+    let framing = exchange.framing();
     let read = time::timeout_at(until, exchange.collect(MAX_ANSWER_BYTES)).await;
     let failed = |sent, kind, context: String| {
         guard.record(Report::Failed);
@@ -154,11 +155,13 @@
         state.causes.clear(&job.outgoing.causes, guard.sent);
     }
     Event::RequestServed.log(format_args!(
-        "id={} route={} config={} endpoint={} status={} age_ms={} attempt_ms={}",
+        "id={} route={} config={} endpoint={} born={:?} status={} age_ms={} framing={framing} \
+         attempt_ms={}",
         job.id(),
         job.route.name,
         job.config.version,
         guard.endpoint.life.id,
+        guard.endpoint.life.born,
         answer.status.as_u16(),
         job.age_ms(),
         took.as_millis(),
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -375,11 +375,16 @@
     fn break_off(&mut self, failure: &str) -> io::Error {
         self.finished = true;
         Event::StreamBroken.log(format_args!(
-            "id={} age_ms={} endpoint={} events={} context={failure:?}",
+            "id={} age_ms={} endpoint={} born={:?} version={} framing={} events={} after={:?} \
+             context={failure:?}",
             self.job.id(),
             self.job.age_ms(),
             self.upstream.guard.endpoint.life.id,
+            self.upstream.guard.endpoint.life.born,
+            self.upstream.guard.endpoint.version,
+            self.upstream.exchange.framing(),
             self.events,
+            self.splitter.last_id(),
         ));
         io::Error::other(failure.to_owned())
     }
@@ -488,14 +493,18 @@
         self.clear_causes();
         self.state.metrics.record_served(&self.job.route.name);
         Event::RequestServed.log(format_args!(
-            "id={} route={} config={} endpoint={} status={} age_ms={} events={}",
+            "id={} route={} config={} endpoint={} born={:?} status={} age_ms={} framing={} \
+             events={} after={:?}",
             self.job.id(),
             self.job.route.name,
             self.job.config.version,
             self.upstream.guard.endpoint.life.id,
+            self.upstream.guard.endpoint.life.born,
             self.upstream.exchange.response.status().as_u16(),
             self.job.age_ms(),
+            self.upstream.exchange.framing(),
             self.events,
+            self.splitter.last_id(),
         ));
         let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -579,11 +588,14 @@
             return Resumption::not_resumed(may_go_on);
         }
         Event::StreamResumed.log(format_args!(
-            "id={} age_ms={} from={} to={} versions={}/{} after={:?} context={failure:?}",
+            "id={} age_ms={} from={} to={} born={:?}/{:?} versions={}/{} after={:?} \
+             context={failure:?}",
             self.job.id(),
             self.job.age_ms(),
             self.upstream.guard.endpoint.life.id,
             started.guard.endpoint.life.id,
+            self.upstream.guard.endpoint.life.born,
+            started.guard.endpoint.life.born,
             self.upstream.guard.endpoint.version,
             started.guard.endpoint.version,
             parameters.last_event,
--- a/crates/cicadacrank-node/src/gateway/upstream.rs
+++ b/crates/cicadacrank-node/src/gateway/upstream.rs
@@ -5,10 +5,9 @@
     crash::RESPONSE_START,
     state::State,
 };
-use crate::outbound::Exchange;
+use crate::outbound::{Exchange, Framing};
 use bytes::Bytes;
 use cicadacrank_core::{event::Event, once::Sent, stream::Splitter};
-use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
 use std::{pin::pin, time::Duration};
@@ -44,10 +43,7 @@
     /// Returns whether the stream may end here, outside an event. The engine that resumes
     /// a stream may state that nothing is left.
     pub fn may_end(&self) -> bool {
-        let headers = self.exchange.response.headers();
-        self.began.is_some()
-            || headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
+        self.began.is_some() || self.exchange.framing() != Framing::Connection
     }
 
     /// Returns whether the engine has not begun to respond, or only just.
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -5,12 +5,12 @@
 //! [`Exchange`] closes the connection, which makes the other side stop its work.
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{io, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -34,6 +34,27 @@
     Lost(String),
 }
 
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+}
+
+impl fmt::Display for Framing {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        })
+    }
+}
+
 /// An open connection on which no request has been sent.
 #[derive(Debug)]
 pub struct Connection {
@@ -95,6 +116,19 @@
 }
 
 impl Exchange {
+    /// Returns how the end of the body is marked.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        let headers = self.response.headers();
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
     /// Closes the connection, after which no more of the response arrives.
     pub fn close(&self) {
         self.driver.abort();
