Test the order of streams around the end of engines and at a late gateway

The emulated endpoints can start again in place, report about themselves with the time of their start, and end between two events of an answer without a length or chunks.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -40,6 +40,9 @@
 /// Size of the body of an endpoint with [`Fault::LargeAnswer`], more than sockets buffer.
 pub const LARGE_ANSWER_BYTES: usize = 15 << 20;
 
+/// Start time of the first process of an endpoint.
+const FIRST_BORN: u64 = 1_000;
+
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
@@ -126,6 +129,9 @@
     UnframedPartial,
     /// As [`Fault::Unframed`], but the connection ends after the head.
     UnframedEmpty,
+    /// As [`Fault::Unframed`], but it crashes in the middle of its answer, between two events
+    /// if that is a stream.
+    UnframedCrash,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
     /// It answers with [`LARGE_ANSWER_BYTES`] bytes.
@@ -181,7 +187,7 @@
     const fn is_unframed(self) -> bool {
         matches!(
             self,
-            Self::Unframed | Self::UnframedPartial | Self::UnframedEmpty
+            Self::Unframed | Self::UnframedPartial | Self::UnframedEmpty | Self::UnframedCrash
         )
     }
 }
@@ -209,6 +215,10 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    born: u64,
+    /// Whether it answers reports about itself.
+    silent: bool,
     runs: Vec<Run>,
     pieces: Vec<(String, u64, u64)>,
     /// Arrivals of calls with pieces.
@@ -265,7 +275,11 @@
     pub async fn start(role: Role, number: usize) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = State {
+            born: FIRST_BORN,
+            ..State::default()
+        };
+        let state = Arc::new(Mutex::new(state));
         let id = format!("i-{}-{number}", role.service());
         let proxy = Proxy::start(address).await?;
         let context = Context {
@@ -289,7 +303,23 @@
     pub fn entry(&self, state: &str, sequence: u64) -> Value {
         json!({ "service": self.role.service(), "address": self.proxy.address.to_string(),
             "zone": "one", "version": "v1", "slots": 4, "state": state,
-            "coldRemainingMs": 0, "sequence": sequence, "born": 1000 })
+            "coldRemainingMs": 0, "sequence": sequence, "born": lock(&self.state).born })
+    }
+
+    /// Ends the process with its connections, and closes the port.
+    pub fn crash(&self) {
+        self.proxy.set_impairment(Impairment::Down);
+    }
+
+    /// Starts the process again in place after a crash.
+    pub fn start_again(&self) {
+        lock(&self.state).born += 1;
+        self.proxy.set_impairment(Impairment::None);
+    }
+
+    /// Sets whether the endpoint leaves requests for reports about itself unanswered.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.state).silent = silent;
     }
 
     /// Sets the fault for subsequent requests.
@@ -378,10 +408,15 @@
     while let Ok((stream, _)) = listener.accept().await {
         let context = context.clone();
         let fault = lock(&context.state).fault;
-        if context.role == Role::Engine && fault.is_unframed() {
+        let is_unframed = match context.role {
+            Role::Engine => fault.is_unframed(),
+            Role::Desk => fault == Fault::UnframedCrash,
+            Role::Worker => false,
+        };
+        if is_unframed {
             tokio::spawn(async move {
                 // An error is a client that disconnected.
-                drop(answer_unframed(stream, fault, &context.state).await);
+                drop(answer_unframed(stream, fault, &context).await);
             });
             continue;
         }
@@ -457,6 +492,16 @@
             false,
         ));
     }
+    if path == "/report" {
+        let mut response = plain_response(StatusCode::OK, &head.headers, Bytes::new(), false);
+        if lock(&state).silent {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        } else {
+            let body = report(&lock(&state)).to_string();
+            *response.body_mut() = Either::Left(Full::new(Bytes::from(body)));
+        }
+        return Ok(response);
+    }
     lock(&state).arrivals.push(Instant::now());
     let fault = lock(&state).fault;
     match fault {
@@ -543,6 +588,11 @@
     Ok(response)
 }
 
+/// Returns what an endpoint says of itself.
+fn report(state: &State) -> Value {
+    json!({ "phase": "combined", "sequence": 1, "activeRequests": 0, "born": state.born })
+}
+
 async fn run_stage(
     address: SocketAddr,
     state: &Mutex<State>,
@@ -709,14 +759,17 @@
 
 /// Reads the head of one request and answers it with events and no framing. The
 /// body of the request is left unread, as by an engine that does not need it.
-async fn answer_unframed(
-    mut stream: TcpStream,
-    fault: Fault,
-    state: &Mutex<State>,
-) -> io::Result<()> {
+async fn answer_unframed(mut stream: TcpStream, fault: Fault, context: &Context) -> io::Result<()> {
+    let state = &context.state;
     let Some(request) = read_head(&mut stream).await? else {
         return Ok(());
     };
+    if request.starts_with("GET /report ") {
+        let body = report(&lock(state)).to_string();
+        let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length:";
+        let answer = format!("{head} {}\r\n\r\n{body}", body.len());
+        return stream.write_all(answer.as_bytes()).await;
+    }
     let text = |name: &str| {
         let lines = request.lines().filter_map(|line| line.split_once(": "));
         let mut lines = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
@@ -738,8 +791,14 @@
          content-type: text/event-stream\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
+    if context.role == Role::Desk {
+        stream.write_all(b"ans").await?;
+        time::sleep(EVENT_GAP).await;
+        context.port.send_replace(Impairment::Down);
+        return Ok(());
+    }
     let last = match fault {
-        Fault::UnframedPartial => 3,
+        Fault::UnframedPartial | Fault::UnframedCrash => 3,
         Fault::UnframedEmpty => 0,
         _ => EVENTS,
     };
@@ -751,6 +810,10 @@
     if fault == Fault::UnframedPartial {
         stream.write_all(b"id: 4\ndata: tok").await?;
     }
+    if fault == Fault::UnframedCrash {
+        time::sleep(EVENT_GAP).await;
+        context.port.send_replace(Impairment::Down);
+    }
     stream.shutdown().await?;
     // Reads the rest of the request, so that the connection is not reset.
     while stream.read_buf(&mut Vec::new()).await? > 0 {}
--- a/crates/cicadacrank-bench/src/deployment/proxy.rs
+++ b/crates/cicadacrank-bench/src/deployment/proxy.rs
@@ -25,7 +25,8 @@
     Delay(u64),
     /// Open connections are closed, and so are new ones.
     Reset,
-    /// The port is closed for good, and so are open connections, as after a crash.
+    /// The port is closed until the fault ends, and so are open connections, as after a
+    /// crash.
     Down,
     /// No data is forwarded, and connections stay open.
     Stall,
@@ -77,12 +78,23 @@
     }
 }
 
-/// Forwards connections until the port is to be closed for good.
+/// Forwards connections whenever the port is open.
 async fn run(listener: TcpListener, target: SocketAddr, mut state: watch::Receiver<Impairment>) {
-    let accepted = state.clone();
-    tokio::select! {
-        () = accept(listener, target, accepted) => {}
-        _ = state.wait_for(|impairment| *impairment == Impairment::Down) => {}
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    // An error means that the proxy was dropped, or that its port was taken meanwhile.
+    while let Some(open) = listener.take() {
+        let accepted = state.clone();
+        tokio::select! {
+            () = accept(open, target, accepted) => {}
+            _ = state.wait_for(|impairment| *impairment == Impairment::Down) => {}
+        }
+        let ended = state.wait_for(|impairment| *impairment != Impairment::Down);
+        if ended.await.is_ok() {
+            listener = TcpListener::bind(address).await.ok();
+        }
     }
 }
 
