Take the end of a connection for the end of an answer only if its endpoint lives on

Callers got streams without their last events, and halves of plain answers, with status 200 and as complete.

Cause: an answer without length or chunks ends with its connection, and the kernel closes the connections of a process that is killed as it closes those of one that has sent all (FIN). The class of fault: an event that a failure brings about too is taken for a success.

Change: after such an end the gateway looks whether the endpoint still accepts connections. If not, the answer has broken off: a stream goes on at another engine or is broken off, a booking fails as unknown.

--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -2,12 +2,12 @@
 
 use super::{
     attempt::{self, Attempts, Failure, Parameters, Started},
-    peers,
+    crash, peers,
     reply::Body,
     request::{Job, Refusal},
     state::{State, lock},
 };
-use crate::platform::caller;
+use crate::{outbound::Framing, platform::caller};
 use cicadacrank_core::{
     error::Kind,
     event::Event,
@@ -142,6 +142,10 @@
             ));
         }
     };
+    if framing == Framing::Connection && !crash::has_survived(&guard.endpoint).await {
+        let context = "the endpoint ended with its connection".to_owned();
+        return Err(failed(sent, Kind::Truncated, context));
+    }
     sent.finish();
     if answer.status.is_server_error() && job.route.repeat.is_repeatable() && !last {
         let context = format!("status={}", answer.status);
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Parameters, Started},
-    origin, peers,
+    crash, origin, peers,
     plain::forward_response,
     reply::Body,
     request::{Job, Refusal},
@@ -10,6 +10,7 @@
     state::{InFlight, State, lock},
     upstream::{Current, Progress, Upstream},
 };
+use crate::outbound::Framing;
 use bytes::Bytes;
 use cicadacrank_core::{
     error::Kind,
@@ -315,7 +316,7 @@
                         Err(fault) => fault.to_string(),
                     }
                 }
-                Ok(None) => match self.unexpected_end() {
+                Ok(None) => match self.unexpected_end().await {
                     None => return self.finish(),
                     Some(reason) => {
                         self.check_crash();
@@ -332,7 +333,15 @@
                             self.record_events(&events);
                             return Some(Ok(events));
                         }
-                        Resumption::Progress(Progress::End) => return self.finish(),
+                        Resumption::Progress(Progress::End) => {
+                            let Some(reason) = self.unexpected_end().await else {
+                                return self.finish();
+                            };
+                            if !self.resume_after(reason).await {
+                                return Some(Err(self.break_off(reason)));
+                            }
+                            (patience, deadline) = (self.patience(), self.event_deadline());
+                        }
                         Resumption::Waiting => patience = Instant::now() + RESUME_TIMEOUT,
                         Resumption::Resumed => {
                             (patience, deadline) = (self.patience(), self.event_deadline());
@@ -410,7 +419,17 @@
 
     /// Returns why the end of the body is not the end of the answer. Without a length
     /// or chunks, a broken connection looks like the end.
-    fn unexpected_end(&self) -> Option<&'static str> {
+    async fn unexpected_end(&self) -> Option<&'static str> {
+        let truncation = self.truncation();
+        if truncation.is_some() || self.upstream.exchange.framing() != Framing::Connection {
+            return truncation;
+        }
+        let has_survived = crash::has_survived(&self.upstream.guard.endpoint).await;
+        (!has_survived).then_some("the engine ended with its connection")
+    }
+
+    /// Returns how the events show that the answer is incomplete.
+    fn truncation(&self) -> Option<&'static str> {
         let response = &self.upstream.exchange.response;
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let is_event_stream =
