Go on with a stream only at the process that is registered

Cause: an engine that starts again under its id and at its address was held for the version of its old entry until the store showed the new one, about a second later. Both that its connections had broken and that it had refused new ones were forgotten. The class of fault: what is believed of an endpoint outlives the process that it is true of.

Change: the version belongs to one process (born). A refused connection, also shortly after streams have broken off, ends it; other gateways are told in heartbeats; until a newer registration, or until the endpoint itself says that it still is that process, the version is unknown and no stream that may have to go on elsewhere begins or goes on there. Besides, whoever goes on with a stream asks the engine first, on the same connection, when it started (GET /report, born), so that a gateway that has seen nothing is right too. Ruled out: trusting the entry for some time after the break (an engine that is away for longer would be trusted again) and waiting for the entry alone (nothing tells a gateway without connections to wait).

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -66,6 +66,8 @@
     OlderConfigHeld = 228, Warn, "An older configuration than the one in force was read; the one in force stays.";
     GrantDecided = 229, Info, "A request beyond the shares of the gateways in an endpoint's limit was granted or refused.";
     VersionsChanged = 230, Info, "Other versions of the software of a service's engines serve.";
+    EndpointEnded = 231, Info, "The process of an endpoint has ended; the version of the software that its address serves is unknown.";
+    EndpointConfirmed = 232, Info, "An endpoint whose process was taken to have ended runs on.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -66,6 +66,19 @@
     statement: Statement,
 }
 
+/// Versions of the endpoints' software that may run a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Software<'a> {
+    /// Any version, also an unknown one.
+    #[default]
+    Any,
+    /// Any version that is known, because another endpoint may have to go on with the
+    /// request.
+    Known,
+    /// The version that has begun the request.
+    Version(&'a str),
+}
+
 /// Data centres of a request and its inputs, and the endpoints that are left out.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Locality<'a> {
@@ -75,18 +88,20 @@
     pub results: &'a [(String, u64)],
     /// Endpoints that must not be selected again for this request.
     pub tried: &'a [Key],
-    /// Version of the software that must go on with the stream, if it has begun.
-    pub version: Option<&'a str>,
+    /// Versions of the software that may run the request.
+    pub software: Software<'a>,
 }
 
 impl Locality<'_> {
     /// Returns whether an endpoint may be selected for the request.
     #[must_use]
     pub fn allows(&self, key: Key, row: &Row) -> bool {
-        let is_continued = self
-            .version
-            .is_none_or(|version| row.endpoint.version == version);
-        is_continued && !self.tried.contains(&key)
+        let is_suitable = match self.software {
+            Software::Any => true,
+            Software::Known => row.version().is_some(),
+            Software::Version(version) => row.version() == Some(version),
+        };
+        is_suitable && !self.tried.contains(&key)
     }
 }
 
@@ -125,10 +140,17 @@
                 .binary_search_by(|one| one.life.cmp(incarnation));
             found.ok().map(|index| &snapshot.endpoints[index])
         };
+        let mut renewed = Vec::new();
         for slot in &mut self.slots {
             let Some(row) = &mut slot.row else { continue };
             match listed(&row.endpoint.life) {
-                Some(endpoint) => row.update(endpoint, now),
+                Some(endpoint) => {
+                    // Without a start time, a process that has ended and the next one share
+                    // an incarnation.
+                    if row.update(endpoint, now) && endpoint.life.born.is_none() {
+                        renewed.push(endpoint.life.clone());
+                    }
+                }
                 None => {
                     if let Some(row) = slot.row.take() {
                         self.accounts.keep(&row.endpoint.life.id, row.account, now);
@@ -137,6 +159,9 @@
                 }
             }
         }
+        for incarnation in renewed {
+            self.record_running(&incarnation, now);
+        }
         for endpoint in &snapshot.endpoints {
             if self.find(&endpoint.life).is_none() {
                 let statement = self.statements.of(&endpoint.life);
@@ -456,11 +481,15 @@
         }
     }
 
-    fn update(&mut self, endpoint: &Endpoint, now: Duration) {
-        if self.endpoint != *endpoint {
-            self.cold_until = now.saturating_add(endpoint.cold);
-            self.endpoint = endpoint.clone();
+    /// Applies a registration of the same incarnation. Returns whether it differs from the
+    /// one before.
+    fn update(&mut self, endpoint: &Endpoint, now: Duration) -> bool {
+        if self.endpoint == *endpoint {
+            return false;
         }
+        self.cold_until = now.saturating_add(endpoint.cold);
+        self.endpoint = endpoint.clone();
+        true
     }
 
     /// Returns the known number of requests in flight from all processes.
--- a/crates/cicadacrank-core/src/placement/fleet/statement.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/statement.rs
@@ -1,4 +1,5 @@
-//! What endpoints state about themselves in their answers.
+//! What is known of incarnations of endpoints beside their registrations: what they state
+//! about themselves in their answers, and whether their processes have ended.
 
 use super::{Fleet, Row};
 use crate::directory::{Incarnation, State};
@@ -17,13 +18,27 @@
 /// gets no more while its service is under strain.
 const MAX_FILL: u32 = 2;
 
-/// What one incarnation of an endpoint stated.
+/// What is known of the process of an incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Process {
+    /// Nothing tells that it has ended.
+    #[default]
+    Running,
+    /// It has ended. The registration may be that of a process before.
+    Ended {
+        /// Whether this gateway has seen it itself.
+        witnessed: bool,
+    },
+}
+
+/// What one incarnation of an endpoint stated, and what is known of its process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Statement {
     /// Whether the endpoint leaves and gets no more work.
     pub(super) leaving: bool,
     /// Time until which the endpoint wants no requests from this process.
     pub(super) paused_until: Duration,
+    pub(super) process: Process,
     /// Time at which the newest statement became known.
     at: Duration,
 }
@@ -82,6 +97,14 @@
         self.statement.paused_until
     }
 
+    /// Returns the version of the software of the process that now runs there, or `None` if
+    /// it is unknown since the registered process has ended.
+    #[must_use]
+    pub fn version(&self) -> Option<&str> {
+        let is_running = self.statement.process == Process::Running;
+        is_running.then_some(self.endpoint.version.as_str())
+    }
+
     pub(super) fn is_paused(&self, now: Duration) -> bool {
         now < self.statement.paused_until
     }
@@ -160,7 +183,47 @@
         leaving.map(|row| &row.endpoint.life)
     }
 
-    fn set_statement(&mut self, endpoint: &Incarnation, statement: Statement) {
+    /// Records that the process of an incarnation has ended, as this gateway has
+    /// `witnessed` or another one reported. Returns whether that was unknown.
+    pub fn record_end(&mut self, endpoint: &Incarnation, witnessed: bool, now: Duration) -> bool {
+        let before = self.statements.of(endpoint);
+        let was_witnessed = before.process == Process::Ended { witnessed: true };
+        let statement = Statement {
+            process: Process::Ended {
+                witnessed: witnessed || was_witnessed,
+            },
+            at: now,
+            ..before
+        };
+        self.set_statement(endpoint, statement);
+        before.process == Process::Running
+    }
+
+    /// Records that the process of an incarnation still runs. Returns whether it was taken
+    /// to have ended.
+    pub fn record_running(&mut self, endpoint: &Incarnation, now: Duration) -> bool {
+        let before = self.statements.of(endpoint);
+        if before.process == Process::Running {
+            return false;
+        }
+        let statement = Statement {
+            process: Process::Running,
+            at: now,
+            ..before
+        };
+        self.set_statement(endpoint, statement);
+        true
+    }
+
+    /// Returns the listed incarnations whose processes this gateway has seen end.
+    pub fn ended(&self) -> impl Iterator<Item = &Incarnation> {
+        let witnessed = Process::Ended { witnessed: true };
+        let listed = self.rows().map(|(_, row)| row);
+        let ended = listed.filter(move |row| row.statement.process == witnessed);
+        ended.map(|row| &row.endpoint.life)
+    }
+
+    pub(super) fn set_statement(&mut self, endpoint: &Incarnation, statement: Statement) {
         self.statements.set(endpoint, statement);
         if let Some(row) = self.find(endpoint).and_then(|key| self.row_mut(key)) {
             row.statement = statement;
--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -13,6 +13,6 @@
 mod health;
 
 pub use self::{
-    fleet::{Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection},
+    fleet::{Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection, Software},
     health::{Health, Report},
 };
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -3,7 +3,7 @@
 use cicadacrank_core::{
     config::{Config, Service},
     directory::{Endpoint, Evacuation, Incarnation, Snapshot, State},
-    placement::{Choice, Fleet, Key, Load, Locality, Prompt, Report},
+    placement::{Choice, Fleet, Key, Load, Locality, Prompt, Report, Software},
     version::Version,
 };
 use std::time::Duration;
@@ -364,6 +364,70 @@
     );
 }
 
+/// An engine whose process had ended was still held for the version of its entry.
+#[test]
+fn engine_that_has_ended_goes_on_with_no_stream_until_it_is_known_again() {
+    let chosen = |fleet: &Fleet, software| {
+        let locality = Locality {
+            software,
+            ..Locality::default()
+        };
+        let prompt = Prompt::default();
+        let selection = fleet.choose_engine(&config(0.0), "engine", prompt, &locality, NOW);
+        selection.within_share.is_some()
+    };
+    let is_used = |fleet: &Fleet| {
+        [Software::Any, Software::Known, Software::Version("v1")].map(|one| chosen(fleet, one))
+    };
+    let registered = endpoint("a", "x");
+    let mut fleet = fleet(std::slice::from_ref(&registered));
+    assert_eq!(is_used(&fleet), [true, true, true]);
+    assert!(fleet.record_end(&registered.life, true, NOW));
+    assert!(!fleet.record_end(&registered.life, false, NOW));
+    assert_eq!(is_used(&fleet), [true, false, false]);
+    assert_eq!(fleet.ended().collect::<Vec<_>>(), [&registered.life]);
+
+    // The same registration again, and one after the store had dropped it.
+    let update = |fleet: &mut Fleet, endpoints: &[Endpoint]| {
+        fleet.update(&Snapshot::new(Version::new(0, 2), endpoints.to_vec()), NOW);
+    };
+    update(&mut fleet, &[]);
+    update(&mut fleet, std::slice::from_ref(&registered));
+    assert_eq!(is_used(&fleet), [true, false, false]);
+
+    assert!(fleet.record_running(&registered.life, NOW));
+    assert_eq!(is_used(&fleet), [true, true, true]);
+    assert!(fleet.record_end(&registered.life, false, NOW));
+    assert_eq!(fleet.ended().count(), 0, "only what was witnessed is told");
+
+    let mut next = registered;
+    next.life.born = Some(2);
+    next.version = "v2".to_owned();
+    update(&mut fleet, &[next]);
+    assert_eq!(is_used(&fleet), [true, true, false]);
+    assert!(chosen(&fleet, Software::Version("v2")));
+}
+
+/// Without a start time, only another registration tells of the next process.
+#[test]
+fn engine_without_a_start_time_is_known_again_by_another_registration() {
+    let mut registered = endpoint("a", "x");
+    registered.life.born = None;
+    let mut fleet = fleet(std::slice::from_ref(&registered));
+    let version = |fleet: &Fleet, life: &Incarnation| {
+        let row = fleet.row_of(life).expect("the engine is listed");
+        row.version().map(str::to_owned)
+    };
+    let life = registered.life.clone();
+    fleet.record_end(&life, true, NOW);
+    assert_eq!(version(&fleet, &life), None);
+    registered.sequence += 1;
+    registered.version = "v2".to_owned();
+    let listed = Snapshot::new(Version::new(0, 2), vec![registered]);
+    fleet.update(&listed, NOW);
+    assert_eq!(version(&fleet, &life).as_deref(), Some("v2"));
+}
+
 /// A stream went on at an engine of another version than the one that had begun it.
 #[test]
 fn engine_of_another_version_is_not_selected_to_go_on_with_a_stream() {
@@ -375,7 +439,7 @@
     fleet.update(&Snapshot::new(Version::new(0, 1), endpoints), NOW);
     for (version, expected) in [("v1", Some("a")), ("v2", Some("b")), ("v3", None)] {
         let locality = Locality {
-            version: Some(version),
+            software: Software::Version(version),
             ..Locality::default()
         };
         for shared in 0..20 {
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -2,12 +2,12 @@
 
 use super::{
     crash::{self, Interruption},
-    reply,
+    lifetime, reply,
     request::{Job, QUARANTINE_RETRY_AFTER, Refusal},
     state::{State, lock},
 };
 use crate::{
-    outbound::{Connection, Exchange},
+    outbound::Exchange,
     platform::{
         answer::Answer,
         caller::{self, Additions},
@@ -74,6 +74,9 @@
     /// Whether another gateway granted the attempt, so that it does not count
     /// towards the share of this one in the limit for cold starts.
     pub granted: bool,
+    /// Whether the endpoint goes on with a stream, so that it must be the process that the
+    /// directory lists.
+    pub continues: bool,
 }
 
 /// An attempt whose response head was received and accepted.
@@ -220,7 +223,7 @@
         let fleet = lock(&state.fleet);
         let locality = Locality {
             tried: &self.tried,
-            version: job.version.as_deref(),
+            software: job.software(),
             ..Locality::default()
         };
         let mut usable = fleet.usable(&job.service);
@@ -394,7 +397,8 @@
     let service = [endpoint.service.as_str()];
     state.metrics.attempts.with_label_values(&service).inc();
     log_choice(outgoing, &guard, parameters);
-    let connection = time::timeout_at(until, Connection::open(endpoint.address)).await;
+    let connection = lifetime::connect(state, endpoint, parameters.continues);
+    let connection = time::timeout_at(until, connection).await;
     let Ok(Ok(connection)) = connection else {
         guard.record(Report::Unreachable);
         return Err(not_run(unsent, Kind::Unreachable));
--- /dev/null
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -0,0 +1,197 @@
+//! Whether the process of an endpoint is still the one that the directory lists.
+//!
+//! An endpoint may start again under its id and at its address, with other software, before
+//! the store shows it. What is known of an endpoint belongs to one process: when that has
+//! ended, its version is unknown until a newer registration is read or the endpoint shows
+//! that it runs on. Streams go on only at a process that has just said that it is the
+//! registered one, on the connection that they are then sent on.
+
+use super::state::{OWN, State, lock};
+use crate::{
+    outbound::{self, CONNECT_TIMEOUT, Connection},
+    platform::endpoint,
+};
+use cicadacrank_core::{
+    directory::{Endpoint, Incarnation},
+    event::Event,
+};
+use std::{
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time;
+
+/// Delay between a broken connection and the check whether the process has ended. A process
+/// that is killed has closed its port by then.
+const END_CHECK_DELAY: Duration = Duration::from_millis(60);
+
+/// Time between two questions to an endpoint whose process is taken to have ended.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of such questions. The store has removed the entry of an endpoint that is gone
+/// long before the last of them.
+const MAX_RECHECKS: usize = 20;
+
+/// Timeout of a question to an endpoint.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Maximum size of the answer, in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// Endpoints for which a check is under way.
+#[derive(Debug, Default)]
+pub struct Checks(Mutex<Vec<Incarnation>>);
+
+/// What a process says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Identity {
+    /// It is the process that is registered.
+    Same,
+    /// It has started at another time.
+    Other,
+    /// It does not tell when it started.
+    Untold,
+    /// It does not answer.
+    Silent,
+}
+
+/// Opens a connection to an endpoint. If the process `must_be_registered`, the connection is
+/// one to the process that the directory lists, unless endpoints do not tell.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails, or if another process is there.
+pub async fn connect(
+    state: &Arc<State>,
+    endpoint: &Endpoint,
+    must_be_registered: bool,
+) -> io::Result<Connection> {
+    let mut connection = open(state, endpoint).await?;
+    if !must_be_registered || endpoint.life.born.is_none() {
+        return Ok(connection);
+    }
+    match identify(&mut connection, endpoint).await {
+        Identity::Same => {
+            record_running(state, endpoint);
+            if connection.is_reusable().await {
+                return Ok(connection);
+            }
+            open(state, endpoint).await
+        }
+        Identity::Untold => open(state, endpoint).await,
+        Identity::Other => {
+            record_end(state, endpoint, OWN);
+            Err(io::Error::other("another process is there"))
+        }
+        Identity::Silent => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+async fn open(state: &Arc<State>, endpoint: &Endpoint) -> io::Result<Connection> {
+    let opened = Connection::open(endpoint.address).await;
+    opened.inspect_err(|error| {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            record_end(state, endpoint, OWN);
+        }
+    })
+}
+
+/// Asks the process at the other side of a connection when it started.
+async fn identify(connection: &mut Connection, endpoint: &Endpoint) -> Identity {
+    let request = match endpoint::encode_report(endpoint.address) {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("failed to build a request to an endpoint: {error}");
+            return Identity::Untold;
+        }
+    };
+    let answer = connection.call(request, MAX_REPORT_BYTES);
+    let Ok(answer) = time::timeout(REPORT_TIMEOUT, answer).await else {
+        return Identity::Silent;
+    };
+    let born = answer.map(|answer| endpoint::decode_report(answer.body()));
+    match born {
+        Ok(born @ Some(_)) if born == endpoint.life.born => Identity::Same,
+        Ok(Some(_)) => Identity::Other,
+        Ok(None) => Identity::Untold,
+        Err(error) => {
+            log::debug!("endpoint {} did not report: {error}", endpoint.life.id);
+            Identity::Silent
+        }
+    }
+}
+
+/// Checks in the background whether the process of an endpoint has ended, after a connection
+/// to it has broken.
+pub fn check_end(state: &Arc<State>, endpoint: &Endpoint) {
+    let mut checks = lock(&state.end_checks.0);
+    if checks.contains(&endpoint.life) {
+        return;
+    }
+    checks.push(endpoint.life.clone());
+    drop(checks);
+    let (state, endpoint) = (Arc::clone(state), endpoint.clone());
+    tokio::spawn(async move {
+        time::sleep(END_CHECK_DELAY).await;
+        if outbound::is_refusing(endpoint.address, CONNECT_TIMEOUT).await {
+            record_end(&state, &endpoint, OWN);
+        }
+        lock(&state.end_checks.0).retain(|one| *one != endpoint.life);
+    });
+}
+
+/// Records that the process of an endpoint has ended, according to `source`.
+pub fn record_end(state: &Arc<State>, endpoint: &Endpoint, source: &str) {
+    let now = state.clock.now();
+    if !lock(&state.fleet).record_end(&endpoint.life, source == OWN, now) {
+        return;
+    }
+    state.metrics.ends.inc();
+    Event::EndpointEnded.log(format_args!(
+        "endpoint={} born={:?} version={} source={source}",
+        endpoint.life.id, endpoint.life.born, endpoint.version,
+    ));
+    tokio::spawn(recheck(Arc::clone(state), endpoint.clone()));
+}
+
+/// Records that another gateway has seen the process of an endpoint end.
+pub fn record_reported_end(state: &Arc<State>, endpoint: &Incarnation, source: &str) {
+    let endpoint = lock(&state.fleet)
+        .row_of(endpoint)
+        .map(|row| row.endpoint.clone());
+    if let Some(endpoint) = endpoint {
+        record_end(state, &endpoint, source);
+    }
+}
+
+fn record_running(state: &State, endpoint: &Endpoint) {
+    let now = state.clock.now();
+    if lock(&state.fleet).record_running(&endpoint.life, now) {
+        Event::EndpointConfirmed.log(format_args!(
+            "endpoint={} born={:?} version={}",
+            endpoint.life.id, endpoint.life.born, endpoint.version,
+        ));
+    }
+}
+
+/// Asks an endpoint whose process is taken to have ended, as long as it is listed.
+async fn recheck(state: Arc<State>, endpoint: Endpoint) {
+    for _ in 0..MAX_RECHECKS {
+        time::sleep(RECHECK_INTERVAL).await;
+        let is_unknown = lock(&state.fleet)
+            .row_of(&endpoint.life)
+            .is_some_and(|row| row.version().is_none());
+        if !is_unknown {
+            return;
+        }
+        let Ok(mut connection) = Connection::open(endpoint.address).await else {
+            continue;
+        };
+        match identify(&mut connection, &endpoint).await {
+            Identity::Same => return record_running(&state, &endpoint),
+            Identity::Other => return,
+            Identity::Untold | Identity::Silent => {}
+        }
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod attempt;
 mod crash;
 mod idle;
+mod lifetime;
 mod origin;
 mod owner;
 mod peers;
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -9,6 +9,7 @@
     encode_life, encode_limit, encode_output, encode_task,
 };
 use super::{
+    lifetime,
     owner::{self, Failure, Task},
     stages::Output,
     state::{State, lock},
@@ -67,6 +68,9 @@
 /// Maximum number of leaving endpoints in one heartbeat.
 const MAX_DEPARTURES: usize = 256;
 
+/// Maximum number of endpoints whose processes have ended in one heartbeat.
+const MAX_ENDS: usize = 256;
+
 /// Timeout of a fetch of newer state, and of a release, at another gateway.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -243,6 +247,7 @@
     let limits = limits.collect();
     let leaving = fleet.leaving().take(MAX_DEPARTURES);
     let leaving = leaving.map(encode_life).collect();
+    let ended = fleet.ended().take(MAX_ENDS).map(encode_life).collect();
     let loads = fleet
         .own_loads()
         .map(|(id, load)| EndpointLoad {
@@ -255,6 +260,7 @@
     Beat {
         limits,
         leaving,
+        ended,
         me: local,
         versions: Some(versions(state)),
         others,
@@ -335,6 +341,9 @@
     for endpoint in beat.leaving.into_iter().take(MAX_DEPARTURES) {
         state.record_leaving(&decode_life(endpoint), &instance);
     }
+    for endpoint in beat.ended.into_iter().take(MAX_ENDS) {
+        lifetime::record_reported_end(state, &decode_life(endpoint), &instance);
+    }
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (config_version(&theirs) > config_version(&own)
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -12,7 +12,7 @@
     error::Kind,
     event::Event,
     once::Unsent,
-    placement::{Key, Locality, Report},
+    placement::{Key, Locality, Report, Software},
 };
 use http::Response;
 use http_body_util::{Either, Full};
@@ -68,7 +68,7 @@
         own: &state.settings.data_centre,
         results: &[],
         tried,
-        version: None,
+        software: Software::Any,
     };
     let now = state.clock.now();
     let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -15,6 +15,7 @@
     event::Event,
     id,
     once::{ExecutionError, Unsent},
+    placement::Software,
     quarantine::Fingerprint,
 };
 use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
@@ -69,6 +70,17 @@
         self.caller.attempt_text()
     }
 
+    /// Returns the versions of the software of endpoints that may run the request.
+    pub fn software(&self) -> Software<'_> {
+        match &self.version {
+            Some(version) => Software::Version(version),
+            None if self.route.repeat.is_stream() && self.route.repeat.is_repeatable() => {
+                Software::Known
+            }
+            None => Software::Any,
+        }
+    }
+
     /// Returns the time since the arrival, in milliseconds, for logs.
     pub fn age_ms(&self) -> u128 {
         self.arrived.elapsed().as_millis()
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, origin, owner::Pools, peers::Links};
+use super::{Settings, lifetime, origin, owner::Pools, peers::Links};
 pub(super) use crate::sync::lock;
 use crate::{
     clock::Clock,
@@ -54,6 +54,7 @@
     pub(super) links: Links,
     /// Origins of streams that callers may take up again.
     pub(super) streams: origin::Memory,
+    pub(super) end_checks: lifetime::Checks,
     pub(super) body_bytes: tokio::sync::Semaphore,
     config: Mutex<Option<Adopted>>,
     evacuation: Mutex<evacuation::Tracker>,
@@ -132,6 +133,7 @@
             pools: Pools::default(),
             links: Links::default(),
             streams: origin::Memory::default(),
+            end_checks: lifetime::Checks::default(),
             body_bytes: tokio::sync::Semaphore::new(
                 body_bytes.min(tokio::sync::Semaphore::MAX_PERMITS),
             ),
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -177,7 +177,7 @@
         own: &state.settings.data_centre,
         results: &results,
         tried,
-        version: job.version.as_deref(),
+        software: job.software(),
     };
     let select = || {
         let fleet = lock(&state.fleet);
@@ -247,6 +247,7 @@
         urgency: Some(job.rank.min(9)),
         tokens: choice.unread,
         granted,
+        continues: job.version.is_some(),
     }
 }
 
@@ -340,6 +341,7 @@
                             let Some(reason) = self.unexpected_end().await else {
                                 return self.finish();
                             };
+                            self.check_crash();
                             if !self.resume_after(reason).await {
                                 return Some(Err(self.break_off(reason)));
                             }
@@ -449,10 +451,9 @@
         }
     }
 
-    /// Checks whether the engine crashed, if it had not begun to respond or only just.
+    /// Checks whether the engine has ended, after its connection has broken.
     fn check_crash(&self) {
-        self.upstream
-            .check_crash(&self.job.outgoing, self.state.clock.now());
+        self.upstream.check_crash(&self.state, &self.job.outgoing);
     }
 
     /// Clears the request of crashes before its response began.
--- a/crates/cicadacrank-node/src/gateway/upstream.rs
+++ b/crates/cicadacrank-node/src/gateway/upstream.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{self, Guard, Outgoing, Started},
     crash::RESPONSE_START,
+    lifetime,
     state::State,
 };
 use crate::outbound::{Exchange, Framing};
@@ -10,7 +11,7 @@
 use cicadacrank_core::{event::Event, once::Sent, stream::Splitter};
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// The attempt whose events are forwarded to the caller.
@@ -51,8 +52,11 @@
         self.began.is_none_or(|began| now < began + RESPONSE_START)
     }
 
-    /// Checks whether the engine crashed, if it had not begun to respond or only just.
-    pub fn check_crash(&self, outgoing: &Outgoing, now: Duration) {
+    /// Checks whether the process of the engine has ended, after its connection has broken,
+    /// and whether the request crashed it, if it had not begun to respond or only just.
+    pub fn check_crash(&self, state: &Arc<State>, outgoing: &Outgoing) {
+        lifetime::check_end(state, &self.guard.endpoint);
+        let now = state.clock.now();
         if self.is_response_start(now) {
             attempt::check_crash(outgoing, &self.guard);
         }
@@ -70,7 +74,7 @@
 /// The engine of a stream for which another one is sought.
 pub struct Current<'a> {
     /// State of the gateway.
-    pub state: &'a State,
+    pub state: &'a Arc<State>,
     /// Request that the engine runs.
     pub outgoing: &'a Outgoing,
     /// Attempt at the engine.
@@ -125,8 +129,7 @@
             },
             None if self.upstream.may_end() && !self.splitter.has_partial() => Some(Progress::End),
             None | Some(Err(_)) => {
-                let now = self.state.clock.now();
-                self.upstream.check_crash(self.outgoing, now);
+                self.upstream.check_crash(self.state, self.outgoing);
                 self.abandon();
                 None
             }
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -28,6 +28,8 @@
     pub grants: IntCounterVec,
     /// Endpoints that stated that they leave.
     pub departures: IntCounter,
+    /// Processes of endpoints that were taken to have ended.
+    pub ends: IntCounter,
     /// Answers in which endpoints stated that they want no requests for some time.
     pub pauses: IntCounter,
     /// Number of pieces per call.
@@ -93,6 +95,10 @@
                 "Requests for a grant beyond the share in a limit of an endpoint",
                 &["outcome"],
             ),
+            ends: counter(
+                "cicadacrank_gateway_endpoint_ends_total",
+                "Processes of endpoints that were taken to have ended.",
+            ),
             departures: counter(
                 "cicadacrank_gateway_departures_total",
                 "Endpoints that stated that they leave",
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// An open connection on which no request has been sent.
+/// An open connection on which no request is under way.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -75,16 +75,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a message if the connection fails or times out.
-    pub async fn open(address: SocketAddr) -> Result<Self, String> {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| "connect timed out".to_owned())?
-            .map_err(|error| error.to_string())?;
-        configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|error| error.to_string())?;
+    /// Returns an error if the connection fails or times out.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| error.to_string())?;
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address}: {error}");
@@ -96,6 +93,29 @@
         })
     }
 
+    /// Sends a request, reads the whole response, and keeps the connection for a further
+    /// request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if there is no response of at most `max_bytes`.
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, String> {
+        let response = self.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+
+    /// Waits until the connection takes a further request. Returns whether it does.
+    pub async fn is_reusable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -179,7 +199,7 @@
 ) -> Result<Response<Bytes>, CallError> {
     let connection = Connection::open(address)
         .await
-        .map_err(CallError::Unconnected)?;
+        .map_err(|error| CallError::Unconnected(error.to_string()))?;
     let exchange = async { connection.send(request).await?.collect(max_bytes).await };
     match time::timeout(timeout, exchange).await {
         Ok(answer) => answer.map_err(CallError::Lost),
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -1,7 +1,10 @@
 //! Decodes the registrations of endpoints.
 
 use super::Object;
+use bytes::Bytes;
 use cicadacrank_core::directory::{Endpoint, Incarnation, State};
+use http::{Request, header};
+use http_body_util::Full;
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
@@ -76,6 +79,30 @@
     })
 }
 
+/// Builds the request for what the endpoint at an address says of itself.
+///
+/// # Errors
+///
+/// Returns an error if the request cannot be built.
+pub fn encode_report(address: SocketAddr) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::builder()
+        .uri("/report")
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+}
+
+/// Returns the start time that an endpoint names in what it says of itself, or `None` if
+/// it names none.
+#[must_use]
+pub fn decode_report(body: &[u8]) -> Option<u64> {
+    #[derive(Deserialize)]
+    struct WireReport {
+        born: u64,
+    }
+    let report = serde_json::from_slice::<WireReport>(body);
+    report.ok().map(|report| report.born)
+}
+
 fn describe(error: &serde_json::Error) -> String {
     let description = error.to_string();
     description
--- a/crates/cicadacrankd/tests/order.rs
+++ b/crates/cicadacrankd/tests/order.rs
@@ -149,6 +149,32 @@
     assert!(answer.whole, "new streams are served");
 }
 
+/// A gateway without connections to an engine that ended held it for the old process.
+#[tokio::test]
+async fn stream_is_not_taken_up_at_an_engine_that_another_gateway_saw_end() {
+    let deployment = deployment(2, 2).await;
+    let began = begin_streams(&deployment, 0).await;
+    time::sleep(BUDGET_TIME).await;
+    let engines = engines(&deployment);
+    engines[0].set_silent(true);
+    remove(&deployment, engines[1]);
+    for gateway in 0..2 {
+        wait_for_directory(&deployment, gateway).await;
+    }
+    engines[0].crash();
+    let answer = take_up(&deployment, 0, "away", &began[0]).await;
+    assert_eq!(answer.status, Some(503));
+    gateways::wait_for_log(&deployment, 1, "EndpointEnded").await;
+    engines[0].start_again();
+    time::sleep(NOTICE_TIME).await;
+    for began in &began {
+        let attempt = format!("{began}-early");
+        let answer = take_up(&deployment, 1, &attempt, began).await;
+        assert_eq!(answer.status, Some(503), "{attempt}");
+        assert!(!has_run(engines[0], &attempt), "{attempt}");
+    }
+}
+
 /// An engine that was reached again with its old process was left out for good.
 #[tokio::test]
 async fn stream_is_taken_up_at_the_process_that_began_it_after_its_port_was_closed() {
