Ask an engine again whose answer cannot be read

An engine that spoils half of its answers also spoils what it says of itself, and then went on with no stream. It is asked up to three times.

--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -33,6 +33,10 @@
 /// long before the last of them.
 const MAX_RECHECKS: usize = 20;
 
+/// Number of questions to an endpoint whose answers cannot be read. A faulty endpoint spoils
+/// some of them.
+const MAX_QUESTIONS: usize = 3;
+
 /// Timeout of a question to an endpoint.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -52,7 +56,9 @@
     Other,
     /// It does not tell when it started.
     Untold,
-    /// It does not answer.
+    /// Its answer cannot be read.
+    Unreadable,
+    /// It does not answer in time.
     Silent,
 }
 
@@ -67,25 +73,29 @@
     endpoint: &Endpoint,
     must_be_registered: bool,
 ) -> io::Result<Connection> {
-    let mut connection = open(state, endpoint).await?;
     if !must_be_registered || endpoint.life.born.is_none() {
-        return Ok(connection);
+        return open(state, endpoint).await;
     }
-    match identify(&mut connection, endpoint).await {
-        Identity::Same => {
-            record_running(state, endpoint);
-            if connection.is_reusable().await {
-                return Ok(connection);
+    for _ in 0..MAX_QUESTIONS {
+        let mut connection = open(state, endpoint).await?;
+        match identify(&mut connection, endpoint).await {
+            Identity::Same => {
+                record_running(state, endpoint);
+                if connection.is_reusable().await {
+                    return Ok(connection);
+                }
+                return open(state, endpoint).await;
             }
-            open(state, endpoint).await
-        }
-        Identity::Untold => open(state, endpoint).await,
-        Identity::Other => {
-            record_end(state, endpoint, OWN);
-            Err(io::Error::other("another process is there"))
+            Identity::Untold => return open(state, endpoint).await,
+            Identity::Other => {
+                record_end(state, endpoint, OWN);
+                return Err(io::Error::other("another process is there"));
+            }
+            Identity::Unreadable => {}
+            Identity::Silent => return Err(io::ErrorKind::TimedOut.into()),
         }
-        Identity::Silent => Err(io::ErrorKind::TimedOut.into()),
     }
+    Err(io::Error::other("the endpoint does not tell when it started"))
 }
 
 async fn open(state: &Arc<State>, endpoint: &Endpoint) -> io::Result<Connection> {
@@ -117,7 +127,7 @@
         Ok(None) => Identity::Untold,
         Err(error) => {
             log::debug!("endpoint {} did not report: {error}", endpoint.life.id);
-            Identity::Silent
+            Identity::Unreadable
         }
     }
 }
@@ -191,7 +201,7 @@
         match identify(&mut connection, &endpoint).await {
             Identity::Same => return record_running(&state, &endpoint),
             Identity::Other => return,
-            Identity::Untold | Identity::Silent => {}
+            Identity::Untold | Identity::Unreadable | Identity::Silent => {}
         }
     }
 }
