Take a version for the only one only after others or the store say so

Cause: a gateway that knew a single version took all streams for its own, without asking anyone, for as long as nothing had told it of another. The class of fault: the absence of news taken for knowledge by a process that may have missed it.

Change: a gateway that does not remember the stream asks the others, also those that it takes for lost. A version counts as the only one if it is in touch with all that stay, and all that it asks agree. Otherwise it reads the list of endpoints and the marks of releases from the store; requests that wait share a read. If the store does not answer, or shows several versions, the request is refused at once as not run. Ruled out: noticing the standstill by the own clock, since a gateway that is cut off has none.

--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -206,6 +206,26 @@
         live
     }
 
+    /// Returns the known gateways other than the local one that may know of what belongs to
+    /// `key`, at most `count`: its keepers first, then those that are not live.
+    #[must_use]
+    pub fn witnesses(&self, key: &str, count: usize, now: Duration) -> Vec<&Gateway> {
+        let mut witnesses = self.keepers(key, count, now);
+        let others = self.rows.iter().filter(|row| !is_live(row, now));
+        let others = others.map(|row| &row.gateway);
+        witnesses.extend(others.filter(|gateway| !gateway.leaving));
+        witnesses.truncate(count);
+        witnesses
+    }
+
+    /// Returns whether the local gateway is in touch with the others: all that are known
+    /// and have not said that they leave are live.
+    #[must_use]
+    pub fn is_in_touch(&self, now: Duration) -> bool {
+        let mut staying = self.rows.iter().filter(|row| !row.gateway.leaving);
+        staying.all(|row| is_live(row, now))
+    }
+
     /// Returns how long the local gateway has kept the reserve of an endpoint's limit, or
     /// `None` if it does not keep it. `now` is the time since the start of its process.
     ///
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -300,3 +300,36 @@
         Some(at(700))
     );
 }
+
+/// A gateway that had stood still took what it knew for what all know.
+#[test]
+fn is_in_touch_only_while_all_that_stay_are_live() {
+    let mut roster = roster("b", &["a", "c"]);
+    let now = Duration::from_millis(1);
+    assert!(roster.is_in_touch(now));
+    assert!(!roster.is_in_touch(LIVE_TIMEOUT), "after it stood still");
+    roster.record_contact(gateway("a"), LIVE_TIMEOUT);
+    assert!(!roster.is_in_touch(LIVE_TIMEOUT));
+    let leaving = Gateway {
+        leaving: true,
+        ..gateway("c")
+    };
+    roster.learn(leaving, LIVE_TIMEOUT);
+    assert!(
+        roster.is_in_touch(LIVE_TIMEOUT),
+        "one has said that it leaves"
+    );
+}
+
+#[test]
+fn witnesses_include_gateways_that_are_not_live() {
+    let mut roster = roster("b", &["a", "c", "d"]);
+    roster.record_contact(gateway("c"), LIVE_TIMEOUT);
+    let names = |count| {
+        let witnesses = roster.witnesses("key", count, LIVE_TIMEOUT);
+        let names = witnesses.into_iter().map(|one| one.instance.as_str());
+        names.collect::<Vec<_>>()
+    };
+    assert_eq!(names(8), ["c", "a", "d"]);
+    assert_eq!(names(1), ["c"]);
+}
--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -4,11 +4,16 @@
 //! serve, it tells others too, since the stream may be taken up because it is gone. A mark in
 //! the store tells gateways that have just started whether several versions served lately;
 //! if not, the single one began all streams.
+//!
+//! What a gateway believes of the versions may be old, since it may have stood still or been
+//! cut off. So it takes a version for the only one if all others say so, and otherwise after
+//! it has read the store.
 
 use super::{
     reply::jitter,
     request::{Job, Refusal},
     state::{State, lock},
+    watch,
 };
 use crate::{
     clock::milliseconds,
@@ -43,6 +48,9 @@
 /// Timeout of a message with the origins of streams.
 const REMEMBER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Timeout of the calls to the store that confirm which versions serve.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time within which a stream is taken up after it began, as a multiple of the timeout of
 /// its route.
 const STREAM_TIMEOUTS: u32 = 2;
@@ -69,6 +77,14 @@
     /// Services that the store marked before this gateway started, each with the Unix time of
     /// the mark in milliseconds, or `None` if they are not known yet.
     marks: Mutex<Option<Vec<(String, u64)>>>,
+    /// The last read of the store that was to confirm which versions serve.
+    confirmation: tokio::sync::Mutex<Confirmation>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Confirmation {
+    began: Duration,
+    succeeded: bool,
 }
 
 impl Memory {
@@ -105,24 +121,42 @@
     }
 
     /// Returns the version that began all streams of a service within `recent`, or `None` if
-    /// there may have been several.
-    fn only_version(&self, service: &str, recent: Duration, state: &State) -> Option<String> {
+    /// there may have been several. It is as far as this gateway knows, which may have stood
+    /// still.
+    pub(super) fn only_version(
+        &self,
+        service: &str,
+        recent: Duration,
+        state: &State,
+    ) -> Option<String> {
         let now = state.clock.now();
-        let releases = lock(&self.releases);
-        let release = releases.find(service)?;
-        if release.was_mixed(recent, now) {
+        let followed = now.saturating_sub(*self.followed_since.get()?);
+        if followed < recent && !self.is_unmarked(service, recent, state) {
             return None;
         }
-        let followed = now.saturating_sub(*self.followed_since.get()?);
-        let is_certain = followed >= recent || {
-            let unix_now = Duration::from_millis(state.clock.unix_ms());
-            let marks = lock(&self.marks);
-            let mut marks = marks.as_ref()?.iter();
-            marks.find(|mark| mark.0 == service).is_none_or(|mark| {
-                unix_now.saturating_sub(Duration::from_millis(mark.1)) > recent + MARK_MARGIN
-            })
+        self.listed_version(service, recent, now)
+    }
+
+    /// Returns the version of a service if only one has been listed within `recent`.
+    fn listed_version(&self, service: &str, recent: Duration, now: Duration) -> Option<String> {
+        let releases = lock(&self.releases);
+        let release = releases.find(service)?;
+        let version = release.versions.first();
+        version.filter(|_| !release.was_mixed(recent, now)).cloned()
+    }
+
+    /// Returns whether the store shows that only one version of a service served within
+    /// `recent`.
+    fn is_unmarked(&self, service: &str, recent: Duration, state: &State) -> bool {
+        let unix_now = Duration::from_millis(state.clock.unix_ms());
+        let marks = lock(&self.marks);
+        let Some(marks) = &*marks else {
+            return false;
         };
-        is_certain.then(|| release.versions.first().cloned())?
+        let mark = marks.iter().find(|mark| mark.0 == service);
+        mark.is_none_or(|mark| {
+            unix_now.saturating_sub(Duration::from_millis(mark.1)) > recent + MARK_MARGIN
+        })
     }
 
     fn is_mixed(&self, service: &str) -> bool {
@@ -227,20 +261,45 @@
         return (known, "memory");
     }
     let recent = job.route.timeout * STREAM_TIMEOUTS;
-    let only = state.streams.only_version(&job.service, recent, state);
-    match (only, resumes) {
-        (Some(only), _) => (Some(only), "single"),
-        (None, Some(attempt)) => (recall(state, attempt, &job.service).await, "peers"),
-        (None, None) => (None, "unnamed"),
+    let answers = ask(state, resumes.unwrap_or_default(), &job.service, recent).await;
+    if let Answers::Version(version) = answers {
+        return (Some(version), "peers");
+    }
+    let Some(only) = state.streams.only_version(&job.service, recent, state) else {
+        return (None, resumes.map_or("unnamed", |_| "peers"));
+    };
+    match answers {
+        Answers::OnlyVersion(answer) if answer == only => (Some(only), "single"),
+        Answers::OnlyVersion(_) => (None, "peers"),
+        Answers::Version(_) | Answers::Uncertain => {
+            let is_confirmed =
+                confirm(state).await && state.streams.is_unmarked(&job.service, recent, state);
+            let now = state.clock.now();
+            let listed = state.streams.listed_version(&job.service, recent, now);
+            (listed.filter(|_| is_confirmed), "store")
+        }
     }
 }
 
+/// What other gateways know of a stream.
+enum Answers {
+    /// The version that began it.
+    Version(String),
+    /// All of them say that it was begun by the only version that serves.
+    OnlyVersion(String),
+    /// They do not agree, not all answer, or there may be others.
+    Uncertain,
+}
+
 /// Asks other gateways which version began a stream.
-async fn recall(state: &Arc<State>, attempt: &str, service: &str) -> Option<String> {
-    let addresses: Vec<String> = {
+async fn ask(state: &Arc<State>, attempt: &str, service: &str, recent: Duration) -> Answers {
+    let (addresses, is_in_touch) = {
+        let now = state.clock.now();
         let roster = lock(&state.roster);
-        let keepers = roster.keepers(attempt, MAX_ASKED, state.clock.now());
-        keepers.into_iter().map(|one| one.address.clone()).collect()
+        let witnesses = roster.witnesses(attempt, MAX_ASKED, now);
+        let addresses = witnesses.into_iter().map(|one| one.address.clone());
+        let addresses: Vec<String> = addresses.collect();
+        (addresses, roster.is_in_touch(now))
     };
     let mut questions: FuturesUnordered<_> = addresses
         .iter()
@@ -249,17 +308,59 @@
             let question = StreamQuestion {
                 attempt: attempt.to_owned(),
                 service: service.to_owned(),
+                recent_ms: milliseconds(recent),
             };
             let answer = time::timeout(RECALL_TIMEOUT, client.recall(question)).await;
-            answer.ok()?.ok()?.into_inner().version
+            Some(answer.ok()?.ok()?.into_inner())
         })
         .collect();
-    while let Some(version) = questions.next().await {
-        if version.is_some() {
-            return version;
+    let mut only_versions = Vec::new();
+    while let Some(answer) = questions.next().await {
+        let answer = answer.unwrap_or_default();
+        if let Some(version) = answer.version {
+            return Answers::Version(version);
         }
+        only_versions.push(answer.only_version);
+    }
+    only_versions.dedup();
+    match only_versions.as_slice() {
+        [Some(version)] if is_in_touch => Answers::OnlyVersion(version.clone()),
+        _ => Answers::Uncertain,
+    }
+}
+
+/// Reads from the store which versions serve, and whether several did lately. Requests that
+/// wait for it share a read. Returns whether the store answered.
+async fn confirm(state: &Arc<State>) -> bool {
+    let asked = state.clock.now();
+    let mut confirmation = state.streams.confirmation.lock().await;
+    if confirmation.began < asked {
+        let began = state.clock.now();
+        state.metrics.store_calls.inc();
+        let read = async {
+            let (marks, endpoints) = tokio::join!(
+                state.store.list(Collection::Releases),
+                watch::refresh_endpoints(state)
+            );
+            endpoints.and(marks)
+        };
+        let marks = match time::timeout(CONFIRM_TIMEOUT, read).await {
+            Ok(marks) => marks.map_err(|fault| fault.to_string()),
+            Err(_) => Err(format!("no answer in {} ms", CONFIRM_TIMEOUT.as_millis())),
+        };
+        let succeeded = match marks {
+            Ok(marks) => {
+                *lock(&state.streams.marks) = Some(decode_marks(&marks));
+                true
+            }
+            Err(fault) => {
+                log::debug!("failed to read which versions serve: {fault}");
+                false
+            }
+        };
+        *confirmation = Confirmation { began, succeeded };
     }
-    None
+    confirmation.succeeded
 }
 
 /// Starts reading and writing marks, and telling other gateways of streams when a second
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -567,9 +567,17 @@
         &self,
         request: Request<StreamQuestion>,
     ) -> Result<Response<StreamAnswer>, Status> {
-        let StreamQuestion { attempt, service } = request.into_inner();
-        let version = self.0.streams.recall(&attempt, &service);
-        Ok(Response::new(StreamAnswer { version }))
+        let StreamQuestion {
+            attempt,
+            service,
+            recent_ms,
+        } = request.into_inner();
+        let recent = Duration::from_millis(recent_ms);
+        let streams = &self.0.streams;
+        Ok(Response::new(StreamAnswer {
+            version: streams.recall(&attempt, &service),
+            only_version: streams.only_version(&service, recent, &self.0),
+        }))
     }
 
     async fn release(&self, request: Request<Results>) -> Result<Response<Released>, Status> {
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -114,6 +114,18 @@
     }
 }
 
+/// Reads the list of endpoints now and applies it.
+///
+/// # Errors
+///
+/// Returns the fault of the store.
+pub async fn refresh_endpoints(state: &State) -> Result<(), Fault> {
+    state.metrics.store_calls.inc();
+    let listing = state.store.list(Collection::Endpoints).await?;
+    apply_list(state, Resource::Endpoints, &listing, &mut Vec::new());
+    Ok(())
+}
+
 /// Consecutive failures of calls for one collection.
 struct Failures {
     collection: Collection,
