Bound the memory that answers of endpoints take together

The class of fault: a bound for one of something whose number is not bounded.

Change: answers of plain endpoints take their memory from a common bound, a quarter of the process's, until their callers have taken them; incomplete events from an eighth. Beyond it the answer fails, as unknown.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -46,6 +46,9 @@
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Size of the parts of an answer without end.
+const ENDLESS_PART_BYTES: usize = 1 << 14;
+
 /// Pause of an endpoint with [`Fault::Pause`] or [`Fault::PauseAfterEvent`].
 pub const SILENCE: Duration = Duration::from_millis(1_700);
 
@@ -112,8 +115,12 @@
     PauseAfterEvent,
     /// It sends the first event of a stream, and then the second one byte by byte.
     DribbleAfterEvent,
-    /// It answers a stream with bytes that form no event, without end.
+    /// It answers with bytes that form no event, without end.
     Endless,
+    /// As [`Fault::Endless`], each byte in a chunk of its own.
+    EndlessChunks,
+    /// It answers with a head that never ends.
+    EndlessHead,
     /// It writes a refusal that names no request on each connection before it reads the
     /// request, which it then runs and answers.
     EarlyRefusal,
@@ -420,6 +427,13 @@
             });
             continue;
         }
+        if fault == Fault::EndlessHead && context.role != Role::Worker {
+            tokio::spawn(async move {
+                // An error is a client that disconnected.
+                drop(answer_endless_head(stream).await);
+            });
+            continue;
+        }
         if let Fault::CutHead(length) = fault
             && context.role != Role::Worker
         {
@@ -552,6 +566,10 @@
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(response);
         }
+        Fault::Endless => {
+            return Ok(endless_response(&head.headers, &[b'x'; ENDLESS_PART_BYTES]));
+        }
+        Fault::EndlessChunks => return Ok(endless_response(&head.headers, b"x")),
         Fault::CrashOnPart if text("x-prompt-prefix").contains(CRASHING_PART) => {
             lock(&state).crashed = true;
             tokio::spawn(async move {
@@ -637,14 +655,16 @@
     Ok(())
 }
 
+/// Returns a response whose body never ends, sent in chunks of `part`.
+fn endless_response(headers: &HeaderMap, part: &'static [u8]) -> Response<Body> {
+    let part = move || Ok(Frame::data(Bytes::from_static(part)));
+    let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
+    let parts = stream::repeat_with(part).boxed();
+    *response.body_mut() = Either::Right(StreamBody::new(parts));
+    response
+}
+
 fn event_stream(headers: &HeaderMap, fault: Fault) -> Response<Body> {
-    if fault == Fault::Endless {
-        let part = || Ok(Frame::data(Bytes::from_static(&[b'x'; 1 << 14])));
-        let parts = stream::repeat_with(part).boxed();
-        let mut response = plain_response(StatusCode::OK, headers, Bytes::new(), true);
-        *response.body_mut() = Either::Right(StreamBody::new(parts));
-        return response;
-    }
     let silence = match fault {
         Fault::StallAfterEvent => Duration::from_secs(60),
         Fault::PauseAfterEvent => SILENCE,
@@ -732,6 +752,17 @@
     Ok(Some(String::from_utf8_lossy(&request).into_owned()))
 }
 
+/// Answers one request with a line of a head that never ends.
+async fn answer_endless_head(mut stream: TcpStream) -> io::Result<()> {
+    if read_head(&mut stream).await?.is_none() {
+        return Ok(());
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nx-rest: ").await?;
+    loop {
+        stream.write_all(&[b'x'; ENDLESS_PART_BYTES]).await?;
+    }
+}
+
 /// Answers one request with the first bytes of a whole answer, and closes the connection.
 async fn answer_cut(mut stream: TcpStream, length: usize, context: &Context) -> io::Result<()> {
     let Some(request) = read_head(&mut stream).await? else {
--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -184,6 +184,16 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the largest resident memory that the process has had, in bytes, or `None`
+    /// if it has ended.
+    #[must_use]
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let kilobytes = line.split_whitespace().nth(1)?.parse::<u64>().ok()?;
+        Some(kilobytes * 1_024)
+    }
+
     /// Sends SIGKILL.
     ///
     /// # Errors
--- a/crates/cicadacrank-core/src/stream/mod.rs
+++ b/crates/cicadacrank-core/src/stream/mod.rs
@@ -86,6 +86,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the size of the incomplete event at the end, in bytes.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the incomplete data left at the end of the stream.
     pub fn rest(&mut self) -> Bytes {
         self.buffer.split().freeze()
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -41,7 +41,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Maximum size of the answer, in bytes.
-const MAX_REPORT_BYTES: usize = 1 << 20;
+const MAX_REPORT_BYTES: usize = 256 << 10;
 
 /// Endpoints for which a check is under way.
 #[derive(Debug, Default)]
@@ -95,7 +95,9 @@
             Identity::Silent => return Err(io::ErrorKind::TimedOut.into()),
         }
     }
-    Err(io::Error::other("the endpoint does not tell when it started"))
+    Err(io::Error::other(
+        "the endpoint does not tell when it started",
+    ))
 }
 
 async fn open(state: &Arc<State>, endpoint: &Endpoint) -> io::Result<Connection> {
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -119,7 +119,7 @@
         mut sent,
     } = started;
     let framing = exchange.framing();
-    let read = time::timeout_at(until, exchange.collect(MAX_ANSWER_BYTES)).await;
+    let read = time::timeout_at(until, exchange.collect(MAX_ANSWER_BYTES, &state.answers)).await;
     let failed = |sent, kind, context: String| {
         guard.record(Report::Failed);
         Failure::Unknown {
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::Clock,
     metrics::gateway::Metrics,
+    outbound::Memory,
     platform::{self, answer::Answer},
     quarantine::Causes,
 };
@@ -36,6 +37,14 @@
 /// bodies may use.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// Divisor of the memory of the process. The quotient is the memory that answers of plain
+/// endpoints may use until their callers have taken them.
+const ANSWER_MEMORY_DIVISOR: u64 = 4;
+
+/// Divisor of the memory of the process. The quotient is the memory that incomplete events
+/// may use.
+const EVENT_MEMORY_DIVISOR: u64 = 8;
+
 /// Source of statements that this gateway has read itself, for logs.
 pub(super) const OWN: &str = "own";
 
@@ -56,6 +65,10 @@
     pub(super) streams: origin::Memory,
     pub(super) end_checks: lifetime::Checks,
     pub(super) body_bytes: tokio::sync::Semaphore,
+    /// Memory for answers of plain endpoints.
+    pub(super) answers: Memory,
+    /// Memory for events that have not arrived completely.
+    pub(super) events: Memory,
     config: Mutex<Option<Adopted>>,
     evacuation: Mutex<evacuation::Tracker>,
     listed: AtomicBool,
@@ -137,6 +150,8 @@
             body_bytes: tokio::sync::Semaphore::new(
                 body_bytes.min(tokio::sync::Semaphore::MAX_PERMITS),
             ),
+            answers: Memory::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR),
+            events: Memory::new(settings.memory_bytes / EVENT_MEMORY_DIVISOR),
             config: Mutex::default(),
             evacuation: Mutex::default(),
             listed: AtomicBool::new(false),
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -8,9 +8,9 @@
     request::{Job, Refusal},
     stages::{self, Outputs},
     state::{InFlight, State, lock},
-    upstream::{Current, Progress, Upstream},
+    upstream::{self, Current, Progress, Upstream},
 };
-use crate::outbound::Framing;
+use crate::outbound::{Framing, Reservation};
 use bytes::Bytes;
 use cicadacrank_core::{
     error::Kind,
@@ -91,6 +91,7 @@
     let mut relay = Relay {
         state: Arc::clone(state),
         splitter,
+        partial_memory: state.events.reserve(),
         outputs: Some(outputs),
         arrivals: attempts.arrivals + 1,
         tried: attempts.tried,
@@ -257,6 +258,8 @@
     job: Job,
     upstream: Upstream,
     splitter: Splitter,
+    /// Memory of the incomplete event at the end.
+    partial_memory: Reservation,
     outputs: Option<Outputs>,
     tried: Vec<Key>,
     arrivals: u32,
@@ -311,13 +314,13 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    match self.splitter.push(&bytes) {
+                    match upstream::push(&mut self.splitter, &mut self.partial_memory, &bytes) {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => {
                             self.record_events(&events);
                             return Some(Ok(events));
                         }
-                        Err(fault) => fault.to_string(),
+                        Err(fault) => fault,
                     }
                 }
                 Ok(None) => match self.unexpected_end().await {
@@ -570,6 +573,7 @@
             outgoing,
             upstream: &mut self.upstream,
             splitter: &mut self.splitter,
+            partial_memory: &mut self.partial_memory,
             may_continue,
         };
         let held = self.outputs.take();
--- a/crates/cicadacrank-node/src/gateway/upstream.rs
+++ b/crates/cicadacrank-node/src/gateway/upstream.rs
@@ -6,7 +6,7 @@
     lifetime,
     state::State,
 };
-use crate::outbound::{Exchange, Framing};
+use crate::outbound::{Exchange, Framing, Reservation};
 use bytes::Bytes;
 use cicadacrank_core::{event::Event, once::Sent, stream::Splitter};
 use http_body_util::BodyExt as _;
@@ -63,6 +63,26 @@
     }
 }
 
+/// Appends bytes of a stream and returns the events that are now complete.
+///
+/// # Errors
+///
+/// Returns a message if the bytes are not part of the stream, or if no memory is left for
+/// an incomplete event.
+pub fn push(
+    splitter: &mut Splitter,
+    memory: &mut Reservation,
+    bytes: &[u8],
+) -> Result<Bytes, String> {
+    let events = splitter.push(bytes).map_err(|fault| fault.to_string())?;
+    let reserved = memory.resize(splitter.partial_bytes());
+    // Complete events are passed on in any case, since the stream goes on after them.
+    if events.is_empty() {
+        reserved?;
+    }
+    Ok(events)
+}
+
 /// How an engine that was silent goes on with its stream.
 pub enum Progress {
     /// It sent complete events.
@@ -81,6 +101,8 @@
     pub upstream: &'a mut Upstream,
     /// Splits the events of the stream.
     pub splitter: &'a mut Splitter,
+    /// Memory of the incomplete event at the end.
+    pub partial_memory: &'a mut Reservation,
     /// Whether the engine may still go on with the stream.
     pub may_continue: bool,
 }
@@ -115,18 +137,20 @@
     /// Takes the next part of the response. Abandons the engine if it broke off.
     fn receive(&mut self, received: Option<hyper::Result<Frame<Bytes>>>) -> Option<Progress> {
         match received {
-            Some(Ok(frame)) => match self.splitter.push(&frame.into_data().ok()?) {
-                Ok(events) => (!events.is_empty()).then_some(Progress::Events(events)),
-                Err(fault) => {
-                    let endpoint = &self.upstream.guard.endpoint.life.id;
-                    Event::AttemptFailed.log(format_args!(
-                        "id={} endpoint={endpoint} context=\"{fault}\"",
-                        self.outgoing.id(),
-                    ));
-                    self.abandon();
-                    None
+            Some(Ok(frame)) => {
+                match push(self.splitter, self.partial_memory, &frame.into_data().ok()?) {
+                    Ok(events) => (!events.is_empty()).then_some(Progress::Events(events)),
+                    Err(fault) => {
+                        let endpoint = &self.upstream.guard.endpoint.life.id;
+                        Event::AttemptFailed.log(format_args!(
+                            "id={} endpoint={endpoint} context=\"{fault}\"",
+                            self.outgoing.id(),
+                        ));
+                        self.abandon();
+                        None
+                    }
                 }
-            },
+            }
             None if self.upstream.may_end() && !self.splitter.has_partial() => Some(Progress::End),
             None | Some(Err(_)) => {
                 self.upstream.check_crash(self.state, self.outgoing);
