Encode the names of objects in calls to the store

Cause: the name of the last object of a page was put into the query as it was. A space makes no URI, so the list failed for good; #, &, + and % cut or change the name. The class of fault: text of another writer used in a syntax that it may not fit.

Change: all names in paths and queries of the store's calls are percent-encoded at one place, by the percent-encoding library.

--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -137,7 +137,7 @@
             (Method::GET, None) if request.query::<u64>("watch").is_some() => {
                 self.watch(request, response, collection).await;
             }
-            (Method::GET, None) => self.list(response, collection),
+            (Method::GET, None) => self.list(request, response, collection),
             (method, name) => {
                 self.write(request, response, collection, method, name)
                     .await;
@@ -166,15 +166,23 @@
         }
     }
 
-    fn list(&self, response: &mut Response, collection: Collection) {
+    fn list(&self, request: &mut Request, response: &mut Response, collection: Collection) {
         let mut state = self.lock();
         state.counts.lists += 1;
         set_era(response, state.era());
         let listing = state.list(collection);
-        let items: Vec<Value> = listing.objects.iter().map(resource).collect();
+        let after = request.query::<String>("after").unwrap_or_default();
+        let mut rest = listing.objects;
+        rest.retain(|object| after.is_empty() || object.name > after);
+        rest.sort_by(|one, other| one.name.cmp(&other.name));
+        let limit = match state.faults.page_items {
+            0 => rest.len(),
+            limit => limit,
+        };
+        let items: Vec<Value> = rest.iter().take(limit).map(resource).collect();
         let page = json!({
             "items": items,
-            "hasMore": false,
+            "hasMore": rest.len() > limit,
             "at": listing.version.revision,
         });
         send(response, &state, &page);
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -42,6 +42,8 @@
     pub lose_calls: u32,
     /// Age of the state that lists return, in milliseconds.
     pub list_lag_ms: u64,
+    /// Maximum number of objects on a page of a list. Zero means no limit.
+    pub page_items: usize,
     /// Watches deliver no changes.
     pub mute_watches: bool,
     /// Number of next changes that watches drop.
--- a/crates/cicadacrank-bench/tests/platform.rs
+++ b/crates/cicadacrank-bench/tests/platform.rs
@@ -520,3 +520,52 @@
     assert_eq!(label(&client.list(Collection::Claims).await), "ok");
     assert_eq!(label(&client.list(Collection::Claims).await), "expired");
 }
+
+/// Names that other writers may choose, in order.
+const ODD_NAMES: [&str; 12] = [
+    "a b", "a#b", "a%20b", "a&b=c", "a+b", "a/b", "a:b", "a;b", "a?b", "a\"b", "a\u{7f}b",
+    "a\u{e9}b",
+];
+
+/// A name with a space ended the list of all objects for good; others were cut or changed.
+#[tokio::test]
+async fn list_continues_after_each_name() {
+    let server = Server::start().await.expect("failed to start the server");
+    let mut names: Vec<String> = ODD_NAMES.iter().map(|name| (*name).to_owned()).collect();
+    names.extend(["a".to_owned(), "a-".to_owned(), "n".repeat(200)]);
+    names.sort();
+    for name in &names {
+        server
+            .state()
+            .put(Collection::Endpoints, name, json!({ "name": name }));
+    }
+    server.state().faults.page_items = 1;
+    let client = client(server.address);
+    let listing = client.list(Collection::Endpoints).await;
+    let listing = listing.expect("the list is complete");
+    let listed: Vec<String> = listing.objects.into_iter().map(|one| one.name).collect();
+    assert_eq!(listed, names);
+}
+
+/// The same of calls for one object.
+#[tokio::test]
+async fn calls_reach_the_object_of_each_name() {
+    let server = Server::start().await.expect("failed to start the server");
+    let client = client(server.address);
+    for name in ODD_NAMES {
+        let created = client.create(Collection::Claims, name, json!({ "at": 1 }));
+        let version = created.await.expect("created");
+        let written = client.update(Collection::Claims, name, &version, json!({ "at": 2 }));
+        let version = written
+            .await
+            .unwrap_or_else(|fault| panic!("{name}: {fault}"));
+        let object = client.get(Collection::Claims, name).await;
+        let object = object.unwrap_or_else(|fault| panic!("{name}: {fault}"));
+        assert_eq!(
+            (object.name.as_str(), &object.spec["at"]),
+            (name, &json!(2))
+        );
+        let deleted = client.delete(Collection::Claims, name, &version).await;
+        assert_eq!(deleted, Ok(()), "{name}");
+    }
+}
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -22,11 +22,20 @@
 };
 use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Full;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::Serialize;
 use serde_json::Value;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::sync::watch;
 
+/// Characters of names that are encoded in paths and queries: all that RFC 3986 does not
+/// leave unreserved.
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// Maximum number of pages of a list, which is about half a million objects.
 const MAX_PAGES: usize = 1_000;
 
@@ -112,8 +121,8 @@
         wait: Duration,
     ) -> Result<Changes, Fault> {
         let path = format!(
-            "/objects/{}?watch={}&waitMs={}",
-            collection.as_str(),
+            "{}?watch={}&waitMs={}",
+            path(collection),
             after.revision,
             wait.as_millis()
         );
@@ -156,11 +165,10 @@
         collection: Collection,
         after: Option<&str>,
     ) -> Result<(u64, Page), Fault> {
-        let kind = collection.as_str();
-        let path = after.map_or_else(
-            || format!("/objects/{kind}"),
-            |name| format!("/objects/{kind}?after={name}"),
-        );
+        let path = match after {
+            Some(name) => format!("{}?after={}", path(collection), encode(name)),
+            None => path(collection),
+        };
         let answer = self.call(Method::GET, &path, None, self.timeout).await?;
         let page = page::decode_page(collection, answer.era, &answer.bytes)?;
         Ok((answer.era, page))
@@ -203,11 +211,10 @@
         };
         let body =
             serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
-        let kind = collection.as_str();
         let path = if method == Method::POST {
-            format!("/objects/{kind}")
+            path(collection)
         } else {
-            format!("/objects/{kind}/{name}")
+            object_path(collection, name)
         };
         if let Some(version) = version {
             self.check_era(version)?;
@@ -264,6 +271,21 @@
     }
 }
 
+/// Returns the path of a collection.
+fn path(collection: Collection) -> String {
+    format!("/objects/{}", collection.as_str())
+}
+
+/// Returns the path of an object.
+fn object_path(collection: Collection, name: &str) -> String {
+    format!("{}/{}", path(collection), encode(name))
+}
+
+/// Encodes a name for a path or a query. Other writers choose some names.
+fn encode(name: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(name, ENCODED)
+}
+
 /// Returns the era that an answer names, or zero if it names none.
 fn parse_era(headers: &HeaderMap) -> Result<u64, Fault> {
     let Some(value) = headers.get(&ERA) else {
@@ -295,7 +317,7 @@
         name: &'a str,
     ) -> BoxFuture<'a, Result<Object, Fault>> {
         async move {
-            let path = format!("/objects/{}/{name}", collection.as_str());
+            let path = object_path(collection, name);
             let answer = self.call(Method::GET, &path, None, self.timeout).await?;
             page::decode_object(collection, answer.era, &answer.bytes)
         }
@@ -340,8 +362,8 @@
     ) -> BoxFuture<'a, Result<(), Fault>> {
         async move {
             let path = format!(
-                "/objects/{}/{name}?revision={}",
-                collection.as_str(),
+                "{}?revision={}",
+                object_path(collection, name),
                 version.revision
             );
             self.check_era(version)?;
