Keep the times of crashes before the start of a process apart

Cause: reported ages were turned into times since the own start, cut off at zero. All crashes before it became one, and crashes at the same time count once. The class of fault: a time that crosses a process boundary, in a type that can't hold it.

Change: the times in the list of causes count from the retention before the origin of the clock; nothing that is kept is older.

--- a/crates/cicadacrank-node/src/quarantine/causes.rs
+++ b/crates/cicadacrank-node/src/quarantine/causes.rs
@@ -8,7 +8,7 @@
 use cicadacrank_core::{
     event::Event,
     quarantine::{
-        Fingerprint,
+        Fingerprint, RETENTION,
         cause::{Cause, Crash, List, Suspect},
     },
 };
@@ -16,12 +16,21 @@
 use std::{sync::Mutex, time::Duration};
 
 /// The possible causes of crashes, shared by the tasks of a process.
+///
+/// Other processes report crashes from before the start of this one. The times in the list
+/// therefore count from [`RETENTION`] before the origin of the clock; no crash that is kept is
+/// older.
 #[derive(Debug)]
 pub struct Causes {
     clock: Clock,
     list: Mutex<List>,
 }
 
+/// Converts a time since the origin of the clock to one in the list.
+fn in_list(time: Duration) -> Duration {
+    time + RETENTION
+}
+
 impl Causes {
     /// Creates an empty list.
     #[must_use]
@@ -46,8 +55,13 @@
 
     /// Records a crash under a request with these causes.
     pub fn record_crash(&self, causes: &[Cause], crash: Crash) {
+        let crash = Crash {
+            sent: in_list(crash.sent),
+            at: in_list(crash.at),
+            ..crash
+        };
         let mut list = lock(&self.list);
-        list.record_crash(causes, crash, self.clock.now());
+        list.record_crash(causes, crash, self.now());
         log_changes(&mut list, "own");
     }
 
@@ -55,7 +69,7 @@
     /// with these causes began then and went on.
     pub fn clear(&self, causes: &[Cause], began: Duration) {
         let mut list = lock(&self.list);
-        if list.clear(causes, began, self.clock.now()) {
+        if list.clear(causes, in_list(began), self.now()) {
             log_changes(&mut list, "own");
         }
     }
@@ -65,7 +79,7 @@
         if suspects.is_empty() {
             return;
         }
-        let now = self.clock.now();
+        let now = self.now();
         let mut list = lock(&self.list);
         for suspect in suspects {
             match decode(suspect, now) {
@@ -80,12 +94,16 @@
     /// and those that changed within `recent`, at most `most`.
     #[must_use]
     pub fn report(&self, recent: Duration, most: usize) -> Vec<wire::CrashSuspect> {
-        let now = self.clock.now();
+        let now = self.now();
         let mut list = lock(&self.list);
         let report = list.report(now, recent, most);
         log_changes(&mut list, "time");
         report.iter().map(|suspect| encode(suspect, now)).collect()
     }
+
+    fn now(&self) -> Duration {
+        in_list(self.clock.now())
+    }
 }
 
 fn log_changes(list: &mut List, source: &str) {
