Take no endpoint from an entry that lacks fields

Cause: these fields had defaults, though each registration has them. The class of fault: a default for what only the owner of an entry can say.

Evidence: platform::endpoint_rejects_a_registration_that_lacks_a_field fails without it. The sound entries of the tests of odd entries lacked the fields; they have all of them now, and each odd entry is whole but for its own oddity, which is stricter.

--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -22,14 +22,10 @@
     address: SocketAddr,
     zone: String,
     /// Version of the endpoint's software, not of its model's weights.
-    #[serde(default)]
     version: String,
-    #[serde(default)]
     slots: u32,
     state: WireState,
-    #[serde(default)]
     cold_remaining_ms: f64,
-    #[serde(default)]
     sequence: u64,
     /// Start time of the endpoint, not of its registration.
     born: Option<u64>,
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -54,13 +54,26 @@
 }
 
 fn registration(port: u16) -> Vec<u8> {
-    let fields = r#""service":"llm","zone":"a","slots":8,"state":"ready","sequence":4"#;
-    format!(r#"{{"address":"10.1.0.9:{port}",{fields}}}"#).into_bytes()
+    registration_with(&format!(r#""address":"10.1.0.9:{port}""#))
 }
 
+/// Returns a registration that is whole but for one further or other field.
 fn registration_with(field: &str) -> Vec<u8> {
-    let start = r#"{"service":"llm","address":"10.1.0.9:80","zone":"a","slots":8,"state":"ready""#;
-    format!("{start},{field}}}").into_bytes()
+    let fields = [
+        r#""service":"llm""#,
+        r#""address":"10.1.0.9:80""#,
+        r#""zone":"a""#,
+        r#""version":"v1""#,
+        r#""state":"ready""#,
+        r#""slots":8"#,
+        r#""coldRemainingMs":0"#,
+        r#""sequence":4"#,
+    ];
+    let name = |field: &str| field.split(':').next().map(str::to_owned);
+    let mut fields: Vec<&str> = fields.to_vec();
+    fields.retain(|one| name(one) != name(field));
+    fields.push(field);
+    format!("{{{}}}", fields.join(",")).into_bytes()
 }
 
 fn object(name: &str, spec: &[u8]) -> Vec<u8> {
@@ -106,7 +119,7 @@
         ),
         (
             "port out of range",
-            br#"{"service":"llm","address":"10.1.0.9:70000","zone":"a","state":"ready"}"#.to_vec(),
+            registration_with(r#""address":"10.1.0.9:70000""#),
         ),
         ("port zero", registration(0)),
         ("invalid UTF-8", invalid),
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -22,7 +22,7 @@
 }
 
 fn registration() -> Value {
-    json!({ "service": "llm", "address": "10.1.0.9:80", "zone": "a", "slots": 8,
+    json!({ "service": "llm", "address": "10.1.0.9:80", "zone": "a", "version": "v1", "slots": 8,
         "state": "ready", "coldRemainingMs": 1500, "sequence": 4, "born": 12, "more": true })
 }
 
@@ -42,6 +42,28 @@
     assert_eq!(endpoint.cold, Duration::from_millis(1_500));
 }
 
+/// An entry of another writer without most fields brought back an endpoint that had left.
+#[test]
+fn endpoint_rejects_a_registration_that_lacks_a_field() {
+    let fields = [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "coldRemainingMs",
+        "sequence",
+    ];
+    for field in fields {
+        let mut spec = registration();
+        let fields = spec.as_object_mut().expect("an object");
+        fields.remove(field).expect("the field");
+        let error = endpoint::decode(&object(spec)).expect_err(field);
+        assert!(error.contains(field), "{error}");
+    }
+}
+
 #[test]
 fn endpoint_rejects_invalid_fields() {
     for (field, value) in [
