--- a/scripts/order/case.rs
+++ b/scripts/order/case.rs
@@ -135,7 +135,11 @@
     last: u64,
     version: &str,
 ) -> io::Result<()> {
-    let chunks = if plan.is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
+    let chunks = if plan.is_framed {
+        "Transfer-Encoding: chunked\r\n"
+    } else {
+        ""
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n{chunks}\r\n",
         echo(request)
@@ -169,7 +173,13 @@
     whole: bool,
 }
 
-fn try_stream(gateway: SocketAddr, attempt: &str, subject: &str, more: &str, left: Duration) -> Try {
+fn try_stream(
+    gateway: SocketAddr,
+    attempt: &str,
+    subject: &str,
+    more: &str,
+    left: Duration,
+) -> Try {
     let mut result = Try {
         status: None,
         retry_after: None,
@@ -233,7 +243,11 @@
         taken.tries += 1;
         let gateway = gateways[(index + number) % gateways.len()];
         let attempt = format!("{}{number:x}", &first[..first.len() - 1]);
-        let last = taken.text.rsplit("id: ").next().filter(|_| !taken.text.is_empty());
+        let last = taken
+            .text
+            .rsplit("id: ")
+            .next()
+            .filter(|_| !taken.text.is_empty());
         let last = last.and_then(|rest| rest.lines().next());
         let more = last.map_or_else(String::new, |last| {
             format!("Last-Event-Id: {last}\r\nResumes: {origin}\r\n")
@@ -261,7 +275,10 @@
 
 /// Returns how a stream breaks the rule.
 fn fault(taken: &Taken) -> Option<&'static str> {
-    let ids = taken.text.lines().filter_map(|line| line.strip_prefix("id: "));
+    let ids = taken
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "));
     let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
     if taken.text.contains("v1 word") && taken.text.contains("v2 word") {
         Some("two versions")
@@ -277,13 +294,16 @@
 fn replace_in_place(plan: &Arc<Plan>, store: &Store, engine: &Engine, born: u64) {
     let old = lock(&engine.port).take().expect("an open port");
     old.crash();
-    plan.record.line(&format!("{} of version v1 ends", engine.id));
+    plan.record
+        .line(&format!("{} of version v1 ends", engine.id));
     thread::sleep(AWAY);
     *lock(&engine.port) = Some(open(plan, engine.id, "v2", born, Some(engine.address)));
-    plan.record.line(&format!("{} of version v2 serves", engine.id));
+    plan.record
+        .line(&format!("{} of version v2 serves", engine.id));
     thread::sleep(FIRST_WRITE);
     store.put("servers", engine.id, &entry_of(engine, "v2", born));
-    plan.record.line(&format!("the entry of {} is of version v2", engine.id));
+    plan.record
+        .line(&format!("the entry of {} is of version v2", engine.id));
 }
 
 fn join(plan: &Arc<Plan>, store: &Store, id: &'static str, born: u64) -> Engine {
@@ -340,7 +360,11 @@
     let start = Instant::now();
     let addresses: Vec<SocketAddr> = gateways.iter().map(|one| one.caller).collect();
     let all: Arc<Mutex<Vec<Taken>>> = Arc::default();
-    let gap = if trouble == Trouble::Idle { STREAM_GAP * 5 } else { STREAM_GAP };
+    let gap = if trouble == Trouble::Idle {
+        STREAM_GAP * 5
+    } else {
+        STREAM_GAP
+    };
     let mut callers = Vec::new();
     for index in 0..gateways.len() {
         let (addresses, all, plan) = (addresses.clone(), Arc::clone(&all), Arc::clone(&plan));
@@ -412,7 +436,10 @@
     let count = |name: &str| faults.iter().filter(|fault| fault.0 == name).count();
     let whole = all.iter().filter(|taken| taken.whole).count();
     let taken_up = all.iter().filter(|taken| taken.tries > 1).count();
-    let taken_up_whole = all.iter().filter(|taken| taken.tries > 1 && taken.whole).count();
+    let taken_up_whole = all
+        .iter()
+        .filter(|taken| taken.tries > 1 && taken.whole)
+        .count();
     record.say(&format!(
         "streams: {}, complete: {whole}, taken up: {taken_up}, of these complete: \
          {taken_up_whole}; two versions: {}, numbers: {}, incomplete: {}; broken off: {}",
