--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -8,7 +8,9 @@
 //! 2. `stages` runs the stages of the route. The calls to each service are formed
 //!    by one gateway, which `owner` determines.
 //! 3. `plain` or `stream` selects endpoints and makes attempts, each on its own
-//!    connection (`attempt`).
+//!    connection (`attempt`). `lifetime` knows whether the process at an endpoint's
+//!    address is still the registered one, and `origin` which version of an engine's
+//!    software began a stream that a caller takes up.
 //! 4. `reply` builds the response to a request that failed.
 //!
 //! `watch` watches the store, and `peers` exchanges with other gateways the state
