Read bodies, marks and the ends of processes at one place each

No change of behaviour but the text of one log context ('the body exceeds' in place of 'the response exceeds'), and that marks which were read count also if the list of endpoints read beside them did not arrive; the confirmation fails then as before.

Requests and answers were read into bounded memory by two copies of a loop: Buffer::read serves both. The marks of releases were read and decoded at two places: refresh_marks. The delay before the check of a port stood twice, and the check whether an endpoint lives on stood with the requests that crash endpoints instead of in lifetime. A doc comment still said that marks are read at the start only, and a method was wider than its use.

--- a/crates/cicadacrank-core/src/placement/fleet/statement.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/statement.rs
@@ -223,7 +223,7 @@
         ended.map(|row| &row.endpoint.life)
     }
 
-    pub(super) fn set_statement(&mut self, endpoint: &Incarnation, statement: Statement) {
+    fn set_statement(&mut self, endpoint: &Incarnation, statement: Statement) {
         self.statements.set(endpoint, statement);
         if let Some(row) = self.find(endpoint).and_then(|key| self.row_mut(key)) {
             row.statement = statement;
--- a/crates/cicadacrank-node/src/gateway/crash.rs
+++ b/crates/cicadacrank-node/src/gateway/crash.rs
@@ -17,10 +17,7 @@
 
 /// Delay between a broken connection and the check whether the endpoint crashed.
 /// A crashed endpoint has closed its port by then.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
-
-/// Time within which a process that is killed closes all of its sockets.
-const EXIT_TIME: Duration = Duration::from_millis(10);
+pub const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
 /// Time from the first data of a response during which the request may still be the
 /// one that crashes the endpoint.
@@ -72,16 +69,6 @@
     known.record_crash(&interruption.causes, crash);
 }
 
-/// Returns whether an endpoint runs on after the end of a connection.
-///
-/// The kernel closes the connections of a process that is killed like those of one that has
-/// sent everything, so an answer that ends with its connection is complete only if its
-/// endpoint is still there.
-pub async fn has_survived(endpoint: &Endpoint) -> bool {
-    time::sleep(EXIT_TIME).await;
-    outbound::is_accepting(endpoint.address, CONNECT_TIMEOUT).await
-}
-
 /// Returns the possible causes of a crash that a request has.
 #[must_use]
 pub fn causes(request: Fingerprint, service: &str, shared_parts: &[String]) -> Vec<Cause> {
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -6,7 +6,10 @@
 //! that it runs on. Streams go on only at a process that has just said that it is the
 //! registered one, on the connection that they are then sent on.
 
-use super::state::{OWN, State, lock};
+use super::{
+    crash::CRASH_CHECK_DELAY,
+    state::{OWN, State, lock},
+};
 use crate::{
     outbound::{self, CONNECT_TIMEOUT, Connection},
     platform::endpoint,
@@ -22,9 +25,8 @@
 };
 use tokio::time;
 
-/// Delay between a broken connection and the check whether the process has ended. A process
-/// that is killed has closed its port by then.
-const END_CHECK_DELAY: Duration = Duration::from_millis(60);
+/// Time within which a process that is killed closes all of its sockets.
+const EXIT_TIME: Duration = Duration::from_millis(10);
 
 /// Time between two questions to an endpoint whose process is taken to have ended.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,6 +136,16 @@
     }
 }
 
+/// Returns whether an endpoint runs on after the end of a connection.
+///
+/// The kernel closes the connections of a process that is killed like those of one that has
+/// sent everything, so an answer that ends with its connection is complete only if its
+/// endpoint is still there.
+pub async fn has_survived(endpoint: &Endpoint) -> bool {
+    time::sleep(EXIT_TIME).await;
+    outbound::is_accepting(endpoint.address, CONNECT_TIMEOUT).await
+}
+
 /// Checks in the background whether the process of an endpoint has ended, after a connection
 /// to it has broken.
 pub fn check_end(state: &Arc<State>, endpoint: &Endpoint) {
@@ -145,7 +157,7 @@
     drop(checks);
     let (state, endpoint) = (Arc::clone(state), endpoint.clone());
     tokio::spawn(async move {
-        time::sleep(END_CHECK_DELAY).await;
+        time::sleep(CRASH_CHECK_DELAY).await;
         if outbound::is_refusing(endpoint.address, CONNECT_TIMEOUT).await {
             record_end(&state, &endpoint, OWN);
         }
--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     clock::milliseconds,
-    platform::{Collection, Listing, Store as _},
+    platform::{Collection, Fault, Listing, Store as _},
 };
 use cicadacrank_core::{
     directory::Snapshot,
@@ -74,8 +74,8 @@
     releases: Mutex<Releases>,
     /// Time from which this gateway knows which versions serve.
     followed_since: OnceLock<Duration>,
-    /// Services that the store marked before this gateway started, each with the Unix time of
-    /// the mark in milliseconds, or `None` if they are not known yet.
+    /// Services that the store marked when it was read last, each with the Unix time of the
+    /// mark in milliseconds, or `None` if they are not known yet.
     marks: Mutex<Option<Vec<(String, u64)>>>,
     /// The last read of the store that was to confirm which versions serve.
     confirmation: tokio::sync::Mutex<Confirmation>,
@@ -336,28 +336,16 @@
     let mut confirmation = state.streams.confirmation.lock().await;
     if confirmation.began < asked {
         let began = state.clock.now();
-        state.metrics.store_calls.inc();
         let read = async {
-            let (marks, endpoints) = tokio::join!(
-                state.store.list(Collection::Releases),
-                watch::refresh_endpoints(state)
-            );
-            endpoints.and(marks)
-        };
-        let marks = match time::timeout(CONFIRM_TIMEOUT, read).await {
-            Ok(marks) => marks.map_err(|fault| fault.to_string()),
-            Err(_) => Err(format!("no answer in {} ms", CONFIRM_TIMEOUT.as_millis())),
-        };
-        let succeeded = match marks {
-            Ok(marks) => {
-                *lock(&state.streams.marks) = Some(decode_marks(&marks));
-                true
-            }
-            Err(fault) => {
-                log::debug!("failed to read which versions serve: {fault}");
-                false
-            }
+            let (marks, endpoints) =
+                tokio::join!(refresh_marks(state), watch::refresh_endpoints(state));
+            marks.and(endpoints)
         };
+        let read = time::timeout(CONFIRM_TIMEOUT, read).await;
+        let succeeded = matches!(read, Ok(Ok(())));
+        if !succeeded {
+            log::debug!("failed to read which versions serve: {read:?}");
+        }
         *confirmation = Confirmation { began, succeeded };
     }
     confirmation.succeeded
@@ -371,21 +359,20 @@
 }
 
 async fn read_marks(state: Arc<State>) {
-    loop {
-        state.metrics.store_calls.inc();
-        match state.store.list(Collection::Releases).await {
-            Ok(listing) => {
-                *lock(&state.streams.marks) = Some(decode_marks(&listing));
-                return;
-            }
-            Err(fault) => {
-                log::debug!("failed to read when several versions served: {fault}");
-                time::sleep(CHECK_INTERVAL).await;
-            }
-        }
+    while let Err(fault) = refresh_marks(&state).await {
+        log::debug!("failed to read when several versions served: {fault}");
+        time::sleep(CHECK_INTERVAL).await;
     }
 }
 
+/// Reads the marks now.
+async fn refresh_marks(state: &State) -> Result<(), Fault> {
+    state.metrics.store_calls.inc();
+    let listing = state.store.list(Collection::Releases).await?;
+    *lock(&state.streams.marks) = Some(decode_marks(&listing));
+    Ok(())
+}
+
 /// Returns the services with the time of their marks. An object that cannot be read counts
 /// as a mark that has just been made.
 fn decode_marks(listing: &Listing) -> Vec<(String, u64)> {
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Failure, Parameters, Started},
-    crash, peers,
+    lifetime, peers,
     reply::Body,
     request::{Job, Refusal},
     state::{State, lock},
@@ -142,7 +142,7 @@
             ));
         }
     };
-    if framing == Framing::Connection && !crash::has_survived(&guard.endpoint).await {
+    if framing == Framing::Connection && !lifetime::has_survived(&guard.endpoint).await {
         let context = "the endpoint ended with its connection".to_owned();
         return Err(failed(sent, Kind::Truncated, context));
     }
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -7,7 +7,7 @@
     state::State,
     stream,
 };
-use crate::{inbound, memory::Shortage, platform::caller::Caller};
+use crate::{inbound, memory::Fault, platform::caller::Caller};
 use bytes::Bytes;
 use cicadacrank_core::{
     config::{Config, Rejection, Route},
@@ -19,7 +19,6 @@
     quarantine::Fingerprint,
 };
 use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
-use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming, SizeHint};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -309,32 +308,22 @@
             .refuse(Kind::TooLarge, format!("limit={limit}"))
             .into());
     }
-    let shortage = |shortage: Shortage| {
-        let refusal = Unsent::begin().refuse(Kind::Overloaded, shortage.to_string());
-        Refusal::from(refusal)
-    };
     let mut buffer = state.bodies.buffer();
-    if let Some(bytes) = declared {
-        let bytes = usize::try_from(bytes).unwrap_or(limit);
-        buffer.reserve(bytes).map_err(shortage)?;
-    }
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            let refusal = Unsent::begin().refuse(Kind::BadRequest, error.to_string());
-            Refusal::from(refusal)
-        })?;
-        // Trailers are not part of the body.
-        let Ok(part) = frame.into_data() else {
-            continue;
+    let reserved = declared.map_or(Ok(()), |bytes| {
+        buffer.reserve(usize::try_from(bytes).unwrap_or(limit))
+    });
+    let read = match reserved {
+        Ok(()) => buffer.read(body, limit).await,
+        Err(shortage) => Err(shortage.into()),
+    };
+    read.map_err(|fault| {
+        let (kind, context) = match fault {
+            Fault::TooLarge(limit) => (Kind::TooLarge, format!("limit={limit}")),
+            Fault::Shortage(shortage) => (Kind::Overloaded, shortage.to_string()),
+            Fault::Broken(error) => (Kind::BadRequest, error),
         };
-        if buffer.len() + part.len() > limit {
-            return Err(Unsent::begin()
-                .refuse(Kind::TooLarge, format!("limit={limit}"))
-                .into());
-        }
-        buffer.extend(&part).map_err(shortage)?;
-    }
-    Ok(buffer.into_bytes())
+        Unsent::begin().refuse(kind, context).into()
+    })
 }
 
 /// Returns the host of a request in lower case, without its port.
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{self, Attempts, Parameters, Started},
-    crash, origin, peers,
+    lifetime, origin, peers,
     plain::forward_response,
     reply::Body,
     request::{Job, Refusal},
@@ -432,7 +432,7 @@
         if truncation.is_some() || self.upstream.exchange.framing() != Framing::Connection {
             return truncation;
         }
-        let has_survived = crash::has_survived(&self.upstream.guard.endpoint).await;
+        let has_survived = lifetime::has_survived(&self.upstream.guard.endpoint).await;
         (!has_survived).then_some("the engine ended with its connection")
     }
 
--- a/crates/cicadacrank-node/src/memory.rs
+++ b/crates/cicadacrank-node/src/memory.rs
@@ -1,6 +1,8 @@
 //! Bounds of the memory that the bodies of many requests or answers take together.
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Body;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -44,6 +46,20 @@
 #[error("no memory is left for the body")]
 pub struct Shortage;
 
+/// Reason why a body could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The body is larger than so many bytes.
+    #[error("the body exceeds {0} bytes")]
+    TooLarge(usize),
+    /// No memory is left for the body.
+    #[error(transparent)]
+    Shortage(#[from] Shortage),
+    /// The body is incomplete.
+    #[error("{0}")]
+    Broken(String),
+}
+
 /// A part of [`Memory`], held until it is dropped.
 #[derive(Debug)]
 pub struct Reservation {
@@ -86,18 +102,6 @@
 }
 
 impl Buffer {
-    /// Returns the number of bytes.
-    #[must_use]
-    pub const fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    /// Returns whether there are no bytes.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
     /// Takes memory for so many bytes in all.
     ///
     /// # Errors
@@ -111,12 +115,31 @@
         Ok(())
     }
 
-    /// Appends bytes.
+    /// Reads a body of at most `max_bytes` to its end. The bytes hold their memory until the
+    /// last copy is dropped.
     ///
     /// # Errors
     ///
-    /// Returns an error if no memory is left for them.
-    pub fn extend(&mut self, bytes: &[u8]) -> Result<(), Shortage> {
+    /// Returns a fault if the body is larger or incomplete, or if no memory is left for it.
+    pub async fn read<B>(mut self, body: &mut B, max_bytes: usize) -> Result<Bytes, Fault>
+    where
+        B: Body<Data = Bytes, Error: ToString> + Unpin,
+    {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Fault::Broken(error.to_string()))?;
+            // Trailers are not part of the body.
+            let Ok(part) = frame.into_data() else {
+                continue;
+            };
+            if self.bytes.len() + part.len() > max_bytes {
+                return Err(Fault::TooLarge(max_bytes));
+            }
+            self.extend(&part)?;
+        }
+        Ok(Bytes::from_owner(self))
+    }
+
+    fn extend(&mut self, bytes: &[u8]) -> Result<(), Shortage> {
         let needed = self.bytes.len() + bytes.len();
         if needed > self.bytes.capacity() {
             self.reserve(needed.max(self.bytes.capacity() * 2))?;
@@ -124,12 +147,6 @@
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
-
-    /// Returns the bytes, which hold their memory until the last copy is dropped.
-    #[must_use]
-    pub fn into_bytes(self) -> Bytes {
-        Bytes::from_owner(self)
-    }
 }
 
 impl AsRef<[u8]> for Buffer {
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -174,20 +174,10 @@
     ) -> Result<Response<Bytes>, String> {
         let Self { response, driver } = self;
         let (head, mut body) = response.into_parts();
-        let mut buffer = memory.buffer();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            // Trailers are not part of the body.
-            let Ok(part) = frame.into_data() else {
-                continue;
-            };
-            if buffer.len() + part.len() > max_bytes {
-                return Err(format!("the response exceeds {max_bytes} bytes"));
-            }
-            buffer.extend(&part).map_err(|error| error.to_string())?;
-        }
+        let read = memory.buffer().read(&mut body, max_bytes).await;
+        let bytes = read.map_err(|fault| fault.to_string())?;
         drop(driver);
-        Ok(Response::from_parts(head, buffer.into_bytes()))
+        Ok(Response::from_parts(head, bytes))
     }
 }
 
