Share the steps of the tests of versions and of order

Both files had their own copies of how streams begin, break off and are taken up; they stand in the tests' gateways module now. Three tests of order shared a loop, now check_refused. All assertions are kept.

--- a/crates/cicadacrankd/tests/order.rs
+++ b/crates/cicadacrankd/tests/order.rs
@@ -3,7 +3,10 @@
 
 mod gateways;
 
-use self::gateways::{deployment, set_faults};
+use self::gateways::{
+    begin, begin_streams, deployment, engines, register, set_faults, take_up, wait_for_directory,
+    wait_for_log,
+};
 use cicadacrank_bench::{
     deployment::{
         Answer, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Proxy, Resumption, Role,
@@ -12,7 +15,6 @@
     fleet,
 };
 use cicadacrank_node::platform::Collection;
-use serde_json::json;
 use std::{path::Path, time::Duration};
 use tokio::time;
 
@@ -25,64 +27,29 @@
 /// Number of streams that begin before each trouble.
 const STREAMS: usize = 8;
 
-fn engines(deployment: &Deployment) -> Vec<&Endpoint> {
-    deployment.endpoints_with(Role::Engine).collect()
-}
-
-fn register(deployment: &Deployment, engine: &Endpoint, version: &str, sequence: u64) {
-    let mut entry = engine.entry("ready", sequence);
-    entry["version"] = json!(version);
-    let mut store = deployment.store.state();
-    store.put(Collection::Endpoints, &engine.id, entry);
-}
-
 fn remove(deployment: &Deployment, engine: &Endpoint) {
     let mut store = deployment.store.state();
     store.remove(Collection::Endpoints, &engine.id);
 }
 
-/// Waits until a gateway holds the list of endpoints that the store has now.
-async fn wait_for_directory(deployment: &Deployment, gateway: usize) {
-    let listing = deployment.store.state().list(Collection::Endpoints);
-    let revision = listing.version.revision;
-    let known = format!("DirectoryChanged: era=0 revision={revision} ");
-    gateways::wait_for_log(deployment, gateway, &known).await;
-}
-
-async fn begin(deployment: &Deployment, gateway: usize, attempt: &str) -> Answer {
-    let caller = Caller::new().expect("failed to create the caller");
-    let address = deployment.gateways[gateway].caller_address();
-    send(caller.stream(address, "/chat/x", attempt)).await
-}
-
-/// Takes up the stream that the attempt `began` had begun, after its third event.
-async fn take_up(deployment: &Deployment, gateway: usize, attempt: &str, began: &str) -> Answer {
-    let caller = Caller::new().expect("failed to create the caller");
-    let address = deployment.gateways[gateway].caller_address();
-    let request = caller.stream(address, "/chat/x", attempt);
-    let request = request
-        .header("last-event-id", "3")
-        .header("resumes", began);
-    send(request).await
+fn has_run(engine: &Endpoint, attempt: &str) -> bool {
+    engine.runs().iter().any(|run| run.attempt == attempt)
 }
 
-/// Begins streams at a gateway that break off after their third event. Returns their
-/// attempts.
-async fn begin_streams(deployment: &Deployment, gateway: usize) -> Vec<String> {
-    set_faults(deployment, Role::Engine, Fault::BreakOff);
-    let mut attempts = Vec::new();
-    for number in 0..STREAMS {
-        let attempt = format!("s{number}");
-        let answer = begin(deployment, gateway, &attempt).await;
-        assert!(!answer.whole, "{attempt}");
-        attempts.push(attempt);
+/// Takes all streams up at a gateway, and checks that they are refused and that an engine
+/// runs none of them.
+async fn check_refused(
+    deployment: &Deployment,
+    gateway: usize,
+    began: &[String],
+    engine: &Endpoint,
+) {
+    for began in began {
+        let attempt = format!("{began}-early");
+        let answer = take_up(deployment, gateway, &attempt, began).await;
+        assert_eq!(answer.status, Some(503), "{attempt}");
+        assert!(!has_run(engine, &attempt), "{attempt}");
     }
-    set_faults(deployment, Role::Engine, Fault::None);
-    attempts
-}
-
-fn has_run(engine: &Endpoint, attempt: &str) -> bool {
-    engine.runs().iter().any(|run| run.attempt == attempt)
 }
 
 /// Returns the ids of the events in a body.
@@ -97,7 +64,7 @@
 #[tokio::test]
 async fn stream_is_not_taken_up_at_a_process_that_started_after_it_began() {
     let deployment = deployment(1, 2).await;
-    let began = begin_streams(&deployment, 0).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(BUDGET_TIME).await;
     let engines = engines(&deployment);
     remove(&deployment, engines[1]);
@@ -106,12 +73,7 @@
     time::sleep(NOTICE_TIME).await;
     engines[0].start_again();
     time::sleep(NOTICE_TIME).await;
-    for began in &began {
-        let attempt = format!("{began}-early");
-        let answer = take_up(&deployment, 0, &attempt, began).await;
-        assert_eq!(answer.status, Some(503), "{attempt}");
-        assert!(!has_run(engines[0], &attempt), "{attempt}");
-    }
+    check_refused(&deployment, 0, &began, engines[0]).await;
     register(&deployment, engines[0], "v2", 1);
     wait_for_directory(&deployment, 0).await;
     let answer = begin(&deployment, 0, "new").await;
@@ -125,7 +87,7 @@
 #[tokio::test]
 async fn stream_is_not_taken_up_at_an_engine_that_refused_connections() {
     let deployment = deployment(1, 2).await;
-    let began = begin_streams(&deployment, 0).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(BUDGET_TIME).await;
     let engines = engines(&deployment);
     engines[0].set_silent(true);
@@ -137,12 +99,7 @@
     assert_eq!(answer.status, Some(503));
     engines[0].start_again();
     time::sleep(BUDGET_TIME).await;
-    for began in &began {
-        let attempt = format!("{began}-early");
-        let answer = take_up(&deployment, 0, &attempt, began).await;
-        assert_eq!(answer.status, Some(503), "{attempt}");
-        assert!(!has_run(engines[0], &attempt), "{attempt}");
-    }
+    check_refused(&deployment, 0, &began, engines[0]).await;
     register(&deployment, engines[0], "v2", 1);
     wait_for_directory(&deployment, 0).await;
     let answer = begin(&deployment, 0, "new").await;
@@ -153,7 +110,7 @@
 #[tokio::test]
 async fn stream_is_not_taken_up_at_an_engine_that_another_gateway_saw_end() {
     let deployment = deployment(2, 2).await;
-    let began = begin_streams(&deployment, 0).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(BUDGET_TIME).await;
     let engines = engines(&deployment);
     engines[0].set_silent(true);
@@ -164,22 +121,17 @@
     engines[0].crash();
     let answer = take_up(&deployment, 0, "away", &began[0]).await;
     assert_eq!(answer.status, Some(503));
-    gateways::wait_for_log(&deployment, 1, "EndpointEnded").await;
+    wait_for_log(&deployment, 1, "EndpointEnded").await;
     engines[0].start_again();
     time::sleep(NOTICE_TIME).await;
-    for began in &began {
-        let attempt = format!("{began}-early");
-        let answer = take_up(&deployment, 1, &attempt, began).await;
-        assert_eq!(answer.status, Some(503), "{attempt}");
-        assert!(!has_run(engines[0], &attempt), "{attempt}");
-    }
+    check_refused(&deployment, 1, &began, engines[0]).await;
 }
 
 /// An engine that was reached again with its old process was left out for good.
 #[tokio::test]
 async fn stream_is_taken_up_at_the_process_that_began_it_after_its_port_was_closed() {
     let deployment = deployment(1, 1).await;
-    let began = begin_streams(&deployment, 0).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(BUDGET_TIME).await;
     let engine = engines(&deployment)[0];
     engine.crash();
@@ -257,7 +209,7 @@
         store.set_impairment(Impairment::Stall);
         register(&deployment, engines(&deployment)[1], "v2", 2);
         wait_for_directory(&deployment, 0).await;
-        let began = begin_streams(&deployment, 0).await;
+        let began = begin_streams(&deployment, 0, STREAMS).await;
         if kills_other {
             deployment.gateways[0].kill().expect("failed to kill");
         }
@@ -296,7 +248,7 @@
 #[tokio::test]
 async fn take_up_passes_on_no_event_that_the_caller_has() {
     let deployment = deployment(1, 2).await;
-    let began = begin_streams(&deployment, 0).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(BUDGET_TIME).await;
     for (number, resumption) in [
         Resumption::Restart,
--- a/crates/cicadacrankd/tests/versions.rs
+++ b/crates/cicadacrankd/tests/versions.rs
@@ -2,10 +2,11 @@
 
 mod gateways;
 
-use self::gateways::{deployment, set_faults, wait_for_log};
-use cicadacrank_bench::deployment::{Answer, Caller, Deployment, Endpoint, Fault, Role, send};
+use self::gateways::{
+    begin, begin_streams, deployment, engines, register, set_faults, take_up, wait_for_directory,
+};
+use cicadacrank_bench::deployment::{Deployment, Endpoint, Fault, Role};
 use cicadacrank_node::platform::Collection;
-use serde_json::json;
 use std::{ops::Range, time::Duration};
 use tokio::time;
 
@@ -17,18 +18,6 @@
 /// Number of streams of which some begin at engines of each version.
 const STREAMS: usize = 12;
 
-fn engines(deployment: &Deployment) -> Vec<&Endpoint> {
-    deployment.endpoints_with(Role::Engine).collect()
-}
-
-/// Registers an engine with a version of its software.
-fn register(deployment: &Deployment, engine: &Endpoint, version: &str, sequence: u64) {
-    let mut entry = engine.entry("ready", sequence);
-    entry["version"] = json!(version);
-    let mut store = deployment.store.state();
-    store.put(Collection::Endpoints, &engine.id, entry);
-}
-
 /// Registers the engines from `first` on with the new version, and waits until all
 /// gateways know.
 async fn release(deployment: &Deployment, first: usize) {
@@ -39,11 +28,8 @@
     for engine in &engines(deployment)[range] {
         register(deployment, engine, NEW, 2);
     }
-    let listing = deployment.store.state().list(Collection::Endpoints);
-    let revision = listing.version.revision;
-    let known = format!("DirectoryChanged: era=0 revision={revision} ");
     for gateway in 0..deployment.gateways.len() {
-        wait_for_log(deployment, gateway, &known).await;
+        wait_for_directory(deployment, gateway).await;
     }
 }
 
@@ -55,41 +41,6 @@
     ran.map(|(number, _)| number).collect()
 }
 
-fn caller() -> Caller {
-    Caller::new().expect("failed to create the caller")
-}
-
-/// Starts a stream at a gateway, and returns the answer.
-async fn begin(deployment: &Deployment, gateway: usize, attempt: &str) -> Answer {
-    let address = deployment.gateways[gateway].caller_address();
-    send(caller().stream(address, "/chat/x", attempt)).await
-}
-
-/// Takes up the stream that the attempt `began` had begun, after its third event.
-async fn take_up(deployment: &Deployment, gateway: usize, attempt: &str, began: &str) -> Answer {
-    let address = deployment.gateways[gateway].caller_address();
-    let request = caller().stream(address, "/chat/x", attempt);
-    let request = request
-        .header("last-event-id", "3")
-        .header("resumes", began);
-    send(request).await
-}
-
-/// Begins streams at gateway 0, and returns their attempts. They break off after the third
-/// event, and no engine goes on with them.
-async fn begin_streams(deployment: &Deployment) -> Vec<String> {
-    set_faults(deployment, Role::Engine, Fault::BreakOff);
-    let mut attempts = Vec::new();
-    for number in 0..STREAMS {
-        let attempt = format!("s{number}");
-        let answer = begin(deployment, 0, &attempt).await;
-        assert!(!answer.whole, "{attempt}");
-        attempts.push(attempt);
-    }
-    set_faults(deployment, Role::Engine, Fault::None);
-    attempts
-}
-
 /// Returns whether engines of the new version ran an attempt, and checks that none of
 /// another version did.
 fn is_new(deployment: &Deployment, attempt: &str) -> bool {
@@ -128,7 +79,7 @@
 async fn stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it() {
     let deployment = deployment(3, 4).await;
     release(&deployment, 2).await;
-    let began = begin_streams(&deployment).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     for gateway in [0, 1] {
         check_take_ups(&deployment, gateway, &began).await;
     }
@@ -139,7 +90,7 @@
 async fn stream_whose_gateway_is_gone_goes_on_at_the_version_that_began_it() {
     let deployment = deployment(3, 4).await;
     release(&deployment, 2).await;
-    let began = begin_streams(&deployment).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     time::sleep(Duration::from_millis(500)).await;
     deployment.gateways[0].kill().expect("failed to kill");
     check_take_ups(&deployment, 1, &began).await;
@@ -149,7 +100,7 @@
 #[tokio::test]
 async fn stream_that_began_before_a_release_goes_on_at_the_version_that_began_it() {
     let deployment = deployment(2, 4).await;
-    let began = begin_streams(&deployment).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     let runs: Vec<usize> = engines(&deployment)
         .iter()
         .map(|engine| engine.runs().len())
@@ -192,7 +143,7 @@
     for old_has_left in [false, true] {
         let mut deployment = deployment(2, 4).await;
         release(&deployment, 2).await;
-        let began = begin_streams(&deployment).await;
+        let began = begin_streams(&deployment, 0, STREAMS).await;
         // The mark in the store is written within this time.
         time::sleep(BUDGET_TIME).await;
         if old_has_left {
@@ -218,7 +169,7 @@
 #[tokio::test]
 async fn stream_of_the_only_version_goes_on_after_all_gateways_were_killed() {
     let mut deployment = deployment(2, 2).await;
-    let began = begin_streams(&deployment).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     restart_all(&mut deployment).await;
     for began in &began {
         let attempt = format!("{began}-1");
@@ -232,7 +183,7 @@
 #[tokio::test]
 async fn stream_of_a_version_that_has_left_is_refused_at_once() {
     let deployment = deployment(1, 4).await;
-    let began = begin_streams(&deployment).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
     release(&deployment, 0).await;
     let worker = deployment.endpoints_with(Role::Worker).next();
     let calls = worker.expect("a worker").calls().len();
