Decode the load that endpoints state about themselves

Selection, calls of stages and admission will use it; this only decodes it, into `placement::Occupancy`.

--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -11,8 +11,10 @@
 
 mod fleet;
 mod health;
+mod occupancy;
 
 pub use self::{
     fleet::{Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection, Software},
     health::{Health, Report},
+    occupancy::Occupancy,
 };
--- a/crates/cicadacrank-node/src/platform/answer.rs
+++ b/crates/cicadacrank-node/src/platform/answer.rs
@@ -1,6 +1,6 @@
 //! Decodes the status and headers of endpoint responses.
 
-use cicadacrank_core::once::Declined;
+use cicadacrank_core::{once::Declined, placement::Occupancy};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use std::time::Duration;
 
@@ -8,8 +8,13 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// The load of the endpoint, although the word denotes an instance of the system elsewhere.
+const LOAD: HeaderName = HeaderName::from_static("x-instance-load");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 
+/// Value of the stated pace at which work takes the usual time.
+const USUAL_PACE: f64 = 100.0;
+
 /// Status and decoded headers of an endpoint response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
@@ -32,6 +37,8 @@
     /// Time for which the endpoint wants no requests from this gateway, if it turned the
     /// request away and states one.
     pub pause: Option<Duration>,
+    /// Load of the endpoint, if it states it.
+    pub load: Option<Occupancy>,
 }
 
 impl Answer {
@@ -51,6 +58,7 @@
             limit: headers.get(&LIMIT).and_then(parse_limit),
             leaving: headers.get(&LEAVING).is_some_and(parse_leaving),
             pause: retry_after.and_then(parse_pause),
+            load: headers.get(&LOAD).and_then(parse_load),
         }
     }
 }
@@ -87,3 +95,33 @@
     }
     limit
 }
+
+/// Returns the load, or `None` with a log line if it is not a list of numbers: the requests
+/// that run, those that wait, the slots and, at some endpoints, the pace.
+fn parse_load(value: &HeaderValue) -> Option<Occupancy> {
+    let text = value.to_str().unwrap_or_default();
+    let load = decode_load(text);
+    if load.is_none() {
+        log::warn!("an endpoint states an invalid load: {value:?}");
+    }
+    load
+}
+
+fn decode_load(text: &str) -> Option<Occupancy> {
+    let mut fields = text.split(',').map(str::trim);
+    let mut count = || fields.next()?.parse().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let pace = match fields.next() {
+        Some(pace) => {
+            let pace = pace.parse::<f64>().ok()? / USUAL_PACE;
+            Some(pace).filter(|pace| pace.is_finite() && *pace > 0.0)
+        }
+        None => None,
+    };
+    Some(Occupancy {
+        running,
+        waiting,
+        slots,
+        pace,
+    })
+}
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -1,6 +1,10 @@
 //! Tests of the decoders and encoders of the platform's formats.
 
-use cicadacrank_core::{config::Repeat, directory::State, placement::Prompt};
+use cicadacrank_core::{
+    config::Repeat,
+    directory::State,
+    placement::{Occupancy, Prompt},
+};
 use cicadacrank_node::platform::{
     Object, Version,
     answer::Answer,
@@ -377,3 +381,28 @@
     assert!(decode("").is_empty());
     assert_eq!(decode("aa:60, bb:1 ,broken,cc:40"), ["aa", "bb"]);
 }
+
+#[test]
+fn answer_states_the_load_of_its_endpoint() {
+    let load = |pace| Occupancy {
+        running: 3,
+        waiting: 1,
+        slots: 8,
+        pace,
+    };
+    for (text, expected) in [
+        ("3,1,8", Some(load(None))),
+        ("3, 1, 8, 150", Some(load(Some(1.5)))),
+        ("3,1,8,0", Some(load(None))),
+        ("3,1,8,50,7", Some(load(Some(0.5)))),
+        ("3,1", None),
+        ("3,-1,8", None),
+        ("3,1,8,x", None),
+        ("", None),
+    ] {
+        let answer = Answer::decode(StatusCode::OK, &headers(&[("x-instance-load", text)]));
+        assert_eq!(answer.load, expected, "{text}");
+    }
+    let answer = Answer::decode(StatusCode::OK, &headers(&[]));
+    assert_eq!(answer.load, None);
+}
