Keep causes of crashes that came together as one group

Cause: each of the n parts of each interrupted request became a row with a sorted list of its n - 1 companions, and each merge went through all rows.

Change: causes that came in the same requests form a group, which is split when requests, responses or reports show that they differ; groups share their sets of companions. Reports hold a bounded number of causes, large groups take turns. The log names eight parts of a suspect request instead of all. A step of over 10 ms is logged.

Tests: the cases of tests/cause.rs (one literal has a list of causes in place of one cause, as the type has), and two new ones, which fail on the old list: bounded reports, and the order of crashes and responses of requests that overlap.

--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -68,6 +68,7 @@
     VersionsChanged = 230, Info, "Other versions of the software of a service's engines serve.";
     EndpointEnded = 231, Info, "The process of an endpoint has ended; the version of the software that its address serves is unknown.";
     EndpointConfirmed = 232, Info, "An endpoint whose process was taken to have ended runs on.";
+    StepTookLong = 233, Warn, "A step of the process took so long that other requests waited noticeably.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
--- a/crates/cicadacrank-core/tests/cause.rs
+++ b/crates/cicadacrank-core/tests/cause.rs
@@ -249,7 +249,7 @@
 #[test]
 fn merge_does_not_depend_on_order_or_repetition() {
     let suspect = |index: u64, cleared: bool, with: &str| Suspect {
-        cause: part("a"),
+        causes: vec![part("a")],
         crashes: vec![Crash {
             cleared,
             ..crash(index, index * 1_000)
@@ -290,6 +290,104 @@
     result.expect("the order of merges matters");
 }
 
+/// Causes that came in the same requests are kept together, and apart again when requests
+/// show that they differ.
+#[test]
+fn merge_of_requests_that_overlap_does_not_depend_on_order() {
+    const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+    let config = Config {
+        cases: 256,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let step = (0..4_u64, 1..64_usize, prop::bool::weighted(0.2));
+    let result = TestRunner::new_with_rng(config, rng).run(
+        &(prop::collection::vec(step, 1..16), any::<u64>()),
+        |(steps, seed)| {
+            let apply = |list: &mut List, (index, set, clears): (u64, usize, bool)| {
+                let names = NAMES.iter().enumerate();
+                let chosen = names.filter(|(number, _)| set >> number & 1 == 1);
+                let causes: Vec<Cause> = chosen.map(|(_, name)| part(name)).collect();
+                let time = (index + 1) * 1_000;
+                if clears {
+                    list.clear(&causes, at(time + 50), at(5_000));
+                } else {
+                    list.record_crash(&causes, crash(index, time), at(5_000));
+                }
+            };
+            let (mut forward, mut shuffled) = (List::default(), List::default());
+            steps.iter().for_each(|step| apply(&mut forward, *step));
+            let mut rng = StdRng::seed_from_u64(seed);
+            for _ in 0..steps.len() * 4 {
+                apply(&mut shuffled, steps[rng.random_range(0..steps.len())]);
+            }
+            steps
+                .iter()
+                .rev()
+                .for_each(|step| apply(&mut shuffled, *step));
+            for set in 1..64_usize {
+                let names = NAMES.iter().enumerate();
+                let chosen = names.filter(|(number, _)| set >> number & 1 == 1);
+                let causes: Vec<Cause> = chosen.map(|(_, name)| part(name)).collect();
+                prop_assert_eq!(
+                    forward.find_quarantined(&causes),
+                    shuffled.find_quarantined(&causes)
+                );
+            }
+            Ok(())
+        },
+    );
+    result.expect("the order of crashes and responses matters");
+}
+
+/// One crash under requests with over a thousand parts each made a million entries, and all
+/// requests of the process waited for seconds.
+#[test]
+fn report_of_prompts_with_many_parts_is_bounded_and_names_each_in_turn() {
+    const REQUESTS: usize = 40;
+    const PARTS: usize = 1_200;
+    let causes = |request: usize| -> Vec<Cause> {
+        let own = (0..PARTS).map(|number| part(&format!("{request} {number}")));
+        own.chain([part("popular")]).collect()
+    };
+    let (mut list, mut other) = (List::default(), List::default());
+    list.record_crash(&[part("short")], crash(1, 1_000), at(1_000));
+    for request in 0..REQUESTS {
+        list.record_crash(&causes(request), crash(1, 1_000), at(1_000));
+    }
+    for _ in 0..REQUESTS {
+        let report = list.report(at(1_100), REPORT_TIME, MAX_REPORTED);
+        let size = |suspect: &Suspect| suspect.causes.len() + suspect.companions.len();
+        let total: usize = report.iter().map(size).sum();
+        assert!(total <= 2_048 + MAX_REPORTED, "{total} causes");
+        assert!(
+            report
+                .iter()
+                .any(|suspect| suspect.causes == [part("short")]),
+            "large groups crowd out the others"
+        );
+        for suspect in &report {
+            other.merge(suspect, at(1_100));
+        }
+    }
+    for number in 2..=PART_CRASH_LIMIT as u64 {
+        other.record_crash(
+            &causes(7),
+            crash(number, number * 1_000),
+            at(number * 1_000),
+        );
+    }
+    assert!(other.find_quarantined(&causes(7)).is_some());
+    assert_eq!(other.find_quarantined(&causes(8)), None);
+    // More causes than are kept.
+    for request in REQUESTS..2 * REQUESTS {
+        list.record_crash(&causes(request), crash(1, 1_000), at(1_200));
+    }
+    let report = list.report(at(1_200), REPORT_TIME, MAX_REPORTED);
+    assert_eq!(report[0].causes, [part("short")]);
+}
+
 /// One gateway of the simulation, with the reports that are on their way to it.
 #[derive(Default)]
 struct Gateway {
--- a/crates/cicadacrank-node/src/gateway/crash.rs
+++ b/crates/cicadacrank-node/src/gateway/crash.rs
@@ -23,6 +23,9 @@
 /// one that crashes the endpoint.
 pub const RESPONSE_START: Duration = Duration::from_millis(100);
 
+/// Maximum number of shared parts that are logged for one request.
+const MAX_PARTS_LOGGED: usize = 8;
+
 /// A request whose connection to an endpoint broke when the endpoint had not begun
 /// to respond, or had only just.
 #[derive(Debug)]
@@ -50,7 +53,7 @@
         return;
     }
     Event::SuspectMarked.log(format_args!(
-        "id={} endpoint={} born={:?} sent_ms_before={} parts={:?}",
+        "id={} endpoint={} born={:?} sent_ms_before={} parts={} first_parts={:?}",
         interruption.id,
         endpoint.life.id,
         endpoint.life.born,
@@ -58,7 +61,12 @@
             .at
             .saturating_sub(interruption.sent)
             .as_millis(),
-        interruption.shared_parts,
+        interruption.shared_parts.len(),
+        interruption
+            .shared_parts
+            .iter()
+            .take(MAX_PARTS_LOGGED)
+            .collect::<Vec<_>>(),
     ));
     let crash = Crash {
         endpoint: endpoint.life.digest(),
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -15,7 +15,7 @@
     stages::Output,
     state::{State, lock},
 };
-use crate::platform::stage::Source;
+use crate::{platform::stage::Source, step::Step};
 use cicadacrank_core::{
     batch::{self, Expired, Ticket},
     error::Kind,
@@ -239,6 +239,7 @@
             let now = state.clock.now();
             let owned = is_owner(&state, &batcher.service);
             let mut inner = lock(&batcher.inner);
+            let _step = Step::new("form_calls", inner.waiting.len());
             inner.pool.set_owned(owned, now);
             if now >= last_expiry + EXPIRY_INTERVAL {
                 last_expiry = now;
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -14,7 +14,7 @@
     stages::Output,
     state::{State, lock},
 };
-use crate::{clock::milliseconds, daemon};
+use crate::{clock::milliseconds, daemon, step::Step};
 use cicadacrank_core::{
     directory::Incarnation,
     error::Kind,
@@ -310,6 +310,7 @@
     } else {
         address.to_owned()
     };
+    let _step = Step::new("merge_heartbeat", beat.others.len() + beat.loads.len());
     let mut roster = lock(&state.roster);
     if roster.record_contact(sender, now) {
         Event::PeerRegained.log(format_args!("instance={instance} address={source}"));
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -8,6 +8,7 @@
     metrics::gateway::Metrics,
     platform::{self, answer::Answer},
     quarantine::Causes,
+    step::Step,
 };
 use cicadacrank_core::{
     config::Config,
@@ -210,6 +211,7 @@
             config.limits.idle.as_millis()
         ));
         self.metrics.config_version.set(as_i64(config.version));
+        let _step = Step::new("adopt_config", config.routes.len());
         let config = Arc::new(config);
         *current = Some(Adopted {
             config: Arc::clone(&config),
@@ -230,6 +232,7 @@
             snapshot.version.revision,
             snapshot.endpoints.len()
         ));
+        let _step = Step::new("adopt_endpoints", snapshot.endpoints.len());
         let now = self.clock.now();
         lock(&self.fleet).update(&snapshot, now);
         self.streams.follow(&snapshot, now);
--- a/crates/cicadacrank-node/src/lib.rs
+++ b/crates/cicadacrank-node/src/lib.rs
@@ -44,4 +44,5 @@
 pub mod quarantine;
 pub mod settings;
 pub mod sidecar;
+mod step;
 mod sync;
--- a/crates/cicadacrank-node/src/quarantine/causes.rs
+++ b/crates/cicadacrank-node/src/quarantine/causes.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     clock::{Clock, milliseconds},
+    step::Step,
     sync::lock,
 };
 use cicadacrank_core::{
@@ -60,6 +61,7 @@
             at: in_list(crash.at),
             ..crash
         };
+        let _step = Step::new("record_crash", causes.len());
         let mut list = lock(&self.list);
         list.record_crash(causes, crash, self.now());
         log_changes(&mut list, "own");
@@ -80,6 +82,7 @@
             return;
         }
         let now = self.now();
+        let _step = Step::new("merge_causes", suspects.len());
         let mut list = lock(&self.list);
         for suspect in suspects {
             match decode(suspect, now) {
@@ -109,8 +112,8 @@
 fn log_changes(list: &mut List, source: &str) {
     for change in list.take_changes() {
         Event::QuarantineChanged.log(format_args!(
-            "cause={} quarantined={} crashes={} source={source}",
-            change.cause, change.quarantined, change.crashes
+            "cause={} causes={} quarantined={} crashes={} source={source}",
+            change.cause, change.count, change.quarantined, change.crashes
         ));
     }
 }
@@ -124,25 +127,21 @@
         cleared: crash.cleared,
     });
     wire::CrashSuspect {
-        cause: Some(encode_cause(suspect.cause)),
+        causes: Some(encode_causes(&suspect.causes)),
         crashes: crashes.collect(),
-        companions: suspect
-            .companions
-            .iter()
-            .map(|one| encode_cause(*one))
-            .collect(),
+        companions: Some(encode_causes(&suspect.companions)),
     }
 }
 
-fn encode_cause(cause: Cause) -> wire::CrashCause {
-    let (fingerprint, is_part) = match cause {
-        Cause::Request(fingerprint) => (fingerprint, false),
-        Cause::Part(fingerprint) => (fingerprint, true),
-    };
-    wire::CrashCause {
-        fingerprint: fingerprint.as_bytes().to_vec(),
-        is_part,
+fn encode_causes(causes: &[Cause]) -> wire::CrashCauses {
+    let mut encoded = wire::CrashCauses::default();
+    for cause in causes {
+        match cause {
+            Cause::Request(fingerprint) => encoded.requests.extend(fingerprint.as_bytes()),
+            Cause::Part(fingerprint) => encoded.parts.extend(fingerprint.as_bytes()),
+        }
     }
+    encoded
 }
 
 fn decode(suspect: wire::CrashSuspect, now: Duration) -> Option<Suspect> {
@@ -153,21 +152,24 @@
         at: at(crash.age_ms),
         cleared: crash.cleared,
     });
-    let companions = suspect.companions.iter().map(decode_cause);
-    let mut companions = companions.collect::<Option<Vec<Cause>>>()?;
-    companions.sort_unstable();
     Some(Suspect {
-        cause: decode_cause(suspect.cause.as_ref()?)?,
+        causes: decode_causes(suspect.causes?)?,
         crashes: crashes.collect(),
-        companions,
+        companions: decode_causes(suspect.companions?)?,
     })
 }
 
-fn decode_cause(cause: &wire::CrashCause) -> Option<Cause> {
-    let fingerprint = Fingerprint::from_bytes(&cause.fingerprint)?;
-    Some(if cause.is_part {
-        Cause::Part(fingerprint)
-    } else {
-        Cause::Request(fingerprint)
-    })
+/// Decodes causes, sorted. Returns `None` if a fingerprint is incomplete.
+fn decode_causes(causes: wire::CrashCauses) -> Option<Vec<Cause>> {
+    let decode = |bytes: &[u8], cause: fn(Fingerprint) -> Cause| {
+        let fingerprints = bytes
+            .chunks(Fingerprint::BYTES)
+            .map(Fingerprint::from_bytes);
+        let causes = fingerprints.map(|one| one.map(cause));
+        causes.collect::<Option<Vec<Cause>>>()
+    };
+    let mut decoded = decode(&causes.requests, Cause::Request)?;
+    decoded.append(&mut decode(&causes.parts, Cause::Part)?);
+    decoded.sort_unstable();
+    Some(decoded)
 }
