Check a configuration of the platform before it is sent

Cause: operators saw an error in a configuration only in the logs of gateways, the first one only, and nothing told of entries that can never match or of limits that contradict. The decoder of the gateways collects all faults (config::decode_valid; decode returns the first of them as before), core::config::check uses their look-ups, and core::config::diff says what each difference does to callers. Keys are counted and never printed.

--- a/crates/cicadacrank-core/src/config/mod.rs
+++ b/crates/cicadacrank-core/src/config/mod.rs
@@ -6,6 +6,8 @@
 //! that it was accepted with, and a newer version replaces the whole
 //! configuration.
 
+pub mod check;
+pub mod diff;
 mod lookup;
 
 pub use self::lookup::Rejection;
--- a/crates/cicadacrank-node/src/platform/config.rs
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -3,9 +3,9 @@
 use cicadacrank_core::config::{
     Config, Engine, Key, Limits, Repeat, Route, Service, Stage, Target, Team, Worker,
 };
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::Value;
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 /// Name of the object that contains the configuration.
 pub const NAME: &str = "main";
@@ -16,18 +16,6 @@
 /// Maximum time in a configuration.
 const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
-#[derive(Deserialize)]
-struct WireConfig {
-    version: u64,
-    #[serde(default)]
-    routes: Vec<WireRoute>,
-    #[serde(default)]
-    services: Vec<WireService>,
-    limits: WireLimits,
-    #[serde(default)]
-    tenants: Vec<WireTeam>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireRoute {
@@ -134,38 +122,122 @@
     1
 }
 
+/// An invalid field of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The list and the position of the entry, or the name of the field.
+    pub place: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.place, self.message)
+    }
+}
+
 /// Decodes a configuration.
 ///
 /// # Errors
 ///
-/// Returns a message that describes the invalid field.
+/// Returns a message that describes the first invalid field.
 pub fn decode(content: &Value) -> Result<Config, String> {
-    let wire = WireConfig::deserialize(content).map_err(|error| error.to_string())?;
+    let (config, faults) = decode_valid(content);
+    match faults.first() {
+        Some(fault) => Err(fault.to_string()),
+        None => Ok(config),
+    }
+}
+
+/// Decodes what is valid in a configuration, and returns all faults of the rest.
+#[must_use]
+pub fn decode_valid(content: &Value) -> (Config, Vec<Fault>) {
+    let mut reader = Reader {
+        content,
+        faults: Vec::new(),
+    };
+    let version = reader.field("version", |version: u64| Ok(version));
+    let routes = reader.entries("routes", route);
+    let services = reader.entries("services", service);
+    let tenants: Vec<WireTeam> = reader.entries("tenants", Ok);
+    let limits = reader.field("limits", limits);
     let mut keys = Vec::new();
-    for (team, wire) in wire.tenants.iter().enumerate() {
+    for (team, wire) in tenants.iter().enumerate() {
         keys.extend(wire.api_keys.iter().map(|secret| Key {
             secret: secret.clone(),
             team,
         }));
     }
-    let teams = wire.tenants.into_iter().map(|team| Team {
+    let teams = tenants.into_iter().map(|team| Team {
         name: team.name,
         rank: team.priority,
     });
-    let routes: Result<_, String> = wire.routes.into_iter().map(route).collect();
-    let services: Result<_, String> = wire.services.into_iter().map(service).collect();
-    Ok(Config::new(Config {
-        version: wire.version,
-        routes: routes?,
-        services: services?,
+    let config = Config::new(Config {
+        version: version.unwrap_or_default(),
+        routes,
+        services,
         teams: teams.collect(),
         keys,
-        limits: Limits {
-            head_bytes: wire.limits.max_header_bytes,
-            body_bytes: wire.limits.max_body_bytes,
-            idle: milliseconds(wire.limits.idle_timeout_ms, "idleTimeoutMs")?,
-        },
-    }))
+        limits: limits.unwrap_or_default(),
+    });
+    (config, reader.faults)
+}
+
+/// Reads the parts of a configuration, and collects the faults.
+struct Reader<'a> {
+    content: &'a Value,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn field<W: DeserializeOwned, T>(
+        &mut self,
+        name: &str,
+        convert: impl FnOnce(W) -> Result<T, String>,
+    ) -> Option<T> {
+        let value = self.content.get(name);
+        let wire = value.map_or_else(|| Err("the field is missing".to_owned()), read);
+        self.take(name.to_owned(), wire.and_then(convert))
+    }
+
+    fn entries<W: DeserializeOwned, T>(
+        &mut self,
+        name: &str,
+        convert: impl Fn(W) -> Result<T, String>,
+    ) -> Vec<T> {
+        let entries = match self.content.get(name) {
+            None => return Vec::new(),
+            Some(Value::Array(entries)) => entries.as_slice(),
+            Some(_) => {
+                self.take::<()>(name.to_owned(), Err("it is not a list".to_owned()));
+                return Vec::new();
+            }
+        };
+        let entries = entries.iter().enumerate();
+        let read = entries.filter_map(|(number, entry)| {
+            self.take(format!("{name}[{number}]"), read(entry).and_then(&convert))
+        });
+        read.collect()
+    }
+
+    fn take<T>(&mut self, place: String, result: Result<T, String>) -> Option<T> {
+        result
+            .map_err(|message| self.faults.push(Fault { place, message }))
+            .ok()
+    }
+}
+
+fn read<W: DeserializeOwned>(value: &Value) -> Result<W, String> {
+    W::deserialize(value).map_err(|error| error.to_string())
+}
+
+fn limits(wire: WireLimits) -> Result<Limits, String> {
+    Ok(Limits {
+        head_bytes: wire.max_header_bytes,
+        body_bytes: wire.max_body_bytes,
+        idle: milliseconds(wire.idle_timeout_ms, "idleTimeoutMs")?,
+    })
 }
 
 fn route(wire: WireRoute) -> Result<Route, String> {
--- a/crates/cicadacrank/src/cmd/args.rs
+++ b/crates/cicadacrank/src/cmd/args.rs
@@ -154,7 +154,7 @@
 
 /// Reads at most one byte more than the size limit, which is enough for the parser
 /// to detect a file that is too large.
-fn read_limited(path: &Path) -> io::Result<Vec<u8>> {
+pub fn read_limited(path: &Path) -> io::Result<Vec<u8>> {
     let limit = TEXT_LIMIT_BYTES as u64 + 1;
     let mut bytes = Vec::new();
     if path == Path::new(STDIN) {
--- a/crates/cicadacrank/src/cmd/check.rs
+++ b/crates/cicadacrank/src/cmd/check.rs
@@ -1,11 +1,14 @@
-//! `check`: reads rule files and reports every fault.
+//! `check`: reads rule files, or a configuration of the platform, and reports every fault.
 
-use super::args::{self, RuleFile};
+use super::{
+    args::{self, RuleFile},
+    platform_config::{self, PlatformConfig},
+};
 use crate::{
     error::Error,
     output::{self, Output},
 };
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, construct};
 use cicadacrank_core::rules::Definitions;
 use serde::Serialize;
 use std::path::PathBuf;
@@ -13,7 +16,8 @@
 /// Footer of the help text, with examples.
 pub const EXAMPLES: &str = "Examples:
   cicadacrank check samples/bergvik.rules
-  cicadacrank check --json *.rules";
+  cicadacrank check --json *.rules
+  cicadacrank check --platform next.json --against 10.200.1.7:8624";
 
 /// Arguments of `check`.
 #[derive(Clone, Debug, Bpaf)]
@@ -21,8 +25,22 @@
 pub struct Check {
     #[bpaf(external(args::json))]
     pub json: bool,
-    #[bpaf(external(args::file), some("name at least one rule file"))]
-    files: Vec<PathBuf>,
+    #[bpaf(external)]
+    subject: Subject,
+}
+
+/// What is checked.
+#[derive(Clone, Debug)]
+enum Subject {
+    Rules(Vec<PathBuf>),
+    Platform(PlatformConfig),
+}
+
+fn subject() -> impl Parser<Subject> {
+    let files = args::file().some("name at least one rule file");
+    let rules = files.map(Subject::Rules);
+    let platform = platform_config::platform_config().map(Subject::Platform);
+    construct!([platform, rules])
 }
 
 /// Numbers of items that a valid file defines.
@@ -64,9 +82,13 @@
     ///
     /// A file that cannot be read ends the check at once.
     pub fn execute(self, output: Output) -> Result<(), Error> {
+        let files = match self.subject {
+            Subject::Rules(files) => files,
+            Subject::Platform(config) => return config.check(output),
+        };
         let mut summaries = Vec::new();
         let mut faulty = Vec::new();
-        for file in self.files {
+        for file in files {
             match RuleFile::load(&file) {
                 Ok(rules) => {
                     let name = file.display().to_string();
--- a/crates/cicadacrank/src/cmd/mod.rs
+++ b/crates/cicadacrank/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod diff;
 mod explain;
 mod history;
+mod platform_config;
 mod send;
 mod show;
 mod status;
@@ -35,7 +36,7 @@
     /// Brings a data centre or an endpoint back into service (writes)
     #[bpaf(command, footer(bring_back::EXAMPLES))]
     BringBack(#[bpaf(external(bring_back::bring_back))] bring_back::BringBack),
-    /// Checks rule files
+    /// Checks rule files, or a configuration of the platform
     #[bpaf(command, footer(check::EXAMPLES))]
     Check(#[bpaf(external(check::check))] check::Check),
     /// Prints busy and idle slot time by stage, owner and team, with its cost
--- a/crates/cicadacrank/src/error.rs
+++ b/crates/cicadacrank/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of commands, and their text.
 
 use cicadacrank_core::{
+    config::check::{Finding, Severity},
     error::{Effect, Failure, Kind},
     generation::Conflict,
     rules::Faults,
@@ -18,6 +19,8 @@
     Failure(Failure),
     /// The faults of rule files, one item per file.
     Faults(Vec<Faults>),
+    /// Errors in a configuration of the platform, with the other findings.
+    Findings(Vec<Finding>),
     /// Another operator's change was written first.
     Conflict(Box<Conflict>),
 }
@@ -32,7 +35,7 @@
     pub const fn kind(&self) -> Kind {
         match self {
             Self::Failure(failure) => failure.kind,
-            Self::Faults(_) => Kind::Rules,
+            Self::Faults(_) | Self::Findings(_) => Kind::Rules,
             Self::Conflict(_) => Kind::Conflict,
         }
     }
@@ -41,7 +44,7 @@
     pub const fn effect(&self) -> Effect {
         match self {
             Self::Failure(failure) => failure.effect,
-            Self::Faults(_) | Self::Conflict(_) => Effect::NotRun,
+            Self::Faults(_) | Self::Findings(_) | Self::Conflict(_) => Effect::NotRun,
         }
     }
 
@@ -50,6 +53,10 @@
         match self {
             Self::Failure(failure) => failure_text(failure),
             Self::Faults(files) => files.iter().map(faults_text).collect(),
+            Self::Findings(findings) => {
+                let lines = findings.iter().map(|finding| format!("{finding}\n"));
+                lines.collect()
+            }
             Self::Conflict(conflict) => conflict_text(conflict),
         }
     }
@@ -62,6 +69,12 @@
                 let files: Vec<_> = files.iter().map(ToString::to_string).collect();
                 files.join(", ")
             }
+            Self::Findings(findings) => {
+                let errors = findings
+                    .iter()
+                    .filter(|one| one.severity == Severity::Error);
+                format!("{} errors in the configuration", errors.count())
+            }
             Self::Conflict(conflict) => {
                 let (base, current) = (conflict.base, conflict.current);
                 format!("based on generation {base}, but generation {current} is in force")
--- a/crates/cicadacrank/src/output.rs
+++ b/crates/cicadacrank/src/output.rs
@@ -68,6 +68,7 @@
         Error::Faults(files) => {
             value["faults"] = files.iter().flat_map(faults_value).collect();
         }
+        Error::Findings(findings) => value["findings"] = json!(findings),
         Error::Conflict(conflict) => {
             value["base"] = json!(conflict.base);
             value["current"] = json!(conflict.current);
