Show what callers outside the limits do to a gateway

A crowd of callers that send bodies short of their end, heads and chunks without end, requests behind an open one, or read no answers must not end a process, and ordinary callers must still get answers.

--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -55,6 +55,8 @@
     peer: SocketAddr,
     store: SocketAddr,
     seeds: Vec<SocketAddr>,
+    memory_mb: u64,
+    descriptors: usize,
 }
 
 impl Settings {
@@ -77,14 +79,30 @@
             peer: listeners[2].local_addr()?,
             store,
             seeds,
+            memory_mb: 260,
+            descriptors: 1_000,
         })
     }
 
+    /// Sets the memory that the process may use, in megabytes.
+    #[must_use]
+    pub const fn with_memory_mb(mut self, memory_mb: u64) -> Self {
+        self.memory_mb = memory_mb;
+        self
+    }
+
+    /// Sets the number of descriptors that the process may have open.
+    #[must_use]
+    pub const fn with_descriptors(mut self, descriptors: usize) -> Self {
+        self.descriptors = descriptors;
+        self
+    }
+
     fn to_toml(&self) -> String {
         format!(
             "nodeName = {:?}\nzone = \"one\"\nseedNodes = {:?}\n\
              [listenAddresses]\nfrontend = {:?}\nreadiness = {:?}\ncontrolPlane = {:?}\n\
-             [limits]\nmemoryMb = 260\nfileDescriptors = 1000\n\
+             [limits]\nmemoryMb = {}\nfileDescriptors = {}\n\
              [bounds]\ngracePeriodS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
              retryBudgetExtra = 56\nstabilityMs = 3000\ncoldOverrun = 1.5\n\
              coldTolerance = 5\n[platform]\naddress = {:?}\n",
@@ -96,6 +114,8 @@
             self.caller.to_string(),
             self.readiness.to_string(),
             self.peer.to_string(),
+            self.memory_mb,
+            self.descriptors,
             self.store.to_string(),
         )
     }
@@ -154,6 +174,12 @@
         self.settings.peer
     }
 
+    /// Returns the address for readiness checks.
+    #[must_use]
+    pub const fn readiness_address(&self) -> SocketAddr {
+        self.settings.readiness
+    }
+
     /// Returns whether the gateway reports that it is ready.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/readyz", self.settings.readiness);
@@ -188,10 +214,22 @@
     /// if it has ended.
     #[must_use]
     pub fn peak_memory(&self) -> Option<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
-        let kilobytes = line.split_whitespace().nth(1)?.parse::<u64>().ok()?;
-        Some(kilobytes * 1_024)
+        process::memory(&self.child, "VmHWM:")
+    }
+
+    /// Returns the resident memory of the process and the bytes that it has received and
+    /// not read, or `None` if it has ended.
+    #[must_use]
+    pub fn memory(&self) -> Option<u64> {
+        let resident = process::memory(&self.child, "VmRSS:")?;
+        Some(resident + process::unread_bytes(self.settings.caller.ip()))
+    }
+
+    /// Returns the number of descriptors that the process has open, or `None` if it has
+    /// ended.
+    #[must_use]
+    pub fn descriptors(&self) -> Option<usize> {
+        process::descriptors(&self.child)
     }
 
     /// Sends SIGKILL.
--- a/crates/cicadacrank-bench/src/deployment/mod.rs
+++ b/crates/cicadacrank-bench/src/deployment/mod.rs
@@ -16,7 +16,7 @@
         CRASHING_PART, CUT_HEAD_BYTES, EVENTS, Endpoint, Fault, LARGE_ANSWER_BYTES, Resumption,
         Role, Run, SILENCE,
     },
-    gateway::Gateway,
+    gateway::{Gateway, Settings},
     proxy::{Impairment, Proxy},
 };
 
@@ -68,6 +68,19 @@
     ///
     /// Returns an error if a part does not start or a gateway is not ready in time.
     pub async fn start(plan: &Plan) -> io::Result<Self> {
+        Self::start_with(plan, |settings| settings).await
+    }
+
+    /// Starts all parts, with the settings of gateways as `adjust` returns them, and waits
+    /// until the gateways are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part does not start or a gateway is not ready in time.
+    pub async fn start_with(
+        plan: &Plan,
+        adjust: impl Fn(Settings) -> Settings,
+    ) -> io::Result<Self> {
         let store = Server::start().await?;
         let store_proxy = Proxy::start(store.address).await?;
         let folder = TempDir::new()?;
@@ -90,7 +103,7 @@
         for number in 0..plan.gateways {
             let seeds = gateways.iter().map(Gateway::peer_address).collect();
             let name = format!("gateway-{number}");
-            let settings = gateway::Settings::new(&name, store_proxy.address, seeds)?;
+            let settings = adjust(Settings::new(&name, store_proxy.address, seeds)?);
             gateways.push(Gateway::start(&plan.program, folder.path(), settings)?);
         }
         for gateway in &gateways {
@@ -114,7 +127,7 @@
     pub async fn add_gateway(&mut self, program: &Path, store: SocketAddr) -> io::Result<()> {
         let seeds = self.gateways.iter().map(Gateway::peer_address).collect();
         let name = format!("gateway-{}", self.gateways.len());
-        let settings = gateway::Settings::new(&name, store, seeds)?;
+        let settings = Settings::new(&name, store, seeds)?;
         let gateway = Gateway::start(program, self.folder.path(), settings)?;
         gateway.wait_ready().await?;
         self.gateways.push(gateway);
--- a/crates/cicadacrank-bench/src/process.rs
+++ b/crates/cicadacrank-bench/src/process.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::{
     env, fs, io,
+    net::IpAddr,
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
 };
@@ -96,6 +97,20 @@
         self.child.id()
     }
 
+    /// Returns the largest resident memory that the process has had, in bytes, or `None`
+    /// if it has ended.
+    #[must_use]
+    pub fn peak_memory(&self) -> Option<u64> {
+        memory(&self.child, "VmHWM:")
+    }
+
+    /// Returns the number of descriptors that the process has open, or `None` if it has
+    /// ended.
+    #[must_use]
+    pub fn descriptors(&self) -> Option<usize> {
+        descriptors(&self.child)
+    }
+
     /// Sends SIGTERM, which requests a graceful shutdown.
     ///
     /// # Errors
@@ -158,3 +173,42 @@
         .ok_or_else(|| io::Error::other("the process has exited"))?;
     kill_process(pid, signal).map_err(io::Error::from)
 }
+
+/// Returns a figure of a process's memory in bytes, by its name in `/proc/PID/status`, or
+/// `None` if the process has ended.
+pub(crate) fn memory(child: &Child, figure: &str) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id()?)).ok()?;
+    let line = status.lines().find(|line| line.starts_with(figure))?;
+    let kilobytes = line.split_whitespace().nth(1)?.parse::<u64>().ok()?;
+    Some(kilobytes * 1_024)
+}
+
+/// Returns the number of descriptors that a process has open, or `None` if it has ended.
+pub(crate) fn descriptors(child: &Child) -> Option<usize> {
+    let folder = fs::read_dir(format!("/proc/{}/fd", child.id()?)).ok()?;
+    Some(folder.count())
+}
+
+/// Returns the number of bytes that have arrived at the sockets of a local address and were
+/// not read.
+pub(crate) fn unread_bytes(address: IpAddr) -> u64 {
+    let IpAddr::V4(address) = address else {
+        return 0;
+    };
+    let local = format!("{:08X}:", u32::from_ne_bytes(address.octets()));
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let sockets = table.lines().filter_map(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        // A listener's queue counts connections.
+        fields.next().filter(|field| field.starts_with(&local))?;
+        let (_, state) = (fields.next(), fields.next()?);
+        let (_, unread) = fields.next()?.split_once(':')?;
+        u64::from_str_radix(unread, 16)
+            .ok()
+            .filter(|_| state != LISTENING)
+    });
+    sockets.sum()
+}
+
+/// State of a listening socket in `/proc/net/tcp`.
+const LISTENING: &str = "0A";
