--- a/crates/cicadacrank-core/src/config/mod.rs
+++ b/crates/cicadacrank-core/src/config/mod.rs
@@ -182,6 +182,18 @@
     pub body_bytes: usize,
     /// How long a connection may stay idle between requests.
     pub idle: Duration,
+    /// How long the head of a request may take from its first byte.
+    #[serde(default = "Limits::default_head_time")]
+    pub head_time: Duration,
+}
+
+impl Limits {
+    /// Returns the time for a head if the configuration states none: the default of most
+    /// HTTP servers.
+    #[must_use]
+    pub const fn default_head_time() -> Duration {
+        Duration::from_secs(30)
+    }
 }
 
 impl Default for Limits {
@@ -191,6 +203,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
             idle: Duration::from_secs(15),
+            head_time: Self::default_head_time(),
         }
     }
 }
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -72,6 +72,8 @@
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
     ConnectionEnded = 303, Debug, "A connection from a caller ended with an error.";
+    CallerEvicted = 304, Info, "A connection from a caller was closed to make room, or its unfinished request was refused.";
+    HeadTimedOut = 305, Info, "The head of a request did not arrive in time; its connection was closed.";
     AttemptFailed = 310, Info, "An attempt to run a stage failed.";
     FrameDropped = 311, Warn, "A frame that does not match its attempt was dropped.";
     AttemptChosen = 312, Info, "An endpoint was chosen for an attempt.";
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -21,7 +21,7 @@
 //! On a platform that manages routes, services and keys itself, [`config`] holds
 //! them, [`directory`] tracks the endpoints, [`placement`] picks an endpoint,
 //! [`batch`] forms the calls of stages, and [`share`] divides limits among
-//! processes.
+//! processes. [`crowd`] decides which connections of callers are closed for room.
 //!
 //! [`membership`] tracks which processes exist, and [`gossip`] distributes the
 //! configuration to them.
@@ -37,6 +37,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config;
+pub mod crowd;
 pub mod directory;
 pub mod error;
 pub mod event;
--- a/crates/cicadacrank-node/src/daemon/entry.rs
+++ b/crates/cicadacrank-node/src/daemon/entry.rs
@@ -7,11 +7,23 @@
 use crate::{entry, link, membership, operator, peer, settings::Role};
 use cicadacrank_core::event::Event;
 use miette::{IntoDiagnostic as _, Result};
-use salvo::{Server, conn::tcp::TcpAcceptor};
-use std::sync::Arc;
+use salvo::{Server, conn::tcp::TcpAcceptor, fuse::FuseConfig};
+use std::{sync::Arc, time::Duration};
 use tokio::time;
 use tonic::transport::server::TcpIncoming;
 
+/// Maximum number of connections from callers.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// Maximum size of the head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum time between two parts of a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Maximum time for which a caller takes nothing of its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Runs an entry until the process receives a termination signal.
 pub(super) async fn run(components: Components) -> Result<()> {
     let connect = components.settings.timeouts.connect();
@@ -38,7 +50,14 @@
         .add_service(peer::grpc::Server::serve(Arc::clone(&peer)))
         .serve_with_incoming(TcpIncoming::from(peer_listener).with_nodelay(Some(true)));
     tokio::spawn(peer_server);
-    let server = Server::new(acceptor);
+    let mut server = Server::new(acceptor)
+        .max_connections(MAX_CONNECTIONS)
+        .fuse_config(
+            FuseConfig::default()
+                .with_request_body_timeout(BODY_TIMEOUT)
+                .with_write_stall_timeout(WRITE_TIMEOUT),
+        );
+    server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
     let handle = server.handle();
     let server = tokio::spawn(server.serve(entry::http::api(Arc::clone(&service))));
     print_addresses(&Addresses {
--- a/crates/cicadacrank-node/src/entry/http.rs
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -6,14 +6,16 @@
 //! and the event `error` an incomplete one.
 
 use super::service::{Reply, Request, Service};
-use crate::inbound;
+use crate::{
+    inbound,
+    memory::{Fault, Memory},
+};
 use bytes::Bytes;
 use cicadacrank_core::{
     error::{Failure, Kind},
     id,
 };
 use futures_util::{Stream, StreamExt as _, stream};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use salvo::{
     Depot, FlowCtrl, Handler, Response, Router, async_trait,
     http::{HeaderMap, StatusCode},
@@ -27,6 +29,9 @@
 /// Largest request body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Memory for the bodies of all requests, in bytes.
+const BODY_MEMORY_BYTES: u64 = 64 << 20;
+
 /// Response header with the id of the request.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -35,6 +40,8 @@
 
 struct Pipelines {
     service: Arc<Service>,
+    /// Memory for bodies of requests.
+    bodies: Memory,
 }
 
 /// Discards bodies of requests that were answered before they were read.
@@ -43,7 +50,8 @@
 /// Returns the HTTP API for callers.
 #[must_use]
 pub fn api(service: Arc<Service>) -> salvo::Service {
-    let router = Router::with_path("v1/pipelines/{name}").post(Pipelines { service });
+    let bodies = Memory::new(BODY_MEMORY_BYTES);
+    let router = Router::with_path("v1/pipelines/{name}").post(Pipelines { service, bodies });
     salvo::Service::new(router).hoop(Discard)
 }
 
@@ -78,7 +86,7 @@
         // An id consists of hexadecimal digits, so it is a valid header value.
         drop(response.add_header(REQUEST_ID_HEADER, id.to_string(), true));
         let events = accepts_events(request.headers());
-        let request = match parse_request(id, request).await {
+        let request = match parse_request(id, request, &self.bodies).await {
             Ok(request) => request,
             Err(failure) => return write_failure(response, id, &failure),
         };
@@ -95,7 +103,11 @@
     header_text(headers, "accept").is_ok_and(|accept| accept.contains("text/event-stream"))
 }
 
-async fn parse_request(id: id::Request, request: &mut salvo::Request) -> Result<Request, Failure> {
+async fn parse_request(
+    id: id::Request,
+    request: &mut salvo::Request,
+    bodies: &Memory,
+) -> Result<Request, Failure> {
     let headers = request.headers();
     let team = header_text(headers, "x-team")?;
     let key = header_text(headers, "idempotency-key")?;
@@ -106,15 +118,14 @@
         })?)),
     };
     let pipeline = request.param::<String>("name").unwrap_or_default();
-    let body = Limited::new(request.body_mut(), MAX_BODY_BYTES);
-    let body = body.collect().await.map_err(|error| {
-        let error = match error.downcast::<LengthLimitError>() {
-            Ok(_) => "payload too large".to_owned(),
-            Err(error) => error.to_string(),
+    let body = bodies.buffer().read(request.body_mut(), MAX_BODY_BYTES);
+    let body = body.await.map_err(|fault| {
+        let kind = match fault {
+            Fault::TooLarge(_) | Fault::Broken(_) => Kind::TooLarge,
+            Fault::Shortage(_) => Kind::Overloaded,
         };
-        Failure::not_run(Kind::TooLarge, format!("reading the body: {error}"))
+        Failure::not_run(kind, format!("reading the body: {fault}"))
     })?;
-    let body = body.to_bytes();
     Ok(Request {
         id,
         team,
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! that is not in the store. [`State`] is shared by all of these modules.
 
 mod attempt;
+mod connection;
 mod crash;
 mod idle;
 mod lifetime;
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -3,6 +3,7 @@
 //! Also passes on the content of the store to gateways that cannot read it.
 
 mod codec;
+mod incoming;
 
 use self::codec::{
     decode_gateway, decode_life, decode_limit, decode_output, decode_task, encode_gateway,
@@ -38,7 +39,7 @@
 use tokio::time::{self, Instant};
 use tonic::{
     Request, Response, Status, async_trait,
-    transport::{Channel, Endpoint, Server, server::TcpIncoming},
+    transport::{Channel, Endpoint, Server},
 };
 
 /// Interval between two heartbeats.
@@ -93,6 +94,16 @@
 /// configuration of a large deployment.
 const MAX_MESSAGE_BYTES: usize = 32 << 20;
 
+/// Maximum size of a message that another gateway sends unasked, in bytes. The largest are
+/// heartbeats, which list all endpoints with requests in flight.
+const MAX_REQUEST_BYTES: usize = 4 << 20;
+
+/// Maximum number of calls under way on the connection of another gateway.
+const MAX_CALLS: u32 = 1_024;
+
+/// Maximum size of the head of a call of another gateway, in bytes.
+const MAX_HEAD_BYTES: u32 = 16 << 10;
+
 /// Connections to other gateways, by address.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -153,13 +164,15 @@
 pub fn start(state: &Arc<State>) -> Result<()> {
     let listener = daemon::bind(state.settings.listen)?;
     let service = GatewayServer::new(Handler(Arc::clone(state)))
-        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_decoding_message_size(MAX_REQUEST_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     let server = Server::builder()
+        .max_concurrent_streams(MAX_CALLS)
+        .http2_max_header_list_size(MAX_HEAD_BYTES)
         .http2_keepalive_interval(Some(KEEPALIVE * 4))
         .http2_keepalive_timeout(Some(KEEPALIVE))
         .add_service(service)
-        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
+        .serve_with_incoming(incoming::incoming(state, listener));
     tokio::spawn(async move {
         if let Err(error) = server.await {
             log::error!("the server for other gateways stopped: {error}");
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -2,15 +2,21 @@
 
 use super::{
     attempt::Outgoing,
+    connection::Connection,
     crash, plain,
     reply::{self, Body},
     state::State,
     stream,
 };
-use crate::{inbound, memory::Fault, platform::caller::Caller};
+use crate::{
+    inbound,
+    memory::{Buffer, FREE_BYTES, Fault, Shortage},
+    platform::caller::Caller,
+};
 use bytes::Bytes;
 use cicadacrank_core::{
     config::{Config, Rejection, Route},
+    crowd::{Need, Phase},
     error::Kind,
     event::Event,
     id,
@@ -18,7 +24,8 @@
     placement::Software,
     quarantine::Fingerprint,
 };
-use http::{Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming, SizeHint};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -38,6 +45,9 @@
 /// crashed endpoints.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Time that a request which is refused for room takes to give its memory back.
+const EVICTION_TIME: Duration = Duration::from_millis(2);
+
 /// Timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -117,6 +127,7 @@
     state: Arc<State>,
     request: Request<Incoming>,
     caller: Caller,
+    connection: &Connection,
 ) -> Response<Body> {
     let in_flight = state.track_request();
     let arrived = Instant::now();
@@ -132,9 +143,12 @@
     let (head, mut body) = request.into_parts();
     let awaits_consent = inbound::awaits_consent(&head.headers);
     let serving = async {
-        match accept(&state, head, &mut body, caller, arrived).await {
-            Ok(job) if job.route.repeat.is_stream() => stream::serve(&state, job, in_flight).await,
-            Ok(job) => plain::serve(&state, &job).await,
+        match accept(&state, head, &mut body, caller, connection, arrived).await {
+            // On the heap, so that a body takes no memory for what follows it.
+            Ok(job) if job.route.repeat.is_stream() => {
+                Box::pin(stream::serve(&state, job, in_flight)).await
+            }
+            Ok(job) => Box::pin(plain::serve(&state, &job)).await,
             Err(refusal) => Err(refusal),
         }
     };
@@ -164,7 +178,12 @@
                 failure.context,
             ));
             let mut response = reply::failure(&refusal.error, refusal.retry_after);
-            if let Some(unread) = unread {
+            if connection.is_evicted() {
+                // Its room is needed: nothing more is read.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            } else if let Some(unread) = unread {
+                connection.enter(Phase::Discarding);
                 inbound::discard(body, &unread, awaits_consent, response.headers_mut());
             }
             response
@@ -206,6 +225,7 @@
     head: http::request::Parts,
     body: &mut Incoming,
     caller: Caller,
+    connection: &Connection,
     arrived: Instant,
 ) -> Result<Job, Refusal> {
     let unsent = Unsent::begin();
@@ -233,6 +253,9 @@
             return Err(unsent.refuse(kind, context).into());
         }
     };
+    if team.is_some() {
+        connection.record_known();
+    }
     let timeout = caller.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + timeout.saturating_sub(RESPONSE_MARGIN);
     if let Some(drain) = state.draining()
@@ -241,7 +264,7 @@
         let error = unsent.refuse(Kind::Leaving, "the process shuts down before the deadline");
         return Err(Refusal::from(error).with_retry_after(reply::jitter(LEAVING_RETRY_AFTER)));
     }
-    let body = match time::timeout_at(deadline, read_body(state, &config, body)).await {
+    let body = match time::timeout_at(deadline, read_body(state, &config, body, connection)).await {
         Ok(body) => body?,
         Err(_) => {
             return Err(unsent
@@ -297,7 +320,12 @@
 ///
 /// Returns a refusal if the body exceeds the configured limit, if memory for it
 /// is short, or if reading it fails.
-async fn read_body(state: &State, config: &Config, body: &mut Incoming) -> Result<Bytes, Refusal> {
+async fn read_body(
+    state: &State,
+    config: &Config,
+    body: &mut Incoming,
+    connection: &Connection,
+) -> Result<Bytes, Refusal> {
     let limit = config.limits.body_bytes;
     let declared = body.size_hint().upper();
     if declared == Some(0) {
@@ -308,14 +336,14 @@
             .refuse(Kind::TooLarge, format!("limit={limit}"))
             .into());
     }
-    let mut buffer = state.bodies.buffer();
-    let reserved = declared.map_or(Ok(()), |bytes| {
-        buffer.reserve(usize::try_from(bytes).unwrap_or(limit))
-    });
-    let read = match reserved {
-        Ok(()) => buffer.read(body, limit).await,
-        Err(shortage) => Err(shortage.into()),
+    let declared = declared.and_then(|bytes| usize::try_from(bytes).ok());
+    connection.begin_body();
+    let read = tokio::select! {
+        read = read_parts(state, body, declared.unwrap_or(limit), connection) => read,
+        () = connection.evicted() => Err(Fault::Shortage(Shortage)),
     };
+    connection.record_body(0, 0);
+    connection.enter(Phase::Working);
     read.map_err(|fault| {
         let (kind, context) = match fault {
             Fault::TooLarge(limit) => (Kind::TooLarge, format!("limit={limit}")),
@@ -326,6 +354,44 @@
     })
 }
 
+/// Reads a body of at most `limit` bytes. Takes memory as it arrives, since callers may
+/// announce what they never send. While there is none, unfinished bodies that are behind are
+/// refused.
+async fn read_parts(
+    state: &State,
+    body: &mut Incoming,
+    limit: usize,
+    connection: &Connection,
+) -> Result<Bytes, Fault> {
+    let mut buffer = state.bodies.buffer();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Fault::Broken(error.to_string()))?;
+        // Trailers are not part of the body.
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + part.len() > limit {
+            return Err(Fault::TooLarge(limit));
+        }
+        extend(state, &mut buffer, &part).await?;
+        connection.record_body(part.len(), buffer.len().saturating_sub(FREE_BYTES));
+    }
+    Ok(buffer.into_bytes())
+}
+
+/// Appends a part to a body.
+async fn extend(state: &State, buffer: &mut Buffer, part: &[u8]) -> Result<(), Shortage> {
+    while let Err(shortage) = buffer.extend(part) {
+        let now = state.clock.now();
+        if !state.callers.evict(Need::Body, now, &state.metrics) {
+            return Err(shortage);
+        }
+        // The other request gives its memory back when its task runs.
+        time::sleep(EVICTION_TIME).await;
+    }
+    Ok(())
+}
+
 /// Returns the host of a request in lower case, without its port.
 fn host(headers: &http::HeaderMap, uri: &Uri) -> String {
     let declared = headers
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -1,13 +1,20 @@
 //! Accepts connections from callers, load balancers and metrics scrapers.
 
-use super::{idle::HeadTimer, reply::Body, request, state::State};
+use super::{
+    connection::{Connection, Listed, RECEIVE_BYTES, Room, Rooms, Stream},
+    idle::HeadTimer,
+    reply::Body,
+    request,
+    state::State,
+};
 use crate::{daemon, outbound, platform::caller::Caller, sync::lock};
-use cicadacrank_core::event::Event;
+use cicadacrank_core::{crowd::Phase as Use, event::Event};
 use futures_util::FutureExt as _;
 use http::{HeaderValue, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use miette::Result;
+use socket2::SockRef;
 use std::{
     convert::Infallible,
     net::SocketAddr,
@@ -17,7 +24,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::watch,
     time,
 };
 use tokio_util::task::TaskTracker;
@@ -38,9 +45,9 @@
 /// up these connections.
 const MAX_INSPECTOR_CONNECTIONS: usize = 32;
 
-/// Lower bound for the number of bytes that are buffered from one connection
-/// before they are parsed.
-const MIN_BUFFER_LIMIT: usize = 64 * 1024;
+/// Lower bound for the number of bytes that are buffered of an answer before its caller
+/// takes them.
+const MIN_BUFFER_LIMIT: usize = 16 * 1024;
 
 /// The listeners of a gateway.
 #[derive(Debug)]
@@ -116,15 +123,23 @@
     /// Starts to accept connections in background tasks.
     pub fn start(&mut self) {
         for (listener, client) in self.listeners.drain(..) {
-            let sockets = match client {
-                Client::Caller => self.state.settings.sockets / 2,
-                Client::Inspector => MAX_INSPECTOR_CONNECTIONS,
+            // Accepted connections inherit it.
+            if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BYTES) {
+                log::warn!("failed to set the receive buffer for {client:?}: {error}");
+            }
+            let rooms = match client {
+                Client::Caller => Rooms::new(
+                    Arc::clone(&self.state.callers),
+                    self.state.settings.sockets / 2,
+                    self.state.memory.clone(),
+                ),
+                Client::Inspector => Rooms::with_own_memory(MAX_INSPECTOR_CONNECTIONS),
             };
             let acceptor = Acceptor {
                 state: Arc::clone(&self.state),
                 listener,
                 client,
-                sockets: Arc::new(Semaphore::new(sockets)),
+                rooms,
                 phase: self.phase.subscribe(),
                 connections: self.connections.clone(),
             };
@@ -153,7 +168,7 @@
     state: Arc<State>,
     listener: TcpListener,
     client: Client,
-    sockets: Arc<Semaphore>,
+    rooms: Rooms,
     phase: watch::Receiver<Phase>,
     connections: TaskTracker,
 }
@@ -163,9 +178,7 @@
     /// including those that wait to be accepted then.
     async fn run(mut self) {
         loop {
-            let Ok(permit) = Arc::clone(&self.sockets).acquire_owned().await else {
-                return;
-            };
+            let room = self.rooms.wait(&self.state).await;
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 () = wait_until(&mut self.phase, Phase::Ending), if self.client == Client::Caller => {
@@ -176,7 +189,7 @@
                 }
             };
             match accepted {
-                Ok((stream, _)) => self.spawn(stream, permit),
+                Ok((stream, _)) => self.spawn(stream, room),
                 Err(error) => {
                     log::warn!("failed to accept a connection: {error}");
                     time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -186,16 +199,17 @@
     }
 
     /// Serves a connection in the background.
-    fn spawn(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    fn spawn(&self, stream: TcpStream, room: Room) {
         let serving = serve(
             Arc::clone(&self.state),
             stream,
             self.client,
+            self.rooms.open.add(self.state.clock),
             self.phase.clone(),
         );
         let serving = async move {
             serving.await;
-            drop(permit);
+            drop(room);
         };
         match self.client {
             Client::Caller => drop(self.connections.spawn(serving)),
@@ -208,6 +222,7 @@
     state: Arc<State>,
     stream: TcpStream,
     client: Client,
+    listed: Listed,
     mut phase: watch::Receiver<Phase>,
 ) {
     if let Err(error) = outbound::configure_socket(&stream, CALLER_TIMEOUT) {
@@ -220,26 +235,42 @@
         .unwrap_or_default();
     // A connection that is accepted during the shutdown serves one request only.
     let is_closing = *phase.borrow() >= Phase::Closing;
-    let mut timer = HeadTimer::new(Arc::clone(&state));
+    let connection = listed.connection();
+    let mut timer = HeadTimer::new(Arc::clone(&state), connection.clone());
     if is_closing {
         timer = timer.with_timeout(CLOSING_HEAD_TIMEOUT);
     }
     let newest = Mutex::new(Newest::default());
-    let service = service_fn(|request| answer(Arc::clone(&state), request, client, &newest));
-    let connection = http1::Builder::new()
+    let service =
+        service_fn(|request| answer(Arc::clone(&state), request, client, connection, &newest));
+    let served = http1::Builder::new()
         .timer(timer.clone())
         .keep_alive(!is_closing)
         .header_read_timeout(HeadTimer::TIMEOUT)
         .max_buf_size((limits.head_bytes * 2).max(MIN_BUFFER_LIMIT))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let result = tokio::select! {
-        // Reads a request that has arrived before the connection is closed as idle.
-        biased;
-        result = connection.as_mut() => result,
-        () = wait_until(&mut phase, Phase::Closing), if !is_closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        .serve_connection(
+            TokioIo::new(Stream::new(stream, connection.clone())),
+            service,
+        );
+    let mut served = pin!(served);
+    let mut is_ending = is_closing;
+    let mut is_evicted = false;
+    let result = loop {
+        tokio::select! {
+            // Reads a request that has arrived before the connection is closed as idle.
+            biased;
+            result = served.as_mut() => break result,
+            () = connection.evicted(), if !is_evicted => {
+                if connection.is_disposable() {
+                    return;
+                }
+                served.as_mut().graceful_shutdown();
+                is_evicted = true;
+            }
+            () = wait_until(&mut phase, Phase::Closing), if !is_ending => {
+                served.as_mut().graceful_shutdown();
+                is_ending = true;
+            }
         }
     };
     if let (Client::Caller, Err(error)) = (client, result) {
@@ -263,8 +294,10 @@
     state: Arc<State>,
     request: http::Request<Incoming>,
     client: Client,
+    connection: &Connection,
     newest: &Mutex<Newest>,
 ) -> Result<Response<Body>, Infallible> {
+    connection.enter(Use::Working);
     if client == Client::Inspector {
         return Ok(request::inspect(&state, &request));
     }
@@ -273,7 +306,9 @@
         id: caller.attempt_text().to_owned(),
         answered: false,
     };
-    let mut response = request::handle(Arc::clone(&state), request, caller).await;
+    // On the heap, so that idle connections take no memory for it.
+    let handling = request::handle(Arc::clone(&state), request, caller, connection);
+    let mut response = Box::pin(handling).await;
     lock(newest).answered = true;
     if state.draining().is_some() {
         let headers = response.headers_mut();
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, lifetime, origin, owner::Pools, peers::Links};
+use super::{Settings, connection::Connections, lifetime, origin, owner::Pools, peers::Links};
 pub(super) use crate::sync::lock;
 use crate::{
     clock::Clock,
@@ -45,6 +45,13 @@
 /// may use.
 const EVENT_MEMORY_DIVISOR: u64 = 16;
 
+/// Divisor of the memory of the process. The quotient is left free for gaps between
+/// allocations.
+const MARGIN_DIVISOR: u64 = 8;
+
+/// Memory of a process without connections and requests, in bytes.
+const PROCESS_BYTES: u64 = 24 << 20;
+
 /// Source of statements that this gateway has read itself, for logs.
 pub(super) const OWN: &str = "own";
 
@@ -64,6 +71,10 @@
     /// Origins of streams that callers may take up again.
     pub(super) streams: origin::Memory,
     pub(super) end_checks: lifetime::Checks,
+    /// Connections from callers.
+    pub(super) callers: Arc<Connections>,
+    /// Memory for connections from callers, and for all bodies and answers.
+    pub(super) memory: Memory,
     /// Memory for bodies of requests.
     pub(super) bodies: Memory,
     /// Memory for answers of plain endpoints.
@@ -136,7 +147,11 @@
             leaving: false,
             heartbeats: 0,
         });
+        let bytes = settings.memory_bytes;
+        let memory = Memory::new(bytes - bytes / MARGIN_DIVISOR - PROCESS_BYTES.min(bytes / 2));
+        let part = |divisor| Memory::new(bytes / divisor).with_whole(&memory);
         Self {
+            callers: Arc::default(),
             store: platform::Client::new(settings.store, STORE_TIMEOUT),
             fleet: Mutex::default(),
             tracker: Mutex::default(),
@@ -147,9 +162,10 @@
             links: Links::default(),
             streams: origin::Memory::default(),
             end_checks: lifetime::Checks::default(),
-            bodies: Memory::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
-            answers: Memory::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR),
-            events: Memory::new(settings.memory_bytes / EVENT_MEMORY_DIVISOR),
+            bodies: part(BODY_MEMORY_DIVISOR),
+            answers: part(ANSWER_MEMORY_DIVISOR),
+            events: part(EVENT_MEMORY_DIVISOR),
+            memory,
             config: Mutex::default(),
             evacuation: Mutex::default(),
             listed: AtomicBool::new(false),
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -32,6 +32,10 @@
     pub ends: IntCounter,
     /// Answers in which endpoints stated that they want no requests for some time.
     pub pauses: IntCounter,
+    /// Connections of callers that were closed to make room, by what they were used for.
+    pub evictions: IntCounterVec,
+    /// Heads of requests that did not arrive in time.
+    pub head_timeouts: IntCounter,
     /// Number of pieces per call.
     pub batch: Histogram,
     /// Time from requesting the pieces of a stage until all are complete, in
@@ -107,6 +111,15 @@
                 "cicadacrank_gateway_pauses_total",
                 "Statements of endpoints that they want no requests for some time",
             ),
+            evictions: counters(
+                "cicadacrank_gateway_evictions_total",
+                "Connections of callers closed to make room",
+                &["phase"],
+            ),
+            head_timeouts: counter(
+                "cicadacrank_gateway_head_timeouts_total",
+                "Heads of requests that did not arrive in time",
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -7,7 +7,7 @@
 use crate::memory::Memory;
 use bytes::Bytes;
 use http::{Request, Response, header};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -111,10 +111,12 @@
         max_bytes: usize,
     ) -> Result<Response<Bytes>, String> {
         let response = self.sender.send_request(request).await;
-        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|error| error.to_string())?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        let (head, mut body) = response.map_err(|error| error.to_string())?.into_parts();
+        // One buffer, since parts of a body may be small.
+        let memory = Memory::new(max_bytes as u64 * 2);
+        let body = memory.buffer().read(&mut body, max_bytes).await;
+        let body = body.map_err(|fault| fault.to_string())?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Waits until the connection takes a further request. Returns whether it does.
--- a/crates/cicadacrank-node/src/platform/config.rs
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -118,6 +118,7 @@
 struct WireLimits {
     max_header_bytes: usize,
     max_body_bytes: usize,
+    header_timeout_ms: Option<f64>,
     idle_timeout_ms: f64,
 }
 
@@ -164,6 +165,10 @@
             head_bytes: wire.limits.max_header_bytes,
             body_bytes: wire.limits.max_body_bytes,
             idle: milliseconds(wire.limits.idle_timeout_ms, "idleTimeoutMs")?,
+            head_time: match wire.limits.header_timeout_ms {
+                Some(time) => milliseconds(time, "headerTimeoutMs")?,
+                None => Limits::default_head_time(),
+            },
         },
     }))
 }
--- a/crates/cicadacrankd/tests/crowd.rs
+++ b/crates/cicadacrankd/tests/crowd.rs
@@ -250,7 +250,10 @@
     check_ordinary(deployment, "after").await;
     let peak = gateway.peak_memory().expect("the gateway runs");
     let peak = peak.max(most_bytes);
-    println!("memory {before} to {peak} bytes, {most_descriptors} descriptors");
+    println!(
+        "memory {before} to {peak} bytes ({:?} resident), {most_descriptors} descriptors",
+        gateway.peak_memory()
+    );
     assert!(peak < MEMORY_MB << 20, "{peak} bytes, {before} at first");
     assert!(
         most_descriptors < DESCRIPTORS,
