--- a/crates/cicadacrank-node/src/gateway/peers/incoming.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/incoming.rs
@@ -47,7 +47,6 @@
     let rooms = Rooms::with_own_memory(sockets);
     let parts = (Arc::clone(state), listener, rooms);
     stream::unfold(parts, async |(state, listener, rooms)| {
-        let room = rooms.wait(&state).await;
         let stream = loop {
             match listener.accept().await {
                 Ok((stream, _)) => break stream,
@@ -57,6 +56,7 @@
                 }
             }
         };
+        let room = rooms.wait(&state).await;
         let listed = rooms.open.add(state.clock);
         let link = stream.set_nodelay(true).map(|()| Link {
             stream,
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -178,7 +178,6 @@
     /// including those that wait to be accepted then.
     async fn run(mut self) {
         loop {
-            let room = self.rooms.wait(&self.state).await;
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 () = wait_until(&mut self.phase, Phase::Ending), if self.client == Client::Caller => {
@@ -189,7 +188,11 @@
                 }
             };
             match accepted {
-                Ok((stream, _)) => self.spawn(stream, room),
+                // Only a connection that waits to be served has others closed for its room.
+                Ok((stream, _)) => {
+                    let room = self.rooms.wait(&self.state).await;
+                    self.spawn(stream, room);
+                }
                 Err(error) => {
                     log::warn!("failed to accept a connection: {error}");
                     time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/cicadacrank-node/src/inbound.rs
+++ b/crates/cicadacrank-node/src/inbound.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body, SizeHint};
 use std::time::Duration;
-use tokio::time;
+use tokio::{sync::Semaphore, time};
 
 /// Maximum time for which the rest of a body is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -17,6 +17,12 @@
 /// Maximum size of the rest of a body that is read and discarded, in bytes.
 const MAX_DISCARDED_BYTES: u64 = 8 << 20;
 
+/// Maximum number of bodies of which the rest is discarded at the same time. The connections
+/// of further ones are closed.
+const MAX_DISCARDS: usize = 256;
+
+static DISCARDS: Semaphore = Semaphore::const_new(MAX_DISCARDS);
+
 /// Returns the size of the rest of a body, or `None` if it was read to its end. Only the
 /// next frame tells the end of a body in chunks.
 pub fn unread<B: Body + Unpin>(body: &mut B) -> Option<SizeHint> {
@@ -39,10 +45,18 @@
     // The connection of a larger body ends inside it, and a caller that waits to be asked
     // for its body may leave it out.
     let is_large = rest.upper().is_none_or(|bytes| bytes > MAX_DISCARDED_BYTES);
-    if is_large || awaits_consent {
+    let permit = DISCARDS.try_acquire().ok();
+    if is_large || awaits_consent || permit.is_none() {
         response.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    tokio::spawn(time::timeout(DISCARD_TIMEOUT, read(body)));
+    let Some(permit) = permit else {
+        return;
+    };
+    tokio::spawn(async move {
+        // What is left after the timeout ends with its connection.
+        drop(time::timeout(DISCARD_TIMEOUT, read(body)).await);
+        drop(permit);
+    });
 }
 
 /// Reads a body up to its end or [`MAX_DISCARDED_BYTES`].
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -1,7 +1,7 @@
 //! Tests of the decoders and encoders of the platform's formats.
 
 use cicadacrank_core::{
-    config::Repeat,
+    config::{Limits, Repeat},
     directory::State,
     placement::{Occupancy, Prompt},
 };
@@ -98,7 +98,8 @@
         "services": [{ "name": "e", "connectionLimit": 10,
             "segments": { "slots": 1, "queue": 2, "batch": 14, "callTimeMs": 200.0,
                 "itemTimeMs": 12.0, "headroomMb": 32.0, "handleTtlS": 4.0 } }],
-        "limits": { "maxHeaderBytes": 100, "maxBodyBytes": 200, "idleTimeoutMs": 15000 },
+        "limits": { "maxHeaderBytes": 100, "maxBodyBytes": 200,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         "tenants": [{ "name": "t", "apiKeys": ["k"], "priority": 3 }],
     })
 }
@@ -114,6 +115,17 @@
     assert_eq!(worker.room_bytes, 32_000_000);
     assert_eq!(worker.result_life, Duration::from_secs(4));
     assert_eq!(config.team("k").and_then(|team| team.rank), Some(3));
+    assert_eq!(config.limits.head_time, Duration::from_secs(3));
+}
+
+/// Older configurations state no time for heads.
+#[test]
+fn config_decodes_a_document_without_a_time_for_heads() {
+    let mut content = configuration();
+    let limits = content["limits"].as_object_mut().expect("limits");
+    limits.remove("headerTimeoutMs");
+    let config = config::decode(&content).expect("valid configuration");
+    assert_eq!(config.limits.head_time, Limits::default_head_time());
 }
 
 #[test]
@@ -144,6 +156,7 @@
         "/services/0/segments/callTimeMs",
         "/services/0/segments/itemTimeMs",
         "/services/0/segments/handleTtlS",
+        "/limits/headerTimeoutMs",
         "/limits/idleTimeoutMs",
     ] {
         for huge in [1e12, 1.8e19, 1.8e22, 1e300] {
@@ -155,6 +168,7 @@
             let mut times = vec![route.timeout, route.objective, config.limits.idle];
             times.extend([worker.call_time, worker.piece_time, worker.result_life]);
             times.extend(route.event_gap);
+            times.push(config.limits.head_time);
             assert!(times.iter().all(|time| *time <= YEAR), "{pointer} {huge}");
         }
     }
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -372,3 +372,27 @@
         }
     }
 }
+
+/// A head that dripped in kept its connection for as long as the idle timeout, whatever the
+/// configuration said about heads.
+#[tokio::test]
+async fn head_that_drips_ends_by_its_own_timeout() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    let mut config = config(2, &json!([]));
+    config["limits"]["headerTimeoutMs"] = json!(500);
+    config["limits"]["idleTimeoutMs"] = json!(600_000);
+    let store = &deployment.store;
+    store.state().put(Collection::Config, "main", config);
+    wait_for_log(&deployment, 0, "ConfigAdopted: version=2").await;
+    let mut idle = Connection::open(address).await;
+    let mut connection = Connection::open(address).await;
+    connection.send(b"GET /look/1 HTTP/1.1\r\nx-drip: ").await;
+    while connection.send(b"x").await {
+        time::sleep(PAUSE).await;
+    }
+    wait_for_log(&deployment, 0, "HeadTimedOut").await;
+    idle.send(&head("GET", "/look/1", "a1", "")).await;
+    let answer = idle.read().await.expect("the idle connection is open");
+    assert!(answer.has_status(200), "{answer:?}");
+}
