--- a/crates/cicadacrank-node/src/entry/http.rs
+++ b/crates/cicadacrank-node/src/entry/http.rs
@@ -120,11 +120,12 @@
     let pipeline = request.param::<String>("name").unwrap_or_default();
     let body = bodies.buffer().read(request.body_mut(), MAX_BODY_BYTES);
     let body = body.await.map_err(|fault| {
-        let kind = match fault {
-            Fault::TooLarge(_) | Fault::Broken(_) => Kind::TooLarge,
-            Fault::Shortage(_) => Kind::Overloaded,
+        let (kind, error) = match fault {
+            Fault::TooLarge(_) => (Kind::TooLarge, "payload too large".to_owned()),
+            Fault::Broken(error) => (Kind::TooLarge, error),
+            Fault::Shortage(shortage) => (Kind::Overloaded, shortage.to_string()),
         };
-        Failure::not_run(kind, format!("reading the body: {fault}"))
+        Failure::not_run(kind, format!("reading the body: {error}"))
     })?;
     Ok(Request {
         id,
