--- a/crates/cicadacrank-node/src/platform/config.rs
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -106,6 +106,7 @@
 struct WireLimits {
     max_header_bytes: usize,
     max_body_bytes: usize,
+    header_timeout_ms: Option<f64>,
     idle_timeout_ms: f64,
 }
 
@@ -237,6 +238,10 @@
         head_bytes: wire.max_header_bytes,
         body_bytes: wire.max_body_bytes,
         idle: milliseconds(wire.idle_timeout_ms, "idleTimeoutMs")?,
+        head_time: match wire.header_timeout_ms {
+            Some(time) => milliseconds(time, "headerTimeoutMs")?,
+            None => Limits::default_head_time(),
+        },
     })
 }
 
