--- a/crates/cicadacrank-core/src/directory/mod.rs
+++ b/crates/cicadacrank-core/src/directory/mod.rs
@@ -6,6 +6,7 @@
 //! id has lost its earlier state.
 
 pub mod evacuation;
+mod history;
 mod tracker;
 
 pub use self::tracker::Tracker;
@@ -78,6 +79,19 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// What changed in the list of endpoints between two versions of one era of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Version of the list to which the changes apply.
+    pub after: Version,
+    /// Version of the list with the changes.
+    pub version: Version,
+    /// Endpoints that were registered, sorted by incarnation.
+    pub put: Vec<Endpoint>,
+    /// Ids of the endpoints that were removed.
+    pub removed: Vec<String>,
+}
+
 /// Data centres that get no new work, at one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuation {
--- a/crates/cicadacrank-core/src/directory/tracker.rs
+++ b/crates/cicadacrank-core/src/directory/tracker.rs
@@ -1,6 +1,6 @@
 //! Tracks the store's list of endpoints across outages and returns of the store.
 
-use super::{Endpoint, Snapshot, State};
+use super::{Changes, Endpoint, Snapshot, State, history::History};
 use crate::version::Version;
 use std::time::Duration;
 
@@ -57,6 +57,7 @@
     departures: Vec<Departure>,
     unavailable_since: Option<Duration>,
     grace_until: Option<Duration>,
+    history: History,
 }
 
 impl Tracker {
@@ -100,6 +101,9 @@
         if !is_first && version.era > self.version.era {
             self.grace_until = Some(now + RECOVERY_GRACE);
         }
+        if is_first || version.era > self.version.era {
+            self.history = History::new(version);
+        }
         self.version = version;
         let listed: Vec<String> = {
             let mut ids: Vec<_> = endpoints.iter().map(|one| one.life.id.clone()).collect();
@@ -110,14 +114,21 @@
         let ids = self.entries.iter().map(|entry| &entry.endpoint.life.id);
         let gone: Vec<String> = ids.filter(|id| is_gone(id)).cloned().collect();
         for id in gone {
+            self.history.record(version, &id);
             self.drop_entry(&id, now);
         }
         for departure in &mut self.departures {
-            if is_gone(&departure.endpoint.life.id) {
-                departure.withheld = None;
+            if is_gone(&departure.endpoint.life.id) && departure.withheld.take().is_some() {
+                self.history.record(version, &departure.endpoint.life.id);
             }
         }
         for endpoint in endpoints {
+            let held = self
+                .find(&endpoint.life.id)
+                .map(|index| &self.entries[index]);
+            if held.map(|entry| &entry.endpoint) != Ok(&endpoint) {
+                self.history.record(version, &endpoint.life.id);
+            }
             self.store(endpoint);
         }
         true
@@ -126,12 +137,14 @@
     /// Applies the write of one entry.
     pub fn put(&mut self, version: Version, endpoint: Endpoint) {
         self.version = self.version.max(version);
+        self.history.record(version, &endpoint.life.id);
         self.store(endpoint);
     }
 
     /// Applies the removal of one entry.
     pub fn remove(&mut self, version: Version, id: &str, now: Duration) {
         self.version = self.version.max(version);
+        self.history.record(version, id);
         self.drop_entry(id, now);
     }
 
@@ -143,6 +156,7 @@
             return;
         }
         self.version = version;
+        self.history.record(version, id);
         if let Ok(index) = self.find(id) {
             self.entries.remove(index);
         } else {
@@ -187,6 +201,62 @@
         self.replace_all(snapshot.version, snapshot.endpoints, now)
     }
 
+    /// Returns whether the last call to the store failed.
+    #[must_use]
+    pub const fn is_unavailable(&self) -> bool {
+        self.unavailable_since.is_some()
+    }
+
+    /// Returns what has changed since a version, for a process that holds it, or `None` if
+    /// that is not known or may not be passed on.
+    #[must_use]
+    pub fn changes_since(&self, version: Version) -> Option<Changes> {
+        if self.entries.iter().any(|entry| entry.missing) {
+            return None;
+        }
+        let (mut put, mut removed) = (Vec::new(), Vec::new());
+        for id in self.history.since(version)? {
+            let entry = self.find(id).map(|index| &self.entries[index].endpoint);
+            match entry.ok().or_else(|| self.withheld(id)) {
+                Some(endpoint) => put.push(endpoint.clone()),
+                None => removed.push(id.to_owned()),
+            }
+        }
+        Some(Changes {
+            after: version,
+            version: self.version,
+            put,
+            removed,
+        })
+    }
+
+    /// Applies the changes that another process knows of, like changes of the store.
+    /// Ignores them if they are not newer or begin after the current version. Returns
+    /// whether they were applied.
+    pub fn apply(&mut self, changes: Changes, now: Duration) -> bool {
+        let Changes {
+            after,
+            version,
+            put,
+            removed,
+        } = changes;
+        let is_next = after.era == self.version.era && after <= self.version;
+        if !is_next || version.era != after.era || version <= self.version {
+            return false;
+        }
+        if self.is_grace_paused() {
+            self.grace_until = Some(now + RECOVERY_GRACE);
+        }
+        for id in removed {
+            self.remove(version, &id, now);
+        }
+        for endpoint in put {
+            self.put(version, endpoint);
+        }
+        self.version = version;
+        true
+    }
+
     /// Drops the entries that are still missing at the end of the grace period, and
     /// takes the entries of endpoints that left too long ago to be remembered.
     /// Returns whether the list changed.
@@ -301,6 +371,12 @@
         }
     }
 
+    fn withheld(&self, id: &str) -> Option<&Endpoint> {
+        let mut departures = self.departures.iter();
+        let departure = departures.find(|one| one.endpoint.life.id == id)?;
+        departure.withheld.as_ref()
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.endpoint.life.id.as_str().cmp(id))
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -91,6 +91,7 @@
     MemberChanged = 510, Info, "An instance became alive, suspect, dead or leaving.";
     PeerLost = 511, Warn, "Another gateway does not respond.";
     PeerRegained = 512, Info, "Another gateway responds again.";
+    TrafficCounted = 513, Info, "Messages and bytes exchanged with other gateways since the start of the process, by purpose.";
     SuspectMarked = 520, Warn, "A request is suspected of crashing endpoints.";
     SuspectUntold = 521, Warn, "Not all entries could be notified of a suspect request in time.";
     QuarantineChanged = 522, Warn, "Requests with a cause of crashes are refused from now on, or no longer.";
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod engine;
 mod limit;
+mod peer;
 mod statement;
 
 pub use self::{
@@ -13,6 +14,7 @@
 use self::{
     account::{Account, Accounts},
     limit::Share,
+    peer::Peers,
     statement::{Statement, Statements},
 };
 use super::{Health, Report};
@@ -115,6 +117,9 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     slots: Vec<Slot>,
+    /// Indices of the slots with rows, sorted by incarnation.
+    order: Vec<u32>,
+    peers: Peers,
     statements: Statements,
     accounts: Accounts,
     evacuation: Evacuation,
@@ -159,16 +164,20 @@
                 }
             }
         }
+        self.sort();
         for incarnation in renewed {
             self.record_running(&incarnation, now);
         }
-        for endpoint in &snapshot.endpoints {
-            if self.find(&endpoint.life).is_none() {
-                let statement = self.statements.of(&endpoint.life);
-                let account = self.accounts.take(&endpoint.life.id);
-                self.insert(Row::new(endpoint.clone(), statement, account, now));
-            }
+        let new = snapshot.endpoints.iter();
+        let new: Vec<&Endpoint> = new.filter(|one| self.find(&one.life).is_none()).collect();
+        for endpoint in new {
+            let statement = self.statements.of(&endpoint.life);
+            let account = self.accounts.take(&endpoint.life.id);
+            let mut row = Row::new(endpoint.clone(), statement, account, now);
+            row.peer_load = self.peers.load(&endpoint.life.id);
+            self.insert(row);
         }
+        self.sort();
     }
 
     /// Sets the data centres that get no new work.
@@ -183,21 +192,6 @@
         self.position = position;
     }
 
-    /// Sets the load that the other processes put on the endpoints.
-    pub fn set_peer_loads<'a>(&mut self, loads: impl Iterator<Item = (&'a str, Load)>) {
-        let mut loads: Vec<(&str, Load)> = loads.collect();
-        loads.sort_unstable_by_key(|load| load.0);
-        for row in self.slots.iter_mut().filter_map(|slot| slot.row.as_mut()) {
-            let id = row.endpoint.life.id.as_str();
-            let first = loads.partition_point(|load| load.0 < id);
-            row.peer_load = Load::default();
-            for (_, load) in loads[first..].iter().take_while(|load| load.0 == id) {
-                row.peer_load.in_flight += load.in_flight;
-                row.peer_load.unread += load.unread;
-            }
-        }
-    }
-
     /// Returns the load of this process on each endpoint with requests in
     /// flight.
     pub fn own_loads(&self) -> impl Iterator<Item = (&str, Load)> {
@@ -391,8 +385,8 @@
     /// The limit holds for the id of the endpoint, also while the directory lists another
     /// incarnation or none.
     pub fn record_limit(&mut self, endpoint: &Incarnation, limit: Limit) -> bool {
-        let mut rows = self.slots.iter_mut().filter_map(|slot| slot.row.as_mut());
-        let row = rows.find(|row| row.endpoint.life.id == endpoint.id);
+        let key = self.keys_of(&endpoint.id).next();
+        let row = key.and_then(|key| self.row_mut(key));
         match (row, limit.per_second) {
             (Some(row), _) => row.account.record_limit(limit),
             (None, Some(_)) => self.accounts.entry(&endpoint.id).record_limit(limit),
@@ -452,9 +446,40 @@
     }
 
     fn find(&self, incarnation: &Incarnation) -> Option<Key> {
-        self.rows()
-            .find(|(_, row)| row.endpoint.life == *incarnation)
-            .map(|(key, _)| key)
+        let found = self
+            .order
+            .binary_search_by(|index| self.life(*index).cmp(&Some(incarnation)));
+        found.ok().map(|found| self.key(self.order[found]))
+    }
+
+    /// Returns the keys of the rows with the id of an endpoint.
+    fn keys_of(&self, id: &str) -> impl Iterator<Item = Key> {
+        let id_at = |index: u32| self.life(index).map(|life| life.id.as_str());
+        let first = self.order.partition_point(|index| id_at(*index) < Some(id));
+        let same = self.order[first..].iter();
+        same.take_while(move |index| id_at(**index) == Some(id))
+            .map(|index| self.key(*index))
+    }
+
+    fn life(&self, index: u32) -> Option<&Incarnation> {
+        let row = self.slots.get(index as usize)?.row.as_ref();
+        row.map(|row| &row.endpoint.life)
+    }
+
+    fn key(&self, index: u32) -> Key {
+        let slot = self.slots.get(index as usize);
+        Key {
+            index,
+            generation: slot.map_or(0, |slot| slot.generation),
+        }
+    }
+
+    fn sort(&mut self) {
+        let mut order = std::mem::take(&mut self.order);
+        order.clear();
+        order.extend(self.rows().map(|(key, _)| key.index));
+        order.sort_unstable_by(|one, other| self.life(*one).cmp(&self.life(*other)));
+        self.order = order;
     }
 
     fn insert(&mut self, row: Row) {
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -2,10 +2,21 @@
 //!
 //! Each gateway counts its heartbeats, and gateways pass these counts on. A gateway
 //! is live if its count rose recently, so that a gateway of a large deployment
-//! needs no direct contact with all others. Limits are divided among
+//! needs no direct contact with all others: it exchanges heartbeats with some
+//! [partners](Roster::partners), and passes counts on as a [digest](Sign). Limits are divided among
 //! all recently known gateways, live or not, since a silent gateway may still
 //! send. Each service with stages has one live gateway that forms its calls.
 
+mod catchup;
+mod digest;
+mod partner;
+
+pub use self::{
+    catchup::{Catchup, Request},
+    digest::Sign,
+    partner::fan_out,
+};
+
 use siphasher::sip::SipHasher13;
 use std::{cmp, hash::Hasher as _, time::Duration};
 
@@ -30,11 +41,15 @@
     pub leaving: bool,
     /// Number of heartbeats that the process has sent.
     pub heartbeats: u64,
+    /// Whether the process understands digests of heartbeats.
+    pub reads_digests: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Row {
     gateway: Gateway,
+    /// Id of the incarnation in digests.
+    id: u32,
     last_heard: Option<Duration>,
     last_known: Duration,
     /// Time until which the gateway may have kept reserves of limits.
@@ -61,6 +76,8 @@
 pub struct Roster {
     local: Gateway,
     rows: Vec<Row>,
+    /// Ids of the rows in digests, with the indices of the rows, sorted.
+    ids: Vec<(u32, usize)>,
 }
 
 impl Roster {
@@ -70,6 +87,7 @@
         Self {
             local,
             rows: Vec::new(),
+            ids: Vec::new(),
         }
     }
 
@@ -110,7 +128,9 @@
         if gateway.instance == self.local.instance {
             return false;
         }
+        let reads_digests = gateway.reads_digests;
         let index = self.upsert(gateway, now);
+        self.rows[index].gateway.reads_digests = reads_digests;
         self.rows[index].record_life(now)
     }
 
@@ -157,8 +177,12 @@
     /// the local gateway among them. Removes gateways that have been silent for
     /// [`RETENTION`].
     pub fn shares(&mut self, now: Duration) -> (usize, usize) {
+        let before = self.rows.len();
         self.rows
             .retain(|row| now.saturating_sub(row.last_known) < RETENTION);
+        if self.rows.len() < before {
+            self.index();
+        }
         let position = self
             .rows
             .partition_point(|row| row.gateway.instance < self.local.instance);
@@ -248,32 +272,41 @@
         match self.find(&gateway.instance) {
             Ok(index) => {
                 let row = &mut self.rows[index];
-                if gateway.incarnation > row.gateway.incarnation {
+                let is_new = gateway.incarnation > row.gateway.incarnation;
+                if is_new {
                     row.last_heard = None;
                     row.last_known = now;
+                    row.id = digest::id(&gateway.instance, gateway.incarnation);
                 }
                 if gateway.incarnation >= row.gateway.incarnation {
                     let leaving = gateway.leaving
                         || (row.gateway.leaving && gateway.incarnation == row.gateway.incarnation);
-                    let newest = gateway.incarnation > row.gateway.incarnation;
-                    let heartbeats = if newest {
+                    let heartbeats = if is_new {
                         gateway.heartbeats
                     } else {
                         gateway.heartbeats.max(row.gateway.heartbeats)
                     };
+                    // Older processes pass rows on without it.
+                    let reads_digests =
+                        gateway.reads_digests || (row.gateway.reads_digests && !is_new);
                     row.gateway = Gateway {
                         leaving,
                         heartbeats,
+                        reads_digests,
                         ..gateway
                     };
                     if leaving {
                         row.grants_until = row.grants_until.min(now);
                     }
                 }
+                if is_new {
+                    self.index();
+                }
                 index
             }
             Err(index) => {
                 let row = Row {
+                    id: digest::id(&gateway.instance, gateway.incarnation),
                     gateway,
                     last_heard: None,
                     last_known: now,
@@ -281,11 +314,18 @@
                     reported_live: false,
                 };
                 self.rows.insert(index, row);
+                self.index();
                 index
             }
         }
     }
 
+    fn index(&mut self) {
+        let ids = self.rows.iter().enumerate();
+        self.ids = ids.map(|(index, row)| (row.id, index)).collect();
+        self.ids.sort_unstable();
+    }
+
     fn find(&self, instance: &str) -> Result<usize, usize> {
         self.rows
             .binary_search_by(|row| row.gateway.instance.as_str().cmp(instance))
--- a/crates/cicadacrank-core/tests/grant.rs
+++ b/crates/cicadacrank-core/tests/grant.rs
@@ -83,6 +83,7 @@
             address: name.to_owned(),
             leaving: false,
             heartbeats: 0,
+            reads_digests: false,
         };
         Self {
             name: name.to_owned(),
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -95,7 +95,7 @@
         in_flight: 4,
         unread: 0,
     };
-    fleet.set_peer_loads([("a", load)].into_iter());
+    fleet.set_peer_loads("other", vec![("a".to_owned(), load)], NOW);
     let key = fleet
         .choose_plain("engine", &Locality::default(), NOW)
         .expect("an endpoint is available");
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -12,6 +12,7 @@
         address: format!("{instance}:1"),
         leaving: false,
         heartbeats: 0,
+        reads_digests: false,
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -16,6 +16,7 @@
         address: gateway.address.clone(),
         leaving: gateway.leaving,
         heartbeats: gateway.heartbeats,
+        reads_digests: gateway.reads_digests,
     }
 }
 
@@ -27,6 +28,7 @@
         address: state.address,
         leaving: state.leaving,
         heartbeats: state.heartbeats,
+        reads_digests: state.reads_digests,
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -11,10 +11,10 @@
 };
 use cicadacrank_core::{
     config::Config,
-    directory::{Evacuation, Incarnation, Snapshot, Tracker, evacuation},
+    directory::{Evacuation, Incarnation, Tracker, evacuation},
     event::Event,
-    placement::{Fleet, Key, Limit, Load, Row},
-    roster::{Gateway, Roster},
+    placement::{Fleet, Key, Limit, Row},
+    roster::{Catchup, Gateway, Roster},
     share::{Budget, Throttle},
     version::Version,
 };
@@ -61,6 +61,7 @@
     pub(super) causes: Causes,
     pub(super) pools: Pools,
     pub(super) links: Links,
+    pub(super) catchup: Mutex<Catchup>,
     /// Origins of streams that callers may take up again.
     pub(super) streams: origin::Memory,
     pub(super) end_checks: lifetime::Checks,
@@ -73,7 +74,6 @@
     config: Mutex<Option<Adopted>>,
     evacuation: Mutex<evacuation::Tracker>,
     listed: AtomicBool,
-    loads: Mutex<Vec<Loads>>,
     services: Mutex<Vec<Service>>,
     drain: OnceLock<Drain>,
     /// Cancelled when the time for open requests is over.
@@ -109,12 +109,6 @@
     era: u64,
 }
 
-#[derive(Debug)]
-struct Loads {
-    instance: String,
-    loads: Vec<(String, Load)>,
-}
-
 #[derive(Debug)]
 struct Service {
     name: String,
@@ -135,6 +129,7 @@
             address: settings.listen.to_string(),
             leaving: false,
             heartbeats: 0,
+            reads_digests: true,
         });
         Self {
             store: platform::Client::new(settings.store, STORE_TIMEOUT),
@@ -145,6 +140,7 @@
             metrics: Metrics::new(),
             pools: Pools::default(),
             links: Links::default(),
+            catchup: Mutex::default(),
             streams: origin::Memory::default(),
             end_checks: lifetime::Checks::default(),
             bodies: Memory::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
@@ -153,7 +149,6 @@
             config: Mutex::default(),
             evacuation: Mutex::default(),
             listed: AtomicBool::new(false),
-            loads: Mutex::default(),
             services: Mutex::default(),
             drain: OnceLock::new(),
             expired: CancellationToken::new(),
@@ -291,12 +286,10 @@
         true
     }
 
-    /// Returns the list of endpoints, if it may be passed on, and, if known, the
-    /// list of evacuated data centres.
+    /// Returns the list of evacuated data centres, if it is known.
     #[must_use]
-    pub fn directory(&self) -> (Option<Snapshot>, Option<Evacuation>) {
-        let snapshot = lock(&self.tracker).shareable();
-        (snapshot, lock(&self.evacuation).current().cloned())
+    pub fn evacuation(&self) -> Option<Evacuation> {
+        lock(&self.evacuation).current().cloned()
     }
 
     /// Returns the versions of the list of endpoints and of the list of evacuated
@@ -356,20 +349,6 @@
         ));
     }
 
-    /// Replaces the loads that another gateway has in flight.
-    pub(super) fn set_peer_loads(&self, instance: &str, loads: Vec<(String, Load)>) {
-        let mut all = lock(&self.loads);
-        all.retain(|one| one.instance != instance);
-        if !loads.is_empty() {
-            all.push(Loads {
-                instance: instance.to_owned(),
-                loads,
-            });
-        }
-        let others = all.iter().flat_map(|one| &one.loads);
-        lock(&self.fleet).set_peer_loads(others.map(|(id, load)| (id.as_str(), *load)));
-    }
-
     /// Records what an endpoint states about itself in its own answer, which has just
     /// arrived.
     pub(super) fn record_statements(&self, endpoint: &Incarnation, answer: &Answer) {
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -361,6 +361,8 @@
             address: address.to_owned(),
             leaving: false,
             heartbeats: 0,
+            // An older process says otherwise when it is contacted.
+            reads_digests: true,
         };
         // The store shows no heartbeats.
         lock(&state.roster).learn(gateway, now);
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -7,6 +7,63 @@
 };
 use std::time::Duration;
 
+/// What bytes between processes are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Which gateways are live, and the versions of what they know of the store.
+    Members,
+    /// Load of endpoints.
+    Loads,
+    /// What endpoints stated, which of them ended, and what crashes them.
+    Beliefs,
+    /// Content of the store that gateways pass on.
+    Knowledge,
+    /// Pieces of stages.
+    Stages,
+    /// Grants beyond the share in a limit.
+    Grants,
+}
+
+impl Purpose {
+    const ALL: [Self; 6] = [
+        Self::Members,
+        Self::Loads,
+        Self::Beliefs,
+        Self::Knowledge,
+        Self::Stages,
+        Self::Grants,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Members => "members",
+            Self::Loads => "loads",
+            Self::Beliefs => "beliefs",
+            Self::Knowledge => "knowledge",
+            Self::Stages => "stages",
+            Self::Grants => "grants",
+        }
+    }
+}
+
+/// Direction of bytes between processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// To another process.
+    Sent,
+    /// From another process.
+    Received,
+}
+
+impl Direction {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
 /// Counters and histograms of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -22,6 +79,11 @@
     pub attempts: IntCounterVec,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
+    /// Messages between gateways, by purpose and direction. A heartbeat counts for each of
+    /// its purposes.
+    messages: IntCounterVec,
+    /// Bytes of these messages, without those of the protocols below.
+    bytes: IntCounterVec,
     /// Calls with pieces of stages, by service and outcome.
     pub stage_calls: IntCounterVec,
     /// Requests for a grant beyond the share of this gateway, by outcome.
@@ -85,6 +147,16 @@
                 "cicadacrank_gateway_store_calls_total",
                 "Calls to the platform's store",
             ),
+            messages: counters(
+                "cicadacrank_gateway_peer_messages_total",
+                "Messages between gateways",
+                &["purpose", "direction"],
+            ),
+            bytes: counters(
+                "cicadacrank_gateway_peer_bytes_total",
+                "Bytes of messages between gateways",
+                &["purpose", "direction"],
+            ),
             stage_calls: counters(
                 "cicadacrank_gateway_stage_calls_total",
                 "Calls with pieces of stages",
@@ -142,6 +214,30 @@
         first_byte.observe(took.as_secs_f64());
     }
 
+    /// Counts bytes that are exchanged with another gateway. Does nothing if there are none.
+    pub fn record_traffic(&self, purpose: Purpose, direction: Direction, bytes: usize) {
+        if bytes > 0 {
+            let labels = [purpose.as_str(), direction.as_str()];
+            self.messages.with_label_values(&labels).inc();
+            self.bytes.with_label_values(&labels).inc_by(bytes as u64);
+        }
+    }
+
+    /// Returns the messages and bytes between gateways as the details of a log line.
+    #[must_use]
+    pub fn traffic_text(&self) -> String {
+        let mut text = format!("store_calls={}", self.store_calls.get());
+        for purpose in Purpose::ALL {
+            for direction in [Direction::Sent, Direction::Received] {
+                let labels = [purpose.as_str(), direction.as_str()];
+                let messages = self.messages.with_label_values(&labels).get();
+                let bytes = self.bytes.with_label_values(&labels).get();
+                text.push_str(&format!(" {}_{}={messages}/{bytes}", labels[0], labels[1]));
+            }
+        }
+        text
+    }
+
     /// Sets the number of requests and parts that are refused.
     pub fn record_quarantined(&self, count: usize) {
         self.quarantined
--- a/crates/cicadacrank-wire/src/lib.rs
+++ b/crates/cicadacrank-wire/src/lib.rs
@@ -11,6 +11,8 @@
 //! assert_eq!(chunk.data.len(), 3);
 //! ```
 
+pub use prost::Message;
+
 /// Generated messages, clients and servers.
 #[allow(missing_docs, clippy::all, clippy::use_self, clippy::missing_errors_doc)]
 #[rustfmt::skip]
--- a/crates/cicadacrankd/tests/limits.rs
+++ b/crates/cicadacrankd/tests/limits.rs
@@ -43,6 +43,7 @@
         address: number.to_string(),
         leaving: false,
         heartbeats: 0,
+        reads_digests: false,
     };
     let mut left: Vec<usize> = (0..deployment.gateways.len()).collect();
     let mut order = Vec::new();
