Test exchanges in fleets of up to 300 gateways and beside older processes

Cause: at 300 gateways each heartbeat named all live gateways with addresses, each newer revision had the whole list of endpoints fetched, and each report of loads and change of the list was compared with all rows (quadratic in the endpoints).

--- a/crates/cicadacrank-core/tests/directory.rs
+++ b/crates/cicadacrank-core/tests/directory.rs
@@ -515,3 +515,58 @@
     assert!(!tracker.expire(at(11.9)));
     assert!(tracker.expire(at(12.0)));
 }
+
+/// Returns an endpoint in a state.
+fn changed(id: &str, sequence: u64) -> Endpoint {
+    Endpoint {
+        sequence,
+        ..endpoint(id)
+    }
+}
+
+#[test]
+fn changes_bring_a_tracker_of_an_older_version_to_the_same_list() {
+    let mut ahead = tracker();
+    let mut behind = ahead.clone();
+    let held = behind.version();
+    ahead.put(version(20), endpoint("c"));
+    ahead.put(version(21), changed("b", 5));
+    ahead.remove(version(22), "a", at(1.0));
+    let changes = ahead.changes_since(held).expect("the changes are known");
+    assert_eq!(changes.removed, ["a"]);
+    assert_eq!(changes.put.len(), 2);
+    assert!(behind.apply(changes.clone(), at(1.0)));
+    assert_eq!(behind.snapshot(), ahead.snapshot());
+    assert!(!behind.apply(changes, at(1.0)), "they are not newer");
+    // What a list changes is known like what the store told.
+    let mut third = tracker();
+    assert!(third.adopt(ahead.snapshot(), at(1.0)));
+    let changes = third.changes_since(held).expect("the changes are known");
+    assert_eq!((changes.removed.len(), changes.put.len()), (1, 2));
+}
+
+#[test]
+fn changes_are_not_passed_on_where_they_are_not_known() {
+    let mut tracker = tracker();
+    let held = tracker.version();
+    assert_eq!(tracker.changes_since(Version::default()), None, "too old");
+    for revision in 20..1_100 {
+        tracker.put(version(revision), changed("a", revision));
+    }
+    assert_eq!(tracker.changes_since(held), None, "too many");
+    assert!(tracker.changes_since(version(1_000)).is_some());
+    assert!(tracker.replace_all(later(3), vec![endpoint("a")], at(1.0)));
+    assert_eq!(tracker.changes_since(version(1_000)), None, "another era");
+}
+
+#[test]
+fn changes_that_begin_after_the_current_version_are_ignored() {
+    let mut ahead = tracker();
+    let mut behind = ahead.clone();
+    ahead.put(version(20), endpoint("c"));
+    let held = ahead.version();
+    ahead.put(version(21), endpoint("d"));
+    let changes = ahead.changes_since(held).expect("the changes are known");
+    assert!(!behind.apply(changes, at(1.0)));
+    assert_eq!(ids(&behind), ["a", "b"]);
+}
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -459,3 +459,35 @@
         assert_eq!(sends > 0, expected.is_some(), "{version}");
     }
 }
+
+/// A report named each endpoint anew for all processes; what one process no longer reports
+/// counts no more.
+#[test]
+fn set_peer_loads_replaces_the_report_of_the_same_process() {
+    let mut fleet = fleet(&six()[..2]);
+    let load = |id: &str, in_flight| {
+        let load = Load {
+            in_flight,
+            unread: 10,
+        };
+        (id.to_owned(), load)
+    };
+    let in_flight = |fleet: &Fleet, id: &str| {
+        let mut rows = fleet.usable("engine");
+        let row = rows.find(|(_, row)| row.endpoint.life.id == id);
+        row.expect("the endpoint is listed").1.in_flight()
+    };
+    fleet.set_peer_loads("one", vec![load("a", 4), load("b", 1)], NOW);
+    fleet.set_peer_loads("two", vec![load("a", 2), load("unlisted", 7)], NOW);
+    assert_eq!((in_flight(&fleet, "a"), in_flight(&fleet, "b")), (6, 1));
+    let later = NOW + Duration::from_secs(2);
+    fleet.set_peer_loads("one", vec![load("a", 1)], later);
+    assert_eq!((in_flight(&fleet, "a"), in_flight(&fleet, "b")), (3, 0));
+    let listed = [endpoint("a", "x"), endpoint("unlisted", "x")];
+    let snapshot = Snapshot::new(Version::new(0, 2), listed.to_vec());
+    fleet.update(&snapshot, later);
+    assert_eq!(in_flight(&fleet, "unlisted"), 7, "it was reported before");
+    fleet.expire_peer_loads(NOW + Duration::from_secs(3));
+    let left = (in_flight(&fleet, "a"), in_flight(&fleet, "unlisted"));
+    assert_eq!(left, (1, 0), "a report of three seconds ago is too old");
+}
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -1,6 +1,9 @@
 //! Rosters: liveness, ownership and shares of gateways.
 
-use cicadacrank_core::roster::{Gateway, LIVE_TIMEOUT, RETENTION, Roster};
+use cicadacrank_core::{
+    roster::{Catchup, Gateway, LIVE_TIMEOUT, RETENTION, Request, Roster},
+    version::Version,
+};
 use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::time::Duration;
@@ -334,3 +337,23 @@
     assert_eq!(names(8), ["c", "a", "d"]);
     assert_eq!(names(1), ["c"]);
 }
+
+/// Each heartbeat that named a newer revision had the whole list fetched.
+#[test]
+fn catchup_asks_one_gateway_at_a_time_and_for_all_endpoints_only_when_late() {
+    let at = Duration::from_millis;
+    let (own, theirs) = (Version::new(0, 3), Version::new(0, 5));
+    let mut catchup = Catchup::default();
+    let begin = |catchup: &mut Catchup, own, ms| catchup.begin(own, theirs, true, at(ms));
+    assert_eq!(begin(&mut catchup, own, 0), Some(Request::Changes));
+    assert_eq!(begin(&mut catchup, own, 300), None, "one is under way");
+    assert_eq!(begin(&mut catchup, own, 400), Some(Request::Changes));
+    catchup.end();
+    assert_eq!(begin(&mut catchup, own, 500), None, "one was made just now");
+    assert_eq!(begin(&mut catchup, own, 2_000), Some(Request::Whole));
+    catchup.end();
+    assert_eq!(begin(&mut catchup, theirs, 2_500), Some(Request::Changes));
+    catchup.end();
+    let without_store = catchup.begin(own, theirs, false, at(3_000));
+    assert_eq!(without_store, Some(Request::Whole));
+}
