Have calls formed by gateways with most room

Cause: the owner of a service's queue was the n-th live gateway by name, on isoko mostly one with 0.068 of a core and 10 Mbit/s. Change: owners are chosen among gateways with at least half of the largest processor share and link (`limits.cpuFraction`, `cpuCores`, `linkMbps`), which rows and registrations state. While a live gateway does not state them (an older process), all choose among all, as before.

--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -43,6 +43,37 @@
     pub heartbeats: u64,
     /// Whether the process understands digests of heartbeats.
     pub reads_digests: bool,
+    /// What the instance has for its work.
+    pub room: Room,
+}
+
+/// What an instance has for its work. Zero if it is unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Processor time, in thousandths of a core.
+    pub millicores: u32,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: u32,
+}
+
+impl Room {
+    const fn is_known(self) -> bool {
+        self.millicores > 0 && self.link_mbps > 0
+    }
+
+    /// Returns whether it is at least half of `other`.
+    const fn is_near(self, other: Self) -> bool {
+        let millicores = self.millicores.saturating_mul(2) >= other.millicores;
+        millicores && self.link_mbps.saturating_mul(2) >= other.link_mbps
+    }
+
+    /// Returns the larger one of each.
+    fn max(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            link_mbps: self.link_mbps.max(other.link_mbps),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -190,7 +221,8 @@
     }
 
     /// Returns the gateway that forms the calls of the service with this
-    /// number, or `None` if that is the local gateway.
+    /// number, or `None` if that is the local gateway. It is one of those with the most
+    /// room, as long as the room of all is known: older processes choose among all.
     #[must_use]
     pub fn owner(&self, service: usize, now: Duration) -> Option<&Gateway> {
         let mut live: Vec<&Gateway> = self
@@ -201,6 +233,12 @@
             .chain([&self.local])
             .filter(|gateway| !gateway.leaving)
             .collect();
+        if live.iter().all(|gateway| gateway.room.is_known()) {
+            let rooms = live.iter().map(|gateway| gateway.room);
+            let largest = rooms.fold(Room::default(), Room::max);
+            let has_near = live.iter().any(|gateway| gateway.room.is_near(largest));
+            live.retain(|gateway| !has_near || gateway.room.is_near(largest));
+        }
         live.sort_by(|one, other| one.instance.cmp(&other.instance));
         let owner = live.get(service.checked_rem(live.len())?)?;
         (owner.instance != self.local.instance).then_some(owner)
@@ -289,10 +327,16 @@
                     // Older processes pass rows on without it.
                     let reads_digests =
                         gateway.reads_digests || (row.gateway.reads_digests && !is_new);
+                    let room = if gateway.room.is_known() || is_new {
+                        gateway.room
+                    } else {
+                        row.gateway.room
+                    };
                     row.gateway = Gateway {
                         leaving,
                         heartbeats,
                         reads_digests,
+                        room,
                         ..gateway
                     };
                     if leaving {
--- a/crates/cicadacrank-core/tests/exchange.rs
+++ b/crates/cicadacrank-core/tests/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges of heartbeats in fleets of 8 to 300 gateways.
 
-use cicadacrank_core::roster::{Gateway, LIVE_TIMEOUT, Roster, Sign, fan_out};
+use cicadacrank_core::roster::{Gateway, LIVE_TIMEOUT, Room, Roster, Sign, fan_out};
 use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::time::Duration;
@@ -25,6 +25,7 @@
         leaving: false,
         heartbeats: 0,
         reads_digests: true,
+        room: Room::default(),
     }
 }
 
--- a/crates/cicadacrank-core/tests/grant.rs
+++ b/crates/cicadacrank-core/tests/grant.rs
@@ -4,7 +4,7 @@
 use cicadacrank_core::{
     directory::{Endpoint, Incarnation, Snapshot, State},
     placement::{Fleet, Key, Limit, Locality},
-    roster::{Gateway, Roster},
+    roster::{Gateway, Room, Roster},
     version::Version,
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
@@ -84,6 +84,7 @@
             leaving: false,
             heartbeats: 0,
             reads_digests: false,
+            room: Room::default(),
         };
         Self {
             name: name.to_owned(),
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Rosters: liveness, ownership and shares of gateways.
 
 use cicadacrank_core::{
-    roster::{Catchup, Gateway, LIVE_TIMEOUT, RETENTION, Request, Roster},
+    roster::{Catchup, Gateway, LIVE_TIMEOUT, RETENTION, Request, Room, Roster},
     version::Version,
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
@@ -16,6 +16,7 @@
         leaving: false,
         heartbeats: 0,
         reads_digests: false,
+        room: Room::default(),
     }
 }
 
@@ -357,3 +358,27 @@
     let without_store = catchup.begin(own, theirs, false, at(3_000));
     assert_eq!(without_store, Some(Request::Whole));
 }
+
+/// The calls of a service met at the gateway that was first by name, with a fourteenth of a
+/// core and a link of 10 Mbit/s.
+#[test]
+fn owner_is_one_of_those_with_most_room_if_all_are_known() {
+    let sized = |instance: &str, millicores, link_mbps| Gateway {
+        room: Room {
+            millicores,
+            link_mbps,
+        },
+        ..gateway(instance)
+    };
+    let now = Duration::ZERO;
+    let mut roster = Roster::new(sized("a", 68, 10));
+    roster.record_contact(sized("b", 500, 200), now);
+    roster.record_contact(sized("c", 500, 200), now);
+    roster.record_contact(sized("d", 500, 25), now);
+    let owners: Vec<String> = (0..4).map(|service| owner(&roster, service, now)).collect();
+    assert_eq!(owners, ["b", "c", "b", "c"]);
+    // An older process doesn't say what it has, and chooses among all.
+    roster.record_contact(gateway("e"), now);
+    let owners: Vec<String> = (0..5).map(|service| owner(&roster, service, now)).collect();
+    assert_eq!(owners, ["a", "b", "c", "d", "e"]);
+}
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -36,7 +36,7 @@
 pub use self::state::{Drain, State};
 
 use crate::platform;
-use cicadacrank_core::event::Event;
+use cicadacrank_core::{event::Event, roster::Room};
 use miette::{IntoDiagnostic as _, Result};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::{
@@ -77,6 +77,8 @@
     pub memory_bytes: u64,
     /// Number of sockets that the process may have open.
     pub sockets: usize,
+    /// What the instance has for its work.
+    pub room: Room,
     /// Limits that the deployment sets for all processes together.
     pub bounds: Bounds,
 }
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -4,7 +4,11 @@
     clock::milliseconds,
     gateway::{owner::Task, stages::Output},
 };
-use cicadacrank_core::{directory::Incarnation, placement::Limit, roster::Gateway};
+use cicadacrank_core::{
+    directory::Incarnation,
+    placement::Limit,
+    roster::{Gateway, Room},
+};
 use cicadacrank_wire::wire::{self, EndpointLife, EndpointLimit, GatewayState, Production};
 use std::time::Duration;
 
@@ -17,6 +21,8 @@
         leaving: gateway.leaving,
         heartbeats: gateway.heartbeats,
         reads_digests: gateway.reads_digests,
+        millicores: gateway.room.millicores,
+        link_mbps: gateway.room.link_mbps,
     }
 }
 
@@ -29,6 +35,10 @@
         leaving: state.leaving,
         heartbeats: state.heartbeats,
         reads_digests: state.reads_digests,
+        room: Room {
+            millicores: state.millicores,
+            link_mbps: state.link_mbps,
+        },
     }
 }
 
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -130,6 +130,7 @@
             leaving: false,
             heartbeats: 0,
             reads_digests: true,
+            room: settings.room,
         });
         Self {
             store: platform::Client::new(settings.store, STORE_TIMEOUT),
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -6,10 +6,10 @@
     directory::{Endpoint, Evacuation},
     event::Event,
     retry,
-    roster::Gateway,
+    roster::{Gateway, Room},
     version::Version,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
@@ -316,6 +316,8 @@
     let content = json!({
         "address": local.address,
         "incarnation": local.incarnation,
+        "millicores": local.room.millicores,
+        "linkMbps": local.room.link_mbps,
     });
     let put = || {
         // One call to create the object, and one to replace it if it exists.
@@ -363,6 +365,11 @@
             heartbeats: 0,
             // An older process says otherwise when it is contacted.
             reads_digests: true,
+            // Older processes don't state theirs.
+            room: Room {
+                millicores: number(&object.spec["millicores"]),
+                link_mbps: number(&object.spec["linkMbps"]),
+            },
         };
         // The store shows no heartbeats.
         lock(&state.roster).learn(gateway, now);
@@ -370,6 +377,11 @@
     state.update_shares();
 }
 
+fn number(value: &Value) -> u32 {
+    let number = value.as_u64().unwrap_or_default();
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 async fn run_expiry(state: Arc<State>) {
     let mut period = time::interval(EXPIRY_INTERVAL);
     loop {
--- a/crates/cicadacrank-node/src/platform/settings.rs
+++ b/crates/cicadacrank-node/src/platform/settings.rs
@@ -1,6 +1,7 @@
 //! Parses the settings file that the platform writes for each process.
 
 use crate::gateway::{Bounds, Settings};
+use cicadacrank_core::roster::Room;
 use miette::{Context as _, IntoDiagnostic as _, Result};
 use serde::Deserialize;
 use std::{env, fs, net::SocketAddr, path::PathBuf, time::Duration};
@@ -70,6 +71,27 @@
     /// Total number of descriptors, of which [`RESERVED_DESCRIPTORS`] are
     /// reserved for files.
     file_descriptors: usize,
+    /// Part of a core that the processor provides.
+    #[serde(default)]
+    cpu_fraction: f64,
+    /// Speed of the core.
+    #[serde(default = "one")]
+    cpu_cores: f64,
+    #[serde(default)]
+    link_mbps: f64,
+}
+
+const fn one() -> f64 {
+    1.0
+}
+
+impl Limits {
+    fn room(&self) -> Room {
+        Room {
+            millicores: (self.cpu_fraction * self.cpu_cores * 1_000.0).round() as u32,
+            link_mbps: self.link_mbps.round() as u32,
+        }
+    }
 }
 
 /// Number of file descriptors that sockets cannot use.
@@ -107,6 +129,7 @@
             cold_extra: self.bounds.cold_tolerance,
         };
         Ok(Settings {
+            room: self.limits.room(),
             instance: self.node_name,
             data_centre: self.zone,
             caller_listen: self.listen_addresses.frontend,
--- a/crates/cicadacrankd/tests/limits.rs
+++ b/crates/cicadacrankd/tests/limits.rs
@@ -7,7 +7,7 @@
     deployment::{Caller, Deployment, Role, send},
     fleet,
 };
-use cicadacrank_core::roster::{Gateway, Roster};
+use cicadacrank_core::roster::{Gateway, Room, Roster};
 use reqwest::Method;
 use std::time::Duration;
 use tokio::time::{self, Instant};
@@ -44,6 +44,7 @@
         leaving: false,
         heartbeats: 0,
         reads_digests: false,
+        room: Room::default(),
     };
     let mut left: Vec<usize> = (0..deployment.gateways.len()).collect();
     let mut order = Vec::new();
