--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -4,7 +4,11 @@
     clock::milliseconds,
     gateway::{owner::Task, stages::Output},
 };
-use cicadacrank_core::{directory::Incarnation, placement::Limit, roster::Gateway};
+use cicadacrank_core::{
+    directory::Incarnation,
+    placement::Limit,
+    roster::{Gateway, Room},
+};
 use cicadacrank_wire::wire::{self, EndpointLife, EndpointLimit, GatewayState, Production};
 use std::time::Duration;
 
@@ -16,6 +20,9 @@
         address: gateway.address.clone(),
         leaving: gateway.leaving,
         heartbeats: gateway.heartbeats,
+        reads_digests: gateway.reads_digests,
+        millicores: gateway.room.millicores,
+        link_mbps: gateway.room.link_mbps,
     }
 }
 
@@ -27,6 +34,11 @@
         address: state.address,
         leaving: state.leaving,
         heartbeats: state.heartbeats,
+        reads_digests: state.reads_digests,
+        room: Room {
+            millicores: state.millicores,
+            link_mbps: state.link_mbps,
+        },
     }
 }
 
