--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -40,6 +40,9 @@
 /// Size of the body of an endpoint with [`Fault::LargeAnswer`], more than sockets buffer.
 pub const LARGE_ANSWER_BYTES: usize = 15 << 20;
 
+/// Maximum number of headers of a request, more than gateways pass on.
+const MAX_HEADERS: usize = 4_000;
+
 /// Start time of the first process of an endpoint.
 const FIRST_BORN: u64 = 1_000;
 
@@ -455,7 +458,9 @@
                 // An error is a client that disconnected.
                 drop(stream.write_all(refusal.as_bytes()).await);
             }
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .max_headers(MAX_HEADERS)
+                .serve_connection(TokioIo::new(stream), service);
             // An error is an injected fault or a client that disconnected.
             drop(connection.await);
         });
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -3,7 +3,7 @@
 use super::{
     attempt::{self, Attempts, Failure, Parameters, Started},
     lifetime, peers,
-    reply::Body,
+    reply::{self, Body},
     request::{Job, Refusal},
     state::{State, lock},
 };
@@ -151,6 +151,11 @@
         let context = format!("status={}", answer.status);
         return Err(failed(sent, Kind::EndpointFailed, context));
     }
+    if reply::implies_not_run(answer.status) && !job.route.repeat.is_repeatable() {
+        // The caller would send it again, although the endpoint may have run it.
+        let context = format!("status={} without a statement", answer.status);
+        return Err(failed(sent, Kind::EndpointFailed, context));
+    }
     let took = started_at.elapsed();
     if answer.status.is_server_error() {
         guard.record(Report::Failed);
--- a/crates/cicadacrank-node/src/gateway/reply.rs
+++ b/crates/cicadacrank-node/src/gateway/reply.rs
@@ -22,18 +22,18 @@
 /// A status that implies that the request did not run is used only if that is
 /// proven. Otherwise it is replaced by 502.
 pub fn failure(error: &ExecutionError, retry_after: Option<Duration>) -> Response<Body> {
-    let implies_not_run = matches!(error.kind().http_status(), 408 | 421 | 429 | 503);
+    let status = StatusCode::from_u16(error.kind().http_status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let status = match error.effect() {
-        Effect::NotRun => error.kind().http_status(),
-        Effect::Partial | Effect::Unknown if implies_not_run => 502,
-        Effect::Partial | Effect::Unknown => error.kind().http_status(),
+        Effect::NotRun => status,
+        Effect::Partial | Effect::Unknown if implies_not_run(status) => StatusCode::BAD_GATEWAY,
+        Effect::Partial | Effect::Unknown => status,
     };
     let mut response = Response::new(Either::Left(Full::new(Bytes::from(text(error)))));
-    *response.status_mut() =
-        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let (503, Some(after)) = (status, retry_after) {
+    if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, retry_after) {
         let seconds = format!("{:.3}", after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(header::RETRY_AFTER, value);
@@ -42,6 +42,11 @@
     response
 }
 
+/// Returns whether a status promises callers that their request did not run.
+pub fn implies_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Returns a random delay of 0.75 to 1.5 times `delay`, so that callers that were
 /// refused together do not retry together.
 pub fn jitter(delay: Duration) -> Duration {
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     inbound,
-    memory::{Buffer, FREE_BYTES, Fault, Shortage},
+    memory::{Buffer, FREE_BYTES, Fault, Reservation, Shortage},
     platform::caller::Caller,
 };
 use bytes::Bytes;
@@ -45,6 +45,9 @@
 /// crashed endpoints.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Memory that a decoded header takes besides its text, in bytes.
+const HEADER_BYTES: usize = 128;
+
 /// Time that a request which is refused for room takes to give its memory back.
 const EVICTION_TIME: Duration = Duration::from_millis(2);
 
@@ -71,6 +74,8 @@
     pub version: Option<String>,
     /// Time of arrival.
     pub arrived: Instant,
+    /// Memory of the headers.
+    _headers: Reservation,
 }
 
 impl Job {
@@ -264,6 +269,10 @@
         let error = unsent.refuse(Kind::Leaving, "the process shuts down before the deadline");
         return Err(Refusal::from(error).with_retry_after(reply::jitter(LEAVING_RETRY_AFTER)));
     }
+    let mut headers = state.bodies.reserve();
+    if let Err(shortage) = headers.resize(head.headers.len() * HEADER_BYTES) {
+        return Err(unsent.refuse(Kind::Overloaded, shortage.to_string()).into());
+    }
     let body = match time::timeout_at(deadline, read_body(state, &config, body, connection)).await {
         Ok(body) => body?,
         Err(_) => {
@@ -311,6 +320,7 @@
         config,
         version: None,
         arrived,
+        _headers: headers,
     })
 }
 
--- a/crates/cicadacrank-node/src/gateway/server.rs
+++ b/crates/cicadacrank-node/src/gateway/server.rs
@@ -49,6 +49,16 @@
 /// takes them.
 const MIN_BUFFER_LIMIT: usize = 16 * 1024;
 
+/// Size of the shortest header, in bytes.
+const MIN_HEADER_BYTES: usize = 4;
+
+/// Number of headers of a request that the HTTP library allows by default.
+const DEFAULT_HEADERS: usize = 100;
+
+/// Maximum number of headers of a request. The library allocates room for as many for each
+/// request, 64 KiB twice.
+const MAX_HEADERS: usize = 2_000;
+
 /// The listeners of a gateway.
 #[derive(Debug)]
 pub struct Server {
@@ -250,6 +260,7 @@
         .timer(timer.clone())
         .keep_alive(!is_closing)
         .header_read_timeout(HeadTimer::TIMEOUT)
+        .max_headers((limits.head_bytes / MIN_HEADER_BYTES).clamp(DEFAULT_HEADERS, MAX_HEADERS))
         .max_buf_size((limits.head_bytes * 2).max(MIN_BUFFER_LIMIT))
         .serve_connection(
             TokioIo::new(Stream::new(stream, connection.clone())),
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -396,3 +396,35 @@
     let answer = idle.read().await.expect("the idle connection is open");
     assert!(answer.has_status(200), "{answer:?}");
 }
+
+/// A request with more than a hundred headers was refused with status 431, although it was
+/// smaller than the configuration allows.
+#[tokio::test]
+async fn request_with_many_headers_is_served() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    let mut connection = Connection::open(address).await;
+    let usual = String::from_utf8(head("GET", "/look/1", "a1", "")).expect("text");
+    let usual = usual.strip_suffix("\r\n").expect("an empty line");
+    let many: String = (0..1_500).map(|_| "x: 1\r\n").collect();
+    let request = format!("{usual}{many}\r\n");
+    assert!(request.len() < 16_384, "within the limit for heads");
+    connection.send(request.as_bytes()).await;
+    let answer = connection.read().await.expect("an answer");
+    assert!(answer.has_status(200), "{answer:?}");
+}
+
+/// An endpoint's status 503 was passed on, although it didn't state that the booking had not
+/// run. The caller would have sent it again.
+#[tokio::test]
+async fn refusal_of_an_endpoint_that_may_have_run_a_booking_is_no_promise() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    let caller = Caller::new().expect("failed to create the caller");
+    for (fault, status) in [(Fault::Refuse, 502), (Fault::Decline, 503)] {
+        set_faults(&deployment, Role::Desk, fault);
+        let attempt = format!("a{status}");
+        let request = caller.request(Method::POST, address, "/book/1", &attempt);
+        assert_eq!(send(request).await.status, Some(status), "{fault:?}");
+    }
+}
