--- a/crates/cicadacrank-bench/src/deployment/gateway.rs
+++ b/crates/cicadacrank-bench/src/deployment/gateway.rs
@@ -87,7 +87,8 @@
              [limits]\nmemoryMb = 260\nfileDescriptors = 1000\n\
              [bounds]\ngracePeriodS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
              retryBudgetExtra = 56\nstabilityMs = 3000\ncoldOverrun = 1.5\n\
-             coldTolerance = 5\n[platform]\naddress = {:?}\n",
+             coldTolerance = 5\nexposureShare = 0.1\nexposureTolerance = 50\nrollbackMs = 5000\n\
+             [platform]\naddress = {:?}\n",
             self.name,
             self.seeds
                 .iter()
--- a/crates/cicadacrank-bench/src/platform/server.rs
+++ b/crates/cicadacrank-bench/src/platform/server.rs
@@ -65,7 +65,8 @@
         };
         let router = Router::new()
             .push(Router::with_path(format!("{BASE_PATH}/{{kind}}")).goal(api.clone()))
-            .push(Router::with_path(format!("{BASE_PATH}/{{kind}}/{{name}}")).goal(api));
+            .push(Router::with_path(format!("{BASE_PATH}/{{kind}}/{{name}}")).goal(api.clone()))
+            .push(Router::with_path(format!("{BASE_PATH}/{{kind}}/{{name}}/status")).goal(api));
         let task = tokio::spawn(salvo::Server::new(acceptor).serve(router));
         Ok(Self {
             address,
@@ -139,7 +140,8 @@
             }
             (Method::GET, None) => self.list(request, response, collection),
             (method, name) => {
-                self.write(request, response, collection, method, name)
+                let is_status = request.uri().path().ends_with("/status");
+                self.write(request, response, collection, method, name, is_status)
                     .await;
             }
         }
@@ -225,6 +227,7 @@
         collection: Collection,
         method: Method,
         name: Option<String>,
+        is_status: bool,
     ) {
         let Ok(body) = request.payload_with_max_size(MAX_BODY_BYTES).await else {
             return reject(response, StatusCode::PAYLOAD_TOO_LARGE);
@@ -256,9 +259,13 @@
                 (Method::PUT, Some(name)) => {
                     let current = state.get(collection, &name).map(|object| object.version);
                     let version = version.or(current).unwrap_or_default();
-                    state
-                        .update(collection, &name, &version, spec)
-                        .map(|object| resource(&object))
+                    let updated = if is_status {
+                        let status = body["status"].clone();
+                        state.update_status(collection, &name, &version, status)
+                    } else {
+                        state.update(collection, &name, &version, spec)
+                    };
+                    updated.map(|object| resource(&object))
                 }
                 (Method::DELETE, Some(name)) => {
                     let version = version.unwrap_or_default();
@@ -301,12 +308,12 @@
         "metadata": {
             "name": object.name,
             "revision": object.version.revision,
-            "created": object.version.revision,
+            "created": object.created,
             "finalizers": [],
             "deletionPending": false,
         },
         "specification": object.spec,
-        "status": null,
+        "status": object.status,
     })
 }
 
--- a/crates/cicadacrank-bench/src/platform/state.rs
+++ b/crates/cicadacrank-bench/src/platform/state.rs
@@ -268,7 +268,13 @@
         let Err(index) = self.table(collection).find(name) else {
             return Err(Rejection::Exists);
         };
-        let object = self.new_object(name, spec);
+        let revision = self.revision + 1;
+        let object = self.next_object(Object {
+            name: name.to_owned(),
+            created: revision,
+            spec,
+            ..Object::default()
+        });
         self.table_mut(collection)
             .objects
             .insert(index, Arc::new(object.clone()));
@@ -288,15 +294,44 @@
         name: &str,
         version: &Version,
         spec: Value,
+    ) -> Result<Object, Rejection> {
+        self.replace(collection, name, version, |object| object.spec = spec)
+    }
+
+    /// Replaces the status of an object that has this version, and returns the new object.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rejection::Missing`] if no object has the name, and
+    /// [`Rejection::Conflict`] if its version differs.
+    pub fn update_status(
+        &mut self,
+        collection: Collection,
+        name: &str,
+        version: &Version,
+        status: Value,
+    ) -> Result<Object, Rejection> {
+        self.replace(collection, name, version, |object| object.status = status)
+    }
+
+    fn replace(
+        &mut self,
+        collection: Collection,
+        name: &str,
+        version: &Version,
+        change: impl FnOnce(&mut Object),
     ) -> Result<Object, Rejection> {
         let index = self
             .table(collection)
             .find(name)
             .map_err(|_| Rejection::Missing)?;
-        if self.table(collection).objects[index].version != *version {
+        let current = &self.table(collection).objects[index];
+        if current.version != *version {
             return Err(Rejection::Conflict);
         }
-        let object = self.new_object(name, spec);
+        let mut object = Object::clone(current);
+        change(&mut object);
+        let object = self.next_object(object);
         self.table_mut(collection).objects[index] = Arc::new(object.clone());
         self.record_change(collection, Change::Put(object.clone()));
         Ok(object)
@@ -426,13 +461,12 @@
         !self.faults.mute_watches && !take_one(&mut self.faults.drop_events)
     }
 
-    /// Returns a new version of an object at the next revision.
-    fn new_object(&mut self, name: &str, spec: Value) -> Object {
+    /// Returns an object with the next revision.
+    fn next_object(&mut self, object: Object) -> Object {
         self.revision += 1;
         Object {
-            name: name.to_owned(),
             version: self.version(),
-            spec,
+            ..object
         }
     }
 
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -68,6 +68,13 @@
     VersionsChanged = 230, Info, "Other versions of the software of a service's engines serve.";
     EndpointEnded = 231, Info, "The process of an endpoint has ended; the version of the software that its address serves is unknown.";
     EndpointConfirmed = 232, Info, "An endpoint whose process was taken to have ended runs on.";
+    RolloutBegan = 240, Info, "An order to move the traffic of a service to another version is known.";
+    RolloutChanged = 241, Info, "A roll-out came to another phase.";
+    RolloutStopped = 242, Warn, "The answers of a new version are bad, or its time is over; it gets no more requests.";
+    RolloutWritten = 243, Info, "The progress or the status of a roll-out was written to the platform.";
+    RolloutUnwritten = 244, Warn, "The progress or the status of a roll-out could not be written to the platform.";
+    RolloutCounted = 245, Info, "The numbers of requests and answers of a roll-out so far.";
+    AnswerJudged = 246, Info, "An endpoint of a new version failed a request or was slow.";
     RequestRefused = 300, Info, "A request was answered with an error.";
     RequestServed = 301, Debug, "A request was answered completely.";
     RequestArrived = 302, Debug, "The head of a request was read.";
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
 pub mod routing;
 pub mod rules;
--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -5,7 +5,7 @@
 //! its queue costs more than reading the parts again; from elsewhere, the parts are
 //! fetched from the home.
 
-use super::{Fleet, Key, Locality, TOKENS_PER_START, rendezvous_weight};
+use super::{Fleet, Key, Locality, TOKENS_PER_START, Track, rendezvous_weight};
 use crate::config::Config;
 use std::time::Duration;
 
@@ -109,7 +109,7 @@
         blocked: &[Key],
         now: Duration,
     ) -> Option<Choice> {
-        let home = self.home(service, prompt);
+        let home = self.home(service, prompt, locality);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
         let (key, cost) = self.choose(service, locality, now, |key, row| {
             if blocked.contains(&key) {
@@ -146,15 +146,17 @@
     /// of a prompt, or `None` if there are none.
     #[must_use]
     pub fn home_data_centre(&self, service: &str, prompt: Prompt) -> Option<&str> {
-        let home = self.home(service, prompt)?;
+        let home = self.home(service, prompt, &Locality::default())?;
         let row = self.row(home)?;
         Some(row.endpoint.data_centre.as_str())
     }
 
-    /// Returns the home of a prompt, or `None` if it has no shared parts.
-    fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
+    /// Returns the home of a prompt, or `None` if it has no shared parts. During a roll-out
+    /// it is one of the endpoints that the request may use.
+    fn home(&self, service: &str, prompt: Prompt, locality: &Locality<'_>) -> Option<Key> {
         let shared = prompt.shared?;
         self.usable(service)
+            .filter(|(key, row)| locality.track == Track::Any || locality.allows(*key, row))
             .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
             .map(|(key, _)| key)
     }
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -79,6 +79,30 @@
     Version(&'a str),
 }
 
+/// Endpoints that a roll-out allows for an attempt, by the version of their software.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Track<'a> {
+    /// Those of any version.
+    #[default]
+    Any,
+    /// Those of one version.
+    Only(&'a str),
+    /// Those of all but some versions.
+    Without(&'a [String]),
+}
+
+impl Track<'_> {
+    /// Returns whether an endpoint with a registered version may be selected.
+    #[must_use]
+    pub fn allows(&self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == *only,
+            Self::Without(versions) => !versions.iter().any(|one| one == version),
+        }
+    }
+}
+
 /// Data centres of a request and its inputs, and the endpoints that are left out.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Locality<'a> {
@@ -90,6 +114,8 @@
     pub tried: &'a [Key],
     /// Versions of the software that may run the request.
     pub software: Software<'a>,
+    /// Versions that a roll-out allows.
+    pub track: Track<'a>,
 }
 
 impl Locality<'_> {
@@ -101,7 +127,7 @@
             Software::Known => row.version().is_some(),
             Software::Version(version) => row.version() == Some(version),
         };
-        is_suitable && !self.tried.contains(&key)
+        is_suitable && self.track.allows(&row.endpoint.version) && !self.tried.contains(&key)
     }
 }
 
@@ -222,6 +248,12 @@
         })
     }
 
+    /// Returns the listed endpoints of a service, whether or not they accept new work.
+    pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
+        let rows = self.rows().map(|(_, row)| &row.endpoint);
+        rows.filter(move |endpoint| endpoint.service == service)
+    }
+
     /// Selects the endpoint of a plain service with the earliest expected response,
     /// within the share of this process in its limit.
     #[must_use]
@@ -368,8 +400,7 @@
         let Some(service) = self.row(key).map(|row| row.endpoint.service.clone()) else {
             return;
         };
-        let work = (tokens + TOKENS_PER_START) as f64 / TOKENS_PER_START as f64;
-        let seconds = took.as_secs_f64() / work;
+        let seconds = took.as_secs_f64() / work(tokens);
         let found = self
             .baselines
             .binary_search_by(|baseline| baseline.service.cmp(&service));
@@ -506,6 +537,13 @@
     }
 }
 
+/// Returns the work until the first byte of an answer, relative to that of a request without
+/// a prompt.
+#[must_use]
+pub fn work(tokens: u64) -> f64 {
+    (tokens + TOKENS_PER_START) as f64 / TOKENS_PER_START as f64
+}
+
 /// Returns the rendezvous hashing weight of an endpoint for a seed. It is the
 /// same in every process.
 fn rendezvous_weight(seed: u64, id: &str) -> u64 {
--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -14,7 +14,9 @@
 mod occupancy;
 
 pub use self::{
-    fleet::{Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection, Software},
+    fleet::{
+        Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection, Software, Track, work,
+    },
     health::{Health, Report},
     occupancy::Occupancy,
 };
--- /dev/null
+++ b/crates/cicadacrank-core/src/rollout/progress.rs
@@ -0,0 +1,492 @@
+//! The course of one roll-out, as one process takes part in it.
+
+use super::{
+    Bounds, Evidence, Exposure, Judgement, Order, Outcome, Phase, References, Report, Reports,
+};
+use std::time::Duration;
+
+/// Part of the rollback time for which a process may use the new version without a sign of
+/// others or of the store.
+const PERMISSION_DIVISOR: u32 = 2;
+
+/// Maximum age of a report that confirms something.
+const REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// Part of the ordered time that is kept as a margin for the write of the outcome.
+const MARGIN_DIVISOR: u32 = 10;
+
+/// Minimum of that margin.
+const MIN_MARGIN: Duration = Duration::from_secs(3);
+
+/// Earliest time at which the new version gets all requests, as a part of the ordered time.
+const MIN_TRIAL_DIVISOR: u32 = 2;
+
+/// Time after which other processes write what the controller should have written.
+const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time after the completion for which endpoints of other versions are avoided, which are
+/// being stopped.
+const COMPLETED_HOLD: Duration = Duration::from_secs(60);
+
+/// Endpoints that an attempt may use.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Choice {
+    /// Those of any version.
+    #[default]
+    Any,
+    /// Those of this version. Others may be used if none is left.
+    Only(String),
+    /// Those of this version, as a part of its trial. Others may be used if none is left.
+    Trial(String),
+    /// Those of any but these versions.
+    Without(Vec<String>),
+}
+
+/// A process that takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member<'a> {
+    /// Name of its instance.
+    pub instance: &'a str,
+    /// Start time, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Whether it was heard of lately.
+    pub is_live: bool,
+}
+
+/// What a process knows beside the roll-out.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Whether this process is the controller.
+    pub is_controller: bool,
+    /// The other processes that have not said that they leave.
+    pub others: &'a [Member<'a>],
+    /// Number of usable endpoints of old versions.
+    pub old: usize,
+    /// Number of usable endpoints of the new version.
+    pub new: usize,
+    /// Time that requests last at most.
+    pub drain: Duration,
+    /// Time after its last request for which an old endpoint still holds results.
+    pub linger: Duration,
+}
+
+/// What is to be written to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// The start and the phase, for processes that start later.
+    Progress(Phase),
+    /// The status of the order.
+    Status(Phase),
+}
+
+/// One roll-out.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    /// The order.
+    pub order: Order,
+    bounds: Bounds,
+    phase: Phase,
+    /// Time that had passed since the order when this process learned of it.
+    elapsed: Duration,
+    learned: Duration,
+    /// Time at which the phase began here.
+    since: Duration,
+    /// Time at which the evidence showed that the version is bad.
+    stopped: Option<Duration>,
+    /// Versions that an earlier order did not bring beyond their trial.
+    barred: Vec<String>,
+    /// Phase that the status in the store states.
+    status: Option<Phase>,
+    /// Phase that the object of the progress in the store states.
+    recorded: Option<Phase>,
+    /// Time of the last sign of another process or of the store.
+    contact: Duration,
+    exposure: Exposure,
+    references: References,
+    evidence: Evidence,
+    reports: Reports,
+    old_in_flight: u32,
+    old_idle_since: Duration,
+    sequence: u64,
+}
+
+impl Rollout {
+    /// Creates the state of a process that learns of an order `elapsed` after it was given.
+    #[must_use]
+    pub fn new(
+        order: Order,
+        bounds: Bounds,
+        exposure: Exposure,
+        elapsed: Duration,
+        now: Duration,
+    ) -> Self {
+        Self {
+            order,
+            bounds,
+            phase: Phase::Trial,
+            elapsed,
+            learned: now,
+            since: now,
+            stopped: None,
+            barred: Vec::new(),
+            status: None,
+            recorded: None,
+            contact: now,
+            exposure,
+            references: References::default(),
+            evidence: Evidence::default(),
+            reports: Reports::default(),
+            old_in_flight: 0,
+            old_idle_since: now,
+            sequence: 0,
+        }
+    }
+
+    /// Takes over what an earlier order of the service leaves: requests in flight, and a
+    /// version that has not proven itself.
+    #[must_use]
+    pub fn succeeding(mut self, before: &Self) -> Self {
+        self.barred.clone_from(&before.barred);
+        let is_unproven = match before.phase {
+            Phase::Trial | Phase::Withdrawn | Phase::RolledBack => true,
+            Phase::Full => before.stopped.is_some(),
+            Phase::Completed => false,
+        };
+        if is_unproven {
+            self.barred.push(before.order.to.clone());
+        }
+        self.barred.retain(|version| *version != self.order.to);
+        self.old_in_flight = before.old_in_flight;
+        self
+    }
+
+    /// Returns how far the roll-out has come here.
+    #[must_use]
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns whether the evidence has shown that the version is bad.
+    #[must_use]
+    pub const fn is_stopped(&self) -> bool {
+        self.stopped.is_some()
+    }
+
+    /// Returns the time since the order.
+    #[must_use]
+    pub fn elapsed(&self, now: Duration) -> Duration {
+        self.elapsed + now.saturating_sub(self.learned)
+    }
+
+    /// Records that at least this time has passed since the order.
+    pub fn record_elapsed(&mut self, elapsed: Duration, now: Duration) {
+        if elapsed > self.elapsed(now) {
+            self.elapsed = elapsed;
+            self.learned = now;
+        }
+    }
+
+    /// Returns the numbers of requests that this process sent.
+    #[must_use]
+    pub const fn exposure(&self) -> &Exposure {
+        &self.exposure
+    }
+
+    /// Returns the evidence of all processes.
+    #[must_use]
+    pub fn evidence(&self) -> Evidence {
+        self.reports.sum(&self.evidence)
+    }
+
+    /// Returns whether an endpoint's version is the new one.
+    #[must_use]
+    pub fn is_new(&self, version: &str) -> bool {
+        self.order.to == version
+    }
+
+    /// Records a sign of another process or of the store, so that what this process
+    /// knows is not old.
+    pub const fn record_contact(&mut self, now: Duration) {
+        self.contact = now;
+    }
+
+    /// Returns whether what this process knows is recent enough to use the new version.
+    #[must_use]
+    pub fn is_permitted(&self, now: Duration) -> bool {
+        now < self.contact + self.bounds.rollback / PERMISSION_DIVISOR
+    }
+
+    /// Returns the endpoints that an attempt may use, and takes the attempt from the limit of
+    /// the trial if it may use the new version only for that.
+    pub fn choose(&mut self, now: Duration) -> Choice {
+        let has_taken = self.has_room(now) && self.exposure.try_take(&self.bounds);
+        if has_taken {
+            return Choice::Trial(self.order.to.clone());
+        }
+        self.outlook(now)
+    }
+
+    /// Returns the endpoints that an attempt may use beyond the trial.
+    #[must_use]
+    pub fn outlook(&self, now: Duration) -> Choice {
+        match self.phase {
+            Phase::Completed if now < self.since + COMPLETED_HOLD => {
+                Choice::Only(self.order.to.clone())
+            }
+            Phase::Completed => Choice::Any,
+            Phase::Full if self.may_try(now) => Choice::Only(self.order.to.clone()),
+            Phase::Trial | Phase::Full | Phase::Withdrawn | Phase::RolledBack => {
+                let mut without = self.barred.clone();
+                without.push(self.order.to.clone());
+                Choice::Without(without)
+            }
+        }
+    }
+
+    /// Returns whether an attempt at the new version has room in the limit of the trial.
+    #[must_use]
+    pub fn has_room(&self, now: Duration) -> bool {
+        self.phase == Phase::Trial && self.may_try(now) && self.exposure.has_room(&self.bounds)
+    }
+
+    fn may_try(&self, now: Duration) -> bool {
+        self.stopped.is_none() && self.is_permitted(now)
+    }
+
+    /// Returns whether a request that only endpoints of `version` can run may go there, and
+    /// takes it from the limit of the trial.
+    pub fn try_continue(&mut self, version: &str, now: Duration) -> bool {
+        if self.barred.iter().any(|barred| barred == version) {
+            return false;
+        }
+        if version != self.order.to {
+            return true;
+        }
+        match self.choose(now) {
+            Choice::Any | Choice::Only(_) | Choice::Trial(_) => true,
+            Choice::Without(_) => false,
+        }
+    }
+
+    /// Records the send of a request to an endpoint with a version.
+    pub fn begin(&mut self, version: &str) {
+        self.exposure.record_request();
+        if !self.is_new(version) {
+            self.old_in_flight += 1;
+        } else if self.phase != Phase::Trial {
+            self.exposure.record_exposed();
+        }
+    }
+
+    /// Records the end of a request.
+    pub fn end(&mut self, version: &str, now: Duration) {
+        if !self.is_new(version) {
+            self.old_in_flight = self.old_in_flight.saturating_sub(1);
+            self.old_idle_since = now;
+        }
+    }
+
+    /// Records that a request was answered after `took` per unit of its work. While an
+    /// endpoint `is_cold`, its time says nothing.
+    pub fn record_answer(
+        &mut self,
+        route: &str,
+        version: &str,
+        endpoint: u64,
+        took: Duration,
+        is_cold: bool,
+    ) -> Outcome {
+        let is_slow = !is_cold && self.references.is_slow(route, took);
+        let outcome = if is_slow { Outcome::Bad } else { Outcome::Good };
+        if !self.is_new(version) && !is_cold {
+            self.references.record(route, took);
+        }
+        self.record(route, version, endpoint, outcome);
+        outcome
+    }
+
+    /// Records that a request was not answered within `took` per unit of its work, and that
+    /// nobody waits any longer. That is bad if an answer would have been slow by then.
+    pub fn record_wait(
+        &mut self,
+        route: &str,
+        version: &str,
+        endpoint: u64,
+        took: Duration,
+        is_cold: bool,
+    ) -> Outcome {
+        if is_cold || !self.references.is_slow(route, took) {
+            return Outcome::Good;
+        }
+        self.record(route, version, endpoint, Outcome::Bad);
+        Outcome::Bad
+    }
+
+    /// Records the outcome of a request.
+    pub fn record(&mut self, route: &str, version: &str, endpoint: u64, outcome: Outcome) {
+        if self.is_new(version) {
+            self.evidence.record_new(route, endpoint, outcome);
+        } else {
+            self.evidence.record_old(route, outcome);
+        }
+    }
+
+    /// Applies the order as the store shows it now, with the phase that its status states.
+    pub fn apply(&mut self, order: Order, status: Option<Phase>, now: Duration) {
+        self.order = order;
+        self.status = status;
+        match status {
+            // A final outcome of a store that came back from a copy doesn't replace another.
+            Some(phase) if phase.is_final() && !self.phase.is_final() => self.enter(phase, now),
+            _ if self.phase == Phase::Withdrawn => self.enter(Phase::Trial, now),
+            _ => {}
+        }
+    }
+
+    /// Records that the order is gone from the store.
+    pub fn withdraw(&mut self, now: Duration) {
+        if self.phase == Phase::Trial {
+            self.enter(Phase::Withdrawn, now);
+        }
+    }
+
+    /// Applies the phase that another process or the object of the progress states for the
+    /// same order.
+    pub fn follow(&mut self, phase: Phase, now: Duration) {
+        if phase > self.phase && phase != Phase::Withdrawn && !self.phase.is_final() {
+            self.enter(phase, now);
+        }
+    }
+
+    /// Merges the report of another process.
+    pub fn merge(&mut self, report: Report, now: Duration) {
+        let stops = report.stopped && self.stopped.is_none();
+        self.follow(report.phase, now);
+        if self.reports.merge(report, now) && stops && !self.phase.is_final() {
+            self.stopped = Some(now);
+        }
+    }
+
+    /// Returns the report of this process.
+    pub fn report(&mut self, instance: &str, incarnation: u64) -> Report {
+        self.sequence += 1;
+        Report {
+            instance: instance.to_owned(),
+            incarnation,
+            sequence: self.sequence,
+            phase: self.phase,
+            stopped: self.is_stopped(),
+            old_in_flight: self.old_in_flight,
+            evidence: self.evidence.clone(),
+        }
+    }
+
+    /// Returns recent reports of other processes, which are passed on.
+    pub fn others(&self, now: Duration) -> impl Iterator<Item = &Report> {
+        self.reports.all_recent(REPORT_AGE, now)
+    }
+
+    /// Judges the version, and returns what this process has to write now.
+    pub fn step(&mut self, view: &View<'_>, now: Duration) -> Option<Write> {
+        if matches!(self.phase, Phase::Trial | Phase::Full) {
+            self.judge(view, now);
+        }
+        if self.phase == Phase::Withdrawn {
+            return None;
+        }
+        let outcome = self.outcome(view, now);
+        let is_due = view.is_controller
+            || (self.phase.is_final() && now >= self.since + TAKEOVER_TIME)
+            || self.stopped.is_some_and(|at| now >= at + TAKEOVER_TIME);
+        if !is_due {
+            return None;
+        }
+        if self.recorded != Some(self.phase) && !outcome.is_final() {
+            return Some(Write::Progress(self.phase));
+        }
+        let stated = match outcome {
+            Phase::Full => Phase::Trial,
+            outcome => outcome,
+        };
+        (self.status != Some(stated)).then_some(Write::Status(stated))
+    }
+
+    /// Records what was written to the store.
+    pub fn record_write(&mut self, write: Write, now: Duration) {
+        match write {
+            Write::Progress(phase) => self.recorded = Some(phase),
+            Write::Status(phase) => {
+                self.status = Some(phase);
+                if phase.is_final() && !self.phase.is_final() {
+                    self.enter(phase, now);
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self, view: &View<'_>, now: Duration) {
+        if self.stopped.is_some() {
+            return;
+        }
+        let judgement = self.evidence().judge(self.phase, view.new);
+        let is_due = self.phase == Phase::Trial && self.elapsed(now) >= self.trial_time(view);
+        let has_failed = match judgement {
+            Judgement::Bad => true,
+            Judgement::Suspect => is_due,
+            Judgement::Good => is_due && self.elapsed(now) >= self.order.duration,
+        };
+        if has_failed {
+            self.stopped = Some(now);
+        } else if is_due && view.is_controller && self.may_serve(view) && self.is_permitted(now) {
+            self.enter(Phase::Full, now);
+        }
+    }
+
+    /// Returns whether the new version has enough endpoints for all requests.
+    const fn may_serve(&self, view: &View<'_>) -> bool {
+        view.new > 0 && view.new * 2 >= view.old
+    }
+
+    /// Returns the time since the order from which on the new version gets all requests. It
+    /// is as late as the requests of the old version allow.
+    fn trial_time(&self, view: &View<'_>) -> Duration {
+        let duration = self.order.duration;
+        let margin = MIN_MARGIN.max(duration / MARGIN_DIVISOR);
+        let time = duration.saturating_sub(view.drain + view.linger + margin);
+        time.max(duration / MIN_TRIAL_DIVISOR)
+    }
+
+    /// Returns the phase that the roll-out is in, or comes to once that is written.
+    fn outcome(&self, view: &View<'_>, now: Duration) -> Phase {
+        match self.phase {
+            phase if phase.is_final() => phase,
+            _ if self.stopped.is_some() => Phase::RolledBack,
+            Phase::Full if self.is_done(view, now) => Phase::Completed,
+            phase => phase,
+        }
+    }
+
+    /// Returns whether no process uses an old version any more.
+    fn is_done(&self, view: &View<'_>, now: Duration) -> bool {
+        let is_idle = self.old_in_flight == 0 && now >= self.old_idle_since + view.linger;
+        // Requests that a silent process may have had are over by then.
+        let are_over = now >= self.since + view.drain + view.linger;
+        let has_confirmed = |other: &Member<'_>| {
+            let age = REPORT_AGE;
+            let report = self
+                .reports
+                .recent(other.instance, other.incarnation, age, now);
+            report.is_some_and(|report| report.phase == Phase::Full && report.old_in_flight == 0)
+        };
+        let mut others = view.others.iter();
+        is_idle
+            && now >= self.since + view.linger
+            && self.is_permitted(now)
+            && others.all(|other| has_confirmed(other) || (!other.is_live && are_over))
+    }
+
+    const fn enter(&mut self, phase: Phase, now: Duration) {
+        self.phase = phase;
+        self.since = now;
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
     crash::{self, Interruption},
     lifetime, reply,
     request::{Job, QUARANTINE_RETRY_AFTER, Refusal},
+    rollout,
     state::{State, lock},
 };
 use crate::{
@@ -19,12 +20,19 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Locality, Report},
+    placement::{Key, Locality, Report, work},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use tokio::time::{self, Instant};
 
 /// A request as it is sent to endpoints.
@@ -32,6 +40,8 @@
 pub struct Outgoing {
     /// Id of the caller's attempt. The response must carry the same id.
     pub attempt: Option<HeaderValue>,
+    /// Name of the route.
+    pub route: String,
     /// Method of the caller's request.
     pub method: Method,
     /// Path and query of the caller's request.
@@ -220,9 +230,11 @@
     }
 
     fn has_untried(&self, state: &State, job: &Job) -> bool {
+        let guide = rollout::outlook(state, &job.service, &self.tried);
         let fleet = lock(&state.fleet);
         let locality = Locality {
-            tried: &self.tried,
+            tried: &guide.tried,
+            track: guide.track(),
             software: job.software(),
             ..Locality::default()
         };
@@ -306,6 +318,12 @@
     limit: Option<f64>,
     /// Number of sends that count towards the share of this gateway in that limit.
     recent_sends: usize,
+    /// Name of the route.
+    route: String,
+    /// Whether the endpoint was cold.
+    is_cold: bool,
+    /// Whether the outcome is known.
+    has_outcome: AtomicBool,
     prefill_tokens: u64,
     /// Number of prompt tokens that the endpoint has to process before its first
     /// event, those of earlier requests included.
@@ -313,7 +331,7 @@
 }
 
 impl Guard {
-    fn begin(state: &Arc<State>, key: Key, parameters: &Parameters) -> Option<Self> {
+    fn begin(state: &Arc<State>, key: Key, route: &str, parameters: &Parameters) -> Option<Self> {
         let prefill_tokens = parameters.tokens;
         let sent = state.clock.now();
         let mut fleet = lock(&state.fleet);
@@ -321,16 +339,21 @@
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
         let (limit, recent_sends) = (row.stated_limit(), row.recent_sends(sent));
         let tokens_until_first_event = row.unread() + prefill_tokens;
+        let is_cold = sent < row.cold_until;
         if parameters.granted {
             fleet.begin_granted(key, prefill_tokens);
         } else {
             fleet.begin(key, prefill_tokens, sent);
         }
         drop(fleet);
+        rollout::begin(state, &endpoint);
         Some(Self {
             state: Arc::clone(state),
             key,
             endpoint,
+            route: route.to_owned(),
+            is_cold,
+            has_outcome: AtomicBool::new(false),
             sent,
             in_flight,
             limit,
@@ -348,6 +371,17 @@
     /// Records the result of the attempt.
     pub fn record(&self, report: Report) {
         lock(&self.state.fleet).record(self.key, report, self.state.clock.now());
+        if report == Report::Failed {
+            self.record_bad_answer();
+        }
+        self.has_outcome.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the answer of the endpoint is a failure.
+    pub fn record_bad_answer(&self) {
+        let took = self.state.clock.now().saturating_sub(self.sent);
+        rollout::record_failure(&self.state, &self.route, &self.endpoint, took);
+        self.has_outcome.store(true, Ordering::Relaxed);
     }
 
     /// Records what the endpoint states about itself in its answer.
@@ -359,6 +393,11 @@
     pub fn record_answer(&self, took: Duration) {
         let tokens = self.tokens_until_first_event;
         lock(&self.state.fleet).record_answer(self.key, tokens, took, self.state.clock.now());
+        // `took` includes the time before the send.
+        let took = self.state.clock.now().saturating_sub(self.sent);
+        let took = took.div_f64(work(tokens));
+        rollout::record_answer(&self.state, &self.route, &self.endpoint, took, self.is_cold);
+        self.has_outcome.store(true, Ordering::Relaxed);
     }
 }
 
@@ -367,6 +406,14 @@
         let mut fleet = lock(&self.state.fleet);
         fleet.record_prefill(self.key, self.prefill_tokens);
         fleet.end(self.key);
+        drop(fleet);
+        let now = self.state.clock.now();
+        if !self.has_outcome.load(Ordering::Relaxed) {
+            let took = now.saturating_sub(self.sent);
+            let took = took.div_f64(work(self.tokens_until_first_event));
+            rollout::record_wait(&self.state, &self.route, &self.endpoint, took, self.is_cold);
+        }
+        self.state.rollouts.end(&self.endpoint, now);
     }
 }
 
@@ -390,7 +437,7 @@
         kind,
         arrived: false,
     };
-    let Some(guard) = Guard::begin(state, key, parameters) else {
+    let Some(guard) = Guard::begin(state, key, &outgoing.route, parameters) else {
         return Err(not_run(unsent, Kind::NoEndpoint));
     };
     let endpoint = &guard.endpoint;
--- a/crates/cicadacrank-node/src/gateway/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/mod.rs
@@ -13,6 +13,9 @@
 //!    software began a stream that a caller takes up.
 //! 4. `reply` builds the response to a request that failed.
 //!
+//! `rollout` decides which versions of a service's software may serve a request while an
+//! operator moves the service to another one.
+//!
 //! `watch` watches the store, and `peers` exchanges with other gateways the state
 //! that is not in the store. [`State`] is shared by all of these modules.
 
@@ -26,6 +29,7 @@
 mod plain;
 mod reply;
 mod request;
+mod rollout;
 mod server;
 mod stages;
 mod state;
@@ -36,7 +40,7 @@
 pub use self::state::{Drain, State};
 
 use crate::platform;
-use cicadacrank_core::event::Event;
+use cicadacrank_core::{event::Event, rollout::Bounds as RolloutBounds};
 use miette::{IntoDiagnostic as _, Result};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::{
@@ -100,6 +104,8 @@
     pub cold_ratio: f64,
     /// Number of requests added to that.
     pub cold_extra: f64,
+    /// Limits of roll-outs. Without them no roll-outs are carried out.
+    pub rollout: Option<RolloutBounds>,
 }
 
 /// Runs a gateway until it receives SIGTERM and has shut down. On SIGHUP, checks
@@ -119,6 +125,7 @@
     watch::start(&state);
     origin::start(&state);
     owner::start(&state);
+    rollout::start(&state);
     Event::Started.log(format_args!(
         "instance={} version={} caller_listen={} listen={} store={}",
         settings.instance,
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     gateway::{
+        rollout,
         stages::Output,
         state::{State, lock},
     },
@@ -45,6 +46,7 @@
     call: Call,
     mut pieces: Vec<Waiting>,
     address: Option<(SocketAddr, String)>,
+    tracked: Option<rollout::Call>,
 ) {
     let started_at = Instant::now();
     state.metrics.batch.observe(pieces.len() as f64);
@@ -74,6 +76,14 @@
         count(&made, |one| matches!(one, Completion::SourceGone)),
         pieces.first().map_or("-", |piece| piece.request.as_str()),
     ));
+    if let Some(tracked) = tracked {
+        let failed = count(&made, |one| matches!(one, Completion::Failed)) > 0;
+        match outcome {
+            Outcome::Answered if !failed => tracked.record_answer(pieces.len()),
+            Outcome::Answered | Outcome::Failed => tracked.record_failure(),
+            Outcome::Full => {}
+        }
+    }
     let data_centre = address.map_or_else(String::new, |(_, data_centre)| data_centre);
     let results = memory_results(&pieces, &made);
     lock(&batcher.inner)
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -12,6 +12,7 @@
 };
 use super::{
     reply::jitter,
+    rollout,
     stages::Output,
     state::{State, lock},
 };
@@ -244,8 +245,14 @@
                 last_expiry = now;
                 expire(&mut inner, now);
             }
-            while let Some(call) = inner.pool.next_call(now) {
+            loop {
+                inner.apply_rollout(&state, &batcher.service);
+                let Some(call) = inner.pool.next_call(now) else {
+                    break;
+                };
                 let pieces = inner.dequeue(&call.tickets);
+                let endpoint = inner.endpoint(&call.endpoint).cloned();
+                let tracked = endpoint.map(|endpoint| rollout::Call::begin(&state, endpoint));
                 let address = inner.address(&call.endpoint);
                 tokio::spawn(call::execute(
                     Arc::clone(&state),
@@ -253,6 +260,7 @@
                     call,
                     pieces,
                     address,
+                    tracked,
                 ));
             }
             let wake = inner.pool.wake_at(now);
--- a/crates/cicadacrank-node/src/gateway/owner/pools.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -1,7 +1,13 @@
 //! The queued pieces of each service, with the channels for their results.
 
 use super::{Output, release::Guard};
-use crate::{gateway::state::lock, platform::stage::Source};
+use crate::{
+    gateway::{
+        rollout,
+        state::{State, lock},
+    },
+    platform::stage::Source,
+};
 use cicadacrank_core::{
     batch::{self, Pool, Ticket},
     config::Config,
@@ -37,6 +43,8 @@
 pub(super) struct Inner {
     pub(super) pool: Pool,
     pub(super) endpoints: Vec<Endpoint>,
+    /// Whether the pool holds only some of the endpoints, because of a roll-out.
+    filtered: bool,
     pub(super) waiting: Vec<Waiting>,
     pub(super) next_ticket: u64,
     pub(super) next_job: u64,
@@ -138,6 +146,7 @@
         Self {
             pool,
             endpoints: Vec::new(),
+            filtered: false,
             waiting: Vec::new(),
             next_ticket: 0,
             next_job: 0,
@@ -146,6 +155,25 @@
         }
     }
 
+    /// Leaves out the endpoints that a roll-out of the service does not allow now.
+    pub(super) fn apply_rollout(&mut self, state: &State, service: &str) {
+        let is_concerned = state.rollouts.concerns(service);
+        if !is_concerned && !self.filtered {
+            return;
+        }
+        let allowed = rollout::allowed_workers(state, &self.endpoints);
+        let usable = self.endpoints.iter().zip(allowed);
+        let usable = usable.filter(|(_, allowed)| *allowed);
+        self.pool
+            .set_endpoints(usable.map(|(one, _)| (&one.life, one.data_centre.as_str())));
+        self.filtered = is_concerned;
+    }
+
+    /// Returns the registration of a usable endpoint.
+    pub(super) fn endpoint(&self, incarnation: &Incarnation) -> Option<&Endpoint> {
+        self.endpoints.iter().find(|one| one.life == *incarnation)
+    }
+
     /// Removes and returns the pieces with these tickets, in the same order.
     pub(super) fn dequeue(&mut self, tickets: &[Ticket]) -> Vec<Waiting> {
         let mut positions: Vec<(Ticket, usize)> = tickets.iter().copied().zip(0..).collect();
@@ -175,7 +203,7 @@
     /// Returns the address and the data centre of an endpoint, or `None` if it is
     /// no longer usable.
     pub(super) fn address(&self, incarnation: &Incarnation) -> Option<(SocketAddr, String)> {
-        let found = self.endpoints.iter().find(|one| one.life == *incarnation)?;
+        let found = self.endpoint(incarnation)?;
         Some((found.address, found.data_centre.clone()))
     }
 }
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -2,10 +2,19 @@
 
 use crate::{
     clock::milliseconds,
-    gateway::{owner::Task, stages::Output},
+    gateway::{owner::Task, rollout::News, stages::Output},
+};
+use cicadacrank_core::{
+    directory::Incarnation,
+    placement::Limit,
+    rollout::{Count, Evidence, Order, Phase, Report},
+    roster::Gateway,
+    version::Version,
+};
+use cicadacrank_wire::wire::{
+    self, EndpointEvidence, EndpointLife, EndpointLimit, GatewayState, Production, RolloutReport,
+    RolloutState, RouteEvidence,
 };
-use cicadacrank_core::{directory::Incarnation, placement::Limit, roster::Gateway};
-use cicadacrank_wire::wire::{self, EndpointLife, EndpointLimit, GatewayState, Production};
 use std::time::Duration;
 
 /// Encodes a gateway.
@@ -128,3 +137,105 @@
         bytes: wire.bytes,
     }
 }
+
+/// Encodes what this gateway tells of a roll-out.
+pub fn encode_rollout(news: News) -> RolloutState {
+    let News {
+        order,
+        elapsed,
+        own,
+        others,
+    } = news;
+    RolloutState {
+        service: order.service,
+        to: order.to,
+        duration_ms: milliseconds(order.duration),
+        created: order.created,
+        era: order.seen.era,
+        revision: order.seen.revision,
+        elapsed_ms: milliseconds(elapsed),
+        own: Some(encode_report(own)),
+        others: others.into_iter().map(encode_report).collect(),
+    }
+}
+
+/// Decodes what another gateway tells of a roll-out, or returns `None` if it is incomplete.
+pub fn decode_rollout(wire: RolloutState) -> Option<News> {
+    Some(News {
+        own: decode_report(wire.own?)?,
+        others: wire.others.into_iter().filter_map(decode_report).collect(),
+        elapsed: Duration::from_millis(wire.elapsed_ms),
+        order: Order {
+            service: wire.service,
+            to: wire.to,
+            duration: Duration::from_millis(wire.duration_ms),
+            created: wire.created,
+            seen: Version::new(wire.era, wire.revision),
+        },
+    })
+}
+
+fn encode_report(report: Report) -> RolloutReport {
+    let Evidence { routes, endpoints } = report.evidence;
+    RolloutReport {
+        instance: report.instance,
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        phase: match report.phase {
+            Phase::Trial => 0,
+            Phase::Full => 1,
+            Phase::Withdrawn => 2,
+            Phase::RolledBack => 3,
+            Phase::Completed => 4,
+        },
+        stopped: report.stopped,
+        old_in_flight: report.old_in_flight,
+        routes: routes
+            .into_iter()
+            .map(|(route, old, new)| RouteEvidence {
+                route,
+                old_good: old.good,
+                old_bad: old.bad,
+                new_good: new.good,
+                new_bad: new.bad,
+            })
+            .collect(),
+        endpoints: endpoints
+            .into_iter()
+            .map(|(endpoint, count)| EndpointEvidence {
+                endpoint,
+                good: count.good,
+                bad: count.bad,
+            })
+            .collect(),
+    }
+}
+
+/// Decodes a report, or returns `None` if its phase is unknown here.
+fn decode_report(wire: RolloutReport) -> Option<Report> {
+    let count = |good, bad| Count { good, bad };
+    Some(Report {
+        instance: wire.instance,
+        incarnation: wire.incarnation,
+        sequence: wire.sequence,
+        phase: match wire.phase {
+            0 => Phase::Trial,
+            1 => Phase::Full,
+            2 => Phase::Withdrawn,
+            3 => Phase::RolledBack,
+            4 => Phase::Completed,
+            _ => return None,
+        },
+        stopped: wire.stopped,
+        old_in_flight: wire.old_in_flight,
+        evidence: Evidence::new(
+            wire.routes.into_iter().map(|one| {
+                let old = count(one.old_good, one.old_bad);
+                (one.route, old, count(one.new_good, one.new_bad))
+            }),
+            wire.endpoints
+                .into_iter()
+                .map(|one| (one.endpoint, count(one.good, one.bad))),
+        ),
+    })
+}
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -11,6 +11,7 @@
 use super::{
     lifetime,
     owner::{self, Failure, Task},
+    rollout,
     stages::Output,
     state::{State, lock},
 };
@@ -257,7 +258,10 @@
         })
         .collect();
     drop(fleet);
+    let (rollouts, knows_rollouts) = rollout::news(state);
     Beat {
+        rollouts: rollouts.into_iter().map(codec::encode_rollout).collect(),
+        knows_rollouts,
         limits,
         leaving,
         ended,
@@ -344,6 +348,8 @@
     for endpoint in beat.ended.into_iter().take(MAX_ENDS) {
         lifetime::record_reported_end(state, &decode_life(endpoint), &instance);
     }
+    let news = beat.rollouts.into_iter().filter_map(codec::decode_rollout);
+    rollout::merge(state, news.collect(), beat.knows_rollouts, &instance);
     let own = versions(state);
     if let Some(theirs) = beat.versions
         && (config_version(&theirs) > config_version(&own)
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -5,6 +5,7 @@
     lifetime, peers,
     reply::Body,
     request::{Job, Refusal},
+    rollout::{self, Guide},
     state::{State, lock},
 };
 use crate::{outbound::Framing, platform::caller};
@@ -64,11 +65,21 @@
 /// Selects an endpoint that was not tried yet. Returns `None` if there is none, or if
 /// the limits that endpoints state leave no room.
 async fn choose(state: &Arc<State>, job: &Job, tried: &[Key]) -> Option<Chosen> {
+    let guide = rollout::guide(state, &job.service, None, tried);
+    if let Some(chosen) = choose_within(state, job, &guide).await {
+        return Some(chosen);
+    }
+    choose_within(state, job, &guide.fallback(tried)?).await
+}
+
+/// Selects an endpoint that a guide allows.
+async fn choose_within(state: &Arc<State>, job: &Job, guide: &Guide) -> Option<Chosen> {
     let locality = Locality {
         own: &state.settings.data_centre,
         results: &[],
-        tried,
+        tried: &guide.tried,
         software: Software::Any,
+        track: guide.track(),
     };
     let now = state.clock.now();
     let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -273,6 +273,7 @@
             .unwrap_or(route.rank),
         outgoing: Outgoing {
             attempt: caller.attempt.clone(),
+            route: route.name.clone(),
             method: head.method,
             uri: Uri::from(path),
             headers: head.headers,
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State that the parts of a gateway share.
 
-use super::{Settings, lifetime, origin, owner::Pools, peers::Links};
+use super::{Settings, lifetime, origin, owner::Pools, peers::Links, rollout::Rollouts};
 pub(super) use crate::sync::lock;
 use crate::{
     clock::Clock,
@@ -60,6 +60,7 @@
     pub(super) roster: Mutex<Roster>,
     pub(super) causes: Causes,
     pub(super) pools: Pools,
+    pub(super) rollouts: Rollouts,
     pub(super) links: Links,
     /// Origins of streams that callers may take up again.
     pub(super) streams: origin::Memory,
@@ -144,6 +145,7 @@
             causes: Causes::new(clock),
             metrics: Metrics::new(),
             pools: Pools::default(),
+            rollouts: Rollouts::new(settings.bounds.rollout),
             links: Links::default(),
             streams: origin::Memory::default(),
             end_checks: lifetime::Checks::default(),
@@ -529,10 +531,11 @@
     }
 
     /// Updates whether the gateway is initialized, and logs a change.
-    fn check_ready(&self) {
+    pub(super) fn check_ready(&self) {
         let ready = lock(&self.config).is_some()
             && lock(&self.evacuation).current().is_some()
-            && self.listed.load(Ordering::Relaxed);
+            && self.listed.load(Ordering::Relaxed)
+            && self.rollouts.is_known();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             Event::ReadyChanged.log(format_args!("ready={ready}"));
         }
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -6,6 +6,7 @@
     plain::forward_response,
     reply::Body,
     request::{Job, Refusal},
+    rollout::{self, Guide},
     stages::{self, Outputs},
     state::{InFlight, State, lock},
     upstream::{self, Current, Progress, Upstream},
@@ -16,7 +17,7 @@
     error::Kind,
     event::Event,
     once::{ExecutionError, Unsent},
-    placement::{Choice, Key, Locality, Report},
+    placement::{Choice, Key, Locality, Report, Selection},
     stream::Splitter,
 };
 use futures_util::stream;
@@ -174,21 +175,26 @@
     expires: Instant,
 ) -> Option<Chosen> {
     let results = outputs.bytes_by_data_centre();
-    let locality = Locality {
-        own: &state.settings.data_centre,
-        results: &results,
-        tried,
-        software: job.software(),
-    };
-    let select = || {
+    let select = |guide: &Guide| {
+        let locality = locality(state, job, &results, guide);
         let fleet = lock(&state.fleet);
         let prompt = job.caller.prompt;
         let now = state.clock.now();
         fleet.choose_engine(&job.config, &job.service, prompt, &locality, now)
     };
+    let bound = job.version.as_deref();
+    let mut guide = rollout::guide(state, &job.service, bound, tried);
     let mut waiting = None;
     loop {
-        if let Some(choice) = select().beyond_share
+        if !state.rollouts.is_current(&job.service, &guide) {
+            guide = rollout::guide(state, &job.service, bound, tried);
+        }
+        if select(&guide) == Selection::default()
+            && let Some(fallback) = guide.fallback(tried)
+        {
+            guide = fallback;
+        }
+        if let Some(choice) = select(&guide).beyond_share
             && let Some(endpoint) = state.incarnation(choice.key)
             && peers::grant(state, &endpoint).await
         {
@@ -198,7 +204,7 @@
             });
         }
         // The fleet may have changed while this gateway waited for the grant.
-        if let Some(choice) = select().within_share {
+        if let Some(choice) = select(&guide).within_share {
             return Some(Chosen {
                 choice,
                 granted: false,
@@ -214,6 +220,7 @@
         } else {
             0
         };
+        let locality = locality(state, job, &results, &guide);
         if sends_until(state, job, &locality, expires) <= ahead {
             return None;
         }
@@ -221,6 +228,22 @@
     }
 }
 
+/// Returns the engines among which one is selected.
+fn locality<'a>(
+    state: &'a State,
+    job: &'a Job,
+    results: &'a [(String, u64)],
+    guide: &'a Guide,
+) -> Locality<'a> {
+    Locality {
+        own: &state.settings.data_centre,
+        results,
+        tried: &guide.tried,
+        software: job.software(),
+        track: guide.track(),
+    }
+}
+
 /// Returns the number of requests that this gateway may send until `expires` to the
 /// engines that `locality` allows.
 fn sends_until(state: &State, job: &Job, locality: &Locality<'_>, expires: Instant) -> usize {
@@ -285,7 +308,11 @@
     /// Returns `None` if the engine answered with an error status or without any
     /// data.
     async fn first_events(&mut self) -> Result<Option<Bytes>, Refusal> {
-        if !self.upstream.exchange.response.status().is_success() {
+        let status = self.upstream.exchange.response.status();
+        if !status.is_success() {
+            if status.is_server_error() {
+                self.upstream.guard.record_bad_answer();
+            }
             return Ok(None);
         }
         match self.next().await {
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -1,6 +1,9 @@
 //! Lists and watches the platform's store.
 
-use super::state::{STORE_TIMEOUT, State, lock};
+use super::{
+    rollout,
+    state::{STORE_TIMEOUT, State, lock},
+};
 use crate::platform::{self, Change, Changes, Collection, Fault, Listing, Object, Store as _};
 use cicadacrank_core::{
     directory::{Endpoint, Evacuation},
@@ -39,16 +42,23 @@
     Config,
     Endpoints,
     Evacuation,
+    Rollouts,
 }
 
 impl Resource {
-    const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Evacuation];
+    const ALL: [Self; 4] = [
+        Self::Config,
+        Self::Endpoints,
+        Self::Evacuation,
+        Self::Rollouts,
+    ];
 
     const fn collection(self) -> Collection {
         match self {
             Self::Config => Collection::Config,
             Self::Endpoints => Collection::Endpoints,
             Self::Evacuation => Collection::Evacuations,
+            Self::Rollouts => Collection::Rollouts,
         }
     }
 
@@ -57,10 +67,15 @@
     /// A connection that has gone silent is replaced after this time and the timeout
     /// of a call. For resources that rarely change, that is the time within which a
     /// process has to recover.
-    fn watch_timeout(self, recovery_time: Duration) -> Duration {
+    fn watch_timeout(self, state: &State) -> Duration {
         match self {
+            Self::Rollouts if state.rollouts.is_active() => rollout::WATCH_TIMEOUT,
+            Self::Rollouts => rollout::IDLE_WATCH_TIMEOUT,
             Self::Endpoints => ENDPOINTS_WATCH_TIMEOUT,
-            Self::Config | Self::Evacuation => recovery_time
+            Self::Config | Self::Evacuation => state
+                .settings
+                .bounds
+                .recovery_time
                 .saturating_sub(STORE_TIMEOUT)
                 .max(ENDPOINTS_WATCH_TIMEOUT),
         }
@@ -70,7 +85,9 @@
 /// Starts watching the store and registers the gateway in it.
 pub fn start(state: &Arc<State>) {
     for resource in Resource::ALL {
-        tokio::spawn(watch(Arc::clone(state), resource));
+        if resource != Resource::Rollouts || state.rollouts.is_enabled() {
+            tokio::spawn(watch(Arc::clone(state), resource));
+        }
     }
     tokio::spawn(register(Arc::clone(state)));
     tokio::spawn(run_expiry(Arc::clone(state)));
@@ -80,7 +97,6 @@
 /// version has expired.
 async fn watch(state: Arc<State>, resource: Resource) {
     let collection = resource.collection();
-    let timeout = resource.watch_timeout(state.settings.bounds.recovery_time);
     let mut failures = Failures::new(collection);
     let mut names = Vec::new();
     loop {
@@ -91,6 +107,13 @@
                 apply_list(&state, resource, &listing, &mut names);
                 listing.version
             }
+            // The store knows no such collection before the first order.
+            Err(Fault::Missing) if resource == Resource::Rollouts => {
+                failures.record_success(&state);
+                rollout::set_known(&state);
+                time::sleep(rollout::IDLE_WATCH_TIMEOUT).await;
+                continue;
+            }
             Err(fault) => {
                 failures.back_off(&state, &fault).await;
                 continue;
@@ -98,6 +121,7 @@
         };
         loop {
             state.metrics.store_calls.inc();
+            let timeout = resource.watch_timeout(&state);
             match state.store.changes(collection, &version, timeout).await {
                 Ok(changes) => {
                     failures.record_success(&state);
@@ -164,8 +188,10 @@
             ));
             self.count = 0;
         }
-        if self.collection == Collection::Endpoints {
-            state.record_store(true);
+        match self.collection {
+            Collection::Endpoints => state.record_store(true),
+            Collection::Rollouts => rollout::record_contact(state),
+            _ => {}
         }
     }
 }
@@ -208,6 +234,7 @@
                 report_ignored(resource, listing, held);
             }
         }
+        Resource::Rollouts => rollout::apply_list(state, listing),
     }
 }
 
@@ -244,6 +271,7 @@
             let evacuation = Evacuation::new(changes.version, names.clone());
             state.adopt_evacuation(evacuation, "store");
         }
+        Resource::Rollouts => rollout::apply_changes(state, changes),
     }
 }
 
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -2,8 +2,8 @@
 
 use cicadacrank_core::once::ExecutionError;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    core::Collector,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, core::Collector,
 };
 use std::time::Duration;
 
@@ -45,6 +45,13 @@
     pub quarantined: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Phase of a service's roll-out: 0 trial, 1 full, 2 withdrawn, 3 rolled back, 4
+    /// completed.
+    pub rollout_phase: IntGaugeVec,
+    /// Requests sent to versions on roll-out, by service.
+    pub exposed: IntCounterVec,
+    /// Bad answers of versions on roll-out, by service.
+    pub bad_answers: IntCounterVec,
 }
 
 impl Metrics {
@@ -108,6 +115,26 @@
                 "Statements of endpoints that they want no requests for some time",
             ),
             batch: register(&registry, Histogram::with_opts(batch)),
+            rollout_phase: register(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new(
+                        "cicadacrank_gateway_rollout_phase",
+                        "0 trial, 1 full, 2 withdrawn, 3 rolled back, 4 completed",
+                    ),
+                    &["service"],
+                ),
+            ),
+            exposed: counters(
+                "cicadacrank_gateway_rollout_requests_total",
+                "Requests sent to versions on roll-out",
+                &["service"],
+            ),
+            bad_answers: counters(
+                "cicadacrank_gateway_rollout_bad_answers_total",
+                "Bad answers of versions on roll-out",
+                &["service"],
+            ),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
                 "Time for all pieces of a stage",
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -11,6 +11,7 @@
 pub mod endpoint;
 mod objects;
 mod page;
+pub mod rollout;
 pub mod settings;
 pub mod stage;
 
@@ -44,11 +45,15 @@
     Gateways,
     /// When services last had engines of several software versions.
     Releases,
+    /// Operators' orders to move services to other versions, and their outcomes.
+    Rollouts,
+    /// Starts and phases of roll-outs.
+    Progress,
 }
 
 impl Collection {
     /// All collections.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Rulesets,
         Self::Audits,
         Self::Claims,
@@ -59,6 +64,8 @@
         Self::Evacuations,
         Self::Gateways,
         Self::Releases,
+        Self::Rollouts,
+        Self::Progress,
     ];
 
     /// Returns the name of the collection in request paths.
@@ -75,19 +82,25 @@
             Self::Evacuations => "evacuations",
             Self::Gateways => "cicadacrank-gateways",
             Self::Releases => "cicadacrank-releases",
+            Self::Rollouts => "rollouts",
+            Self::Progress => "cicadacrank-rollouts",
         }
     }
 }
 
 /// An object of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Object {
     /// Name, unique in the collection.
     pub name: String,
     /// Version that a conditional update must state.
     pub version: Version,
+    /// Revision at which the object was created, or 0 if the platform doesn't tell.
+    pub created: u64,
     /// Content of the object.
     pub spec: Value,
+    /// What the system wrote about the object, or null.
+    pub status: Value,
 }
 
 /// A collection at one version.
--- a/crates/cicadacrank-node/src/platform/objects.rs
+++ b/crates/cicadacrank-node/src/platform/objects.rs
@@ -55,7 +55,10 @@
 #[derive(Serialize)]
 struct WireObject<'a> {
     metadata: Metadata<'a>,
-    specification: &'a Value,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    specification: Option<&'a Value>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<&'a Value>,
 }
 
 #[derive(Serialize)]
@@ -160,6 +163,32 @@
         }
     }
 
+    /// Replaces the status of an object if it still has the version, and returns the new
+    /// version.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the status may not have been written.
+    pub async fn update_status(
+        &self,
+        collection: Collection,
+        name: &str,
+        version: &Version,
+        status: &Value,
+    ) -> Result<Version, Fault> {
+        let object = WireObject {
+            metadata: Metadata {
+                name,
+                revision: Some(version.revision),
+            },
+            specification: None,
+            status: Some(status),
+        };
+        let path = format!("{}/status", object_path(collection, name));
+        self.send(Method::PUT, &path, collection, Some(version), &object)
+            .await
+    }
+
     async fn fetch_page(
         &self,
         collection: Collection,
@@ -207,20 +236,31 @@
                 name,
                 revision: version.map(|version| version.revision),
             },
-            specification: spec,
+            specification: Some(spec),
+            status: None,
         };
-        let body =
-            serde_json::to_vec(&object).map_err(|error| Fault::Invalid(error.to_string()))?;
         let path = if method == Method::POST {
             path(collection)
         } else {
             object_path(collection, name)
         };
+        self.send(method, &path, collection, version, &object).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        collection: Collection,
+        version: Option<&Version>,
+        object: &WireObject<'_>,
+    ) -> Result<Version, Fault> {
+        let body = serde_json::to_vec(object).map_err(|error| Fault::Invalid(error.to_string()))?;
         if let Some(version) = version {
             self.check_era(version)?;
         }
         let body = Some(Bytes::from(body));
-        let answer = self.call(method, &path, body, self.timeout).await?;
+        let answer = self.call(method, path, body, self.timeout).await?;
         if let Some(version) = version {
             Self::check_answer(version, &answer)?;
         }
--- a/crates/cicadacrank-node/src/platform/page.rs
+++ b/crates/cicadacrank-node/src/platform/page.rs
@@ -61,6 +61,8 @@
     metadata: WireMetadata<'a>,
     #[serde(borrow)]
     specification: Option<&'a RawValue>,
+    #[serde(borrow)]
+    status: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -68,6 +70,8 @@
     name: String,
     #[serde(borrow)]
     revision: Option<&'a RawValue>,
+    #[serde(borrow)]
+    created: Option<&'a RawValue>,
 }
 
 /// Decodes one page of a list.
@@ -160,22 +164,32 @@
         let wire: WireObject<'_> = serde_json::from_str(raw.get())
             .inspect_err(|error| log::warn!("unreadable object in {collection:?}: {error}"))
             .ok()?;
-        let WireMetadata { name, revision } = wire.metadata;
-        let revision = revision.and_then(|raw| serde_json::from_str(raw.get()).ok());
-        let revision: u64 = revision.unwrap_or_default();
-        let content = wire.specification.map(|raw| self.content(raw));
-        let spec = content.unwrap_or(Ok(Value::Null));
-        let spec = spec.unwrap_or_else(|error| {
-            log::debug!(
-                "unreadable content: collection={collection:?} object={name} \
-                 revision={revision} error={error}"
-            );
-            Value::Null
-        });
-        Some(Object {
+        let WireMetadata {
             name,
+            revision,
+            created,
+        } = wire.metadata;
+        let number = |raw: Option<&RawValue>| -> u64 {
+            let parsed = raw.and_then(|raw| serde_json::from_str(raw.get()).ok());
+            parsed.unwrap_or_default()
+        };
+        let (revision, created) = (number(revision), number(created));
+        let content = |raw: Option<&RawValue>| {
+            let content = raw.map(|raw| self.content(raw));
+            content.unwrap_or(Ok(Value::Null)).unwrap_or_else(|error| {
+                log::debug!(
+                    "unreadable content: collection={collection:?} object={name} \
+                     revision={revision} error={error}"
+                );
+                Value::Null
+            })
+        };
+        Some(Object {
             version: Version::new(self.era, revision),
-            spec,
+            created,
+            spec: content(wire.specification),
+            status: content(wire.status),
+            name,
         })
     }
 
@@ -217,7 +231,9 @@
         | Collection::Evacuations
         | Collection::Gateways
         | Collection::Instances
-        | Collection::Releases => Some(MAX_REGISTRATION_BYTES),
+        | Collection::Releases
+        | Collection::Rollouts
+        | Collection::Progress => Some(MAX_REGISTRATION_BYTES),
         Collection::Rulesets
         | Collection::Audits
         | Collection::Claims
--- a/crates/cicadacrank-node/src/platform/settings.rs
+++ b/crates/cicadacrank-node/src/platform/settings.rs
@@ -1,6 +1,7 @@
 //! Parses the settings file that the platform writes for each process.
 
 use crate::gateway::{Bounds, Settings};
+use cicadacrank_core::rollout;
 use miette::{Context as _, IntoDiagnostic as _, Result};
 use serde::Deserialize;
 use std::{env, fs, net::SocketAddr, path::PathBuf, time::Duration};
@@ -87,6 +88,21 @@
     cold_overrun: f64,
     #[serde(default)]
     cold_tolerance: f64,
+    exposure_share: Option<f64>,
+    exposure_tolerance: Option<f64>,
+    rollback_ms: Option<u64>,
+}
+
+impl FileBounds {
+    /// Returns the limits of roll-outs, or `None` if the deployment doesn't set all of
+    /// them.
+    fn rollout(&self) -> Option<rollout::Bounds> {
+        Some(rollout::Bounds {
+            share: self.exposure_share?,
+            tolerance: self.exposure_tolerance?,
+            rollback: Duration::from_millis(self.rollback_ms?),
+        })
+    }
 }
 
 #[derive(Deserialize)]
@@ -105,6 +121,7 @@
             recovery_time: Duration::from_millis(self.bounds.stability_ms),
             cold_ratio: self.bounds.cold_overrun,
             cold_extra: self.bounds.cold_tolerance,
+            rollout: self.bounds.rollout(),
         };
         Ok(Settings {
             instance: self.node_name,
--- a/crates/cicadacrank-node/tests/entries.rs
+++ b/crates/cicadacrank-node/tests/entries.rs
@@ -272,6 +272,7 @@
             name: "i-1".to_owned(),
             version: Version::new(0, 7),
             spec: spec.clone(),
+            ..Object::default()
         };
         let error = endpoint::decode(&object).expect_err("an invalid field");
         assert!(error.len() < 1_000, "{field}: {} bytes", error.len());
--- a/crates/cicadacrank-node/tests/peer.rs
+++ b/crates/cicadacrank-node/tests/peer.rs
@@ -100,6 +100,7 @@
             name: name.to_owned(),
             version: Version::new(0, generation),
             spec: json!({ "generation": generation, "rules": RULES }),
+            ..Object::default()
         });
         std::future::ready(object).boxed()
     }
@@ -141,6 +142,7 @@
                 "role": "entry", "data_centre": "dc", "address": address,
                 "operator_address": address,
             }),
+            ..Object::default()
         });
         let listing = Listing {
             objects: objects.collect(),
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -22,6 +22,7 @@
         name: "i-1".to_owned(),
         version: Version::new(0, 7),
         spec,
+        ..Object::default()
     }
 }
 
