--- a/crates/cicadacrank-core/src/rollout/evidence.rs
+++ b/crates/cicadacrank-core/src/rollout/evidence.rs
@@ -13,19 +13,16 @@
 const MAX_SPREAD: usize = 8;
 
 /// Multiple of the old version's rate of bad answers that is expected of a good version.
-const RATE_FACTOR: f64 = 1.5;
+const RATE_FACTOR: f64 = 1.25;
 
 /// Rate of bad answers that is always accepted of a good version.
 const BASE_RATE: f64 = 0.01;
 
-/// The same once the new version gets all requests, as the old one can't be compared then.
-const FULL_RATE: f64 = 0.05;
-
 /// Minimum number of answers of the old version over which its rate is taken.
 const MIN_ANSWERS: f64 = 20.0;
 
 /// Standard deviations, and a number of answers, above which a version is bad.
-const BAD: (f64, f64) = (4.0, 4.0);
+const BAD: (f64, f64) = (4.0, 3.0);
 
 /// The same for a version that must not get all requests.
 const SUSPECT: (f64, f64) = (3.0, 2.0);
@@ -65,16 +62,44 @@
         self.bad += other.bad;
     }
 
-    const fn answers(self) -> u64 {
+    /// Returns the number of all answers.
+    #[must_use]
+    pub const fn answers(self) -> u64 {
         self.good + self.bad
     }
 }
 
+/// Response times of the old version, each per unit of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Times {
+    /// Number of answers.
+    pub answers: u64,
+    /// Sum of their times, in seconds.
+    pub seconds: f64,
+    /// Sum of the squares of their times.
+    pub squares: f64,
+}
+
+/// Answers on one route.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Answers of the old version.
+    pub old: Count,
+    /// Answers of the new version.
+    pub new: Count,
+    /// Number of bad answers that a good version would have given in place of the new one.
+    pub expected: f64,
+    /// Times of the answers of the old version.
+    pub times: Times,
+}
+
 /// Numbers of answers that one process got since the order.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
-    /// Answers of the old and of the new version, by route.
-    pub routes: Vec<(String, Count, Count)>,
+    /// Answers by route, sorted by its name.
+    pub routes: Vec<Route>,
     /// Answers of the new version, by digest of the endpoint's incarnation.
     pub endpoints: Vec<(u64, Count)>,
 }
@@ -84,35 +109,40 @@
     /// added.
     #[must_use]
     pub fn new(
-        routes: impl Iterator<Item = (String, Count, Count)>,
+        routes: impl Iterator<Item = Route>,
         endpoints: impl Iterator<Item = (u64, Count)>,
     ) -> Self {
         let mut evidence = Self::default();
-        for (route, added_old, added_new) in routes {
-            if let Some((old, new)) = evidence.route(&route) {
-                old.add(added_old);
-                new.add(added_new);
-            }
-        }
-        for (endpoint, added) in endpoints {
-            if let Some(count) = evidence.endpoint(endpoint) {
-                count.add(added);
-            }
-        }
+        evidence.add(&Self {
+            routes: routes.collect(),
+            endpoints: endpoints.collect(),
+        });
         evidence
     }
 
     /// Records an answer of the old version.
     pub fn record_old(&mut self, route: &str, outcome: Outcome) {
-        if let Some((old, _)) = self.route(route) {
-            old.record(outcome);
+        if let Some(route) = self.route(route) {
+            route.old.record(outcome);
+        }
+    }
+
+    /// Records the time of an answer of the old version.
+    pub fn record_time(&mut self, route: &str, took: Duration) {
+        if let Some(route) = self.route(route) {
+            let seconds = took.as_secs_f64();
+            route.times.answers += 1;
+            route.times.seconds += seconds;
+            route.times.squares += seconds * seconds;
         }
     }
 
-    /// Records an answer of an endpoint of the new version.
-    pub fn record_new(&mut self, route: &str, endpoint: u64, outcome: Outcome) {
-        if let Some((_, new)) = self.route(route) {
-            new.record(outcome);
+    /// Records an answer of an endpoint of the new version, while a good version gives a
+    /// bad one at this `rate`.
+    pub fn record_new(&mut self, route: &str, endpoint: u64, outcome: Outcome, rate: f64) {
+        if let Some(route) = self.route(route) {
+            route.new.record(outcome);
+            route.expected += rate;
         }
         if let Some(count) = self.endpoint(endpoint) {
             count.record(outcome);
@@ -120,34 +150,40 @@
     }
 
     fn add(&mut self, other: &Self) {
-        for (route, other_old, other_new) in &other.routes {
-            if let Some((old, new)) = self.route(route) {
-                old.add(*other_old);
-                new.add(*other_new);
+        for added in &other.routes {
+            if let Some(route) = self.route(&added.name) {
+                route.old.add(added.old);
+                route.new.add(added.new);
+                route.expected += added.expected;
+                route.times.answers += added.times.answers;
+                route.times.seconds += added.times.seconds;
+                route.times.squares += added.times.squares;
             }
         }
-        for (endpoint, other) in &other.endpoints {
+        for (endpoint, added) in &other.endpoints {
             if let Some(count) = self.endpoint(*endpoint) {
-                count.add(*other);
+                count.add(*added);
             }
         }
     }
 
-    fn route(&mut self, route: &str) -> Option<(&mut Count, &mut Count)> {
+    fn route(&mut self, name: &str) -> Option<&mut Route> {
         let found = self
             .routes
-            .binary_search_by(|one| one.0.as_str().cmp(route));
+            .binary_search_by(|one| one.name.as_str().cmp(name));
         let index = match found {
             Ok(index) => index,
             Err(_) if self.routes.len() >= MAX_ROUTES => return None,
             Err(index) => {
-                let counts = (route.to_owned(), Count::default(), Count::default());
-                self.routes.insert(index, counts);
+                let route = Route {
+                    name: name.to_owned(),
+                    ..Route::default()
+                };
+                self.routes.insert(index, route);
                 index
             }
         };
-        let (_, old, new) = &mut self.routes[index];
-        Some((old, new))
+        Some(&mut self.routes[index])
     }
 
     fn endpoint(&mut self, endpoint: u64) -> Option<&mut Count> {
@@ -167,24 +203,27 @@
     #[must_use]
     pub fn total(&self) -> (Count, Count) {
         let mut total = (Count::default(), Count::default());
-        for (_, old, new) in &self.routes {
-            total.0.add(*old);
-            total.1.add(*new);
+        for route in &self.routes {
+            total.0.add(route.old);
+            total.1.add(route.new);
         }
         total
     }
 
     /// Judges the new version. `endpoints` is the number of endpoints that it has.
     #[must_use]
-    pub fn judge(&self, phase: Phase, endpoints: usize) -> Judgement {
-        let base = match phase {
-            Phase::Full => FULL_RATE,
-            _ => BASE_RATE,
-        };
+    pub fn judge(&self, endpoints: usize) -> Judgement {
         let (old, new) = self.total();
+        let expected = self.routes.iter().map(|route| route.expected).sum();
+        let total = Route {
+            old,
+            new,
+            expected,
+            ..Route::default()
+        };
         let exceeds = |bound: (f64, f64)| {
-            let on_route = |one: &(String, Count, Count)| exceeds(one.1, one.2, base, bound);
-            exceeds(old, new, base, bound) || self.routes.iter().any(on_route)
+            let mut all = self.routes.iter().chain([&total]);
+            all.any(|route| route.exceeds(bound))
         };
         if exceeds(BAD) && (new.bad >= MANY_BAD || self.is_spread(endpoints)) {
             Judgement::Bad
@@ -203,11 +242,16 @@
     }
 }
 
-/// Returns whether the new version gave more bad answers than can be expected of a good one.
-fn exceeds(old: Count, new: Count, base: f64, (deviations, extra): (f64, f64)) -> bool {
-    let rate = old.bad as f64 / (old.answers() as f64).max(MIN_ANSWERS);
-    let expected = new.answers() as f64 * (rate * RATE_FACTOR).max(base);
-    new.bad as f64 >= deviations.mul_add(expected.sqrt(), expected + extra)
+impl Route {
+    /// Returns whether the new version gave more bad answers than can be expected of a good
+    /// one.
+    fn exceeds(&self, (deviations, extra): (f64, f64)) -> bool {
+        let old = self.old.bad as f64 / (self.old.answers() as f64).max(MIN_ANSWERS);
+        let answers = self.new.answers() as f64;
+        let expected = self.expected.max(answers * old) * RATE_FACTOR;
+        let expected = expected.max(answers * BASE_RATE);
+        self.new.bad as f64 >= deviations.mul_add(expected.sqrt(), expected + extra)
+    }
 }
 
 /// What the evidence shows of a new version.
@@ -223,7 +267,7 @@
 
 /// What one process says of a roll-out. All counts only rise within one incarnation of the
 /// process, and a report replaces earlier ones.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// Name of the process's instance.
     pub instance: String,
--- a/crates/cicadacrank-core/src/rollout/mod.rs
+++ b/crates/cicadacrank-core/src/rollout/mod.rs
@@ -13,10 +13,10 @@
 mod reference;
 
 pub use self::{
-    evidence::{Count, Evidence, Judgement, Outcome, Report, Reports},
-    exposure::Exposure,
+    evidence::{Count, Evidence, Judgement, Outcome, Report, Reports, Route, Times},
+    exposure::{Exposure, Stage},
     progress::{Choice, Member, Rollout, View, Write},
-    reference::References,
+    reference::Reference,
 };
 
 use crate::version::Version;
--- a/crates/cicadacrank-core/src/rollout/progress.rs
+++ b/crates/cicadacrank-core/src/rollout/progress.rs
@@ -1,7 +1,7 @@
 //! The course of one roll-out, as one process takes part in it.
 
 use super::{
-    Bounds, Evidence, Exposure, Judgement, Order, Outcome, Phase, References, Report, Reports,
+    Bounds, Evidence, Exposure, Judgement, Order, Outcome, Phase, Reference, Report, Reports, Stage,
 };
 use std::time::Duration;
 
@@ -12,14 +12,26 @@
 /// Maximum age of a report that confirms something.
 const REPORT_AGE: Duration = Duration::from_secs(3);
 
-/// Part of the ordered time that is kept as a margin for the write of the outcome.
+/// Part of the ordered time that is kept as a margin for reports and for the write of the
+/// outcome.
 const MARGIN_DIVISOR: u32 = 10;
 
 /// Minimum of that margin.
-const MIN_MARGIN: Duration = Duration::from_secs(3);
+const MIN_MARGIN: Duration = Duration::from_secs(6);
 
 /// Earliest time at which the new version gets all requests, as a part of the ordered time.
-const MIN_TRIAL_DIVISOR: u32 = 2;
+const MIN_TRIAL: f64 = 0.45;
+
+/// Part of the trial that is left when the new version gets all requests for a moment, for
+/// their answers and the reports of them.
+const LOAD_DIVISOR: u32 = 4;
+
+/// Minimum of that time.
+const MIN_LOAD_TIME: Duration = Duration::from_secs(4);
+
+/// Part of bad answers that is expected of a good version at any time, while the old one
+/// gets no requests.
+const FULL_RATE: f64 = 0.12;
 
 /// Time after which other processes write what the controller should have written.
 const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
@@ -36,8 +48,9 @@
     Any,
     /// Those of this version. Others may be used if none is left.
     Only(String),
-    /// Those of this version, as a part of its trial. Others may be used if none is left.
-    Trial(String),
+    /// Some of those of this version, as a part of its trial. Others may be used if none is
+    /// left.
+    Sample(String),
     /// Those of any but these versions.
     Without(Vec<String>),
 }
@@ -102,7 +115,9 @@
     /// Time of the last sign of another process or of the store.
     contact: Duration,
     exposure: Exposure,
-    references: References,
+    /// Time since the order from which on the trial is under full load.
+    load_from: Duration,
+    reference: Reference,
     evidence: Evidence,
     reports: Reports,
     old_in_flight: u32,
@@ -133,7 +148,8 @@
             recorded: None,
             contact: now,
             exposure,
-            references: References::default(),
+            load_from: Duration::MAX,
+            reference: Reference::default(),
             evidence: Evidence::default(),
             reports: Reports::default(),
             old_in_flight: 0,
@@ -219,11 +235,11 @@
     /// Returns the endpoints that an attempt may use, and takes the attempt from the limit of
     /// the trial if it may use the new version only for that.
     pub fn choose(&mut self, now: Duration) -> Choice {
-        let has_taken = self.has_room(now) && self.exposure.try_take(&self.bounds);
-        if has_taken {
-            return Choice::Trial(self.order.to.clone());
+        if !self.has_room(now) {
+            return self.outlook(now);
         }
-        self.outlook(now)
+        self.exposure.record_exposed();
+        Choice::Sample(self.order.to.clone())
     }
 
     /// Returns the endpoints that an attempt may use beyond the trial.
@@ -246,7 +262,20 @@
     /// Returns whether an attempt at the new version has room in the limit of the trial.
     #[must_use]
     pub fn has_room(&self, now: Duration) -> bool {
-        self.phase == Phase::Trial && self.may_try(now) && self.exposure.has_room(&self.bounds)
+        self.phase == Phase::Trial
+            && self.may_try(now)
+            && self.exposure.has_room(&self.bounds, self.stage(now))
+            && self.exposure.is_turn(self.stage(now))
+    }
+
+    /// Returns the stage of the trial.
+    #[must_use]
+    pub fn stage(&self, now: Duration) -> Stage {
+        if self.elapsed(now) < self.load_from {
+            Stage::Sample
+        } else {
+            Stage::Load
+        }
     }
 
     fn may_try(&self, now: Duration) -> bool {
@@ -262,10 +291,13 @@
         if version != self.order.to {
             return true;
         }
-        match self.choose(now) {
-            Choice::Any | Choice::Only(_) | Choice::Trial(_) => true,
-            Choice::Without(_) => false,
+        // A stream that the new version began ends otherwise.
+        let is_trial = self.phase == Phase::Trial && self.may_try(now);
+        if is_trial && self.exposure.has_room(&self.bounds, Stage::Load) {
+            self.exposure.record_exposed();
+            return true;
         }
+        !matches!(self.outlook(now), Choice::Without(_))
     }
 
     /// Records the send of a request to an endpoint with a version.
@@ -295,13 +327,14 @@
         endpoint: u64,
         took: Duration,
         is_cold: bool,
+        now: Duration,
     ) -> Outcome {
-        let is_slow = !is_cold && self.references.is_slow(route, took);
+        let is_slow = !is_cold && self.reference.is_slow(route, took);
         let outcome = if is_slow { Outcome::Bad } else { Outcome::Good };
         if !self.is_new(version) && !is_cold {
-            self.references.record(route, took);
+            self.evidence.record_time(route, took);
         }
-        self.record(route, version, endpoint, outcome);
+        self.record(route, version, endpoint, outcome, now);
         outcome
     }
 
@@ -314,20 +347,34 @@
         endpoint: u64,
         took: Duration,
         is_cold: bool,
+        now: Duration,
     ) -> Outcome {
-        if is_cold || !self.references.is_slow(route, took) {
+        if is_cold || !self.reference.is_slow(route, took) {
             return Outcome::Good;
         }
-        self.record(route, version, endpoint, Outcome::Bad);
+        self.record(route, version, endpoint, Outcome::Bad, now);
         Outcome::Bad
     }
 
     /// Records the outcome of a request.
-    pub fn record(&mut self, route: &str, version: &str, endpoint: u64, outcome: Outcome) {
+    pub fn record(
+        &mut self,
+        route: &str,
+        version: &str,
+        endpoint: u64,
+        outcome: Outcome,
+        now: Duration,
+    ) {
         if self.is_new(version) {
-            self.evidence.record_new(route, endpoint, outcome);
+            // The old version can't be compared once it gets no requests.
+            let rate = match self.phase {
+                Phase::Trial => self.reference.rate(now),
+                _ => self.reference.rate(now).max(FULL_RATE),
+            };
+            self.evidence.record_new(route, endpoint, outcome, rate);
         } else {
             self.evidence.record_old(route, outcome);
+            self.reference.record(outcome == Outcome::Bad, now);
         }
     }
 
@@ -388,6 +435,13 @@
 
     /// Judges the version, and returns what this process has to write now.
     pub fn step(&mut self, view: &View<'_>, now: Duration) -> Option<Write> {
+        let trial = self.trial_time(view);
+        let load = MIN_LOAD_TIME.max(trial / LOAD_DIVISOR);
+        self.load_from = if self.may_serve(view) {
+            trial.saturating_sub(load)
+        } else {
+            Duration::MAX
+        };
         if matches!(self.phase, Phase::Trial | Phase::Full) {
             self.judge(view, now);
         }
@@ -428,7 +482,9 @@
         if self.stopped.is_some() {
             return;
         }
-        let judgement = self.evidence().judge(self.phase, view.new);
+        let evidence = self.evidence();
+        self.reference.update(&evidence);
+        let judgement = evidence.judge(view.new);
         let is_due = self.phase == Phase::Trial && self.elapsed(now) >= self.trial_time(view);
         let has_failed = match judgement {
             Judgement::Bad => true,
@@ -453,7 +509,7 @@
         let duration = self.order.duration;
         let margin = MIN_MARGIN.max(duration / MARGIN_DIVISOR);
         let time = duration.saturating_sub(view.drain + view.linger + margin);
-        time.max(duration / MIN_TRIAL_DIVISOR)
+        time.max(duration.mul_f64(MIN_TRIAL))
     }
 
     /// Returns the phase that the roll-out is in, or comes to once that is written.
--- a/crates/cicadacrank-node/src/gateway/peers/codec.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/codec.rs
@@ -7,7 +7,7 @@
 use cicadacrank_core::{
     directory::Incarnation,
     placement::Limit,
-    rollout::{Count, Evidence, Order, Phase, Report},
+    rollout::{Count, Evidence, Order, Phase, Report, Route, Times},
     roster::Gateway,
     version::Version,
 };
@@ -192,12 +192,16 @@
         old_in_flight: report.old_in_flight,
         routes: routes
             .into_iter()
-            .map(|(route, old, new)| RouteEvidence {
-                route,
-                old_good: old.good,
-                old_bad: old.bad,
-                new_good: new.good,
-                new_bad: new.bad,
+            .map(|route| RouteEvidence {
+                route: route.name,
+                old_good: route.old.good,
+                old_bad: route.old.bad,
+                new_good: route.new.good,
+                new_bad: route.new.bad,
+                expected: route.expected,
+                timed: route.times.answers,
+                seconds: route.times.seconds,
+                squares: route.times.squares,
             })
             .collect(),
         endpoints: endpoints
@@ -229,9 +233,16 @@
         stopped: wire.stopped,
         old_in_flight: wire.old_in_flight,
         evidence: Evidence::new(
-            wire.routes.into_iter().map(|one| {
-                let old = count(one.old_good, one.old_bad);
-                (one.route, old, count(one.new_good, one.new_bad))
+            wire.routes.into_iter().map(|one| Route {
+                old: count(one.old_good, one.old_bad),
+                new: count(one.new_good, one.new_bad),
+                expected: one.expected,
+                times: Times {
+                    answers: one.timed,
+                    seconds: one.seconds,
+                    squares: one.squares,
+                },
+                name: one.route,
             }),
             wire.endpoints
                 .into_iter()
--- a/crates/cicadacrank-node/src/gateway/rollout.rs
+++ b/crates/cicadacrank-node/src/gateway/rollout.rs
@@ -14,7 +14,8 @@
     event::Event,
     placement::{Fleet, Key, Track},
     rollout::{
-        Bounds, Choice, Exposure, Member, Order, Outcome, Phase, Report, Rollout, View, Write,
+        Bounds, Choice, Exposure, Member, Order, Outcome, Phase, Report, Rollout, Stage, View,
+        Write,
     },
     version::Version,
 };
@@ -93,7 +94,7 @@
     pub fn track(&self) -> Track<'_> {
         match &self.choice {
             Choice::Any => Track::Any,
-            Choice::Only(version) | Choice::Trial(version) => Track::Only(version),
+            Choice::Only(version) | Choice::Sample(version) => Track::Only(version),
             Choice::Without(versions) => Track::Without(versions),
         }
     }
@@ -101,7 +102,7 @@
     /// Returns the guide for an attempt for which this one leaves no endpoint, if there is
     /// another.
     pub fn fallback(&self, tried: &[Key]) -> Option<Self> {
-        let (Choice::Only(version) | Choice::Trial(version)) = &self.choice else {
+        let (Choice::Only(version) | Choice::Sample(version)) = &self.choice else {
             return None;
         };
         Some(Self {
@@ -183,7 +184,7 @@
             Some(version) => Choice::Without(vec![version.to_owned()]),
             None => rollout.choose(now),
         };
-        (choice, Some(made(rollout)))
+        (choice, rollout.stage(now), made(rollout))
     });
     complete(state, service, tried, guide)
 }
@@ -193,7 +194,7 @@
 pub fn outlook(state: &State, service: &str, tried: &[Key]) -> Guide {
     let now = state.clock.now();
     let guide = state.rollouts.with(service, |rollout| {
-        (rollout.outlook(now), Some(made(rollout)))
+        (rollout.outlook(now), rollout.stage(now), made(rollout))
     });
     complete(state, service, tried, guide)
 }
@@ -202,14 +203,21 @@
     state: &State,
     service: &str,
     tried: &[Key],
-    guide: Option<(Choice, Option<(Phase, bool)>)>,
+    guide: Option<(Choice, Stage, (Phase, bool))>,
 ) -> Guide {
-    let (mut choice, made) = guide.unwrap_or_default();
+    let Some((mut choice, stage, made)) = guide else {
+        return Guide {
+            tried: tried.to_vec(),
+            ..Guide::default()
+        };
+    };
     let mut tried = tried.to_vec();
     if choice != Choice::Any {
         let fleet = lock(&state.fleet);
         match &choice {
-            Choice::Trial(version) => tried.extend(left_out(state, &fleet, service, version)),
+            Choice::Sample(version) => {
+                tried.extend(left_out(state, &fleet, service, version, stage));
+            }
             // Nothing else could run the request.
             Choice::Without(versions)
                 if !fleet
@@ -224,20 +232,20 @@
     Guide {
         choice,
         tried,
-        made,
+        made: Some(made),
     }
 }
 
 /// Returns the endpoints of a new version that take no part in its trial. They are about
 /// the same for all gateways.
-fn left_out(state: &State, fleet: &Fleet, service: &str, version: &str) -> Vec<Key> {
+fn left_out(state: &State, fleet: &Fleet, service: &str, version: &str, stage: Stage) -> Vec<Key> {
     let usable = fleet.usable(service);
     let (mut new, old): (Vec<_>, Vec<_>) =
         usable.partition(|(_, row)| row.endpoint.version == version);
     let Some(bounds) = &state.rollouts.bounds else {
         return Vec::new();
     };
-    let count = Exposure::endpoints(bounds, old.len(), new.len());
+    let count = Exposure::endpoints(bounds, stage, old.len(), new.len());
     new.sort_by_key(|(_, row)| row.endpoint.life.digest());
     new.into_iter().skip(count).map(|(key, _)| key).collect()
 }
@@ -259,12 +267,14 @@
         new.sort_unstable();
         let old = endpoints.len() - new.len();
         let bounds = state.rollouts.bounds.filter(|_| rollout.has_room(now));
-        let count = bounds.map_or(0, |bounds| Exposure::endpoints(&bounds, old, new.len()));
+        let count = bounds.map_or(0, |bounds| {
+            Exposure::endpoints(&bounds, rollout.stage(now), old, new.len())
+        });
         let is_trial = rollout.phase() == Phase::Trial;
         new.truncate(if is_trial { count } else { 0 });
         let track = match &choice {
             Choice::Any => Track::Any,
-            Choice::Only(version) | Choice::Trial(version) => Track::Only(version),
+            Choice::Only(version) | Choice::Sample(version) => Track::Only(version),
             Choice::Without(versions) => Track::Without(versions),
         };
         let allows = |one: &Endpoint| {
@@ -359,26 +369,29 @@
 
 /// Records that an endpoint answered after `took` per unit of its work.
 pub fn record_answer(state: &State, route: &str, endpoint: &Endpoint, took: Duration, cold: bool) {
+    let now = state.clock.now();
     record(state, endpoint, route, took, |rollout| {
         let digest = endpoint.life.digest();
-        rollout.record_answer(route, &endpoint.version, digest, took, cold)
+        rollout.record_answer(route, &endpoint.version, digest, took, cold, now)
     });
 }
 
 /// Records that a request was abandoned at an endpoint that had not answered after `took`
 /// per unit of its work.
 pub fn record_wait(state: &State, route: &str, endpoint: &Endpoint, took: Duration, cold: bool) {
+    let now = state.clock.now();
     record(state, endpoint, route, took, |rollout| {
         let digest = endpoint.life.digest();
-        rollout.record_wait(route, &endpoint.version, digest, took, cold)
+        rollout.record_wait(route, &endpoint.version, digest, took, cold, now)
     });
 }
 
 /// Records that an endpoint failed a request after `took`.
 pub fn record_failure(state: &State, route: &str, endpoint: &Endpoint, took: Duration) {
+    let now = state.clock.now();
     record(state, endpoint, route, took, |rollout| {
         let digest = endpoint.life.digest();
-        rollout.record(route, &endpoint.version, digest, Outcome::Bad);
+        rollout.record(route, &endpoint.version, digest, Outcome::Bad, now);
         Outcome::Bad
     });
 }
