Count requests in flight also before an order, and let streams of a trial go on

Cause: requests that were in flight when an order became known were not counted, so that their ends made the count of later ones too small: an order could be completed while the old version had streams. A caller that took up a stream of a version on trial was refused at once, because only requests beyond the trial were considered.

Change: requests in flight are counted by service and version at all times; a request bound to the version on trial has the whole limit of the trial. An order that is withdrawn leaves the old version in service in each phase. Gateways that leave are waited for as long as they are live.

--- a/crates/cicadacrank-core/src/rollout/progress.rs
+++ b/crates/cicadacrank-core/src/rollout/progress.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Takes over what an earlier order of the service leaves: requests in flight, and a
-    /// version that has not proven itself.
+    /// Takes over what an earlier order of the service leaves: a version that has not proven
+    /// itself.
     #[must_use]
     pub fn succeeding(mut self, before: &Self) -> Self {
         self.barred.clone_from(&before.barred);
@@ -122,7 +122,6 @@
             self.barred.push(before.order.to.clone());
         }
         self.barred.retain(|version| *version != self.order.to);
-        self.old_in_flight = before.old_in_flight;
         self
     }
 
@@ -232,40 +231,46 @@
         self.stopped.is_none() && self.is_permitted(now)
     }
 
+    /// Returns whether a request that only endpoints of `version` can run may go there.
+    #[must_use]
+    pub fn may_continue(&self, version: &str, now: Duration) -> bool {
+        if version != self.order.to {
+            return !self.barred.iter().any(|barred| barred == version);
+        }
+        // A stream that the new version began ends otherwise, so that the whole limit of the
+        // trial is used.
+        let has_room = || self.exposure.has_room(&self.bounds, Stage::Load);
+        match self.phase {
+            Phase::Trial => self.may_try(now) && has_room(),
+            _ => !matches!(self.outlook(now), Choice::Without(_)),
+        }
+    }
+
     /// Returns whether a request that only endpoints of `version` can run may go there, and
     /// takes it from the limit of the trial.
     pub fn try_continue(&mut self, version: &str, now: Duration) -> bool {
-        if self.barred.iter().any(|barred| barred == version) {
-            return false;
-        }
-        if version != self.order.to {
-            return true;
-        }
-        // A stream that the new version began ends otherwise.
-        let is_trial = self.phase == Phase::Trial && self.may_try(now);
-        if is_trial && self.exposure.has_room(&self.bounds, Stage::Load) {
+        let may_continue = self.may_continue(version, now);
+        if may_continue && self.phase == Phase::Trial && self.is_new(version) {
             self.exposure.record_exposed();
-            return true;
         }
-        !matches!(self.outlook(now), Choice::Without(_))
+        may_continue
     }
 
     /// Records the send of a request to an endpoint with a version.
     pub fn begin(&mut self, version: &str) {
         self.exposure.record_request();
-        if !self.is_new(version) {
-            self.old_in_flight += 1;
-        } else if self.phase != Phase::Trial {
+        if self.is_new(version) && self.phase != Phase::Trial {
             self.exposure.record_exposed();
         }
     }
 
-    /// Records the end of a request.
-    pub fn end(&mut self, version: &str, now: Duration) {
-        if !self.is_new(version) {
-            self.old_in_flight = self.old_in_flight.saturating_sub(1);
+    /// Sets the number of requests in flight at old versions, which include those from before
+    /// the order.
+    pub const fn set_old_in_flight(&mut self, in_flight: u32, now: Duration) {
+        if self.old_in_flight > 0 {
             self.old_idle_since = now;
         }
+        self.old_in_flight = in_flight;
     }
 
     /// Records that a request was answered after `took` per unit of its work. While an
@@ -342,7 +347,7 @@
 
     /// Records that the order is gone from the store.
     pub fn withdraw(&mut self, now: Duration) {
-        if self.phase == Phase::Trial {
+        if matches!(self.phase, Phase::Trial | Phase::Full) {
             self.enter(Phase::Withdrawn, now);
         }
     }
--- a/crates/cicadacrank-core/src/rollout/step.rs
+++ b/crates/cicadacrank-core/src/rollout/step.rs
@@ -42,7 +42,7 @@
 pub struct View<'a> {
     /// Whether this process is the controller.
     pub is_controller: bool,
-    /// The other processes that have not said that they leave.
+    /// The other processes, without those that have left.
     pub others: &'a [Member<'a>],
     /// Number of usable endpoints of old versions.
     pub old: usize,
--- a/crates/cicadacrank-core/tests/rollout.rs
+++ b/crates/cicadacrank-core/tests/rollout.rs
@@ -248,12 +248,9 @@
         recent += (sent_new as f64 / STEP.as_secs_f64() - recent) * 0.1;
         for gateway in &mut gateways {
             let (rollout, busy) = (&mut gateway.rollout, &mut gateway.busy);
-            busy.retain(|(until, is_new)| {
-                if now >= *until {
-                    rollout.end(if *is_new { "v2" } else { "v1" }, now);
-                }
-                now < *until
-            });
+            busy.retain(|(until, _)| now < *until);
+            let old = busy.iter().filter(|one| !one.1).count();
+            rollout.set_old_in_flight(old as u32, now);
         }
         // Heartbeats.
         step_number += 1;
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -230,7 +230,7 @@
     }
 
     fn has_untried(&self, state: &State, job: &Job) -> bool {
-        let guide = rollout::outlook(state, &job.service, &self.tried);
+        let guide = rollout::outlook(state, &job.service, job.version.as_deref(), &self.tried);
         let fleet = lock(&state.fleet);
         let locality = Locality {
             tried: &guide.tried,
--- a/crates/cicadacrank-node/src/gateway/rollout/count.rs
+++ b/crates/cicadacrank-node/src/gateway/rollout/count.rs
@@ -16,6 +16,8 @@
 
 /// Records the send of a request to an endpoint.
 pub fn begin(state: &State, endpoint: &Endpoint) {
+    let now = state.clock.now();
+    state.rollouts.count(endpoint, |count| count + 1, now);
     let is_new = state.rollouts.with(&endpoint.service, |rollout| {
         rollout.begin(&endpoint.version);
         rollout.is_new(&endpoint.version)
--- a/crates/cicadacrank-node/src/gateway/rollout/guide.rs
+++ b/crates/cicadacrank-node/src/gateway/rollout/guide.rs
@@ -60,11 +60,16 @@
 }
 
 /// Returns the endpoints that an attempt may use beyond a trial, beside those that were
-/// `tried`.
-pub fn outlook(state: &State, service: &str, tried: &[Key]) -> Guide {
+/// `tried`. If only endpoints of one version can run the request, it is `bound`.
+pub fn outlook(state: &State, service: &str, bound: Option<&str>, tried: &[Key]) -> Guide {
     let now = state.clock.now();
     let guide = state.rollouts.with(service, |rollout| {
-        (rollout.outlook(now), rollout.stage(now), made(rollout))
+        let choice = match bound {
+            Some(version) if rollout.may_continue(version, now) => Choice::Any,
+            Some(version) => Choice::Without(vec![version.to_owned()]),
+            None => rollout.outlook(now),
+        };
+        (choice, rollout.stage(now), made(rollout))
     });
     complete(state, service, tried, guide)
 }
--- a/crates/cicadacrank-node/src/gateway/rollout/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/rollout/mod.rs
@@ -45,6 +45,15 @@
     /// Whether all orders are known.
     known: AtomicBool,
     all: Mutex<Vec<Entry>>,
+    in_flight: Mutex<Vec<InFlight>>,
+}
+
+/// Requests in flight at the endpoints of a service with one version of the software.
+#[derive(Debug)]
+struct InFlight {
+    service: String,
+    version: String,
+    count: u32,
 }
 
 #[derive(Debug)]
@@ -64,6 +73,7 @@
             bounds,
             known: AtomicBool::new(false),
             all: Mutex::new(Vec::new()),
+            in_flight: Mutex::new(Vec::new()),
         }
     }
 
@@ -101,12 +111,46 @@
         self.with(service, |rollout| made(rollout)) == guide.made
     }
 
-    /// Records the end of a request at an endpoint.
-    pub fn end(&self, endpoint: &Endpoint, now: Duration) {
+    /// Counts a request that begins or ends at an endpoint, also without an order.
+    fn count(&self, endpoint: &Endpoint, count: impl FnOnce(u32) -> u32, now: Duration) {
+        if !self.is_enabled() {
+            return;
+        }
+        let mut all = lock(&self.in_flight);
+        let key = (endpoint.service.as_str(), endpoint.version.as_str());
+        let found =
+            all.binary_search_by(|one| (one.service.as_str(), one.version.as_str()).cmp(&key));
+        let index = found.unwrap_or_else(|index| {
+            let none = InFlight {
+                service: endpoint.service.clone(),
+                version: endpoint.version.clone(),
+                count: 0,
+            };
+            all.insert(index, none);
+            index
+        });
+        all[index].count = count(all[index].count);
+        if all[index].count == 0 {
+            all.remove(index);
+        }
+        drop(all);
         self.with(&endpoint.service, |rollout| {
-            rollout.end(&endpoint.version, now);
+            self.update_old_in_flight(rollout, now);
         });
     }
+
+    fn update_old_in_flight(&self, rollout: &mut Rollout, now: Duration) {
+        let all = lock(&self.in_flight);
+        let old = all
+            .iter()
+            .filter(|one| one.service == rollout.order.service && !rollout.is_new(&one.version));
+        rollout.set_old_in_flight(old.map(|one| one.count).sum(), now);
+    }
+
+    /// Records the end of a request at an endpoint.
+    pub fn end(&self, endpoint: &Endpoint, now: Duration) {
+        self.count(endpoint, |count| count.saturating_sub(1), now);
+    }
 }
 
 const fn made(rollout: &Rollout) -> (Phase, bool) {
@@ -239,7 +283,8 @@
         order.seen.revision,
         elapsed.as_millis(),
     ));
-    let rollout = Rollout::new(order, bounds, exposure, elapsed, now);
+    let mut rollout = Rollout::new(order, bounds, exposure, elapsed, now);
+    state.rollouts.update_old_in_flight(&mut rollout, now);
     let index = match found {
         Ok(index) => {
             let rollout = rollout.succeeding(&all[index].rollout);
--- a/crates/cicadacrank-node/src/gateway/rollout/store.rs
+++ b/crates/cicadacrank-node/src/gateway/rollout/store.rs
@@ -61,7 +61,10 @@
     let (others, is_controller) = {
         let roster = lock(&state.roster);
         let live: Vec<String> = roster.live(now).map(|one| one.instance.clone()).collect();
-        let others = roster.others().filter(|one| !one.leaving);
+        // One that leaves completes its requests as long as it is live.
+        let others = roster
+            .others()
+            .filter(|one| !one.leaving || live.contains(&one.instance));
         let others: Vec<_> = others
             .map(|one| {
                 (
