--- a/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
@@ -1,12 +1,15 @@
 //! Heartbeats between gateways.
 
 use super::{
-    codec::{decode_gateway, decode_life, decode_limit, encode_gateway, encode_life, encode_limit},
+    codec::{
+        decode_gateway, decode_life, decode_limit, decode_rollout, encode_gateway, encode_life,
+        encode_limit, encode_rollout,
+    },
     knowledge,
 };
 use crate::{
     gateway::{
-        lifetime,
+        lifetime, rollout,
         state::{State, lock},
     },
     metrics::gateway::{Direction, Purpose},
@@ -223,6 +226,9 @@
     drop(fleet);
     beat.suspects = state.causes.report(CAUSES_REPORT_TIME, MAX_CAUSES);
     beat.versions = Some(knowledge::versions(state));
+    let (rollouts, knows_rollouts) = rollout::news(state);
+    beat.rollouts = rollouts.into_iter().map(encode_rollout).collect();
+    beat.knows_rollouts = knows_rollouts;
     count(state, &beat, Direction::Sent);
     beat
 }
@@ -280,6 +286,8 @@
     for endpoint in beat.ended.into_iter().take(MAX_ENDS) {
         lifetime::record_reported_end(state, &decode_life(endpoint), &instance);
     }
+    let news = beat.rollouts.into_iter().filter_map(decode_rollout);
+    rollout::merge(state, news.collect(), beat.knows_rollouts, &instance);
     if let Some(theirs) = beat.versions {
         knowledge::follow(state, &theirs, source);
     }
