READY Let a gateway become ready where the store knows no orders

Cause: a store that answers the list of orders with an error other than 404 would have kept gateways from becoming ready. By reading; not seen.

Change: such an answer counts as no orders. The names of the new settings and states are looked for outside the platform's folder too (node names, stricter than before).

--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -107,8 +107,8 @@
                 apply_list(&state, resource, &listing, &mut names);
                 listing.version
             }
-            // The store knows no such collection before the first order.
-            Err(Fault::Missing) if resource == Resource::Rollouts => {
+            // The store may know no such collection before the first order.
+            Err(Fault::Missing | Fault::Invalid(_)) if resource == Resource::Rollouts => {
                 failures.record_success(&state);
                 rollout::set_known(&state);
                 time::sleep(rollout::IDLE_WATCH_TIMEOUT).await;
--- a/crates/cicadacrank-node/tests/names.rs
+++ b/crates/cicadacrank-node/tests/names.rs
@@ -4,7 +4,7 @@
 
 /// Names that only the platform uses. Common words such as `name` are left out,
 /// because the system uses them too.
-const NAMES: [&str; 31] = [
+const NAMES: [&str; 36] = [
     "routeKind",
     "pathPrefix",
     "timeoutMs",
@@ -36,6 +36,11 @@
     "server-limit",
     "server-leaving",
     "store-era",
+    "exposureShare",
+    "exposureTolerance",
+    "rollbackMs",
+    "rolled_back",
+    "in_progress",
 ];
 
 fn scan(folder: &Path, found: &mut Vec<String>) {
