--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod engine;
 mod limit;
+mod occupancy;
 mod statement;
 
 pub use self::{
@@ -15,7 +16,7 @@
     limit::Share,
     statement::{Statement, Statements},
 };
-use super::{Health, Report};
+use super::{Health, Occupancy, Report};
 use crate::directory::{Endpoint, Evacuation, Incarnation, Snapshot};
 use std::{hash::Hasher as _, time::Duration};
 
@@ -64,6 +65,8 @@
     health: Health,
     account: Account,
     statement: Statement,
+    /// The load that the endpoint stated last, and when.
+    occupancy: Option<(Occupancy, Duration)>,
 }
 
 /// Versions of the endpoints' software that may run a request.
@@ -478,6 +481,7 @@
             health: Health::new(),
             account,
             statement,
+            occupancy: None,
         }
     }
 
--- a/crates/cicadacrank-core/tests/statement.rs
+++ b/crates/cicadacrank-core/tests/statement.rs
@@ -3,7 +3,7 @@
 use cicadacrank_core::{
     config::Config,
     directory::{Endpoint, Incarnation, Snapshot, State},
-    placement::{Fleet, Key, Locality, Prompt},
+    placement::{Fleet, Key, Locality, Occupancy, Prompt},
     version::Version,
 };
 use std::time::Duration;
@@ -280,3 +280,27 @@
     assert_eq!(count, 8, "twice its slots");
     assert!(choose(&fleet, end + PAUSE).is_some(), "no strain any more");
 }
+
+#[test]
+fn occupancy_is_the_newest_statement_of_the_incarnation_with_its_age() {
+    let mut fleet = fleet(&["a"]);
+    let stated = |running| Occupancy {
+        running,
+        waiting: 0,
+        slots: 4,
+        pace: Some(1.5),
+    };
+    let later = NOW + Duration::from_millis(40);
+    let occupancy = |fleet: &Fleet| fleet.row_of(&life("a", 1))?.occupancy(later);
+    assert_eq!(occupancy(&fleet), None);
+    fleet.record_occupancy(&life("a", 1), stated(2), NOW);
+    fleet.record_occupancy(&life("a", 2), stated(3), NOW);
+    // An answer that has waited longer.
+    fleet.record_occupancy(&life("a", 1), stated(1), NOW - Duration::from_millis(1));
+    let age = Duration::from_millis(40);
+    assert_eq!(occupancy(&fleet), Some((stated(2), age)));
+    // The next process doesn't take over what the one before stated.
+    list(&mut fleet, &[life("a", 2)]);
+    let next = fleet.row_of(&life("a", 2)).expect("the endpoint is listed");
+    assert_eq!(next.occupancy(later), None);
+}
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -376,6 +376,9 @@
         let at = self.clock.now();
         let per_second = answer.limit;
         self.record_limit(endpoint, Limit { per_second, at }, OWN);
+        if let Some(load) = answer.load {
+            lock(&self.fleet).record_occupancy(endpoint, load, at);
+        }
         if answer.leaving {
             self.record_leaving(endpoint, OWN);
         }
