--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -5,13 +5,13 @@
 //! its queue costs more than reading the parts again; from elsewhere, the parts are
 //! fetched from the home.
 
-use super::{Fleet, Key, Locality, TOKENS_PER_START, rendezvous_weight};
-use crate::config::Config;
+use super::{Fleet, Key, Locality, TOKENS_PER_START, rendezvous_weight, select::Cost};
+use crate::{config::Config, placement::draw};
 use std::time::Duration;
 
 /// Cost of one request in flight, in prompt tokens. Each running request slows
 /// every step of the others slightly.
-const TOKENS_PER_RUNNING_REQUEST: u64 = 60;
+const TOKENS_PER_RUNNING_REQUEST: f64 = 60.0;
 
 /// Bytes of results whose transfer from another data centre costs as much as
 /// reading one prompt token, at the price that users pay for both.
@@ -111,10 +111,9 @@
     ) -> Option<Choice> {
         let home = self.home(service, prompt);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
-        let (key, cost) = self.choose(service, locality, now, |key, row| {
-            if blocked.contains(&key) {
-                return f64::INFINITY;
-            }
+        let knowledge = self.knowledge(service, now);
+        let per_endpoint = |sum: f64| sum / knowledge.endpoints.max(1) as f64;
+        let mut candidates = self.candidates(service, locality, now, |key, row| {
             let near = locality
                 .results
                 .iter()
@@ -125,10 +124,27 @@
             } else {
                 prompt.tokens
             };
-            let queue = row.unread() + u64::from(row.in_flight()) * TOKENS_PER_RUNNING_REQUEST;
-            let tokens = unread + far / BYTES_PER_TOKEN + TOKENS_PER_START;
-            tokens as f64 + queue as f64 * QUEUE_WEIGHT
-        })?;
+            // What others have sent since has gone to the homes of its prompts, which are
+            // spread evenly.
+            let waiting = row.waiting(&knowledge) + per_endpoint(knowledge.unread);
+            let running = row.staying(&knowledge) + per_endpoint(knowledge.requests);
+            let queue = running.mul_add(TOKENS_PER_RUNNING_REQUEST, waiting);
+            let tokens = (unread + far / BYTES_PER_TOKEN + TOKENS_PER_START) as f64;
+            (!blocked.contains(&key)).then_some(Cost {
+                own: queue.mul_add(QUEUE_WEIGHT, tokens),
+                step: (unread as f64 + TOKENS_PER_RUNNING_REQUEST) * QUEUE_WEIGHT,
+            })
+        });
+        let found = candidates.iter().position(|one| home == Some(one.key));
+        let at_home = found.map(|index| candidates.swap_remove(index));
+        let others = knowledge.prompts(prompt.tokens);
+        let elsewhere = draw::draw(&mut candidates, others, locality.seed);
+        let drawn = match (at_home, elsewhere) {
+            (Some(at_home), Some(elsewhere)) if at_home.cost > elsewhere.cost => elsewhere,
+            (Some(at_home), _) => at_home,
+            (None, elsewhere) => elsewhere?,
+        };
+        let (key, cost) = (drawn.key, drawn.cost);
         let source = home.filter(|home| *home != key);
         let source = source.filter(|home| {
             self.row(*home)
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -4,19 +4,23 @@
 mod engine;
 mod limit;
 mod occupancy;
+mod select;
 mod statement;
+mod usual;
 
 pub use self::{
     engine::{Choice, Prompt, Selection},
     limit::Limit,
+    select::Knowledge,
 };
 
 use self::{
     account::{Account, Accounts},
     limit::Share,
     statement::{Statement, Statements},
+    usual::Usual,
 };
-use super::{Health, Occupancy, Report};
+use super::{Health, Occupancy, Report, Speed};
 use crate::directory::{Endpoint, Evacuation, Incarnation, Snapshot};
 use std::{hash::Hasher as _, time::Duration};
 
@@ -24,17 +28,6 @@
 /// its own prompt.
 const TOKENS_PER_START: u64 = 1_500;
 
-/// Increase of the cost of an endpoint at a failure rate of 1, relative to one
-/// without failures.
-const FAILURE_WEIGHT: f64 = 12.0;
-
-/// Extra cost of an endpoint in another data centre, as a fraction of a
-/// request.
-const REMOTE_WEIGHT: f64 = 0.1;
-
-/// Weight of the newest response in the moving average of a service.
-const BASELINE_WEIGHT: f64 = 0.05;
-
 /// Identifies a row of the arena. A key never refers to an endpoint other than
 /// the one that it was issued for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -63,6 +56,7 @@
     own_load: Load,
     peer_load: Load,
     health: Health,
+    speed: Speed,
     account: Account,
     statement: Statement,
     /// The load that the endpoint stated last, and when.
@@ -93,6 +87,9 @@
     pub tried: &'a [Key],
     /// Versions of the software that may run the request.
     pub software: Software<'a>,
+    /// Random number of the attempt, by which processes with the same knowledge select
+    /// different endpoints.
+    pub seed: u64,
 }
 
 impl Locality<'_> {
@@ -123,14 +120,9 @@
     evacuation: Evacuation,
     processes: usize,
     position: usize,
-    baselines: Vec<Baseline>,
-}
-
-/// Average time per unit of work over all endpoints of a service, in seconds.
-#[derive(Debug)]
-struct Baseline {
-    service: String,
-    seconds: f64,
+    usual: Vec<Usual>,
+    /// Mean time of the newest reports of the other processes, or `None` if there are none.
+    peers_reported_at: Option<Duration>,
 }
 
 impl Fleet {
@@ -201,6 +193,12 @@
         }
     }
 
+    /// Sets the mean time of the newest reports of the other processes, or `None` if there
+    /// are none.
+    pub const fn set_peers_reported_at(&mut self, at: Option<Duration>) {
+        self.peers_reported_at = at;
+    }
+
     /// Returns the load of this process on each endpoint with requests in
     /// flight.
     pub fn own_loads(&self) -> impl Iterator<Item = (&str, Load)> {
@@ -225,49 +223,6 @@
         })
     }
 
-    /// Selects the endpoint of a plain service with the earliest expected response,
-    /// within the share of this process in its limit.
-    #[must_use]
-    pub fn choose_plain(
-        &self,
-        service: &str,
-        locality: &Locality<'_>,
-        now: Duration,
-    ) -> Option<Key> {
-        let share = self.share();
-        self.choose_plain_if(service, locality, now, |row| row.may_send(0.0, share, now))
-    }
-
-    /// Selects the endpoint of a plain service with the earliest expected response,
-    /// which needs a grant from the reserve of its limit.
-    #[must_use]
-    pub fn choose_plain_beyond_share(
-        &self,
-        service: &str,
-        locality: &Locality<'_>,
-        now: Duration,
-    ) -> Option<Key> {
-        self.choose_plain_if(service, locality, now, |_| true)
-    }
-
-    fn choose_plain_if(
-        &self,
-        service: &str,
-        locality: &Locality<'_>,
-        now: Duration,
-        may_send: impl Fn(&Row) -> bool,
-    ) -> Option<Key> {
-        self.choose(service, locality, now, |_, row| {
-            if !may_send(row) {
-                return f64::INFINITY;
-            }
-            let busy = f64::from(row.in_flight()) / f64::from(row.endpoint.slots.max(1));
-            let remote = f64::from(u8::from(row.endpoint.data_centre != locality.own));
-            1.0 + busy + remote * REMOTE_WEIGHT
-        })
-        .map(|(key, _)| key)
-    }
-
     /// Returns the number of requests that this process may send to the endpoints of a
     /// service until `until`, as far as `locality` allows them.
     #[must_use]
@@ -364,30 +319,6 @@
         }
     }
 
-    /// Records that an endpoint started to respond after `took`. `tokens` is
-    /// the number of prompt tokens that it had to read before, those of other
-    /// requests included, 0 for a plain service.
-    pub fn record_answer(&mut self, key: Key, tokens: u64, took: Duration, now: Duration) {
-        let Some(service) = self.row(key).map(|row| row.endpoint.service.clone()) else {
-            return;
-        };
-        let work = (tokens + TOKENS_PER_START) as f64 / TOKENS_PER_START as f64;
-        let seconds = took.as_secs_f64() / work;
-        let found = self
-            .baselines
-            .binary_search_by(|baseline| baseline.service.cmp(&service));
-        let index = found.unwrap_or_else(|index| {
-            self.baselines.insert(index, Baseline { service, seconds });
-            index
-        });
-        let baseline = &mut self.baselines[index];
-        let times = seconds / baseline.seconds.max(f64::MIN_POSITIVE);
-        // Limits the effect of one slow endpoint on the average of the service.
-        let bounded = seconds.min(baseline.seconds * 2.0);
-        baseline.seconds += (bounded - baseline.seconds) * BASELINE_WEIGHT;
-        self.record(key, Report::Answered(times), now);
-    }
-
     /// Records the limit that an endpoint states. Ignores it if a newer statement is
     /// known. Returns whether the limit changed.
     ///
@@ -410,32 +341,6 @@
         }
     }
 
-    fn choose(
-        &self,
-        service: &str,
-        locality: &Locality<'_>,
-        now: Duration,
-        work: impl Fn(Key, &Row) -> f64,
-    ) -> Option<(Key, f64)> {
-        let mut best: Option<(bool, f64, Key)> = None;
-        let strained = self.is_strained(service, now);
-        for (key, row) in self.usable(service) {
-            let refuses = row.is_paused(now) || (strained && row.is_full());
-            if refuses || !locality.allows(key, row) {
-                continue;
-            }
-            let health = &row.health;
-            let cost = work(key, row)
-                * health.slowness(now)
-                * health.failure_rate(now).mul_add(FAILURE_WEIGHT, 1.0);
-            let candidate = (health.in_backoff(now), cost, key);
-            if cost.is_finite() && best.is_none_or(|best| candidate < best) {
-                best = Some(candidate);
-            }
-        }
-        best.map(|(_, cost, key)| (key, cost))
-    }
-
     fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
         self.slots.iter().enumerate().filter_map(|(index, slot)| {
             let key = Key {
@@ -479,6 +384,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             health: Health::new(),
+            speed: Speed::default(),
             account,
             statement,
             occupancy: None,
--- a/crates/cicadacrank-core/src/placement/fleet/occupancy.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/occupancy.rs
@@ -4,6 +4,10 @@
 use crate::{directory::Incarnation, placement::Occupancy};
 use std::time::Duration;
 
+/// Time after which a stated pace counts half, in seconds. Others on the machine of an
+/// endpoint change it several times a second.
+const PACE_HALF_LIFE_S: f64 = 0.2;
+
 impl Fleet {
     /// Records the load that an endpoint stated in its answer at `at`. Ignores it if a newer
     /// statement is known or the endpoint isn't listed.
@@ -18,6 +22,17 @@
 }
 
 impl Row {
+    /// Returns the time that work probably takes now, relative to the usual time, as far
+    /// as the endpoint states it.
+    pub(super) fn pace(&self, now: Duration) -> f64 {
+        let Some((occupancy, age)) = self.occupancy(now) else {
+            return 1.0;
+        };
+        let pace = occupancy.pace.unwrap_or(1.0);
+        let weight = (-age.as_secs_f64() / PACE_HALF_LIFE_S).exp2();
+        (pace - 1.0).mul_add(weight, 1.0)
+    }
+
     /// Returns the load that the endpoint stated last and the age of that statement, or
     /// `None` if it stated none.
     #[must_use]
--- a/crates/cicadacrank-core/src/placement/mod.rs
+++ b/crates/cicadacrank-core/src/placement/mod.rs
@@ -8,13 +8,22 @@
 //! takes into account the prompt tokens that the engine has yet to read,
 //! whether it probably caches the shared parts of the prompt, and the size of
 //! stage results in other data centres ([`Fleet::choose_engine`]).
+//!
+//! What is known of the load that other processes put on an endpoint is late. [`Knowledge`]
+//! says how much of it still holds, and [`mod@draw`] keeps processes with the same knowledge
+//! from all selecting the same endpoint. [`Speed`] is how long an endpoint usually takes.
 
+pub mod draw;
 mod fleet;
 mod health;
 mod occupancy;
+mod speed;
 
 pub use self::{
-    fleet::{Choice, Fleet, Key, Limit, Load, Locality, Prompt, Row, Selection, Software},
+    fleet::{
+        Choice, Fleet, Key, Knowledge, Limit, Load, Locality, Prompt, Row, Selection, Software,
+    },
     health::{Health, Report},
     occupancy::Occupancy,
+    speed::Speed,
 };
--- /dev/null
+++ b/crates/cicadacrank-core/src/placement/speed.rs
@@ -0,0 +1,79 @@
+//! The usual speed of one endpoint, relative to its service.
+
+use std::time::Duration;
+
+/// Half-life of the weight of what is known, in seconds.
+const HALF_LIFE_S: f64 = 20.0;
+
+/// Number of results from which on the newest has a constant weight.
+const MAX_WEIGHT: f64 = 8.0;
+
+/// Number of results at the usual speed of the service that an endpoint starts with.
+const PRIOR_WEIGHT: f64 = 1.0;
+
+/// Largest factor by which one result may differ from the average of the service.
+const MAX_TIMES: f64 = 4.0;
+
+/// How long an endpoint takes, relative to the average of its service.
+///
+/// The mean is that of the logarithms, so that half and double the time count alike. What
+/// is known loses weight with its age, and with it the difference from the average.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Speed {
+    log_times: f64,
+    weight: f64,
+    at: Duration,
+}
+
+impl Speed {
+    /// Creates the speed that another process reports, which has `weight` results.
+    /// Returns `None` if the numbers are out of range.
+    #[must_use]
+    pub fn reported(log_times: f64, weight: f64, now: Duration) -> Option<Self> {
+        let is_valid = log_times.abs() <= MAX_TIMES.ln() && (0.0..=MAX_WEIGHT).contains(&weight);
+        is_valid.then_some(Self {
+            log_times,
+            weight,
+            at: now,
+        })
+    }
+
+    /// Records that an endpoint took `times` the time that is usual for its service.
+    pub fn record(&mut self, times: f64, now: Duration) {
+        let bounded = times.clamp(1.0 / MAX_TIMES, MAX_TIMES);
+        let weight = self.weight(now) + 1.0;
+        self.log_times += (bounded.ln() - self.log_times) / weight;
+        self.weight = weight.min(MAX_WEIGHT);
+        self.at = now;
+    }
+
+    /// Takes over what another process knows, if it rests on more results. Returns whether
+    /// it did.
+    pub fn merge(&mut self, other: Self, now: Duration) -> bool {
+        let is_better = other.weight(now) > self.weight(now);
+        if is_better {
+            *self = other;
+        }
+        is_better
+    }
+
+    /// Returns the time that the endpoint takes relative to the average of its service.
+    #[must_use]
+    pub fn times(&self, now: Duration) -> f64 {
+        let weight = self.weight(now);
+        (self.log_times * weight / (weight + PRIOR_WEIGHT)).exp()
+    }
+
+    /// Returns the number of results that the speed rests on, less their age.
+    #[must_use]
+    pub fn weight(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.weight * (-age / HALF_LIFE_S).exp2()
+    }
+
+    /// Returns the mean of the logarithms of the results.
+    #[must_use]
+    pub const fn log_times(&self) -> f64 {
+        self.log_times
+    }
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
     error::Kind,
     event::Event,
     once::{Sent, Unsent},
-    placement::{Key, Locality, Report},
+    placement::{Key, Knowledge, Locality, Report},
     quarantine::cause::Cause,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
@@ -302,6 +302,10 @@
     /// Number of requests that all gateways had in flight at the endpoint when it
     /// was selected.
     in_flight: u32,
+    /// What was known then of the load from other gateways.
+    knowledge: Knowledge,
+    /// Time that the endpoint usually takes, relative to its service.
+    times: f64,
     /// Limit that the endpoint states, in requests a second.
     limit: Option<f64>,
     /// Number of sends that count towards the share of this gateway in that limit.
@@ -320,6 +324,8 @@
         let row = fleet.row(key)?;
         let (endpoint, in_flight) = (row.endpoint.clone(), row.in_flight());
         let (limit, recent_sends) = (row.stated_limit(), row.recent_sends(sent));
+        let times = row.times(sent);
+        let knowledge = fleet.knowledge(&endpoint.service, sent);
         let tokens_until_first_event = row.unread() + prefill_tokens;
         if parameters.granted {
             fleet.begin_granted(key, prefill_tokens);
@@ -333,6 +339,8 @@
             endpoint,
             sent,
             in_flight,
+            knowledge,
+            times,
             limit,
             recent_sends,
             prefill_tokens,
@@ -365,7 +373,9 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         let mut fleet = lock(&self.state.fleet);
+        let stay = self.state.clock.now().saturating_sub(self.sent);
         fleet.record_prefill(self.key, self.prefill_tokens);
+        fleet.record_stay(self.key, stay);
         fleet.end(self.key);
     }
 }
@@ -438,7 +448,8 @@
     let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
     Event::AttemptChosen.log(format_args!(
         "id={} service={} endpoint={} born={:?} version={} sequence={} in_flight={} tokens={} results={} \
-         fetch_from={:?} limit={:?} sends={} granted={} after={:?} parts={:?} remaining_ms={}",
+         fetch_from={:?} limit={:?} sends={} granted={} after={:?} parts={:?} remaining_ms={} \
+         known_ms={} others={:.1} others_unread={:.0} times={:.2}",
         outgoing.id(),
         guard.endpoint.service,
         guard.endpoint.life.id,
@@ -455,6 +466,10 @@
         parameters.last_event,
         outgoing.shared_parts,
         remaining.as_millis(),
+        guard.knowledge.age.as_millis(),
+        guard.knowledge.requests,
+        guard.knowledge.unread,
+        guard.times,
     ));
 }
 
--- a/crates/cicadacrank-node/src/gateway/peers/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/mod.rs
@@ -205,7 +205,7 @@
     let silent = lock(&state.roster).take_silent(state.clock.now());
     for instance in silent {
         Event::PeerLost.log(format_args!("instance={instance} fault=\"no heartbeat\""));
-        state.set_peer_loads(&instance, Vec::new());
+        state.drop_peer_loads(&instance);
     }
 }
 
@@ -227,7 +227,7 @@
             let now = state.clock.now();
             if lock(&state.roster).record_failure(&instance, now) {
                 Event::PeerLost.log(format_args!("instance={instance} fault=\"no answer\""));
-                state.set_peer_loads(&instance, Vec::new());
+                state.drop_peer_loads(&instance);
             }
         }
     }
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -69,6 +69,7 @@
         results: &[],
         tried,
         software: Software::Any,
+        seed: rand::random(),
     };
     let now = state.clock.now();
     let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -113,6 +113,8 @@
 struct Loads {
     instance: String,
     loads: Vec<(String, Load)>,
+    /// Time of the report.
+    at: Duration,
 }
 
 #[derive(Debug)]
@@ -360,14 +362,28 @@
     pub(super) fn set_peer_loads(&self, instance: &str, loads: Vec<(String, Load)>) {
         let mut all = lock(&self.loads);
         all.retain(|one| one.instance != instance);
-        if !loads.is_empty() {
-            all.push(Loads {
-                instance: instance.to_owned(),
-                loads,
-            });
-        }
-        let others = all.iter().flat_map(|one| &one.loads);
-        lock(&self.fleet).set_peer_loads(others.map(|(id, load)| (id.as_str(), *load)));
+        all.push(Loads {
+            instance: instance.to_owned(),
+            loads,
+            at: self.clock.now(),
+        });
+        self.apply_peer_loads(&all);
+    }
+
+    /// Drops the loads of a gateway that is no longer heard of.
+    pub(super) fn drop_peer_loads(&self, instance: &str) {
+        let mut all = lock(&self.loads);
+        all.retain(|one| one.instance != instance);
+        self.apply_peer_loads(&all);
+    }
+
+    fn apply_peer_loads(&self, all: &[Loads]) {
+        let loads = all.iter().flat_map(|one| &one.loads);
+        let sum: Duration = all.iter().map(|one| one.at).sum();
+        let count = u32::try_from(all.len()).unwrap_or(u32::MAX);
+        let mut fleet = lock(&self.fleet);
+        fleet.set_peer_loads(loads.map(|(id, load)| (id.as_str(), *load)));
+        fleet.set_peers_reported_at(sum.checked_div(count));
     }
 
     /// Records what an endpoint states about itself in its own answer, which has just
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -179,6 +179,7 @@
         results: &results,
         tried,
         software: job.software(),
+        seed: rand::random(),
     };
     let select = || {
         let fleet = lock(&state.fleet);
