--- a/crates/cicadacrank-core/src/placement/draw.rs
+++ b/crates/cicadacrank-core/src/placement/draw.rs
@@ -10,6 +10,9 @@
 
 use std::hash::Hasher as _;
 
+/// Difference between times since the last request that is left to chance, in seconds.
+const TIE_S: f64 = 1e-3;
+
 /// An endpoint that may be selected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate<T> {
@@ -19,6 +22,8 @@
     pub cost: f64,
     /// Increase of that cost by each further request.
     pub step: f64,
+    /// Time since this process last sent a request there, in seconds.
+    pub idle: f64,
     /// Number that differs between endpoints and is the same in each process.
     pub id: u64,
 }
@@ -38,14 +43,14 @@
         return candidates.first().copied();
     }
     let (level, filled) = level(candidates, others);
-    // Weighted rendezvous hashing: the endpoint with the least draw is selected with a
-    // probability in proportion to its room.
-    let draws = candidates[..filled].iter().map(|candidate| {
+    // An endpoint is selected when its room has grown to that of the others with the time
+    // since its last request, and so in proportion to its room, at even intervals.
+    let turn = |candidate: &Candidate<T>| {
         let room = (level - candidate.cost) / candidate.step;
-        (-uniform(seed, candidate.id).ln() / room, candidate)
-    });
-    let least = draws.min_by(|a, b| a.0.total_cmp(&b.0));
-    least.map(|(_, candidate)| *candidate)
+        room * (candidate.idle + TIE_S * uniform(seed, candidate.id))
+    };
+    let open = candidates[..filled].iter();
+    open.max_by(|a, b| turn(a).total_cmp(&turn(b))).copied()
 }
 
 /// Returns the cost to which `others` requests raise the cheapest of the sorted
--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -167,8 +167,10 @@
         Some(row.endpoint.data_centre.as_str())
     }
 
-    /// Returns the home of a prompt, or `None` if it has no shared parts.
-    fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
+    /// Returns the engine that probably caches the shared parts of a prompt, the home of
+    /// the prompt, or `None` if there are none.
+    #[must_use]
+    pub fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
         let shared = prompt.shared?;
         self.usable(service)
             .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -53,6 +53,9 @@
     pub endpoint: Endpoint,
     /// Time at which the endpoint stops being cold.
     pub cold_until: Duration,
+    /// Time of the last request of this process, or the time at which the endpoint became
+    /// known.
+    sent_at: Duration,
     own_load: Load,
     peer_load: Load,
     health: Health,
@@ -293,6 +296,7 @@
         self.begin_granted(key, unread);
         if let Some(row) = self.row_mut(key) {
             row.account.sends.record_send(now);
+            row.sent_at = now;
         }
     }
 
@@ -381,6 +385,7 @@
         Self {
             cold_until: now.saturating_add(endpoint.cold),
             endpoint,
+            sent_at: now,
             own_load: Load::default(),
             peer_load: Load::default(),
             health: Health::new(),
--- a/crates/cicadacrank-core/src/placement/fleet/select.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/select.rs
@@ -1,6 +1,6 @@
 //! Selection of an endpoint by expected cost.
 
-use super::{Fleet, Key, Locality, Row, rendezvous_weight};
+use super::{Fleet, Key, Locality, Row, rendezvous_weight, usual::Usual};
 use crate::placement::draw::{self, Candidate};
 use std::time::Duration;
 
@@ -18,16 +18,17 @@
 
 /// What a process knows of the load that others put on the endpoints of a service.
 ///
-/// Of the requests that they reported, only a part is still there, and others have come
-/// since. If a service is as busy as before, as many have come as have ended.
+/// Some of the requests that they reported have ended, and others have come since. While a
+/// service is as busy as before, as many have come as have ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Knowledge {
     /// Mean age of the reports.
     pub age: Duration,
-    /// Fraction of the reported requests that are still in flight.
-    pub staying: f64,
-    /// Fraction of the reported requests that still wait for their response to begin.
-    pub waiting: f64,
+    /// Time for which a request is in flight, in seconds, or `None` if it is not known.
+    stay: Option<f64>,
+    /// Number of prompt tokens that an endpoint reads a second, or `None` if it is not
+    /// known.
+    tokens_per_second: Option<f64>,
     /// Number of requests in flight that others have sent since.
     pub requests: f64,
     /// Number of prompt tokens, of those that others have sent since, which are yet to be
@@ -43,14 +44,37 @@
     const fn alone(endpoints: usize) -> Self {
         Self {
             age: Duration::ZERO,
-            staying: 1.0,
-            waiting: 1.0,
+            stay: None,
+            tokens_per_second: None,
             requests: 0.0,
             unread: 0.0,
             endpoints,
         }
     }
 
+    /// Returns the number of reported requests that are probably still in flight. Those
+    /// beyond the slots of the endpoint wait for the others.
+    fn staying(&self, row: &Row) -> f64 {
+        let reported = f64::from(row.peer_load.in_flight);
+        let slots = f64::from(row.endpoint.slots.max(1));
+        self.stay.map_or(reported, |stay| {
+            reported
+                * remaining(
+                    self.age.as_secs_f64() / stay * slots.min(reported),
+                    reported,
+                )
+        })
+    }
+
+    /// Returns the number of reported prompt tokens that the endpoint has probably yet to
+    /// read.
+    fn waiting(&self, row: &Row) -> f64 {
+        let reported = row.peer_load.unread as f64;
+        self.tokens_per_second.map_or(reported, |rate| {
+            reported * remaining(self.age.as_secs_f64() * rate, reported)
+        })
+    }
+
     /// Returns the number of prompts of `tokens` that make up the unread tokens.
     pub(super) fn prompts(&self, tokens: u64) -> f64 {
         let prompts = self.unread / tokens.max(1) as f64;
@@ -58,6 +82,16 @@
     }
 }
 
+/// Returns the fraction that remains of `reported` after `done` of it may have been worked
+/// off. Reported work ends one by one and not all at the mean, so some remains.
+fn remaining(done: f64, reported: f64) -> f64 {
+    if reported > 0.0 {
+        (-done / reported).exp()
+    } else {
+        0.0
+    }
+}
+
 /// The cost of a request at an endpoint without regard to its health.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Cost {
@@ -117,31 +151,23 @@
     /// service.
     #[must_use]
     pub fn knowledge(&self, service: &str, now: Duration) -> Knowledge {
-        let (mut requests, mut unread, mut endpoints) = (0, 0, 0);
-        for (_, row) in self.usable(service) {
-            requests += row.peer_load.in_flight;
-            unread += row.peer_load.unread;
-            endpoints += 1;
-        }
         let Some(reported_at) = self.peers_reported_at else {
-            return Knowledge::alone(endpoints);
+            return Knowledge::alone(self.usable(service).count());
         };
-        let age = now.saturating_sub(reported_at);
         let usual = self.usual(service);
-        let rest = |time: Option<f64>| {
-            let time = time.filter(|time| *time > 0.0);
-            time.map_or(1.0, |time| (-age.as_secs_f64() / time).exp())
+        let mut knowledge = Knowledge {
+            age: now.saturating_sub(reported_at),
+            stay: usual.and_then(Usual::stay),
+            tokens_per_second: usual.and_then(Usual::tokens_per_second),
+            ..Knowledge::alone(0)
         };
-        let staying = rest(usual.and_then(|usual| usual.stay()));
-        let waiting = rest(usual.and_then(|usual| usual.answer()));
-        Knowledge {
-            age,
-            staying,
-            waiting,
-            requests: (f64::from(requests) * (1.0 - staying)).max(MIN_REQUESTS),
-            unread: unread as f64 * (1.0 - waiting),
-            endpoints,
+        for (_, row) in self.usable(service) {
+            knowledge.requests += f64::from(row.peer_load.in_flight) - knowledge.staying(row);
+            knowledge.unread += row.peer_load.unread as f64 - knowledge.waiting(row);
+            knowledge.endpoints += 1;
         }
+        knowledge.requests = knowledge.requests.max(MIN_REQUESTS);
+        knowledge
     }
 
     /// Returns the endpoints that may be selected, with their costs. Those in backoff are
@@ -167,6 +193,7 @@
                 key,
                 cost: cost.own * times,
                 step: cost.step * times,
+                idle: now.saturating_sub(row.sent_at).as_secs_f64(),
                 id: rendezvous_weight(0, &row.endpoint.life.id),
             };
             if row.health.in_backoff(now) {
@@ -194,14 +221,12 @@
     /// Returns the number of requests that are probably in flight, without those that
     /// others have sent since their reports.
     pub(super) fn staying(&self, knowledge: &Knowledge) -> f64 {
-        let reported = f64::from(self.peer_load.in_flight);
-        reported.mul_add(knowledge.staying, f64::from(self.own_load.in_flight))
+        knowledge.staying(self) + f64::from(self.own_load.in_flight)
     }
 
     /// Returns the number of prompt tokens that the endpoint has probably yet to read,
     /// without those that others have sent since their reports.
     pub(super) fn waiting(&self, knowledge: &Knowledge) -> f64 {
-        let reported = self.peer_load.unread as f64;
-        reported.mul_add(knowledge.waiting, self.own_load.unread as f64)
+        knowledge.waiting(self) + self.own_load.unread as f64
     }
 }
--- a/crates/cicadacrank-core/src/placement/fleet/usual.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/usual.rs
@@ -1,11 +1,16 @@
 //! What is usual for a service: the averages over all of its endpoints.
 
-use super::{Fleet, Key, Report, Row, TOKENS_PER_START};
+use super::{Fleet, Key, Report, Row, Speed, TOKENS_PER_START};
+use crate::{directory::Incarnation, placement::speed::SLOW_WEIGHT};
 use std::time::Duration;
 
 /// Number of values from which on the newest has a constant weight in an average.
 const MAX_COUNT: f64 = 20.0;
 
+/// Number of results, less their age, from which on a speed is reported to other
+/// processes.
+const MIN_REPORTED_WEIGHT: f64 = 0.5;
+
 /// Moving average, which is the plain mean of the first values.
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
@@ -26,16 +31,41 @@
     service: String,
     /// Time per unit of work until the response begins.
     work: Average,
-    /// Time until the response begins.
-    answer: Average,
+    /// That time without waits behind requests that were not known.
+    quick: f64,
+    /// Time until a response begins relative to what is expected of its endpoint.
+    surplus: Average,
     /// Time for which a request is in flight.
     stay: Average,
 }
 
 impl Usual {
-    /// Returns the average time until a response begins, or `None` if there was none.
-    pub(super) fn answer(&self) -> Option<f64> {
-        (self.answer.count > 0.0).then_some(self.answer.value)
+    /// Returns the number of prompt tokens that an endpoint reads a second, or `None` if no
+    /// response has begun.
+    pub(super) fn tokens_per_second(&self) -> Option<f64> {
+        (self.work.value > 0.0).then(|| TOKENS_PER_START as f64 / self.work.value)
+    }
+
+    fn record_quick(&mut self, seconds: f64) {
+        if self.quick <= 0.0 {
+            self.quick = seconds;
+        }
+        let difference = seconds - self.quick;
+        let trust = if difference > 0.0 { SLOW_WEIGHT } else { 1.0 };
+        // Limits the effect of one slow endpoint.
+        self.quick += difference.min(self.quick) * trust / self.work.count;
+    }
+
+    /// Records a time relative to what is expected of its endpoint, and returns it
+    /// relative to the average.
+    fn record_surplus(&mut self, unusual: f64) -> f64 {
+        let before = if self.surplus.count > 0.0 {
+            self.surplus.value
+        } else {
+            unusual
+        };
+        self.surplus.record(unusual.min(before * 2.0));
+        unusual / before.max(f64::MIN_POSITIVE)
     }
 
     /// Returns the average time for which a request is in flight, or `None` if none has
@@ -55,19 +85,15 @@
         };
         let work = (tokens + TOKENS_PER_START) as f64 / TOKENS_PER_START as f64;
         let seconds = took.as_secs_f64() / work;
-        usual.answer.record(took.as_secs_f64());
-        let before = if usual.work.count > 0.0 {
-            usual.work.value
-        } else {
-            seconds
-        };
-        let times = seconds / before.max(f64::MIN_POSITIVE);
-        // Limits the effect of one slow endpoint on the average of the service.
-        usual.work.record(seconds.min(before * 2.0));
-        if let Some(row) = self.row_mut(key) {
-            let unusual = times / row.speed.times(now);
-            row.speed.record(times, now);
-            row.health.record(Report::Answered(unusual), now);
+        usual.work.record(seconds);
+        usual.record_quick(seconds);
+        let times = seconds / usual.quick.max(f64::MIN_POSITIVE);
+        let Some(row) = self.row_mut(key) else { return };
+        let unusual = times / row.speed.times(now);
+        row.speed.record(times, now);
+        if let Some(usual) = self.usual_mut(key) {
+            let unusual = usual.record_surplus(unusual);
+            self.record(key, Report::Answered(unusual), now);
         }
     }
 
@@ -78,6 +104,20 @@
         }
     }
 
+    /// Returns the speeds of listed endpoints that other processes should know.
+    pub fn speeds(&self, now: Duration) -> impl Iterator<Item = (&Incarnation, Speed)> {
+        let rows = self.rows().map(|(_, row)| (&row.endpoint.life, row.speed));
+        rows.filter(move |(_, speed)| speed.weight(now) >= MIN_REPORTED_WEIGHT)
+    }
+
+    /// Takes over the speed of an endpoint that another process knows, if it rests on more
+    /// results.
+    pub fn merge_speed(&mut self, endpoint: &Incarnation, speed: Speed, now: Duration) {
+        if let Some(row) = self.find(endpoint).and_then(|key| self.row_mut(key)) {
+            row.speed.merge(speed, now);
+        }
+    }
+
     /// Returns the averages of a service, or `None` if no request has ended there.
     pub(super) fn usual(&self, service: &str) -> Option<&Usual> {
         let found = self
@@ -97,7 +137,8 @@
                 let usual = Usual {
                     service: service.clone(),
                     work: Average::default(),
-                    answer: Average::default(),
+                    quick: 0.0,
+                    surplus: Average::default(),
                     stay: Average::default(),
                 };
                 self.usual.insert(index, usual);
--- a/crates/cicadacrank-core/src/placement/speed.rs
+++ b/crates/cicadacrank-core/src/placement/speed.rs
@@ -6,18 +6,22 @@
 const HALF_LIFE_S: f64 = 20.0;
 
 /// Number of results from which on the newest has a constant weight.
-const MAX_WEIGHT: f64 = 8.0;
+const MAX_WEIGHT: f64 = 32.0;
 
-/// Number of results at the usual speed of the service that an endpoint starts with.
+/// Number of results at the speed of the service that an endpoint starts with.
 const PRIOR_WEIGHT: f64 = 1.0;
 
 /// Largest factor by which one result may differ from the average of the service.
 const MAX_TIMES: f64 = 4.0;
 
-/// How long an endpoint takes, relative to the average of its service.
+/// Weight of a result above what is known, relative to one below it. A wait behind requests
+/// that are not known yet makes a result slow and says nothing about the speed.
+pub(super) const SLOW_WEIGHT: f64 = 0.25;
+
+/// How long an endpoint takes at its own speed, relative to its service.
 ///
 /// The mean is that of the logarithms, so that half and double the time count alike. What
-/// is known loses weight with its age, and with it the difference from the average.
+/// is known loses weight with its age, and with it the difference from the service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Speed {
     log_times: f64,
@@ -42,7 +46,9 @@
     pub fn record(&mut self, times: f64, now: Duration) {
         let bounded = times.clamp(1.0 / MAX_TIMES, MAX_TIMES);
         let weight = self.weight(now) + 1.0;
-        self.log_times += (bounded.ln() - self.log_times) / weight;
+        let difference = bounded.ln() - self.log_times;
+        let trust = if difference > 0.0 { SLOW_WEIGHT } else { 1.0 };
+        self.log_times += difference * trust / weight;
         self.weight = weight.min(MAX_WEIGHT);
         self.at = now;
     }
--- a/crates/cicadacrank-core/tests/even_load.rs
+++ b/crates/cicadacrank-core/tests/even_load.rs
@@ -143,7 +143,10 @@
     fn new(processes: usize) -> Self {
         let mut fleet = Fleet::default();
         let endpoints = (0..ENDPOINTS).map(endpoint).collect();
-        fleet.update(&Snapshot::new(Version::new(0, 1), endpoints), Duration::ZERO);
+        fleet.update(
+            &Snapshot::new(Version::new(0, 1), endpoints),
+            Duration::ZERO,
+        );
         fleet.set_processes(processes, 0);
         Self {
             fleet,
@@ -236,6 +239,15 @@
     }
 }
 
+fn prompt(shared: Option<u64>) -> Prompt {
+    let shared_tokens = if shared.is_some() { SHARED_TOKENS } else { 0 };
+    Prompt {
+        tokens: OWN_TOKENS + shared_tokens,
+        shared_tokens,
+        shared,
+    }
+}
+
 fn add(sum: &mut Load, load: Load) {
     sum.in_flight += load.in_flight;
     sum.unread += load.unread;
@@ -281,9 +293,14 @@
             subjects: Vec::new(),
         })
         .collect();
+    for subject in 0..play.subjects.unwrap_or(0) {
+        let home = choosers[0].home(prompt(Some(subject)));
+        workers[home].subjects.push(subject);
+    }
     let mut steps = BinaryHeap::new();
     if play.choosers > 1 {
         for index in 0..play.choosers {
+            report(&mut choosers, index, false, Duration::ZERO);
             let at = play.age.mul_f64(index as f64 / play.choosers as f64);
             steps.push(Reverse((at, Step::Reported(index))));
         }
@@ -320,19 +337,17 @@
         let index = random.random_range(0..play.choosers);
         let subject = play.subjects.map(|count| random.random_range(0..count));
         let seed = random.next_u64();
-        let shared_tokens = if subject.is_some() { SHARED_TOKENS } else { 0 };
-        let prompt = Prompt {
-            tokens: OWN_TOKENS + shared_tokens,
-            shared_tokens,
-            shared: subject,
-        };
-        let chosen = choosers[index].select(play.rule, prompt, seed, now);
+        let chosen = choosers[index].select(play.rule, prompt(subject), seed, now);
         let measured = now >= WARM_UP;
         if measured {
             let counts = workers.iter().map(|worker| worker.in_flight);
             let most = counts.clone().max().unwrap_or(0);
             let mean = f64::from(counts.sum::<u32>()) / ENDPOINTS as f64;
-            busiest += if mean > 0.0 { f64::from(most) / mean } else { 1.0 };
+            busiest += if mean > 0.0 {
+                f64::from(most) / mean
+            } else {
+                1.0
+            };
         }
         let worker = &mut workers[chosen];
         let mut tokens = OWN_TOKENS;
@@ -374,6 +389,8 @@
 
 #[test]
 fn table() {
+    let shares = std::env::var("SHARE").is_ok();
+    let mut plays = Vec::new();
     for subjects in [None, Some(200)] {
         for times in [EQUAL, UNEQUAL] {
             for choosers in CHOOSERS {
@@ -381,16 +398,47 @@
                     if choosers == 1 && age != AGES[0] {
                         continue;
                     }
-                    for rule in [Rule::Random, Rule::Reports, Rule::Product] {
-                        let p = Play { choosers, age, times, subjects, shares_speeds: true, rule };
-                        let o = play(p);
-                        println!(
-                            "{} {:?} {:?} {:>4} {:>5} {:<8} wait {:>7.1} p99 {:>7.1} busiest {:>5.2} resp {:>7.1} again {:>6.0}",
-                            subjects.is_some(), times, 0, choosers, age.as_millis(), format!("{rule:?}"), o.waiting, o.longest, o.busiest, o.response, o.read_again
-                        );
+                    for rule in [Rule::Reports, Rule::Product] {
+                        plays.push(Play {
+                            choosers,
+                            age,
+                            times,
+                            subjects,
+                            shares_speeds: shares,
+                            rule,
+                        });
                     }
                 }
             }
         }
     }
+    let out: Vec<Outcome> = std::thread::scope(|scope| {
+        let handles: Vec<_> = plays
+            .iter()
+            .map(|p| scope.spawn(move || play(*p)))
+            .collect();
+        handles.into_iter().map(|h| h.join().unwrap()).collect()
+    });
+    for i in (0..plays.len()).step_by(2) {
+        let (p, a, b) = (plays[i], out[i], out[i + 1]);
+        println!(
+            "{:<5} {:?} {:>4} {:>5} wait {:>7.1} {:>7.1} ({:.2}) p99 {:>7.1} {:>7.1} busiest {:>5.2} {:>5.2} resp {:>7.1} {:>7.1} ({:.2}) again {:>6.0} {:>6.0}",
+            p.subjects.is_some(),
+            p.times[0],
+            p.choosers,
+            p.age.as_millis(),
+            a.waiting,
+            b.waiting,
+            b.waiting / a.waiting,
+            a.longest,
+            b.longest,
+            a.busiest,
+            b.busiest,
+            a.response,
+            b.response,
+            b.response / a.response,
+            a.read_again,
+            b.read_again
+        );
+    }
 }
