--- a/crates/cicadacrank-core/src/placement/fleet/mod.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod engine;
+mod knowledge;
 mod limit;
 mod occupancy;
 mod select;
@@ -10,8 +11,8 @@
 
 pub use self::{
     engine::{Choice, Prompt, Selection},
+    knowledge::Knowledge,
     limit::Limit,
-    select::Knowledge,
 };
 
 use self::{
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -406,6 +406,8 @@
     let endpoint = &guard.endpoint;
     let service = [endpoint.service.as_str()];
     state.metrics.attempts.with_label_values(&service).inc();
+    let report_age = state.metrics.report_age.with_label_values(&service);
+    report_age.observe(guard.knowledge.age.as_secs_f64());
     log_choice(outgoing, &guard, parameters);
     let connection = lifetime::connect(state, endpoint, parameters.continues);
     let connection = time::timeout_at(until, connection).await;
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -40,6 +40,9 @@
     /// Time from the arrival of a request to the first byte of its response, in
     /// seconds, by route.
     pub first_byte: HistogramVec,
+    /// Mean age of the load that other gateways reported when an endpoint was selected,
+    /// in seconds, by service.
+    pub report_age: HistogramVec,
     /// Number of requests and parts of prompts that are refused because they crash
     /// endpoints.
     pub quarantined: IntGauge,
@@ -118,6 +121,11 @@
                 "Time to the first byte of an answer",
                 &["route"],
             ),
+            report_age: histograms(
+                "cicadacrank_gateway_report_age_seconds",
+                "Age of the reports of other gateways at the selection of an endpoint",
+                &["service"],
+            ),
             quarantined: register(
                 &registry,
                 IntGauge::new(
