--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -17,6 +17,10 @@
 /// reading one prompt token, at the price that users pay for both.
 const BYTES_PER_TOKEN: u64 = 2_600;
 
+/// Divisor of the shared tokens of a prompt. The quotient is what the engine that its
+/// requests go to after its home is expected to cache.
+const KEPT_AT_SECOND_DIVISOR: u64 = 4;
+
 /// Cost of a prompt token that other requests wait to have read, relative to one
 /// that is read again. Waiting costs nothing while the objective is met.
 const QUEUE_WEIGHT: f64 = 0.4;
@@ -109,7 +113,7 @@
         blocked: &[Key],
         now: Duration,
     ) -> Option<Choice> {
-        let home = self.home(service, prompt);
+        let (home, second) = self.homes(service, prompt);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
         let knowledge = self.knowledge(service, now);
         let per_endpoint = |sum: f64| sum / knowledge.endpoints.max(1) as f64;
@@ -121,6 +125,8 @@
             let far = total - near.map_or(0, |(_, bytes)| *bytes);
             let read_again = if home == Some(key) {
                 0
+            } else if second == Some(key) {
+                prompt.shared_tokens - prompt.shared_tokens / KEPT_AT_SECOND_DIVISOR
             } else {
                 prompt.shared_tokens
             };
@@ -137,15 +143,15 @@
                 extra: read_again as f64,
             })
         });
-        let found = candidates.iter().position(|one| home == Some(one.key));
-        let at_home = found.map(|index| candidates.remove(index));
+        let mut take = |home: Option<Key>| {
+            let found = candidates.iter().position(|one| home == Some(one.key));
+            found.map(|index| candidates.remove(index))
+        };
+        let (at_home, at_second) = (take(home), take(second));
         let others = knowledge.prompts(prompt.tokens);
         let elsewhere = draw::draw(&mut candidates, others, locality.seed);
-        let drawn = match (at_home, elsewhere) {
-            (Some(at_home), Some(elsewhere)) if at_home.cost > elsewhere.cost => elsewhere,
-            (Some(at_home), _) => at_home,
-            (None, elsewhere) => elsewhere?,
-        };
+        let choices = [at_home, at_second, elsewhere].into_iter().flatten();
+        let drawn = choices.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         let (key, cost) = (drawn.key, drawn.cost);
         let source = home.filter(|home| *home != key);
         let source = source.filter(|home| {
@@ -173,9 +179,26 @@
     /// the prompt, or `None` if there are none.
     #[must_use]
     pub fn home(&self, service: &str, prompt: Prompt) -> Option<Key> {
-        let shared = prompt.shared?;
-        self.usable(service)
-            .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
-            .map(|(key, _)| key)
+        self.homes(service, prompt).0
+    }
+
+    /// Returns the home of a prompt, and the engine to which its requests go first when
+    /// that one is slow or busy.
+    fn homes(&self, service: &str, prompt: Prompt) -> (Option<Key>, Option<Key>) {
+        let Some(shared) = prompt.shared else {
+            return (None, None);
+        };
+        let weighed = self.usable(service).map(|(key, row)| {
+            let weight = rendezvous_weight(shared, &row.endpoint.life.id);
+            Some((weight, key))
+        });
+        let (home, second) = weighed.fold((None, None), |(home, second), one| {
+            if one > home {
+                (one, home)
+            } else {
+                (home, second.max(one))
+            }
+        });
+        (home.map(|(_, key)| key), second.map(|(_, key)| key))
     }
 }
