--- a/crates/cicadacrank-core/src/placement/draw.rs
+++ b/crates/cicadacrank-core/src/placement/draw.rs
@@ -2,11 +2,10 @@
 //!
 //! Processes that select by the same late knowledge would all send to the endpoint that
 //! looks best. Here each assumes that the requests which the others have sent since fill
-//! the endpoints evenly from the cheapest on, and sends to each endpoint with the
-//! probability with which the others do. This is load interpretation (M. Dahlin,
-//! "Interpreting Stale Load Information", IEEE TPDS 11(10), 2000). With knowledge that is
-//! up to date it selects the cheapest endpoint; the older the knowledge, the closer it
-//! comes to a random choice by capacity.
+//! the endpoints evenly from the cheapest on, and divides its own in the same proportion.
+//! This is load interpretation (M. Dahlin, "Interpreting Stale Load Information", IEEE TPDS
+//! 11(10), 2000). With knowledge that is up to date it selects the cheapest endpoint; the
+//! older the knowledge, the closer it comes to taking turns by capacity.
 
 use std::hash::Hasher as _;
 
--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -19,7 +19,7 @@
 
 /// Divisor of the shared tokens of a prompt. The quotient is what the engine that its
 /// requests go to after its home is expected to cache.
-const KEPT_AT_SECOND_DIVISOR: u64 = 4;
+const KEPT_AT_SECOND_DIVISOR: u64 = 2;
 
 /// Cost of a prompt token that other requests wait to have read, relative to one
 /// that is read again. Waiting costs nothing while the objective is met.
@@ -125,8 +125,6 @@
             let far = total - near.map_or(0, |(_, bytes)| *bytes);
             let read_again = if home == Some(key) {
                 0
-            } else if second == Some(key) {
-                prompt.shared_tokens - prompt.shared_tokens / KEPT_AT_SECOND_DIVISOR
             } else {
                 prompt.shared_tokens
             };
@@ -150,8 +148,18 @@
         let (at_home, at_second) = (take(home), take(second));
         let others = knowledge.prompts(prompt.tokens);
         let elsewhere = draw::draw(&mut candidates, others, locality.seed);
-        let choices = [at_home, at_second, elsewhere].into_iter().flatten();
-        let drawn = choices.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        // Requests that leave their home for the same engine find the parts there.
+        let kept = (prompt.shared_tokens / KEPT_AT_SECOND_DIVISOR) as f64;
+        let kept = kept * self.average_times(service);
+        let away = match (at_second, elsewhere) {
+            (Some(second), Some(elsewhere)) if second.cost - kept > elsewhere.cost => elsewhere,
+            (Some(second), _) => second,
+            (None, Some(elsewhere)) => elsewhere,
+            (None, None) => at_home?,
+        };
+        let drawn = at_home
+            .filter(|home| home.cost <= away.cost)
+            .unwrap_or(away);
         let (key, cost) = (drawn.key, drawn.cost);
         let source = home.filter(|home| *home != key);
         let source = source.filter(|home| {
--- a/crates/cicadacrank-core/src/placement/fleet/occupancy.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/occupancy.rs
@@ -8,6 +8,9 @@
 /// endpoint change it several times a second.
 const PACE_HALF_LIFE_S: f64 = 0.2;
 
+/// Largest factor by which a stated pace counts as slower or faster than usual.
+const MAX_PACE: f64 = 4.0;
+
 impl Fleet {
     /// Records the load that an endpoint stated in its answer at `at`. Ignores it if a newer
     /// statement is known or the endpoint isn't listed.
@@ -28,7 +31,10 @@
         let Some((occupancy, age)) = self.occupancy(now) else {
             return 1.0;
         };
-        let pace = occupancy.pace.unwrap_or(1.0);
+        let pace = occupancy
+            .pace
+            .unwrap_or(1.0)
+            .clamp(1.0 / MAX_PACE, MAX_PACE);
         let weight = (-age.as_secs_f64() / PACE_HALF_LIFE_S).exp2();
         (pace - 1.0).mul_add(weight, 1.0)
     }
--- a/crates/cicadacrank-core/src/placement/fleet/select.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/select.rs
@@ -1,6 +1,6 @@
 //! Selection of an endpoint by expected cost.
 
-use super::{Fleet, Key, Locality, Row, rendezvous_weight, usual::Usual};
+use super::{Fleet, Key, Locality, Row, rendezvous_weight};
 use crate::placement::draw::{self, Candidate};
 use std::time::Duration;
 
@@ -83,7 +83,7 @@
         let mut candidates = Vec::new();
         let mut backing_off = Vec::new();
         let strained = self.is_strained(service, now);
-        let average = self.usual(service).map_or(1.0, Usual::average_times);
+        let average = self.average_times(service);
         for (key, row) in self.usable(service) {
             let refuses = row.is_paused(now) || (strained && row.is_full());
             if refuses || !locality.allows(key, row) {
--- a/crates/cicadacrank-core/src/placement/fleet/usual.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/usual.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Returns the time that an average endpoint of a service takes relative to one of usual
+    /// speed without unknown waits.
+    pub(super) fn average_times(&self, service: &str) -> f64 {
+        self.usual(service).map_or(1.0, Usual::average_times)
+    }
+
     /// Returns the averages of a service, or `None` if no request has ended there.
     pub(super) fn usual(&self, service: &str) -> Option<&Usual> {
         let found = self
