--- a/crates/cicadacrank-core/src/placement/speed.rs
+++ b/crates/cicadacrank-core/src/placement/speed.rs
@@ -11,6 +11,10 @@
 /// Number of results at the speed of the service that an endpoint starts with.
 const PRIOR_WEIGHT: f64 = 1.0;
 
+/// Factor up to which an endpoint counts as of the speed of its service. A smaller
+/// difference is mostly chance, and would keep an idle endpoint out of use.
+const TOLERANCE: f64 = 1.25;
+
 /// Largest factor by which one result may differ from the average of the service.
 const MAX_TIMES: f64 = 4.0;
 
@@ -45,7 +49,9 @@
     #[must_use]
     pub fn times(&self, now: Duration) -> f64 {
         let weight = self.weight(now);
-        (self.log_times * weight / (weight + PRIOR_WEIGHT)).exp()
+        let known = self.log_times * weight / (weight + PRIOR_WEIGHT);
+        let beyond = (known.abs() - TOLERANCE.ln()).max(0.0);
+        beyond.copysign(known).exp()
     }
 
     /// Returns the number of results that the speed rests on, less their age.
