--- a/crates/cicadacrank-core/src/placement/fleet/engine.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/engine.rs
@@ -5,18 +5,22 @@
 //! its queue costs more than reading the parts again; from elsewhere, the parts are
 //! fetched from the home.
 
-use super::{Fleet, Key, Locality, TOKENS_PER_START, Track, rendezvous_weight};
-use crate::config::Config;
+use super::{Fleet, Key, Locality, Row, TOKENS_PER_START, Track, rendezvous_weight, select::Cost};
+use crate::{config::Config, placement::draw};
 use std::time::Duration;
 
 /// Cost of one request in flight, in prompt tokens. Each running request slows
 /// every step of the others slightly.
-const TOKENS_PER_RUNNING_REQUEST: u64 = 60;
+const TOKENS_PER_RUNNING_REQUEST: f64 = 60.0;
 
 /// Bytes of results whose transfer from another data centre costs as much as
 /// reading one prompt token, at the price that users pay for both.
 const BYTES_PER_TOKEN: u64 = 2_600;
 
+/// Divisor of the shared tokens of a prompt. The quotient is what the engine that its
+/// requests go to after its home is expected to cache.
+const KEPT_AT_SECOND_DIVISOR: u64 = 2;
+
 /// Cost of a prompt token that other requests wait to have read, relative to one
 /// that is read again. Waiting costs nothing while the objective is met.
 const QUEUE_WEIGHT: f64 = 0.4;
@@ -109,26 +113,54 @@
         blocked: &[Key],
         now: Duration,
     ) -> Option<Choice> {
-        let home = self.home(service, prompt, locality);
+        let (home, second) = self.homes(service, prompt, locality);
         let total: u64 = locality.results.iter().map(|(_, bytes)| bytes).sum();
-        let (key, cost) = self.choose(service, locality, now, |key, row| {
-            if blocked.contains(&key) {
-                return f64::INFINITY;
-            }
+        let knowledge = self.knowledge(service, now);
+        let per_endpoint = |sum: f64| sum / knowledge.endpoints.max(1) as f64;
+        let mut candidates = self.candidates(service, locality, now, |key, row| {
             let near = locality
                 .results
                 .iter()
                 .find(|(data_centre, _)| *data_centre == row.endpoint.data_centre);
             let far = total - near.map_or(0, |(_, bytes)| *bytes);
-            let unread = if home == Some(key) {
-                prompt.own_tokens()
+            let read_again = if home == Some(key) {
+                0
             } else {
-                prompt.tokens
+                prompt.shared_tokens
             };
-            let queue = row.unread() + u64::from(row.in_flight()) * TOKENS_PER_RUNNING_REQUEST;
-            let tokens = unread + far / BYTES_PER_TOKEN + TOKENS_PER_START;
-            tokens as f64 + queue as f64 * QUEUE_WEIGHT
-        })?;
+            // What others have sent since has gone to the homes of its prompts, which are
+            // spread evenly.
+            let waiting = row.waiting(&knowledge) + per_endpoint(knowledge.unread);
+            let running = row.staying(&knowledge) + per_endpoint(knowledge.requests);
+            let queue = running.mul_add(TOKENS_PER_RUNNING_REQUEST, waiting);
+            let own = prompt.own_tokens();
+            let tokens = (own + far / BYTES_PER_TOKEN + TOKENS_PER_START) as f64;
+            (!blocked.contains(&key)).then_some(Cost {
+                own: queue.mul_add(QUEUE_WEIGHT, tokens),
+                step: ((own + read_again) as f64 + TOKENS_PER_RUNNING_REQUEST) * QUEUE_WEIGHT,
+                extra: read_again as f64,
+            })
+        });
+        let mut take = |home: Option<Key>| {
+            let found = candidates.iter().position(|one| home == Some(one.key));
+            found.map(|index| candidates.remove(index))
+        };
+        let (at_home, at_second) = (take(home), take(second));
+        let others = knowledge.prompts(prompt.tokens);
+        let elsewhere = draw::draw(&mut candidates, others, locality.seed);
+        // Requests that leave their home for the same engine find the parts there.
+        let kept = (prompt.shared_tokens / KEPT_AT_SECOND_DIVISOR) as f64;
+        let kept = kept * self.average_times(service);
+        let away = match (at_second, elsewhere) {
+            (Some(second), Some(elsewhere)) if second.cost - kept > elsewhere.cost => elsewhere,
+            (Some(second), _) => second,
+            (None, Some(elsewhere)) => elsewhere,
+            (None, None) => at_home?,
+        };
+        let drawn = at_home
+            .filter(|home| home.cost <= away.cost)
+            .unwrap_or(away);
+        let (key, cost) = (drawn.key, drawn.cost);
         let source = home.filter(|home| *home != key);
         let source = source.filter(|home| {
             self.row(*home)
@@ -151,13 +183,38 @@
         Some(row.endpoint.data_centre.as_str())
     }
 
-    /// Returns the home of a prompt, or `None` if it has no shared parts. During a roll-out
-    /// it is one of the endpoints that the request may use.
-    fn home(&self, service: &str, prompt: Prompt, locality: &Locality<'_>) -> Option<Key> {
-        let shared = prompt.shared?;
-        self.usable(service)
-            .filter(|(key, row)| locality.track == Track::Any || locality.allows(*key, row))
-            .max_by_key(|(_, row)| rendezvous_weight(shared, &row.endpoint.life.id))
-            .map(|(key, _)| key)
+    /// Returns the engine that probably caches the shared parts of a prompt, the home of
+    /// the prompt, or `None` if there are none. During a roll-out it is one of the engines
+    /// that the request may use.
+    #[must_use]
+    pub fn home(&self, service: &str, prompt: Prompt, locality: &Locality<'_>) -> Option<Key> {
+        self.homes(service, prompt, locality).0
+    }
+
+    /// Returns the home of a prompt, and the engine to which its requests go first when
+    /// that one is slow or busy.
+    fn homes(
+        &self,
+        service: &str,
+        prompt: Prompt,
+        locality: &Locality<'_>,
+    ) -> (Option<Key>, Option<Key>) {
+        let Some(shared) = prompt.shared else {
+            return (None, None);
+        };
+        let may_use =
+            |(key, row): &(Key, &Row)| locality.track == Track::Any || locality.allows(*key, row);
+        let weighed = self.usable(service).filter(may_use).map(|(key, row)| {
+            let weight = rendezvous_weight(shared, &row.endpoint.life.id);
+            Some((weight, key))
+        });
+        let (home, second) = weighed.fold((None, None), |(home, second), one| {
+            if one > home {
+                (one, home)
+            } else {
+                (home, second.max(one))
+            }
+        });
+        (home.map(|(_, key)| key), second.map(|(_, key)| key))
     }
 }
--- a/crates/cicadacrank-core/src/placement/fleet/peer.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/peer.rs
@@ -43,6 +43,20 @@
         }
     }
 
+    /// Returns the mean time of the reports, or `None` if there are none.
+    pub(super) fn reported_at(&self) -> Option<Duration> {
+        let sum: Duration = self.0.iter().map(|peer| peer.at).sum();
+        sum.checked_div(u32::try_from(self.0.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Removes and returns the reports of a process.
+    fn remove(&mut self, instance: &str) -> Vec<(String, Load)> {
+        let found = self
+            .0
+            .binary_search_by(|one| one.instance.as_str().cmp(instance));
+        found.map_or_else(|_| Vec::new(), |index| self.0.remove(index).loads)
+    }
+
     /// Removes and returns the reports that are too old.
     fn take_old(&mut self, now: Duration) -> Vec<Peer> {
         let is_old = |peer: &mut Peer| now.saturating_sub(peer.at) >= MAX_AGE;
@@ -67,6 +81,12 @@
         self.subtract(&before);
     }
 
+    /// Drops the load of a process that is no longer heard of.
+    pub fn drop_peer_loads(&mut self, instance: &str) {
+        let before = self.peers.remove(instance);
+        self.subtract(&before);
+    }
+
     /// Drops the loads that their processes have not reported again.
     pub fn expire_peer_loads(&mut self, now: Duration) {
         for peer in self.peers.take_old(now) {
--- a/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
@@ -135,8 +135,7 @@
 
 fn report_lost(state: &State, instance: &str, fault: &str) {
     Event::PeerLost.log(format_args!("instance={instance} fault=\"{fault}\""));
-    let now = state.clock.now();
-    lock(&state.fleet).set_peer_loads(instance, Vec::new(), now);
+    lock(&state.fleet).drop_peer_loads(instance);
 }
 
 async fn send(state: Arc<State>, address: String, gateway: Option<Gateway>) {
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -80,6 +80,7 @@
         tried: &guide.tried,
         software: Software::Any,
         track: guide.track(),
+        seed: rand::random(),
     };
     let now = state.clock.now();
     let within_share = lock(&state.fleet).choose_plain(&job.service, &locality, now);
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -175,8 +175,9 @@
     expires: Instant,
 ) -> Option<Chosen> {
     let results = outputs.bytes_by_data_centre();
+    let seed = rand::random();
     let select = |guide: &Guide| {
-        let locality = locality(state, job, &results, guide);
+        let locality = locality(state, job, &results, guide, seed);
         let fleet = lock(&state.fleet);
         let prompt = job.caller.prompt;
         let now = state.clock.now();
@@ -220,7 +221,7 @@
         } else {
             0
         };
-        let locality = locality(state, job, &results, &guide);
+        let locality = locality(state, job, &results, &guide, seed);
         if sends_until(state, job, &locality, expires) <= ahead {
             return None;
         }
@@ -234,6 +235,7 @@
     job: &'a Job,
     results: &'a [(String, u64)],
     guide: &'a Guide,
+    seed: u64,
 ) -> Locality<'a> {
     Locality {
         own: &state.settings.data_centre,
@@ -241,6 +243,7 @@
         tried: &guide.tried,
         software: job.software(),
         track: guide.track(),
+        seed,
     }
 }
 
