Give room for stages by rank when not all pieces can be on time

Cause: the pool sorted pieces that can be on time by due time alone, so that a crowd of a lower rank took the room of a higher one, and under overload each piece was called when it could barely be on time.

Change: batch::schedule keeps as many pieces of each rank on time as possible; a job may be split to fill a call; pieces expire with their inputs; endpoints may be faster than usual, and their stated pace counts for a moment.

Tests: existing expectations are unchanged; Piece has the new field begun and Pool::estimate the new argument rank, so their calls in tests/batch.rs name them.

--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -24,6 +24,17 @@
 /// Half-life of the measured slowness, in seconds.
 const SLOWNESS_HALF_LIFE_S: f64 = 4.0;
 
+/// Half-life of the pace that an endpoint states, in seconds. It is short, since the
+/// pace changes many times a second where machines are shared.
+const PACE_HALF_LIFE_S: f64 = 0.25;
+
+/// Least ratio of actual to expected call duration that is believed. Calls that end
+/// sooner had nothing to do, since their inputs were gone.
+const MIN_SLOWNESS: f64 = 0.5;
+
+/// Greatest stated pace that is believed.
+const MAX_PACE: f64 = 10.0;
+
 /// Limit on the actual duration of a call, relative to the expected one, for it
 /// to count as started without queueing. Queueing behind a call of another
 /// process adds half a call on average.
@@ -75,6 +86,8 @@
     failures: u32,
     slowness: f64,
     slowness_at: Duration,
+    /// Pace that the endpoint states, and when it did.
+    pace: Option<(f64, Duration)>,
     immediate_at: Option<Duration>,
     reservations: Vec<Reservation>,
     call_bytes: u64,
@@ -95,6 +108,7 @@
             failures: 0,
             slowness: 1.0,
             slowness_at: Duration::ZERO,
+            pace: None,
             immediate_at: None,
             reservations: Vec::new(),
             call_bytes: 0,
@@ -159,11 +173,23 @@
             .is_some_and(|at| now < at + IMMEDIATE_WINDOW)
     }
 
-    /// Returns the ratio of actual to expected call duration, decaying towards
-    /// 1.
+    /// Records the time that the endpoint says work takes, relative to the usual time.
+    pub(super) fn record_pace(&mut self, pace: f64, now: Duration) {
+        self.pace = Some((pace.clamp(MIN_SLOWNESS, MAX_PACE), now));
+    }
+
+    /// Returns the expected ratio of actual to usual call duration. What calls showed
+    /// decays towards 1, and what the endpoint states decays towards what calls showed.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.slowness_at).as_secs_f64();
-        1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_HALF_LIFE_S).exp2()
+        let shown = self.shown_slowness(now);
+        self.pace.map_or(shown, |(pace, at)| {
+            shown + (pace - shown) * decay(at, now, PACE_HALF_LIFE_S)
+        })
+    }
+
+    fn shown_slowness(&self, now: Duration) -> f64 {
+        let weight = decay(self.slowness_at, now, SLOWNESS_HALF_LIFE_S);
+        1.0 + (self.slowness - 1.0) * weight
     }
 
     /// Returns the free result memory in bytes.
@@ -214,8 +240,8 @@
             Outcome::Answered => {
                 self.failures = 0;
                 let took = now.saturating_sub(since).as_secs_f64();
-                let ratio = (took / expected.as_secs_f64().max(0.001)).max(1.0);
-                let before = self.slowness(now);
+                let ratio = (took / expected.as_secs_f64().max(0.001)).max(MIN_SLOWNESS);
+                let before = self.shown_slowness(now);
                 self.slowness = before + (ratio - before) * NEWEST_WEIGHT;
                 self.slowness_at = now;
                 self.reserve(results.held, now + worker.result_life);
@@ -252,3 +278,9 @@
             .retain(|reservation| reservation.bytes > 0);
     }
 }
+
+/// Returns the weight at `now` of what was known at `at`.
+fn decay(at: Duration, now: Duration, half_life_s: f64) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    (-age / half_life_s).exp2()
+}
--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -4,7 +4,8 @@
 //! call at a time. One [`Pool`] therefore holds all pieces for one service:
 //! while every endpoint is busy, pieces queue up and the next call carries more
 //! of them. Pieces that can still meet their due time go first, earliest due
-//! time first. Late pieces fill the remaining places, least late first. Pieces
+//! time first, as long as the endpoints can process all of them in time. If they
+//! cannot, room goes by rank, as described in `docs/design/pipelines.md`. Pieces
 //! that cannot be processed before they expire are returned at once. A piece
 //! with time to spare is deferred to endpoints in the data centre of its
 //! inputs.
@@ -15,6 +16,8 @@
 
 mod endpoint;
 mod pool;
+mod schedule;
+mod selection;
 
 pub use self::{
     endpoint::{Outcome, Results},
@@ -47,6 +50,8 @@
     pub near: Option<DataCentre>,
     /// Whether the piece may wait for an endpoint in that data centre.
     pub deferrable: bool,
+    /// Whether earlier stages of the request are complete.
+    pub begun: bool,
 }
 
 /// Identifies a data centre within its pool.
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -1,6 +1,11 @@
 //! The queue of pieces for one service, and the calls formed from it.
 
-use super::{DataCentre, Outcome, Piece, Results, Ticket, endpoint::Endpoint};
+use super::{
+    DataCentre, Outcome, Piece, Results, Ticket,
+    endpoint::Endpoint,
+    schedule::{Timetable, Turn, schedule},
+    selection::select,
+};
 use crate::{config::Worker, directory::Incarnation};
 use std::time::Duration;
 
@@ -47,6 +52,8 @@
     waiting: Vec<Piece>,
     endpoints: Vec<Endpoint>,
     data_centres: Vec<String>,
+    /// Jobs with both queued pieces and pieces that were called, sorted.
+    split: Vec<u64>,
     /// Whether pieces were deferred to endpoints nearer to their inputs.
     deferred: bool,
     /// Since when this process forms the calls of the service.
@@ -62,6 +69,7 @@
             waiting: Vec::new(),
             endpoints: Vec::new(),
             data_centres: Vec::new(),
+            split: Vec::new(),
             deferred: false,
             owned_since: None,
         }
@@ -149,35 +157,43 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the estimated completion time of `pieces` new pieces, queued
-    /// behind all others, or `None` without a usable endpoint.
+    /// Returns the estimated completion time of `pieces` new pieces of this rank,
+    /// queued behind all others of the same or a higher rank, or `None` without a
+    /// usable endpoint.
     #[must_use]
-    pub fn estimate(&self, pieces: usize, now: Duration) -> Option<Duration> {
-        let (first, count) = self.first_free(now)?;
-        let full = self.full_call_time();
-        let ahead = self.waiting.len() + pieces;
-        let rounds = ahead.div_ceil(self.worker.batch.max(1) * count).max(1);
-        let before = full * u32::try_from(rounds - 1).unwrap_or(u32::MAX);
-        let alone = self.call_time(pieces.min(self.worker.batch));
-        Some(first + before + alone)
+    pub fn estimate(&self, pieces: usize, rank: u32, now: Duration) -> Option<Duration> {
+        let before = self.waiting.iter().filter(|piece| piece.rank <= rank);
+        let total = before.count() + pieces;
+        let call = self.call_time(pieces.min(self.worker.batch));
+        let timetable = self.timetable(total, call, now)?;
+        Some(timetable.done(total.saturating_sub(1)))
     }
 
     /// Removes and returns the pieces that cannot be completed before they
     /// expire.
     pub fn expire(&mut self, now: Duration) -> Vec<Expired> {
-        let Some((first, count)) = self.first_free(now) else {
+        let next = self.next_call_time();
+        let Some(timetable) = self.timetable(self.waiting.len(), next, now) else {
             let alone = self.call_time(1);
             return self.expire_after(|_| now + alone);
         };
         self.sort(now, None);
-        let (full, batch) = (self.full_call_time(), self.worker.batch.max(1));
-        let alone = self.call_time(self.waiting.len().min(batch));
-        // Assumes that endpoints become free at even intervals over one call.
-        let turn = full / u32::try_from(count).unwrap_or(u32::MAX).max(1);
-        self.expire_after(|ahead| {
-            let turns = u32::try_from(ahead / batch).unwrap_or(u32::MAX);
-            first + turn.saturating_mul(turns) + alone
-        })
+        self.expire_after(|ahead| timetable.done(ahead))
+    }
+
+    /// Returns when calls with `pieces` pieces end, each of which takes `call`, or `None`
+    /// without a usable endpoint.
+    fn timetable(&self, pieces: usize, call: Duration, now: Duration) -> Option<Timetable> {
+        let turns = self.usable().map(|endpoint| Turn {
+            free_at: endpoint.free_at(now),
+            slowness: endpoint.slowness(now),
+        });
+        Timetable::new(
+            turns,
+            pieces,
+            self.worker.batch,
+            (call, self.full_call_time()),
+        )
     }
 
     /// Removes and returns the pieces that expire before their estimated
@@ -274,6 +290,14 @@
         taken_tickets.sort_unstable();
         self.waiting
             .retain(|piece| taken_tickets.binary_search(&piece.ticket).is_err());
+        let called = |job| self.split.binary_search(&job).is_ok();
+        let split = self.waiting.iter().map(|piece| piece.job);
+        let mut split: Vec<u64> = split
+            .filter(|job| called(*job) || taken.last().is_some_and(|last| last.job == *job))
+            .collect();
+        split.sort_unstable();
+        split.dedup();
+        self.split = split;
         Call {
             endpoint: incarnation,
             tickets,
@@ -317,6 +341,13 @@
         }
     }
 
+    /// Records the time that an endpoint says work takes, relative to the usual time.
+    pub fn record_pace(&mut self, incarnation: &Incarnation, pace: f64, now: Duration) {
+        if let Ok(index) = self.find(incarnation) {
+            self.endpoints[index].record_pace(pace, now);
+        }
+    }
+
     /// Returns whether an endpoint wants nothing from this process.
     #[must_use]
     pub fn is_paused(&self, incarnation: &Incarnation, now: Duration) -> bool {
@@ -349,18 +380,6 @@
             .min()
     }
 
-    /// Returns when the first usable endpoint can accept a call, and the number of those
-    /// that share the work: all that are not paused, or all if each of them is.
-    fn first_free(&self, now: Duration) -> Option<(Duration, usize)> {
-        let first = self.usable().map(|endpoint| endpoint.free_at(now)).min()?;
-        let awake = self.usable().filter(|endpoint| !endpoint.is_paused(now));
-        let count = match awake.count() {
-            0 => self.usable().count(),
-            count => count,
-        };
-        Some((first, count))
-    }
-
     fn usable(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.iter().filter(|endpoint| !endpoint.leaving)
     }
@@ -397,32 +416,42 @@
         free
     }
 
-    /// Sorts the queue: pieces that can be on time first, earliest due time
-    /// first, then late pieces, sorted by rank, data centre and lateness.
+    /// Sorts the queue: the rest of split jobs first, then pieces that keep a place in
+    /// the schedule, earliest goal first, then the others, sorted by rank, data centre and lateness.
     ///
     /// While more pieces are queued than one call carries, calls are full, so a
     /// piece counts as late if a full call would make it late. Pieces whose
-    /// inputs are outside `data_centre` come after the others that are on time,
-    /// unless they cannot wait for another call.
+    /// inputs are outside `data_centre` come after the others that keep their
+    /// places, unless they cannot wait for another call.
     fn sort(&mut self, now: Duration, data_centre: Option<DataCentre>) {
         let next = self.next_call_time();
         let after_next = now + next + self.full_call_time();
-        self.waiting.sort_by_cached_key(|piece| {
-            let remote = is_remote(piece, data_centre);
-            let priority = if now + next > piece.due {
-                Priority::Late {
+        // Without a usable endpoint the order does not matter.
+        let Some(timetable) = self.timetable(self.waiting.len(), next, now) else {
+            return;
+        };
+        let mut places = schedule(&self.waiting, now + next, &timetable);
+        places.sort_by_cached_key(|place| {
+            let piece = place.piece;
+            let remote = is_remote(&piece, data_centre);
+            let priority = if self.split.binary_search(&piece.job).is_ok() {
+                Priority::Split
+            } else if place.kept {
+                Priority::Kept {
+                    remote: remote && place.goal > after_next,
+                    goal: place.goal,
+                }
+            } else {
+                Priority::Rest {
                     rank: piece.rank,
                     remote,
                     by: now.saturating_sub(piece.due),
                 }
-            } else {
-                Priority::OnTime {
-                    remote: remote && piece.due > after_next,
-                    due: piece.due,
-                }
             };
             (priority, piece.job, piece.ticket)
         });
+        self.waiting.clear();
+        self.waiting.extend(places.iter().map(|place| place.piece));
     }
 }
 
@@ -434,53 +463,15 @@
 /// Sort key of a queued piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Priority {
-    OnTime {
+    /// Other pieces of the job were called.
+    Split,
+    Kept {
         remote: bool,
-        due: Duration,
+        goal: Duration,
     },
-    Late {
+    Rest {
         rank: u32,
         remote: bool,
         by: Duration,
     },
 }
-
-/// Selects as many pieces as fit into one call, its memory limit and their
-/// expiry times. If one call can carry all waiting pieces, a late piece must
-/// not delay another past its due time. Otherwise it may, since full calls give
-/// a higher throughput.
-///
-/// The pieces of a job stay together. If they were split, partial results of
-/// many jobs would fill the memory and no job could complete.
-fn select(
-    waiting: &[Piece],
-    worker: Worker,
-    mut room: u64,
-    done: impl Fn(usize) -> Duration,
-) -> Vec<Piece> {
-    let mut taken: Vec<Piece> = Vec::new();
-    let mut earliest_due = Duration::MAX;
-    let all_fit = waiting.len() <= worker.batch;
-    for job in waiting.chunk_by(|one, other| one.job == other.job) {
-        let first = job[0];
-        let each = first.bytes.max(1);
-        let places = (worker.batch - taken.len()).min(usize::try_from(room / each).unwrap_or(0));
-        let largest = worker
-            .batch
-            .min(usize::try_from(worker.room_bytes / each).unwrap_or(0));
-        let count = job.len().min(places);
-        let split = count < job.len() && job.len() <= largest;
-        let done = done(taken.len() + count);
-        let late = done > first.due;
-        let delays_others = all_fit && late && done > earliest_due;
-        if count == 0 || split || done > first.expires || delays_others {
-            continue;
-        }
-        if !late {
-            earliest_due = earliest_due.min(first.due);
-        }
-        room -= first.bytes * count as u64;
-        taken.extend_from_slice(&job[..count]);
-    }
-    taken
-}
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -52,6 +52,7 @@
         bytes: 0,
         near: None,
         deferrable: true,
+        begun: true,
     }
 }
 
@@ -484,14 +485,14 @@
 #[test]
 fn estimate_counts_only_endpoints_that_are_not_paused() {
     let mut pool = pool(&[("a", "x"), ("b", "x"), ("c", "x")]);
-    let free = pool.estimate(30, ms(0)).expect("usable endpoints");
+    let free = pool.estimate(30, 0, ms(0)).expect("usable endpoints");
     for id in ["a", "b"] {
         pool.pause(&incarnation(id), ms(50_000));
     }
-    let paused = pool.estimate(30, ms(0)).expect("usable endpoints");
+    let paused = pool.estimate(30, 0, ms(0)).expect("usable endpoints");
     assert!(paused >= free + ms(600), "{paused:?} after {free:?}");
     pool.pause(&incarnation("c"), ms(40_000));
-    let all_paused = pool.estimate(30, ms(0)).expect("usable endpoints");
+    let all_paused = pool.estimate(30, 0, ms(0)).expect("usable endpoints");
     assert!(all_paused >= ms(40_000), "{all_paused:?}");
 }
 
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -52,7 +52,7 @@
         Some((address, _)) => {
             // Released results free memory for this call.
             send_releases(&state, &batcher, &call.endpoint).await;
-            call_and_release_inputs(&state, *address, &call, &mut pieces).await
+            call_and_release_inputs(&state, &batcher, *address, &call, &mut pieces).await
         }
         None => (Outcome::Failed, Vec::new(), "endpoint left".to_owned()),
     };
@@ -103,6 +103,7 @@
 /// a retry may need them.
 async fn call_and_release_inputs(
     state: &State,
+    batcher: &Batcher,
     address: SocketAddr,
     call: &Call,
     pieces: &mut [Waiting],
@@ -114,7 +115,7 @@
         call_timeout(call)
     };
     let result = {
-        let exchange = send_call(state, address, call, pieces);
+        let exchange = send_call(state, batcher, address, call, pieces);
         tokio::pin!(exchange);
         match time::timeout(fetched, &mut exchange).await {
             Ok(result) => result,
@@ -164,6 +165,7 @@
 /// piece and a note for the log.
 async fn send_call(
     state: &State,
+    batcher: &Batcher,
     address: SocketAddr,
     call: &Call,
     pieces: &[Waiting],
@@ -188,6 +190,12 @@
             let head = Answer::decode(answer.status(), answer.headers());
             if !head.misdirected {
                 state.record_statements(&call.endpoint, &head);
+                if let Some(pace) = head.load.and_then(|load| load.pace) {
+                    let now = state.clock.now();
+                    lock(&batcher.inner)
+                        .pool
+                        .record_pace(&call.endpoint, pace, now);
+                }
             }
             if head.declined.is_some() {
                 let outcome = if head.misdirected {
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -140,7 +140,7 @@
         let mut inner = lock(&batcher.inner);
         let done = inner
             .pool
-            .estimate(count, now)
+            .estimate(count, task.rank, now)
             .ok_or_else(|| failure(Kind::NoEndpoint))?;
         if done > now + task.expires {
             return Err(Failure {
@@ -211,6 +211,7 @@
                 // Waiting for an endpoint near the engine that only may take the
                 // results would leave other endpoints idle.
                 deferrable: task.key.is_none(),
+                begun: task.key.is_none(),
             },
             request: task.request.clone(),
             stage: task.stage,
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -6,7 +6,12 @@
     request::{Job, Refusal},
     state::{State, lock},
 };
-use cicadacrank_core::{config::Route, directory::Incarnation, event::Event, once::Unsent};
+use cicadacrank_core::{
+    config::{Route, Worker},
+    directory::Incarnation,
+    event::Event,
+    once::Unsent,
+};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -14,6 +19,9 @@
 /// Time that a stage takes for queueing and transfer, in addition to its call.
 const STAGE_OVERHEAD: Duration = Duration::from_millis(40);
 
+/// Time that the end of a call may lie before the arrival of its results here.
+const RESULT_TRANSFER: Duration = Duration::from_millis(50);
+
 /// Size of the inputs of one piece, in bytes, from which the piece is processed
 /// preferably in their data centre.
 const MIN_LOCALITY_BYTES: u64 = 50_000;
@@ -153,6 +161,7 @@
     };
     let mut done = vec![false; route.stages.len()];
     let mut started = done.clone();
+    let mut held_until: Vec<Option<Instant>> = vec![None; route.stages.len()];
     let mut running = FuturesUnordered::new();
     loop {
         for number in 0..route.stages.len() {
@@ -166,7 +175,13 @@
                 continue;
             }
             let after = min_time_after(job, number);
-            let mut task = build_task(job, number, &outputs, due - after, expires - after);
+            let inputs_until = stage.after.iter().filter_map(|before| held_until[*before]);
+            let expires = inputs_until
+                .map(|until| until + min_time(job, number))
+                .chain([expires - after])
+                .min()
+                .unwrap_or(expires);
+            let mut task = build_task(job, number, &outputs, due - after, expires);
             task.near = preferred_data_centre(job, number, &outputs, home.as_deref());
             task.spent = outputs.take_exclusive_inputs(route, number);
             let state = Arc::clone(state);
@@ -179,6 +194,7 @@
             Some((number, Ok(made))) => {
                 outputs.by_stage[number] = made;
                 done[number] = true;
+                held_until[number] = result_life(job, number).map(|life| Instant::now() + life);
                 outputs.release_unneeded(route, &done);
             }
             Some((number, Err(failure))) => return Err(refuse(job, number, &failure)),
@@ -253,19 +269,32 @@
 /// longest chain of dependents.
 fn min_time_after(job: &Job, number: usize) -> Duration {
     dependents(&job.route, number)
-        .map(|next| {
-            let service = job.config.service(&job.route.stages[next].service);
-            let worker = service.and_then(|service| service.worker);
-            let own = worker.map_or(Duration::ZERO, |worker| {
-                let pieces = pieces(job, next).min(u32::try_from(worker.batch).unwrap_or(1));
-                worker.call_time + worker.piece_time * pieces + STAGE_OVERHEAD
-            });
-            own + min_time_after(job, next)
-        })
+        .map(|next| min_time(job, next) + STAGE_OVERHEAD + min_time_after(job, next))
         .max()
         .unwrap_or_default()
 }
 
+/// Returns the time of a call with the pieces of this stage alone.
+fn min_time(job: &Job, number: usize) -> Duration {
+    worker(job, number).map_or(Duration::ZERO, |worker| {
+        let pieces = pieces(job, number).min(u32::try_from(worker.batch).unwrap_or(1));
+        worker.call_time + worker.piece_time * pieces
+    })
+}
+
+/// Returns how long endpoints hold a result of this stage after it has arrived here.
+fn result_life(job: &Job, number: usize) -> Option<Duration> {
+    let worker = worker(job, number)?;
+    Some(worker.result_life.saturating_sub(RESULT_TRANSFER))
+}
+
+fn worker(job: &Job, number: usize) -> Option<Worker> {
+    let service = &job.route.stages[number].service;
+    job.config
+        .service(service)
+        .and_then(|service| service.worker)
+}
+
 /// Returns the numbers of the stages that take the results of this stage as
 /// inputs.
 fn dependents(route: &Route, number: usize) -> impl Iterator<Item = usize> + '_ {
