--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -245,25 +245,21 @@
     }
 
     /// Returns the pieces that an endpoint in this data centre may process, in
-    /// queue order. It leaves out deferrable pieces that can wait for an endpoint
-    /// near their inputs and still be on time.
+    /// queue order. It leaves out deferrable pieces that can wait for the next
+    /// endpoint near their inputs and still be on time.
     fn candidates(&self, data_centre: DataCentre, now: Duration) -> Vec<Piece> {
-        let mut data_centres: Vec<DataCentre> = self
+        let mut next: Vec<(DataCentre, Duration)> = self
             .usable()
             .filter(|endpoint| !endpoint.in_backoff(now) && endpoint.slowness(now) < SLOW_THRESHOLD)
-            .map(|endpoint| endpoint.data_centre)
+            .map(|endpoint| (endpoint.data_centre, endpoint.free_at(now)))
             .collect();
-        data_centres.sort_unstable();
-        data_centres.dedup();
-        let after_next = now + self.next_call_time() + self.full_call_time();
+        next.sort_unstable();
+        next.dedup_by_key(|one| one.0);
+        let call = self.full_call_time();
         let waits = |piece: &Piece| {
-            let near = piece
-                .near
-                .filter(|near| data_centres.binary_search(near).is_ok());
-            piece.deferrable
-                && near.is_some()
-                && is_remote(piece, Some(data_centre))
-                && piece.due > after_next
+            let near = piece.near.filter(|near| *near != data_centre);
+            let near = near.and_then(|near| next.binary_search_by_key(&near, |one| one.0).ok());
+            near.is_some_and(|near| piece.deferrable && next[near].1 + call < piece.due)
         };
         let waiting = self.waiting.iter().copied();
         waiting.filter(|piece| !waits(piece)).collect()
