Derive due times of stages from what later stages and engines took last

Cause: a stage was due 40 ms a later stage and 150 ms for the engine before the objective, whatever these took.

Change: forecast::Forecasts; event 323 and a gauge tell when a service has less room than its pieces need, event 322 each refusal on arrival at the owner.

--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -54,6 +54,8 @@
     data_centres: Vec<String>,
     /// Jobs with both queued pieces and pieces that were called, sorted.
     split: Vec<u64>,
+    /// Number of pieces that gave up their place to others.
+    displaced: usize,
     /// Whether pieces were deferred to endpoints nearer to their inputs.
     deferred: bool,
     /// Since when this process forms the calls of the service.
@@ -70,6 +72,7 @@
             endpoints: Vec::new(),
             data_centres: Vec::new(),
             split: Vec::new(),
+            displaced: 0,
             deferred: false,
             owned_since: None,
         }
@@ -151,6 +154,13 @@
         self.waiting.len()
     }
 
+    /// Returns the number of queued pieces that gave up their place to others, because
+    /// not all of them can be on time.
+    #[must_use]
+    pub const fn displaced(&self) -> usize {
+        self.displaced
+    }
+
     /// Returns whether no piece is queued.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
@@ -426,7 +436,8 @@
         let Some(timetable) = self.timetable(self.waiting.len(), next, now) else {
             return;
         };
-        let mut places = schedule(&self.waiting, now + next, &timetable);
+        let (mut places, displaced) = schedule(&self.waiting, now + next, &timetable);
+        self.displaced = displaced;
         places.sort_by_cached_key(|place| {
             let piece = place.piece;
             let remote = is_remote(&piece, data_centre);
--- a/crates/cicadacrank-core/src/batch/schedule.rs
+++ b/crates/cicadacrank-core/src/batch/schedule.rs
@@ -87,10 +87,15 @@
     pieces: usize,
 }
 
-/// Returns the places of the pieces, sorted by goal, then job.
+/// Returns the places of the pieces, sorted by goal, then job, and how many of them gave
+/// up their place to others.
 ///
 /// `earliest` is the expected completion time of a piece that is called now.
-pub(super) fn schedule(waiting: &[Piece], earliest: Duration, timetable: &Timetable) -> Vec<Place> {
+pub(super) fn schedule(
+    waiting: &[Piece],
+    earliest: Duration,
+    timetable: &Timetable,
+) -> (Vec<Place>, usize) {
     let mut places: Vec<Place> = waiting
         .iter()
         .map(|piece| Place {
@@ -102,6 +107,7 @@
     places.sort_by_key(|place| (place.goal, place.piece.job, place.piece.ticket));
     let mut kept: BinaryHeap<Standing> = BinaryHeap::new();
     let mut count = 0;
+    let mut displaced = 0;
     let mut first = 0;
     while first < places.len() {
         let Place {
@@ -131,11 +137,12 @@
             {
                 give_up(&mut places, last);
                 count -= last.pieces;
+                displaced += last.pieces;
             }
         }
         first += pieces;
     }
-    places
+    (places, displaced)
 }
 
 fn give_up(places: &mut [Place], job: Standing) {
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -82,6 +82,8 @@
     OriginFound = 317, Info, "The version that must go on with a stream which its caller takes up is known, or is not.";
     PiecesFailed = 320, Info, "Pieces of a stage could not be produced.";
     CallEnded = 321, Info, "A call to an endpoint for pieces of a stage ended.";
+    PiecesRefused = 322, Info, "Pieces of a stage were refused on arrival, because they could not be complete before they expire.";
+    RoomChanged = 323, Info, "A service has less room for stages than its queued pieces need, or enough again.";
     LinesDropped = 330, Warn, "Log lines were dropped under load.";
     ClaimMade = 400, Debug, "A claim for non-idempotent work was created.";
     ClaimRecorded = 401, Debug, "The outcome of claimed work was recorded.";
--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod directory;
 pub mod error;
 pub mod event;
+pub mod forecast;
 pub mod generation;
 pub mod gossip;
 pub mod id;
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -19,6 +19,7 @@
 use cicadacrank_core::{
     batch::{self, Expired, Ticket},
     error::Kind,
+    event::Event,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time};
@@ -29,6 +30,9 @@
 /// Delay, before jitter, after which a caller may retry when a stage failed.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Time without a shortage of room after which it counts as over.
+const SHORTAGE_END: Duration = Duration::from_secs(1);
+
 /// Interval of the checks for pieces that cannot be completed before they expire.
 /// It is a small fraction of the shortest call.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -143,9 +147,22 @@
             .estimate(count, task.rank, now)
             .ok_or_else(|| failure(Kind::NoEndpoint))?;
         if done > now + task.expires {
+            let retry_after = jitter(done.saturating_sub(now + task.expires).max(RETRY_AFTER));
+            Event::PiecesRefused.log(format_args!(
+                "id={} service={} stage={} rank={} pieces={count} queued={} done_in_ms={} \
+                 expires_in_ms={} retry_after_ms={}",
+                task.request,
+                task.service,
+                task.stage,
+                task.rank,
+                inner.pool.len(),
+                done.saturating_sub(now).as_millis(),
+                task.expires.as_millis(),
+                retry_after.as_millis(),
+            ));
             return Err(Failure {
                 kind: Kind::TimeUp,
-                retry_after: jitter(done.saturating_sub(now + task.expires).max(RETRY_AFTER)),
+                retry_after,
             });
         }
         let job = inner.next_job;
@@ -178,7 +195,21 @@
         return Ok(made);
     }
     release(state, &made);
-    Err(failure(failed.unwrap_or(Kind::StageFailed)))
+    let kind = failed.unwrap_or(Kind::StageFailed);
+    let wait = match kind {
+        Kind::TimeUp | Kind::Overloaded => queue_time(&batcher, task.rank, state.clock.now()),
+        _ => RETRY_AFTER,
+    };
+    Err(Failure {
+        kind,
+        retry_after: jitter(wait.max(RETRY_AFTER)),
+    })
+}
+
+/// Returns the time until what is queued now of this rank and the higher ones is done.
+fn queue_time(batcher: &Batcher, rank: u32, now: Duration) -> Duration {
+    let done = lock(&batcher.inner).pool.estimate(0, rank, now);
+    done.map_or(RETRY_AFTER, |done| done.saturating_sub(now))
 }
 
 /// Queues the pieces of a task. Sends [`Kind::Overloaded`] for each piece that the
@@ -235,6 +266,7 @@
 /// runs.
 async fn run(state: Arc<State>, batcher: Arc<Batcher>) {
     let mut last_expiry = Duration::ZERO;
+    let mut room = Room::default();
     loop {
         let sleep = {
             let now = state.clock.now();
@@ -256,6 +288,7 @@
                     address,
                 ));
             }
+            room.record(&state, &batcher.service, &inner.pool, now);
             let wake = inner.pool.wake_at(now);
             wake.map_or(MAX_SLEEP, |at| {
                 at.saturating_sub(now)
@@ -266,6 +299,36 @@
     }
 }
 
+/// Whether a service has room for all of its queued pieces to be on time.
+#[derive(Debug, Default)]
+struct Room {
+    /// Time of the last shortage that counts.
+    short_at: Option<Duration>,
+}
+
+impl Room {
+    /// Records the queue at `now`. A shortage counts until a second has passed without
+    /// one, so that at most one line a second is logged.
+    fn record(&mut self, state: &State, service: &str, pool: &batch::Pool, now: Duration) {
+        let displaced = pool.displaced();
+        let gauge = state.metrics.displaced.with_label_values(&[service]);
+        gauge.set(i64::try_from(displaced).unwrap_or(i64::MAX));
+        let was_short = self.short_at.is_some();
+        if displaced > 0 {
+            self.short_at = Some(now);
+        } else if self.short_at.is_some_and(|at| now >= at + SHORTAGE_END) {
+            self.short_at = None;
+        }
+        if was_short != self.short_at.is_some() {
+            Event::RoomChanged.log(format_args!(
+                "service={service} short={} displaced={displaced} queued={}",
+                !was_short,
+                pool.len(),
+            ));
+        }
+    }
+}
+
 /// Returns whether this gateway forms the calls of a service.
 fn is_owner(state: &State, service: &str) -> bool {
     let number = state.pools.number(service).unwrap_or(0);
--- a/crates/cicadacrank-node/src/gateway/owner/pools.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -7,6 +7,7 @@
     config::Config,
     directory::{Endpoint, Incarnation},
     error::Kind,
+    forecast::Forecasts,
     placement::Fleet,
 };
 use std::{
@@ -23,6 +24,10 @@
 #[derive(Debug, Default)]
 pub struct Pools {
     pub(super) batchers: Mutex<Vec<Arc<Batcher>>>,
+    /// Time that tasks wait beyond their calls, by service.
+    waits: Mutex<Forecasts>,
+    /// Time from the send of a request to its first event, by route.
+    first_events: Mutex<Forecasts>,
     pub(super) changed: Notify,
 }
 
@@ -82,6 +87,9 @@
         }
         *batchers = next;
         drop(batchers);
+        lock(&self.waits).retain(|name| config.service(name).is_some());
+        let is_route = |name: &str| config.routes.iter().any(|route| route.name == name);
+        lock(&self.first_events).retain(is_route);
         self.changed.notify_one();
     }
 
@@ -107,6 +115,26 @@
         }
     }
 
+    /// Records how long a task of a service that was on time took beyond its calls.
+    pub fn record_wait(&self, service: &str, wait: Duration, now: Duration) {
+        lock(&self.waits).record(service, wait, now);
+    }
+
+    /// Returns how long the next task of a service takes beyond its calls.
+    pub fn expected_wait(&self, service: &str, now: Duration) -> Duration {
+        lock(&self.waits).expected(service, now)
+    }
+
+    /// Records the time from the send of a request of a route to its first event.
+    pub fn record_first_event(&self, route: &str, took: Duration, now: Duration) {
+        lock(&self.first_events).record(route, took, now);
+    }
+
+    /// Returns the time from the send of the next request of a route to its first event.
+    pub fn expected_first_event(&self, route: &str, now: Duration) -> Duration {
+        lock(&self.first_events).expected(route, now)
+    }
+
     /// Returns the index of a service among those that process stages, or `None`
     /// if it does not process any.
     pub fn number(&self, service: &str) -> Option<usize> {
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -16,7 +16,7 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Time that a stage takes for queueing and transfer, in addition to its call.
+/// Least time that a stage takes for queueing and transfer, in addition to its call.
 const STAGE_OVERHEAD: Duration = Duration::from_millis(40);
 
 /// Time that the end of a call may lie before the arrival of its results here.
@@ -174,18 +174,20 @@
                 done[number] = true;
                 continue;
             }
-            let after = min_time_after(job, number);
+            let after = time_after(job, number, &|_| STAGE_OVERHEAD);
+            let due = due - time_after(job, number, &|next| expected_wait(state, job, next));
             let inputs_until = stage.after.iter().filter_map(|before| held_until[*before]);
             let expires = inputs_until
                 .map(|until| until + min_time(job, number))
                 .chain([expires - after])
                 .min()
                 .unwrap_or(expires);
-            let mut task = build_task(job, number, &outputs, due - after, expires);
+            let mut task = build_task(job, number, &outputs, due, expires);
             task.near = preferred_data_centre(job, number, &outputs, home.as_deref());
             task.spent = outputs.take_exclusive_inputs(route, number);
+            let alone = min_time(job, number);
             let state = Arc::clone(state);
-            running.push(async move { (number, produce(&state, task).await) });
+            running.push(async move { (number, produce(&state, task, alone).await) });
         }
         if running.is_empty() && started.iter().all(|started| *started) {
             return Ok(outputs);
@@ -265,15 +267,28 @@
     largest.filter(|_| large).map(|total| total.0)
 }
 
-/// Returns the minimum time that the stages after this one take, along the
-/// longest chain of dependents.
-fn min_time_after(job: &Job, number: usize) -> Duration {
+/// Returns the time that the stages after this one take, along the longest chain of
+/// dependents, if each of them waits as long as `wait` returns for its number.
+fn time_after(job: &Job, number: usize, wait: &impl Fn(usize) -> Duration) -> Duration {
     dependents(&job.route, number)
-        .map(|next| min_time(job, next) + STAGE_OVERHEAD + min_time_after(job, next))
+        .map(|next| {
+            let own = match pieces(job, next) {
+                0 => Duration::ZERO,
+                _ => min_time(job, next) + wait(next),
+            };
+            own + time_after(job, next, wait)
+        })
         .max()
         .unwrap_or_default()
 }
 
+/// Returns how long a stage is expected to take beyond a call with its pieces alone.
+fn expected_wait(state: &State, job: &Job, number: usize) -> Duration {
+    let service = &job.route.stages[number].service;
+    let expected = state.pools.expected_wait(service, state.clock.now());
+    expected.max(STAGE_OVERHEAD)
+}
+
 /// Returns the time of a call with the pieces of this stage alone.
 fn min_time(job: &Job, number: usize) -> Duration {
     worker(job, number).map_or(Duration::ZERO, |worker| {
@@ -302,9 +317,11 @@
 }
 
 /// Has the pieces of a task processed by the gateway that forms the calls of their
-/// service, or by the local gateway if that one does not answer.
-async fn produce(state: &Arc<State>, task: Task) -> Result<Vec<Output>, Failure> {
+/// service, or by the local gateway if that one does not answer. `alone` is the time
+/// of a call with these pieces only.
+async fn produce(state: &Arc<State>, task: Task, alone: Duration) -> Result<Vec<Output>, Failure> {
     let started_at = Instant::now();
+    let due = task.due;
     let service = task.service.clone();
     let number = state.pools.number(&service).unwrap_or(0);
     let owner = lock(&state.roster)
@@ -325,9 +342,14 @@
             }
         },
     };
-    let seconds = started_at.elapsed().as_secs_f64();
+    let took = started_at.elapsed();
+    // Late tasks wait for others, which says nothing about those that are on time.
+    if made.is_ok() && took <= due {
+        let wait = took.saturating_sub(alone);
+        state.pools.record_wait(&service, wait, state.clock.now());
+    }
     let stages = state.metrics.stages.with_label_values(&[service.as_str()]);
-    stages.observe(seconds);
+    stages.observe(took.as_secs_f64());
     made
 }
 
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -79,7 +79,11 @@
 ) -> Result<Response<Body>, Refusal> {
     origin::bind(state, &mut job).await?;
     let expires = job.outgoing.deadline.min(job.arrived + event_timeout(&job));
-    let due = job.arrived + job.route.objective.saturating_sub(FIRST_EVENT_TIME);
+    let due = job.arrived
+        + job
+            .route
+            .objective
+            .saturating_sub(first_event_time(state, &job));
     let mut attempts = Attempts::new(RETRY_AFTER);
     attempts.check_endpoints(state, &job, expires)?;
     let outputs = stages::run(state, &job, due, expires - FIRST_EVENT_TIME).await?;
@@ -221,6 +225,16 @@
     }
 }
 
+/// Returns the part of the objective that is reserved for the engine: what the last
+/// requests of the route needed, at most half of it.
+fn first_event_time(state: &State, job: &Job) -> Duration {
+    let route = &job.route;
+    let expected = state
+        .pools
+        .expected_first_event(&route.name, state.clock.now());
+    expected.clamp(FIRST_EVENT_TIME, FIRST_EVENT_TIME.max(route.objective / 2))
+}
+
 /// Returns the number of requests that this gateway may send until `expires` to the
 /// engines that `locality` allows.
 fn sends_until(state: &State, job: &Job, locality: &Locality<'_>, expires: Instant) -> usize {
@@ -482,6 +496,8 @@
             let took = self.sent_at.elapsed();
             self.upstream.guard.record_prefill();
             self.upstream.guard.record_answer(took);
+            let (route, now) = (&self.job.route.name, self.state.clock.now());
+            self.state.pools.record_first_event(route, took, now);
             let route = &self.job.route.name;
             self.state
                 .metrics
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -2,8 +2,8 @@
 
 use cicadacrank_core::once::ExecutionError;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    core::Collector,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, core::Collector,
 };
 use std::time::Duration;
 
@@ -34,6 +34,8 @@
     pub pauses: IntCounter,
     /// Number of pieces per call.
     pub batch: Histogram,
+    /// Queued pieces that gave up their place because not all can be on time, by service.
+    pub displaced: IntGaugeVec,
     /// Time from requesting the pieces of a stage until all are complete, in
     /// seconds, by service.
     pub stages: HistogramVec,
@@ -107,6 +109,16 @@
                 "cicadacrank_gateway_pauses_total",
                 "Statements of endpoints that they want no requests for some time",
             ),
+            displaced: register(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new(
+                        "cicadacrank_gateway_stage_displaced",
+                        "Queued pieces that gave up their place because not all can be on time",
+                    ),
+                    &["service"],
+                ),
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             stages: histograms(
                 "cicadacrank_gateway_stage_seconds",
