Test the order of pieces against rules that it replaced

Each of three changes of the schedule (no piece gives up its place; the latest goal does first; late pieces get no goal again) now fails a test.

--- a/crates/cicadacrank-core/tests/schedule.rs
+++ b/crates/cicadacrank-core/tests/schedule.rs
@@ -185,6 +185,17 @@
     assert!(in_time >= 0.6, "{in_time}");
 }
 
+/// Whoever is barely on time at this stage is late at the next one.
+#[test]
+fn burst_of_one_rank_leaves_room_to_those_with_the_most_time_left() {
+    let mut pool = pool(&["a"]);
+    for ticket in 0..20 {
+        assert!(pool.add(piece(ticket, 0, 310 + ticket, 4_000)));
+    }
+    let call = pool.next_call(ms(0)).expect("the endpoint is free");
+    assert!(call.tickets.iter().all(|ticket| ticket.0 >= 10));
+}
+
 /// A burst of cheap, patient requests stood beside few urgent ones of a higher rank.
 #[test]
 fn burst_of_patient_requests_does_not_delay_urgent_ones_and_is_served() {
@@ -211,12 +222,14 @@
 #[test]
 fn late_piece_goes_before_lower_ranks_when_it_is_about_to_expire() {
     let mut load = Load::new(&["a"]);
+    load.add(10, 1, 0, 900, 6_000);
+    load.step(0);
     for _ in 0..5 {
         load.add(1, 0, 0, 100, 2_000);
     }
-    for now in 0..2_000 {
-        if now % 20 == 0 {
-            load.add(1, 1, now, 400, 6_000);
+    for now in 1..2_001 {
+        if now % 10 == 0 {
+            load.add(1, 1, now, 900, 6_000);
         }
         load.step(now);
     }
