Let forecasts cover most durations, not the average

Change: two deviations. Under overload this costs no throughput, since other pieces with more time left take the place.

--- a/crates/cicadacrank-core/src/forecast.rs
+++ b/crates/cicadacrank-core/src/forecast.rs
@@ -1,7 +1,7 @@
 //! Forecasts of how long the parts of a request take, from those that ended.
 //!
 //! A forecast covers most of the next durations, not only half of them: it is the
-//! moving average plus the average deviation from it. It fades with its age, since
+//! moving average plus twice the average deviation from it. It fades with its age, since
 //! what made the last requests slow may have passed.
 
 use std::time::Duration;
@@ -9,6 +9,10 @@
 /// Weight of the newest duration in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.15;
 
+/// Average deviations that a forecast adds to the average. For most distributions, few
+/// durations are longer.
+const DEVIATIONS: f64 = 2.0;
+
 /// Half-life of a forecast, in seconds.
 const HALF_LIFE_S: f64 = 2.0;
 
@@ -35,7 +39,8 @@
     /// Returns the time that covers most durations.
     #[must_use]
     pub fn expected(&self, now: Duration) -> Duration {
-        Duration::from_secs_f64((self.mean_s + self.deviation_s) * self.fading(now))
+        let covered_s = self.mean_s + self.deviation_s * DEVIATIONS;
+        Duration::from_secs_f64(covered_s * self.fading(now))
     }
 
     fn fading(&self, now: Duration) -> f64 {
