Do not prefer an endpoint because its calls were short

Cause: the expected duration of a call may be below the usual one since endpoints may be faster.

Change: comparisons between endpoints count speed above the usual only where the endpoint states it. Estimates use what calls showed.

--- a/crates/cicadacrank-core/src/batch/endpoint.rs
+++ b/crates/cicadacrank-core/src/batch/endpoint.rs
@@ -181,7 +181,17 @@
     /// Returns the expected ratio of actual to usual call duration. What calls showed
     /// decays towards 1, and what the endpoint states decays towards what calls showed.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
-        let shown = self.shown_slowness(now);
+        self.with_pace(self.shown_slowness(now), now)
+    }
+
+    /// Returns the slowness for comparisons between endpoints. Calls that were short say
+    /// more about their pieces than about the endpoint, so they are no reason to prefer
+    /// it to one that had none.
+    pub(super) fn relative_slowness(&self, now: Duration) -> f64 {
+        self.with_pace(self.shown_slowness(now).max(1.0), now)
+    }
+
+    fn with_pace(&self, shown: f64, now: Duration) -> f64 {
         self.pace.map_or(shown, |(pace, at)| {
             shown + (pace - shown) * decay(at, now, PACE_HALF_LIFE_S)
         })
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -408,8 +408,10 @@
     /// endpoint is left out if any other endpoint, even a busy one, would
     /// finish earlier.
     fn free_endpoints(&self, now: Duration) -> Vec<usize> {
-        let done =
-            |endpoint: &Endpoint| endpoint.free_at(now) + endpoint.call_time(&self.worker, 1, now);
+        let done = |endpoint: &Endpoint| {
+            let call = self.call_time(1).mul_f64(endpoint.relative_slowness(now));
+            endpoint.free_at(now) + call
+        };
         let useful = |endpoint: &Endpoint| {
             endpoint.slowness(now) < SLOW_THRESHOLD
                 || !self.usable().any(|other| done(other) < done(endpoint))
--- a/crates/cicadacrank-core/tests/schedule.rs
+++ b/crates/cicadacrank-core/tests/schedule.rs
@@ -324,3 +324,20 @@
     let call = pool.next_call(ms(2_510)).expect("both endpoints are free");
     assert_eq!(call.endpoint, incarnation("a"));
 }
+
+/// Calls of one endpoint were shorter than usual, since their pieces were. An endpoint
+/// that had started again got no calls any more.
+#[test]
+fn endpoint_without_calls_is_used_beside_one_whose_calls_were_short() {
+    let mut pool = pool(&["a", "b"]);
+    set_endpoints(&mut pool, &["b"]);
+    for now in [0, 100, 200] {
+        assert!(pool.add(piece(now, 0, 5_000, 9_000)));
+        let call = pool.next_call(ms(now)).expect("an endpoint is free");
+        pool.end(&call, Outcome::Answered, Results::default(), ms(now + 50));
+    }
+    set_endpoints(&mut pool, &["a", "b"]);
+    assert!(pool.add(piece(300, 0, 5_000, 9_000)));
+    let call = pool.next_call(ms(300)).expect("both endpoints are free");
+    assert_eq!(call.endpoint, incarnation("a"));
+}
