--- a/crates/cicadacrank-core/src/lib.rs
+++ b/crates/cicadacrank-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod directory;
 pub mod error;
 pub mod event;
+pub mod forecast;
 pub mod generation;
 pub mod gossip;
 pub mod id;
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -6,14 +6,22 @@
     request::{Job, Refusal},
     state::{State, lock},
 };
-use cicadacrank_core::{config::Route, directory::Incarnation, event::Event, once::Unsent};
+use cicadacrank_core::{
+    config::{Route, Worker},
+    directory::Incarnation,
+    event::Event,
+    once::Unsent,
+};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Time that a stage takes for queueing and transfer, in addition to its call.
+/// Least time that a stage takes for queueing and transfer, in addition to its call.
 const STAGE_OVERHEAD: Duration = Duration::from_millis(40);
 
+/// Time that the end of a call may lie before the arrival of its results here.
+const RESULT_TRANSFER: Duration = Duration::from_millis(50);
+
 /// Size of the inputs of one piece, in bytes, from which the piece is processed
 /// preferably in their data centre.
 const MIN_LOCALITY_BYTES: u64 = 50_000;
@@ -153,6 +161,7 @@
     };
     let mut done = vec![false; route.stages.len()];
     let mut started = done.clone();
+    let mut held_until: Vec<Option<Instant>> = vec![None; route.stages.len()];
     let mut running = FuturesUnordered::new();
     loop {
         for number in 0..route.stages.len() {
@@ -165,12 +174,20 @@
                 done[number] = true;
                 continue;
             }
-            let after = min_time_after(job, number);
-            let mut task = build_task(job, number, &outputs, due - after, expires - after);
+            let after = time_after(job, number, &|_| STAGE_OVERHEAD);
+            let due = due - time_after(job, number, &|next| expected_wait(state, job, next));
+            let inputs_until = stage.after.iter().filter_map(|before| held_until[*before]);
+            let expires = inputs_until
+                .map(|until| until + min_time(job, number))
+                .chain([expires - after])
+                .min()
+                .unwrap_or(expires);
+            let mut task = build_task(job, number, &outputs, due, expires);
             task.near = preferred_data_centre(job, number, &outputs, home.as_deref());
             task.spent = outputs.take_exclusive_inputs(route, number);
+            let alone = min_time(job, number);
             let state = Arc::clone(state);
-            running.push(async move { (number, produce(&state, task).await) });
+            running.push(async move { (number, produce(&state, task, alone).await) });
         }
         if running.is_empty() && started.iter().all(|started| *started) {
             return Ok(outputs);
@@ -179,6 +196,7 @@
             Some((number, Ok(made))) => {
                 outputs.by_stage[number] = made;
                 done[number] = true;
+                held_until[number] = result_life(job, number).map(|life| Instant::now() + life);
                 outputs.release_unneeded(route, &done);
             }
             Some((number, Err(failure))) => return Err(refuse(job, number, &failure)),
@@ -249,23 +267,49 @@
     largest.filter(|_| large).map(|total| total.0)
 }
 
-/// Returns the minimum time that the stages after this one take, along the
-/// longest chain of dependents.
-fn min_time_after(job: &Job, number: usize) -> Duration {
+/// Returns the time that the stages after this one take, along the longest chain of
+/// dependents, if each of them waits as long as `wait` returns for its number.
+fn time_after(job: &Job, number: usize, wait: &impl Fn(usize) -> Duration) -> Duration {
     dependents(&job.route, number)
         .map(|next| {
-            let service = job.config.service(&job.route.stages[next].service);
-            let worker = service.and_then(|service| service.worker);
-            let own = worker.map_or(Duration::ZERO, |worker| {
-                let pieces = pieces(job, next).min(u32::try_from(worker.batch).unwrap_or(1));
-                worker.call_time + worker.piece_time * pieces + STAGE_OVERHEAD
-            });
-            own + min_time_after(job, next)
+            let own = match pieces(job, next) {
+                0 => Duration::ZERO,
+                _ => min_time(job, next) + wait(next),
+            };
+            own + time_after(job, next, wait)
         })
         .max()
         .unwrap_or_default()
 }
 
+/// Returns how long a stage is expected to take beyond a call with its pieces alone.
+fn expected_wait(state: &State, job: &Job, number: usize) -> Duration {
+    let service = &job.route.stages[number].service;
+    let expected = state.pools.expected_wait(service, state.clock.now());
+    expected.max(STAGE_OVERHEAD)
+}
+
+/// Returns the time of a call with the pieces of this stage alone.
+fn min_time(job: &Job, number: usize) -> Duration {
+    worker(job, number).map_or(Duration::ZERO, |worker| {
+        let pieces = pieces(job, number).min(u32::try_from(worker.batch).unwrap_or(1));
+        worker.call_time + worker.piece_time * pieces
+    })
+}
+
+/// Returns how long endpoints hold a result of this stage after it has arrived here.
+fn result_life(job: &Job, number: usize) -> Option<Duration> {
+    let worker = worker(job, number)?;
+    Some(worker.result_life.saturating_sub(RESULT_TRANSFER))
+}
+
+fn worker(job: &Job, number: usize) -> Option<Worker> {
+    let service = &job.route.stages[number].service;
+    job.config
+        .service(service)
+        .and_then(|service| service.worker)
+}
+
 /// Returns the numbers of the stages that take the results of this stage as
 /// inputs.
 fn dependents(route: &Route, number: usize) -> impl Iterator<Item = usize> + '_ {
@@ -273,9 +317,11 @@
 }
 
 /// Has the pieces of a task processed by the gateway that forms the calls of their
-/// service, or by the local gateway if that one does not answer.
-async fn produce(state: &Arc<State>, task: Task) -> Result<Vec<Output>, Failure> {
+/// service, or by the local gateway if that one does not answer. `alone` is the time
+/// of a call with these pieces only.
+async fn produce(state: &Arc<State>, task: Task, alone: Duration) -> Result<Vec<Output>, Failure> {
     let started_at = Instant::now();
+    let due = task.due;
     let service = task.service.clone();
     let number = state.pools.number(&service).unwrap_or(0);
     let owner = lock(&state.roster)
@@ -296,9 +342,14 @@
             }
         },
     };
-    let seconds = started_at.elapsed().as_secs_f64();
+    let took = started_at.elapsed();
+    // Late tasks wait for others, which says nothing about those that are on time.
+    if made.is_ok() && took <= due {
+        let wait = took.saturating_sub(alone);
+        state.pools.record_wait(&service, wait, state.clock.now());
+    }
     let stages = state.metrics.stages.with_label_values(&[service.as_str()]);
-    stages.observe(seconds);
+    stages.observe(took.as_secs_f64());
     made
 }
 
--- a/crates/cicadacrank-node/src/metrics/gateway.rs
+++ b/crates/cicadacrank-node/src/metrics/gateway.rs
@@ -100,6 +100,8 @@
     pub head_timeouts: IntCounter,
     /// Number of pieces per call.
     pub batch: Histogram,
+    /// Queued pieces that gave up their place because not all can be on time, by service.
+    pub displaced: IntGaugeVec,
     /// Time from requesting the pieces of a stage until all are complete, in
     /// seconds, by service.
     pub stages: HistogramVec,
@@ -202,6 +204,16 @@
                 "cicadacrank_gateway_head_timeouts_total",
                 "Heads of requests that did not arrive in time",
             ),
+            displaced: register(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new(
+                        "cicadacrank_gateway_stage_displaced",
+                        "Queued pieces that gave up their place because not all can be on time",
+                    ),
+                    &["service"],
+                ),
+            ),
             batch: register(&registry, Histogram::with_opts(batch)),
             rollout_phase: register(
                 &registry,
