Pass no unproven promise on for streams that may run once only

Plain requests have the check already. Change: the caller gets 502. Test: refusal_of_an_engine_that_may_have_begun_a_stream_is_no_promise.

--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -4,7 +4,7 @@
     attempt::{self, Attempts, Parameters, Started},
     lifetime, origin, peers,
     plain::forward_response,
-    reply::Body,
+    reply::{self, Body},
     request::{Job, Refusal},
     rollout::{self, Guide},
     stages::{self, Outputs},
@@ -330,6 +330,12 @@
             if status.is_server_error() {
                 self.upstream.guard.record_bad_answer();
             }
+            if reply::implies_not_run(status) && !self.job.route.repeat.is_repeatable() {
+                // The caller would send it again, although the engine may have run it.
+                self.finished = true;
+                let context = format!("status={status} without a statement");
+                return Err(broken_stream_error(context).into());
+            }
             return Ok(None);
         }
         match self.next().await {
--- a/crates/cicadacrankd/tests/connection.rs
+++ b/crates/cicadacrankd/tests/connection.rs
@@ -428,3 +428,16 @@
         assert_eq!(send(request).await.status, Some(status), "{fault:?}");
     }
 }
+
+/// The same of engines, for streams that may run once only.
+#[tokio::test]
+async fn refusal_of_an_engine_that_may_have_begun_a_stream_is_no_promise() {
+    let deployment = deployment(1, 1).await;
+    let address = deployment.gateways[0].caller_address();
+    let caller = Caller::new().expect("failed to create the caller");
+    for (fault, status) in [(Fault::Refuse, 502), (Fault::Decline, 503)] {
+        set_faults(&deployment, Role::Engine, fault);
+        let request = caller.stream(address, "/draft/x", &format!("a{status}"));
+        assert_eq!(send(request).await.status, Some(status), "{fault:?}");
+    }
+}
