--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -680,6 +680,8 @@
     gap: Duration,
     work: Duration,
     is_framed: bool,
+    /// Whether events are left out of the record.
+    is_quiet: bool,
     address: SocketAddr,
     room: Arc<Room>,
 }
@@ -742,6 +744,7 @@
         gap: Duration::from_millis(number("gap", 100)),
         work: Duration::from_millis(number("work", 30)),
         is_framed: option("framing").as_deref() != Some("none"),
+        is_quiet: number("quiet", 0) == 1,
         room: Arc::new(Room {
             slots: number("slots", 128),
             queue: number("queue", 268),
@@ -904,7 +907,9 @@
             record.line(&format!("engine {id}: the channel of {attempt} has ended"));
             return false;
         }
-        record.line(&format!("engine {id} sent event {number} of {attempt}"));
+        if !options.is_quiet {
+            record.line(&format!("engine {id} sent event {number} of {attempt}"));
+        }
     }
     record.line(&format!("engine {id} has sent all events of {attempt}"));
     options.is_framed && writer.write_all(b"0\r\n\r\n").is_ok()
