Record which versions served, for gateways that start after a release

Cause: a gateway that starts asked the store whether several versions served lately. A change while no gateway ran, or between two checks of 0.5 s, left no mark, and the version that is listed was taken for the one that had begun the streams.

Change: the store holds a record for each service with resumable streams, the versions that are listed and those that have left, written when that changes, at once, by the first live gateway in a rendezvous order; others take over a second later each. A gateway that starts adds it to what it sees, and concludes nothing without it. It is compared again after the store came back from a copy. New event 234 VersionsRecorded. The periodic mark is gone.

Three tests waited for a list of endpoints at the exact revision of the store. They wait for a list of that revision or a later one now, and take the revision of the endpoints in the same lock.

--- a/crates/cicadacrank-core/src/config/lookup.rs
+++ b/crates/cicadacrank-core/src/config/lookup.rs
@@ -26,6 +26,19 @@
         parts
     }
 
+    /// Returns the services with streams that may be taken up at another endpoint, sorted.
+    #[must_use]
+    pub fn resumable_services(&self) -> Vec<String> {
+        let routes = self.routes.iter();
+        let resumable =
+            routes.filter(|route| route.repeat.is_stream() && route.repeat.is_repeatable());
+        let targets = resumable.flat_map(|route| &route.targets);
+        let mut services: Vec<&str> = targets.map(|target| target.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services.into_iter().map(str::to_owned).collect()
+    }
+
     /// Returns the route of the host with the longest matching path prefix.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -69,6 +69,7 @@
     EndpointEnded = 231, Info, "The process of an endpoint has ended; the version of the software that its address serves is unknown.";
     EndpointConfirmed = 232, Info, "An endpoint whose process was taken to have ended runs on.";
     StepTookLong = 233, Warn, "A step of the process took so long that other requests waited noticeably.";
+    VersionsRecorded = 234, Info, "The versions of a service that serve or served lately were recorded in the store.";
     RolloutBegan = 240, Info, "An order to move the traffic of a service to another version is known.";
     RolloutChanged = 241, Info, "A roll-out came to another phase.";
     RolloutStopped = 242, Warn, "The answers of a new version are bad, or its time is over; it gets no more requests.";
--- a/crates/cicadacrank-core/src/roster/mod.rs
+++ b/crates/cicadacrank-core/src/roster/mod.rs
@@ -257,6 +257,21 @@
         (grantor.instance != self.local.instance).then_some(grantor)
     }
 
+    /// Returns the number of live gateways that come before the local one for what belongs
+    /// to `key`, or `None` if the local gateway is leaving.
+    #[must_use]
+    pub fn rank(&self, key: &str, now: Duration) -> Option<usize> {
+        if self.local.leaving {
+            return None;
+        }
+        let own = rendezvous_weight(&self.local.instance, key);
+        let live = self.live(now).filter(|gateway| !gateway.leaving);
+        Some(
+            live.filter(|one| rendezvous_weight(&one.instance, key) > own)
+                .count(),
+        )
+    }
+
     /// Returns the live gateways other than the local one that are first to remember what
     /// belongs to `key`, at most `count`. They are about the same for all gateways.
     #[must_use]
--- a/crates/cicadacrank-core/src/stream/origin.rs
+++ b/crates/cicadacrank-core/src/stream/origin.rs
@@ -14,6 +14,14 @@
 /// Maximum number of streams whose origins are remembered.
 const MAX_STREAMS: usize = 16_384;
 
+/// Time for which a version that no longer serves is remembered. No stream is taken up as
+/// late.
+const VERSION_RETENTION: Duration = Duration::from_secs(600);
+
+/// Maximum number of versions of one service that are remembered after they have left. If
+/// there are more, several served lately in any case.
+const MAX_LEFT: usize = 64;
+
 /// The beginning of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Origin {
@@ -81,6 +89,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct Releases(Vec<Release>);
 
+/// A version that no engine of its service has any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// The version.
+    pub version: String,
+    /// Time at which it was no longer listed.
+    pub at: Duration,
+}
+
+/// The versions of one service as they are recorded for processes that start later, which
+/// have to know which versions may have begun a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Versions that are listed, sorted.
+    pub versions: Vec<String>,
+    /// Versions that were listed before, sorted.
+    pub left: Vec<Left>,
+}
+
 /// The versions of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Release {
@@ -88,11 +115,19 @@
     pub service: String,
     /// Versions that are listed, sorted.
     pub versions: Vec<String>,
-    /// Time at which more than one version was listed last, while there is only one.
-    mixed_until: Option<Duration>,
+    /// Versions that were listed before, sorted.
+    left: Vec<Left>,
 }
 
 impl Release {
+    const fn new(service: String, versions: Vec<String>) -> Self {
+        Self {
+            service,
+            versions,
+            left: Vec::new(),
+        }
+    }
+
     /// Returns whether more than one version serves.
     #[must_use]
     pub const fn is_mixed(&self) -> bool {
@@ -102,8 +137,92 @@
     /// Returns whether more than one version served within the time `recent`.
     #[must_use]
     pub fn was_mixed(&self, recent: Duration, now: Duration) -> bool {
-        self.is_mixed() || self.mixed_until.is_some_and(|until| now < until + recent)
+        self.is_mixed() || self.left.iter().any(|left| now < left.at + recent)
+    }
+
+    /// Returns whether a record tells another process what this one knows. A version may
+    /// have left up to `tolerance` earlier than this process knows.
+    #[must_use]
+    pub fn is_covered_by(&self, record: &Record, tolerance: Duration, now: Duration) -> bool {
+        let is_told = |left: &Left| {
+            let found = find_left(&record.left, &left.version);
+            found.is_ok_and(|index| record.left[index].at + tolerance >= left.at)
+                || now >= left.at + VERSION_RETENTION
+        };
+        record.versions == self.versions && self.left.iter().all(is_told)
+    }
+
+    /// Returns the record that tells other processes what this one knows. It keeps what
+    /// `known`, which was recorded before, says of versions that left up to `tolerance`
+    /// earlier than this process knows.
+    #[must_use]
+    pub fn to_record(&self, known: &Record, tolerance: Duration) -> Record {
+        let left = self.left.iter().map(|left| {
+            let found = find_left(&known.left, &left.version).ok();
+            let known = found.map(|index| &known.left[index]);
+            known
+                .filter(|known| known.at + tolerance >= left.at)
+                .unwrap_or(left)
+                .clone()
+        });
+        Record {
+            versions: self.versions.clone(),
+            left: left.collect(),
+        }
+    }
+
+    /// Replaces the listed versions. Returns whether they changed.
+    fn set_versions(&mut self, versions: Vec<String>, now: Duration) -> bool {
+        if self.versions == versions {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.versions, versions);
+        self.left
+            .retain(|left| self.versions.binary_search(&left.version).is_err());
+        for version in before {
+            self.record_left(Left { version, at: now });
+        }
+        self.drop_old(now);
+        true
     }
+
+    /// Adds what another process recorded.
+    fn merge(&mut self, record: &Record, now: Duration) {
+        for version in &record.versions {
+            let version = version.clone();
+            self.record_left(Left { version, at: now });
+        }
+        for left in &record.left {
+            self.record_left(left.clone());
+        }
+        self.drop_old(now);
+    }
+
+    /// Records that a version was listed until some time, unless it still is.
+    fn record_left(&mut self, left: Left) {
+        if self.versions.binary_search(&left.version).is_ok() {
+            return;
+        }
+        match find_left(&self.left, &left.version) {
+            Ok(index) => {
+                let known = &mut self.left[index];
+                known.at = known.at.max(left.at);
+            }
+            Err(index) => self.left.insert(index, left),
+        }
+    }
+
+    fn drop_old(&mut self, now: Duration) {
+        self.left.retain(|left| now < left.at + VERSION_RETENTION);
+        while self.left.len() > MAX_LEFT {
+            let oldest = (0..self.left.len()).min_by_key(|index| self.left[*index].at);
+            self.left.remove(oldest.unwrap_or_default());
+        }
+    }
+}
+
+fn find_left(left: &[Left], version: &str) -> Result<usize, usize> {
+    left.binary_search_by(|one| one.version.as_str().cmp(version))
 }
 
 impl Releases {
@@ -131,6 +250,19 @@
             .collect()
     }
 
+    /// Adds what another process recorded of a service. Its versions that are not listed now
+    /// served until now.
+    pub fn merge(&mut self, service: &str, record: &Record, now: Duration) {
+        match self.find_index(service) {
+            Ok(index) => self.0[index].merge(record, now),
+            Err(index) => {
+                let mut release = Release::new(service.to_owned(), Vec::new());
+                release.merge(record, now);
+                self.0.insert(index, release);
+            }
+        }
+    }
+
     /// Returns the versions of a service, or `None` if it never had an endpoint.
     #[must_use]
     pub fn find(&self, service: &str) -> Option<&Release> {
@@ -146,21 +278,9 @@
     /// Sets the listed versions of a service. Returns whether they changed.
     fn set_versions(&mut self, service: &str, versions: Vec<String>, now: Duration) -> bool {
         match self.find_index(service) {
-            Ok(index) => {
-                let release = &mut self.0[index];
-                let changed = release.versions != versions;
-                if changed || release.is_mixed() {
-                    release.mixed_until = Some(now);
-                }
-                release.versions = versions;
-                changed
-            }
+            Ok(index) => self.0[index].set_versions(versions, now),
             Err(index) => {
-                let release = Release {
-                    service: service.to_owned(),
-                    versions,
-                    mixed_until: None,
-                };
+                let release = Release::new(service.to_owned(), versions);
                 self.0.insert(index, release);
                 true
             }
--- a/crates/cicadacrank-core/tests/config.rs
+++ b/crates/cicadacrank-core/tests/config.rs
@@ -113,3 +113,29 @@
     };
     assert_eq!(route.last_stages().collect::<Vec<_>>(), [0, 3]);
 }
+
+#[test]
+fn resumable_services_are_the_targets_of_resumable_streams() {
+    let with = |repeat, services: &[&str]| Route {
+        repeat,
+        targets: services
+            .iter()
+            .map(|service| Target {
+                service: (*service).to_owned(),
+                weight: 1,
+            })
+            .collect(),
+        ..route("any", "/any/")
+    };
+    let config = Config::new(Config {
+        routes: vec![
+            with(Repeat::Once, &["desk"]),
+            with(Repeat::Idempotent, &["lookup"]),
+            with(Repeat::Stream, &["chat"]),
+            with(Repeat::ResumableStream, &["llm", "draft"]),
+            with(Repeat::ResumableStream, &["llm"]),
+        ],
+        ..Config::default()
+    });
+    assert_eq!(config.resumable_services(), ["draft", "llm"]);
+}
--- a/crates/cicadacrank-core/tests/origin.rs
+++ b/crates/cicadacrank-core/tests/origin.rs
@@ -2,7 +2,7 @@
 
 use cicadacrank_core::{
     directory::{Endpoint, Incarnation, Snapshot, State},
-    stream::origin::{Origin, Origins, Releases},
+    stream::origin::{Left, Origin, Origins, Record, Releases},
     version::Version,
 };
 use std::time::Duration;
@@ -127,3 +127,87 @@
         assert!(release.was_mixed(RECENT, at(4)));
     }
 }
+
+fn left(version: &str, seconds: u64) -> Left {
+    Left {
+        version: version.to_owned(),
+        at: at(seconds),
+    }
+}
+
+fn record(versions: &[&str], left: Vec<Left>) -> Record {
+    Record {
+        versions: versions.iter().map(|one| (*one).to_owned()).collect(),
+        left,
+    }
+}
+
+/// A process that starts lists only what serves now.
+#[test]
+fn releases_merge_shows_versions_that_served_before_the_start() {
+    let was_mixed = |record: Record, now| {
+        let mut releases = Releases::default();
+        releases.merge(SERVICE, &record, at(100));
+        releases.update(&snapshot(&["v2"]), at(101));
+        let release = releases.find(SERVICE).expect("the service is known");
+        release.was_mixed(RECENT, at(now))
+    };
+    assert!(!was_mixed(record(&["v2"], vec![]), 101));
+    assert!(was_mixed(record(&["v1"], vec![]), 101));
+    assert!(!was_mixed(record(&["v1"], vec![]), 111));
+    assert!(was_mixed(record(&["v1", "v2"], vec![]), 101));
+    assert!(was_mixed(record(&["v2"], vec![left("v1", 95)]), 101));
+    assert!(!was_mixed(record(&["v2"], vec![left("v1", 90)]), 101));
+}
+
+/// The store may hold a record that is newer than the list of endpoints.
+#[test]
+fn releases_merge_keeps_the_listed_versions_and_the_latest_times() {
+    let mut releases = Releases::default();
+    releases.update(&snapshot(&["v1"]), at(1));
+    releases.update(&snapshot(&["v2"]), at(50));
+    releases.merge(SERVICE, &record(&["v2"], vec![left("v1", 20)]), at(60));
+    releases.merge(SERVICE, &record(&["v3"], vec![left("v2", 60)]), at(61));
+    let release = releases.find(SERVICE).expect("the service is known");
+    assert_eq!(release.versions, ["v2"]);
+    let expected = record(&["v2"], vec![left("v1", 50), left("v3", 61)]);
+    assert_eq!(
+        release.to_record(&Record::default(), Duration::ZERO),
+        expected
+    );
+}
+
+#[test]
+fn release_is_covered_by_a_record_that_tells_as_much() {
+    let tolerance = at(10);
+    let mut releases = Releases::default();
+    releases.update(&snapshot(&["v1"]), at(1));
+    releases.update(&snapshot(&["v2"]), at(50));
+    let release = releases.find(SERVICE).expect("the service is known");
+    let is_covered = |record: Record, now| release.is_covered_by(&record, tolerance, at(now));
+    assert!(!is_covered(Record::default(), 51));
+    assert!(!is_covered(record(&["v2"], vec![]), 51));
+    assert!(!is_covered(record(&["v1", "v2"], vec![]), 51));
+    assert!(!is_covered(record(&["v2"], vec![left("v1", 39)]), 51));
+    assert!(is_covered(record(&["v2"], vec![left("v1", 40)]), 51));
+    // Too long ago for any stream.
+    assert!(is_covered(record(&["v2"], vec![]), 650));
+    let known = record(&["v1"], vec![left("v1", 45)]);
+    let written = release.to_record(&known, tolerance);
+    assert_eq!(written, record(&["v2"], vec![left("v1", 45)]));
+    assert!(is_covered(written, 51));
+}
+
+#[test]
+fn releases_bound_the_versions_that_have_left() {
+    let mut releases = Releases::default();
+    for number in 0..1_000_u64 {
+        let now = Duration::from_millis(number);
+        releases.update(&snapshot(&[&format!("v{number}")]), now);
+    }
+    let release = releases.find(SERVICE).expect("the service is known");
+    let record = release.to_record(&Record::default(), Duration::ZERO);
+    assert_eq!(record.left.len(), 64);
+    assert!(record.left.iter().any(|left| left.version == "v998"));
+    assert!(release.was_mixed(RECENT, at(2)));
+}
--- a/crates/cicadacrank-core/tests/roster.rs
+++ b/crates/cicadacrank-core/tests/roster.rs
@@ -382,3 +382,27 @@
     let owners: Vec<String> = (0..5).map(|service| owner(&roster, service, now)).collect();
     assert_eq!(owners, ["a", "b", "c", "d", "e"]);
 }
+
+#[test]
+fn rank_orders_the_live_gateways_that_stay() {
+    let names = ["a", "b", "c"];
+    let roster_of = |me: &str| {
+        let others: Vec<&str> = names.iter().filter(|one| **one != me).copied().collect();
+        roster(me, &others)
+    };
+    let rank = |me: &str| roster_of(me).rank("llm", Duration::ZERO).expect("it stays");
+    let mut ranks: Vec<(usize, &str)> = names.iter().map(|me| (rank(me), *me)).collect();
+    ranks.sort_unstable();
+    assert!(ranks.iter().map(|one| one.0).eq(0..3), "{ranks:?}");
+    let last = ranks[2].1;
+    let mut without_first = roster_of(last);
+    let first = Gateway {
+        leaving: true,
+        ..gateway(ranks[0].1)
+    };
+    without_first.record_contact(first, Duration::ZERO);
+    assert_eq!(without_first.rank("llm", Duration::ZERO), Some(1));
+    assert_eq!(without_first.rank("llm", LIVE_TIMEOUT), Some(0));
+    without_first.leave();
+    assert_eq!(without_first.rank("llm", LIVE_TIMEOUT), None);
+}
--- a/crates/cicadacrank-node/src/gateway/origin.rs
+++ b/crates/cicadacrank-node/src/gateway/origin/mod.rs
@@ -1,24 +1,24 @@
 //! Binds streams that callers take up again to the version that began them.
 //!
 //! Each gateway remembers the streams that it began. While engines of several versions
-//! serve, it tells others too, since the stream may be taken up because it is gone. A mark in
-//! the store tells gateways that have just started whether several versions served lately;
-//! if not, the single one began all streams.
+//! serve, it tells others too, since the stream may be taken up because it is gone. A
+//! [record](record) in the store tells gateways that have just started which versions served
+//! lately; if it was a single one, it began all streams.
 //!
 //! What a gateway believes of the versions may be old, since it may have stood still or been
 //! cut off. So it takes a version for the only one if all others say so, and otherwise after
 //! it has read the store.
 
+mod record;
+
+use self::record::Records;
 use super::{
     reply::jitter,
     request::{Job, Refusal},
     state::{State, lock},
     watch,
 };
-use crate::{
-    clock::milliseconds,
-    platform::{Collection, Fault, Listing, Store as _},
-};
+use crate::clock::milliseconds;
 use cicadacrank_core::{
     directory::Snapshot,
     error::Kind,
@@ -28,12 +28,11 @@
 };
 use cicadacrank_wire::wire::{StreamOrigin, StreamOrigins, StreamQuestion};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
-use serde_json::json;
 use std::{
     sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
-use tokio::time;
+use tokio::{sync::Notify, time};
 
 /// Number of other gateways that remember a stream while several versions serve.
 const KEEPERS: usize = 3;
@@ -58,11 +57,9 @@
 /// Interval of the checks for services with several versions.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which a service with several versions is marked in the store.
-const MARK_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Allowance for the age of a mark and for clocks that differ.
-const MARK_MARGIN: Duration = Duration::from_secs(10);
+/// Allowance for gateways that learn late that a version has left, and for clocks that
+/// differ.
+const RECORD_MARGIN: Duration = Duration::from_secs(10);
 
 /// Delay after which a caller may retry if the origin of its stream is unknown.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -71,12 +68,14 @@
 #[derive(Debug, Default)]
 pub struct Memory {
     origins: Mutex<Origins>,
+    /// The versions that serve. Its times are Unix times.
     releases: Mutex<Releases>,
+    /// Notified when the versions of a service or the configuration change.
+    changed: Notify,
     /// Time from which this gateway knows which versions serve.
     followed_since: OnceLock<Duration>,
-    /// Services that the store marked when it was read last, each with the Unix time of the
-    /// mark in milliseconds, or `None` if they are not known yet.
-    marks: Mutex<Option<Vec<(String, u64)>>>,
+    /// What the store recorded when it was read last, or `None` if it was not read yet.
+    records: Mutex<Option<Records>>,
     /// The last read of the store that was to confirm which versions serve.
     confirmation: tokio::sync::Mutex<Confirmation>,
 }
@@ -89,15 +88,24 @@
 
 impl Memory {
     /// Follows the versions of the engines that a new list holds.
-    pub(super) fn follow(&self, snapshot: &Snapshot, now: Duration) {
+    pub(super) fn follow(&self, snapshot: &Snapshot, state: &State) {
         let mut releases = lock(&self.releases);
-        for release in releases.update(snapshot, now) {
+        let changed = releases.update(snapshot, unix_now(state));
+        for release in &changed {
             Event::VersionsChanged.log(format_args!(
                 "service={} versions={:?}",
                 release.service, release.versions
             ));
         }
-        self.followed_since.get_or_init(|| now);
+        if !changed.is_empty() {
+            self.changed.notify_one();
+        }
+        self.followed_since.get_or_init(|| state.clock.now());
+    }
+
+    /// Has the records checked, because the configuration has changed.
+    pub(super) fn recheck(&self) {
+        self.changed.notify_one();
     }
 
     /// Remembers streams that another gateway began.
@@ -129,34 +137,36 @@
         recent: Duration,
         state: &State,
     ) -> Option<String> {
-        let now = state.clock.now();
-        let followed = now.saturating_sub(*self.followed_since.get()?);
-        if followed < recent && !self.is_unmarked(service, recent, state) {
-            return None;
+        let followed = state
+            .clock
+            .now()
+            .saturating_sub(*self.followed_since.get()?);
+        if followed < recent {
+            return self.recorded_version(service, recent, state);
         }
-        self.listed_version(service, recent, now)
+        self.listed_version(service, recent, state)
     }
 
     /// Returns the version of a service if only one has been listed within `recent`.
-    fn listed_version(&self, service: &str, recent: Duration, now: Duration) -> Option<String> {
+    fn listed_version(&self, service: &str, recent: Duration, state: &State) -> Option<String> {
         let releases = lock(&self.releases);
         let release = releases.find(service)?;
         let version = release.versions.first();
-        version.filter(|_| !release.was_mixed(recent, now)).cloned()
+        version
+            .filter(|_| !release.was_mixed(recent, unix_now(state)))
+            .cloned()
     }
 
-    /// Returns whether the store shows that only one version of a service served within
-    /// `recent`.
-    fn is_unmarked(&self, service: &str, recent: Duration, state: &State) -> bool {
-        let unix_now = Duration::from_millis(state.clock.unix_ms());
-        let marks = lock(&self.marks);
-        let Some(marks) = &*marks else {
-            return false;
-        };
-        let mark = marks.iter().find(|mark| mark.0 == service);
-        mark.is_none_or(|mark| {
-            unix_now.saturating_sub(Duration::from_millis(mark.1)) > recent + MARK_MARGIN
-        })
+    /// Returns the version of a service if only one served within `recent`, as the store
+    /// recorded and this gateway has seen since.
+    fn recorded_version(&self, service: &str, recent: Duration, state: &State) -> Option<String> {
+        let is_recorded = lock(&self.records)
+            .as_ref()
+            .is_some_and(|records| records.find(service).is_some());
+        if !is_recorded {
+            return None;
+        }
+        self.listed_version(service, recent + RECORD_MARGIN, state)
     }
 
     fn is_mixed(&self, service: &str) -> bool {
@@ -272,11 +282,12 @@
         Answers::OnlyVersion(answer) if answer == only => (Some(only), "single"),
         Answers::OnlyVersion(_) => (None, "peers"),
         Answers::Version(_) | Answers::Uncertain => {
-            let is_confirmed =
-                confirm(state).await && state.streams.is_unmarked(&job.service, recent, state);
-            let now = state.clock.now();
-            let listed = state.streams.listed_version(&job.service, recent, now);
-            (listed.filter(|_| is_confirmed), "store")
+            if !confirm(state).await {
+                return (None, "store");
+            }
+            let streams = &state.streams;
+            let version = streams.recorded_version(&job.service, recent, state);
+            (version, "store")
         }
     }
 }
@@ -337,9 +348,9 @@
     if confirmation.began < asked {
         let began = state.clock.now();
         let read = async {
-            let (marks, endpoints) =
-                tokio::join!(refresh_marks(state), watch::refresh_endpoints(state));
-            marks.and(endpoints)
+            let (records, endpoints) =
+                tokio::join!(record::refresh(state), watch::refresh_endpoints(state));
+            records.and(endpoints)
         };
         let read = time::timeout(CONFIRM_TIMEOUT, read).await;
         let succeeded = matches!(read, Ok(Ok(())));
@@ -351,49 +362,17 @@
     confirmation.succeeded
 }
 
-/// Starts reading and writing marks, and telling other gateways of streams when a second
-/// version of a service begins to serve.
+/// Starts recording the versions of services, and telling other gateways of streams when a
+/// second version of a service begins to serve.
 pub fn start(state: &Arc<State>) {
-    tokio::spawn(read_marks(Arc::clone(state)));
+    tokio::spawn(record::run(Arc::clone(state)));
     tokio::spawn(run(Arc::clone(state)));
 }
 
-async fn read_marks(state: Arc<State>) {
-    while let Err(fault) = refresh_marks(&state).await {
-        log::debug!("failed to read when several versions served: {fault}");
-        time::sleep(CHECK_INTERVAL).await;
-    }
-}
-
-/// Reads the marks now.
-async fn refresh_marks(state: &State) -> Result<(), Fault> {
-    state.metrics.store_calls.inc();
-    let listing = state.store.list(Collection::Releases).await?;
-    *lock(&state.streams.marks) = Some(decode_marks(&listing));
-    Ok(())
-}
-
-/// Returns the services with the time of their marks. An object that cannot be read counts
-/// as a mark that has just been made.
-fn decode_marks(listing: &Listing) -> Vec<(String, u64)> {
-    let marks = listing.objects.iter().map(|object| {
-        let at = object.spec["at"].as_u64().unwrap_or_else(|| {
-            Event::ConfigRejected.log(format_args!(
-                "object={} lacks the time at which several versions served",
-                object.name
-            ));
-            u64::MAX
-        });
-        (object.name.clone(), at)
-    });
-    marks.collect()
-}
-
 async fn run(state: Arc<State>) {
     let mut period = time::interval(CHECK_INTERVAL);
     period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut told: Vec<String> = Vec::new();
-    let mut marked: Vec<(String, Duration)> = Vec::new();
     loop {
         period.tick().await;
         let now = state.clock.now();
@@ -408,35 +387,10 @@
             drop(origins);
             tell(&state, &recent);
         }
-        marked.retain(|(service, at)| now < *at + MARK_INTERVAL && mixed.contains(service));
-        for service in &mixed {
-            let is_marked = marked.iter().any(|one| one.0 == *service);
-            if !is_marked && marks_service(&state, service, now) && mark(&state, service).await {
-                marked.push((service.clone(), now));
-            }
-        }
         told = mixed;
     }
 }
 
-/// Returns whether this gateway marks a service in the store. It is chosen like the one that
-/// keeps the reserve of an endpoint's limit.
-fn marks_service(state: &State, service: &str, now: Duration) -> bool {
-    lock(&state.roster).reserve_held(service, now).is_some()
-}
-
-/// Marks in the store that several versions of a service serve now. Returns whether it was
-/// written.
-async fn mark(state: &State, service: &str) -> bool {
-    // One call to create the object, and one to replace it if it exists.
-    state.metrics.store_calls.inc_by(2);
-    let content = json!({ "at": state.clock.unix_ms() });
-    let written = state
-        .store
-        .put(Collection::Releases, service, content)
-        .await;
-    if let Err(fault) = &written {
-        log::warn!("failed to mark that several versions of {service} serve: {fault}");
-    }
-    written.is_ok()
+fn unix_now(state: &State) -> Duration {
+    Duration::from_millis(state.clock.unix_ms())
 }
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -236,6 +236,7 @@
         });
         drop(current);
         self.pools.set_config(&config);
+        self.streams.recheck();
         self.refresh_pools();
         self.check_ready();
     }
@@ -252,7 +253,7 @@
         let _step = Step::new("adopt_endpoints", snapshot.endpoints.len());
         let now = self.clock.now();
         lock(&self.fleet).update(&snapshot, now);
-        self.streams.follow(&snapshot, now);
+        self.streams.follow(&snapshot, self);
         self.listed.store(true, Ordering::Relaxed);
         self.refresh_pools();
         self.check_ready();
--- a/crates/cicadacrank-node/src/platform/mod.rs
+++ b/crates/cicadacrank-node/src/platform/mod.rs
@@ -43,7 +43,7 @@
     Evacuations,
     /// Gateways of the system.
     Gateways,
-    /// When services last had engines of several software versions.
+    /// Software versions of the engines of services, and when they left.
     Releases,
     /// Operators' orders to move services to other versions, and their outcomes.
     Rollouts,
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 mod gateways;
 
-use self::gateways::{deployment, set_faults, wait_for_log};
+use self::gateways::{deployment, set_faults, wait_for_log, wait_for_revision};
 use cicadacrank_bench::deployment::{
     Answer, CRASHING_PART, Caller, Deployment, EVENTS, Endpoint, Fault, Impairment, Resumption,
     Role, config, route, send,
@@ -570,9 +570,8 @@
         desks.map(|desk| desk.runs().len()).collect()
     };
     let follow = async |deployment: &Deployment, revision: u64| {
-        let text = format!("DirectoryChanged: era=0 revision={revision} ");
         for gateway in 0..deployment.gateways.len() {
-            wait_for_log(deployment, gateway, &text).await;
+            wait_for_revision(deployment, gateway, revision).await;
         }
     };
     for (number, content) in odd_contents().into_iter().enumerate() {
@@ -581,9 +580,11 @@
             let desk = desk.expect("a desk");
             (desk.id.clone(), desk.entry("ready", 2 + number as u64))
         };
-        let store = &deployment.store;
-        store.state().put_raw(Collection::Endpoints, &id, content);
-        let revision = store.state().revision();
+        let revision = {
+            let mut state = deployment.store.state();
+            state.put_raw(Collection::Endpoints, &id, content);
+            state.revision()
+        };
         follow(&deployment, revision).await;
         let before = desks(&deployment);
         served(&deployment, &format!("odd-{number}")).await;
@@ -637,8 +638,7 @@
         state.revision()
     };
     deployment.store_proxy.set_impairment(Impairment::None);
-    let text = format!("DirectoryChanged: era=0 revision={revision} ");
-    wait_for_log(&deployment, 0, &text).await;
+    wait_for_revision(&deployment, 0, revision).await;
     for number in 0..8 {
         let answer = book(&deployment, &format!("a{number}")).await;
         assert_eq!(answer.status, Some(200));
--- a/crates/cicadacrankd/tests/gateways/mod.rs
+++ b/crates/cicadacrankd/tests/gateways/mod.rs
@@ -56,9 +56,25 @@
 /// Waits until a gateway holds the list of endpoints that the store has now.
 pub async fn wait_for_directory(deployment: &Deployment, gateway: usize) {
     let listing = deployment.store.state().list(Collection::Endpoints);
-    let revision = listing.version.revision;
-    let known = format!("DirectoryChanged: era=0 revision={revision} ");
-    wait_for_log(deployment, gateway, &known).await;
+    wait_for_revision(deployment, gateway, listing.version.revision).await;
+}
+
+/// Waits until a gateway holds the list of endpoints of a revision of the store in its first
+/// era. It may have read that list at a later revision, since gateways write other objects.
+pub async fn wait_for_revision(deployment: &Deployment, gateway: usize, revision: u64) {
+    let gateway = &deployment.gateways[gateway];
+    let is_held = async || {
+        let log = gateway.log_text();
+        let lists = log.split("DirectoryChanged: era=0 revision=").skip(1);
+        let mut revisions = lists.filter_map(|list| list.split(' ').next()?.parse::<u64>().ok());
+        revisions.any(|held| held >= revision)
+    };
+    if fleet::wait_for("the list of endpoints", is_held)
+        .await
+        .is_err()
+    {
+        panic!("revision {revision} is missing: {}", gateway.log_text());
+    }
 }
 
 fn caller() -> Caller {
--- a/crates/cicadacrankd/tests/restored.rs
+++ b/crates/cicadacrankd/tests/restored.rs
@@ -2,7 +2,7 @@
 
 mod gateways;
 
-use self::gateways::deployment;
+use self::gateways::{deployment, wait_for_directory};
 use cicadacrank_bench::{
     deployment::{Caller, Deployment, Gateway, Impairment, Proxy, Role, config, route, send},
     fleet,
@@ -43,14 +43,9 @@
         let entry = engine.entry("ready", 2 + number);
         state.put(Collection::Endpoints, &engine.id, entry);
     }
-    let revision = deployment.store.state().revision();
-    let text = format!("DirectoryChanged: era=0 revision={revision} ");
-    fleet::wait_for("the last change", async || {
-        let mut gateways = deployment.gateways.iter();
-        gateways.all(|gateway| gateway.log_text().contains(&text))
-    })
-    .await
-    .expect("the gateways know the last change");
+    for gateway in 0..deployment.gateways.len() {
+        wait_for_directory(deployment, gateway).await;
+    }
 }
 
 /// Lets the store come back and waits until each gateway has logged that.
--- a/crates/cicadacrankd/tests/versions.rs
+++ b/crates/cicadacrankd/tests/versions.rs
@@ -5,8 +5,12 @@
 use self::gateways::{
     begin, begin_streams, deployment, engines, register, set_faults, take_up, wait_for_directory,
 };
-use cicadacrank_bench::deployment::{Deployment, Endpoint, Fault, Role};
+use cicadacrank_bench::{
+    deployment::{Deployment, Endpoint, Fault, Role},
+    fleet,
+};
 use cicadacrank_node::platform::Collection;
+use serde_json::{Value, json};
 use std::{ops::Range, time::Duration};
 use tokio::time;
 
@@ -122,13 +126,25 @@
     }
 }
 
-/// Kills all gateways and starts them again.
-async fn restart_all(deployment: &mut Deployment) {
+/// Kills all gateways and waits for their end.
+async fn kill_all(deployment: &mut Deployment) {
     for gateway in &deployment.gateways {
         gateway.kill().expect("failed to kill");
     }
     for gateway in &mut deployment.gateways {
         gateway.wait().await.expect("failed to wait");
+    }
+}
+
+/// Kills all gateways and starts them again.
+async fn restart_all(deployment: &mut Deployment) {
+    kill_all(deployment).await;
+    start_all(deployment).await;
+}
+
+/// Starts all gateways again.
+async fn start_all(deployment: &mut Deployment) {
+    for gateway in &mut deployment.gateways {
         gateway.restart().expect("failed to restart the process");
     }
     for gateway in &deployment.gateways {
@@ -165,6 +181,101 @@
     }
 }
 
+/// Replaces all engines of the old version by as many of the new one.
+fn replace(deployment: &Deployment) {
+    let engines = engines(deployment);
+    let (old, new) = engines.split_at(engines.len() / 2);
+    for engine in new {
+        register(deployment, engine, NEW, 2);
+    }
+    for engine in old {
+        let mut store = deployment.store.state();
+        store.remove(Collection::Endpoints, &engine.id);
+    }
+}
+
+/// Checks that a gateway refuses to go on with streams, and serves new ones.
+async fn check_refused(deployment: &Deployment, gateway: usize, began: &[String]) {
+    for began in began {
+        let attempt = format!("{began}-{gateway}");
+        let answer = take_up(deployment, gateway, &attempt, began).await;
+        let log = deployment.gateways[gateway].log_text();
+        assert_eq!(answer.status, Some(503), "{attempt}: {log}");
+        assert!(answer.retry_after.is_some(), "{attempt}");
+        assert_eq!(engines_of(deployment, &attempt), Vec::<usize>::new());
+    }
+    let answer = begin(deployment, gateway, &format!("new-{gateway}")).await;
+    assert!(answer.whole, "new streams are served");
+}
+
+/// All engines were replaced while no gateway ran. The gateways that started afterwards took
+/// the only version that they saw for the one that had begun all streams.
+#[tokio::test]
+async fn stream_whose_version_was_replaced_while_no_gateway_ran_is_refused() {
+    let mut deployment = deployment(2, 4).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
+    kill_all(&mut deployment).await;
+    replace(&deployment);
+    start_all(&mut deployment).await;
+    for gateway in 0..2 {
+        check_refused(&deployment, gateway, &began).await;
+    }
+    // What the first gateways wrote when they saw the change holds for later ones.
+    restart_all(&mut deployment).await;
+    check_refused(&deployment, 1, &began).await;
+}
+
+/// All engines were replaced at once, and the gateways were killed before their next check.
+#[tokio::test]
+async fn stream_whose_version_was_replaced_before_all_gateways_were_killed_is_refused() {
+    let mut deployment = deployment(2, 4).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
+    replace(&deployment);
+    for gateway in 0..2 {
+        wait_for_directory(&deployment, gateway).await;
+    }
+    restart_all(&mut deployment).await;
+    check_refused(&deployment, 1, &began).await;
+}
+
+/// A release was undone, and the store came back from a copy made before it. Gateways that
+/// started afterwards took the version that serves for the one that had begun all streams.
+#[tokio::test]
+async fn stream_of_a_version_whose_record_was_lost_with_the_store_is_refused() {
+    let mut deployment = deployment(2, 4).await;
+    wait_for_record(&deployment, &json!(["v1"]), None).await;
+    let copy = deployment.store.state().save();
+    release(&deployment, 2).await;
+    let began = begin_streams(&deployment, 0, STREAMS).await;
+    for engine in &engines(&deployment)[2..] {
+        register(&deployment, engine, "v1", 3);
+    }
+    wait_for_record(&deployment, &json!(["v1"]), Some(NEW)).await;
+    // Both gateways have read the record by then.
+    time::sleep(BUDGET_TIME).await;
+    deployment.store.state().restore(&copy);
+    wait_for_record(&deployment, &json!(["v1"]), Some(NEW)).await;
+    restart_all(&mut deployment).await;
+    check_refused(&deployment, 1, &began).await;
+}
+
+/// Waits until the store records that these versions of the engines serve, and that another
+/// one has left.
+async fn wait_for_record(deployment: &Deployment, versions: &Value, left: Option<&str>) {
+    let recorded = fleet::wait_for("the record", async || {
+        let listing = deployment.store.state().list(Collection::Releases);
+        let mut objects = listing.objects.iter();
+        objects.any(|object| {
+            let has_left = object.spec["left"][0]["version"].as_str() == left;
+            object.spec["versions"] == *versions && has_left
+        })
+    });
+    assert!(
+        recorded.await.is_ok(),
+        "{versions} and {left:?} are not recorded"
+    );
+}
+
 /// Without a release, nothing has to be known of a stream.
 #[tokio::test]
 async fn stream_of_the_only_version_goes_on_after_all_gateways_were_killed() {
