Bound the number of pieces that a request names, and share what they repeat

Cause: `Timetable::new` makes an entry for each call that the named pieces need, under the lock of the queue, before anything bounds the number.

Evidence: the estimate comes before the queue, whose bound refuses the rest, and before the list of results, so that neither explains it; batch::estimate_is_none_for_more_pieces_than_a_queue_holds shows it without a process.

Change: the number is 0 to 4,096, the length of a service's queue, where it is decoded; others, and text that is no number, are refused at once with status 400 if the route has stages. The estimate and the gateway that forms the calls check it again. Counts that could not be read were left out before, which moved the later ones by a stage.

Related paths: each queued piece held a copy of the key, the id and the handles of its inputs, a head times 4,096. They are shared now, and a task takes memory from the bound of bodies for what its calls repeat. Sums of token counts overflowed; they are bounded where they are decoded.

The check of crowds has a timeout, since it hung with the gateway.

--- a/crates/cicadacrank-core/src/batch/mod.rs
+++ b/crates/cicadacrank-core/src/batch/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::{
     endpoint::{Outcome, Results},
-    pool::{Call, Expired, Pool},
+    pool::{Call, Expired, MAX_WAITING, Pool},
 };
 
 use std::time::Duration;
--- a/crates/cicadacrank-core/src/batch/pool.rs
+++ b/crates/cicadacrank-core/src/batch/pool.rs
@@ -22,7 +22,7 @@
 const HANDOVER_TIME: Duration = Duration::from_secs(2);
 
 /// Maximum number of queued pieces. Further pieces are rejected immediately.
-const MAX_WAITING: usize = 4_096;
+pub const MAX_WAITING: usize = 4_096;
 
 /// A batch of pieces for one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -169,9 +169,13 @@
 
     /// Returns the estimated completion time of `pieces` new pieces of this rank,
     /// queued behind all others of the same or a higher rank, or `None` without a
-    /// usable endpoint.
+    /// usable endpoint. It is also `None` for more than [`MAX_WAITING`] pieces, since
+    /// its cost grows with their number.
     #[must_use]
     pub fn estimate(&self, pieces: usize, rank: u32, now: Duration) -> Option<Duration> {
+        if pieces > MAX_WAITING {
+            return None;
+        }
         let before = self.waiting.iter().filter(|piece| piece.rank <= rank);
         let total = before.count() + pieces;
         let call = self.call_time(pieces.min(self.worker.batch));
--- a/crates/cicadacrank-core/src/error.rs
+++ b/crates/cicadacrank-core/src/error.rs
@@ -94,7 +94,7 @@
 }
 
 kinds! {
-    BadRequest = "bad-request", 400, 3, 2, Never, "The request is not valid JSON or lacks a field.";
+    BadRequest = "bad-request", 400, 3, 2, Never, "The request is not valid JSON, lacks a field, or has one that is out of bounds.";
     TooLarge = "too-large", 413, 8, 2, Never, "The body is over the stated limit.";
     UnknownPipeline = "unknown-pipeline", 404, 5, 2, Never, "No pipeline has this name.";
     Forbidden = "forbidden", 403, 7, 4, Never, "The team has no right to the pipeline or to one of its pools now.";
--- a/crates/cicadacrank-core/tests/batch.rs
+++ b/crates/cicadacrank-core/tests/batch.rs
@@ -1,7 +1,7 @@
 //! Tests for batching under different load patterns.
 
 use cicadacrank_core::{
-    batch::{Call, Expired, Outcome, Piece, Pool, Results, Ticket},
+    batch::{Call, Expired, MAX_WAITING, Outcome, Piece, Pool, Results, Ticket},
     config::Worker,
     directory::Incarnation,
 };
@@ -503,3 +503,13 @@
     pool.pause(&incarnation("a"), ms(5_000));
     assert_eq!(pool.expire(ms(0)), [Expired(Ticket(1))]);
 }
+
+/// The estimate made an entry for each call of a task that no queue holds.
+#[test]
+fn estimate_is_none_for_more_pieces_than_a_queue_holds() {
+    let pool = pool(&[("a", "x")]);
+    assert!(pool.estimate(MAX_WAITING, 0, ms(0)).is_some());
+    assert_eq!(pool.estimate(MAX_WAITING + 1, 0, ms(0)), None);
+    assert_eq!(pool.estimate(2_000_000_000, 0, ms(0)), None);
+    assert_eq!(pool.estimate(usize::MAX, 0, ms(0)), None);
+}
--- a/crates/cicadacrank-node/src/gateway/owner/call.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/call.rs
@@ -74,7 +74,7 @@
         count(&made, |one| matches!(one, Completion::Result(_))),
         count(&made, |one| matches!(one, Completion::NoRoom)),
         count(&made, |one| matches!(one, Completion::SourceGone)),
-        pieces.first().map_or("-", |piece| piece.request.as_str()),
+        pieces.first().map_or("-", |piece| &*piece.request),
     ));
     if let Some(tracked) = tracked {
         let failed = count(&made, |one| matches!(one, Completion::Failed)) > 0;
--- a/crates/cicadacrank-node/src/gateway/owner/mod.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/mod.rs
@@ -16,7 +16,7 @@
     stages::Output,
     state::{State, lock},
 };
-use crate::{platform::stage::Source, step::Step};
+use crate::{memory::Reservation, platform::stage::Source, step::Step};
 use cicadacrank_core::{
     batch::{self, Expired, Ticket},
     error::Kind,
@@ -34,6 +34,9 @@
 /// Time without a shortage of room after which it counts as over.
 const SHORTAGE_END: Duration = Duration::from_secs(1);
 
+/// Memory that a queued piece takes besides its input and the id of its request, in bytes.
+const PIECE_BYTES: usize = 512;
+
 /// Interval of the checks for pieces that cannot be completed before they expire.
 /// It is a small fraction of the shortest call.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -126,8 +129,9 @@
 /// # Errors
 ///
 /// Returns a failure if the service processes no stages or has no usable endpoint,
-/// if the task cannot be completed before it expires, or if a piece fails. In the
-/// last case, the results of the other pieces are released.
+/// if the task has more pieces than a queue or the memory holds, if it cannot be
+/// completed before it expires, or if a piece fails. In the last case, the results of the
+/// other pieces are released.
 pub async fn produce(state: &Arc<State>, mut task: Task) -> Result<Vec<Output>, Failure> {
     let failure = |kind| Failure {
         kind,
@@ -137,10 +141,25 @@
         .pools
         .find(&task.service)
         .ok_or_else(|| failure(Kind::NoEndpoint))?;
+    let count = task.pieces as usize;
+    // Another gateway may pass on a number that its caller should not have named.
+    if count > batch::MAX_WAITING {
+        return Err(failure(Kind::BadRequest));
+    }
     let now = state.clock.now();
     let spent = Guard::new(state, std::mem::take(&mut task.spent));
+    let source = match task.key.take() {
+        Some(key) => Source::Key(key.into()),
+        None => Source::Results(std::mem::take(&mut task.inputs).into()),
+    };
+    let mut memory = state.bodies.reserve();
+    // Calls repeat the input and the id for each piece, and a body that is being encoded takes
+    // up to twice its size.
+    let piece_bytes = PIECE_BYTES + 2 * (task.request.len() + source.bytes());
+    if memory.resize(count * piece_bytes).is_err() {
+        return Err(failure(Kind::Overloaded));
+    }
     let (reply, mut results) = mpsc::unbounded_channel();
-    let count = task.pieces as usize;
     let cancellation = {
         let mut inner = lock(&batcher.inner);
         let done = inner
@@ -168,7 +187,13 @@
         }
         let job = inner.next_job;
         inner.next_job += 1;
-        add(&mut inner, &task, job, now, spent, &reply);
+        let shared = Shared {
+            source,
+            spent,
+            memory: Arc::new(memory),
+            reply: reply.clone(),
+        };
+        add(&mut inner, &task, job, now, &shared);
         Cancellation {
             batcher: Arc::clone(&batcher),
             job,
@@ -213,16 +238,19 @@
     done.map_or(RETRY_AFTER, |done| done.saturating_sub(now))
 }
 
+/// What the pieces of a task share.
+struct Shared {
+    source: Source,
+    spent: Option<Arc<Guard>>,
+    memory: Arc<Reservation>,
+    reply: mpsc::UnboundedSender<(u32, Result<Output, Kind>)>,
+}
+
 /// Queues the pieces of a task. Sends [`Kind::Overloaded`] for each piece that the
 /// queue has no room for.
-fn add(
-    inner: &mut Inner,
-    task: &Task,
-    job: u64,
-    now: Duration,
-    spent: Option<Arc<Guard>>,
-    reply: &mpsc::UnboundedSender<(u32, Result<Output, Kind>)>,
-) {
+fn add(inner: &mut Inner, task: &Task, job: u64, now: Duration, shared: &Shared) {
+    let request: Arc<str> = task.request.as_str().into();
+    let is_first = matches!(shared.source, Source::Key(_));
     let near = task
         .near
         .as_deref()
@@ -242,23 +270,21 @@
                 near,
                 // Waiting for an endpoint near the engine that only may take the
                 // results would leave other endpoints idle.
-                deferrable: task.key.is_none(),
-                begun: task.key.is_none(),
+                deferrable: !is_first,
+                begun: !is_first,
             },
-            request: task.request.clone(),
+            request: Arc::clone(&request),
             stage: task.stage,
             number,
-            source: match &task.key {
-                Some(key) => Source::Key(key.clone()),
-                None => Source::Results(task.inputs.clone()),
-            },
+            source: shared.source.clone(),
             attempts: 0,
-            spent: spent.clone(),
-            reply: reply.clone(),
+            spent: shared.spent.clone(),
+            _memory: Arc::clone(&shared.memory),
+            reply: shared.reply.clone(),
         };
         if !inner.enqueue(waiting) {
             // The caller holds the receiver, so that this cannot fail.
-            drop(reply.send((number, Err(Kind::Overloaded))));
+            drop(shared.reply.send((number, Err(Kind::Overloaded))));
         }
     }
 }
--- a/crates/cicadacrank-node/src/gateway/owner/pools.rs
+++ b/crates/cicadacrank-node/src/gateway/owner/pools.rs
@@ -6,6 +6,7 @@
         rollout,
         state::{State, lock},
     },
+    memory::Reservation,
     platform::stage::Source,
 };
 use cicadacrank_core::{
@@ -62,12 +63,14 @@
 pub(super) struct Waiting {
     pub(super) ticket: Ticket,
     pub(super) piece: batch::Piece,
-    pub(super) request: String,
+    pub(super) request: Arc<str>,
     pub(super) stage: u32,
     pub(super) number: u32,
     pub(super) source: Source,
     pub(super) attempts: u32,
     pub(super) spent: Option<Arc<Guard>>,
+    /// Memory of all pieces of the task.
+    pub(super) _memory: Arc<Reservation>,
     pub(super) reply: mpsc::UnboundedSender<(u32, Result<Output, Kind>)>,
 }
 
--- a/crates/cicadacrank-node/src/gateway/request.rs
+++ b/crates/cicadacrank-node/src/gateway/request.rs
@@ -15,6 +15,7 @@
 };
 use bytes::Bytes;
 use cicadacrank_core::{
+    batch::MAX_WAITING,
     config::{Config, Rejection, Route},
     crowd::{Need, Phase},
     error::Kind,
@@ -261,6 +262,10 @@
     if team.is_some() {
         connection.record_known();
     }
+    if caller.pieces.is_none() && !route.stages.is_empty() {
+        let context = format!("the number of pieces of a stage is not 0 to {MAX_WAITING}");
+        return Err(unsent.refuse(Kind::BadRequest, context).into());
+    }
     let timeout = caller.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + timeout.saturating_sub(RESPONSE_MARGIN);
     if let Some(drain) = state.draining()
--- a/crates/cicadacrank-node/src/gateway/stages.rs
+++ b/crates/cicadacrank-node/src/gateway/stages.rs
@@ -219,7 +219,8 @@
 }
 
 fn pieces(job: &Job, stage: usize) -> u32 {
-    job.caller.pieces.get(stage).copied().unwrap_or(0)
+    let pieces = job.caller.pieces.as_deref().unwrap_or_default();
+    pieces.get(stage).copied().unwrap_or(0)
 }
 
 fn build_task(job: &Job, number: usize, outputs: &Outputs, due: Instant, expires: Instant) -> Task {
--- a/crates/cicadacrank-node/src/platform/caller.rs
+++ b/crates/cicadacrank-node/src/platform/caller.rs
@@ -1,6 +1,6 @@
 //! Decodes the headers of callers' requests and encodes those for endpoints.
 
-use cicadacrank_core::placement::Prompt;
+use cicadacrank_core::{batch::MAX_WAITING, placement::Prompt};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use siphasher::sip::SipHasher13;
 use std::{hash::Hasher as _, net::SocketAddr, time::Duration};
@@ -22,6 +22,10 @@
 const URGENCY: HeaderName = HeaderName::from_static("x-request-priority");
 const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 
+/// Maximum number of tokens of a part of a prompt, and of a prompt. It is far above what an
+/// endpoint holds, and sums of it don't overflow.
+const MAX_TOKENS: u64 = u32::MAX as u64;
+
 /// Headers that are never forwarded: those of a single connection, the caller's
 /// credentials, and those that only the system sets.
 const NOT_FORWARDED: [HeaderName; 22] = [
@@ -62,8 +66,9 @@
     pub prompt: Prompt,
     /// Ids of the parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<String>,
-    /// Number of pieces of each stage.
-    pub pieces: Vec<u32>,
+    /// Number of pieces of each stage, or `None` if one is no number or exceeds what a
+    /// service queues.
+    pub pieces: Option<Vec<u32>>,
     /// Key from which the pieces of the first stages are made.
     pub piece_key: String,
     /// Id of the last event that the caller has, if it takes a stream up again.
@@ -94,7 +99,7 @@
 
 impl Caller {
     /// Decodes the headers of a request. Values that cannot be parsed are treated
-    /// as missing.
+    /// as missing, but for the numbers of pieces.
     #[must_use]
     pub fn decode(headers: &HeaderMap) -> Self {
         let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
@@ -104,16 +109,13 @@
         let key = text(&header::AUTHORIZATION)
             .and_then(|value| value.strip_prefix("Bearer "))
             .map(|key| key.trim().to_owned());
-        let pieces = text(&PIECES).unwrap_or_default().split(',');
         Self {
             attempt: headers.get(&ATTEMPT).cloned(),
             timeout,
             key,
             prompt: parse_prompt(text(&TOKENS), text(&PROMPT)),
             shared_parts: parse_shared_parts(text(&PROMPT)),
-            pieces: pieces
-                .filter_map(|count| count.trim().parse().ok())
-                .collect(),
+            pieces: parse_pieces(headers.get(&PIECES)),
             piece_key: text(&PIECE_KEY).unwrap_or_default().to_owned(),
             last_event: text(&LAST_EVENT).map(str::to_owned),
             resumes: text(&RESUMES).map(str::to_owned),
@@ -183,10 +185,23 @@
     forwarded
 }
 
+fn parse_pieces(value: Option<&HeaderValue>) -> Option<Vec<u32>> {
+    let Some(value) = value else {
+        return Some(Vec::new());
+    };
+    let counts = value.to_str().ok()?.split(',').map(str::trim);
+    let counts = counts.filter(|count| !count.is_empty());
+    let parse = |count: &str| {
+        let count: u32 = count.parse().ok()?;
+        (count as usize <= MAX_WAITING).then_some(count)
+    };
+    counts.map(parse).collect()
+}
+
 fn parse_prompt(tokens: Option<&str>, parts: Option<&str>) -> Prompt {
     let stated = tokens
         .and_then(|text| text.split(',').next())
-        .and_then(|count| count.trim().parse().ok());
+        .and_then(|count| count.trim().parse::<u64>().ok());
     let mut sizes = Vec::new();
     let mut hasher = SipHasher13::new_with_keys(0, 0);
     let mut shared = None;
@@ -199,12 +214,13 @@
             shared = Some(hasher.finish());
         }
         hasher.write(id.as_bytes());
-        sizes.push(size.parse::<u64>().unwrap_or_default());
+        let size = size.parse::<u64>().unwrap_or_default();
+        sizes.push(size.min(MAX_TOKENS));
     }
     let all: u64 = sizes.iter().sum();
     let last = sizes.last().copied().unwrap_or_default();
     Prompt {
-        tokens: stated.unwrap_or(all),
+        tokens: stated.unwrap_or(all).min(MAX_TOKENS),
         shared_tokens: all - last,
         shared,
     }
--- a/crates/cicadacrank-node/src/platform/stage.rs
+++ b/crates/cicadacrank-node/src/platform/stage.rs
@@ -4,7 +4,7 @@
 use http::{HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 const EXPECTED_ENDPOINT: HeaderName = HeaderName::from_static("x-expected-instance");
 
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Piece {
     /// Id of the caller's attempt.
-    pub request: String,
+    pub request: Arc<str>,
     /// Index of the stage in its route.
     pub stage: u32,
     /// Index of the piece in its stage.
@@ -23,13 +23,24 @@
     pub source: Source,
 }
 
-/// Input of a piece.
+/// Input of a piece, which all pieces of a stage share.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// Data that the caller's key identifies.
-    Key(String),
+    Key(Arc<str>),
     /// Handles of the results of earlier stages.
-    Results(Vec<String>),
+    Results(Arc<[String]>),
+}
+
+impl Source {
+    /// Returns the size of the input in a call, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Key(key) => key.len(),
+            Self::Results(handles) => handles.iter().map(String::len).sum(),
+        }
+    }
 }
 
 /// How a piece ended.
--- a/crates/cicadacrank-node/tests/platform.rs
+++ b/crates/cicadacrank-node/tests/platform.rs
@@ -188,7 +188,7 @@
     assert_eq!(caller.attempt_text(), "9c41");
     assert_eq!(caller.timeout, Some(Duration::from_secs(5)));
     assert_eq!(caller.key.as_deref(), Some("key"));
-    assert_eq!(caller.pieces, [2, 0, 3]);
+    assert_eq!(caller.pieces.as_deref(), Some(&[2, 0, 3][..]));
     assert_eq!(caller.prompt.tokens, 1_460);
     assert_eq!(caller.prompt.shared_tokens, 1_210);
     assert!(caller.prompt.shared.is_some());
@@ -207,6 +207,39 @@
     assert_eq!(caller.attempt_text(), "-");
 }
 
+/// A number of pieces that no queue holds became allocations and loops of that size.
+#[test]
+fn caller_states_no_number_of_pieces_that_is_out_of_bounds() {
+    let decode = |text: &str| Caller::decode(&headers(&[("x-segment-count", text)])).pieces;
+    for (text, expected) in [
+        ("", Some(vec![])),
+        ("2, 0,,3,", Some(vec![2, 0, 3])),
+        ("4096", Some(vec![4_096])),
+        ("2,4097", None),
+        ("2000000000", None),
+        ("4294967296", None),
+        ("99999999999999999999999", None),
+        ("2,x,3", None),
+        ("-1", None),
+        ("1e3", None),
+    ] {
+        assert_eq!(decode(text), expected, "{text}");
+    }
+    assert_eq!(Caller::decode(&headers(&[])).pieces, Some(vec![]));
+}
+
+/// Sums of token counts overflowed.
+#[test]
+fn caller_states_prompts_of_bounded_size() {
+    let huge = u64::MAX;
+    let caller = Caller::decode(&headers(&[
+        ("x-token-usage", &format!("{huge},{huge}")),
+        ("x-prompt-prefix", &format!("aa:{huge},bb:{huge},cc:{huge}")),
+    ]));
+    assert_eq!(caller.prompt.tokens, u64::from(u32::MAX));
+    assert_eq!(caller.prompt.shared_tokens, 2 * u64::from(u32::MAX));
+}
+
 #[test]
 fn encode_forwards_only_permitted_headers() {
     let sent = headers(&[
--- a/crates/cicadacrankd/tests/crowd.rs
+++ b/crates/cicadacrankd/tests/crowd.rs
@@ -243,7 +243,7 @@
         };
         tokio::select! {
             () = watch => {}
-            () = meet => {}
+            met = time::timeout(ORDINARY_TIMEOUT * 2, meet) => met.expect("the gateway hangs"),
         }
     }
     drop(crowd);
@@ -360,6 +360,45 @@
     check(&deployment, address, shape, CROWD).await;
 }
 
+/// Returns the head of a request for a stream that names a number of pieces and their key.
+fn stream_head(pieces: &str, key: &str) -> String {
+    let headers = format!(
+        "x-model: m\r\nx-token-usage: 100,20\r\nx-prompt-prefix: aa:60,bb:40\r\n\
+         x-segment-count: {pieces}\r\nx-segment-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    head("POST /draft/x", &headers)
+}
+
+/// One request that named two thousand million pieces filled the memory of a gateway.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crowd_that_names_many_pieces() {
+    for pieces in [
+        "2000000000,2",
+        "2,4294967295",
+        "4097",
+        "99999999999999999999",
+    ] {
+        check_callers(Shape::new(stream_head(pieces, "7c1e"))).await;
+    }
+}
+
+/// Each piece of a request held its own copy of the key and the id.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crowd_of_many_pieces_with_a_long_key() {
+    let (deployment, _turn) = start().await;
+    let mut content = config(3, &json!([]));
+    // All pieces of a request are done in time.
+    content["services"][2]["segments"]["batch"] = json!(1_024);
+    content["services"][2]["segments"]["itemTimeMs"] = json!(0.0);
+    let store = &deployment.store;
+    store.state().put(Collection::Config, "main", content);
+    wait_for_log(&deployment, 0, "ConfigAdopted: version=3").await;
+    let key = "x".repeat(14 << 10);
+    let shape = Shape::new(stream_head("1000,0", &key));
+    let address = deployment.gateways[0].caller_address();
+    check(&deployment, address, shape, WORKING).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn crowd_at_the_readiness_port() {
     let (deployment, _turn) = start().await;
