Count crashes whose end is known late, and let gateways be told before they are ready

Causes, each shown by a test: - A crash was counted only if the port refused 60 ms after the break, asked once.

Change: the check asks up to three times, at 60, 300 and 1,200 ms, and stops when it knows; a process that names another start time, an end that others saw and a later incarnation in the directory count too; one that answers for itself runs on. A gateway that starts exchanges heartbeats before it is ready, for a second at most. New events 107 and 523 tell these from a quarantine that isn't kept.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -49,6 +49,13 @@
 /// Time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Time from the end of its connections to that of the port of an engine with
+/// [`Fault::LingerOnPart`].
+pub const LINGER_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which the port of an engine with [`Fault::RestartOnPart`] is closed.
+const RESTART_TIME: Duration = Duration::from_millis(5);
+
 /// Size of the parts of an answer without end.
 const ENDLESS_PART_BYTES: usize = 1 << 14;
 
@@ -149,6 +156,11 @@
     UnframedCrash,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
+    /// As [`Fault::CrashOnPart`], but its port closes only [`LINGER_TIME`] after its
+    /// connections, as that of a process with much memory to release.
+    LingerOnPart,
+    /// As [`Fault::CrashOnPart`], but it starts again in place at once.
+    RestartOnPart,
     /// It answers with [`LARGE_ANSWER_BYTES`] bytes.
     LargeAnswer,
     /// It closes the connection after so many bytes of its answer, which has a head of
@@ -241,6 +253,8 @@
     released: u64,
     abandoned: u64,
     crashed: bool,
+    /// Number of times that it has started again in place by [`Fault::RestartOnPart`].
+    crashes: usize,
     fault: Fault,
     /// Requests a second that its answers name as its limit.
     limit: Option<f64>,
@@ -398,6 +412,12 @@
         lock(&self.state).crashed
     }
 
+    /// Returns how often the endpoint crashed and started again in place at once.
+    #[must_use]
+    pub fn restarts(&self) -> usize {
+        lock(&self.state).crashes
+    }
+
     /// Returns the number of stage results that the endpoint was asked to release.
     #[must_use]
     pub fn released(&self) -> u64 {
@@ -588,6 +608,29 @@
             });
             return Ok(silent_response(&head.headers));
         }
+        Fault::LingerOnPart if text("x-prompt-prefix").contains(CRASHING_PART) => {
+            lock(&state).crashed = true;
+            tokio::spawn(async move {
+                time::sleep(CRASH_DELAY).await;
+                port.send_replace(Impairment::Reset);
+                time::sleep(LINGER_TIME).await;
+                port.send_replace(Impairment::Down);
+            });
+            return Ok(silent_response(&head.headers));
+        }
+        Fault::RestartOnPart if text("x-prompt-prefix").contains(CRASHING_PART) => {
+            let ended = Arc::clone(&state);
+            tokio::spawn(async move {
+                time::sleep(CRASH_DELAY).await;
+                port.send_replace(Impairment::Down);
+                time::sleep(RESTART_TIME).await;
+                let mut state = lock(&ended);
+                state.born += 1;
+                state.crashes += 1;
+                port.send_replace(Impairment::None);
+            });
+            return Ok(silent_response(&head.headers));
+        }
         _ => {}
     }
     let mut response = match role {
--- a/crates/cicadacrank-core/src/event.rs
+++ b/crates/cicadacrank-core/src/event.rs
@@ -48,6 +48,7 @@
     SettingsReloaded = 104, Info, "The settings were reloaded.";
     SettingsRejected = 105, Error, "The settings could not be reloaded; the previous ones stay in force.";
     ReadyChanged = 106, Info, "The process became ready for callers, or is no longer ready.";
+    Introduced = 107, Info, "Other processes have told the process that starts what they know, or none was found to do so.";
     GenerationAdopted = 200, Info, "A newer configuration is in force.";
     GenerationRejected = 201, Error, "A newer configuration could not be read; the previous one stays in force.";
     RulesWrittenBack = 202, Info, "The configuration in force was written back to the platform, which had come back from a copy without it.";
@@ -108,6 +109,7 @@
     SuspectMarked = 520, Warn, "A request is suspected of crashing endpoints.";
     SuspectUntold = 521, Warn, "Not all entries could be notified of a suspect request in time.";
     QuarantineChanged = 522, Warn, "Requests with a cause of crashes are refused from now on, or no longer.";
+    CrashUnproven = 523, Info, "A connection broke before its endpoint responded, and the process of the endpoint is not known to have ended.";
 }
 
 impl Event {
--- a/crates/cicadacrank-core/src/placement/fleet/statement.rs
+++ b/crates/cicadacrank-core/src/placement/fleet/statement.rs
@@ -215,6 +215,18 @@
         true
     }
 
+    /// Returns whether the process of an incarnation is known to have ended: a gateway has
+    /// seen that, or a later incarnation of the endpoint is listed.
+    #[must_use]
+    pub fn has_ended(&self, endpoint: &Incarnation) -> bool {
+        let is_later = |row: &Row| {
+            let life = &row.endpoint.life;
+            life.id == endpoint.id && endpoint.born.is_some() && life.born > endpoint.born
+        };
+        let process = self.statements.of(endpoint).process;
+        process != Process::Running || self.rows().any(|(_, row)| is_later(row))
+    }
+
     /// Returns the listed incarnations whose processes this gateway has seen end.
     pub fn ended(&self) -> impl Iterator<Item = &Incarnation> {
         let witnessed = Process::Ended { witnessed: true };
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -491,3 +491,23 @@
     let left = (in_flight(&fleet, "a"), in_flight(&fleet, "unlisted"));
     assert_eq!(left, (1, 0), "a report of three seconds ago is too old");
 }
+
+#[test]
+fn endpoint_has_ended_if_its_end_or_a_later_incarnation_is_known() {
+    let registered = endpoint("a", "x");
+    let life = registered.life.clone();
+    let mut fleet = fleet(std::slice::from_ref(&registered));
+    assert!(!fleet.has_ended(&life));
+    fleet.record_end(&life, false, NOW);
+    assert!(fleet.has_ended(&life));
+    fleet.record_running(&life, NOW);
+    assert!(!fleet.has_ended(&life));
+    let mut next = registered;
+    next.life.born = life.born.map(|born| born + 1);
+    let later = next.life.clone();
+    fleet.update(&Snapshot::new(Version::new(0, 2), vec![next]), NOW);
+    assert!(fleet.has_ended(&life));
+    assert!(!fleet.has_ended(&later));
+    fleet.update(&Snapshot::new(Version::new(0, 3), vec![]), NOW);
+    assert!(!fleet.has_ended(&later), "its entry may have lapsed");
+}
--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -608,5 +608,5 @@
         sent: guard.sent,
         at: state.clock.now(),
     };
-    tokio::spawn(async move { crash::check(&state.causes, interruption).await });
+    tokio::spawn(async move { crash::check(&state, interruption).await });
 }
--- a/crates/cicadacrank-node/src/gateway/crash.rs
+++ b/crates/cicadacrank-node/src/gateway/crash.rs
@@ -1,8 +1,8 @@
 //! Detection of requests that crash endpoints.
 
-use crate::{
-    outbound::{self, CONNECT_TIMEOUT},
-    quarantine::Causes,
+use super::{
+    lifetime::{self, Fate},
+    state::State,
 };
 use cicadacrank_core::{
     directory::Endpoint,
@@ -12,13 +12,17 @@
         cause::{Cause, Crash},
     },
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::time;
 
-/// Delay between a broken connection and the check whether the endpoint crashed.
-/// A crashed endpoint has closed its port by then.
+/// Delay between a broken connection and the first check whether the endpoint crashed.
+/// Most crashed endpoints have closed their ports by then.
 pub const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
+/// Delays before each further check, if the one before did not tell. A process that has much
+/// memory to release, or an instance that is busy, takes longer to close the port.
+const RECHECK_DELAYS: [Duration; 2] = [Duration::from_millis(240), Duration::from_millis(900)];
+
 /// Time from the first data of a response during which the request may still be the
 /// one that crashes the endpoint.
 pub const RESPONSE_START: Duration = Duration::from_millis(100);
@@ -44,12 +48,29 @@
     pub at: Duration,
 }
 
-/// Records a crash if the endpoint of an interrupted request refuses connections.
-/// Silence is no proof, since a path may be cut.
-pub async fn check(known: &Causes, interruption: Interruption) {
-    time::sleep(CRASH_CHECK_DELAY).await;
+/// Records a crash if the process of the endpoint of an interrupted request has ended.
+pub async fn check(state: &Arc<State>, interruption: Interruption) {
     let endpoint = &interruption.endpoint;
-    if !outbound::is_refusing(endpoint.address, CONNECT_TIMEOUT).await {
+    time::sleep(CRASH_CHECK_DELAY).await;
+    let mut fate = lifetime::ask(state, endpoint).await;
+    for delay in RECHECK_DELAYS {
+        if fate == Fate::Unknown {
+            time::sleep(delay).await;
+            fate = lifetime::ask(state, endpoint).await;
+        }
+    }
+    if fate != Fate::Ended {
+        Event::CrashUnproven.log(format_args!(
+            "id={} endpoint={} born={:?} fate={fate:?} age_ms={}",
+            interruption.id,
+            endpoint.life.id,
+            endpoint.life.born,
+            state
+                .clock
+                .now()
+                .saturating_sub(interruption.at)
+                .as_millis(),
+        ));
         return;
     }
     Event::SuspectMarked.log(format_args!(
@@ -74,7 +95,7 @@
         at: interruption.at,
         cleared: false,
     };
-    known.record_crash(&interruption.causes, crash);
+    state.causes.record_crash(&interruption.causes, crash);
 }
 
 /// Returns the possible causes of a crash that a request has.
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -49,6 +49,17 @@
 #[derive(Debug, Default)]
 pub struct Checks(Mutex<Vec<Incarnation>>);
 
+/// What is known of the process of an endpoint that was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It has ended: nothing listens at its address, or another process does.
+    Ended,
+    /// It has just answered.
+    RunsOn,
+    /// It accepted a connection or not, and did not tell which process it is.
+    Unknown,
+}
+
 /// What a process says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Identity {
@@ -136,6 +147,33 @@
     }
 }
 
+/// Asks whether the process of an endpoint still runs, unless it is known to have ended.
+pub async fn ask(state: &Arc<State>, endpoint: &Endpoint) -> Fate {
+    if lock(&state.fleet).has_ended(&endpoint.life) {
+        return Fate::Ended;
+    }
+    let mut connection = match open(state, endpoint).await {
+        Ok(connection) => connection,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Fate::Ended,
+        // Silence is no proof, since a path may be cut.
+        Err(_) => return Fate::Unknown,
+    };
+    if endpoint.life.born.is_none() {
+        return Fate::Unknown;
+    }
+    match identify(&mut connection, endpoint).await {
+        Identity::Same => {
+            record_running(state, endpoint);
+            Fate::RunsOn
+        }
+        Identity::Other => {
+            record_end(state, endpoint, OWN);
+            Fate::Ended
+        }
+        Identity::Untold | Identity::Unreadable | Identity::Silent => Fate::Unknown,
+    }
+}
+
 /// Returns whether an endpoint runs on after the end of a connection.
 ///
 /// The kernel closes the connections of a process that is killed like those of one that has
--- a/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
+++ b/crates/cicadacrank-node/src/gateway/peers/heartbeat.rs
@@ -24,6 +24,7 @@
     Message,
     wire::{Beat, EndpointLoad},
 };
+use futures_util::future::join_all;
 use rand::seq::IteratorRandom as _;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
@@ -34,6 +35,13 @@
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time after its start for which a gateway waits until another has told it what it
+/// knows. It covers two heartbeats that are not answered.
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two tries to reach another gateway after the start.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Number of heartbeats between two log lines on the traffic between processes.
 const HEARTBEATS_PER_REPORT: u64 = 40;
 
@@ -71,8 +79,39 @@
     Answer { reader: &'a str, digest: &'a [Sign] },
 }
 
+/// Learns what other gateways know and the store does not hold, such as which requests crash
+/// endpoints, before this one takes requests.
+async fn introduce(state: &Arc<State>) {
+    let began = state.clock.now();
+    let mut answered = 0;
+    let mut is_alone = false;
+    while answered == 0 && !is_alone && state.clock.now() < began + INTRODUCTION_TIMEOUT {
+        let is_listed = state.are_gateways_listed();
+        let receivers = choose_receivers(state);
+        is_alone = is_listed && receivers.is_empty();
+        let heartbeats = receivers
+            .into_iter()
+            .map(|(address, gateway)| send(Arc::clone(state), address, gateway));
+        answered = join_all(heartbeats)
+            .await
+            .into_iter()
+            .filter(|one| *one)
+            .count();
+        if answered == 0 && !is_alone {
+            time::sleep(INTRODUCTION_INTERVAL).await;
+        }
+    }
+    Event::Introduced.log(format_args!(
+        "answers={answered} quarantined={} took_ms={}",
+        state.causes.quarantined_count(),
+        state.clock.now().saturating_sub(began).as_millis(),
+    ));
+    state.record_introduction();
+}
+
 /// Sends heartbeats for as long as the process runs.
 pub(super) async fn run(state: Arc<State>) {
+    introduce(&state).await;
     let mut period = time::interval(HEARTBEAT_INTERVAL);
     period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -138,7 +177,8 @@
     lock(&state.fleet).drop_peer_loads(instance);
 }
 
-async fn send(state: Arc<State>, address: String, gateway: Option<Gateway>) {
+/// Sends a heartbeat. Returns whether it was answered.
+async fn send(state: Arc<State>, address: String, gateway: Option<Gateway>) -> bool {
     let client = state.links.client(&address);
     let members = match &gateway {
         Some(gateway) if !gateway.reads_digests => Members::All,
@@ -149,20 +189,21 @@
         Ok(mut client) => time::timeout(HEARTBEAT_TIMEOUT, client.exchange(beat)).await,
         Err(error) => {
             log::error!("invalid gateway address {address}: {error}");
-            return;
+            return false;
         }
     };
-    match answer {
-        Ok(Ok(beat)) => apply(&state, beat.into_inner(), &address),
-        Ok(Err(_)) | Err(_) => {
-            state.links.drop_link(&address);
-            let Some(gateway) = gateway else { return };
-            let now = state.clock.now();
-            if lock(&state.roster).record_failure(&gateway.instance, now) {
-                report_lost(&state, &gateway.instance, "no answer");
-            }
+    if let Ok(Ok(beat)) = answer {
+        apply(&state, beat.into_inner(), &address);
+        return true;
+    }
+    state.links.drop_link(&address);
+    if let Some(gateway) = gateway {
+        let now = state.clock.now();
+        if lock(&state.roster).record_failure(&gateway.instance, now) {
+            report_lost(&state, &gateway.instance, "no answer");
         }
     }
+    false
 }
 
 /// Processes the heartbeat of another gateway and returns the answer.
--- a/crates/cicadacrank-node/src/gateway/state.rs
+++ b/crates/cicadacrank-node/src/gateway/state.rs
@@ -94,6 +94,10 @@
     drain: OnceLock<Drain>,
     /// Cancelled when the time for open requests is over.
     pub(super) expired: CancellationToken,
+    /// Whether the gateways that the store lists are known.
+    gateways_listed: AtomicBool,
+    /// Whether another gateway has told what it knows, or none was found to do so.
+    introduced: AtomicBool,
     ready: AtomicBool,
     in_flight: AtomicUsize,
 }
@@ -175,6 +179,8 @@
             services: Mutex::default(),
             drain: OnceLock::new(),
             expired: CancellationToken::new(),
+            gateways_listed: AtomicBool::new(false),
+            introduced: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             clock,
@@ -334,8 +340,23 @@
         self.is_initialized() && self.draining().is_none()
     }
 
+    /// Records that the gateways which the store lists are known.
+    pub(super) fn record_gateways_listed(&self) {
+        self.gateways_listed.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn are_gateways_listed(&self) -> bool {
+        self.gateways_listed.load(Ordering::Relaxed)
+    }
+
+    /// Records that another gateway has told what it knows, or that none was found to do so.
+    pub(super) fn record_introduction(&self) {
+        self.introduced.store(true, Ordering::Relaxed);
+        self.check_ready();
+    }
+
     /// Returns whether the configuration, the endpoints and the evacuated data
-    /// centres are known.
+    /// centres are known, and what other gateways know.
     #[must_use]
     pub fn is_initialized(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -541,6 +562,7 @@
         let ready = lock(&self.config).is_some()
             && lock(&self.evacuation).current().is_some()
             && self.listed.load(Ordering::Relaxed)
+            && self.introduced.load(Ordering::Relaxed)
             && self.rollouts.is_known();
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             Event::ReadyChanged.log(format_args!("ready={ready}"));
--- a/crates/cicadacrank-node/src/gateway/watch.rs
+++ b/crates/cicadacrank-node/src/gateway/watch.rs
@@ -366,6 +366,7 @@
             Ok(listing) => {
                 failures.record_success(state);
                 record_gateways(state, &listing);
+                state.record_gateways_listed();
                 return era;
             }
             Err(fault) => failures.back_off(state, &fault).await,
--- a/crates/cicadacrankd/tests/gateway.rs
+++ b/crates/cicadacrankd/tests/gateway.rs
@@ -708,6 +708,83 @@
     }
 }
 
+/// Sends requests with the part that crashes engines, and sound ones, and returns the statuses
+/// of the former.
+async fn send_crashing(deployment: &Deployment, count: usize) -> Vec<Option<u16>> {
+    let mut statuses = Vec::new();
+    for number in 0..count {
+        let gateway = number % deployment.gateways.len();
+        let parts = format!("aa:60,{CRASHING_PART}:20,own{number}:20");
+        let answer = prompt(deployment, gateway, &format!("d{number}"), &parts).await;
+        statuses.push(answer.status);
+        let parts = format!("aa:60,b{number}:20,own:20");
+        prompt(deployment, gateway, &format!("s{number}"), &parts).await;
+        time::sleep(CRASH_INTERVAL).await;
+        // Engines that have started again register themselves.
+        for engine in deployment.endpoints_with(Role::Engine) {
+            let entry = engine.entry("ready", 2 + number as u64);
+            let mut store = deployment.store.state();
+            store.put(Collection::Endpoints, &engine.id, entry);
+        }
+    }
+    statuses
+}
+
+/// Time between two requests that crash engines. The end of an engine is known by then.
+const CRASH_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// The port of an engine that crashed still accepted connections when it was asked once, so
+/// that no crash was counted and the part went on to crash engines.
+#[tokio::test]
+async fn part_that_crashes_engines_which_end_slowly_is_refused() {
+    let deployment = deployment(2, 8).await;
+    set_faults(&deployment, Role::Engine, Fault::LingerOnPart);
+    let statuses = send_crashing(&deployment, 6).await;
+    let engines = deployment.endpoints_with(Role::Engine);
+    let crashes = engines.filter(|engine| engine.has_crashed()).count();
+    assert_eq!(crashes, 3, "{statuses:?}");
+    assert_eq!(&statuses[3..], &[Some(503); 3]);
+}
+
+/// Another process was at the address of an engine that crashed when it was asked.
+#[tokio::test]
+async fn part_that_crashes_engines_which_start_again_at_once_is_refused() {
+    let deployment = deployment(2, 8).await;
+    set_faults(&deployment, Role::Engine, Fault::RestartOnPart);
+    let statuses = send_crashing(&deployment, 6).await;
+    let engines = deployment.endpoints_with(Role::Engine);
+    let crashes: usize = engines.map(Endpoint::restarts).sum();
+    assert_eq!(crashes, 3, "{statuses:?}");
+    assert_eq!(&statuses[3..], &[Some(503); 3]);
+}
+
+/// A gateway that had just started was ready before any other had told it what is refused.
+#[tokio::test]
+async fn gateway_that_starts_refuses_a_part_that_crashed_engines_from_its_first_request_on() {
+    let mut deployment = deployment(2, 10).await;
+    set_faults(&deployment, Role::Engine, Fault::CrashOnPart);
+    let statuses = send_crashing(&deployment, 4).await;
+    assert_eq!(statuses[3], Some(503), "{statuses:?}");
+    for round in 0..6 {
+        let restarted = &mut deployment.gateways[round % 2];
+        restarted.kill().expect("failed to kill");
+        restarted.wait().await.expect("failed to wait");
+        restarted.restart().expect("failed to restart the process");
+        let until = time::Instant::now() + CRASH_INTERVAL;
+        let mut number = 0;
+        while time::Instant::now() < until {
+            let parts = format!("aa:60,{CRASHING_PART}:20,own{round}-{number}:20");
+            let attempt = format!("r{round}-{number}");
+            prompt(&deployment, round % 2, &attempt, &parts).await;
+            number += 1;
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let engines = deployment.endpoints_with(Role::Engine);
+        let crashes = engines.filter(|engine| engine.has_crashed()).count();
+        assert_eq!(crashes, 3, "round {round}");
+    }
+}
+
 #[tokio::test]
 async fn stream_that_ends_with_its_connection_is_served() {
     let deployment = deployment(1, 1).await;
