Don't take the end of a connection for that of an answer while its request is written

A reset alone, at once or 0.1 s later, was told apart on each route. Status 000 became 502; 101 and statuses from 600 on were passed on.

Cause: the HTTP library reports the end of the connection as that of the answer, whatever became of the request, and the check that follows asks whether the port of the engine accepts connections.

Change: the socket knows whether the request was written whole, and reports an end before that as an error; an end after it is reported 10 ms later, as an error if the connection was reset by then. `has_survived` waited for those 10 ms before. Only statuses 200 to 599 are answers.

--- a/crates/cicadacrank-node/src/gateway/attempt.rs
+++ b/crates/cicadacrank-node/src/gateway/attempt.rs
@@ -553,7 +553,9 @@
             arrived: true,
         });
     }
-    let valid = !foreign && answer.attempt.is_some() && answer.signed && !encoded;
+    // Other statuses end no request in HTTP.
+    let is_final = (200..600).contains(&answer.status.as_u16());
+    let valid = is_final && !foreign && answer.attempt.is_some() && answer.signed && !encoded;
     if !valid {
         guard.record(Report::Failed);
         return Err(Failure::Unknown {
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -25,9 +25,6 @@
 };
 use tokio::time;
 
-/// Time within which a process that is killed closes all of its sockets.
-const EXIT_TIME: Duration = Duration::from_millis(10);
-
 /// Time between two questions to an endpoint whose process is taken to have ended.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -178,9 +175,9 @@
 ///
 /// The kernel closes the connections of a process that is killed like those of one that has
 /// sent everything, so an answer that ends with its connection is complete only if its
-/// endpoint is still there.
+/// endpoint is still there. The socket reports the end of a connection only after the time in
+/// which such a process closes all others.
 pub async fn has_survived(endpoint: &Endpoint) -> bool {
-    time::sleep(EXIT_TIME).await;
     outbound::is_accepting(endpoint.address, CONNECT_TIMEOUT).await
 }
 
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -4,6 +4,9 @@
 //! endpoint sends late or after its response is ever read. Dropping the
 //! [`Exchange`] closes the connection, which makes the other side stop its work.
 
+mod socket;
+
+use self::socket::{Progress, Socket, Upload};
 use crate::memory::Memory;
 use bytes::Bytes;
 use http::{Request, Response, header};
@@ -62,8 +65,9 @@
 /// An open connection on which no request is under way.
 #[derive(Debug)]
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Upload>,
     driver: AbortOnDropHandle<()>,
+    progress: Progress,
 }
 
 /// A response whose body may not have arrived yet.
@@ -83,9 +87,11 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT)?;
+        let progress = Progress::default();
+        let socket = Socket::new(stream, progress.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -96,6 +102,7 @@
         Ok(Self {
             sender,
             driver: AbortOnDropHandle::new(driver),
+            progress,
         })
     }
 
@@ -110,12 +117,14 @@
         request: Request<Full<Bytes>>,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, String> {
+        let request = request.map(|body| self.progress.begin(body));
         let response = self.sender.send_request(request).await;
         let (head, mut body) = response.map_err(|error| error.to_string())?.into_parts();
         // One buffer, since parts of a body may be small.
         let memory = Memory::new(max_bytes as u64 * 2);
         let body = memory.buffer().read(&mut body, max_bytes).await;
         let body = body.map_err(|fault| fault.to_string())?;
+        self.progress.end();
         Ok(Response::from_parts(head, body))
     }
 
@@ -131,6 +140,7 @@
     /// Returns a message if no response arrives. The request may have reached the
     /// other side.
     pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Exchange, String> {
+        let request = request.map(|body| self.progress.begin(body));
         let response = self
             .sender
             .send_request(request)
