Take an answer that ends with its connection for whole only on its endpoint's word

Cause: has_survived concluded from a port that accepts connections that the process which was answering had run on.

Change: the endpoint is asked, after the end, whether it is the registered process: by the start time in its report, or, for plain services, by its id at their health path, which the configuration names (new field of a service).

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -313,6 +313,7 @@
         let proxy = Proxy::start(address).await?;
         let context = Context {
             role,
+            id: id.clone(),
             address,
             state: Arc::clone(&state),
             port: proxy.switch(),
@@ -429,6 +430,7 @@
 #[derive(Clone, Debug)]
 struct Context {
     role: Role,
+    id: String,
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     /// Closes the port of the endpoint.
@@ -445,7 +447,7 @@
         let fault = lock(&context.state).fault;
         let is_unframed = match context.role {
             Role::Engine => fault.is_unframed(),
-            Role::Desk => fault == Fault::UnframedCrash,
+            Role::Desk => matches!(fault, Fault::Unframed | Fault::UnframedCrash),
             Role::Worker => false,
         };
         if is_unframed {
@@ -517,6 +519,7 @@
 async fn answer(context: Context, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let Context {
         role,
+        id,
         address,
         state,
         port,
@@ -536,6 +539,12 @@
             false,
         ));
     }
+    if path == "/healthz" {
+        let mut response = plain_response(StatusCode::OK, &head.headers, Bytes::new(), false);
+        let id = id.parse().map_err(io::Error::other)?;
+        response.headers_mut().insert("x-instance-id", id);
+        return Ok(response);
+    }
     if path == "/report" {
         let mut response = plain_response(StatusCode::OK, &head.headers, Bytes::new(), false);
         if lock(&state).silent {
@@ -862,6 +871,11 @@
         let answer = format!("{head} {}\r\n\r\n{body}", body.len());
         return stream.write_all(answer.as_bytes()).await;
     }
+    if request.starts_with("GET /healthz ") {
+        let id = &context.id;
+        let answer = format!("HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\ncontent-length: 0\r\n\r\n");
+        return stream.write_all(answer.as_bytes()).await;
+    }
     let text = |name: &str| {
         let lines = request.lines().filter_map(|line| line.split_once(": "));
         let mut lines = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
@@ -885,6 +899,9 @@
     stream.write_all(head.as_bytes()).await?;
     if context.role == Role::Desk {
         stream.write_all(b"ans").await?;
+        if fault == Fault::Unframed {
+            return Ok(());
+        }
         time::sleep(EVENT_GAP).await;
         context.port.send_replace(Impairment::Down);
         return Ok(());
--- a/crates/cicadacrank-core/src/config/lookup.rs
+++ b/crates/cicadacrank-core/src/config/lookup.rs
@@ -26,6 +26,16 @@
         parts
     }
 
+    /// Returns whether a service neither streams answers nor runs stages.
+    #[must_use]
+    pub fn is_plain(&self, service: &Service) -> bool {
+        let streams = |route: &Route| {
+            let mut targets = route.targets.iter();
+            route.repeat.is_stream() && targets.any(|target| target.service == service.name)
+        };
+        service.engine.is_none() && service.worker.is_none() && !self.routes.iter().any(streams)
+    }
+
     /// Returns the services with streams that may be taken up at another endpoint, sorted.
     #[must_use]
     pub fn resumable_services(&self) -> Vec<String> {
--- a/crates/cicadacrank-core/src/config/mod.rs
+++ b/crates/cicadacrank-core/src/config/mod.rs
@@ -117,6 +117,9 @@
 pub struct Service {
     /// Name, unique in the configuration.
     pub name: String,
+    /// Path at which an endpoint tells its id. Empty if the configuration names none.
+    #[serde(default)]
+    pub health_path: String,
     /// Connections that one endpoint accepts from all callers together.
     pub connections: u32,
     /// How long an endpoint is cold after its start, or zero if it never is.
--- a/crates/cicadacrank-core/tests/config_check.rs
+++ b/crates/cicadacrank-core/tests/config_check.rs
@@ -10,6 +10,7 @@
 fn service(name: &str, worker: Option<Worker>) -> Service {
     Service {
         name: name.to_owned(),
+        health_path: String::new(),
         connections: 10,
         cold_time: Duration::ZERO,
         cold_rate: 0.0,
--- a/crates/cicadacrank-core/tests/placement.rs
+++ b/crates/cicadacrank-core/tests/placement.rs
@@ -34,6 +34,7 @@
     Config::new(Config {
         services: vec![Service {
             name: "engine".to_owned(),
+            health_path: String::new(),
             connections: 100,
             cold_time: Duration::from_secs(3),
             cold_rate,
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -62,6 +62,8 @@
 enum Identity {
     /// It is the process that is registered.
     Same,
+    /// It has the id of the one that is registered, and does not tell when it started.
+    SameId,
     /// It has started at another time.
     Other,
     /// It does not tell when it started.
@@ -96,7 +98,7 @@
                 }
                 return open(state, endpoint).await;
             }
-            Identity::Untold => return open(state, endpoint).await,
+            Identity::Untold | Identity::SameId => return open(state, endpoint).await,
             Identity::Other => {
                 record_end(state, endpoint, OWN);
                 return Err(io::Error::other("another process is there"));
@@ -155,14 +157,16 @@
         // Silence is no proof, since a path may be cut.
         Err(_) => return Fate::Unknown,
     };
-    if endpoint.life.born.is_none() {
-        return Fate::Unknown;
-    }
-    match identify(&mut connection, endpoint).await {
+    let identity = match health_path(state, endpoint) {
+        Some(path) => check_id(&mut connection, endpoint, &path).await,
+        None => identify(&mut connection, endpoint).await,
+    };
+    match identity {
         Identity::Same => {
             record_running(state, endpoint);
             Fate::RunsOn
         }
+        Identity::SameId => Fate::RunsOn,
         Identity::Other => {
             record_end(state, endpoint, OWN);
             Fate::Ended
@@ -171,14 +175,57 @@
     }
 }
 
-/// Returns whether an endpoint runs on after the end of a connection.
+/// Returns the path at which an endpoint is asked for its id, if endpoints of its service do
+/// not report on themselves: those that neither stream answers nor run stages.
+fn health_path(state: &State, endpoint: &Endpoint) -> Option<String> {
+    let config = state.config()?;
+    let service = config.service(&endpoint.service)?;
+    let is_told = config.is_plain(service) && !service.health_path.is_empty();
+    is_told.then(|| service.health_path.clone())
+}
+
+/// Asks the process at the other side of a connection for the id of its endpoint.
+async fn check_id(connection: &mut Connection, endpoint: &Endpoint, path: &str) -> Identity {
+    let request = match endpoint::encode_health(endpoint.address, path) {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("failed to build a request to an endpoint: {error}");
+            return Identity::Untold;
+        }
+    };
+    let answer = connection.call(request, MAX_REPORT_BYTES);
+    let Ok(answer) = time::timeout(REPORT_TIMEOUT, answer).await else {
+        return Identity::Silent;
+    };
+    match answer {
+        Ok(answer) => match endpoint::decode_health(answer.headers()) {
+            Some(id) if id == endpoint.life.id => Identity::SameId,
+            Some(_) => Identity::Other,
+            None => Identity::Untold,
+        },
+        Err(error) => {
+            log::debug!("endpoint {} did not tell its id: {error}", endpoint.life.id);
+            Identity::Unreadable
+        }
+    }
+}
+
+/// Returns whether the process of an endpoint, on which a connection has just been seen to
+/// end, is known to run on.
 ///
 /// The kernel closes the connections of a process that is killed like those of one that has
-/// sent everything, so an answer that ends with its connection is complete only if its
-/// endpoint is still there. The socket reports the end of a connection only after the time in
-/// which such a process closes all others.
-pub async fn has_survived(endpoint: &Endpoint) -> bool {
-    outbound::is_accepting(endpoint.address, CONNECT_TIMEOUT).await
+/// sent everything, so an answer that ends with its connection is complete only if the process
+/// that gave it has said since that it is there. That some process accepts connections says
+/// nothing: this gateway may have stood still until the endpoint had started again.
+pub async fn has_survived(state: &Arc<State>, endpoint: &Endpoint) -> bool {
+    for _ in 0..MAX_QUESTIONS {
+        match ask(state, endpoint).await {
+            Fate::RunsOn => return true,
+            Fate::Ended => break,
+            Fate::Unknown => {}
+        }
+    }
+    false
 }
 
 /// Checks in the background whether the process of an endpoint has ended, after a connection
@@ -250,7 +297,7 @@
         match identify(&mut connection, &endpoint).await {
             Identity::Same => return record_running(&state, &endpoint),
             Identity::Other => return,
-            Identity::Untold | Identity::Unreadable | Identity::Silent => {}
+            Identity::SameId | Identity::Untold | Identity::Unreadable | Identity::Silent => {}
         }
     }
 }
--- a/crates/cicadacrank-node/src/gateway/plain.rs
+++ b/crates/cicadacrank-node/src/gateway/plain.rs
@@ -154,8 +154,9 @@
             ));
         }
     };
-    if framing == Framing::Connection && !lifetime::has_survived(&guard.endpoint).await {
-        let context = "the endpoint ended with its connection".to_owned();
+    if framing == Framing::Connection && !lifetime::has_survived(state, &guard.endpoint).await {
+        let context =
+            "the endpoint is not known to have survived the end of its connection".to_owned();
         return Err(failed(sent, Kind::Truncated, context));
     }
     sent.finish();
--- a/crates/cicadacrank-node/src/gateway/stream.rs
+++ b/crates/cicadacrank-node/src/gateway/stream.rs
@@ -482,8 +482,9 @@
         if truncation.is_some() || self.upstream.exchange.framing() != Framing::Connection {
             return truncation;
         }
-        let has_survived = lifetime::has_survived(&self.upstream.guard.endpoint).await;
-        (!has_survived).then_some("the engine ended with its connection")
+        let has_survived = lifetime::has_survived(&self.state, &self.upstream.guard.endpoint).await;
+        (!has_survived)
+            .then_some("the engine is not known to have survived the end of its connection")
     }
 
     /// Returns how the events show that the answer is incomplete.
--- a/crates/cicadacrank-node/src/platform/config.rs
+++ b/crates/cicadacrank-node/src/platform/config.rs
@@ -71,6 +71,8 @@
 #[serde(rename_all = "camelCase")]
 struct WireService {
     name: String,
+    #[serde(default)]
+    health_path: String,
     connection_limit: u32,
     #[serde(default)]
     cold_start_s: f64,
@@ -312,6 +314,7 @@
         connections: wire.connection_limit,
         cold_time: milliseconds(wire.cold_start_s * 1_000.0, "coldStartS")?,
         cold_rate: wire.cold_per_s,
+        health_path: wire.health_path,
         engine: wire.engine.map(|engine| Engine {
             slots: engine.slots,
             memory_tokens: engine.kv_cache_tokens,
--- a/crates/cicadacrank-node/src/platform/endpoint.rs
+++ b/crates/cicadacrank-node/src/platform/endpoint.rs
@@ -3,11 +3,14 @@
 use super::Object;
 use bytes::Bytes;
 use cicadacrank_core::directory::{Endpoint, Incarnation, State};
-use http::{Request, header};
+use http::{HeaderMap, HeaderName, Request, header};
 use http_body_util::Full;
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
 
+/// Id of the endpoint that answers.
+const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
+
 /// Maximum length of the description of an invalid entry, in characters. It repeats
 /// what the entry contains.
 const MAX_DESCRIPTION_CHARACTERS: usize = 200;
@@ -87,6 +90,24 @@
         .body(Full::default())
 }
 
+/// Builds the request for the id of the endpoint at an address.
+///
+/// # Errors
+///
+/// Returns an error if the request cannot be built.
+pub fn encode_health(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::builder()
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+}
+
+/// Returns the id that an endpoint names when it is asked for its health, whatever that is.
+#[must_use]
+pub fn decode_health(headers: &HeaderMap) -> Option<&str> {
+    headers.get(&INSTANCE)?.to_str().ok()
+}
+
 /// Returns the start time that an endpoint names in what it says of itself, or `None` if
 /// it names none.
 #[must_use]
--- a/crates/cicadacrankd/tests/order.rs
+++ b/crates/cicadacrankd/tests/order.rs
@@ -178,6 +178,43 @@
     assert!(resumed > 0, "no stream was resumed");
 }
 
+/// A gateway stood still while an engine crashed and started again at its address. Some process
+/// accepted connections there when it looked, so that it took part of a stream for the whole.
+#[tokio::test]
+async fn stream_of_an_engine_that_started_again_while_its_gateway_stood_still_is_not_complete() {
+    let deployment = deployment(1, 1).await;
+    time::sleep(BUDGET_TIME).await;
+    let engine = engines(&deployment)[0];
+    engine.set_fault(Fault::UnframedCrash);
+    let stream = begin(&deployment, 0, "s1");
+    let trouble = async {
+        fleet::wait_for("the run", async || has_run(engine, "s1"))
+            .await
+            .expect("the stream has begun");
+        deployment.gateways[0].freeze().expect("failed to freeze");
+        time::sleep(NOTICE_TIME).await;
+        engine.start_again();
+        time::sleep(NOTICE_TIME).await;
+        deployment.gateways[0].thaw().expect("failed to thaw");
+    };
+    let (answer, ()) = tokio::join!(stream, trouble);
+    let is_complete = answer.status == Some(200) && answer.whole;
+    assert!(!is_complete, "{answer:?}");
+}
+
+/// A sound endpoint may end its answer with the connection, and is asked whether it runs on.
+#[tokio::test]
+async fn answer_of_a_sound_endpoint_that_ends_with_its_connection_is_complete() {
+    let deployment = deployment(1, 1).await;
+    set_faults(&deployment, Role::Desk, Fault::Unframed);
+    let caller = Caller::new().expect("failed to create the caller");
+    let address = deployment.gateways[0].caller_address();
+    let request = caller.request(reqwest::Method::POST, address, "/book/x", "b1");
+    let answer = send(request).await;
+    assert_eq!(answer.status, Some(200), "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+}
+
 /// The same of a plain service: half an answer passed as a whole one.
 #[tokio::test]
 async fn answer_of_an_endpoint_that_ends_is_not_complete() {
