--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -56,6 +56,9 @@
 /// Time for which the port of an engine with [`Fault::RestartOnPart`] is closed.
 const RESTART_TIME: Duration = Duration::from_millis(5);
 
+/// Number of interim heads that are written at once.
+const INTERIM_HEADS: usize = 1_024;
+
 /// Size of the parts of an answer without end.
 const ENDLESS_PART_BYTES: usize = 1 << 14;
 
@@ -136,6 +139,8 @@
     EndlessChunks,
     /// It answers with a head that never ends.
     EndlessHead,
+    /// It answers with interim heads that never end.
+    EndlessInterim,
     /// It writes a refusal that names no request on each connection before it reads the
     /// request, which it then runs and answers.
     EarlyRefusal,
@@ -457,10 +462,11 @@
             });
             continue;
         }
-        if fault == Fault::EndlessHead && context.role != Role::Worker {
+        let is_endless = matches!(fault, Fault::EndlessHead | Fault::EndlessInterim);
+        if is_endless && context.role != Role::Worker {
             tokio::spawn(async move {
                 // An error is a client that disconnected.
-                drop(answer_endless_head(stream).await);
+                drop(answer_endless_head(stream, fault).await);
             });
             continue;
         }
@@ -822,14 +828,20 @@
     Ok(Some(String::from_utf8_lossy(&request).into_owned()))
 }
 
-/// Answers one request with a line of a head that never ends.
-async fn answer_endless_head(mut stream: TcpStream) -> io::Result<()> {
+/// Answers one request with a line of a head, or with interim heads, that never end.
+async fn answer_endless_head(mut stream: TcpStream, fault: Fault) -> io::Result<()> {
     if read_head(&mut stream).await?.is_none() {
         return Ok(());
     }
-    stream.write_all(b"HTTP/1.1 200 OK\r\nx-rest: ").await?;
+    let part = match fault {
+        Fault::EndlessInterim => b"HTTP/1.1 100 \r\n\r\n".repeat(INTERIM_HEADS),
+        _ => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nx-rest: ").await?;
+            vec![b'x'; ENDLESS_PART_BYTES]
+        }
+    };
     loop {
-        stream.write_all(&[b'x'; ENDLESS_PART_BYTES]).await?;
+        stream.write_all(&part).await?;
     }
 }
 
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -120,6 +120,7 @@
         let request = request.map(|body| self.progress.begin(body));
         let response = self.sender.send_request(request).await;
         let (head, mut body) = response.map_err(|error| error.to_string())?.into_parts();
+        self.progress.record_head();
         // One buffer, since parts of a body may be small.
         let memory = Memory::new(max_bytes as u64 * 2);
         let body = memory.buffer().read(&mut body, max_bytes).await;
@@ -146,6 +147,7 @@
             .send_request(request)
             .await
             .map_err(|error| error.to_string())?;
+        self.progress.record_head();
         Ok(Exchange {
             response,
             driver: self.driver,
--- a/crates/cicadacrank-node/src/outbound/socket.rs
+++ b/crates/cicadacrank-node/src/outbound/socket.rs
@@ -3,7 +3,11 @@
 //! The end of a connection marks the end of an answer without a length only if the request
 //! was written whole and the other side has not reset the connection. The HTTP library reports
 //! such an end as that of the answer in any case, so the socket reports it as an error.
+//!
+//! The library also drops interim heads one by one as long as the socket has any, so the socket
+//! bounds what comes before the head of an answer is complete.
 
+use super::MAX_HEAD_BYTES;
 use crate::sync::lock;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -26,6 +30,10 @@
 /// the time within which a process that is killed closes all of its sockets.
 const END_TIME: Duration = Duration::from_millis(10);
 
+/// Maximum number of bytes that arrive until the head of an answer is known: interim heads, the
+/// head, and what the library reads of the body with it, which is at most a buffer and a part.
+const MAX_BYTES_TO_HEAD: usize = 3 * MAX_HEAD_BYTES;
+
 /// How far a request has been written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -40,9 +48,17 @@
     Written,
 }
 
-/// How far the request on a connection has been written, known to its body and its socket.
+/// How far a request and its answer have come.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    request: Phase,
+    /// Number of bytes that have arrived, while the head of the answer is not known.
+    bytes_to_head: Option<usize>,
+}
+
+/// How far the request on a connection and its answer have come, known to both and to the socket.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Progress(Arc<Mutex<Phase>>);
+pub(super) struct Progress(Arc<Mutex<State>>);
 
 impl Progress {
     /// Returns the body of a request that is about to be sent.
@@ -52,24 +68,47 @@
         } else {
             Phase::Begun
         };
-        self.set(phase);
+        *lock(&self.0) = State {
+            request: phase,
+            bytes_to_head: Some(0),
+        };
         Upload {
             body,
             progress: self.clone(),
         }
     }
 
+    /// Records that the head of the answer is known.
+    pub(super) fn record_head(&self) {
+        lock(&self.0).bytes_to_head = None;
+    }
+
     /// Records that the answer is complete.
     pub(super) fn end(&self) {
         self.set(Phase::Idle);
     }
 
+    /// Counts bytes that have arrived. Fails if too many came before the head was known.
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let mut state = lock(&self.0);
+        let Some(count) = &mut state.bytes_to_head else {
+            return Ok(());
+        };
+        *count += bytes;
+        if *count > MAX_BYTES_TO_HEAD {
+            return Err(io::Error::other(
+                "too many bytes before the end of the head",
+            ));
+        }
+        Ok(())
+    }
+
     fn get(&self) -> Phase {
-        *lock(&self.0)
+        lock(&self.0).request
     }
 
     fn set(&self, phase: Phase) {
-        *lock(&self.0) = phase;
+        lock(&self.0).request = phase;
     }
 }
 
@@ -150,8 +189,9 @@
         if self.end.is_none() {
             let before = buffer.filled().len();
             ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-            if buffer.filled().len() > before || buffer.remaining() == 0 {
-                return Poll::Ready(Ok(()));
+            let arrived = buffer.filled().len() - before;
+            if arrived > 0 || buffer.remaining() == 0 {
+                return Poll::Ready(self.progress.count(arrived));
             }
         }
         self.poll_end(context)
--- a/crates/cicadacrankd/tests/memory.rs
+++ b/crates/cicadacrankd/tests/memory.rs
@@ -78,6 +78,27 @@
     }
 }
 
+/// Interim heads without end took the only thread of a gateway, in which it answered nothing
+/// else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endpoint_that_sends_interim_heads_without_end_is_given_up() {
+    for role in [Role::Desk, Role::Engine] {
+        let deployment = deployment(1, 1).await;
+        set_faults(&deployment, role, Fault::EndlessInterim);
+        let caller = Caller::new().expect("failed to create the caller");
+        let address = deployment.gateways[0].caller_address();
+        let request = match role {
+            Role::Engine => caller.stream(address, "/draft/x", "f"),
+            Role::Desk | Role::Worker => caller.request(Method::POST, address, "/book/x", "f"),
+        };
+        let deadline = HeaderMap::from_iter([DEADLINE]);
+        let answer = send(request.headers(deadline)).await;
+        assert_eq!(answer.status, Some(502), "{role:?}");
+        let log = deployment.gateways[0].log_text();
+        assert!(!log.contains("kind=silent"), "it was waited for: {log}");
+    }
+}
+
 /// Largest body that the configuration allows here.
 const BODY_BYTES: usize = 4 << 20;
 
