Ask endpoints which process they are in one place

The questions for the start time and for the id of an endpoint shared their handling of faults. is_accepting has no use any more. Behaviour is unchanged.

--- a/crates/cicadacrank-bench/src/deployment/endpoint.rs
+++ b/crates/cicadacrank-bench/src/deployment/endpoint.rs
@@ -51,7 +51,7 @@
 
 /// Time from the end of its connections to that of the port of an engine with
 /// [`Fault::LingerOnPart`].
-pub const LINGER_TIME: Duration = Duration::from_millis(300);
+const LINGER_TIME: Duration = Duration::from_millis(300);
 
 /// Time for which the port of an engine with [`Fault::RestartOnPart`] is closed.
 const RESTART_TIME: Duration = Duration::from_millis(5);
@@ -161,7 +161,7 @@
     UnframedCrash,
     /// It crashes when it begins to answer a prompt that contains [`CRASHING_PART`].
     CrashOnPart,
-    /// As [`Fault::CrashOnPart`], but its port closes only [`LINGER_TIME`] after its
+    /// As [`Fault::CrashOnPart`], but its port closes only 300 ms after its
     /// connections, as that of a process with much memory to release.
     LingerOnPart,
     /// As [`Fault::CrashOnPart`], but it starts again in place at once.
--- a/crates/cicadacrank-node/src/gateway/lifetime.rs
+++ b/crates/cicadacrank-node/src/gateway/lifetime.rs
@@ -14,10 +14,13 @@
     outbound::{self, CONNECT_TIMEOUT, Connection},
     platform::endpoint,
 };
+use bytes::Bytes;
 use cicadacrank_core::{
     directory::{Endpoint, Incarnation},
     event::Event,
 };
+use http::{Request, Response};
+use http_body_util::Full;
 use std::{
     io,
     sync::{Arc, Mutex},
@@ -123,29 +126,54 @@
 
 /// Asks the process at the other side of a connection when it started.
 async fn identify(connection: &mut Connection, endpoint: &Endpoint) -> Identity {
-    let request = match endpoint::encode_report(endpoint.address) {
-        Ok(request) => request,
-        Err(error) => {
-            log::error!("failed to build a request to an endpoint: {error}");
-            return Identity::Untold;
-        }
-    };
-    let answer = connection.call(request, MAX_REPORT_BYTES);
-    let Ok(answer) = time::timeout(REPORT_TIMEOUT, answer).await else {
-        return Identity::Silent;
-    };
-    let born = answer.map(|answer| endpoint::decode_report(answer.body()));
-    match born {
-        Ok(born @ Some(_)) if born == endpoint.life.born => Identity::Same,
-        Ok(Some(_)) => Identity::Other,
-        Ok(None) => Identity::Untold,
-        Err(error) => {
-            log::debug!("endpoint {} did not report: {error}", endpoint.life.id);
-            Identity::Unreadable
-        }
+    let request = endpoint::encode_report(endpoint.address);
+    match question(connection, endpoint, request).await {
+        Ok(answer) => match endpoint::decode_report(answer.body()) {
+            born @ Some(_) if born == endpoint.life.born => Identity::Same,
+            Some(_) => Identity::Other,
+            None => Identity::Untold,
+        },
+        Err(identity) => identity,
     }
 }
 
+/// Asks the process at the other side of a connection for the id of its endpoint.
+async fn check_id(connection: &mut Connection, endpoint: &Endpoint, path: &str) -> Identity {
+    let request = endpoint::encode_health(endpoint.address, path);
+    match question(connection, endpoint, request).await {
+        Ok(answer) => match endpoint::decode_health(answer.headers()) {
+            Some(id) if id == endpoint.life.id => Identity::SameId,
+            Some(_) => Identity::Other,
+            None => Identity::Untold,
+        },
+        Err(identity) => identity,
+    }
+}
+
+/// Sends a question about itself to the process at the other side of a connection.
+///
+/// # Errors
+///
+/// Returns what is known of the process without an answer.
+async fn question(
+    connection: &mut Connection,
+    endpoint: &Endpoint,
+    request: Result<Request<Full<Bytes>>, http::Error>,
+) -> Result<Response<Bytes>, Identity> {
+    let request = request.map_err(|error| {
+        log::error!("failed to build a request to an endpoint: {error}");
+        Identity::Untold
+    })?;
+    let answer = connection.call(request, MAX_REPORT_BYTES);
+    let answer = time::timeout(REPORT_TIMEOUT, answer).await;
+    let answer = answer.map_err(|_| Identity::Silent)?;
+    answer.map_err(|error| {
+        let id = &endpoint.life.id;
+        log::debug!("endpoint {id} does not say which process it is: {error}");
+        Identity::Unreadable
+    })
+}
+
 /// Asks whether the process of an endpoint still runs, unless it is known to have ended.
 pub async fn ask(state: &Arc<State>, endpoint: &Endpoint) -> Fate {
     if lock(&state.fleet).has_ended(&endpoint.life) {
@@ -184,32 +212,6 @@
     is_told.then(|| service.health_path.clone())
 }
 
-/// Asks the process at the other side of a connection for the id of its endpoint.
-async fn check_id(connection: &mut Connection, endpoint: &Endpoint, path: &str) -> Identity {
-    let request = match endpoint::encode_health(endpoint.address, path) {
-        Ok(request) => request,
-        Err(error) => {
-            log::error!("failed to build a request to an endpoint: {error}");
-            return Identity::Untold;
-        }
-    };
-    let answer = connection.call(request, MAX_REPORT_BYTES);
-    let Ok(answer) = time::timeout(REPORT_TIMEOUT, answer).await else {
-        return Identity::Silent;
-    };
-    match answer {
-        Ok(answer) => match endpoint::decode_health(answer.headers()) {
-            Some(id) if id == endpoint.life.id => Identity::SameId,
-            Some(_) => Identity::Other,
-            None => Identity::Untold,
-        },
-        Err(error) => {
-            log::debug!("endpoint {} did not tell its id: {error}", endpoint.life.id);
-            Identity::Unreadable
-        }
-    }
-}
-
 /// Returns whether the process of an endpoint, on which a connection has just been seen to
 /// end, is known to run on.
 ///
--- a/crates/cicadacrank-node/src/outbound.rs
+++ b/crates/cicadacrank-node/src/outbound.rs
@@ -203,12 +203,6 @@
     connect.is_ok_and(|result| result.is_err_and(|error| refused(&error)))
 }
 
-/// Returns whether a process accepts connections at an address.
-pub async fn is_accepting(address: SocketAddr, timeout: Duration) -> bool {
-    let connect = time::timeout(timeout, TcpStream::connect(address)).await;
-    connect.is_ok_and(|result| result.is_ok())
-}
-
 /// Connects, sends a request and reads the whole response. `timeout` starts after
 /// connecting.
 ///
